Lay out the parts, the inner protocol and the interfaces between them

Cause: nothing stood yet; five parts are to be written side by side and need interfaces that do not move. Change: build files, checks, base package (time, errors, log), the inner protocol in XDR with its generated codec, and headers for RPC, store client, lists and settings. Conclusion: the parts can be written against these headers.

--- /dev/null
+++ b/src/base/part.mk
@@ -0,0 +1,1 @@
+SRCS += src/base/time.c src/base/error.c src/base/log.c
--- /dev/null
+++ b/src/base/time.c
@@ -0,0 +1,17 @@
+#include "base/time.h"
+
+#include <time.h>
+
+HsNow
+hs_now (void)
+{
+  struct timespec mono;
+  struct timespec wall;
+  HsNow now;
+
+  clock_gettime (CLOCK_MONOTONIC, &mono);
+  clock_gettime (CLOCK_REALTIME, &wall);
+  now.mono = (HsTime) mono.tv_sec * HS_SEC + mono.tv_nsec / 1000;
+  now.wall_ms = (int64_t) wall.tv_sec * 1000 + wall.tv_nsec / 1000000;
+  return now;
+}
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * Units of time. Functions that decide take the present time as an argument
+ * and never read a clock.
+ */
+#ifndef HS_BASE_TIME_H
+#define HS_BASE_TIME_H
+
+#include <stdint.h>
+
+/** Monotonic time or a span of it, in microseconds. */
+typedef int64_t HsTime;
+
+#define HS_USEC ((HsTime) 1)
+#define HS_MSEC ((HsTime) 1000)
+#define HS_SEC ((HsTime) 1000000)
+#define HS_NEVER INT64_MAX
+
+/** The present time as both clocks show it. */
+typedef struct
+{
+  HsTime mono;     /**< Monotonic clock, microseconds. */
+  int64_t wall_ms; /**< Milliseconds since 1970-01-01 UTC. */
+} HsNow;
+
+/** Reads both clocks; called by event loops only, never by decisions. */
+HsNow hs_now (void);
+
+#endif
--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * The one binary: picks the subcommand named by the first argument.
+ */
+#include <stdio.h>
+#include <string.h>
+
+
+typedef struct
+{
+  const char *name;
+  int (*run) (int argc, char **argv);
+  const char *summary;
+} Command;
+
+static void usage (FILE *out);
+
+static const Command COMMANDS[] = {
+  { NULL, NULL, NULL },
+};
+
+int
+main (int argc, char **argv)
+{
+  const Command *command;
+
+  if (argc < 2)
+    {
+      usage (stderr);
+      return 2;
+    }
+  if (strcmp (argv[1], "--help") == 0)
+    {
+      usage (stdout);
+      return 0;
+    }
+  for (command = COMMANDS; command->name != NULL; command++)
+    if (strcmp (command->name, argv[1]) == 0)
+      return command->run (argc - 1, argv + 1);
+  fprintf (stderr, "hibiscusspoke: no command '%s'; see --help\n", argv[1]);
+  return 2;
+}
+
+static void
+usage (FILE *out)
+{
+  const Command *command;
+
+  fprintf (out, "usage: hibiscusspoke COMMAND [OPTION...]\n");
+  for (command = COMMANDS; command->name != NULL; command++)
+    fprintf (out, "  %-10s %s\n", command->name, command->summary);
+}
--- /dev/null
+++ b/src/proto/part.mk
@@ -0,0 +1,1 @@
+SRCS += src/proto/hspoke_xdr.c
