--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-
 typedef struct
 {
   const char *name;
