--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 	cd src/proto && rpcgen -C -M -N -h -o hspoke.h hspoke.x
 	cd src/proto && rpcgen -C -M -N -c -o hspoke_xdr.c hspoke.x
 
-.PHONY: all deps check lint clean proto test-programs
+.PHONY: model matrix fuzz bench demo all deps check lint clean proto test-programs
 .SECONDARY:
 -include $(wildcard mk/*.mk)
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
