Carry ONC RPC over tevent with authenticated records

Cause: entries and agents need one bidirectional transport; libtirpc's own client and server block. Change: record codec (RFC 5531 heads by libtirpc, HMAC-SHA256 verifier with sequence and direction, session keys from both nonces) and non-blocking connections. Conclusion: agent and entry can be written on it.

--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -26,6 +26,7 @@
 #define HSX_PARTS_MAX 1024
 #define HSX_CREDITS_MAX 4096
 #define HSX_DIGEST_SIZE 32
+#define HSX_NONCE_SIZE 16
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -38,6 +39,7 @@
 	uint64_t incarnation;
 	char *address;
 	char *data_centre;
+	char nonce[HSX_NONCE_SIZE];
 };
 typedef struct hsx_hello hsx_hello;
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -18,6 +18,7 @@
 const HSX_PARTS_MAX = 1024;
 const HSX_CREDITS_MAX = 4096;
 const HSX_DIGEST_SIZE = 32;
+const HSX_NONCE_SIZE = 16;
 
 /* Who speaks on a connection. */
 enum hsx_role {
@@ -31,6 +32,7 @@
 	uint64_t incarnation;
 	string address<HSX_ADDRESS_MAX>;	/* where it accepts RPC */
 	string data_centre<HSX_NAME_MAX>;
+	opaque nonce[HSX_NONCE_SIZE];		/* fresh for each connection */
 };
 
 /* The identity of one task of one submission. */
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -20,6 +20,7 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_hsx_role (xdrs, &objp->role))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
@@ -28,6 +29,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->data_centre, HSX_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->nonce, HSX_NONCE_SIZE))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/part.mk
+++ b/src/proto/part.mk
@@ -1,1 +1,1 @@
-SRCS += src/proto/hspoke_xdr.c
+SRCS += src/proto/hspoke_xdr.c src/proto/procs.c
--- /dev/null
+++ b/src/proto/procs.c
@@ -0,0 +1,32 @@
+#include "proto/procs.h"
+
+#define PROC(word, a, r)                                                       \
+  {                                                                            \
+    word, (xdrproc_t) xdr_##a, sizeof (a), (xdrproc_t) xdr_##r, sizeof (r)     \
+  }
+#define ONE_WAY(word, a)                                                       \
+  {                                                                            \
+    word, (xdrproc_t) xdr_##a, sizeof (a), NULL, 0                             \
+  }
+
+static const HsProc PROCS[HS_PROC_COUNT] = {
+  [HSX_HELLO] = PROC ("hello", hsx_hello, hsx_hello),
+  [HSX_START] = ONE_WAY ("start", hsx_start_args),
+  [HSX_RESULT] = ONE_WAY ("result", hsx_result_args),
+  [HSX_GRANT] = ONE_WAY ("grant", hsx_grant_args),
+  [HSX_ANNOUNCE] = PROC ("announce", hsx_announce_args, hsx_announce_reply),
+  [HSX_MEMBERS] = ONE_WAY ("members", hsx_members_args),
+  [HSX_RECOVER] = PROC ("recover", hsx_recover_args, hsx_recover_reply),
+  [HSX_SETTLE] = PROC ("settle", hsx_settle_args, hsx_settle_reply),
+  [HSX_BORROW] = PROC ("borrow", hsx_borrow_args, hsx_borrow_reply),
+  [HSX_FORWARD] = PROC ("forward", hsx_forward_args, hsx_answer),
+  [HSX_HANDOVER] = PROC ("handover", hsx_handover_args, hsx_handover_reply),
+};
+
+const HsProc *
+hs_proc (uint32_t number)
+{
+  if (number >= HS_PROC_COUNT || PROCS[number].args == NULL)
+    return NULL;
+  return &PROCS[number];
+}
--- /dev/null
+++ b/src/rpc/endpoint.c
@@ -0,0 +1,175 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "rpc/internal.h"
+
+#define LISTEN_BACKLOG 512
+
+static void on_acceptable (struct tevent_context *ev,
+                           struct tevent_fd *event,
+                           uint16_t flags,
+                           void *arg);
+static int endpoint_destructor (HsRpc *rpc);
+
+HsRpc *
+hs_rpc_new (TALLOC_CTX *ctx,
+            struct tevent_context *ev,
+            const hsx_hello *self,
+            const char *key,
+            const HsRpcHandler *handler,
+            void *arg)
+{
+  HsRpc *rpc = talloc_zero (ctx, HsRpc);
+
+  rpc->ev = ev;
+  rpc->self = *self;
+  rpc->self.address = rpc->self_address;
+  rpc->self.data_centre = rpc->self_data_centre;
+  g_strlcpy (rpc->self_address, self->address, sizeof rpc->self_address);
+  g_strlcpy (rpc->self_data_centre, self->data_centre,
+             sizeof rpc->self_data_centre);
+  rpc->key_len = strlen (key);
+  rpc->key = talloc_memdup (rpc, key, rpc->key_len);
+  rpc->handler = *handler;
+  rpc->arg = arg;
+  rpc->listen_fd = -1;
+  talloc_set_destructor (rpc, endpoint_destructor);
+  return rpc;
+}
+
+bool
+hs_rpc_listen (HsRpc *rpc, const char *address, GError **error)
+{
+  struct sockaddr_in in;
+  socklen_t len = sizeof in;
+  int one = 1;
+  int fd;
+
+  if (!hs_address_parse (address, &in))
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
+                   "rpc address '%s' is not IP:port; correct the settings",
+                   address);
+      return false;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
+      || bind (fd, (struct sockaddr *) &in, sizeof in) < 0
+      || listen (fd, LISTEN_BACKLOG) < 0
+      || getsockname (fd, (struct sockaddr *) &in, &len) < 0)
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_IO,
+                   "can't listen on %s: %s; free the address or change it",
+                   address, strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return false;
+    }
+  rpc->listen_fd = fd;
+  rpc->port = ntohs (in.sin_port);
+  rpc->listen_event
+      = tevent_add_fd (rpc->ev, rpc, fd, TEVENT_FD_READ, on_acceptable, rpc);
+  return true;
+}
+
+uint16_t
+hs_rpc_port (const HsRpc *rpc)
+{
+  return rpc->port;
+}
+
+void
+hs_rpc_stop_listening (HsRpc *rpc)
+{
+  if (rpc->listen_fd < 0)
+    return;
+  TALLOC_FREE (rpc->listen_event);
+  close (rpc->listen_fd);
+  rpc->listen_fd = -1;
+}
+
+void
+hs_rpc_set_address (HsRpc *rpc, const char *address)
+{
+  g_strlcpy (rpc->self_address, address, sizeof rpc->self_address);
+}
+
+HsConn *
+hs_rpc_dial (HsRpc *rpc, const char *address)
+{
+  struct sockaddr_in in;
+  int fd;
+
+  if (!hs_address_parse (address, &in))
+    return hs_conn_new_failed (rpc, false);
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return hs_conn_new_failed (rpc, false);
+  if (connect (fd, (struct sockaddr *) &in, sizeof in) < 0
+      && errno != EINPROGRESS)
+    {
+      bool refused = errno == ECONNREFUSED;
+
+      close (fd);
+      return hs_conn_new_failed (rpc, refused);
+    }
+  return hs_conn_new (rpc, fd, true);
+}
+
+const HsRpcStats *
+hs_rpc_stats (const HsRpc *rpc)
+{
+  return &rpc->stats;
+}
+
+bool
+hs_address_parse (const char *address, struct sockaddr_in *out)
+{
+  const char *colon = strrchr (address, ':');
+  char host[INET_ADDRSTRLEN];
+  char *end;
+  unsigned long port;
+
+  if (colon == NULL || (size_t) (colon - address) >= sizeof host)
+    return false;
+  memcpy (host, address, (size_t) (colon - address));
+  host[colon - address] = '\0';
+  errno = 0;
+  port = strtoul (colon + 1, &end, 10);
+  if (errno != 0 || end == colon + 1 || *end != '\0' || port > UINT16_MAX)
+    return false;
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t) port);
+  return inet_pton (AF_INET, host, &out->sin_addr) == 1;
+}
+
+static void
+on_acceptable (struct tevent_context *ev,
+               struct tevent_fd *event,
+               uint16_t flags,
+               void *arg)
+{
+  HsRpc *rpc = arg;
+  int fd = accept4 (rpc->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  (void) ev;
+  (void) event;
+  (void) flags;
+  if (fd >= 0)
+    hs_conn_new (rpc, fd, false);
+}
+
+static int
+endpoint_destructor (HsRpc *rpc)
+{
+  hs_rpc_stop_listening (rpc);
+  return 0;
+}
--- /dev/null
+++ b/src/rpc/record.c
@@ -0,0 +1,302 @@
+#include "rpc/record.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+#define LAST_FRAGMENT 0x80000000u
+#define MAC_SIZE 16
+#define VERIFIER_SIZE (8 + MAC_SIZE)
+#define VERIFIER_FLAVOR 0x48535031
+
+/* Offsets of the verifier's bytes, fixed by the message layouts of RFC 5531
+   with an empty credential. */
+#define CALL_VERIFIER_AT 40
+#define REPLY_VERIFIER_AT 20
+#define HEAD_MAX (CALL_VERIFIER_AT + VERIFIER_SIZE + 16)
+
+static bool put_record (GByteArray *out,
+                        HsRecordChannel *channel,
+                        struct rpc_msg *msg,
+                        size_t verifier_at,
+                        xdrproc_t codec,
+                        const void *body);
+static void compute_mac (const HsRecordChannel *channel,
+                         uint64_t sequence,
+                         const uint8_t *record,
+                         size_t n,
+                         uint8_t mac[MAC_SIZE]);
+static bool_t encode_nothing (XDR *xdrs, ...);
+static bool read_head (uint8_t *record, size_t n, HsRecordHead *head);
+static bool read_call_head (uint8_t *record, size_t n, HsRecordHead *head);
+static bool read_reply_head (uint8_t *record, size_t n, HsRecordHead *head);
+
+bool
+hs_record_put_call (GByteArray *out,
+                    HsRecordChannel *channel,
+                    uint32_t xid,
+                    uint32_t proc,
+                    const void *args)
+{
+  struct rpc_msg msg = { 0 };
+  char verifier[VERIFIER_SIZE] = { 0 };
+
+  msg.rm_xid = xid;
+  msg.rm_direction = CALL;
+  msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  msg.rm_call.cb_prog = HSX_PROGRAM;
+  msg.rm_call.cb_vers = HSX_V1;
+  msg.rm_call.cb_proc = proc;
+  msg.rm_call.cb_cred = _null_auth;
+  msg.rm_call.cb_verf.oa_flavor = VERIFIER_FLAVOR;
+  msg.rm_call.cb_verf.oa_base = verifier;
+  msg.rm_call.cb_verf.oa_length = VERIFIER_SIZE;
+  return put_record (out, channel, &msg, CALL_VERIFIER_AT, hs_proc (proc)->args,
+                     args);
+}
+
+bool
+hs_record_put_reply (GByteArray *out,
+                     HsRecordChannel *channel,
+                     uint32_t xid,
+                     uint32_t proc,
+                     const void *result)
+{
+  struct rpc_msg msg = { 0 };
+  char verifier[VERIFIER_SIZE] = { 0 };
+
+  msg.rm_xid = xid;
+  msg.rm_direction = REPLY;
+  msg.rm_reply.rp_stat = MSG_ACCEPTED;
+  msg.acpted_rply.ar_verf.oa_flavor = VERIFIER_FLAVOR;
+  msg.acpted_rply.ar_verf.oa_base = verifier;
+  msg.acpted_rply.ar_verf.oa_length = VERIFIER_SIZE;
+  msg.acpted_rply.ar_stat = result != NULL ? SUCCESS : GARBAGE_ARGS;
+  msg.acpted_rply.ar_results.proc = encode_nothing;
+  return put_record (out, channel, &msg, REPLY_VERIFIER_AT,
+                     result != NULL ? hs_proc (proc)->result : NULL, result);
+}
+
+int
+hs_record_length (const uint8_t *data, size_t n, size_t *length)
+{
+  uint32_t mark;
+
+  if (n < HS_RECORD_MARK_SIZE)
+    return 0;
+  memcpy (&mark, data, sizeof mark);
+  mark = ntohl (mark);
+  if ((mark & LAST_FRAGMENT) == 0)
+    return -1;
+  *length = mark & ~LAST_FRAGMENT;
+  if (*length > HS_RECORD_MAX)
+    return -1;
+  return n >= HS_RECORD_MARK_SIZE + *length ? 1 : 0;
+}
+
+bool
+hs_record_open (uint8_t *record,
+                size_t n,
+                HsRecordChannel *channel,
+                HsRecordHead *head)
+{
+  uint8_t told[MAC_SIZE];
+  uint8_t mac[MAC_SIZE];
+  uint64_t sequence;
+  uint8_t *verifier;
+  uint8_t differ = 0;
+  size_t i;
+
+  if (!read_head (record, n, head))
+    return false;
+  verifier = record + (head->is_reply ? REPLY_VERIFIER_AT : CALL_VERIFIER_AT);
+  memcpy (&sequence, verifier, sizeof sequence);
+  if (GUINT64_FROM_BE (sequence) != channel->sequence)
+    return false;
+  memcpy (told, verifier + 8, MAC_SIZE);
+  memset (verifier + 8, 0, MAC_SIZE);
+  compute_mac (channel, channel->sequence, record, n, mac);
+  for (i = 0; i < MAC_SIZE; i++)
+    differ |= told[i] ^ mac[i];
+  if (differ != 0)
+    return false;
+  channel->sequence++;
+  return true;
+}
+
+bool
+hs_record_decode (const uint8_t *body, size_t n, xdrproc_t codec, void *out)
+{
+  XDR xdrs;
+  bool ok;
+
+  xdrmem_create (&xdrs, (char *) (uintptr_t) body, n, XDR_DECODE);
+  ok = codec (&xdrs, out) && xdr_getpos (&xdrs) == n;
+  xdr_destroy (&xdrs);
+  if (!ok)
+    xdr_free (codec, out);
+  return ok;
+}
+
+void
+hs_record_derive_key (const uint8_t *key,
+                      size_t key_len,
+                      const char *label,
+                      const void *a,
+                      size_t a_len,
+                      const void *b,
+                      size_t b_len,
+                      uint8_t out[HS_KEY_SIZE])
+{
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, key, key_len);
+  gsize size = HS_KEY_SIZE;
+
+  g_hmac_update (hmac, (const guchar *) label, (gssize) strlen (label) + 1);
+  if (a_len > 0)
+    g_hmac_update (hmac, a, (gssize) a_len);
+  if (b_len > 0)
+    g_hmac_update (hmac, b, (gssize) b_len);
+  g_hmac_get_digest (hmac, out, &size);
+  g_hmac_unref (hmac);
+}
+
+static bool
+put_record (GByteArray *out,
+            HsRecordChannel *channel,
+            struct rpc_msg *msg,
+            size_t verifier_at,
+            xdrproc_t codec,
+            const void *body)
+{
+  void *mutable_body = (void *) (uintptr_t) body;
+  size_t body_size = codec != NULL ? xdr_sizeof (codec, mutable_body) : 0;
+  guint start = out->len;
+  uint64_t sequence = GUINT64_TO_BE (channel->sequence);
+  uint32_t mark;
+  uint8_t *record;
+  size_t length;
+  XDR xdrs;
+  bool ok;
+
+  if (codec != NULL && (body_size == 0 || body_size > HS_RECORD_MAX - HEAD_MAX))
+    return false;
+  g_byte_array_set_size (out, start + HS_RECORD_MARK_SIZE + HEAD_MAX
+                                  + (guint) body_size);
+  record = out->data + start + HS_RECORD_MARK_SIZE;
+  xdrmem_create (&xdrs, (char *) record, HEAD_MAX + body_size, XDR_ENCODE);
+  ok = msg->rm_direction == CALL ? xdr_callmsg (&xdrs, msg)
+                                 : xdr_replymsg (&xdrs, msg);
+  ok = ok && (codec == NULL || codec (&xdrs, mutable_body));
+  length = xdr_getpos (&xdrs);
+  xdr_destroy (&xdrs);
+  if (!ok)
+    {
+      g_byte_array_set_size (out, start);
+      return false;
+    }
+  mark = htonl (LAST_FRAGMENT | (uint32_t) length);
+  memcpy (out->data + start, &mark, sizeof mark);
+  memcpy (record + verifier_at, &sequence, sizeof sequence);
+  compute_mac (channel, channel->sequence, record, length,
+               record + verifier_at + 8);
+  channel->sequence++;
+  g_byte_array_set_size (out, start + HS_RECORD_MARK_SIZE + (guint) length);
+  return true;
+}
+
+/* The bytes at the code's own place are zero while it is computed. */
+static void
+compute_mac (const HsRecordChannel *channel,
+             uint64_t sequence,
+             const uint8_t *record,
+             size_t n,
+             uint8_t mac[MAC_SIZE])
+{
+  GHmac *hmac
+      = g_hmac_new (G_CHECKSUM_SHA256, channel->key, sizeof channel->key);
+  uint64_t number = GUINT64_TO_BE (sequence);
+  uint8_t digest[HS_KEY_SIZE];
+  gsize size = sizeof digest;
+
+  g_hmac_update (hmac, &channel->direction, 1);
+  g_hmac_update (hmac, (const guchar *) &number, sizeof number);
+  g_hmac_update (hmac, record, (gssize) n);
+  g_hmac_get_digest (hmac, digest, &size);
+  g_hmac_unref (hmac);
+  memcpy (mac, digest, MAC_SIZE);
+}
+
+/* The body follows the header by its own codec. */
+static bool_t
+encode_nothing (XDR *xdrs, ...)
+{
+  (void) xdrs;
+  return TRUE;
+}
+
+static uint32_t
+word_at (const uint8_t *record, size_t at)
+{
+  uint32_t word;
+
+  memcpy (&word, record + at, sizeof word);
+  return ntohl (word);
+}
+
+static bool
+read_head (uint8_t *record, size_t n, HsRecordHead *head)
+{
+  memset (head, 0, sizeof *head);
+  if (n < REPLY_VERIFIER_AT + VERIFIER_SIZE + 4)
+    return false;
+  head->xid = word_at (record, 0);
+  switch (word_at (record, 4))
+    {
+    case CALL:
+      return read_call_head (record, n, head);
+    case REPLY:
+      return read_reply_head (record, n, head);
+    default:
+      return false;
+    }
+}
+
+static bool
+read_call_head (uint8_t *record, size_t n, HsRecordHead *head)
+{
+  if (n < CALL_VERIFIER_AT + VERIFIER_SIZE)
+    return false;
+  if (word_at (record, 8) != RPC_MSG_VERSION
+      || word_at (record, 12) != HSX_PROGRAM || word_at (record, 16) != HSX_V1)
+    return false;
+  if (word_at (record, 24) != AUTH_NONE || word_at (record, 28) != 0)
+    return false;
+  if (word_at (record, 32) != VERIFIER_FLAVOR
+      || word_at (record, 36) != VERIFIER_SIZE)
+    return false;
+  head->proc = word_at (record, 20);
+  if (hs_proc (head->proc) == NULL)
+    return false;
+  head->body_at = CALL_VERIFIER_AT + VERIFIER_SIZE;
+  return true;
+}
+
+static bool
+read_reply_head (uint8_t *record, size_t n, HsRecordHead *head)
+{
+  uint32_t stat;
+
+  (void) n;
+  if (word_at (record, 8) != MSG_ACCEPTED
+      || word_at (record, 12) != VERIFIER_FLAVOR
+      || word_at (record, 16) != VERIFIER_SIZE)
+    return false;
+  stat = word_at (record, REPLY_VERIFIER_AT + VERIFIER_SIZE);
+  if (stat != SUCCESS && stat != GARBAGE_ARGS)
+    return false;
+  head->is_reply = true;
+  head->rejected = stat != SUCCESS;
+  head->body_at = REPLY_VERIFIER_AT + VERIFIER_SIZE + 4;
+  return true;
+}
