--- a/src/rpc/conn.c
+++ b/src/rpc/conn.c
@@ -141,8 +141,10 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+  /* tevent drops a descriptor in error that waits for writing only. */
   conn->event = tevent_add_fd (rpc->ev, conn, fd,
-                               dialled ? TEVENT_FD_WRITE : TEVENT_FD_READ,
+                               dialled ? TEVENT_FD_READ | TEVENT_FD_WRITE
+                                       : TEVENT_FD_READ,
                                on_event, conn);
   conn->greeting_timer = tevent_add_timer (
       rpc->ev, conn, tevent_timeval_current_ofs (GREETING_TIMEOUT / HS_SEC, 0),
