Carry the content's digest in the task key and the reach of membership

Cause: after a takeover a resubmission with other content under the same id could be given results of the old content, and a new entry can't tell since when its list of agents is whole. Change: two fields in the inner protocol.

--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -48,6 +48,7 @@
 	char *customer;
 	char *id;
 	u_int index;
+	uint64_t content;
 };
 typedef struct hsx_task_key hsx_task_key;
 
@@ -184,6 +185,7 @@
 typedef struct hsx_announce_reply hsx_announce_reply;
 
 struct hsx_members_args {
+	int64_t complete_since_ms;
 	struct {
 		u_int members_len;
 		hsx_member *members_val;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -41,6 +41,7 @@
 	string customer<HSX_NAME_MAX>;
 	string id<HSX_ID_MAX>;
 	unsigned int index;
+	uint64_t content;		/* first bytes of the job's digest */
 };
 
 struct hsx_needs {
@@ -148,6 +149,7 @@
 
 /* MEMBERS, one-way, entry to entry: changes only, all after connecting. */
 struct hsx_members_args {
+	int64_t complete_since_ms;	/* wall time since when none is missing */
 	hsx_member members<HSX_MEMBERS_MAX>;
 };
 
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -47,6 +47,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->content))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -257,6 +259,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_int64_t (xdrs, &objp->complete_since_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, HSX_MEMBERS_MAX,
 		sizeof (hsx_member), (xdrproc_t) xdr_hsx_member))
 		 return FALSE;
