--- /dev/null
+++ b/src/policy/credits.h
@@ -0,0 +1,90 @@
+/**
+ * @file
+ * The credits that an entry holds: the rights to start one task each in a
+ * free slot of an agent. Chooses the credit for a task and those to lend.
+ *
+ * Agents are small handles of the caller's table. A credit's age is judged by
+ * the agent's clock, whose offset is learnt from the freshest stamps that
+ * arrived: a credit that came by way of another entry is as old as it is, not
+ * as old as its last hop.
+ */
+#ifndef HS_POLICY_CREDITS_H
+#define HS_POLICY_CREDITS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+
+#include "base/time.h"
+#include "policy/health.h"
+#include "proto/hspoke.h"
+
+typedef struct HsCredits HsCredits;
+
+/** @param seed of the generator that spreads tasks over agents */
+HsCredits *hs_credits_new (TALLOC_CTX *ctx, uint64_t seed);
+
+/** Adds an agent or changes what it can run. Starts as HS_HEALTH_OK. */
+void
+hs_credits_agent (HsCredits *pool, uint32_t agent, const hsx_needs *capacity);
+
+/** Forgets an agent and its credits. Unknown ones are ignored. */
+void hs_credits_drop (HsCredits *pool, uint32_t agent);
+
+void
+hs_credits_set_health (HsCredits *pool, uint32_t agent, HsHealthState state);
+
+/**
+ * Replaces the idle credits of an agent, as GRANT does. Credits that were
+ * taken or lent already (the message crossed) are left out.
+ */
+void hs_credits_grant (HsCredits *pool,
+                       uint32_t agent,
+                       uint32_t n,
+                       const hsx_credit *credits,
+                       HsTime now);
+
+/**
+ * Adds one credit, as it comes with a result or from another entry. False if
+ * it was used already or the agent isn't known.
+ */
+bool hs_credits_add (HsCredits *pool,
+                     uint32_t agent,
+                     const hsx_credit *credit,
+                     HsTime now);
+
+/**
+ * Takes the best credit for a task. Counts it as in use until
+ * hs_credits_finished().
+ * @param lease_left how long the owner's lease is still certain; credits
+ *        that would reach the agent too late under it are skipped
+ */
+bool hs_credits_take (HsCredits *pool,
+                      const hsx_needs *needs,
+                      HsTime now,
+                      HsTime lease_left,
+                      uint32_t *agent,
+                      hsx_credit *credit);
+
+/** The task that took a credit of this agent has ended. */
+void hs_credits_finished (HsCredits *pool, uint32_t agent);
+
+/**
+ * Takes up to @p n idle credits out of the pool, to be lent: from healthy
+ * agents, those with the most idle ones first.
+ * @return the number written to @p credits
+ */
+uint32_t hs_credits_take_loan (HsCredits *pool,
+                               uint32_t n,
+                               HsTime now,
+                               HsTime lease_left,
+                               hsx_credit *credits);
+
+/** Idle credits of agents that aren't ejected; of one agent; in use. */
+uint32_t hs_credits_idle (const HsCredits *pool);
+uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
+uint32_t hs_credits_in_use (const HsCredits *pool);
+uint32_t hs_credits_in_use_at (const HsCredits *pool, uint32_t agent);
+
+#endif
--- /dev/null
+++ b/src/policy/heap.c
@@ -0,0 +1,97 @@
+#include "policy/heap.h"
+
+static bool before (const HsHeapItem *a, const HsHeapItem *b);
+static void
+place (HsHeap *heap, uint32_t *positions, uint32_t at, const HsHeapItem *item);
+static void sift_up (HsHeap *heap, uint32_t *positions, uint32_t at);
+static void sift_down (HsHeap *heap, uint32_t *positions, uint32_t at);
+
+void
+hs_heap_push (TALLOC_CTX *ctx,
+              HsHeap *heap,
+              uint32_t *positions,
+              uint32_t handle,
+              int64_t key)
+{
+  if (heap->n == heap->size)
+    {
+      heap->size = heap->size > 0 ? heap->size * 2 : 8;
+      heap->items = talloc_realloc (ctx, heap->items, HsHeapItem, heap->size);
+    }
+  heap->items[heap->n].key = key;
+  heap->items[heap->n].handle = handle;
+  positions[handle] = heap->n++;
+  sift_up (heap, positions, heap->n - 1);
+}
+
+void
+hs_heap_remove (HsHeap *heap, uint32_t *positions, uint32_t handle)
+{
+  uint32_t at = positions[handle];
+  HsHeapItem last = heap->items[--heap->n];
+
+  positions[handle] = HS_HEAP_NOWHERE;
+  if (at == heap->n)
+    return;
+  place (heap, positions, at, &last);
+  sift_up (heap, positions, at);
+  sift_down (heap, positions, positions[last.handle]);
+}
+
+void
+hs_heap_rekey (HsHeap *heap, uint32_t *positions, uint32_t handle, int64_t key)
+{
+  uint32_t at = positions[handle];
+
+  heap->items[at].key = key;
+  sift_up (heap, positions, at);
+  sift_down (heap, positions, positions[handle]);
+}
+
+static bool
+before (const HsHeapItem *a, const HsHeapItem *b)
+{
+  if (a->key != b->key)
+    return a->key < b->key;
+  return a->handle < b->handle;
+}
+
+static void
+place (HsHeap *heap, uint32_t *positions, uint32_t at, const HsHeapItem *item)
+{
+  heap->items[at] = *item;
+  positions[item->handle] = at;
+}
+
+static void
+sift_up (HsHeap *heap, uint32_t *positions, uint32_t at)
+{
+  HsHeapItem item = heap->items[at];
+
+  while (at > 0 && before (&item, &heap->items[(at - 1) / 2]))
+    {
+      place (heap, positions, at, &heap->items[(at - 1) / 2]);
+      at = (at - 1) / 2;
+    }
+  place (heap, positions, at, &item);
+}
+
+static void
+sift_down (HsHeap *heap, uint32_t *positions, uint32_t at)
+{
+  HsHeapItem item = heap->items[at];
+  uint32_t child = 2 * at + 1;
+
+  while (child < heap->n)
+    {
+      if (child + 1 < heap->n
+          && before (&heap->items[child + 1], &heap->items[child]))
+        child++;
+      if (!before (&heap->items[child], &item))
+        break;
+      place (heap, positions, at, &heap->items[child]);
+      at = child;
+      child = 2 * at + 1;
+    }
+  place (heap, positions, at, &item);
+}
