--- /dev/null
+++ b/test/test_credits.c
@@ -0,0 +1,210 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "policy/credits.h"
+
+#define LEASE (4 * HS_SEC)
+
+static const hsx_needs no_needs = { 0, 0 };
+
+static hsx_credit
+credit_of (uint32_t slot, uint32_t generation, int64_t stamp)
+{
+  return (hsx_credit){
+    .agent = 1, .slot = slot, .generation = generation, .stamp_us = stamp
+  };
+}
+
+/* A pool with credits of generation 1, stamped at time 0 by clocks alike. */
+static HsCredits *
+pool_of (uint32_t n_agents, uint32_t n_slots)
+{
+  const hsx_needs capacity = { 1024, 0 };
+  HsCredits *pool = hs_credits_new (NULL, 7);
+  uint32_t agent;
+  uint32_t slot;
+
+  for (agent = 0; agent < n_agents; agent++)
+    {
+      hs_credits_agent (pool, agent, &capacity);
+      for (slot = 0; slot < n_slots; slot++)
+        {
+          hsx_credit credit = credit_of (slot, 1, 0);
+
+          assert_true (hs_credits_add (pool, agent, &credit, 0));
+        }
+    }
+  return pool;
+}
+
+static bool
+take (HsCredits *pool, HsTime now, uint32_t *agent, hsx_credit *credit)
+{
+  return hs_credits_take (pool, &no_needs, now, LEASE, agent, credit);
+}
+
+static void
+tasks_are_spread_over_agents (void **state)
+{
+  HsCredits *pool = pool_of (11, 8);
+  uint32_t agent;
+  hsx_credit credit;
+  int i;
+
+  (void) state;
+  for (i = 0; i < 44; i++)
+    assert_true (take (pool, 1, &agent, &credit));
+  for (agent = 0; agent < 11; agent++)
+    assert_in_range (hs_credits_in_use_at (pool, agent), 3, 5);
+  for (i = 0; i < 44; i++)
+    assert_true (take (pool, 1, &agent, &credit));
+  assert_false (take (pool, 1, &agent, &credit));
+  assert_int_equal (hs_credits_in_use (pool), 88);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
+static void
+a_crossing_grant_gives_no_slot_twice (void **state)
+{
+  HsCredits *pool = pool_of (1, 2);
+  hsx_credit grant[2] = { credit_of (0, 1, 0), credit_of (1, 1, 0) };
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  assert_true (take (pool, 1, &agent, &credit));
+  hs_credits_grant (pool, 0, 2, grant, 2);
+  assert_int_equal (hs_credits_idle (pool), 1);
+  assert_false (hs_credits_add (pool, 0, &credit, 3));
+  credit.generation++;
+  assert_true (hs_credits_add (pool, 0, &credit, 3));
+  assert_int_equal (hs_credits_idle (pool), 2);
+  hs_credits_grant (pool, 0, 0, NULL, 4);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
+static void
+needs_are_kept_and_accelerators_spared (void **state)
+{
+  const hsx_needs large = { 8192, 2 };
+  const hsx_needs need_accelerator = { 64, 1 };
+  const hsx_needs need_too_much = { 9000, 0 };
+  HsCredits *pool = pool_of (4, 2);
+  hsx_credit credit = credit_of (0, 1, 0);
+  uint32_t agent;
+  int i;
+
+  (void) state;
+  hs_credits_agent (pool, 4, &large);
+  hs_credits_add (pool, 4, &credit, 0);
+  assert_false (
+      hs_credits_take (pool, &need_too_much, 1, LEASE, &agent, &credit));
+  for (i = 0; i < 7; i++)
+    {
+      assert_true (take (pool, 1, &agent, &credit));
+      if (hs_credits_idle (pool) > 4)
+        assert_int_not_equal (agent, 4);
+    }
+  hs_credits_agent (pool, 5, &large);
+  credit = credit_of (0, 1, 0);
+  hs_credits_add (pool, 5, &credit, 1);
+  assert_true (
+      hs_credits_take (pool, &need_accelerator, 1, LEASE, &agent, &credit));
+  assert_in_range (agent, 4, 5);
+  talloc_free (pool);
+}
+
+static void
+old_stamps_are_skipped_by_the_agents_clock (void **state)
+{
+  const hsx_needs capacity = { 0, 0 };
+  const int64_t ahead = 1000 * HS_SEC;
+  HsCredits *pool = hs_credits_new (NULL, 7);
+  hsx_credit fresh = credit_of (0, 5, ahead + 10 * HS_SEC);
+  hsx_credit old = credit_of (1, 5, ahead + 7 * HS_SEC);
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  hs_credits_agent (pool, 0, &capacity);
+  hs_credits_add (pool, 0, &fresh, 10 * HS_SEC);
+  assert_true (take (pool, 12 * HS_SEC, &agent, &credit));
+  /* Lent by another entry just now, though stamped three seconds ago. */
+  hs_credits_add (pool, 0, &old, 10 * HS_SEC);
+  assert_true (take (pool, 10 * HS_SEC + 900 * HS_MSEC, &agent, &credit));
+  old.generation++;
+  hs_credits_add (pool, 0, &old, 10 * HS_SEC);
+  assert_false (take (pool, 11 * HS_SEC, &agent, &credit));
+  talloc_free (pool);
+}
+
+static void
+health_decides_first (void **state)
+{
+  HsCredits *pool = pool_of (3, 8);
+  hsx_credit credit;
+  uint32_t agent;
+  uint32_t n_ejected = 0;
+  int i;
+
+  (void) state;
+  hs_credits_set_health (pool, 0, HS_HEALTH_EJECTED);
+  hs_credits_set_health (pool, 1, HS_HEALTH_PROBATION);
+  assert_int_equal (hs_credits_idle (pool), 16);
+  for (i = 0; i < 9; i++)
+    {
+      assert_true (take (pool, 1, &agent, &credit));
+      n_ejected += agent == 0;
+      assert_true (hs_credits_in_use_at (pool, 1) <= 1);
+    }
+  assert_int_equal (n_ejected, 0);
+  assert_false (take (pool, 1, &agent, &credit));
+  hs_credits_finished (pool, 1);
+  assert_true (take (pool, 1, &agent, &credit));
+  assert_int_equal (agent, 1);
+  hs_credits_set_health (pool, 0, HS_HEALTH_OK);
+  assert_true (take (pool, 1, &agent, &credit));
+  talloc_free (pool);
+}
+
+static void
+dropped_agents_take_their_credits_along (void **state)
+{
+  HsCredits *pool = pool_of (2, 4);
+  hsx_credit loan[8];
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  assert_true (take (pool, 1, &agent, &credit));
+  hs_credits_drop (pool, agent);
+  assert_int_equal (hs_credits_in_use (pool), 0);
+  assert_int_equal (hs_credits_idle (pool), 4);
+  assert_int_equal (hs_credits_take_loan (pool, 8, 1, LEASE, loan), 4);
+  assert_int_equal (hs_credits_in_use (pool), 0);
+  hs_credits_finished (pool, agent);
+  assert_false (hs_credits_add (pool, agent, &credit, 1));
+  assert_false (hs_credits_add (pool, 1 - agent, &loan[0], 1));
+  talloc_free (pool);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (tasks_are_spread_over_agents),
+    cmocka_unit_test (a_crossing_grant_gives_no_slot_twice),
+    cmocka_unit_test (needs_are_kept_and_accelerators_spared),
+    cmocka_unit_test (old_stamps_are_skipped_by_the_agents_clock),
+    cmocka_unit_test (health_decides_first),
+    cmocka_unit_test (dropped_agents_take_their_credits_along),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
