--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -176,6 +176,22 @@
   return true;
 }
 
+bool
+hs_credits_add_loan (HsCredits *pool,
+                     uint32_t agent,
+                     const hsx_credit *credit,
+                     HsTime now)
+{
+  Agent *a = lookup (pool, agent);
+
+  if (a == NULL)
+    return false;
+  if (credit->slot < talloc_array_length (a->generations)
+      && a->generations[credit->slot] == credit->generation + 1)
+    a->generations[credit->slot]--;
+  return hs_credits_add (pool, agent, credit, now);
+}
+
 bool
 hs_credits_take (HsCredits *pool,
                  const hsx_needs *needs,
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -194,6 +194,20 @@
   talloc_free (pool);
 }
 
+static void
+a_lent_credit_may_come_back (void **state)
+{
+  HsCredits *pool = pool_of (1, 1);
+  hsx_credit credit;
+
+  (void) state;
+  assert_int_equal (hs_credits_take_loan (pool, 1, 1, LEASE, &credit), 1);
+  assert_false (hs_credits_add (pool, 0, &credit, 2));
+  assert_true (hs_credits_add_loan (pool, 0, &credit, 2));
+  assert_int_equal (hs_credits_idle (pool), 1);
+  talloc_free (pool);
+}
+
 int
 main (void)
 {
@@ -203,6 +217,7 @@
     cmocka_unit_test (needs_are_kept_and_accelerators_spared),
     cmocka_unit_test (old_stamps_are_skipped_by_the_agents_clock),
     cmocka_unit_test (health_decides_first),
+    cmocka_unit_test (a_lent_credit_may_come_back),
     cmocka_unit_test (dropped_agents_take_their_credits_along),
   };
 
