Add a stand-in for the platform's key-value service

Cause: the client, claims and the fault matrix need the service's protocol with its faults on demand.

--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -181,6 +181,17 @@
   watch->next_revision = MAX (watch->next_revision, note->revision + 1);
 }
 
+/* The store has nothing more to tell; the caller has to begin anew. */
+static void
+end (HsStoreWatch *watch)
+{
+  watch->ended = true;
+  if (watch->easy != NULL)
+    hs_curl_remove (watch->store->curl, watch->easy);
+  watch->easy = NULL;
+  g_byte_array_set_size (watch->buffer, 0);
+}
+
 /* False if the watch is cut, compacted or freed. */
 static bool
 handle_line (HsStoreWatch *watch, const char *text, size_t len)
@@ -204,7 +215,7 @@
     {
       note.kind = HS_WATCH_COMPACTED;
       note.revision = line.compact_revision;
-      watch->ended = true;
+      end (watch);
     }
   else
     {
--- /dev/null
+++ b/test/standin/kv.c
@@ -0,0 +1,502 @@
+#include "standin/kv.h"
+
+#include <string.h>
+
+/* Older history is dropped by itself, so that long runs stay small. */
+#define EVENTS_MAX 200000u
+
+typedef struct
+{
+  int64_t id;
+  int64_t ttl_s;
+  HsTime expiry;
+  GHashTable *keys; /* Owned copies. */
+} Lease;
+
+struct HsKv
+{
+  int64_t revision;
+  int64_t compacted; /* Oldest revision whose state can be read. */
+  int64_t next_lease;
+  GTree *live;        /* char * to HsKvRecord *. */
+  GQueue events;      /* HsKvEvent *, oldest first. */
+  GHashTable *leases; /* int64_t * to Lease *. */
+};
+
+static int free_kv (HsKv *kv);
+static void release_record (void *record);
+static void free_event (void *event);
+static void free_lease (void *lease);
+static bool span_has (const HsKvSpan *span, const char *key);
+static void
+log_event (HsKv *kv, const HsKvRecord *now_record, const HsKvRecord *before);
+static void put (HsKv *kv, const HsKvOp *op, int64_t revision);
+static int64_t delete_span (HsKv *kv, const HsKvSpan *span);
+static GPtrArray *records_at (HsKv *kv, const HsKvSpan *span, int64_t revision);
+static HsKvStatus check_ops (HsKv *kv, const HsKvOp *ops, size_t n_ops);
+static void end_lease (HsKv *kv, Lease *lease);
+
+static int
+compare_keys (const void *a, const void *b, void *arg)
+{
+  (void) arg;
+  return strcmp (a, b);
+}
+
+HsKv *
+hs_kv_new (TALLOC_CTX *ctx)
+{
+  HsKv *kv = talloc_zero (ctx, HsKv);
+
+  kv->revision = 1;
+  kv->compacted = 1;
+  kv->next_lease = 1000;
+  kv->live = g_tree_new_full (compare_keys, NULL, NULL, release_record);
+  g_queue_init (&kv->events);
+  kv->leases
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_lease);
+  talloc_set_destructor (kv, free_kv);
+  return kv;
+}
+
+int64_t
+hs_kv_revision (const HsKv *kv)
+{
+  return kv->revision;
+}
+
+int64_t
+hs_kv_compact_revision (const HsKv *kv)
+{
+  return kv->compacted;
+}
+
+static Lease *
+first_expired (HsKv *kv, HsTime now)
+{
+  GHashTableIter iter;
+  void *value;
+  Lease *first = NULL;
+
+  g_hash_table_iter_init (&iter, kv->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Lease *lease = value;
+
+      if (lease->expiry > now)
+        continue;
+      if (first == NULL || lease->expiry < first->expiry
+          || (lease->expiry == first->expiry && lease->id < first->id))
+        first = lease;
+    }
+  return first;
+}
+
+void
+hs_kv_advance (HsKv *kv, HsTime now)
+{
+  Lease *lease;
+
+  while ((lease = first_expired (kv, now)) != NULL)
+    end_lease (kv, lease);
+}
+
+HsTime
+hs_kv_next_expiry (const HsKv *kv)
+{
+  GHashTableIter iter;
+  void *value;
+  HsTime next = HS_NEVER;
+
+  g_hash_table_iter_init (&iter, kv->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    next = MIN (next, ((Lease *) value)->expiry);
+  return next;
+}
+
+HsKvStatus
+hs_kv_range (HsKv *kv,
+             const HsKvSpan *span,
+             int64_t revision,
+             int64_t limit,
+             HsKvOpResult *result)
+{
+  memset (result, 0, sizeof *result);
+  if (revision > kv->revision)
+    return HS_KV_FUTURE;
+  if (revision != 0 && revision < kv->compacted)
+    return HS_KV_COMPACTED;
+  result->records = records_at (kv, span, revision == 0 ? INT64_MAX : revision);
+  if (limit > 0 && (int64_t) result->records->len > limit)
+    {
+      g_ptr_array_set_size (result->records, (int) limit);
+      result->more = true;
+    }
+  return HS_KV_OK;
+}
+
+static bool
+compare_one (HsKv *kv, const HsKvCompare *compare)
+{
+  const HsKvRecord *record = g_tree_lookup (kv->live, compare->key);
+  int64_t have = 0;
+
+  if (record != NULL)
+    switch (compare->target)
+      {
+      case HS_KV_TARGET_VERSION:
+        have = record->version;
+        break;
+      case HS_KV_TARGET_CREATE:
+        have = record->create_revision;
+        break;
+      case HS_KV_TARGET_MOD:
+        have = record->mod_revision;
+        break;
+      }
+  switch (compare->result)
+    {
+    case HS_KV_EQUAL:
+      return have == compare->value;
+    case HS_KV_NOT_EQUAL:
+      return have != compare->value;
+    case HS_KV_GREATER:
+      return have > compare->value;
+    case HS_KV_LESS:
+      return have < compare->value;
+    }
+  return false;
+}
+
+bool
+hs_kv_compare_all (HsKv *kv, const HsKvCompare *compares, size_t n_compares)
+{
+  size_t i;
+
+  for (i = 0; i < n_compares; i++)
+    if (!compare_one (kv, &compares[i]))
+      return false;
+  return true;
+}
+
+HsKvStatus
+hs_kv_apply (HsKv *kv, const HsKvOp *ops, size_t n_ops, HsKvOpResult *results)
+{
+  HsKvStatus status = check_ops (kv, ops, n_ops);
+  int64_t revision = kv->revision + 1;
+  bool changed = false;
+  size_t i;
+
+  memset (results, 0, n_ops * sizeof *results);
+  if (status != HS_KV_OK)
+    return status;
+  for (i = 0; i < n_ops; i++)
+    switch (ops[i].kind)
+      {
+      case HS_KV_PUT:
+        put (kv, &ops[i], revision);
+        changed = true;
+        break;
+      case HS_KV_DELETE:
+        results[i].deleted = delete_span (kv, &ops[i].span);
+        changed = changed || results[i].deleted > 0;
+        break;
+      case HS_KV_RANGE:
+        hs_kv_range (kv, &ops[i].span, 0, ops[i].limit, &results[i]);
+        break;
+      }
+  if (changed)
+    kv->revision = revision;
+  return HS_KV_OK;
+}
+
+int64_t
+hs_kv_lease_grant (HsKv *kv, int64_t id, int64_t ttl_s, HsTime now)
+{
+  Lease *lease = g_new0 (Lease, 1);
+
+  lease->id = id != 0 ? id : kv->next_lease++;
+  lease->ttl_s = ttl_s;
+  lease->expiry = now + ttl_s * HS_SEC;
+  lease->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_hash_table_replace (kv->leases, &lease->id, lease);
+  return lease->id;
+}
+
+int64_t
+hs_kv_lease_keepalive (HsKv *kv, int64_t id, HsTime now)
+{
+  Lease *lease = g_hash_table_lookup (kv->leases, &id);
+
+  if (lease == NULL)
+    return 0;
+  lease->expiry = now + lease->ttl_s * HS_SEC;
+  return lease->ttl_s;
+}
+
+HsKvStatus
+hs_kv_lease_revoke (HsKv *kv, int64_t id)
+{
+  Lease *lease = g_hash_table_lookup (kv->leases, &id);
+
+  if (lease == NULL)
+    return HS_KV_NO_LEASE;
+  end_lease (kv, lease);
+  return HS_KV_OK;
+}
+
+HsKvStatus
+hs_kv_history (HsKv *kv,
+               const HsKvSpan *span,
+               int64_t revision,
+               GPtrArray *events)
+{
+  GList *link;
+  GList *first = NULL;
+
+  if (revision < kv->compacted)
+    return HS_KV_COMPACTED;
+  for (link = kv->events.tail; link != NULL; link = link->prev)
+    {
+      if (((HsKvEvent *) link->data)->revision < revision)
+        break;
+      first = link;
+    }
+  for (link = first; link != NULL; link = link->next)
+    {
+      HsKvEvent *event = link->data;
+      const char *key
+          = event->now != NULL ? event->now->key : event->before->key;
+
+      if (span_has (span, key))
+        g_ptr_array_add (events, event);
+    }
+  return HS_KV_OK;
+}
+
+void
+hs_kv_compact (HsKv *kv, int64_t revision)
+{
+  if (revision == 0 || revision > kv->revision)
+    revision = kv->revision;
+  kv->compacted = MAX (kv->compacted, revision);
+  while (kv->events.head != NULL
+         && ((HsKvEvent *) kv->events.head->data)->revision < kv->compacted)
+    free_event (g_queue_pop_head (&kv->events));
+}
+
+static int
+free_kv (HsKv *kv)
+{
+  g_queue_clear_full (&kv->events, free_event);
+  g_hash_table_destroy (kv->leases);
+  g_tree_destroy (kv->live);
+  return 0;
+}
+
+static void
+clear_record (void *arg)
+{
+  HsKvRecord *record = arg;
+
+  g_free (record->key);
+  g_free (record->value);
+}
+
+static void
+release_record (void *record)
+{
+  if (record != NULL)
+    g_rc_box_release_full (record, clear_record);
+}
+
+static void
+free_event (void *arg)
+{
+  HsKvEvent *event = arg;
+
+  release_record ((void *) event->now);
+  release_record ((void *) event->before);
+  g_free (event);
+}
+
+static void
+free_lease (void *arg)
+{
+  Lease *lease = arg;
+
+  g_hash_table_destroy (lease->keys);
+  g_free (lease);
+}
+
+static bool
+span_has (const HsKvSpan *span, const char *key)
+{
+  if (span->end == NULL)
+    return strcmp (key, span->key) == 0;
+  return strcmp (key, span->key) >= 0
+         && (*span->end == '\0' || strcmp (key, span->end) < 0);
+}
+
+static const HsKvRecord *
+acquire (const HsKvRecord *record)
+{
+  return record == NULL ? NULL : g_rc_box_acquire ((void *) record);
+}
+
+static void
+log_event (HsKv *kv, const HsKvRecord *now_record, const HsKvRecord *before)
+{
+  HsKvEvent *event = g_new0 (HsKvEvent, 1);
+
+  event->revision = kv->revision + 1;
+  event->now = acquire (now_record);
+  event->before = acquire (before);
+  g_queue_push_tail (&kv->events, event);
+  if (kv->events.length <= EVENTS_MAX)
+    return;
+  hs_kv_compact (kv, ((HsKvEvent *) kv->events.head->data)->revision + 1);
+}
+
+static void
+detach (HsKv *kv, const HsKvRecord *record)
+{
+  Lease *lease;
+
+  if (record == NULL || record->lease == 0)
+    return;
+  lease = g_hash_table_lookup (kv->leases, &record->lease);
+  if (lease != NULL)
+    g_hash_table_remove (lease->keys, record->key);
+}
+
+static void
+put (HsKv *kv, const HsKvOp *op, int64_t revision)
+{
+  const HsKvRecord *before = g_tree_lookup (kv->live, op->span.key);
+  HsKvRecord *record = g_rc_box_new0 (HsKvRecord);
+
+  record->key = g_strdup (op->span.key);
+  record->value = g_malloc (op->value_len + 1);
+  if (op->value_len > 0)
+    memcpy (record->value, op->value, op->value_len);
+  record->value[op->value_len] = '\0';
+  record->value_len = op->value_len;
+  record->create_revision = before != NULL ? before->create_revision : revision;
+  record->mod_revision = revision;
+  record->version = before != NULL ? before->version + 1 : 1;
+  record->lease = op->lease;
+  detach (kv, before);
+  if (op->lease != 0)
+    {
+      Lease *lease = g_hash_table_lookup (kv->leases, &op->lease);
+
+      g_hash_table_add (lease->keys, g_strdup (op->span.key));
+    }
+  log_event (kv, record, before);
+  g_tree_replace (kv->live, record->key, record);
+}
+
+static GPtrArray *
+live_records (HsKv *kv, const HsKvSpan *span)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (release_record);
+  GTreeNode *node = g_tree_lower_bound (kv->live, span->key);
+
+  for (; node != NULL && span_has (span, g_tree_node_key (node));
+       node = g_tree_node_next (node))
+    g_ptr_array_add (records, (void *) acquire (g_tree_node_value (node)));
+  return records;
+}
+
+static int64_t
+delete_span (HsKv *kv, const HsKvSpan *span)
+{
+  g_autoptr (GPtrArray) records = live_records (kv, span);
+  unsigned int i;
+
+  for (i = 0; i < records->len; i++)
+    {
+      const HsKvRecord *record = records->pdata[i];
+
+      detach (kv, record);
+      log_event (kv, NULL, record);
+      g_tree_remove (kv->live, record->key);
+    }
+  return records->len;
+}
+
+/* Undoes the changes after the revision, the newest first. */
+static GPtrArray *
+records_at (HsKv *kv, const HsKvSpan *span, int64_t revision)
+{
+  GPtrArray *records = live_records (kv, span);
+  g_autoptr (GTree) state = NULL;
+  GList *link = kv->events.tail;
+  GTreeNode *node;
+  unsigned int i;
+
+  if (link == NULL || ((HsKvEvent *) link->data)->revision <= revision)
+    return records;
+  state = g_tree_new_full (compare_keys, NULL, NULL, NULL);
+  for (i = 0; i < records->len; i++)
+    g_tree_insert (state, ((HsKvRecord *) records->pdata[i])->key,
+                   records->pdata[i]);
+  for (; link != NULL; link = link->prev)
+    {
+      HsKvEvent *event = link->data;
+
+      if (event->revision <= revision)
+        break;
+      if (event->before != NULL && span_has (span, event->before->key))
+        g_tree_replace (state, event->before->key, (void *) event->before);
+      else if (event->before == NULL && span_has (span, event->now->key))
+        g_tree_remove (state, event->now->key);
+    }
+  g_ptr_array_unref (records);
+  records = g_ptr_array_new_with_free_func (release_record);
+  for (node = g_tree_node_first (state); node != NULL;
+       node = g_tree_node_next (node))
+    g_ptr_array_add (records, (void *) acquire (g_tree_node_value (node)));
+  return records;
+}
+
+static HsKvStatus
+check_ops (HsKv *kv, const HsKvOp *ops, size_t n_ops)
+{
+  g_autoptr (GHashTable) puts = g_hash_table_new (g_str_hash, g_str_equal);
+  size_t i;
+
+  for (i = 0; i < n_ops; i++)
+    {
+      if (ops[i].kind != HS_KV_PUT)
+        continue;
+      if (ops[i].lease != 0
+          && !g_hash_table_contains (kv->leases, &ops[i].lease))
+        return HS_KV_NO_LEASE;
+      if (!g_hash_table_add (puts, (void *) ops[i].span.key))
+        return HS_KV_DUPLICATE_KEY;
+    }
+  return HS_KV_OK;
+}
+
+static void
+end_lease (HsKv *kv, Lease *lease)
+{
+  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (lease->keys),
+                                        (GCompareFunc) strcmp);
+  g_autoptr (GHashTable) owned = g_steal_pointer (&lease->keys);
+  bool changed = false;
+  GList *link;
+
+  lease->keys = g_hash_table_new (g_str_hash, g_str_equal);
+  for (link = keys; link != NULL; link = link->next)
+    {
+      HsKvSpan span = { link->data, NULL };
+
+      changed = delete_span (kv, &span) > 0 || changed;
+    }
+  if (changed)
+    kv->revision++;
+  g_hash_table_remove (kv->leases, &lease->id);
+}
