Test the store's client against the stand-in

Cause: an outcome misjudged here starts a task twice or loses one. Change: ten tests over HTTP on one loop: branches, leases, lost, late and refused answers, cut and compacted watches, frees inside callbacks. Conclusion: a request is sent at most once.

--- /dev/null
+++ b/test/test_store_client.c
@@ -0,0 +1,348 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "standin/store_server.h"
+#include "store/store.h"
+
+#define TIMEOUT (2 * HS_SEC)
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsStoreServer *server;
+  HsStoreFaults *faults;
+  HsStore *store;
+  unsigned int answers;
+  HsStoreReply reply; /* Of the last answer; kvs are copied. */
+  HsStoreKv kv;       /* Its first key. */
+  unsigned int notes[HS_WATCH_CUT + 1];
+  int64_t watch_revision;
+  unsigned int n_events;
+  char last_key[64];
+  HsStoreWatch *to_free; /* Freed inside the next note. */
+  bool free_store;       /* At the next answer. */
+} Fixture;
+
+static char *
+server_url (Fixture *fixture)
+{
+  return talloc_asprintf (fixture->ev, "http://127.0.0.1:%u",
+                          hs_store_server_port (fixture->server));
+}
+
+static int
+setup (void **state)
+{
+  Fixture *fixture = g_new0 (Fixture, 1);
+  const char *endpoints[2] = { NULL, NULL };
+
+  fixture->ev = tevent_context_init (NULL);
+  fixture->server
+      = hs_store_server_new (fixture->ev, fixture->ev, "127.0.0.1", 0);
+  fixture->faults = hs_store_server_faults (fixture->server);
+  endpoints[0] = server_url (fixture);
+  fixture->store = hs_store_new (fixture->ev, fixture->ev, endpoints, TIMEOUT);
+  *state = fixture;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  Fixture *fixture = *state;
+
+  talloc_free (fixture->store);
+  talloc_free (fixture->server);
+  talloc_free (fixture->ev);
+  g_free (fixture);
+  return 0;
+}
+
+static void
+on_answer (void *arg, const HsStoreReply *reply)
+{
+  Fixture *fixture = arg;
+
+  fixture->answers++;
+  fixture->reply = *reply;
+  if (reply->n_kvs > 0)
+    {
+      fixture->kv = reply->kvs[0];
+      fixture->kv.key = talloc_strdup (fixture->ev, reply->kvs[0].key);
+      fixture->kv.value = talloc_strdup (fixture->ev, reply->kvs[0].value);
+    }
+  if (fixture->free_store)
+    TALLOC_FREE (fixture->store);
+}
+
+static void
+await (Fixture *fixture)
+{
+  unsigned int before = fixture->answers;
+
+  while (fixture->answers == before)
+    assert_int_equal (tevent_loop_once (fixture->ev), 0);
+}
+
+static HsStoreStatus
+put_at (Fixture *fixture, const char *key, int64_t revision, int64_t lease)
+{
+  const HsStoreCompare compare = { key, revision };
+  const HsStoreOp put = { HS_STORE_PUT, key, "value", lease };
+  const HsStoreOp get = { HS_STORE_RANGE, key, NULL, 0 };
+  const HsStoreTxn txn = { 1, &compare, 1, &put, 1, &get };
+
+  hs_store_txn (fixture->store, &txn, on_answer, fixture);
+  await (fixture);
+  return fixture->reply.status;
+}
+
+static HsStoreStatus
+range (Fixture *fixture, const char *prefix)
+{
+  hs_store_range (fixture->store, prefix, 0, on_answer, fixture);
+  await (fixture);
+  return fixture->reply.status;
+}
+
+static void
+on_note (void *arg, const HsWatchNote *note)
+{
+  Fixture *fixture = arg;
+
+  fixture->notes[note->kind]++;
+  fixture->watch_revision = note->revision;
+  fixture->n_events += (unsigned int) note->n_events;
+  if (note->n_events > 0)
+    g_strlcpy (fixture->last_key, note->events[note->n_events - 1].kv.key,
+               sizeof fixture->last_key);
+  TALLOC_FREE (fixture->to_free);
+}
+
+static void
+await_notes (Fixture *fixture, HsWatchKind kind, unsigned int n)
+{
+  while (fixture->notes[kind] < n)
+    assert_int_equal (tevent_loop_once (fixture->ev), 0);
+}
+
+static void
+txn_takes_the_branch_of_its_compare (void **state)
+{
+  Fixture *fixture = *state;
+
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_OK);
+  assert_true (fixture->reply.succeeded);
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_OK);
+  assert_false (fixture->reply.succeeded);
+  assert_int_equal (fixture->reply.n_kvs, 1);
+  assert_int_equal (fixture->kv.mod_revision, 2);
+  assert_string_equal (fixture->kv.value, "value");
+}
+
+static void
+range_reads_a_prefix_up_to_the_limit (void **state)
+{
+  Fixture *fixture = *state;
+
+  put_at (fixture, "hs/a/2", 0, 0);
+  put_at (fixture, "hs/a/1", 0, 0);
+  put_at (fixture, "hs/b", 0, 0);
+  assert_int_equal (range (fixture, "hs/a/"), HS_STORE_OK);
+  assert_int_equal (fixture->reply.n_kvs, 2);
+  assert_false (fixture->reply.more);
+  hs_store_range (fixture->store, "hs/", 1, on_answer, fixture);
+  await (fixture);
+  assert_int_equal (fixture->reply.n_kvs, 1);
+  assert_string_equal (fixture->kv.key, "hs/a/1");
+  assert_true (fixture->reply.more);
+}
+
+static void
+lease_calls_tell_the_ttl_and_a_revoke_deletes (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t lease;
+
+  hs_store_lease_grant (fixture->store, 60, on_answer, fixture);
+  await (fixture);
+  lease = fixture->reply.lease;
+  assert_int_equal (fixture->reply.ttl_s, 60);
+  put_at (fixture, "hs/a", 0, lease);
+  hs_store_lease_keepalive (fixture->store, lease, on_answer, fixture);
+  await (fixture);
+  assert_int_equal (fixture->reply.ttl_s, 60);
+  hs_store_lease_revoke (fixture->store, lease, on_answer, fixture);
+  await (fixture);
+  assert_int_equal (fixture->reply.status, HS_STORE_OK);
+  range (fixture, "hs/");
+  assert_int_equal (fixture->reply.n_kvs, 0);
+  hs_store_lease_keepalive (fixture->store, lease, on_answer, fixture);
+  await (fixture);
+  assert_int_equal (fixture->reply.status, HS_STORE_OK);
+  assert_int_equal (fixture->reply.ttl_s, 0);
+  assert_int_equal (put_at (fixture, "hs/b", 0, lease), HS_STORE_NOT_APPLIED);
+}
+
+/* libcurl would repeat the request on a second connection, where its compare
+   fails although the first one took effect. */
+static void
+lost_answer_is_unknown_and_sent_once (void **state)
+{
+  Fixture *fixture = *state;
+
+  assert_int_equal (range (fixture, "hs/"), HS_STORE_OK);
+  fixture->faults->lose_answers = 1;
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_UNKNOWN);
+  assert_int_equal (hs_store_server_calls (fixture->server, HS_GATEWAY_TXN), 1);
+  assert_int_equal (range (fixture, "hs/a"), HS_STORE_OK);
+  assert_int_equal (fixture->reply.n_kvs, 1);
+}
+
+/* An address where nothing listens, for as long as the socket is open. */
+static int
+refusing_socket (char **url)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (bind (fd, (struct sockaddr *) &address, len), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *) &address, &len), 0);
+  *url
+      = talloc_asprintf (NULL, "http://127.0.0.1:%u", ntohs (address.sin_port));
+  return fd;
+}
+
+static void
+refused_connection_is_not_applied_and_the_next_is_tried (void **state)
+{
+  Fixture *fixture = *state;
+  char *url;
+  int fd = refusing_socket (&url);
+  const char *endpoints[] = { url, server_url (fixture), NULL };
+
+  talloc_free (fixture->store);
+  fixture->store = hs_store_new (fixture->ev, fixture->ev, endpoints, TIMEOUT);
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_NOT_APPLIED);
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_OK);
+  assert_int_equal (hs_store_stats (fixture->store)->failures, 1);
+  close (fd);
+  talloc_free (url);
+}
+
+static void
+late_answer_is_unknown (void **state)
+{
+  Fixture *fixture = *state;
+  const char *endpoints[] = { server_url (fixture), NULL };
+
+  talloc_free (fixture->store);
+  fixture->store
+      = hs_store_new (fixture->ev, fixture->ev, endpoints, 50 * HS_MSEC);
+  fixture->faults->delay = 60 * HS_SEC;
+  assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_UNKNOWN);
+}
+
+static void
+watch_tells_changes_and_goes_on_after_a_cut (void **state)
+{
+  Fixture *fixture = *state;
+
+  put_at (fixture, "hs/a", 0, 0);
+  hs_store_watch (fixture->store, "hs/", 2, on_note, fixture);
+  await_notes (fixture, HS_WATCH_EVENTS, 1);
+  assert_int_equal (fixture->watch_revision, 2);
+  hs_store_server_cut_watches (fixture->server);
+  await_notes (fixture, HS_WATCH_CUT, 1);
+  put_at (fixture, "other", 0, 0);
+  put_at (fixture, "hs/b", 0, 0);
+  await_notes (fixture, HS_WATCH_EVENTS, 2);
+  assert_int_equal (fixture->n_events, 2);
+  assert_string_equal (fixture->last_key, "hs/b");
+  assert_int_equal (fixture->watch_revision, 4);
+}
+
+static void
+compacted_watch_says_so_and_ends (void **state)
+{
+  Fixture *fixture = *state;
+
+  put_at (fixture, "hs/a", 0, 0);
+  put_at (fixture, "hs/a", 2, 0);
+  hs_kv_compact (hs_store_server_kv (fixture->server), 0);
+  hs_store_watch (fixture->store, "hs/", 2, on_note, fixture);
+  await_notes (fixture, HS_WATCH_COMPACTED, 1);
+  assert_int_equal (fixture->watch_revision, 3);
+  while (hs_store_server_waiting (fixture->server) > 0)
+    tevent_loop_once (fixture->ev);
+  assert_int_equal (hs_store_stats (fixture->store)->watches, 1);
+}
+
+static void
+watch_may_be_freed_in_its_note (void **state)
+{
+  Fixture *fixture = *state;
+
+  put_at (fixture, "hs/a", 0, 0);
+  fixture->to_free
+      = hs_store_watch (fixture->store, "hs/", 2, on_note, fixture);
+  await_notes (fixture, HS_WATCH_PROGRESS, 1);
+  assert_null (fixture->to_free);
+  while (hs_store_server_waiting (fixture->server) > 0)
+    tevent_loop_once (fixture->ev);
+  assert_int_equal (fixture->n_events, 0);
+}
+
+static void
+store_may_be_freed_in_an_answer (void **state)
+{
+  Fixture *fixture = *state;
+
+  hs_store_watch (fixture->store, "hs/", 0, on_note, fixture);
+  hs_store_range (fixture->store, "hs/", 0, on_answer, fixture);
+  hs_store_range (fixture->store, "hs/", 0, on_answer, fixture);
+  fixture->free_store = true;
+  await (fixture);
+  assert_null (fixture->store);
+  assert_int_equal (fixture->answers, 1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (txn_takes_the_branch_of_its_compare, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (range_reads_a_prefix_up_to_the_limit,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        lease_calls_tell_the_ttl_and_a_revoke_deletes, setup, teardown),
+    cmocka_unit_test_setup_teardown (lost_answer_is_unknown_and_sent_once,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        refused_connection_is_not_applied_and_the_next_is_tried, setup,
+        teardown),
+    cmocka_unit_test_setup_teardown (late_answer_is_unknown, setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        watch_tells_changes_and_goes_on_after_a_cut, setup, teardown),
+    cmocka_unit_test_setup_teardown (compacted_watch_says_so_and_ends, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (watch_may_be_freed_in_its_note, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (store_may_be_freed_in_an_answer, setup,
+                                     teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
