Read settings and the operators' two lists

Cause: every part needs its settings and the lists of plans and allowances. Addresses by IP number are parsed in base/address.

--- /dev/null
+++ b/src/config/settings.c
@@ -0,0 +1,401 @@
+#include "config/settings.h"
+
+#include <string.h>
+
+#include "base/address.h"
+#include "base/error.h"
+#include "config/json_check.h"
+#include "config/json_fields.h"
+
+#define NAME_MAX_LEN 64
+#define ADDRESS_MAX_LEN 64
+#define SECRET_MIN_LEN 16
+#define SECRET_MAX_LEN 1024
+#define PEERS_MAX 64
+#define MSEC_PER_DAY 86400000
+#define MIB ((int64_t) 1024 * 1024)
+
+/** The file as a whole, before the role's part is read. */
+typedef struct
+{
+  char *role;
+  char *data_centre;
+  char *cluster_key;
+  struct json_object *log;
+  struct json_object *entry;
+  struct json_object *agent;
+} Top;
+
+typedef struct
+{
+  char *format;
+  char *level;
+} Log;
+
+static bool is_role (const char *text);
+static bool is_format (const char *text);
+static bool is_level (const char *text);
+static bool is_listen (const char *text);
+static bool is_peer (const char *text);
+static bool is_endpoint (const char *text);
+static bool read_top (HsSettings *settings,
+                      const HsJsonDoc *doc,
+                      HsFieldPlace *place,
+                      GError **error);
+static void prefix_error (GError **error, const char *name, uint32_t line);
+
+#define LISTEN_REMEDY "write an IP number and a port, as 127.0.0.1:8080"
+#define PEER_REMEDY                                                            \
+  "write the IP number and port that other hosts reach, as 192.0.2.1:7000"
+
+#define TEXT_FIELD(type, member, needed, least, most, test, hint)              \
+  {                                                                            \
+#member, HS_FIELD_STRING, needed, least, most, offsetof(type, member),     \
+        test, hint                                                             \
+  }
+#define LISTEN_FIELD(type, member)                                             \
+  TEXT_FIELD (type, member, true, 1, ADDRESS_MAX_LEN, is_listen, LISTEN_REMEDY)
+#define PEER_FIELD(type, member)                                               \
+  TEXT_FIELD (type, member, false, 1, ADDRESS_MAX_LEN, is_peer, PEER_REMEDY)
+#define NUMBER_FIELD(type, kind, member, key, least, most)                     \
+  {                                                                            \
+    key, kind, false, least, most, offsetof (type, member), NULL, NULL         \
+  }
+
+static const HsField TOP_FIELDS[] = {
+  TEXT_FIELD (Top, role, true, 1, 16, is_role, "use \"entry\" or \"agent\""),
+  TEXT_FIELD (Top, data_centre, true, 1, NAME_MAX_LEN, NULL, NULL),
+  TEXT_FIELD (Top,
+              cluster_key,
+              true,
+              SECRET_MIN_LEN,
+              SECRET_MAX_LEN,
+              NULL,
+              NULL),
+  { "log", HS_FIELD_OBJECT, false, 0, 0, offsetof (Top, log), NULL, NULL },
+  { "entry", HS_FIELD_OBJECT, false, 0, 0, offsetof (Top, entry), NULL, NULL },
+  { "agent", HS_FIELD_OBJECT, false, 0, 0, offsetof (Top, agent), NULL, NULL },
+};
+
+static const HsField LOG_FIELDS[] = {
+  TEXT_FIELD (Log, format, false, 1, 8, is_format, "use \"text\" or \"json\""),
+  TEXT_FIELD (Log,
+              level,
+              false,
+              1,
+              8,
+              is_level,
+              "use \"error\", \"warning\", \"info\" or \"debug\""),
+};
+
+#define ENTRY(kind, member, key, least, most)                                  \
+  NUMBER_FIELD (HsEntrySettings, kind, member, key, least, most)
+
+static const HsField ENTRY_FIELDS[] = {
+  TEXT_FIELD (HsEntrySettings, name, true, 1, NAME_MAX_LEN, NULL, NULL),
+  LISTEN_FIELD (HsEntrySettings, http_listen),
+  LISTEN_FIELD (HsEntrySettings, admin_listen),
+  LISTEN_FIELD (HsEntrySettings, rpc_listen),
+  PEER_FIELD (HsEntrySettings, rpc_address),
+  TEXT_FIELD (HsEntrySettings,
+              admin_token,
+              true,
+              SECRET_MIN_LEN,
+              SECRET_MAX_LEN,
+              NULL,
+              NULL),
+  ENTRY (HS_FIELD_UINT32, threads, "threads", 1, 64),
+  ENTRY (HS_FIELD_UINT32, partitions, "partitions", 1, 1024),
+  ENTRY (HS_FIELD_MSEC, lease, "lease_ms", 2000, 60000),
+  ENTRY (HS_FIELD_MSEC, retention, "retention_ms", 1000, MSEC_PER_DAY),
+  ENTRY (HS_FIELD_MSEC, ahead, "ahead_ms", 0, 60000),
+  ENTRY (HS_FIELD_MSEC, skew, "skew_ms", 0, 60000),
+  ENTRY (HS_FIELD_MSEC, task_timeout, "task_timeout_ms", 100, 3600000),
+  ENTRY (HS_FIELD_UINT32, max_connections, "max_connections", 1, 1000000),
+  ENTRY (HS_FIELD_UINT32, max_body, "max_body", 1024, 256 * MIB),
+  ENTRY (HS_FIELD_UINT32, claims_per_s, "claims_per_s", 1, 1000),
+  { "store", HS_FIELD_STRINGS, true, 1, PEERS_MAX,
+    offsetof (HsEntrySettings, store), is_endpoint,
+    "write each endpoint as http://IP:port" },
+};
+
+static const HsField AGENT_FIELDS[] = {
+  TEXT_FIELD (HsAgentSettings, name, true, 1, NAME_MAX_LEN, NULL, NULL),
+  LISTEN_FIELD (HsAgentSettings, target_listen),
+  LISTEN_FIELD (HsAgentSettings, rpc_listen),
+  PEER_FIELD (HsAgentSettings, rpc_address),
+  TEXT_FIELD (HsAgentSettings, rack, false, 0, NAME_MAX_LEN, NULL, NULL),
+  { "entries", HS_FIELD_STRINGS, true, 1, PEERS_MAX,
+    offsetof (HsAgentSettings, entries), is_peer, PEER_REMEDY },
+  NUMBER_FIELD (HsAgentSettings,
+                HS_FIELD_MSEC,
+                retention,
+                "retention_ms",
+                1000,
+                MSEC_PER_DAY),
+  NUMBER_FIELD (HsAgentSettings,
+                HS_FIELD_INT64,
+                memory_bytes,
+                "memory_bytes",
+                MIB,
+                4096 * MIB),
+};
+
+static const struct
+{
+  const char *word;
+  GLogLevelFlags level;
+} LEVELS[] = {
+  { "error", G_LOG_LEVEL_CRITICAL },
+  { "warning", G_LOG_LEVEL_WARNING },
+  { "info", G_LOG_LEVEL_INFO },
+  { "debug", G_LOG_LEVEL_DEBUG },
+};
+
+HsSettings *
+hs_settings_load (TALLOC_CTX *ctx, const char *path, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) cause = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &cause))
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_IO,
+                   "%s:0: file: %s; name a file that can be read", path,
+                   cause->message);
+      return NULL;
+    }
+  return hs_settings_parse (ctx, path, text, error);
+}
+
+HsSettings *
+hs_settings_parse (TALLOC_CTX *ctx,
+                   const char *name,
+                   const char *text,
+                   GError **error)
+{
+  HsSettings *settings = talloc_zero (ctx, HsSettings);
+  HsFieldPlace place = { .prefix = "" };
+  HsJsonDoc *doc;
+  uint32_t line = 1;
+  bool ok;
+
+  doc = hs_json_parse (settings, text, strlen (text), HS_JSON_WITH_COMMENTS,
+                       &line, error);
+  ok = doc != NULL && read_top (settings, doc, &place, error);
+  if (!ok && doc != NULL)
+    line = hs_json_line (doc, place.key);
+  talloc_free (doc);
+  if (ok)
+    return settings;
+  prefix_error (error, name, line);
+  talloc_free (settings);
+  return NULL;
+}
+
+static void
+prefix_error (GError **error, const char *name, uint32_t line)
+{
+  g_prefix_error (error, "%s:%u: ", name, line);
+}
+
+static bool
+invalid (HsFieldPlace *place, const char *key, const char *what, GError **error)
+{
+  g_strlcpy (place->key, key, sizeof place->key);
+  g_set_error (error, HS_ERROR, HS_ERROR_INVALID, "%s: %s", key, what);
+  return false;
+}
+
+static bool
+read_log (HsSettings *settings,
+          struct json_object *object,
+          HsFieldPlace *place,
+          GError **error)
+{
+  Log log = { NULL, NULL };
+  size_t i;
+
+  settings->log_format = HS_LOG_TEXT;
+  settings->log_level = G_LOG_LEVEL_INFO;
+  if (object == NULL)
+    return true;
+  place->prefix = "log.";
+  if (!hs_fields_read (settings, object, LOG_FIELDS, G_N_ELEMENTS (LOG_FIELDS),
+                       &log, place, error))
+    return false;
+  if (log.format != NULL && strcmp (log.format, "json") == 0)
+    settings->log_format = HS_LOG_JSON;
+  for (i = 0; log.level != NULL && i < G_N_ELEMENTS (LEVELS); i++)
+    if (strcmp (log.level, LEVELS[i].word) == 0)
+      settings->log_level = LEVELS[i].level;
+  return true;
+}
+
+/** An address that peers are told has to name this host. */
+static bool
+default_address (TALLOC_CTX *ctx,
+                 const char *listen,
+                 char **address,
+                 const char *key,
+                 HsFieldPlace *place,
+                 GError **error)
+{
+  struct sockaddr_storage parsed;
+  socklen_t len;
+
+  if (*address != NULL)
+    return true;
+  if (hs_address_parse (listen, &parsed, &len) && hs_address_is_any (&parsed))
+    return invalid (place, key,
+                    "is needed because rpc_listen names no host; "
+                    "write the IP number and port that other hosts reach",
+                    error);
+  *address = talloc_strdup (ctx, listen);
+  return true;
+}
+
+static bool
+read_entry (HsSettings *settings,
+            struct json_object *object,
+            HsFieldPlace *place,
+            GError **error)
+{
+  HsEntrySettings *entry = &settings->u.entry;
+
+  *entry = (HsEntrySettings){ .threads = 2,
+                              .partitions = 256,
+                              .lease = 4 * HS_SEC,
+                              .retention = 600 * HS_SEC,
+                              .ahead = HS_SEC,
+                              .skew = 250 * HS_MSEC,
+                              .task_timeout = 60 * HS_SEC,
+                              .max_connections = 4096,
+                              .max_body = 8 * MIB,
+                              .claims_per_s = 20 };
+  place->prefix = "entry.";
+  if (!hs_fields_read (settings, object, ENTRY_FIELDS,
+                       G_N_ELEMENTS (ENTRY_FIELDS), entry, place, error))
+    return false;
+  if ((entry->partitions & (entry->partitions - 1)) != 0)
+    return invalid (place, "entry.partitions",
+                    "is not a power of two; use 256, say", error);
+  if (entry->lease % HS_SEC != 0)
+    return invalid (place, "entry.lease_ms",
+                    "is not a whole number of seconds; "
+                    "use a multiple of 1000",
+                    error);
+  if (entry->retention <= entry->ahead + 2 * entry->skew)
+    return invalid (place, "entry.retention_ms",
+                    "is not longer than ahead_ms and twice skew_ms; "
+                    "raise it",
+                    error);
+  return default_address (settings, entry->rpc_listen, &entry->rpc_address,
+                          "entry.rpc_address", place, error);
+}
+
+static bool
+read_agent (HsSettings *settings,
+            struct json_object *object,
+            HsFieldPlace *place,
+            GError **error)
+{
+  HsAgentSettings *agent = &settings->u.agent;
+
+  *agent = (HsAgentSettings){ .retention = 600 * HS_SEC,
+                              .memory_bytes = 16 * MIB };
+  place->prefix = "agent.";
+  if (!hs_fields_read (settings, object, AGENT_FIELDS,
+                       G_N_ELEMENTS (AGENT_FIELDS), agent, place, error))
+    return false;
+  if (agent->rack == NULL)
+    agent->rack = talloc_strdup (settings, "");
+  return default_address (settings, agent->rpc_listen, &agent->rpc_address,
+                          "agent.rpc_address", place, error);
+}
+
+static bool
+read_top (HsSettings *settings,
+          const HsJsonDoc *doc,
+          HsFieldPlace *place,
+          GError **error)
+{
+  Top top = { NULL };
+
+  if (!hs_fields_read (settings, doc->root, TOP_FIELDS,
+                       G_N_ELEMENTS (TOP_FIELDS), &top, place, error))
+    return false;
+  settings->data_centre = top.data_centre;
+  settings->cluster_key = top.cluster_key;
+  settings->role
+      = strcmp (top.role, "entry") == 0 ? HS_ROLE_ENTRY : HS_ROLE_AGENT;
+  if (!read_log (settings, top.log, place, error))
+    return false;
+  switch (settings->role)
+    {
+    case HS_ROLE_ENTRY:
+      if (top.entry == NULL)
+        return invalid (place, "entry", "the key is missing; add it", error);
+      if (top.agent != NULL)
+        return invalid (place, "agent",
+                        "the role is \"entry\"; remove this object", error);
+      return read_entry (settings, top.entry, place, error);
+    case HS_ROLE_AGENT:
+      if (top.agent == NULL)
+        return invalid (place, "agent", "the key is missing; add it", error);
+      if (top.entry != NULL)
+        return invalid (place, "entry",
+                        "the role is \"agent\"; remove this object", error);
+      return read_agent (settings, top.agent, place, error);
+    default:
+      return false;
+    }
+}
+
+static bool
+is_role (const char *text)
+{
+  return strcmp (text, "entry") == 0 || strcmp (text, "agent") == 0;
+}
+
+static bool
+is_format (const char *text)
+{
+  return strcmp (text, "text") == 0 || strcmp (text, "json") == 0;
+}
+
+static bool
+is_level (const char *text)
+{
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (LEVELS); i++)
+    if (strcmp (text, LEVELS[i].word) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_listen (const char *text)
+{
+  struct sockaddr_storage address;
+  socklen_t len;
+
+  return hs_address_parse (text, &address, &len);
+}
+
+static bool
+is_peer (const char *text)
+{
+  struct sockaddr_storage address;
+  socklen_t len;
+
+  return hs_address_parse (text, &address, &len)
+         && hs_address_port (&address) != 0 && !hs_address_is_any (&address);
+}
+
+static bool
+is_endpoint (const char *text)
+{
+  return g_str_has_prefix (text, "http://") && is_peer (text + 7);
+}
--- /dev/null
+++ b/src/lists/part.mk
@@ -0,0 +1,1 @@
+SRCS += src/lists/lists.c src/lists/records.c
