--- /dev/null
+++ b/src/owner/agents.c
@@ -0,0 +1,261 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "owner/internal.h"
+
+static Agent *
+agent_add (HsOwner *owner, const hsx_member *member, uint32_t *handle);
+static void agent_gone (HsOwner *owner, uint32_t handle, HsNow now);
+static void
+take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now);
+
+Agent *
+agent_find (HsOwner *owner, uint64_t incarnation, uint32_t *handle)
+{
+  gpointer found = g_hash_table_lookup (owner->agent_handles, &incarnation);
+
+  if (found == NULL)
+    return NULL;
+  *handle = GPOINTER_TO_UINT (found) - 1;
+  return &owner->agents[*handle];
+}
+
+void
+hs_owner_agent (HsOwner *owner, const hsx_member *member, HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, member->incarnation, &handle);
+
+  if (agent == NULL)
+    agent = agent_add (owner, member, &handle);
+  if (agent->lost_ms != 0)
+    return;
+  if (agent->feasible)
+    hs_feasible_remove (owner->feasible, &agent->capacity);
+  agent->state = member->state;
+  agent->capacity = member->capacity;
+  agent->slots = member->slots;
+  agent->feasible = agent->state == HSX_MEMBER_UP && agent->slots > 0;
+  if (agent->feasible)
+    hs_feasible_add (owner->feasible, &agent->capacity);
+  switch (member->state)
+    {
+    case HSX_MEMBER_UP:
+      hs_credits_agent (owner->credits, handle, &member->capacity);
+      break;
+    case HSX_MEMBER_LEAVING:
+      hs_credits_drop (owner->credits, handle);
+      break;
+    case HSX_MEMBER_LEFT:
+    case HSX_MEMBER_LOST:
+      agent_gone (owner, handle, now);
+      break;
+    }
+}
+
+void
+hs_owner_agent_up (HsOwner *owner, uint64_t incarnation, HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, incarnation, &handle);
+
+  (void) now;
+  if (agent == NULL)
+    return;
+  agent->connected = true;
+  agent->recovering = false;
+  if (owner->owned == 0)
+    return;
+  recover_agent (owner, handle);
+  settle_agent (owner, handle, false);
+}
+
+void
+hs_owner_agent_down (HsOwner *owner, uint64_t incarnation, HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, incarnation, &handle);
+
+  if (agent == NULL || !agent->connected)
+    return;
+  agent->connected = false;
+  agent->recovering = false;
+  hs_credits_drop (owner->credits, handle);
+  if (agent->state == HSX_MEMBER_UP)
+    hs_credits_agent (owner->credits, handle, &agent->capacity);
+  recovery_check (owner, now);
+}
+
+void
+hs_owner_granted (HsOwner *owner, const hsx_grant_args *args, HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, args->agent, &handle);
+
+  if (agent == NULL || agent->state != HSX_MEMBER_UP)
+    return;
+  hs_credits_grant (owner->credits, handle, args->credits.credits_len,
+                    args->credits.credits_val, now.mono);
+  hs_fair_queue_wake_jobs (owner->queue);
+  pump (owner, now);
+}
+
+void
+hs_owner_results (HsOwner *owner,
+                  uint64_t incarnation,
+                  const hsx_result_args *args,
+                  HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, incarnation, &handle);
+  u_int i;
+
+  if (agent == NULL)
+    return;
+  for (i = 0; i < args->results.results_len; i++)
+    {
+      const hsx_result *result = &args->results.results_val[i];
+
+      owner->stats.results++;
+      take_one (owner, handle, result, now);
+      if (result->next != NULL && owner->agents[handle].state == HSX_MEMBER_UP)
+        hs_credits_add (owner->credits, handle, result->next, now.mono);
+    }
+  health_update (owner, now);
+  pump (owner, now);
+}
+
+void
+hs_owner_settled (HsOwner *owner,
+                  uint64_t incarnation,
+                  const hsx_settle_reply *reply,
+                  HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, incarnation, &handle);
+  u_int i;
+
+  /* Without an answer the next connection asks again, or the timeout of the
+     tasks decides. */
+  if (agent == NULL || reply == NULL)
+    return;
+  for (i = 0; i < reply->results.results_len; i++)
+    take_one (owner, handle, &reply->results.results_val[i], now);
+  pump (owner, now);
+}
+
+uint32_t
+hs_owner_agents (const HsOwner *owner, uint32_t *connected)
+{
+  uint32_t known = 0;
+  uint32_t i;
+
+  *connected = 0;
+  for (i = 0; i < owner->n_agents; i++)
+    {
+      const Agent *agent = &owner->agents[i];
+
+      known += agent->lost_ms == 0;
+      *connected += agent->connected;
+    }
+  return known;
+}
+
+static Agent *
+agent_add (HsOwner *owner, const hsx_member *member, uint32_t *handle)
+{
+  Agent *agent;
+
+  *handle = owner->n_agents;
+  owner->n_agents++;
+  owner->agents = talloc_realloc (owner, owner->agents, Agent, owner->n_agents);
+  agent = &owner->agents[*handle];
+  memset (agent, 0, sizeof *agent);
+  agent->incarnation = member->incarnation;
+  hs_health_add (owner->health, *handle);
+  agent->state = HSX_MEMBER_UP;
+  g_hash_table_insert (
+      owner->agent_handles,
+      g_memdup2 (&member->incarnation, sizeof member->incarnation),
+      GUINT_TO_POINTER (*handle + 1));
+  return agent;
+}
+
+/* What was sent there and not answered may have run. */
+static void
+agent_gone (HsOwner *owner, uint32_t handle, HsNow now)
+{
+  guint i;
+
+  owner->agents[handle].lost_ms = now.wall_ms;
+  owner->agents[handle].connected = false;
+  for (i = 0; i < owner->tasks->len; i++)
+    {
+      Task *task = owner->tasks->pdata[i];
+
+      if (task != NULL && task->state == TASK_SENT && task->agent == handle)
+        task_finish (owner, task, HSX_TASK_MAY_HAVE_RUN, HS_ERROR_UNKNOWN, 0,
+                     NULL, 0, now);
+    }
+  recovered_agent_lost (owner, handle);
+  hs_credits_drop (owner->credits, handle);
+  hs_health_drop (owner->health, handle);
+  recovery_check (owner, now);
+  pump (owner, now);
+}
+
+void
+settle_agent (HsOwner *owner, uint32_t handle, bool unsettled_only)
+{
+  hsx_task_key keys[HSX_BATCH_MAX];
+  hsx_settle_args args = { { 0, keys } };
+  guint i;
+
+  for (i = 0; i < owner->tasks->len; i++)
+    {
+      Task *task = owner->tasks->pdata[i];
+      hsx_task_key *key;
+
+      if (task == NULL || task->state != TASK_SENT || task->agent != handle
+          || (unsettled_only && !task->unsettled))
+        continue;
+      task->unsettled = false;
+      key = &keys[args.keys.keys_len++];
+      key->part = task->job->part;
+      key->customer = task->job->customer;
+      key->id = task->job->id;
+      key->index = task->index;
+      memcpy (&key->content, task->job->digest, sizeof key->content);
+      if (args.keys.keys_len < HSX_BATCH_MAX)
+        continue;
+      owner->effects.settle (owner->arg, owner->agents[handle].incarnation,
+                             &args);
+      args.keys.keys_len = 0;
+    }
+  if (args.keys.keys_len > 0)
+    owner->effects.settle (owner->arg, owner->agents[handle].incarnation,
+                           &args);
+}
+
+static void
+take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now)
+{
+  Job *job = job_find (owner, result->key.customer, result->key.id);
+  Task *task;
+
+  if (job == NULL)
+    {
+      if (!recovered_take_result (owner, result))
+        owner->stats.late_results++;
+      return;
+    }
+  if (result->key.index >= job->n_tasks)
+    return;
+  task = &job->tasks[result->key.index];
+  if (task->state != TASK_SENT || task->agent != handle)
+    {
+      owner->stats.late_results++;
+      return;
+    }
+  task_take_result (owner, task, result, now);
+}
--- /dev/null
+++ b/src/owner/customers.c
@@ -0,0 +1,80 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "owner/internal.h"
+
+static void apply_allowance (HsOwner *owner, Customer *customer, HsNow now);
+static void fail_waiting (HsOwner *owner, const Customer *customer, HsNow now);
+
+Customer *
+customer_get (HsOwner *owner, const char *name, HsNow now)
+{
+  Customer *customer = g_hash_table_lookup (owner->customers, name);
+
+  if (customer != NULL)
+    return customer;
+  customer = talloc_zero (owner, Customer);
+  g_strlcpy (customer->name, name, sizeof customer->name);
+  customer->flow = hs_fair_queue_flow (owner->queue, 1);
+  if (owner->flows->len <= customer->flow)
+    g_ptr_array_set_size (owner->flows, (gint) customer->flow + 1);
+  owner->flows->pdata[customer->flow] = customer;
+  g_hash_table_insert (owner->customers, customer->name, customer);
+  apply_allowance (owner, customer, now);
+  return customer;
+}
+
+void
+customers_refresh (HsOwner *owner, HsNow now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->customers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Customer *customer = value;
+
+      apply_allowance (owner, customer, now);
+      if (!customer->known && customer->queued > 0)
+        fail_waiting (owner, customer, now);
+    }
+}
+
+static void
+apply_allowance (HsOwner *owner, Customer *customer, HsNow now)
+{
+  const HsAllowance *allowance
+      = hs_lists_allowance_of (owner->lists, customer->name);
+  bool was_known = customer->known;
+
+  customer->known = allowance != NULL;
+  if (allowance == NULL)
+    return;
+  customer->allowance = *allowance;
+  if (was_known)
+    hs_bucket_set (&customer->bucket, allowance->starts_per_s, allowance->burst,
+                   now.mono);
+  else
+    hs_bucket_init (&customer->bucket, allowance->starts_per_s,
+                    allowance->burst, now.mono);
+  hs_fair_queue_set_weight (owner->queue, customer->flow, allowance->weight);
+  hs_fair_queue_wake (owner->queue, customer->flow);
+}
+
+/* The customer's plan was withdrawn: what waits will never start. */
+static void
+fail_waiting (HsOwner *owner, const Customer *customer, HsNow now)
+{
+  guint i;
+
+  for (i = 0; i < owner->tasks->len; i++)
+    {
+      Task *task = owner->tasks->pdata[i];
+
+      if (task != NULL && task->state == TASK_QUEUED
+          && task->job->owner_of_limits == customer)
+        task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_NOT_FOUND, 0, NULL,
+                     0, now);
+    }
+}
--- /dev/null
+++ b/src/owner/dispatch.c
@@ -0,0 +1,372 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "owner/internal.h"
+
+/** A task for which no idle credit is large enough is asked again. */
+#define UNFIT_RETRY (50 * HS_MSEC)
+
+static HsMayStart may_start (void *arg,
+                             uint32_t flow,
+                             uint32_t handle,
+                             HsTime now,
+                             HsTime *ready_at);
+static void note_health (HsOwner *owner,
+                         const Task *task,
+                         const hsx_result *result,
+                         HsNow now);
+static void send_start (HsOwner *owner, Task *task, HsNow now);
+static void
+take_refusal (HsOwner *owner, Task *task, hsx_refusal refusal, HsNow now);
+static void set_timer (HsOwner *owner, const Task *task, HsTime at);
+static void clear_timer (HsOwner *owner, const Task *task);
+
+void
+task_enqueue_all (HsOwner *owner, Job *job, HsNow now)
+{
+  uint32_t handles[HSX_TASKS_MAX];
+  HsTime declared[HSX_TASKS_MAX];
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      Task *task = &job->tasks[i];
+
+      if (task->state != TASK_HELD)
+        continue;
+      clear_timer (owner, task);
+      task->state = TASK_QUEUED;
+      handles[n] = task->handle;
+      declared[n] = task->task.run_ms * HS_MSEC;
+      n++;
+      if (task->deadline != HS_NEVER)
+        set_timer (owner, task, task->deadline);
+    }
+  if (n > 0)
+    hs_fair_queue_push (owner->queue, job->owner_of_limits->flow, now.mono, n,
+                        handles, declared);
+}
+
+void
+task_finish (HsOwner *owner,
+             Task *task,
+             hsx_task_state state,
+             unsigned int kind,
+             unsigned int http_status,
+             const char *body,
+             size_t n,
+             HsNow now)
+{
+  Job *job = task->job;
+
+  clear_timer (owner, task);
+  if (task->state == TASK_QUEUED)
+    hs_fair_queue_remove (owner->queue, task->handle);
+  if (task->state == TASK_SENT)
+    task_leave_agent (owner, task);
+  else
+    job->owner_of_limits->queued--;
+  task->state = TASK_FINISHED;
+  owner->tasks->pdata[task->handle] = NULL;
+  g_array_append_val (owner->free_handles, task->handle);
+  task->handle = NO_HANDLE;
+  TALLOC_FREE (task->task.body.body_val);
+  task->task.body.body_len = 0;
+  task->answer.state = state;
+  task->answer.kind = kind;
+  task->answer.http_status = http_status;
+  task->answer.body.body_val = n > 0 ? talloc_memdup (job, body, n) : NULL;
+  task->answer.body.body_len = (unsigned int) n;
+  job->kept_bytes += n;
+  switch (state)
+    {
+    case HSX_TASK_DONE:
+      owner->stats.done++;
+      break;
+    case HSX_TASK_FAILED:
+      owner->stats.failed++;
+      break;
+    case HSX_TASK_NOT_RUN:
+      owner->stats.not_run++;
+      break;
+    case HSX_TASK_MAY_HAVE_RUN:
+      owner->stats.may_have_run++;
+      break;
+    }
+  job->unfinished--;
+  if (job->unfinished == 0)
+    job_finished (owner, job, now);
+}
+
+void
+task_mark_sent (HsOwner *owner, Task *task, uint32_t agent, HsNow now)
+{
+  Customer *customer = task->job->owner_of_limits;
+
+  clear_timer (owner, task);
+  task->state = TASK_SENT;
+  task->agent = agent;
+  task->sent_at = now.mono;
+  customer->queued--;
+  customer->in_flight++;
+  set_timer (owner, task, now.mono + owner->config.task_timeout + RESULT_GRACE);
+}
+
+void
+task_leave_agent (HsOwner *owner, Task *task)
+{
+  Customer *customer = task->job->owner_of_limits;
+
+  customer->in_flight--;
+  hs_fair_queue_wake (owner->queue, customer->flow);
+  if (task->took_credit)
+    hs_credits_finished (owner->credits, task->agent);
+  task->took_credit = false;
+}
+
+void
+task_requeue (HsOwner *owner, Task *task, HsNow now)
+{
+  HsTime at;
+
+  clear_timer (owner, task);
+  task_leave_agent (owner, task);
+  task->job->owner_of_limits->queued++;
+  task->attempts++;
+  task->state = TASK_HELD;
+  if (!hs_retry_allow (&owner->retry, task->attempts, now.mono, &owner->random,
+                       &at))
+    {
+      task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_UNAVAILABLE, 0, NULL,
+                   0, now);
+      return;
+    }
+  set_timer (owner, task, MIN (at, task->deadline));
+}
+
+void
+task_take_result (HsOwner *owner,
+                  Task *task,
+                  const hsx_result *result,
+                  HsNow now)
+{
+  Job *job = task->job;
+  HsTime run = result->run_us;
+
+  note_health (owner, task, result, now);
+  switch (result->outcome)
+    {
+    case HSX_RUNNING:
+      return;
+    case HSX_REFUSED:
+      take_refusal (owner, task, result->refusal, now);
+      return;
+    case HSX_MAYBE:
+      task_finish (owner, task, HSX_TASK_MAY_HAVE_RUN, HS_ERROR_UNKNOWN,
+                   result->http_status, NULL, 0, now);
+      return;
+    case HSX_DONE:
+    case HSX_FAILED:
+      break;
+    }
+  if (task->took_credit)
+    hs_fair_queue_finished (owner->queue, job->owner_of_limits->flow,
+                            task->task.run_ms * HS_MSEC, task->charged, run);
+  owner->effects.measure (owner->arg, job->customer,
+                          task->sent_at - task->queued_at,
+                          now.mono - task->sent_at, 0);
+  task_finish (owner, task,
+               result->outcome == HSX_DONE ? HSX_TASK_DONE : HSX_TASK_FAILED, 0,
+               result->http_status, result->body.body_val,
+               result->body.body_len, now);
+}
+
+void
+pump (HsOwner *owner, HsNow now)
+{
+  HsPopped popped;
+
+  if (owner->lease_until - now.mono < LEASE_MIN)
+    return;
+  loans_turn (owner, now);
+  while (hs_fair_queue_pop (owner->queue, now.mono, may_start, owner, &popped))
+    {
+      Task *task = owner->tasks->pdata[popped.task];
+
+      task->charged = popped.charged;
+      if (task->attempts == 0)
+        hs_retry_started (&owner->retry);
+      send_start (owner, task, now);
+    }
+  loans_turn (owner, now);
+}
+
+void
+timers_run (HsOwner *owner, HsNow now)
+{
+  while (owner->timers.n > 0 && owner->timers.items[0].key <= now.mono)
+    {
+      Task *task = owner->tasks->pdata[owner->timers.items[0].handle];
+
+      if (task->state == TASK_HELD && task->deadline > now.mono)
+        enqueue_again (owner, task, now);
+      else if (task->state == TASK_SENT)
+        task_finish (owner, task, HSX_TASK_MAY_HAVE_RUN, HS_ERROR_UNKNOWN, 0,
+                     NULL, 0, now);
+      else
+        task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_DEADLINE, 0, NULL,
+                     0, now);
+    }
+}
+
+void
+health_update (HsOwner *owner, HsNow now)
+{
+  HsHealthState state;
+  uint32_t agent;
+
+  while (hs_health_changed (owner->health, now.mono, &agent, &state))
+    hs_credits_set_health (owner->credits, agent, state);
+}
+
+/* Only what this entry started says something of the target's speed. */
+static void
+note_health (HsOwner *owner,
+             const Task *task,
+             const hsx_result *result,
+             HsNow now)
+{
+  uint32_t flow = task->job->owner_of_limits->flow;
+  HsTime expected;
+
+  if (!task->took_credit || result->outcome == HSX_RUNNING
+      || (result->outcome == HSX_REFUSED
+          && result->refusal != HSX_REFUSAL_TARGET))
+    return;
+  expected
+      = hs_fair_queue_expect (owner->queue, flow, task->task.run_ms * HS_MSEC);
+  hs_health_result (owner->health, task->agent, flow,
+                    result->outcome != HSX_DONE, result->run_us,
+                    result->outcome == HSX_DONE ? expected : 0, now.mono);
+}
+
+static HsMayStart
+may_start (void *arg,
+           uint32_t flow,
+           uint32_t handle,
+           HsTime now,
+           HsTime *ready_at)
+{
+  HsOwner *owner = arg;
+  Customer *customer = owner->flows->pdata[flow];
+  const Task *task = owner->tasks->pdata[handle];
+
+  if (hs_credits_idle (owner->credits) == 0)
+    return HS_NONE_STARTS;
+  if (!customer->known || customer->in_flight >= customer->allowance.in_flight)
+    return HS_FLOW_WAITS;
+  *ready_at = hs_bucket_ready_at (&customer->bucket, now);
+  if (*ready_at > now)
+    return HS_FLOW_WAITS;
+  if (!hs_credits_take (owner->credits, &task->task.needs, now,
+                        owner->lease_until - now, &owner->pick.agent,
+                        &owner->pick.credit))
+    {
+      *ready_at = now + UNFIT_RETRY;
+      return HS_JOB_WAITS;
+    }
+  hs_bucket_take (&customer->bucket, now);
+  return HS_MAY_START;
+}
+
+static void
+enqueue_again (HsOwner *owner, Task *task, HsNow now)
+{
+  HsTime declared = task->task.run_ms * HS_MSEC;
+
+  clear_timer (owner, task);
+  task->state = TASK_QUEUED;
+  if (task->deadline != HS_NEVER)
+    set_timer (owner, task, task->deadline);
+  hs_fair_queue_push (owner->queue, task->job->owner_of_limits->flow, now.mono,
+                      1, &task->handle, &declared);
+}
+
+static void
+send_start (HsOwner *owner, Task *task, HsNow now)
+{
+  Job *job = task->job;
+  hsx_start start = { 0 };
+
+  task_mark_sent (owner, task, owner->pick.agent, now);
+  task->took_credit = true;
+  job->queue_wait = MAX (job->queue_wait, now.mono - task->queued_at);
+  start.key.part = job->part;
+  start.key.customer = job->customer;
+  start.key.id = job->id;
+  start.key.index = task->index;
+  memcpy (&start.key.content, job->digest, sizeof start.key.content);
+  start.epoch = owner->parts[job->part].epoch;
+  start.credit = owner->pick.credit;
+  /* The lease is judged now, after the credit was received. */
+  start.permit_us = owner->lease_until - now.mono;
+  start.timeout_ms = (unsigned int) (owner->config.task_timeout / HS_MSEC);
+  start.idempotent = task->task.idempotent;
+  start.needs = task->task.needs;
+  start.body.body_val = task->task.body.body_val;
+  start.body.body_len = task->task.body.body_len;
+  owner->stats.starts++;
+  owner->effects.start (owner->arg, owner->agents[task->agent].incarnation,
+                        &start);
+}
+
+static void
+take_refusal (HsOwner *owner, Task *task, hsx_refusal refusal, HsNow now)
+{
+  owner->stats.refused_starts++;
+  switch (refusal)
+    {
+    case HSX_REFUSAL_DUPLICATE:
+      {
+        /* An earlier owner started it there: ask what came of it. */
+        hsx_task_key key = { 0 };
+        hsx_settle_args args = { { 1, &key } };
+
+        key.part = task->job->part;
+        key.customer = task->job->customer;
+        key.id = task->job->id;
+        key.index = task->index;
+        owner->effects.settle (owner->arg,
+                               owner->agents[task->agent].incarnation, &args);
+        return;
+      }
+    case HSX_REFUSAL_EPOCH:
+      /* Another entry owns the partition; the store will tell soon, and
+         the task must not be sent again from here. */
+      return;
+    case HSX_REFUSAL_NONE:
+    case HSX_REFUSAL_PERMIT:
+    case HSX_REFUSAL_CREDIT:
+    case HSX_REFUSAL_LEAVING:
+    case HSX_REFUSAL_TARGET:
+    case HSX_REFUSAL_NEEDS:
+    case HSX_REFUSAL_FENCED:
+      task_requeue (owner, task, now);
+      return;
+    }
+}
+
+static void
+set_timer (HsOwner *owner, const Task *task, HsTime at)
+{
+  hs_heap_push (owner, &owner->timers, owner->timer_positions, task->handle,
+                at);
+}
+
+static void
+clear_timer (HsOwner *owner, const Task *task)
+{
+  if (owner->timer_positions[task->handle] != HS_HEAP_NOWHERE)
+    hs_heap_remove (&owner->timers, owner->timer_positions, task->handle);
+}
--- /dev/null
+++ b/src/owner/handover.c
@@ -0,0 +1,298 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "owner/internal.h"
+
+/** Bodies in one message, so that records stay far below their bound. */
+#define MESSAGE_BYTES (4u << 20)
+#define MESSAGE_JOBS 64
+
+static void hold_queued (HsOwner *owner, uint32_t part);
+static size_t export_job (TALLOC_CTX *ctx,
+                          const HsOwner *owner,
+                          const Job *job,
+                          hsx_handover_job *out,
+                          HsNow now);
+static hsx_handover_args *add_message (TALLOC_CTX *ctx,
+                                       hsx_handover_args **messages,
+                                       size_t *n,
+                                       const Part *part,
+                                       uint32_t number);
+static Staged *stage_job (Part *part, const hsx_handover_job *in, HsNow now);
+static void adopt_job (HsOwner *owner, const Staged *staged, HsNow now);
+
+void
+hs_owner_freeze (HsOwner *owner, uint32_t part)
+{
+  Part *p = &owner->parts[part];
+
+  if (p->state != PART_SERVING)
+    return;
+  p->state = PART_FROZEN;
+  hold_queued (owner, part);
+}
+
+void
+hs_owner_thaw (HsOwner *owner, uint32_t part, HsNow now)
+{
+  Part *p = &owner->parts[part];
+  GHashTableIter iter;
+  gpointer value;
+
+  if (p->state != PART_FROZEN)
+    return;
+  p->state = PART_SERVING;
+  g_hash_table_iter_init (&iter, owner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Job *job = value;
+
+      if (job->part == part && !job->claiming && job->unfinished > 0)
+        task_enqueue_all (owner, job, now);
+    }
+  request_parked (owner, p, now);
+  pump (owner, now);
+}
+
+hsx_handover_args *
+hs_owner_export (HsOwner *owner,
+                 TALLOC_CTX *ctx,
+                 uint32_t part,
+                 HsNow now,
+                 size_t *n)
+{
+  hsx_handover_args *messages = NULL;
+  hsx_handover_args *message;
+  GHashTableIter iter;
+  gpointer value;
+  size_t bytes = 0;
+
+  *n = 0;
+  message = add_message (ctx, &messages, n, &owner->parts[part], part);
+  g_hash_table_iter_init (&iter, owner->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Job *job = value;
+
+      if (job->part != part || job->claiming)
+        continue;
+      if (message->jobs.jobs_len == MESSAGE_JOBS || bytes >= MESSAGE_BYTES)
+        {
+          message = add_message (ctx, &messages, n, &owner->parts[part], part);
+          bytes = 0;
+        }
+      bytes += export_job (messages, owner, job,
+                           &message->jobs.jobs_val[message->jobs.jobs_len++],
+                           now);
+    }
+  message->last = TRUE;
+  owner->stats.handovers++;
+  return messages;
+}
+
+bool
+hs_owner_import (HsOwner *owner, const hsx_handover_args *args, HsNow now)
+{
+  Part *part;
+  u_int i;
+
+  if (args->part >= owner->config.partitions)
+    return false;
+  part = &owner->parts[args->part];
+  if (part->state != PART_FOREIGN)
+    return false;
+  if (part->staged_epoch != args->epoch || part->staged_whole)
+    {
+      parts_drop_staged (part);
+      part->staged_epoch = args->epoch;
+      part->staged = g_ptr_array_new_with_free_func (staged_free);
+    }
+  for (i = 0; i < args->jobs.jobs_len; i++)
+    g_ptr_array_add (part->staged,
+                     stage_job (part, &args->jobs.jobs_val[i], now));
+  part->staged_floor_ms = args->floor_ms;
+  part->staged_whole = args->last;
+  return true;
+}
+
+void
+staged_adopt (HsOwner *owner, uint32_t number, uint64_t previous, HsNow now)
+{
+  Part *part = &owner->parts[number];
+  guint i;
+
+  if (part->staged_epoch == 0 || !part->staged_whole
+      || part->staged_epoch != previous)
+    {
+      parts_drop_staged (part);
+      return;
+    }
+  for (i = 0; i < part->staged->len; i++)
+    adopt_job (owner, part->staged->pdata[i], now);
+  g_ptr_array_unref (part->staged);
+  part->staged = NULL;
+  part->staged_whole = false;
+}
+
+void
+staged_free (gpointer staged)
+{
+  Staged *s = staged;
+
+  xdr_free ((xdrproc_t) xdr_hsx_handover_job, &s->job);
+  g_free (s);
+}
+
+/* Queued tasks wait aside while the partition changes hands. */
+static void
+hold_queued (HsOwner *owner, uint32_t part)
+{
+  guint i;
+
+  for (i = 0; i < owner->tasks->len; i++)
+    {
+      Task *task = owner->tasks->pdata[i];
+
+      if (task == NULL || task->state != TASK_QUEUED || task->job->part != part)
+        continue;
+      hs_fair_queue_remove (owner->queue, task->handle);
+      if (owner->timer_positions[task->handle] != HS_HEAP_NOWHERE)
+        hs_heap_remove (&owner->timers, owner->timer_positions, task->handle);
+      task->state = TASK_HELD;
+    }
+}
+
+static size_t
+export_job (TALLOC_CTX *ctx,
+            const HsOwner *owner,
+            const Job *job,
+            hsx_handover_job *out,
+            HsNow now)
+{
+  size_t bytes = 0;
+  uint32_t i;
+
+  memset (out, 0, sizeof *out);
+  out->job.verb = HSX_SUBMIT;
+  out->job.customer = job->customer;
+  out->job.id = job->id;
+  memcpy (out->job.digest, job->digest, sizeof job->digest);
+  out->age_ms = (now.mono - job->arrived) / HS_MSEC;
+  out->job.tasks.tasks_len = job->n_tasks;
+  out->job.tasks.tasks_val = talloc_array (ctx, hsx_task, job->n_tasks);
+  out->states.states_len = job->n_tasks;
+  out->states.states_val
+      = talloc_zero_array (ctx, hsx_handover_task, job->n_tasks);
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      const Task *task = &job->tasks[i];
+      hsx_handover_task *state = &out->states.states_val[i];
+
+      out->job.tasks.tasks_val[i] = task->task;
+      bytes += task->task.body.body_len + task->answer.body.body_len;
+      state->answer = task->answer;
+      state->answer.state = MAX (task->answer.state, HSX_TASK_DONE);
+      switch (task->state)
+        {
+        case TASK_HELD:
+        case TASK_QUEUED:
+          state->state = HSX_HO_QUEUED;
+          break;
+        case TASK_SENT:
+          state->state = HSX_HO_SENT;
+          state->agent = owner->agents[task->agent].incarnation;
+          break;
+        case TASK_FINISHED:
+          state->state = HSX_HO_FINISHED;
+          break;
+        }
+    }
+  return bytes;
+}
+
+static hsx_handover_args *
+add_message (TALLOC_CTX *ctx,
+             hsx_handover_args **messages,
+             size_t *n,
+             const Part *part,
+             uint32_t number)
+{
+  hsx_handover_args *message;
+
+  *messages = talloc_realloc (ctx, *messages, hsx_handover_args, *n + 1);
+  message = &(*messages)[*n];
+  memset (message, 0, sizeof *message);
+  message->part = number;
+  message->epoch = part->epoch;
+  message->floor_ms = part->uncertain_before_ms;
+  message->jobs.jobs_val
+      = talloc_zero_array (*messages, hsx_handover_job, MESSAGE_JOBS);
+  (*n)++;
+  return message;
+}
+
+/* A deep copy, by way of the codec. */
+static Staged *
+stage_job (Part *part, const hsx_handover_job *in, HsNow now)
+{
+  xdrproc_t codec = (xdrproc_t) xdr_hsx_handover_job;
+  hsx_handover_job *source = (hsx_handover_job *) (uintptr_t) in;
+  Staged *staged = g_new0 (Staged, 1);
+  u_int size = (u_int) xdr_sizeof (codec, source);
+  g_autofree char *buffer = g_malloc (size);
+  XDR xdrs;
+
+  (void) part;
+  staged->arrived = now.mono - in->age_ms * HS_MSEC;
+  xdrmem_create (&xdrs, buffer, size, XDR_ENCODE);
+  xdr_hsx_handover_job (&xdrs, source);
+  xdr_destroy (&xdrs);
+  xdrmem_create (&xdrs, buffer, size, XDR_DECODE);
+  xdr_hsx_handover_job (&xdrs, &staged->job);
+  xdr_destroy (&xdrs);
+  return staged;
+}
+
+static void
+adopt_job (HsOwner *owner, const Staged *staged, HsNow now)
+{
+  const hsx_handover_job *in = &staged->job;
+  HsNow arrived = { staged->arrived, now.wall_ms };
+  Job *job;
+  uint32_t i;
+
+  if (job_find (owner, in->job.customer, in->job.id) != NULL
+      || in->states.states_len != in->job.tasks.tasks_len)
+    return;
+  job = job_new (owner, &in->job, arrived);
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      const hsx_handover_task *state = &in->states.states_val[i];
+      Task *task = &job->tasks[i];
+      uint32_t agent;
+
+      switch (state->state)
+        {
+        case HSX_HO_QUEUED:
+          break;
+        case HSX_HO_SENT:
+          if (agent_find (owner, state->agent, &agent) != NULL
+              && owner->agents[agent].lost_ms == 0)
+            {
+              /* Its start may still be on its way: the agent has it in its
+                 memory, or is told by SETTLE never to take it. */
+              task_mark_sent (owner, task, agent, now);
+              task->unsettled = true;
+            }
+          else
+            task_finish (owner, task, HSX_TASK_MAY_HAVE_RUN, HS_ERROR_UNKNOWN,
+                         0, NULL, 0, now);
+          break;
+        case HSX_HO_FINISHED:
+          task_finish (owner, task, state->answer.state, state->answer.kind,
+                       state->answer.http_status, state->answer.body.body_val,
+                       state->answer.body.body_len, now);
+          break;
+        }
+    }
+}
--- /dev/null
+++ b/src/owner/internal.h
@@ -0,0 +1,285 @@
+/**
+ * @file
+ * Shared by the files of the owner part only.
+ */
+#ifndef HS_OWNER_INTERNAL_H
+#define HS_OWNER_INTERNAL_H
+
+#include "owner/owner.h"
+#include "policy/bucket.h"
+#include "policy/credits.h"
+#include "policy/fair_queue.h"
+#include "policy/feasible.h"
+#include "policy/health.h"
+#include "policy/heap.h"
+#include "policy/loans.h"
+#include "policy/retry.h"
+
+#define NO_HANDLE UINT32_MAX
+
+/** Starts are sent only if the lease is certain for this long. */
+#define LEASE_MIN (100 * HS_MSEC)
+
+/** An agent that hasn't answered RECOVER by then can't be waited for. */
+#define RECOVER_TIMEOUT (2 * HS_SEC)
+
+/** A result may take this much longer than the task's own timeout. */
+#define RESULT_GRACE (5 * HS_SEC)
+
+/** "customer/id" with its terminator. */
+#define JOB_KEY_SIZE (HSX_NAME_MAX + 1 + HSX_ID_MAX + 1)
+
+typedef enum
+{
+  TASK_HELD,   /* Waits for a claim, the partition's recovery, or a retry. */
+  TASK_QUEUED, /* In the fair queue. */
+  TASK_SENT,   /* A start was sent; no result yet. */
+  TASK_FINISHED
+} TaskState;
+
+typedef struct Job Job;
+typedef struct Customer Customer;
+
+typedef struct
+{
+  Job *job;
+  uint32_t index;
+  uint32_t handle; /* In the owner's task table; NO_HANDLE if finished. */
+  TaskState state;
+  uint32_t agent; /* Handle; TASK_SENT only. */
+  bool took_credit;
+  bool unsettled; /* Adopted as sent; SETTLE is due. */
+  uint32_t attempts;
+  HsTime charged;
+  HsTime queued_at;
+  HsTime sent_at;
+  HsTime deadline;
+  hsx_task task;
+  hsx_task_answer answer;
+} Task;
+
+struct Job
+{
+  char key[JOB_KEY_SIZE];
+  char *customer;
+  char *id;
+  uint32_t part;
+  char digest[HSX_DIGEST_SIZE];
+  Customer *owner_of_limits;
+  HsTime arrived;
+  HsTime finished_at;
+  uint32_t n_tasks;
+  uint32_t unfinished;
+  bool claiming;
+  bool answer_dropped;
+  size_t kept_bytes;
+  HsTime queue_wait; /* Of the last task that was started. */
+  GArray *waiters;   /* HsWaiter. */
+  GList kept_link;   /* In the owner's list of finished jobs. */
+  Task *tasks;
+};
+
+struct Customer
+{
+  char name[HSX_NAME_MAX + 1];
+  uint32_t flow;
+  bool known; /* Has a plan and an allowance. */
+  HsAllowance allowance;
+  HsBucket bucket;
+  uint32_t in_flight;
+  uint32_t queued;
+};
+
+typedef struct
+{
+  uint64_t incarnation;
+  uint32_t revision;
+  hsx_member_state state;
+  hsx_needs capacity;
+  uint32_t slots;
+  bool connected;
+  bool feasible;         /* Its capacity is counted in `feasible`. */
+  bool recovering;       /* RECOVER sent, no reply yet. */
+  uint32_t recover_sent; /* Generation of that RECOVER. */
+  uint32_t recovered;    /* Generation answered whole. */
+  uint32_t cursor;       /* Of the next page of the reply. */
+  bool forgetful;        /* Remembers less than the retention. */
+  int64_t lost_ms;       /* Wall time at which it was lost. */
+} Agent;
+
+typedef enum
+{
+  PART_FOREIGN,
+  PART_RECOVERING,
+  PART_SERVING,
+  PART_FROZEN
+} PartState;
+
+typedef struct
+{
+  PartState state;
+  bool fresh; /* Never had an owner before. */
+  uint64_t epoch;
+  /* Ids minted before this and unknown may have run; 0: none. */
+  int64_t uncertain_before_ms;
+  HsTime recover_until;
+  uint32_t generation;   /* Agents must have answered this one. */
+  uint64_t staged_epoch; /* Epoch of the old owner; 0: nothing staged. */
+  bool staged_whole;
+  int64_t staged_floor_ms;
+  GPtrArray *staged; /* Staged. */
+  GArray *parked;    /* Parked. */
+} Part;
+
+/* A job that another entry hands over. */
+typedef struct
+{
+  hsx_handover_job job; /* Freed by xdr_free(). */
+  HsTime arrived;
+} Staged;
+
+typedef struct
+{
+  HsWaiter waiter;
+  const hsx_forward_args *args;
+} Parked;
+
+/* A start that an agent remembers and no job here accounts for. */
+typedef struct
+{
+  char key[JOB_KEY_SIZE];
+  uint32_t part;
+  GPtrArray *results; /* RecoveredTask. */
+  bool claimed;       /* A claim was found; the id is opaque. */
+  int64_t claimed_ms;
+} Recovered;
+
+typedef struct
+{
+  uint32_t index;
+  uint64_t content;
+  uint32_t agent;
+  hsx_outcome outcome;
+  uint32_t http_status;
+  char *body;
+  uint32_t body_len;
+} RecoveredTask;
+
+/* The credit that may_start() took for the task being popped. */
+typedef struct
+{
+  uint32_t agent;
+  hsx_credit credit;
+} Pick;
+
+struct HsOwner
+{
+  HsOwnerConfig config;
+  HsOwnerEffects effects;
+  void *arg;
+  HsOwnerStats stats;
+  HsTime lease_until;
+  int64_t complete_since_ms;
+  Part *parts;
+  uint32_t owned;
+  uint32_t recovering;
+  uint32_t generation;   /* Rises with each hs_owner_own(). */
+  GHashTable *jobs;      /* key to Job. */
+  GHashTable *recovered; /* key to Recovered. */
+  GHashTable *customers; /* name to Customer. */
+  GPtrArray *flows;      /* flow handle to Customer. */
+  GHashTable *waiters;   /* HsWaiter to Job; NULL: parked. */
+  HsLists *lists;
+  GPtrArray *tasks; /* handle to Task; NULL: free. */
+  GArray *free_handles;
+  uint32_t *timer_positions;
+  uint32_t timer_room;
+  HsHeap timers;
+  GQueue kept; /* Finished jobs, oldest first. */
+  uint64_t kept_bytes;
+  uint32_t unfinished;
+  Agent *agents; /* Table by handle. */
+  uint32_t n_agents;
+  GHashTable *agent_handles; /* incarnation to handle + 1. */
+  HsFairQueue *queue;
+  HsCredits *credits;
+  HsHealth *health;
+  HsFeasible *feasible;
+  HsLoans *loans;
+  HsRetry retry;
+  uint64_t random;
+  GArray *peers; /* handle to incarnation; 0: free. */
+  Pick pick;
+};
+
+/* jobs.c */
+void job_key (char key[JOB_KEY_SIZE], const char *customer, const char *id);
+Job *job_find (HsOwner *owner, const char *customer, const char *id);
+Job *job_new (HsOwner *owner, const hsx_forward_args *args, HsNow now);
+void job_drop (HsOwner *owner, Job *job);
+void job_wait (HsOwner *owner, Job *job, HsWaiter waiter);
+void job_finished (HsOwner *owner, Job *job, HsNow now);
+void job_answer_all (HsOwner *owner, Job *job);
+void job_answer_one (HsOwner *owner, const Job *job, HsWaiter waiter);
+void job_refuse (HsOwner *owner,
+                 Job *job,
+                 unsigned int kind,
+                 bool not_run,
+                 const char *reason);
+void jobs_sweep (HsOwner *owner, HsNow now);
+void refuse (HsOwner *owner,
+             HsWaiter waiter,
+             unsigned int kind,
+             bool not_run,
+             HsTime retry_after,
+             const char *reason);
+
+/* customers.c */
+Customer *customer_get (HsOwner *owner, const char *name, HsNow now);
+void customers_refresh (HsOwner *owner, HsNow now);
+
+/* dispatch.c */
+void task_enqueue_all (HsOwner *owner, Job *job, HsNow now);
+void task_finish (HsOwner *owner,
+                  Task *task,
+                  hsx_task_state state,
+                  unsigned int kind,
+                  unsigned int http_status,
+                  const char *body,
+                  size_t n,
+                  HsNow now);
+void task_requeue (HsOwner *owner, Task *task, HsNow now);
+void task_take_result (HsOwner *owner,
+                       Task *task,
+                       const hsx_result *result,
+                       HsNow now);
+void task_leave_agent (HsOwner *owner, Task *task);
+void task_mark_sent (HsOwner *owner, Task *task, uint32_t agent, HsNow now);
+void pump (HsOwner *owner, HsNow now);
+void health_update (HsOwner *owner, HsNow now);
+void timers_run (HsOwner *owner, HsNow now);
+
+/* submit.c */
+void request_parked (HsOwner *owner, Part *part, HsNow now);
+
+/* takeover.c */
+Recovered *recovered_find (HsOwner *owner, const char *key);
+void recovered_drop (HsOwner *owner, Recovered *recovered);
+bool recovered_take_result (HsOwner *owner, const hsx_result *result);
+void recovered_agent_lost (HsOwner *owner, uint32_t agent);
+void recover_agent (HsOwner *owner, uint32_t agent);
+void recovery_check (HsOwner *owner, HsNow now);
+void parts_drop_staged (Part *part);
+
+/* handover.c */
+void staged_free (gpointer staged);
+void staged_adopt (HsOwner *owner, uint32_t part, uint64_t previous, HsNow now);
+
+/* peers.c */
+void loans_turn (HsOwner *owner, HsNow now);
+
+/* agents.c */
+Agent *agent_find (HsOwner *owner, uint64_t incarnation, uint32_t *handle);
+void settle_agent (HsOwner *owner, uint32_t handle, bool unsettled_only);
+
+#endif
--- /dev/null
+++ b/src/owner/jobs.c
@@ -0,0 +1,282 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "owner/internal.h"
+
+static void drop_task (HsOwner *owner, Task *task);
+static uint32_t take_handle (HsOwner *owner, Task *task);
+static void drop_bodies (HsOwner *owner, Job *job);
+
+void
+job_key (char key[JOB_KEY_SIZE], const char *customer, const char *id)
+{
+  g_snprintf (key, JOB_KEY_SIZE, "%s/%s", customer, id);
+}
+
+Job *
+job_find (HsOwner *owner, const char *customer, const char *id)
+{
+  char key[JOB_KEY_SIZE];
+
+  job_key (key, customer, id);
+  return g_hash_table_lookup (owner->jobs, key);
+}
+
+Job *
+job_new (HsOwner *owner, const hsx_forward_args *args, HsNow now)
+{
+  Job *job = talloc_zero (owner, Job);
+  uint32_t i;
+
+  job_key (job->key, args->customer, args->id);
+  job->customer = talloc_strdup (job, args->customer);
+  job->id = talloc_strdup (job, args->id);
+  job->part = hs_partition_of (args->customer, owner->config.partitions);
+  memcpy (job->digest, args->digest, sizeof job->digest);
+  job->owner_of_limits = customer_get (owner, args->customer, now);
+  job->arrived = now.mono;
+  job->n_tasks = args->tasks.tasks_len;
+  job->unfinished = job->n_tasks;
+  job->waiters = g_array_new (FALSE, FALSE, sizeof (HsWaiter));
+  job->kept_link.data = job;
+  job->tasks = talloc_zero_array (job, Task, job->n_tasks);
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      Task *task = &job->tasks[i];
+
+      task->job = job;
+      task->index = i;
+      task->state = TASK_HELD;
+      task->handle = take_handle (owner, task);
+      task->queued_at = now.mono;
+      task->task = args->tasks.tasks_val[i];
+      task->task.body.body_val = talloc_memdup (job, task->task.body.body_val,
+                                                task->task.body.body_len);
+      task->deadline = task->task.deadline_ms == 0
+                           ? HS_NEVER
+                           : now.mono + task->task.deadline_ms * HS_MSEC;
+    }
+  job->owner_of_limits->queued += job->n_tasks;
+  owner->unfinished++;
+  owner->stats.jobs++;
+  owner->stats.tasks += job->n_tasks;
+  g_hash_table_insert (owner->jobs, job->key, job);
+  return job;
+}
+
+void
+job_drop (HsOwner *owner, Job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].state != TASK_FINISHED)
+      drop_task (owner, &job->tasks[i]);
+  if (job->unfinished > 0)
+    owner->unfinished--;
+  else
+    g_queue_unlink (&owner->kept, &job->kept_link);
+  owner->kept_bytes -= job->kept_bytes;
+  for (i = 0; i < job->waiters->len; i++)
+    g_hash_table_remove (owner->waiters,
+                         &g_array_index (job->waiters, HsWaiter, i));
+  g_array_unref (job->waiters);
+  g_hash_table_remove (owner->jobs, job->key);
+  talloc_free (job);
+}
+
+void
+job_wait (HsOwner *owner, Job *job, HsWaiter waiter)
+{
+  HsWaiter *key = g_memdup2 (&waiter, sizeof waiter);
+
+  g_array_append_val (job->waiters, waiter);
+  g_hash_table_insert (owner->waiters, key, job);
+}
+
+void
+job_finished (HsOwner *owner, Job *job, HsNow now)
+{
+  job->finished_at = now.mono;
+  owner->unfinished--;
+  g_queue_push_tail_link (&owner->kept, &job->kept_link);
+  owner->kept_bytes += job->kept_bytes;
+  owner->effects.measure (owner->arg, job->customer, job->queue_wait, 0,
+                          now.mono - job->arrived);
+  job_answer_all (owner, job);
+}
+
+void
+job_answer_all (HsOwner *owner, Job *job)
+{
+  g_autoptr (GArray) waiters = job->waiters;
+  guint i;
+
+  job->waiters = g_array_new (FALSE, FALSE, sizeof (HsWaiter));
+  for (i = 0; i < waiters->len; i++)
+    {
+      HsWaiter waiter = g_array_index (waiters, HsWaiter, i);
+
+      g_hash_table_remove (owner->waiters, &waiter);
+      job_answer_one (owner, job, waiter);
+    }
+}
+
+void
+job_answer_one (HsOwner *owner, const Job *job, HsWaiter waiter)
+{
+  hsx_task_answer tasks[HSX_TASKS_MAX];
+  hsx_answer answer = { 0 };
+  bool complete = true;
+  uint32_t i;
+
+  if (job->answer_dropped)
+    {
+      refuse (owner, waiter, HS_ERROR_EXPIRED, false, 0,
+              "the job ran but its results are no longer kept; "
+              "fetch answers sooner");
+      return;
+    }
+  answer.reason = (char *) "";
+  answer.queue_us = (unsigned int) MIN (job->queue_wait, UINT32_MAX);
+  if (job->unfinished > 0)
+    {
+      answer.state = HSX_JOB_RUNNING;
+      owner->effects.answer (owner->arg, waiter, &answer);
+      return;
+    }
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      tasks[i] = job->tasks[i].answer;
+      complete = complete && tasks[i].state == HSX_TASK_DONE;
+    }
+  answer.state = complete ? HSX_JOB_COMPLETE : HSX_JOB_FAILED;
+  answer.tasks.tasks_val = tasks;
+  answer.tasks.tasks_len = job->n_tasks;
+  owner->effects.answer (owner->arg, waiter, &answer);
+}
+
+void
+job_refuse (HsOwner *owner,
+            Job *job,
+            unsigned int kind,
+            bool not_run,
+            const char *reason)
+{
+  g_autoptr (GArray) waiters = g_array_ref (job->waiters);
+  guint i;
+
+  job_drop (owner, job);
+  for (i = 0; i < waiters->len; i++)
+    refuse (owner, g_array_index (waiters, HsWaiter, i), kind, not_run, HS_SEC,
+            reason);
+}
+
+void
+refuse (HsOwner *owner,
+        HsWaiter waiter,
+        unsigned int kind,
+        bool not_run,
+        HsTime retry_after,
+        const char *reason)
+{
+  hsx_answer answer = { 0 };
+
+  owner->stats.refused_jobs++;
+  answer.state = HSX_JOB_REFUSED;
+  answer.kind = kind;
+  answer.not_run = not_run;
+  answer.reason = (char *) (uintptr_t) reason;
+  answer.retry_after_ms = (unsigned int) (retry_after / HS_MSEC);
+  owner->effects.answer (owner->arg, waiter, &answer);
+}
+
+void
+jobs_sweep (HsOwner *owner, HsNow now)
+{
+  HsTime keep = owner->config.retention + owner->config.ahead;
+  GList *link;
+
+  while ((link = g_queue_peek_head_link (&owner->kept)) != NULL)
+    {
+      Job *job = link->data;
+
+      if (now.mono - job->finished_at < keep)
+        break;
+      job_drop (owner, job);
+    }
+  for (link = owner->kept.head;
+       link != NULL && owner->kept_bytes > owner->config.kept_bytes;
+       link = link->next)
+    drop_bodies (owner, link->data);
+}
+
+static void
+drop_task (HsOwner *owner, Task *task)
+{
+  Customer *customer = task->job->owner_of_limits;
+
+  switch (task->state)
+    {
+    case TASK_QUEUED:
+      hs_fair_queue_remove (owner->queue, task->handle);
+      customer->queued--;
+      break;
+    case TASK_HELD:
+      customer->queued--;
+      break;
+    case TASK_SENT:
+      task_leave_agent (owner, task);
+      break;
+    case TASK_FINISHED:
+      break;
+    }
+  if (owner->timer_positions[task->handle] != HS_HEAP_NOWHERE)
+    hs_heap_remove (&owner->timers, owner->timer_positions, task->handle);
+  owner->tasks->pdata[task->handle] = NULL;
+  g_array_append_val (owner->free_handles, task->handle);
+  task->handle = NO_HANDLE;
+}
+
+static uint32_t
+take_handle (HsOwner *owner, Task *task)
+{
+  GArray *spare = owner->free_handles;
+  uint32_t handle;
+
+  if (spare->len > 0)
+    {
+      handle = g_array_index (spare, uint32_t, spare->len - 1);
+      g_array_set_size (spare, spare->len - 1);
+      owner->tasks->pdata[handle] = task;
+      return handle;
+    }
+  handle = owner->tasks->len;
+  g_ptr_array_add (owner->tasks, task);
+  if (handle >= owner->timer_room)
+    {
+      owner->timer_room = MAX (1024, owner->timer_room * 2);
+      owner->timer_positions = talloc_realloc (owner, owner->timer_positions,
+                                               uint32_t, owner->timer_room);
+    }
+  owner->timer_positions[handle] = HS_HEAP_NOWHERE;
+  return handle;
+}
+
+/* The ids stay known, so that nothing runs again. */
+static void
+drop_bodies (HsOwner *owner, Job *job)
+{
+  uint32_t i;
+
+  if (job->answer_dropped)
+    return;
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      TALLOC_FREE (job->tasks[i].answer.body.body_val);
+      job->tasks[i].answer.body.body_len = 0;
+    }
+  owner->kept_bytes -= job->kept_bytes;
+  job->kept_bytes = 0;
+  job->answer_dropped = true;
+}
--- /dev/null
+++ b/src/owner/peers.c
@@ -0,0 +1,150 @@
+#include "owner/internal.h"
+
+#define NO_PEER UINT32_MAX
+
+/** Credits in one answer. */
+#define LOAN_MAX 256
+
+static uint32_t peer_find (const HsOwner *owner, uint64_t incarnation);
+static HsDemand demand (const HsOwner *owner);
+static void answer_due (HsOwner *owner, HsNow now);
+static void ask (HsOwner *owner, HsNow now);
+
+void
+hs_owner_peer_up (HsOwner *owner, uint64_t peer, HsNow now)
+{
+  uint32_t handle = peer_find (owner, peer);
+
+  if (handle != NO_PEER)
+    return;
+  handle = peer_find (owner, 0);
+  if (handle == NO_PEER)
+    {
+      handle = owner->peers->len;
+      g_array_append_val (owner->peers, peer);
+    }
+  g_array_index (owner->peers, uint64_t, handle) = peer;
+  hs_loans_add_peer (owner->loans, handle);
+  pump (owner, now);
+}
+
+void
+hs_owner_peer_down (HsOwner *owner, uint64_t peer, HsNow now)
+{
+  uint32_t handle = peer_find (owner, peer);
+
+  if (handle == NO_PEER)
+    return;
+  hs_loans_drop_peer (owner->loans, handle);
+  g_array_index (owner->peers, uint64_t, handle) = 0;
+  pump (owner, now);
+}
+
+void
+hs_owner_asked (HsOwner *owner,
+                uint64_t peer,
+                const hsx_borrow_args *args,
+                HsNow now)
+{
+  hsx_borrow_reply nothing = { 0 };
+  uint32_t handle = peer_find (owner, peer);
+
+  if (handle == NO_PEER)
+    {
+      owner->effects.lend (owner->arg, peer, &nothing);
+      return;
+    }
+  hs_loans_asked (owner->loans, handle, args, now.mono);
+  pump (owner, now);
+}
+
+void
+hs_owner_lent (HsOwner *owner,
+               uint64_t peer,
+               const hsx_borrow_reply *reply,
+               HsNow now)
+{
+  uint32_t handle = peer_find (owner, peer);
+  u_int i;
+
+  for (i = 0; reply != NULL && i < reply->credits.credits_len; i++)
+    {
+      const hsx_credit *credit = &reply->credits.credits_val[i];
+      uint32_t of;
+      Agent *agent = agent_find (owner, credit->agent, &of);
+
+      if (agent != NULL && agent->state == HSX_MEMBER_UP && agent->connected)
+        hs_credits_add (owner->credits, of, credit, now.mono);
+    }
+  if (handle != NO_PEER)
+    hs_loans_answered (owner->loans, handle,
+                       reply != NULL ? reply->credits.credits_len : 0,
+                       reply != NULL ? reply->idle : 0, now.mono);
+  hs_fair_queue_wake_jobs (owner->queue);
+  pump (owner, now);
+}
+
+void
+loans_turn (HsOwner *owner, HsNow now)
+{
+  answer_due (owner, now);
+  ask (owner, now);
+}
+
+static uint32_t
+peer_find (const HsOwner *owner, uint64_t incarnation)
+{
+  guint i;
+
+  for (i = 0; i < owner->peers->len; i++)
+    if (g_array_index (owner->peers, uint64_t, i) == incarnation)
+      return i;
+  return NO_PEER;
+}
+
+static HsDemand
+demand (const HsOwner *owner)
+{
+  HsDemand mine;
+
+  mine.queued = hs_fair_queue_length (owner->queue);
+  mine.weight = hs_fair_queue_weight (owner->queue);
+  mine.idle = hs_credits_idle (owner->credits);
+  mine.in_use = hs_credits_in_use (owner->credits);
+  return mine;
+}
+
+static void
+answer_due (HsOwner *owner, HsNow now)
+{
+  HsDemand mine = demand (owner);
+  hsx_credit credits[LOAN_MAX];
+  uint32_t peer;
+  uint32_t n;
+
+  while (hs_loans_due (owner->loans, &mine, now.mono, &peer, &n))
+    {
+      uint64_t incarnation = g_array_index (owner->peers, uint64_t, peer);
+      hsx_borrow_reply reply = { 0 };
+
+      reply.credits.credits_val = credits;
+      reply.credits.credits_len
+          = hs_credits_take_loan (owner->credits, MIN (n, LOAN_MAX), now.mono,
+                                  owner->lease_until - now.mono, credits);
+      reply.idle = hs_credits_idle (owner->credits);
+      owner->effects.lend (owner->arg, incarnation, &reply);
+      mine = demand (owner);
+    }
+}
+
+static void
+ask (HsOwner *owner, HsNow now)
+{
+  HsDemand mine = demand (owner);
+  hsx_borrow_args args;
+  uint32_t peer;
+
+  while (hs_loans_ask (owner->loans, &mine, now.mono, &peer, &args))
+    owner->effects.borrow (owner->arg,
+                           g_array_index (owner->peers, uint64_t, peer), &args);
+}
