--- /dev/null
+++ b/src/entry/agents.c
@@ -0,0 +1,297 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "entry/core.h"
+
+#define PART "agents"
+
+/** An agent without a connection for so long is taken for lost. */
+#define LOST_AFTER ((HsTime) 2500 * HS_MSEC)
+
+#define RECOVER_CALL_TIMEOUT (2 * HS_SEC)
+#define SETTLE_CALL_TIMEOUT (5 * HS_SEC)
+
+/* A call to an agent that waits for its reply. */
+typedef struct
+{
+  HsCore *core;
+  uint64_t agent;
+} AgentCall;
+
+typedef struct
+{
+  HsCore *core;
+  hsx_members_args args;
+} Broadcast;
+
+static void take_member (HsCore *core, const hsx_member *member, HsNow now);
+static void broadcast (HsCore *core, const hsx_member *member);
+static void send_to_peer (void *arg, HsConn *conn);
+static void answer_announce (HsCore *core, HsConn *conn, HsRpcCallId call);
+static void on_recovered (void *arg, HsRpcStatus status, const void *result);
+static void on_settled (void *arg, HsRpcStatus status, const void *result);
+static void
+declare_lost (HsCore *core, uint64_t agent, bool certain, HsNow now);
+
+void
+hs_agents_conn_up (HsCore *core, HsConn *conn, HsNow now)
+{
+  uint64_t agent = hs_conn_peer (conn)->incarnation;
+  const hsx_member *member = hs_members_find (core->members, agent);
+
+  if (member == NULL)
+    return;
+  hs_owner_agent (core->owner, member, now);
+  hs_owner_agent_up (core->owner, agent, now);
+}
+
+void
+hs_agents_conn_down (HsCore *core, uint64_t agent, bool refused, HsNow now)
+{
+  const hsx_member *member = hs_members_find (core->members, agent);
+
+  hs_owner_agent_down (core->owner, agent, now);
+  if (member == NULL)
+    return;
+  /* Nothing listens there: the process is gone, with its memory. */
+  if (refused)
+    declare_lost (core, agent, true, now);
+}
+
+void
+hs_agents_called (HsCore *core,
+                  HsConn *conn,
+                  uint32_t proc,
+                  HsRpcCallId call,
+                  void *args,
+                  HsNow now)
+{
+  uint64_t agent = hs_conn_peer (conn)->incarnation;
+
+  switch (proc)
+    {
+    case HSX_ANNOUNCE:
+      {
+        hsx_member *self = &((hsx_announce_args *) args)->self;
+        const hsx_member *known;
+
+        if (self->incarnation != agent)
+          {
+            hs_warn (PART, "announcement of another agent refused");
+            return;
+          }
+        self->home = core->incarnation;
+        known = hs_members_find (core->members, agent);
+        if (known != NULL && known->state == HSX_MEMBER_LOST)
+          self->revision = MAX (self->revision, known->revision + 1);
+        take_member (core, self, now);
+        answer_announce (core, conn, call);
+        return;
+      }
+    case HSX_RESULT:
+      hs_owner_results (core->owner, agent, args, now);
+      return;
+    case HSX_GRANT:
+      if (((hsx_grant_args *) args)->agent == agent)
+        hs_owner_granted (core->owner, args, now);
+      return;
+    default:
+      hs_warn (PART, "agent called procedure %u; connection closed", proc);
+      hs_conn_close (conn);
+    }
+}
+
+void
+hs_agents_members (HsCore *core, const hsx_members_args *args, HsNow now)
+{
+  u_int i;
+
+  /* A peer that has known all agents for longer has told them now. */
+  if (args->complete_since_ms < core->complete_since_ms)
+    {
+      core->complete_since_ms = args->complete_since_ms;
+      hs_owner_set_complete_since (core->owner, core->complete_since_ms);
+    }
+  for (i = 0; i < args->members.members_len; i++)
+    {
+      const hsx_member *member = hs_members_merge (
+          core->members, &args->members.members_val[i], now.mono);
+
+      if (member != NULL)
+        take_member (core, member, now);
+    }
+}
+
+void
+hs_agents_send_members (HsCore *core, HsConn *conn)
+{
+  hsx_members_args args = { 0 };
+  TALLOC_CTX *memory = talloc_new (core);
+
+  args.complete_since_ms = core->complete_since_ms;
+  hs_members_all (core->members, memory, &args);
+  hs_conn_call (conn, HSX_MEMBERS, &args, HS_NEVER, NULL, NULL);
+  talloc_free (memory);
+}
+
+void
+hs_agents_recover (void *arg, uint64_t agent, const hsx_recover_args *args)
+{
+  HsCore *core = arg;
+  HsConn *conn = hs_links_conn (core->links, agent);
+  AgentCall *call = talloc_zero (core, AgentCall);
+
+  call->core = core;
+  call->agent = agent;
+  if (conn == NULL
+      || !hs_conn_call (conn, HSX_RECOVER, args, RECOVER_CALL_TIMEOUT,
+                        on_recovered, call))
+    talloc_free (call);
+}
+
+void
+hs_agents_settle (void *arg, uint64_t agent, const hsx_settle_args *args)
+{
+  HsCore *core = arg;
+  HsConn *conn = hs_links_conn (core->links, agent);
+  AgentCall *call = talloc_zero (core, AgentCall);
+
+  call->core = core;
+  call->agent = agent;
+  if (conn == NULL
+      || !hs_conn_call (conn, HSX_SETTLE, args, SETTLE_CALL_TIMEOUT,
+                        on_settled, call))
+    talloc_free (call);
+}
+
+void
+hs_agents_tick (HsCore *core, HsNow now)
+{
+  uint32_t i;
+
+  for (i = 0; i < hs_members_count (core->members); i++)
+    {
+      const hsx_member *member = hs_members_at (core->members, i);
+      HsTime since = hs_links_down_since (core->links, member->incarnation);
+
+      if (member->state < HSX_MEMBER_LEFT && since != 0
+          && now.mono - since >= LOST_AFTER)
+        declare_lost (core, member->incarnation, false, now);
+    }
+  hs_members_sweep (core->members, core->entry->retention, now.mono);
+}
+
+/* The record is new or changed: keep a connection while the agent is there. */
+static void
+take_member (HsCore *core, const hsx_member *member, HsNow now)
+{
+  const hsx_member *merged
+      = hs_members_merge (core->members, member, now.mono);
+  bool home = member->home == core->incarnation;
+
+  if (merged != NULL && home)
+    broadcast (core, merged);
+  member = hs_members_find (core->members, member->incarnation);
+  hs_owner_agent (core->owner, member, now);
+  if (member->state >= HSX_MEMBER_LEFT)
+    {
+      hs_links_forget (core->links, member->incarnation);
+      return;
+    }
+  hs_links_want (core->links, HSX_ROLE_AGENT, member->incarnation,
+                 member->address, now.mono);
+  if (hs_links_conn (core->links, member->incarnation) != NULL)
+    hs_owner_agent_up (core->owner, member->incarnation, now);
+}
+
+static void
+broadcast (HsCore *core, const hsx_member *member)
+{
+  hsx_member copy = *member;
+  Broadcast b = { core, { 0 } };
+
+  b.args.complete_since_ms = core->complete_since_ms;
+  b.args.members.members_len = 1;
+  b.args.members.members_val = &copy;
+  hs_links_each (core->links, HSX_ROLE_ENTRY, send_to_peer, &b);
+}
+
+static void
+send_to_peer (void *arg, HsConn *conn)
+{
+  Broadcast *b = arg;
+
+  hs_conn_call (conn, HSX_MEMBERS, &b->args, HS_NEVER, NULL, NULL);
+}
+
+static void
+answer_announce (HsCore *core, HsConn *conn, HsRpcCallId call)
+{
+  const HsOwnership *view = hs_keeper_view (core->keeper);
+  hsx_entry_info entries[64];
+  hsx_announce_reply reply = { 0 };
+  uint32_t i;
+
+  reply.accepted = TRUE;
+  reply.entries.entries_val = entries;
+  for (i = 0; i < MIN (hs_ownership_entries (view), G_N_ELEMENTS (entries));
+       i++)
+    {
+      const HsEntryRecord *entry = hs_ownership_entry_at (view, i);
+
+      if (entry->leaving)
+        continue;
+      entries[reply.entries.entries_len].incarnation = entry->incarnation;
+      entries[reply.entries.entries_len].address
+          = (char *) (uintptr_t) entry->address;
+      entries[reply.entries.entries_len].data_centre
+          = (char *) (uintptr_t) entry->data_centre;
+      reply.entries.entries_len++;
+    }
+  hs_conn_reply (conn, call, HSX_ANNOUNCE, &reply);
+}
+
+static void
+on_recovered (void *arg, HsRpcStatus status, const void *result)
+{
+  AgentCall *call = arg;
+  HsCore *core = call->core;
+  uint64_t agent = call->agent;
+  HsNow now = hs_now ();
+
+  talloc_free (call);
+  hs_owner_recovered (core->owner, agent, status == HS_RPC_OK ? result : NULL,
+                      now);
+  hs_core_rearm (core, now);
+}
+
+static void
+on_settled (void *arg, HsRpcStatus status, const void *result)
+{
+  AgentCall *call = arg;
+  HsCore *core = call->core;
+  uint64_t agent = call->agent;
+  HsNow now = hs_now ();
+
+  talloc_free (call);
+  hs_owner_settled (core->owner, agent, status == HS_RPC_OK ? result : NULL,
+                    now);
+  hs_core_rearm (core, now);
+}
+
+static void
+declare_lost (HsCore *core, uint64_t agent, bool certain, HsNow now)
+{
+  const hsx_member *member
+      = hs_members_lost (core->members, agent, now.mono);
+
+  if (member == NULL)
+    return;
+  hs_warn (PART, "agent at %s is lost; its tasks may have run",
+           member->address);
+  hs_owner_agent (core->owner, member, now);
+  /* Others may still reach an agent that this entry can't. */
+  if (certain)
+    broadcast (core, member);
+  hs_links_forget (core->links, agent);
+}
--- /dev/null
+++ b/src/entry/core.c
@@ -0,0 +1,284 @@
+#include <errno.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "entry/core.h"
+
+#define PART "entry"
+
+/** Bound on calls to the store. */
+#define STORE_TIMEOUT (2 * HS_SEC)
+
+/** Membership, routing and the keeper are looked after this often. */
+#define HOUSEKEEPING (50 * HS_MSEC)
+
+/** Bound on a planned stop. */
+#define LEAVE_TIMEOUT (60 * HS_SEC)
+
+static int core_destructor (HsCore *core);
+static void on_front_call (void *arg, HsFrontCall *call);
+static void on_inbox (struct tevent_context *ev,
+                      struct tevent_fd *event,
+                      uint16_t flags,
+                      void *arg);
+static void on_tick (struct tevent_context *ev,
+                     struct tevent_timer *timer,
+                     struct timeval now,
+                     void *arg);
+static void on_housekeeping (struct tevent_context *ev,
+                             struct tevent_timer *timer,
+                             struct timeval now,
+                             void *arg);
+static void schedule_housekeeping (HsCore *core);
+static void start_owner (HsCore *core, HsNow now);
+static void effect_start (void *arg, uint64_t agent, const hsx_start *start);
+static void effect_measure (void *arg,
+                            const char *customer,
+                            HsTime queued,
+                            HsTime run,
+                            HsTime whole);
+
+HsCore *
+hs_core_new (TALLOC_CTX *ctx,
+             struct tevent_context *ev,
+             const HsSettings *settings,
+             GError **error)
+{
+  HsCore *core = talloc_zero (ctx, HsCore);
+  HsNow now = hs_now ();
+  HsRpcHandler handler;
+  hsx_hello hello = { 0 };
+
+  core->ev = ev;
+  core->settings = settings;
+  core->entry = &settings->u.entry;
+  core->started_ms = now.wall_ms;
+  core->complete_since_ms = now.wall_ms;
+  core->inbox_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  core->questions = hs_peers_questions_new ();
+  talloc_set_destructor (core, core_destructor);
+  if (core->inbox_fd < 0
+      || getrandom (&core->incarnation, sizeof core->incarnation, 0)
+             != sizeof core->incarnation)
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_IO,
+                   "can't start the core: %s; check the limits of the host",
+                   strerror (errno));
+      talloc_free (core);
+      return NULL;
+    }
+  hello.role = HSX_ROLE_ENTRY;
+  hello.incarnation = core->incarnation;
+  hello.address = core->entry->rpc_address;
+  hello.data_centre = settings->data_centre;
+  hs_links_rpc_handler (&handler);
+  core->rpc = hs_rpc_new (core, ev, &hello, settings->cluster_key, &handler,
+                          core);
+  core->store = hs_store_new (core, ev, (const char *const *) core->entry->store,
+                              STORE_TIMEOUT);
+  core->members = hs_members_new (core);
+  core->links = hs_links_new (core);
+  core->calls = hs_calls_new (core);
+  core->handovers = hs_handovers_new (core);
+  core->lists = hs_lists_box_new (core);
+  start_owner (core, now);
+  core->keeper = hs_keeper_new (core);
+  cds_wfcq_init (&core->inbox_head, &core->inbox_tail);
+  tevent_add_fd (ev, core, core->inbox_fd, TEVENT_FD_READ, on_inbox, core);
+  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error)
+      || !hs_admin_side_start (core, error))
+    {
+      talloc_free (core);
+      return NULL;
+    }
+  core->front = hs_front_new (core, core->entry, core->lists, on_front_call,
+                              core, error);
+  if (core->front == NULL)
+    {
+      talloc_free (core);
+      return NULL;
+    }
+  schedule_housekeeping (core);
+  hs_info (PART, "entry %s serves on %s", core->entry->name,
+           core->entry->http_listen);
+  return core;
+}
+
+void
+hs_core_leave (HsCore *core)
+{
+  if (core->leaving)
+    return;
+  hs_info (PART, "planned stop: handing over and draining");
+  core->leaving = true;
+  core->leave_until = hs_now ().mono + LEAVE_TIMEOUT;
+  hs_front_drain (core->front);
+  hs_keeper_leave (core->keeper);
+}
+
+void
+hs_core_rearm (HsCore *core, HsNow now)
+{
+  HsTime at = hs_owner_next_tick (core->owner);
+  HsTime span;
+
+  if (at >= core->tick_at && core->tick != NULL)
+    return;
+  TALLOC_FREE (core->tick);
+  if (at == HS_NEVER)
+    return;
+  span = MAX (0, at - now.mono);
+  core->tick_at = at;
+  core->tick = tevent_add_timer (
+      core->ev, core,
+      tevent_timeval_current_ofs ((uint32_t) (span / HS_SEC),
+                                  (uint32_t) (span % HS_SEC)),
+      on_tick, core);
+}
+
+static int
+core_destructor (HsCore *core)
+{
+  if (core->front != NULL)
+    hs_front_free (core->front);
+  core->front = NULL;
+  g_array_unref (core->questions);
+  close (core->inbox_fd);
+  return 0;
+}
+
+/* Runs in an HTTP thread. */
+static void
+on_front_call (void *arg, HsFrontCall *call)
+{
+  HsCore *core = arg;
+  uint64_t one = 1;
+
+  cds_wfcq_node_init (&call->node);
+  /* Only the first into an empty queue needs to wake the core. */
+  if (!cds_wfcq_enqueue (&core->inbox_head, &core->inbox_tail, &call->node))
+    (void) !write (core->inbox_fd, &one, sizeof one);
+}
+
+static void
+on_inbox (struct tevent_context *ev,
+          struct tevent_fd *event,
+          uint16_t flags,
+          void *arg)
+{
+  HsCore *core = arg;
+  HsNow now = hs_now ();
+  uint64_t count;
+  struct cds_wfcq_node *node;
+
+  (void) ev;
+  (void) event;
+  (void) flags;
+  (void) !read (core->inbox_fd, &count, sizeof count);
+  while ((node = cds_wfcq_dequeue_blocking (&core->inbox_head,
+                                            &core->inbox_tail))
+         != NULL)
+    hs_calls_local (core->calls, caa_container_of (node, HsFrontCall, node),
+                    now);
+  hs_core_rearm (core, now);
+}
+
+static void
+on_tick (struct tevent_context *ev,
+         struct tevent_timer *timer,
+         struct timeval tv,
+         void *arg)
+{
+  HsCore *core = arg;
+  HsNow now = hs_now ();
+
+  (void) ev;
+  (void) timer;
+  (void) tv;
+  core->tick = NULL;
+  hs_owner_tick (core->owner, now);
+  hs_core_rearm (core, now);
+}
+
+static void
+on_housekeeping (struct tevent_context *ev,
+                 struct tevent_timer *timer,
+                 struct timeval tv,
+                 void *arg)
+{
+  HsCore *core = arg;
+  HsNow now = hs_now ();
+
+  (void) ev;
+  (void) timer;
+  (void) tv;
+  hs_keeper_tick (core->keeper, now);
+  hs_agents_tick (core, now);
+  hs_links_tick (core->links, now.mono);
+  hs_calls_tick (core->calls, now);
+  hs_owner_tick (core->owner, now);
+  hs_core_rearm (core, now);
+  schedule_housekeeping (core);
+  if (!core->leaving || core->finished)
+    return;
+  if ((hs_owner_owned (core->owner) == 0 || hs_owner_unfinished (core->owner) == 0)
+      && hs_calls_waiting (core->calls) == 0 && hs_front_idle (core->front)
+      && (hs_owner_owned (core->owner) == 0
+          || hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1))
+    core->finished = true;
+  if (now.mono >= core->leave_until)
+    {
+      hs_warn (PART, "planned stop takes too long; stopping with %u requests",
+               hs_calls_waiting (core->calls));
+      core->finished = true;
+    }
+  if (core->finished)
+    hs_keeper_revoke (core->keeper);
+}
+
+static void
+schedule_housekeeping (HsCore *core)
+{
+  tevent_add_timer (core->ev, core,
+                    tevent_timeval_current_ofs (0, (uint32_t) HOUSEKEEPING),
+                    on_housekeeping, core);
+}
+
+static void
+start_owner (HsCore *core, HsNow now)
+{
+  static const HsOwnerEffects effects = {
+    .start = effect_start,
+    .recover = hs_agents_recover,
+    .settle = hs_agents_settle,
+    .answer = hs_calls_answer,
+    .reroute = hs_calls_reroute,
+    .claim = hs_claim_side_claim,
+    .borrow = hs_entry_borrow,
+    .lend = hs_entry_lend,
+    .measure = effect_measure,
+  };
+  HsOwnerConfig config = { 0 };
+
+  config.partitions = core->entry->partitions;
+  config.retention = core->entry->retention;
+  config.ahead = core->entry->ahead;
+  config.skew = core->entry->skew;
+  config.task_timeout = core->entry->task_timeout;
+  config.kept_bytes = KEPT_BYTES;
+  config.seed = core->incarnation;
+  core->owner = hs_owner_new (core, &config, &effects, core);
+  hs_owner_set_complete_since (core->owner, now.wall_ms);
+}
+
+static void
+effect_start (void *arg, uint64_t agent, const hsx_start *start)
+{
+  HsCore *core = arg;
+
+  hs_links_start (core->links, agent, start);
+}
--- /dev/null
+++ b/src/entry/core.h
@@ -0,0 +1,215 @@
+/**
+ * @file
+ * The core thread of an entry: connects the owner's decisions to sockets,
+ * the store and the HTTP threads. Shared by the files of this part only.
+ */
+#ifndef HS_ENTRY_CORE_H
+#define HS_ENTRY_CORE_H
+
+#include <urcu/wfcqueue.h>
+
+#include "config/settings.h"
+#include "entry/front.h"
+#include "entry/members.h"
+#include "entry/ownership.h"
+#include "lists/publish.h"
+#include "owner/owner.h"
+#include "rpc/conn.h"
+#include "store/store.h"
+
+/** Reason of an answer that tells the other entry to route anew. */
+#define HS_MOVED_REASON "moved"
+
+typedef struct HsCore HsCore;
+typedef struct HsLinks HsLinks;
+typedef struct HsLink HsLink;
+typedef struct HsCalls HsCalls;
+typedef struct HsKeeper HsKeeper;
+
+struct HsCore
+{
+  struct tevent_context *ev;
+  const HsSettings *settings;
+  const HsEntrySettings *entry;
+  uint64_t incarnation;
+  int64_t started_ms;
+  int64_t complete_since_ms; /* Since when all agents are known. */
+  HsRpc *rpc;
+  HsStore *store;
+  HsOwner *owner;
+  HsMembers *members;
+  HsLinks *links;
+  HsCalls *calls;
+  HsKeeper *keeper;
+  struct HsHandovers *handovers;
+  HsListsBox *lists;
+  HsFront *front;
+  struct cds_wfcq_head inbox_head;
+  struct cds_wfcq_tail inbox_tail;
+  int inbox_fd;
+  struct tevent_timer *tick;
+  HsTime tick_at;
+  GArray *questions; /* Of peers for credits; see peers.c. */
+  bool leaving;
+  bool finished;
+};
+
+/** @name core.c @{ */
+
+HsCore *hs_core_new (TALLOC_CTX *ctx,
+                     struct tevent_context *ev,
+                     const HsSettings *settings,
+                     GError **error);
+
+/** Begins a planned stop: hand over, drain, then `finished`. */
+void hs_core_leave (HsCore *core);
+
+/** Sets the timer for the owner's next tick; after each input. */
+void hs_core_rearm (HsCore *core, HsNow now);
+
+/** A partition has come to, or gone from, this entry. */
+void hs_core_owned (HsCore *core, uint32_t part, int64_t revision);
+void hs_core_disowned (HsCore *core, uint32_t part);
+
+/** @} */
+/** @name links.c: connections to agents and other entries @{ */
+
+HsLinks *hs_links_new (HsCore *core);
+void hs_links_rpc_handler (HsRpcHandler *handler);
+
+/** Keeps a connection to a process up until hs_links_forget(). */
+void hs_links_want (HsLinks *links,
+                    hsx_role role,
+                    uint64_t incarnation,
+                    const char *address,
+                    HsTime now);
+void hs_links_forget (HsLinks *links, uint64_t incarnation);
+
+/** A connection that is up, or NULL. */
+HsConn *hs_links_conn (const HsLinks *links, uint64_t incarnation);
+
+/** Redials what is due; returns when to call again. */
+HsTime hs_links_tick (HsLinks *links, HsTime now);
+
+/** Since when there is no connection; 0: there is one, or unknown. */
+HsTime hs_links_down_since (const HsLinks *links, uint64_t incarnation);
+
+/** Calls back for each process of a role that is connected. */
+void hs_links_each (HsLinks *links,
+                    hsx_role role,
+                    void (*func) (void *arg, HsConn *conn),
+                    void *arg);
+
+/** Queues a start; sent with others at the end of the turn. */
+void hs_links_start (HsLinks *links, uint64_t agent, const hsx_start *start);
+
+/** @} */
+/** @name agents.c: membership and the owner's calls to agents @{ */
+
+void hs_agents_conn_up (HsCore *core, HsConn *conn, HsNow now);
+void
+hs_agents_conn_down (HsCore *core, uint64_t agent, bool refused, HsNow now);
+void hs_agents_called (HsCore *core,
+                       HsConn *conn,
+                       uint32_t proc,
+                       HsRpcCallId call,
+                       void *args,
+                       HsNow now);
+void hs_agents_members (HsCore *core, const hsx_members_args *args, HsNow now);
+void hs_agents_send_members (HsCore *core, HsConn *conn);
+void
+hs_agents_recover (void *arg, uint64_t agent, const hsx_recover_args *args);
+void hs_agents_settle (void *arg, uint64_t agent, const hsx_settle_args *args);
+void hs_agents_tick (HsCore *core, HsNow now);
+
+/** @} */
+/** @name peers.c: other entries @{ */
+
+void hs_peers_conn_up (HsCore *core, HsConn *conn, HsNow now);
+void hs_peers_conn_down (HsCore *core, uint64_t peer, HsNow now);
+void hs_peers_called (HsCore *core,
+                      HsConn *conn,
+                      uint32_t proc,
+                      HsRpcCallId call,
+                      void *args,
+                      HsNow now);
+/** Drops questions that came by a connection that is gone. */
+void hs_peers_forget_conn (HsCore *core, const HsConn *conn);
+GArray *hs_peers_questions_new (void);
+void hs_entry_borrow (void *arg, uint64_t peer, const hsx_borrow_args *args);
+void hs_entry_lend (void *arg, uint64_t peer, const hsx_borrow_reply *reply);
+
+/** @} */
+/** @name calls.c: requests of callers, here and from other entries @{ */
+
+HsCalls *hs_calls_new (HsCore *core);
+void hs_calls_local (HsCalls *calls, HsFrontCall *call, HsNow now);
+void hs_calls_remote (HsCalls *calls,
+                      HsConn *conn,
+                      HsRpcCallId call,
+                      const hsx_forward_args *args,
+                      HsNow now);
+
+/** The connection is gone: nobody waits for those answers any more. */
+void hs_calls_conn_down (HsCalls *calls, HsConn *conn);
+
+/** The partition has another owner: what was forwarded goes there. */
+void hs_calls_part_moved (HsCalls *calls, uint32_t part, HsNow now);
+
+/** Tries again what could not be routed. */
+void hs_calls_tick (HsCalls *calls, HsNow now);
+void hs_calls_answer (void *arg, HsWaiter waiter, const hsx_answer *answer);
+void hs_calls_reroute (void *arg, HsWaiter waiter);
+uint32_t hs_calls_waiting (const HsCalls *calls);
+
+/** @} */
+/** @name keeper.c: lease, ownership records and watches in the store @{ */
+
+HsKeeper *hs_keeper_new (HsCore *core);
+void hs_keeper_tick (HsKeeper *keeper, HsNow now);
+
+/** The owner of a partition; 0 if none is known. */
+uint64_t hs_keeper_owner_of (const HsKeeper *keeper, uint32_t part);
+
+/** Announces that this entry is leaving, so that nothing moves here. */
+void hs_keeper_leave (HsKeeper *keeper);
+
+/** Ends the lease at once, after everything was handed over. */
+void hs_keeper_revoke (HsKeeper *keeper);
+/** Reads the records of partitions anew: a write's outcome is not known. */
+void hs_keeper_reread (HsKeeper *keeper);
+
+/** Applies owner records that this entry wrote, ahead of the watch. */
+void hs_keeper_wrote (HsKeeper *keeper,
+                      const uint32_t *parts,
+                      uint32_t n,
+                      uint64_t owner,
+                      int64_t revision);
+const HsOwnership *hs_keeper_view (const HsKeeper *keeper);
+HsTime hs_keeper_lease_until (const HsKeeper *keeper);
+
+/** @} */
+/** @name handover.c: planned moves of partitions @{ */
+
+typedef struct HsHandovers HsHandovers;
+
+HsHandovers *hs_handovers_new (HsCore *core);
+
+/** Notes that a partition should move; ignored while it is moving. */
+void hs_handovers_want (HsHandovers *handovers,
+                        uint64_t target,
+                        uint32_t part,
+                        HsNow now);
+
+/** Begins the moves wanted since the last call. */
+void hs_handovers_start (HsHandovers *handovers, HsNow now);
+
+/** The view is fresh: moves whose write did not show are called off. */
+void hs_handovers_reread (HsHandovers *handovers, HsNow now);
+
+/** @} */
+
+/** int main of `hibiscusspoke entry`. */
+int hs_entry_main (int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,147 @@
+#include "base/log.h"
+#include "entry/core.h"
+
+#define PART "peers"
+
+/** Longer than a peer may keep a question for credits. */
+#define BORROW_CALL_TIMEOUT (3 * HS_SEC)
+
+typedef struct
+{
+  HsCore *core;
+  uint64_t peer;
+} BorrowCall;
+
+/* A question of a peer for credits, kept until it can be answered. */
+typedef struct
+{
+  uint64_t peer;
+  HsConn *conn;
+  HsRpcCallId call;
+} Question;
+
+static void keep_question (HsCore *core, HsConn *conn, HsRpcCallId call);
+static void on_lent (void *arg, HsRpcStatus status, const void *result);
+
+void
+hs_peers_conn_up (HsCore *core, HsConn *conn, HsNow now)
+{
+  hs_agents_send_members (core, conn);
+  hs_owner_peer_up (core->owner, hs_conn_peer (conn)->incarnation, now);
+  hs_calls_tick (core->calls, now);
+}
+
+void
+hs_peers_conn_down (HsCore *core, uint64_t peer, HsNow now)
+{
+  hs_owner_peer_down (core->owner, peer, now);
+}
+
+void
+hs_peers_called (HsCore *core,
+                 HsConn *conn,
+                 uint32_t proc,
+                 HsRpcCallId call,
+                 void *args,
+                 HsNow now)
+{
+  uint64_t peer = hs_conn_peer (conn)->incarnation;
+
+  switch (proc)
+    {
+    case HSX_FORWARD:
+      hs_calls_remote (core->calls, conn, call, args, now);
+      return;
+    case HSX_MEMBERS:
+      hs_agents_members (core, args, now);
+      return;
+    case HSX_BORROW:
+      keep_question (core, conn, call);
+      hs_owner_asked (core->owner, peer, args, now);
+      return;
+    case HSX_HANDOVER:
+      {
+        hsx_handover_reply reply = { 0 };
+
+        reply.accepted = hs_owner_import (core->owner, args, now);
+        hs_conn_reply (conn, call, HSX_HANDOVER, &reply);
+        return;
+      }
+    default:
+      hs_warn (PART, "entry called procedure %u; connection closed", proc);
+      hs_conn_close (conn);
+    }
+}
+
+void
+hs_entry_borrow (void *arg, uint64_t peer, const hsx_borrow_args *args)
+{
+  HsCore *core = arg;
+  HsConn *conn = hs_links_conn (core->links, peer);
+  BorrowCall *call = talloc_zero (core, BorrowCall);
+
+  call->core = core;
+  call->peer = peer;
+  if (conn == NULL
+      || !hs_conn_call (conn, HSX_BORROW, args, BORROW_CALL_TIMEOUT, on_lent,
+                        call))
+    talloc_free (call);
+}
+
+void
+hs_entry_lend (void *arg, uint64_t peer, const hsx_borrow_reply *reply)
+{
+  HsCore *core = arg;
+  guint i;
+
+  for (i = 0; i < core->questions->len; i++)
+    {
+      Question q = g_array_index (core->questions, Question, i);
+
+      if (q.peer != peer)
+        continue;
+      g_array_remove_index_fast (core->questions, i);
+      hs_conn_reply (q.conn, q.call, HSX_BORROW, reply);
+      return;
+    }
+}
+
+void
+hs_peers_forget_conn (HsCore *core, const HsConn *conn)
+{
+  guint i;
+
+  for (i = core->questions->len; i > 0; i--)
+    if (g_array_index (core->questions, Question, i - 1).conn == conn)
+      g_array_remove_index_fast (core->questions, i - 1);
+}
+
+GArray *
+hs_peers_questions_new (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (Question));
+}
+
+/* A peer asks again only after its last question timed out there. */
+static void
+keep_question (HsCore *core, HsConn *conn, HsRpcCallId call)
+{
+  Question q = { hs_conn_peer (conn)->incarnation, conn, call };
+  hsx_borrow_reply nothing = { 0 };
+
+  hs_entry_lend (core, q.peer, &nothing);
+  g_array_append_val (core->questions, q);
+}
+
+static void
+on_lent (void *arg, HsRpcStatus status, const void *result)
+{
+  BorrowCall *call = arg;
+  HsCore *core = call->core;
+  uint64_t peer = call->peer;
+  HsNow now = hs_now ();
+
+  talloc_free (call);
+  hs_owner_lent (core->owner, peer, status == HS_RPC_OK ? result : NULL, now);
+  hs_core_rearm (core, now);
+}
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -28,8 +28,15 @@
 
   if (agent == NULL)
     agent = agent_add (owner, member, &handle);
-  if (agent->lost_ms != 0)
+  if (agent->lost_ms != 0 && member->state != HSX_MEMBER_UP)
     return;
+  if (agent->lost_ms != 0)
+    {
+      /* It was taken for lost and is back with its memory. */
+      agent->lost_ms = 0;
+      agent->recovered = 0;
+      hs_health_add (owner->health, handle);
+    }
   if (agent->feasible)
     hs_feasible_remove (owner->feasible, &agent->capacity);
   agent->state = member->state;
