--- a/test/standin/gateway.c
+++ b/test/standin/gateway.c
@@ -1,8 +1,8 @@
-#include "standin/gateway.h"
+#include "gateway.h"
 
 #include <string.h>
 
-#include "standin/jsonpb.h"
+#include "jsonpb.h"
 
 enum
 {
--- a/test/standin/gateway.h
+++ b/test/standin/gateway.h
@@ -6,7 +6,7 @@
 #ifndef HS_STANDIN_GATEWAY_H
 #define HS_STANDIN_GATEWAY_H
 
-#include "standin/kv.h"
+#include "kv.h"
 
 typedef enum
 {
--- a/test/standin/jsonpb.c
+++ b/test/standin/jsonpb.c
@@ -1,6 +1,7 @@
-#include "standin/jsonpb.h"
+#include "jsonpb.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
--- a/test/standin/kv.c
+++ b/test/standin/kv.c
@@ -1,4 +1,4 @@
-#include "standin/kv.h"
+#include "kv.h"
 
 #include <string.h>
 
@@ -114,6 +114,12 @@
   return next;
 }
 
+const HsKvRecord *
+hs_kv_get (HsKv *kv, const char *key)
+{
+  return g_tree_lookup (kv->live, key);
+}
+
 HsKvStatus
 hs_kv_range (HsKv *kv,
              const HsKvSpan *span,
@@ -135,50 +141,6 @@
   return HS_KV_OK;
 }
 
-static bool
-compare_one (HsKv *kv, const HsKvCompare *compare)
-{
-  const HsKvRecord *record = g_tree_lookup (kv->live, compare->key);
-  int64_t have = 0;
-
-  if (record != NULL)
-    switch (compare->target)
-      {
-      case HS_KV_TARGET_VERSION:
-        have = record->version;
-        break;
-      case HS_KV_TARGET_CREATE:
-        have = record->create_revision;
-        break;
-      case HS_KV_TARGET_MOD:
-        have = record->mod_revision;
-        break;
-      }
-  switch (compare->result)
-    {
-    case HS_KV_EQUAL:
-      return have == compare->value;
-    case HS_KV_NOT_EQUAL:
-      return have != compare->value;
-    case HS_KV_GREATER:
-      return have > compare->value;
-    case HS_KV_LESS:
-      return have < compare->value;
-    }
-  return false;
-}
-
-bool
-hs_kv_compare_all (HsKv *kv, const HsKvCompare *compares, size_t n_compares)
-{
-  size_t i;
-
-  for (i = 0; i < n_compares; i++)
-    if (!compare_one (kv, &compares[i]))
-      return false;
-  return true;
-}
-
 HsKvStatus
 hs_kv_apply (HsKv *kv, const HsKvOp *ops, size_t n_ops, HsKvOpResult *results)
 {
--- a/test/standin/kv.h
+++ b/test/standin/kv.h
@@ -112,6 +112,9 @@
 /** When the next lease lapses, or HS_NEVER. */
 HsTime hs_kv_next_expiry (const HsKv *kv);
 
+/** The present record of a key, valid until the next change; NULL: none. */
+const HsKvRecord *hs_kv_get (HsKv *kv, const char *key);
+
 /**
  * Reads keys as of @p revision, 0: the present.
  * Free @p result's array with g_ptr_array_unref(); valid until kv is freed.
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "standin/store_server.h"
+#include "store_server.h"
 
 static void
 on_signal (struct tevent_context *ev,
--- a/test/standin/store_server.h
+++ b/test/standin/store_server.h
@@ -8,7 +8,7 @@
 
 #include <tevent.h>
 
-#include "standin/gateway.h"
+#include "gateway.h"
 
 typedef struct HsStoreServer HsStoreServer;
 
