Add claims of submission ids in groups

Cause: an id that carries no time needs a durable claim before its first start. Conclusion: a lost answer is settled by the same write under the same number.

--- /dev/null
+++ b/src/store/claim_load.c
@@ -0,0 +1,163 @@
+#include "store/claim_load.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+
+/* A page is the keys that differ in the last two digits only, so that a
+   prefix reads it; with the bound on a value it stays below the client's
+   bound on an answer. */
+#define PAGE_KEYS 100u
+#define PAGE_DIGITS 2
+
+static void on_first (void *arg, const HsStoreReply *reply);
+static void on_page (void *arg, const HsStoreReply *reply);
+
+HsClaimLoad *
+hs_claim_load_start (HsStore *store,
+                     uint32_t part,
+                     void (*done) (void *arg,
+                                   const HsClaimLoad *load,
+                                   bool complete),
+                     void *arg)
+{
+  HsClaimLoad *load = talloc_zero (store, HsClaimLoad);
+  char *prefix = talloc_asprintf (load, "hs/claim/%" PRIu32 "/", part);
+
+  load->store = store;
+  load->part = part;
+  load->done = done;
+  load->arg = arg;
+  hs_store_range (store, prefix, 1, on_first, load);
+  talloc_free (prefix);
+  return load;
+}
+
+void
+hs_claim_load_cancel (HsClaimLoad *load)
+{
+  load->done = NULL;
+}
+
+static void
+finish (HsClaimLoad *load, bool complete)
+{
+  load->done (load->arg, load, complete);
+  talloc_free (load);
+}
+
+/* False if the load ended, or was cancelled. */
+static bool
+check (HsClaimLoad *load, const HsStoreReply *reply)
+{
+  if (load->done == NULL)
+    {
+      talloc_free (load);
+      return false;
+    }
+  if (reply->status != HS_STORE_OK)
+    {
+      finish (load, false);
+      return false;
+    }
+  return true;
+}
+
+static void
+read_page (HsClaimLoad *load)
+{
+  char *prefix
+      = talloc_asprintf (load, "hs/claim/%" PRIu32 "/%0*" PRIu64, load->part,
+                         HS_CLAIM_NUMBER_DIGITS - PAGE_DIGITS, load->page);
+
+  hs_store_range (load->store, prefix, 0, on_page, load);
+  talloc_free (prefix);
+}
+
+/* The number at the end of a key; false if the key isn't one of the log's. */
+static bool
+parse_number (const char *key, uint64_t *number)
+{
+  const char *digits = strrchr (key, '/');
+
+  if (digits == NULL || strlen (digits + 1) != HS_CLAIM_NUMBER_DIGITS
+      || strspn (digits + 1, "0123456789") != HS_CLAIM_NUMBER_DIGITS)
+    return false;
+  *number = strtoull (digits + 1, NULL, 10);
+  return true;
+}
+
+static void
+on_first (void *arg, const HsStoreReply *reply)
+{
+  HsClaimLoad *load = arg;
+  uint64_t number;
+
+  if (!check (load, reply))
+    return;
+  if (reply->n_kvs == 0)
+    {
+      finish (load, true);
+      return;
+    }
+  if (!parse_number (reply->kvs[0].key, &number))
+    {
+      hs_warn ("store", "claim key %s is malformed; delete it by hand",
+               reply->kvs[0].key);
+      finish (load, false);
+      return;
+    }
+  load->page = number / PAGE_KEYS;
+  read_page (load);
+}
+
+static bool
+append_kv (HsClaimLoad *load, const HsStoreKv *kv)
+{
+  HsClaimRecord *records;
+  HsClaimLoadKey key;
+  size_t n;
+
+  if (!parse_number (kv->key, &key.number)
+      || !hs_claim_decode (load, kv->value, kv->value_len, &records, &n,
+                           &key.wall_ms))
+    return false;
+  load->keys
+      = talloc_realloc (load, load->keys, HsClaimLoadKey, load->n_keys + 1);
+  load->keys[load->n_keys++] = key;
+  if (n == 0)
+    return true;
+  load->records = talloc_realloc (load, load->records, HsClaimRecord,
+                                  load->n_records + n);
+  memcpy (&load->records[load->n_records], records, n * sizeof *records);
+  load->n_records += n;
+  return true;
+}
+
+static void
+on_page (void *arg, const HsStoreReply *reply)
+{
+  HsClaimLoad *load = arg;
+  size_t i;
+
+  if (!check (load, reply))
+    return;
+  if (reply->n_kvs == 0)
+    {
+      finish (load, true);
+      return;
+    }
+  for (i = 0; i < reply->n_kvs; i++)
+    {
+      if (append_kv (load, &reply->kvs[i]))
+        continue;
+      hs_warn ("store", "claim key %s is malformed; delete it by hand",
+               reply->kvs[i].key);
+      finish (load, false);
+      return;
+    }
+  load->page++;
+  read_page (load);
+}
--- /dev/null
+++ b/src/store/claim_load.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * Reads all claims of a partition from the store, page by page.
+ */
+#ifndef HS_STORE_CLAIM_LOAD_H
+#define HS_STORE_CLAIM_LOAD_H
+
+#include "store/claim_log.h"
+
+/** A claim key that was read. */
+typedef struct
+{
+  uint64_t number;
+  int64_t wall_ms;
+} HsClaimLoadKey;
+
+/** A load under way; the arrays are whole once it is done. */
+typedef struct HsClaimLoad HsClaimLoad;
+struct HsClaimLoad
+{
+  HsStore *store;
+  uint32_t part;
+  uint64_t page;
+  size_t n_keys;
+  HsClaimLoadKey *keys;
+  size_t n_records;
+  HsClaimRecord *records;
+  /** Called once; @p load is freed after it. */
+  void (*done) (void *arg, const HsClaimLoad *load, bool complete);
+  void *arg;
+};
+
+/** Starts a load; it belongs to the store. */
+HsClaimLoad *hs_claim_load_start (HsStore *store,
+                                  uint32_t part,
+                                  void (*done) (void *arg,
+                                                const HsClaimLoad *load,
+                                                bool complete),
+                                  void *arg);
+
+/** Ends a load without calling `done`; the store frees it later. */
+void hs_claim_load_cancel (HsClaimLoad *load);
+
+#endif
--- /dev/null
+++ b/src/store/claim_log.c
@@ -0,0 +1,343 @@
+#include "store/claim_log_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Writes that may go out at once after a quiet time. */
+#define BURST 4
+
+/* Pause after a write that wasn't answered. */
+#define RETRY_MIN (50 * HS_MSEC)
+#define RETRY_MAX (1 * HS_SEC)
+
+/* JSON around the strings of a claim. */
+#define CLAIM_OVERHEAD ((size_t) 48)
+
+static int free_log (HsClaimLog *log);
+static void free_claim (HsClaim *claim);
+static void free_part (HsClaimPart *part);
+static void tell_ended (HsClaimLog *log);
+static void expire (HsClaimLog *log, HsTime now);
+static void delay_retry (HsClaimLog *log, HsTime now);
+
+HsClaimLog *
+hs_claim_log_new (TALLOC_CTX *ctx, const HsClaimLimits *limits)
+{
+  HsClaimLog *log = talloc_zero (ctx, HsClaimLog);
+
+  g_assert (limits->writes_per_s > 0);
+  log->limits = *limits;
+  log->parts = g_hash_table_new (g_int_hash, g_int_equal);
+  g_queue_init (&log->order);
+  g_queue_init (&log->ended);
+  log->in_write = g_ptr_array_new ();
+  log->retry_pause = RETRY_MIN;
+  talloc_set_destructor (log, free_log);
+  return log;
+}
+
+static HsClaimPart *
+find_part (const HsClaimLog *log, uint32_t part)
+{
+  return g_hash_table_lookup (log->parts, &part);
+}
+
+void
+hs_claim_log_open (HsClaimLog *log,
+                   uint32_t number,
+                   int64_t revision,
+                   uint64_t next_number)
+{
+  HsClaimPart *part = find_part (log, number);
+
+  if (part != NULL)
+    hs_claim_log_drop_part (log, part);
+  part = g_new0 (HsClaimPart, 1);
+  part->part = number;
+  part->revision = revision;
+  part->next_number = next_number;
+  part->owner_key = g_strdup_printf ("hs/part/%" PRIu32, number);
+  g_hash_table_insert (log->parts, &part->part, part);
+  g_queue_push_tail (&log->order, part);
+  tell_ended (log);
+}
+
+void
+hs_claim_part_push_key (HsClaimPart *part, uint64_t number, int64_t wall_ms)
+{
+  HsClaimKey *key = g_new0 (HsClaimKey, 1);
+
+  key->number = number;
+  key->wall_ms = wall_ms;
+  g_queue_push_tail (&part->keys, key);
+}
+
+void
+hs_claim_log_add_key (HsClaimLog *log,
+                      uint32_t number,
+                      uint64_t key_number,
+                      int64_t wall_ms)
+{
+  HsClaimPart *part = find_part (log, number);
+
+  if (part != NULL)
+    hs_claim_part_push_key (part, key_number, wall_ms);
+}
+
+void
+hs_claim_log_drop (HsClaimLog *log, uint32_t number)
+{
+  HsClaimPart *part = find_part (log, number);
+
+  if (part == NULL)
+    return;
+  hs_claim_log_drop_part (log, part);
+  tell_ended (log);
+}
+
+void
+hs_claim_log_add (HsClaimLog *log,
+                  uint32_t number,
+                  int64_t revision,
+                  const char *customer,
+                  const char *id,
+                  const char *digest,
+                  const HsNow *now,
+                  HsClaimDone done,
+                  void *arg)
+{
+  HsClaimPart *part = find_part (log, number);
+  HsClaim *claim;
+
+  if (part == NULL || part->revision != revision)
+    {
+      done (arg, part == NULL ? HS_CLAIM_UNAVAILABLE : HS_CLAIM_DEPOSED);
+      return;
+    }
+  claim = g_new0 (HsClaim, 1);
+  claim->customer = g_strdup (customer);
+  claim->id = g_strdup (id);
+  claim->digest = g_strdup (digest);
+  claim->size
+      = strlen (customer) + strlen (id) + strlen (digest) + CLAIM_OVERHEAD;
+  claim->deadline = now->mono + log->limits.patience;
+  claim->done = done;
+  claim->arg = arg;
+  g_queue_push_tail (&part->waiting, claim);
+}
+
+const HsStoreTxn *
+hs_claim_log_next (HsClaimLog *log, const HsNow *now)
+{
+  HsTime interval = HS_SEC / log->limits.writes_per_s;
+  const HsStoreTxn *write;
+
+  if (log->write != NULL)
+    return NULL;
+  expire (log, now->mono);
+  if (now->mono >= log->retry_time
+      && log->rate_time <= now->mono + (BURST - 1) * interval)
+    hs_claim_log_build_write (log, now);
+  write = log->write;
+  if (write != NULL)
+    log->rate_time = MAX (log->rate_time, now->mono) + interval;
+  /* A callback may ask for a write too, which is given to it. */
+  tell_ended (log);
+  return write;
+}
+
+void
+hs_claim_log_answer (HsClaimLog *log,
+                     const HsStoreReply *reply,
+                     const HsNow *now)
+{
+  bool settled = log->in_write->len == 0;
+  unsigned int i;
+
+  g_assert (log->write != NULL);
+  /* From the last on, because a part may be dropped meanwhile. */
+  for (i = log->in_write->len; i > 0; i--)
+    settled = hs_claim_log_settle_part (log, log->in_write->pdata[i - 1], reply)
+              || settled;
+  g_ptr_array_set_size (log->in_write, 0);
+  TALLOC_FREE (log->write);
+  if (settled)
+    log->retry_pause = RETRY_MIN;
+  else
+    delay_retry (log, now->mono);
+  tell_ended (log);
+}
+
+/* When a part next needs a write or an expiry. */
+static HsTime
+part_wake (const HsClaimLog *log, const HsClaimPart *part, const HsNow *now)
+{
+  const HsClaimKey *key = g_queue_peek_head ((GQueue *) &part->keys);
+  int64_t left_ms;
+
+  if (part->waiting.length > 0 || part->batch.length > 0)
+    return now->mono;
+  if (key == NULL)
+    return HS_NEVER;
+  left_ms = key->wall_ms
+            + (log->limits.retention + HS_CLAIM_DELETE_SLACK) / HS_MSEC
+            - now->wall_ms;
+  return now->mono + MAX (left_ms, 0) * HS_MSEC;
+}
+
+static HsTime
+first_deadline (const HsClaimPart *part)
+{
+  const HsClaim *claim = g_queue_peek_head ((GQueue *) &part->batch);
+
+  if (claim == NULL)
+    claim = g_queue_peek_head ((GQueue *) &part->waiting);
+  return claim == NULL ? HS_NEVER : claim->deadline;
+}
+
+HsTime
+hs_claim_log_wake (const HsClaimLog *log, const HsNow *now)
+{
+  HsTime interval = HS_SEC / log->limits.writes_per_s;
+  HsTime write_time = HS_NEVER;
+  HsTime deadline = HS_NEVER;
+  GList *link;
+
+  if (log->write != NULL)
+    return HS_NEVER;
+  for (link = log->order.head; link != NULL; link = link->next)
+    {
+      write_time = MIN (write_time, part_wake (log, link->data, now));
+      deadline = MIN (deadline, first_deadline (link->data));
+    }
+  if (write_time == HS_NEVER)
+    return HS_NEVER;
+  write_time = MAX (write_time, log->retry_time);
+  write_time = MAX (write_time, log->rate_time - (BURST - 1) * interval);
+  return MIN (write_time, deadline);
+}
+
+size_t
+hs_claim_log_waiting (const HsClaimLog *log, uint32_t number)
+{
+  const HsClaimPart *part = find_part (log, number);
+
+  return part == NULL ? 0 : part->waiting.length + part->batch.length;
+}
+
+static int
+free_log (HsClaimLog *log)
+{
+  g_assert (!log->telling);
+  while (log->order.head != NULL)
+    hs_claim_log_drop_part (log, log->order.head->data);
+  g_queue_clear_full (&log->ended, (GDestroyNotify) free_claim);
+  g_hash_table_destroy (log->parts);
+  g_ptr_array_unref (log->in_write);
+  return 0;
+}
+
+static void
+free_claim (HsClaim *claim)
+{
+  g_free (claim->customer);
+  g_free (claim->id);
+  g_free (claim->digest);
+  g_free (claim);
+}
+
+static void
+free_part (HsClaimPart *part)
+{
+  hs_claim_part_clear_batch (part);
+  g_free (part->owner_key);
+  g_queue_clear_full (&part->keys, g_free);
+  g_free (part);
+}
+
+void
+hs_claim_log_end (HsClaimLog *log, GQueue *claims, HsClaimOutcome outcome)
+{
+  HsClaim *claim;
+
+  while ((claim = g_queue_pop_head (claims)) != NULL)
+    {
+      claim->outcome = outcome;
+      g_queue_push_tail (&log->ended, claim);
+    }
+}
+
+/* Callbacks run last, when the log is whole again, and never nested. */
+static void
+tell_ended (HsClaimLog *log)
+{
+  HsClaim *claim;
+
+  if (log->telling)
+    return;
+  log->telling = true;
+  while ((claim = g_queue_pop_head (&log->ended)) != NULL)
+    {
+      claim->done (claim->arg, claim->outcome);
+      free_claim (claim);
+    }
+  log->telling = false;
+}
+
+/* Nothing of a dropped partition is ever started here, so that its claims
+   are deposed whether or not a write under way takes effect. */
+void
+hs_claim_log_drop_part (HsClaimLog *log, HsClaimPart *part)
+{
+  hs_claim_log_end (log, &part->batch, HS_CLAIM_DEPOSED);
+  hs_claim_log_end (log, &part->waiting, HS_CLAIM_DEPOSED);
+  g_hash_table_remove (log->parts, &part->part);
+  g_queue_remove (&log->order, part);
+  g_ptr_array_remove (log->in_write, part);
+  free_part (part);
+}
+
+void
+hs_claim_part_clear_batch (HsClaimPart *part)
+{
+  g_assert (part->batch.length == 0);
+  g_clear_pointer (&part->batch_text, g_free);
+}
+
+/* Ends the claims that have waited too long. The text of their batch changes
+   then; its number doesn't, so that at most one of the texts is written
+   under it. */
+static void
+expire_part (HsClaimLog *log, HsClaimPart *part, HsTime now)
+{
+  HsClaim *claim;
+
+  if (first_deadline (part) > now)
+    return;
+  while ((claim = g_queue_pop_tail (&part->batch)) != NULL)
+    g_queue_push_head (&part->waiting, claim);
+  hs_claim_part_clear_batch (part);
+  while (part->waiting.length > 0 && first_deadline (part) <= now)
+    {
+      claim = g_queue_pop_head (&part->waiting);
+      claim->outcome
+          = claim->maybe_written ? HS_CLAIM_UNKNOWN : HS_CLAIM_UNAVAILABLE;
+      g_queue_push_tail (&log->ended, claim);
+    }
+}
+
+static void
+expire (HsClaimLog *log, HsTime now)
+{
+  GList *link;
+
+  for (link = log->order.head; link != NULL; link = link->next)
+    expire_part (log, link->data, now);
+}
+
+static void
+delay_retry (HsClaimLog *log, HsTime now)
+{
+  log->retry_time = now + log->retry_pause;
+  log->retry_pause = MIN (log->retry_pause * 2, RETRY_MAX);
+}
