Add the agent's memory, slots and start gate

Cause: an agent must decide each start and remember it, without I/O. Conclusion: the process around them can be built on these.

--- /dev/null
+++ b/src/agent/part.mk
@@ -0,0 +1,1 @@
+SRCS += src/agent/memory.c src/agent/slots.c src/agent/gate.c
--- /dev/null
+++ b/src/agent/slots.h
@@ -0,0 +1,101 @@
+/**
+ * @file
+ * The slots of one target and the credits granted for them. Pure: no I/O,
+ * time is an argument.
+ *
+ * Each slot is free, granted to one entry, or busy. Free slots are granted
+ * so that connected entries hold (granted and busy) about equally many. A
+ * finished slot is granted again to the entry that used it. Any entry may
+ * use a credit, because entries lend them; the entry whose start was
+ * accepted then holds the slot. If an entry's last connection ends, its
+ * idle credits are withdrawn and granted to others.
+ *
+ * The generation of a slot rises each time it is granted or withdrawn, so
+ * a credit can be used once. A refresh gives a granted slot a new stamp and
+ * leaves its generation: the older stamps of a generation stay valid,
+ * because a permit counted from an older stamp ends earlier.
+ *
+ * A list of credits replaces the idle ones an entry has. An entry must skip
+ * a listed credit if it has a start with the same slot and generation under
+ * way, or has lent it; using it twice is safe (the second start is refused
+ * with HSX_REFUSAL_CREDIT) but costs a message.
+ */
+#ifndef HS_AGENT_SLOTS_H
+#define HS_AGENT_SLOTS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+
+#include "base/time.h"
+#include "proto/hspoke.h"
+
+/** The most slots a target may announce. */
+#define HS_SLOTS_MAX HSX_CREDITS_MAX
+/** Age at which idle credits of an entry that sends starts are refreshed. */
+#define HS_SLOTS_BUSY_REFRESH (1 * HS_SEC)
+/** Age at which idle credits of an entry without starts are refreshed. */
+#define HS_SLOTS_IDLE_REFRESH (4 * HS_SEC)
+/** An entry sends starts if its last one is not older than this. */
+#define HS_SLOTS_BUSY_SPAN (10 * HS_SEC)
+
+typedef struct HsSlots HsSlots;
+
+/** @param agent incarnation of the agent, written into each credit */
+HsSlots *hs_slots_new (TALLOC_CTX *ctx, uint64_t agent);
+
+/**
+ * Sets the number of slots that may be granted. Idle credits of slots above
+ * it are withdrawn; busy ones finish and are not granted again.
+ */
+void hs_slots_resize (HsSlots *slots, uint32_t count);
+
+/** Counts an entry in; idle credits above the even share move to it. */
+void hs_slots_entry_up (HsSlots *slots, uint64_t entry);
+
+/** Withdraws the idle credits of an entry that is gone. */
+void hs_slots_entry_down (HsSlots *slots, uint64_t entry);
+
+/** Whether a credit was issued, is the slot's newest and is unused. */
+bool hs_slots_valid (const HsSlots *slots, const hsx_credit *credit);
+
+/** Uses a valid credit for a start that @p entry sent. */
+void hs_slots_take (HsSlots *slots,
+                    const hsx_credit *credit,
+                    uint64_t entry,
+                    HsTime now);
+
+/**
+ * Ends the use of a busy slot. If the entry that used it is connected and
+ * the slot still counts, it is granted to that entry again.
+ * @param next the new credit, set if true is returned
+ */
+bool
+hs_slots_release (HsSlots *slots, uint32_t slot, HsTime now, hsx_credit *next);
+
+/**
+ * Grants a free or granted slot to @p entry anew: the credit of a refused
+ * start is returned to its sender this way. False if @p entry isn't
+ * connected or the slot no longer counts.
+ */
+bool hs_slots_regrant (HsSlots *slots,
+                       uint32_t slot,
+                       uint64_t entry,
+                       HsTime now,
+                       hsx_credit *next);
+
+/** Grants free slots evenly and marks the entries that are due a list. */
+void hs_slots_plan (HsSlots *slots, HsTime now);
+
+/**
+ * Takes the next entry that is due a list of its credits; 0 if none.
+ * @param credits filled with what is granted to it; HS_SLOTS_MAX of them
+ */
+uint64_t
+hs_slots_next_grant (HsSlots *slots, hsx_credit *credits, uint32_t *n_credits);
+
+/** Slots in use now. */
+uint32_t hs_slots_busy (const HsSlots *slots);
+
+#endif
