--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -26,6 +26,7 @@
 #define HSX_PARTS_MAX 1024
 #define HSX_CREDITS_MAX 4096
 #define HSX_DIGEST_SIZE 32
+#define HSX_NONCE_SIZE 16
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -38,6 +39,7 @@
 	uint64_t incarnation;
 	char *address;
 	char *data_centre;
+	char nonce[HSX_NONCE_SIZE];
 };
 typedef struct hsx_hello hsx_hello;
 
@@ -46,6 +48,7 @@
 	char *customer;
 	char *id;
 	u_int index;
+	uint64_t content;
 };
 typedef struct hsx_task_key hsx_task_key;
 
@@ -182,6 +185,7 @@
 typedef struct hsx_announce_reply hsx_announce_reply;
 
 struct hsx_members_args {
+	int64_t complete_since_ms;
 	struct {
 		u_int members_len;
 		hsx_member *members_val;
