--- a/src/agent/slots.c
+++ b/src/agent/slots.c
@@ -143,15 +143,18 @@
 }
 
 bool
-hs_slots_release (HsSlots *slots, uint32_t number, HsTime now, hsx_credit *next)
+hs_slots_release (HsSlots *slots,
+                  uint32_t number,
+                  uint64_t entry,
+                  HsTime now,
+                  hsx_credit *next)
 {
   Slot *slot = &slots->table[number];
-  uint64_t holder = slot->holder;
 
   unhold (slots, slot);
   slot->state = SLOT_FREE;
   slots->busy--;
-  return hs_slots_regrant (slots, number, holder, now, next);
+  return hs_slots_regrant (slots, number, entry, now, next);
 }
 
 bool
--- a/src/agent/slots.h
+++ b/src/agent/slots.h
@@ -5,7 +5,8 @@
  *
  * Each slot is free, granted to one entry, or busy. Free slots are granted
  * so that connected entries hold (granted and busy) about equally many. A
- * finished slot is granted again to the entry that used it. Any entry may
+ * finished slot is granted again to the entry that gets the result, which
+ * is the one that used it unless the partition has a new owner. Any entry may
  * use a credit, because entries lend them; the entry whose start was
  * accepted then holds the slot. If an entry's last connection ends, its
  * idle credits are withdrawn and granted to others.
@@ -67,12 +68,15 @@
                     HsTime now);
 
 /**
- * Ends the use of a busy slot. If the entry that used it is connected and
- * the slot still counts, it is granted to that entry again.
+ * Ends the use of a busy slot. It is granted again to @p entry, the one that
+ * gets the result, if that is connected and the slot still counts.
  * @param next the new credit, set if true is returned
  */
-bool
-hs_slots_release (HsSlots *slots, uint32_t slot, HsTime now, hsx_credit *next);
+bool hs_slots_release (HsSlots *slots,
+                       uint32_t slot,
+                       uint64_t entry,
+                       HsTime now,
+                       hsx_credit *next);
 
 /**
  * Grants a free or granted slot to @p entry anew: the credit of a refused
--- /dev/null
+++ b/src/http/mhd_loop.c
@@ -0,0 +1,177 @@
+#include "http/mhd_loop.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "base/error.h"
+
+#define LISTEN_BACKLOG 256
+
+struct HsMhd
+{
+  struct MHD_Daemon *daemon;
+  struct tevent_context *ev;
+  struct tevent_fd *fde;
+  struct tevent_timer *timer;
+  uint16_t port;
+};
+
+static int free_mhd (HsMhd *mhd);
+static int open_socket (const char *address, uint16_t *port, GError **error);
+static bool start (HsMhd *mhd, const HsMhdOptions *options, int fd);
+static void run (HsMhd *mhd);
+static void on_ready (struct tevent_context *ev,
+                      struct tevent_fd *fde,
+                      uint16_t flags,
+                      void *arg);
+static void on_timer (struct tevent_context *ev,
+                      struct tevent_timer *te,
+                      struct timeval now,
+                      void *arg);
+
+HsMhd *
+hs_mhd_new (TALLOC_CTX *ctx,
+            struct tevent_context *ev,
+            const HsMhdOptions *options,
+            GError **error)
+{
+  HsMhd *mhd = talloc_zero (ctx, HsMhd);
+  int fd;
+
+  mhd->ev = ev;
+  fd = open_socket (options->listen, &mhd->port, error);
+  if (fd < 0)
+    {
+      talloc_free (mhd);
+      return NULL;
+    }
+  if (!start (mhd, options, fd))
+    {
+      close (fd);
+      talloc_free (mhd);
+      g_set_error (error, HS_ERROR, HS_ERROR_IO,
+                   "%s: the HTTP server can't start; check the limits on "
+                   "open files and memory",
+                   options->listen);
+      return NULL;
+    }
+  talloc_set_destructor (mhd, free_mhd);
+  run (mhd);
+  return mhd;
+}
+
+uint16_t
+hs_mhd_port (const HsMhd *mhd)
+{
+  return mhd->port;
+}
+
+static int
+free_mhd (HsMhd *mhd)
+{
+  TALLOC_FREE (mhd->fde);
+  TALLOC_FREE (mhd->timer);
+  MHD_stop_daemon (mhd->daemon);
+  return 0;
+}
+
+static int
+open_socket (const char *text, uint16_t *port, GError **error)
+{
+  struct sockaddr_storage address;
+  socklen_t len;
+  int on = 1;
+  int fd;
+
+  if (!hs_address_parse (text, &address, &len))
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
+                   "%s: not an address; write an IP number and a port, as "
+                   "127.0.0.1:8080",
+                   text);
+      return -1;
+    }
+  fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+               0);
+  if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (fd, (struct sockaddr *) &address, len) == 0
+      && listen (fd, LISTEN_BACKLOG) == 0
+      && getsockname (fd, (struct sockaddr *) &address, &len) == 0)
+    {
+      *port = (uint16_t) hs_address_port (&address);
+      return fd;
+    }
+  g_set_error (error, HS_ERROR, HS_ERROR_IO,
+               "%s: can't listen: %s; free the address or choose another", text,
+               g_strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+static bool
+start (HsMhd *mhd, const HsMhdOptions *options, int fd)
+{
+  const union MHD_DaemonInfo *info;
+
+  mhd->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, options->handle,
+      options->arg, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
+      options->completed, options->arg, MHD_OPTION_CONNECTION_LIMIT,
+      options->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      options->idle_timeout_s, MHD_OPTION_END);
+  if (mhd->daemon == NULL)
+    return false;
+  info = MHD_get_daemon_info (mhd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  mhd->fde = tevent_add_fd (mhd->ev, mhd, info->epoll_fd, TEVENT_FD_READ,
+                            on_ready, mhd);
+  return mhd->fde != NULL;
+}
+
+/* Lets libmicrohttpd work, and asks when it wants to be called at latest. */
+static void
+run (HsMhd *mhd)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+
+  MHD_run (mhd->daemon);
+  TALLOC_FREE (mhd->timer);
+  if (MHD_get_timeout (mhd->daemon, &ms) != MHD_YES)
+    return;
+  mhd->timer = tevent_add_timer (
+      mhd->ev, mhd,
+      tevent_timeval_current_ofs ((uint32_t) (ms / 1000),
+                                  (uint32_t) (ms % 1000) * 1000),
+      on_timer, mhd);
+}
+
+static void
+on_ready (struct tevent_context *ev,
+          struct tevent_fd *fde,
+          uint16_t flags,
+          void *arg)
+{
+  (void) ev;
+  (void) fde;
+  (void) flags;
+  run (arg);
+}
+
+static void
+on_timer (struct tevent_context *ev,
+          struct tevent_timer *te,
+          struct timeval now,
+          void *arg)
+{
+  HsMhd *mhd = arg;
+
+  (void) ev;
+  (void) te;
+  (void) now;
+  TALLOC_FREE (mhd->timer);
+  run (mhd);
+}
--- a/src/http/part.mk
+++ b/src/http/part.mk
@@ -1,1 +1,2 @@
 SRCS += src/http/curl_loop.c
+SRCS += src/http/mhd_loop.c
--- a/test/test_agent_slots.c
+++ b/test/test_agent_slots.c
@@ -58,7 +58,7 @@
   hs_slots_take (slots, &credits[0], 2, 20);
   assert_false (hs_slots_valid (slots, &credits[0]));
   assert_int_equal (hs_slots_busy (slots), 1);
-  assert_true (hs_slots_release (slots, credits[0].slot, 30, &next));
+  assert_true (hs_slots_release (slots, credits[0].slot, 2, 30, &next));
   assert_int_equal (next.slot, credits[0].slot);
   assert_int_equal (next.stamp_us, 30);
   assert_true (hs_slots_valid (slots, &next));
@@ -129,7 +129,7 @@
   hs_slots_take (slots, &credits[0], 1, 1);
   hs_slots_resize (slots, 0);
   assert_false (hs_slots_valid (slots, &credits[1]));
-  assert_false (hs_slots_release (slots, credits[0].slot, 2, &next));
+  assert_false (hs_slots_release (slots, credits[0].slot, 1, 2, &next));
   hs_slots_plan (slots, 3);
   assert_int_equal (list (1, credits), 0);
   hs_slots_resize (slots, 8);
