Parse addresses in one place

Cause: rpc and base both defined hs_address_parse, which can't be linked. Change: the RPC endpoint uses the one of base, and takes IPv6 with it. Conclusion: one parser is left.

--- a/src/rpc/endpoint.c
+++ b/src/rpc/endpoint.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -7,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/address.h"
 #include "base/error.h"
 #include "rpc/internal.h"
 
@@ -47,21 +47,21 @@
 bool
 hs_rpc_listen (HsRpc *rpc, const char *address, GError **error)
 {
-  struct sockaddr_in in;
-  socklen_t len = sizeof in;
+  struct sockaddr_storage in;
+  socklen_t len;
   int one = 1;
   int fd;
 
-  if (!hs_address_parse (address, &in))
+  if (!hs_address_parse (address, &in, &len))
     {
       g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
                    "rpc address '%s' is not IP:port; correct the settings",
                    address);
       return false;
     }
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = socket (in.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
-      || bind (fd, (struct sockaddr *) &in, sizeof in) < 0
+      || bind (fd, (struct sockaddr *) &in, len) < 0
       || listen (fd, LISTEN_BACKLOG) < 0
       || getsockname (fd, (struct sockaddr *) &in, &len) < 0)
     {
@@ -73,7 +73,7 @@
       return false;
     }
   rpc->listen_fd = fd;
-  rpc->port = ntohs (in.sin_port);
+  rpc->port = (uint16_t) hs_address_port (&in);
   rpc->listen_event
       = tevent_add_fd (rpc->ev, rpc, fd, TEVENT_FD_READ, on_acceptable, rpc);
   return true;
@@ -104,16 +104,16 @@
 HsConn *
 hs_rpc_dial (HsRpc *rpc, const char *address)
 {
-  struct sockaddr_in in;
+  struct sockaddr_storage in;
+  socklen_t len;
   int fd;
 
-  if (!hs_address_parse (address, &in))
+  if (!hs_address_parse (address, &in, &len))
     return hs_conn_new_failed (rpc, false);
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = socket (in.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return hs_conn_new_failed (rpc, false);
-  if (connect (fd, (struct sockaddr *) &in, sizeof in) < 0
-      && errno != EINPROGRESS)
+  if (connect (fd, (struct sockaddr *) &in, len) < 0 && errno != EINPROGRESS)
     {
       bool refused = errno == ECONNREFUSED;
 
@@ -129,28 +129,6 @@
   return &rpc->stats;
 }
 
-bool
-hs_address_parse (const char *address, struct sockaddr_in *out)
-{
-  const char *colon = strrchr (address, ':');
-  char host[INET_ADDRSTRLEN];
-  char *end;
-  unsigned long port;
-
-  if (colon == NULL || (size_t) (colon - address) >= sizeof host)
-    return false;
-  memcpy (host, address, (size_t) (colon - address));
-  host[colon - address] = '\0';
-  errno = 0;
-  port = strtoul (colon + 1, &end, 10);
-  if (errno != 0 || end == colon + 1 || *end != '\0' || port > UINT16_MAX)
-    return false;
-  memset (out, 0, sizeof *out);
-  out->sin_family = AF_INET;
-  out->sin_port = htons ((uint16_t) port);
-  return inet_pton (AF_INET, host, &out->sin_addr) == 1;
-}
-
 static void
 on_acceptable (struct tevent_context *ev,
                struct tevent_fd *event,
--- a/src/rpc/internal.h
+++ b/src/rpc/internal.h
@@ -5,8 +5,6 @@
 #ifndef HS_RPC_INTERNAL_H
 #define HS_RPC_INTERNAL_H
 
-#include <netinet/in.h>
-
 #include "rpc/conn.h"
 #include "rpc/record.h"
 
@@ -40,7 +38,4 @@
 /** Fails a dial that could not even start, after returning to the loop. */
 HsConn *hs_conn_new_failed (HsRpc *rpc, bool refused);
 
-/** Parses "IP:port"; false if it isn't one. */
-bool hs_address_parse (const char *address, struct sockaddr_in *out);
-
 #endif
