--- /dev/null
+++ b/src/agent/agent.c
@@ -0,0 +1,467 @@
+#include "agent/internal.h"
+
+#include <string.h>
+
+#include <sys/random.h>
+
+#include "base/address.h"
+#include "base/error.h"
+#include "base/log.h"
+
+/** Period of the agent's housekeeping. */
+#define TICK_MS 100
+/** Entries have this long to read the records of a leaving agent. */
+#define LEAVING_NOTICE (1 * HS_SEC)
+/** Bound on a graceful stop while no entry can be reached. */
+#define LEAVING_ALONE_MAX (15 * HS_SEC)
+/** Bound on telling the home entry that the agent has left. */
+#define SAYS_LEFT_MAX (2 * HS_SEC)
+
+static int free_agent (HsAgent *agent);
+static bool listen_all (HsAgent *agent, const HsSettings *s, GError **error);
+static void set_address (HsAgent *agent);
+static void member (void *arg, hsx_member *out);
+static void schedule_tick (HsAgent *agent);
+static void on_tick (struct tevent_context *ev,
+                     struct tevent_timer *te,
+                     struct timeval tv,
+                     void *arg);
+static void progress_leave (HsAgent *agent, HsTime now);
+static void set_stage (HsAgent *agent, HsAgentStage stage, HsTime now);
+static void on_plan (struct tevent_context *ev,
+                     struct tevent_immediate *immediate,
+                     void *arg);
+static void send_grants (HsAgent *agent);
+static void on_up (void *arg, HsConn *conn);
+static void on_down (void *arg, HsConn *conn, bool refused);
+static void
+on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args);
+static bool on_announce (void *arg, const HsAnnouncement *a, GError **error);
+static bool on_leave (void *arg);
+static char *on_metrics (void *arg, TALLOC_CTX *ctx);
+static void target_gone (HsAgent *agent, const char *why);
+
+HsAgent *
+hs_agent_new (TALLOC_CTX *ctx,
+              struct tevent_context *ev,
+              const HsSettings *settings,
+              GError **error)
+{
+  HsAgent *agent = talloc_zero (ctx, HsAgent);
+  const HsAgentSettings *own = &settings->u.agent;
+
+  agent->ev = ev;
+  agent->settings = own;
+  agent->data_centre = talloc_strdup (agent, settings->data_centre);
+  while (agent->incarnation == 0)
+    if (getrandom (&agent->incarnation, sizeof agent->incarnation, 0) < 0)
+      g_error ("no random bytes from the kernel");
+  agent->curl = hs_curl_new (agent, ev);
+  agent->calls = talloc_new (agent);
+  talloc_set_destructor (agent, free_agent);
+  agent->memory = hs_memory_new (agent, own->retention, own->memory_bytes);
+  agent->slots = hs_slots_new (agent, agent->incarnation);
+  agent->gate = hs_gate_new (agent, agent->memory, agent->slots);
+  agent->peers = hs_peers_new (agent, ev, agent->memory, &agent->stats);
+  agent->plan = tevent_create_immediate (agent);
+  if (!listen_all (agent, settings, error))
+    {
+      talloc_free (agent);
+      return NULL;
+    }
+  set_address (agent);
+  agent->home = hs_home_new (agent, agent->rpc, agent->peers, own->entries,
+                             member, agent, &agent->stats);
+  schedule_tick (agent);
+  hs_info (HS_AGENT_PART,
+           "%s listens for entries on %s, for its target on "
+           "port %u",
+           own->name, agent->address, hs_agent_target_port (agent));
+  return agent;
+}
+
+void
+hs_agent_leave (HsAgent *agent)
+{
+  if (agent->stage != HS_AGENT_RUNNING)
+    return;
+  hs_info (HS_AGENT_PART, "leaving; %u tasks run",
+           hs_slots_busy (agent->slots));
+  set_stage (agent, HS_AGENT_LEAVING, hs_now ().mono);
+  hs_agent_update (agent);
+}
+
+bool
+hs_agent_has_left (const HsAgent *agent)
+{
+  return agent->stage == HS_AGENT_LEFT;
+}
+
+uint16_t
+hs_agent_rpc_port (const HsAgent *agent)
+{
+  return hs_rpc_port (agent->rpc);
+}
+
+uint16_t
+hs_agent_target_port (const HsAgent *agent)
+{
+  return hs_target_api_port (agent->api);
+}
+
+uint64_t
+hs_agent_incarnation (const HsAgent *agent)
+{
+  return agent->incarnation;
+}
+
+const HsAgentStats *
+hs_agent_stats (const HsAgent *agent)
+{
+  return &agent->stats;
+}
+
+void
+hs_agent_update (HsAgent *agent)
+{
+  bool grants = agent->target_state == HS_TARGET_UP
+                && agent->stage == HS_AGENT_RUNNING && !agent->target_refuses;
+
+  hs_slots_resize (agent->slots, grants ? agent->target.slots : 0);
+  hs_agent_schedule_plan (agent);
+  if (!agent->target_refuses)
+    hs_home_changed (agent->home);
+}
+
+void
+hs_agent_schedule_plan (HsAgent *agent)
+{
+  if (agent->plan_scheduled)
+    return;
+  agent->plan_scheduled = true;
+  tevent_schedule_immediate (agent->plan, agent->ev, on_plan, agent);
+}
+
+void
+hs_agent_member (const HsAgent *agent, hsx_member *out)
+{
+  bool up
+      = agent->target_state == HS_TARGET_UP && agent->stage == HS_AGENT_RUNNING;
+  bool leaving = agent->stage != HS_AGENT_RUNNING
+                 || agent->target_state == HS_TARGET_LEAVING
+                 || agent->target_state == HS_TARGET_GONE;
+
+  memset (out, 0, sizeof *out);
+  out->incarnation = agent->incarnation;
+  out->state = leaving ? HSX_MEMBER_LEAVING : HSX_MEMBER_UP;
+  if (agent->stage == HS_AGENT_SAYS_LEFT || agent->stage == HS_AGENT_LEFT)
+    out->state = HSX_MEMBER_LEFT;
+  out->address = agent->address;
+  out->data_centre = agent->data_centre;
+  out->rack = agent->settings->rack != NULL ? agent->settings->rack : "";
+  if (!up)
+    return;
+  out->slots = agent->target.slots;
+  out->capacity = agent->target.capacity;
+}
+
+void
+hs_agent_task_ended (HsAgent *agent)
+{
+  if (agent->target_state == HS_TARGET_LEAVING
+      && hs_slots_busy (agent->slots) == 0)
+    target_gone (agent, "has left");
+}
+
+static int
+free_agent (HsAgent *agent)
+{
+  TALLOC_FREE (agent->calls);
+  return 0;
+}
+
+static bool
+listen_all (HsAgent *agent, const HsSettings *settings, GError **error)
+{
+  const HsAgentSettings *own = &settings->u.agent;
+  HsRpcHandler rpc = { .up = on_up, .down = on_down, .call = on_call };
+  HsTargetApiHandler api
+      = { .announce = on_announce, .leave = on_leave, .metrics = on_metrics };
+  hsx_hello self = { .role = HSX_ROLE_AGENT,
+                     .incarnation = agent->incarnation,
+                     .address = own->rpc_address,
+                     .data_centre = agent->data_centre };
+
+  agent->rpc = hs_rpc_new (agent, agent->ev, &self, settings->cluster_key, &rpc,
+                           agent);
+  if (!hs_rpc_listen (agent->rpc, own->rpc_listen, error))
+    return false;
+  agent->api = hs_target_api_new (agent, agent->ev, own->target_listen,
+                                  settings->cluster_key, &api, agent, error);
+  return agent->api != NULL;
+}
+
+/* An announced port of 0 stands for the port that was taken. */
+static void
+set_address (HsAgent *agent)
+{
+  const char *given = agent->settings->rpc_address;
+  const char *colon = strrchr (given, ':');
+
+  agent->address = talloc_strdup (agent, given);
+  if (colon == NULL || strcmp (colon, ":0") != 0)
+    return;
+  agent->address = talloc_asprintf (agent, "%.*s:%u", (int) (colon - given),
+                                    given, hs_rpc_port (agent->rpc));
+  hs_rpc_set_address (agent->rpc, agent->address);
+}
+
+static void
+member (void *arg, hsx_member *out)
+{
+  hs_agent_member (arg, out);
+}
+
+static void
+schedule_tick (HsAgent *agent)
+{
+  tevent_add_timer (agent->ev, agent,
+                    tevent_timeval_current_ofs (0, TICK_MS * 1000), on_tick,
+                    agent);
+}
+
+static void
+on_tick (struct tevent_context *ev,
+         struct tevent_timer *te,
+         struct timeval tv,
+         void *arg)
+{
+  HsAgent *agent = arg;
+  HsTime now = hs_now ().mono;
+
+  (void) ev;
+  (void) te;
+  (void) tv;
+  if (agent->target_state == HS_TARGET_UP && now > agent->target_lapses_at)
+    target_gone (agent, "no longer renews its announcement");
+  hs_peers_flush (agent->peers);
+  hs_memory_expire (agent->memory, now);
+  hs_home_tick (agent->home, now);
+  hs_slots_plan (agent->slots, now);
+  send_grants (agent);
+  progress_leave (agent, now);
+  schedule_tick (agent);
+}
+
+static void
+progress_leave (HsAgent *agent, HsTime now)
+{
+  HsTime span = now - agent->stage_since;
+  bool current = hs_home_is_current (agent->home);
+
+  switch (agent->stage)
+    {
+    case HS_AGENT_RUNNING:
+    case HS_AGENT_LEFT:
+      return;
+    case HS_AGENT_LEAVING:
+      if (hs_slots_busy (agent->slots) > 0 || !hs_peers_idle (agent->peers))
+        return;
+      if (!(current && span >= LEAVING_NOTICE) && span < LEAVING_ALONE_MAX)
+        return;
+      set_stage (agent, HS_AGENT_SAYS_LEFT, now);
+      hs_home_changed (agent->home);
+      return;
+    case HS_AGENT_SAYS_LEFT:
+      if (!current && span < SAYS_LEFT_MAX)
+        return;
+      set_stage (agent, HS_AGENT_LEFT, now);
+      hs_info (HS_AGENT_PART, "left");
+      return;
+    }
+}
+
+static void
+set_stage (HsAgent *agent, HsAgentStage stage, HsTime now)
+{
+  agent->stage = stage;
+  agent->stage_since = now;
+}
+
+static void
+on_plan (struct tevent_context *ev,
+         struct tevent_immediate *immediate,
+         void *arg)
+{
+  HsAgent *agent = arg;
+
+  (void) ev;
+  (void) immediate;
+  agent->plan_scheduled = false;
+  hs_slots_plan (agent->slots, hs_now ().mono);
+  send_grants (agent);
+}
+
+static void
+send_grants (HsAgent *agent)
+{
+  hsx_credit credits[HS_SLOTS_MAX];
+  hsx_grant_args args
+      = { .agent = agent->incarnation, .credits.credits_val = credits };
+  uint64_t entry;
+
+  while ((entry = hs_slots_next_grant (agent->slots, credits,
+                                       &args.credits.credits_len))
+         != 0)
+    {
+      HsPeer *peer = hs_peers_find (agent->peers, entry);
+
+      if (hs_conn_call (hs_peer_conn (peer), HSX_GRANT, &args, HS_NEVER, NULL,
+                        NULL))
+        agent->stats.grants++;
+    }
+}
+
+static void
+on_up (void *arg, HsConn *conn)
+{
+  HsAgent *agent = arg;
+  bool is_new;
+
+  if (hs_conn_peer (conn)->role != HSX_ROLE_ENTRY
+      || hs_peers_up (agent->peers, conn, &is_new) == NULL)
+    {
+      hs_conn_close (conn);
+      return;
+    }
+  if (is_new)
+    {
+      hs_slots_entry_up (agent->slots, hs_conn_peer (conn)->incarnation);
+      hs_agent_schedule_plan (agent);
+    }
+  hs_home_up (agent->home, conn);
+}
+
+static void
+on_down (void *arg, HsConn *conn, bool refused)
+{
+  HsAgent *agent = arg;
+  uint64_t gone = hs_peers_down (agent->peers, conn);
+
+  (void) refused;
+  if (gone != 0)
+    {
+      hs_slots_entry_down (agent->slots, gone);
+      hs_agent_schedule_plan (agent);
+    }
+  hs_home_down (agent->home, conn, hs_now ().mono);
+}
+
+static void
+on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
+{
+  HsAgent *agent = arg;
+  HsPeer *peer = hs_peers_of (conn);
+  HsTime now = hs_now ().mono;
+  const hsx_start_args *starts = args;
+  uint32_t i;
+
+  if (peer == NULL)
+    return;
+  switch (proc)
+    {
+    case HSX_START:
+      hs_peer_prefer (peer, conn);
+      for (i = 0; i < starts->starts.starts_len; i++)
+        hs_agent_on_start (agent, peer, &starts->starts.starts_val[i], now);
+      return;
+    case HSX_RECOVER:
+      hs_agent_on_recover (agent, peer, conn, call, args);
+      return;
+    case HSX_SETTLE:
+      hs_agent_on_settle (agent, conn, call, args, now);
+      return;
+    default:
+      hs_warn (HS_AGENT_PART,
+               "procedure %u isn't for agents; the connection "
+               "is closed; check the entry's version",
+               proc);
+      hs_conn_close (conn);
+    }
+}
+
+static bool
+on_announce (void *arg, const HsAnnouncement *announcement, GError **error)
+{
+  HsAgent *agent = arg;
+  bool renewal = agent->target_state == HS_TARGET_UP && !agent->target_refuses
+                 && strcmp (agent->target.address, announcement->address) == 0
+                 && agent->target.slots == announcement->slots
+                 && memcmp (&agent->target.capacity, &announcement->capacity,
+                            sizeof announcement->capacity)
+                        == 0;
+
+  if (agent->stage != HS_AGENT_RUNNING
+      || agent->target_state == HS_TARGET_LEAVING)
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_SHUTTING_DOWN,
+                   "the agent or its target is leaving; announce again when "
+                   "the leave is answered or the agent runs anew");
+      return false;
+    }
+  agent->target_lapses_at = hs_now ().mono + announcement->ttl;
+  agent->target = *announcement;
+  if (renewal)
+    return true;
+  hs_info (HS_AGENT_PART, "target %s announced, %u slots",
+           announcement->address, announcement->slots);
+  agent->target_state = HS_TARGET_UP;
+  agent->target_refuses = false;
+  hs_agent_update (agent);
+  return true;
+}
+
+static bool
+on_leave (void *arg)
+{
+  HsAgent *agent = arg;
+
+  if (hs_slots_busy (agent->slots) == 0)
+    {
+      if (agent->target_state == HS_TARGET_UP)
+        target_gone (agent, "has left");
+      return true;
+    }
+  if (agent->target_state == HS_TARGET_LEAVING)
+    return false;
+  hs_info (HS_AGENT_PART, "target %s is leaving, %u tasks run",
+           agent->target.address, hs_slots_busy (agent->slots));
+  agent->target_state = HS_TARGET_LEAVING;
+  hs_agent_update (agent);
+  return false;
+}
+
+static char *
+on_metrics (void *arg, TALLOC_CTX *ctx)
+{
+  const HsAgent *agent = arg;
+  HsAgentGauges gauges = {
+    .slots = agent->target_state == HS_TARGET_UP ? agent->target.slots : 0,
+    .busy = hs_slots_busy (agent->slots),
+    .entries = hs_peers_count (agent->peers),
+    .records = hs_memory_count (agent->memory),
+    .body_bytes = hs_memory_body_bytes (agent->memory),
+  };
+
+  return hs_agent_stats_text (ctx, &agent->stats, &gauges);
+}
+
+static void
+target_gone (HsAgent *agent, const char *why)
+{
+  hs_info (HS_AGENT_PART, "target %s %s", agent->target.address, why);
+  agent->target_state = HS_TARGET_GONE;
+  agent->target_refuses = false;
+  hs_agent_update (agent);
+  hs_target_api_left (agent->api);
+}
--- /dev/null
+++ b/src/agent/internal.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Shared by the files of the agent part only.
+ */
+#ifndef HS_AGENT_INTERNAL_H
+#define HS_AGENT_INTERNAL_H
+
+#include "agent/agent.h"
+#include "agent/gate.h"
+#include "agent/home.h"
+#include "agent/memory.h"
+#include "agent/peers.h"
+#include "agent/slots.h"
+#include "agent/target_api.h"
+#include "http/curl_loop.h"
+#include "rpc/conn.h"
+
+#define HS_AGENT_PART "agent"
+
+/** The target beside the agent. */
+typedef enum
+{
+  HS_TARGET_ABSENT,  /**< Not announced yet. */
+  HS_TARGET_UP,      /**< Announced and renewed in time. */
+  HS_TARGET_LEAVING, /**< Leaves; tasks still run. */
+  HS_TARGET_GONE     /**< Left, or its announcement lapsed. */
+} HsTargetState;
+
+/** Stages of the agent itself. */
+typedef enum
+{
+  HS_AGENT_RUNNING,
+  HS_AGENT_LEAVING, /**< Graceful stop; tasks run or results are unsent. */
+  HS_AGENT_SAYS_LEFT,
+  HS_AGENT_LEFT
+} HsAgentStage;
+
+struct HsAgent
+{
+  struct tevent_context *ev;
+  const HsAgentSettings *settings;
+  char *data_centre;
+  uint64_t incarnation;
+  char *address; /**< Announced to entries. */
+  HsRpc *rpc;
+  HsCurl *curl;
+  TALLOC_CTX *calls; /**< Calls of the target; freed before `curl`. */
+  HsMemory *memory;
+  HsSlots *slots;
+  HsGate *gate;
+  HsTargetApi *api;
+  HsPeers *peers;
+  HsHome *home;
+  HsTargetState target_state;
+  HsAnnouncement target;
+  HsTime target_lapses_at;
+  bool target_refuses; /**< Its port is closed; wait for its renewal. */
+  HsAgentStage stage;
+  HsTime stage_since;
+  uint64_t sinks[HSX_PARTS_MAX]; /**< Entry that gets a partition's results. */
+  struct tevent_immediate *plan;
+  bool plan_scheduled;
+  HsAgentStats stats;
+};
+
+/** Brings slots, credits and the announcement in line with the target. */
+void hs_agent_update (HsAgent *agent);
+
+/** Grants what is free and sends lists of credits, at the end of the turn. */
+void hs_agent_schedule_plan (HsAgent *agent);
+
+/** START, RECOVER and SETTLE of an entry. */
+void hs_agent_on_start (HsAgent *agent,
+                        HsPeer *peer,
+                        const hsx_start *start,
+                        HsTime now);
+void hs_agent_on_recover (HsAgent *agent,
+                          HsPeer *peer,
+                          HsConn *conn,
+                          HsRpcCallId call,
+                          const hsx_recover_args *args);
+void hs_agent_on_settle (HsAgent *agent,
+                         HsConn *conn,
+                         HsRpcCallId call,
+                         const hsx_settle_args *args,
+                         HsTime now);
+
+/** The agent's record as it is announced; strings belong to the agent. */
+void hs_agent_member (const HsAgent *agent, hsx_member *member);
+
+/** Takes the target's end of its last task into account. */
+void hs_agent_task_ended (HsAgent *agent);
+
+#endif
--- /dev/null
+++ b/src/agent/recover.c
@@ -0,0 +1,109 @@
+#include "agent/internal.h"
+
+/** Bound on the result bodies of one reply. */
+#define REPLY_BYTES_MAX (4 * 1024 * 1024)
+
+static void take_over (HsAgent *agent,
+                       HsPeer *peer,
+                       const hsx_recover_args *args,
+                       bool *parts);
+static void settle_one (HsAgent *agent,
+                        const hsx_task_key *key,
+                        HsTime now,
+                        hsx_result *result);
+
+void
+hs_agent_on_recover (HsAgent *agent,
+                     HsPeer *peer,
+                     HsConn *conn,
+                     HsRpcCallId call,
+                     const hsx_recover_args *args)
+{
+  bool parts[HSX_PARTS_MAX] = { false };
+  hsx_result *records = talloc_array (NULL, hsx_result, HSX_RECORDS_MAX);
+  hsx_recover_reply reply = { .records.records_val = records };
+  HsTaskHandle handle = args->cursor;
+  size_t bytes = 0;
+  uint32_t n = 0;
+
+  take_over (agent, peer, args, parts);
+  while ((handle = hs_memory_next (agent->memory, handle, parts)) != 0)
+    {
+      hs_memory_result (agent->memory, handle, &records[n]);
+      bytes += records[n].body.body_len;
+      if (n > 0 && bytes > REPLY_BYTES_MAX)
+        break;
+      reply.next = handle;
+      if (++n == HSX_RECORDS_MAX)
+        break;
+    }
+  if (handle == 0)
+    reply.next = 0;
+  reply.records.records_len = n;
+  reply.remembers_s = hs_memory_remembers_s (agent->memory);
+  hs_conn_reply (conn, call, HSX_RECOVER, &reply);
+  talloc_free (records);
+}
+
+void
+hs_agent_on_settle (HsAgent *agent,
+                    HsConn *conn,
+                    HsRpcCallId call,
+                    const hsx_settle_args *args,
+                    HsTime now)
+{
+  hsx_result results[HSX_BATCH_MAX];
+  hsx_settle_reply reply = { .results.results_val = results };
+  size_t bytes = 0;
+  uint32_t n;
+
+  for (n = 0; n < args->keys.keys_len && bytes <= REPLY_BYTES_MAX; n++)
+    {
+      settle_one (agent, &args->keys.keys_val[n], now, &results[n]);
+      bytes += results[n].body.body_len;
+    }
+  reply.results.results_len = n;
+  hs_conn_reply (conn, call, HSX_SETTLE, &reply);
+}
+
+/* Partitions of which a newer owner is known are left out of the reply. */
+static void
+take_over (HsAgent *agent,
+           HsPeer *peer,
+           const hsx_recover_args *args,
+           bool *parts)
+{
+  uint32_t i;
+
+  for (i = 0; i < args->parts.parts_len; i++)
+    {
+      const hsx_part_epoch *given = &args->parts.parts_val[i];
+
+      if (!hs_gate_raise (agent->gate, given->part, given->epoch))
+        continue;
+      parts[given->part] = true;
+      agent->sinks[given->part] = hs_peer_incarnation (peer);
+    }
+}
+
+/* The gate starts nothing of a partition that can't be, so that such a task
+   needs no record. */
+static void
+settle_one (HsAgent *agent,
+            const hsx_task_key *key,
+            HsTime now,
+            hsx_result *result)
+{
+  HsTaskHandle handle = hs_memory_find (agent->memory, key);
+
+  if (handle == 0 && key->part >= HSX_PARTS_MAX)
+    {
+      *result = (hsx_result){ .key = *key,
+                              .outcome = HSX_REFUSED,
+                              .refusal = HSX_REFUSAL_FENCED };
+      return;
+    }
+  if (handle == 0)
+    handle = hs_memory_fence (agent->memory, key, now);
+  hs_memory_result (agent->memory, handle, result);
+}
--- /dev/null
+++ b/src/agent/stats.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * An agent's counters, and their text for GET /metrics.
+ */
+#ifndef HS_AGENT_STATS_H
+#define HS_AGENT_STATS_H
+
+#include <stdint.h>
+
+#include <talloc.h>
+
+#include "agent/target_call.h"
+#include "proto/hspoke.h"
+
+#define HS_REFUSAL_COUNT (HSX_REFUSAL_FENCED + 1)
+#define HS_TARGET_END_COUNT (HS_TARGET_BROKEN + 1)
+
+typedef struct
+{
+  uint64_t starts;
+  uint64_t refusals[HS_REFUSAL_COUNT]; /**< By hsx_refusal. */
+  uint64_t ends[HS_TARGET_END_COUNT];  /**< By HsTargetEnd. */
+  uint64_t results;                    /**< Sent, refusals included. */
+  uint64_t unsent;    /**< Kept for RECOVER or SETTLE: no connection. */
+  uint64_t grants;    /**< Lists of credits sent. */
+  uint64_t announced; /**< ANNOUNCE calls sent. */
+} HsAgentStats;
+
+/** What is read at the time of the request. */
+typedef struct
+{
+  uint32_t slots;
+  uint32_t busy;
+  uint32_t entries;
+  uint64_t records;
+  uint64_t body_bytes;
+} HsAgentGauges;
+
+/** The counters in Prometheus text format. */
+char *hs_agent_stats_text (TALLOC_CTX *ctx,
+                           const HsAgentStats *stats,
+                           const HsAgentGauges *gauges);
+
+#endif
