--- /dev/null
+++ b/test/standin/part.mk
@@ -0,0 +1,9 @@
+STANDINS += $(B)/standin-store
+STANDIN_STORE_OBJS := $(addprefix $(B)/test/standin/,kv.o kv_compare.o \
+	gateway.o jsonpb.o store_server.o store_watch.o store_control.o)
+
+$(B)/standin-store: $(B)/test/standin/store.o $(STANDIN_STORE_OBJS)
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
+
+$(addprefix $(B)/test/test_,kv store_codec store_client claims): \
+	$(STANDIN_STORE_OBJS)
