Add the stand-in target and test the whole agent

Cause: the agent has to be tried against a target that fails in each way. Change: standin-target with timers and faults, a test of the agent between a fake entry and it, and a way to wake a resumed connection.

--- a/src/agent/target_api.c
+++ b/src/agent/target_api.c
@@ -101,7 +101,7 @@
   Request *request;
 
   while ((request = g_queue_pop_head (&api->waiting)) != NULL)
-    MHD_resume_connection (request->connection);
+    hs_mhd_resume (api->mhd, request->connection);
 }
 
 /* Suspended requests must be resumed before the server stops. */
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -17,6 +17,7 @@
   struct tevent_context *ev;
   struct tevent_fd *fde;
   struct tevent_timer *timer;
+  struct tevent_immediate *resume;
   uint16_t port;
 };
 
@@ -32,6 +33,9 @@
                       struct tevent_timer *te,
                       struct timeval now,
                       void *arg);
+static void on_resume (struct tevent_context *ev,
+                       struct tevent_immediate *immediate,
+                       void *arg);
 
 HsMhd *
 hs_mhd_new (TALLOC_CTX *ctx,
@@ -43,6 +47,7 @@
   int fd;
 
   mhd->ev = ev;
+  mhd->resume = tevent_create_immediate (mhd);
   fd = open_socket (options->listen, &mhd->port, error);
   if (fd < 0)
     {
@@ -64,6 +69,15 @@
   return mhd;
 }
 
+/* Without threads, libmicrohttpd sees a resumed connection when it is run
+   next; nothing wakes it. */
+void
+hs_mhd_resume (HsMhd *mhd, struct MHD_Connection *connection)
+{
+  MHD_resume_connection (connection);
+  tevent_schedule_immediate (mhd->resume, mhd->ev, on_resume, mhd);
+}
+
 uint16_t
 hs_mhd_port (const HsMhd *mhd)
 {
@@ -75,6 +89,7 @@
 {
   TALLOC_FREE (mhd->fde);
   TALLOC_FREE (mhd->timer);
+  TALLOC_FREE (mhd->resume);
   MHD_stop_daemon (mhd->daemon);
   return 0;
 }
@@ -175,3 +190,13 @@
   TALLOC_FREE (mhd->timer);
   run (mhd);
 }
+
+static void
+on_resume (struct tevent_context *ev,
+           struct tevent_immediate *immediate,
+           void *arg)
+{
+  (void) ev;
+  (void) immediate;
+  run (arg);
+}
--- a/src/http/mhd_loop.h
+++ b/src/http/mhd_loop.h
@@ -36,6 +36,12 @@
                    const HsMhdOptions *options,
                    GError **error);
 
+/**
+ * Resumes a suspended connection; its access handler is called again from
+ * the event loop. May be called in any callback.
+ */
+void hs_mhd_resume (HsMhd *mhd, struct MHD_Connection *connection);
+
 /** The port listened on. */
 uint16_t hs_mhd_port (const HsMhd *mhd);
 
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -7,3 +7,12 @@
 
 $(addprefix $(B)/test/test_,kv store_codec store_client claims): \
 	$(STANDIN_STORE_OBJS)
+
+STANDINS += $(B)/standin-target
+STANDIN_TARGET_OBJS := $(B)/test/standin/target_server.o
+
+$(B)/standin-target: $(B)/test/standin/target.o $(STANDIN_TARGET_OBJS) \
+		$(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
+
+$(B)/test/test_agent: $(STANDIN_TARGET_OBJS)
