Keep the credits of one agent apart; loans expire and come back

Cause: a lent credit that was not used was lost to both entries, and an idle credit aged although its agent had been heard since. Change: a start echoes the freshest time heard from the agent; a loan can be used for one second, then a GRANT gives it back to the lender.

--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -4,17 +4,6 @@
 
 #define NONE UINT32_MAX
 
-/* Bounds the table of slots of an agent. */
-#define SLOTS_MAX HSX_CREDITS_MAX
-
-/* A start is sent only if the agent would still accept it this much later:
- * one way over the network, a loop's turn at either end. */
-#define PERMIT_MARGIN (50 * HS_MSEC)
-
-/* Clock offsets are forgotten after two windows, so that clock drift can't
- * add up. */
-#define OFFSET_WINDOW (30 * HS_SEC)
-
 /* So many agents are compared for one task; more changes little. */
 #define SAMPLES 4
 
@@ -37,12 +26,7 @@
   HsHealthState health;
   hsx_needs capacity;
   uint32_t in_use;
-  uint32_t n_idle;
-  hsx_credit *idle;       /* Newest last. */
-  uint32_t *generations;  /* By slot: the highest taken or lent, plus 1. */
-  int64_t offset;         /* Agent's clock less ours: highest seen in this */
-  int64_t earlier_offset; /* window, and in the one before. */
-  HsTime window_end;
+  HsAgentCredits held;
   ListId list;
   uint32_t position; /* In its list. */
 } Agent;
@@ -69,10 +53,13 @@
 static void relist (HsCredits *pool, uint32_t agent);
 static void unlist (HsCredits *pool, uint32_t agent);
 static void clear_idle (HsCredits *pool, Agent *a);
-static bool keep_idle (HsCredits *pool, Agent *a, const hsx_credit *credit);
-static void learn_offset (Agent *a, int64_t stamp, HsTime now);
+static bool keep (HsCredits *pool,
+                  uint32_t agent,
+                  const hsx_credit *credit,
+                  HsCreditSource source,
+                  HsTime now);
 static bool
-is_fresh (const Agent *a, const hsx_credit *credit, HsTime now, HsTime lease);
+is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left);
 static bool fits (const Agent *a, const hsx_needs *needs);
 static bool better (const Agent *a, const Agent *b);
 static uint32_t choose (HsCredits *pool,
@@ -84,7 +71,7 @@
                             const hsx_needs *needs,
                             HsTime now,
                             HsTime lease_left);
-static void remove_newest (HsCredits *pool, Agent *a, hsx_credit *credit);
+static hsx_credit pop (HsCredits *pool, uint32_t agent, bool to_lend);
 
 HsCredits *
 hs_credits_new (TALLOC_CTX *ctx, uint64_t seed)
@@ -107,8 +94,6 @@
     return;
   a->known = true;
   a->health = HS_HEALTH_OK;
-  a->offset = INT64_MIN;
-  a->earlier_offset = INT64_MIN;
   a->list = LIST_NONE;
 }
 
@@ -122,8 +107,7 @@
   clear_idle (pool, a);
   unlist (pool, agent);
   pool->n_in_use -= a->in_use;
-  talloc_free (a->idle);
-  talloc_free (a->generations);
+  hs_agent_credits_free (&a->held);
   *a = (Agent){ .known = false };
 }
 
@@ -135,9 +119,9 @@
   if (a == NULL || a->health == state)
     return;
   if (a->health == HS_HEALTH_EJECTED)
-    pool->n_idle += a->n_idle;
+    pool->n_idle += a->held.n_idle;
   if (state == HS_HEALTH_EJECTED)
-    pool->n_idle -= a->n_idle;
+    pool->n_idle -= a->held.n_idle;
   a->health = state;
   relist (pool, agent);
 }
@@ -156,8 +140,7 @@
     return;
   clear_idle (pool, a);
   for (i = 0; i < n; i++)
-    if (keep_idle (pool, a, &credits[i]))
-      learn_offset (a, credits[i].stamp_us, now);
+    keep (pool, agent, &credits[i], HS_CREDIT_GRANTED, now);
   relist (pool, agent);
 }
 
@@ -165,33 +148,15 @@
 hs_credits_add (HsCredits *pool,
                 uint32_t agent,
                 const hsx_credit *credit,
+                HsCreditSource source,
                 HsTime now)
 {
-  Agent *a = lookup (pool, agent);
-
-  if (a == NULL || !keep_idle (pool, a, credit))
+  if (lookup (pool, agent) == NULL || !keep (pool, agent, credit, source, now))
     return false;
-  learn_offset (a, credit->stamp_us, now);
   relist (pool, agent);
   return true;
 }
 
-bool
-hs_credits_add_loan (HsCredits *pool,
-                     uint32_t agent,
-                     const hsx_credit *credit,
-                     HsTime now)
-{
-  Agent *a = lookup (pool, agent);
-
-  if (a == NULL)
-    return false;
-  if (credit->slot < talloc_array_length (a->generations)
-      && a->generations[credit->slot] == credit->generation + 1)
-    a->generations[credit->slot]--;
-  return hs_credits_add (pool, agent, credit, now);
-}
-
 bool
 hs_credits_take (HsCredits *pool,
                  const hsx_needs *needs,
@@ -204,10 +169,9 @@
 
   if (chosen == NONE)
     return false;
-  remove_newest (pool, &pool->agents[chosen], credit);
   pool->agents[chosen].in_use++;
   pool->n_in_use++;
-  relist (pool, chosen);
+  *credit = pop (pool, chosen, false);
   *agent = chosen;
   return true;
 }
@@ -241,8 +205,7 @@
 
       if (agent == NONE)
         break;
-      remove_newest (pool, &pool->agents[agent], &credits[taken]);
-      relist (pool, agent);
+      credits[taken] = pop (pool, agent, true);
     }
   return taken;
 }
@@ -258,7 +221,7 @@
 {
   const Agent *a = lookup (pool, agent);
 
-  return a != NULL ? a->n_idle : 0;
+  return a != NULL ? a->held.n_idle : 0;
 }
 
 uint32_t
@@ -304,7 +267,7 @@
 static ListId
 list_of (const Agent *agent)
 {
-  if (agent->n_idle == 0)
+  if (agent->held.n_idle == 0)
     return LIST_NONE;
   switch (agent->health)
     {
@@ -356,68 +319,36 @@
 clear_idle (HsCredits *pool, Agent *a)
 {
   if (a->health != HS_HEALTH_EJECTED)
-    pool->n_idle -= a->n_idle;
-  a->n_idle = 0;
+    pool->n_idle -= a->held.n_idle;
+  a->held.n_idle = 0;
 }
 
-/* Keeps a credit as idle, in place of an older one of the same slot. */
 static bool
-keep_idle (HsCredits *pool, Agent *a, const hsx_credit *credit)
+keep (HsCredits *pool,
+      uint32_t agent,
+      const hsx_credit *credit,
+      HsCreditSource source,
+      HsTime now)
 {
-  size_t n_slots = talloc_array_length (a->generations);
-  uint32_t i;
-
-  if (credit->slot >= SLOTS_MAX || credit->generation == UINT32_MAX)
-    return false;
-  if (credit->slot >= n_slots)
-    {
-      size_t size = credit->slot + 8;
+  Agent *a = &pool->agents[agent];
+  uint32_t before = a->held.n_idle;
 
-      a->generations = talloc_realloc (pool, a->generations, uint32_t, size);
-      a->idle = talloc_realloc (pool, a->idle, hsx_credit, size);
-      for (; n_slots < size; n_slots++)
-        a->generations[n_slots] = 0;
-    }
-  if (credit->generation < a->generations[credit->slot])
+  if (!hs_agent_credits_keep (pool, &a->held, credit, source, now))
     return false;
-  for (i = 0; i < a->n_idle; i++)
-    if (a->idle[i].slot == credit->slot)
-      {
-        if (a->idle[i].generation > credit->generation)
-          return false;
-        a->idle[i] = *credit;
-        return true;
-      }
-  a->idle[a->n_idle++] = *credit;
   if (a->health != HS_HEALTH_EJECTED)
-    pool->n_idle++;
+    pool->n_idle += a->held.n_idle - before;
   return true;
 }
 
-/* The agent's clock can't be behind a stamp of it that has arrived. */
-static void
-learn_offset (Agent *a, int64_t stamp, HsTime now)
-{
-  int64_t offset = stamp - now;
-
-  if (now >= a->window_end)
-    {
-      a->earlier_offset = a->offset;
-      a->offset = offset;
-      a->window_end = now + OFFSET_WINDOW;
-    }
-  else if (offset > a->offset)
-    a->offset = offset;
-}
-
+/* Only for agents in a list, which aren't ejected. */
 static bool
-is_fresh (const Agent *a, const hsx_credit *credit, HsTime now, HsTime lease)
+is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left)
 {
-  int64_t offset
-      = a->offset > a->earlier_offset ? a->offset : a->earlier_offset;
-  HsTime age = now + offset - credit->stamp_us;
+  uint32_t before = a->held.n_idle;
+  bool usable = hs_agent_credits_usable (&a->held, now, lease_left);
 
-  return age + PERMIT_MARGIN < lease;
+  pool->n_idle -= before - a->held.n_idle;
+  return usable;
 }
 
 static bool
@@ -433,7 +364,7 @@
 {
   if (a->capacity.accelerators != b->capacity.accelerators)
     return a->capacity.accelerators < b->capacity.accelerators;
-  return a->n_idle > b->n_idle;
+  return a->held.n_idle > b->held.n_idle;
 }
 
 /* The best of a few agents from a random place on; further ones only while
@@ -455,11 +386,10 @@
   for (i = 0; i < list->n && (i < SAMPLES || best == NONE); i++)
     {
       uint32_t agent = list->agents[at];
-      const Agent *a = &pool->agents[agent];
+      Agent *a = &pool->agents[agent];
 
       at = at + 1 < list->n ? at + 1 : 0;
-      if (!fits (a, needs)
-          || !is_fresh (a, &a->idle[a->n_idle - 1], now, lease_left))
+      if (!fits (a, needs) || !is_usable (pool, a, now, lease_left))
         continue;
       if (best == NONE || better (a, &pool->agents[best]))
         best = agent;
@@ -484,10 +414,12 @@
   return choose (pool, &pool->lists[second], needs, now, lease_left);
 }
 
-static void
-remove_newest (HsCredits *pool, Agent *a, hsx_credit *credit)
+static hsx_credit
+pop (HsCredits *pool, uint32_t agent, bool to_lend)
 {
-  *credit = a->idle[--a->n_idle];
-  a->generations[credit->slot] = credit->generation + 1;
+  hsx_credit credit = hs_agent_credits_pop (&pool->agents[agent].held, to_lend);
+
   pool->n_idle--;
+  relist (pool, agent);
+  return credit;
 }
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -17,6 +17,7 @@
 #include <talloc.h>
 
 #include "base/time.h"
+#include "policy/agent_credits.h"
 #include "policy/health.h"
 #include "proto/hspoke.h"
 
@@ -46,23 +47,14 @@
                        HsTime now);
 
 /**
- * Adds one credit, as it comes with a result. False if it was used already or
- * the agent isn't known.
+ * Adds one credit. False if it was used already or the agent isn't known.
  */
 bool hs_credits_add (HsCredits *pool,
                      uint32_t agent,
                      const hsx_credit *credit,
+                     HsCreditSource source,
                      HsTime now);
 
-/**
- * Adds a credit lent by another entry. May be one that this entry lent
- * before; a duplicate that this makes possible is refused by the agent.
- */
-bool hs_credits_add_loan (HsCredits *pool,
-                          uint32_t agent,
-                          const hsx_credit *credit,
-                          HsTime now);
-
 /**
  * Takes the best credit for a task. Counts it as in use until
  * hs_credits_finished().
