--- a/src/policy/agent_credits.c
+++ b/src/policy/agent_credits.c
@@ -30,6 +30,18 @@
   *a = (HsAgentCredits){ .n_idle = 0 };
 }
 
+void
+hs_agent_credits_clear (HsAgentCredits *a)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < a->n_idle; i++)
+    if (a->idle[i].is_loan)
+      a->idle[n++] = a->idle[i];
+  a->n_idle = n;
+}
+
 bool
 hs_agent_credits_keep (TALLOC_CTX *ctx,
                        HsAgentCredits *a,
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -60,6 +60,9 @@
 
 void hs_agent_credits_free (HsAgentCredits *a);
 
+/** Drops all idle credits but loans, before a GRANT replaces them. */
+void hs_agent_credits_clear (HsAgentCredits *a);
+
 /** Keeps a credit, in place of an older one of its slot; false: used up. */
 bool hs_agent_credits_keep (TALLOC_CTX *ctx,
                             HsAgentCredits *a,
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -52,7 +52,7 @@
 static ListId list_of (const Agent *agent);
 static void relist (HsCredits *pool, uint32_t agent);
 static void unlist (HsCredits *pool, uint32_t agent);
-static void clear_idle (HsCredits *pool, Agent *a);
+static void recount (HsCredits *pool, const Agent *a, uint32_t before);
 static bool keep (HsCredits *pool,
                   uint32_t agent,
                   const hsx_credit *credit,
@@ -101,13 +101,15 @@
 hs_credits_drop (HsCredits *pool, uint32_t agent)
 {
   Agent *a = lookup (pool, agent);
+  uint32_t before;
 
   if (a == NULL)
     return;
-  clear_idle (pool, a);
+  before = a->held.n_idle;
+  hs_agent_credits_free (&a->held);
+  recount (pool, a, before);
   unlist (pool, agent);
   pool->n_in_use -= a->in_use;
-  hs_agent_credits_free (&a->held);
   *a = (Agent){ .known = false };
 }
 
@@ -134,11 +136,14 @@
                   HsTime now)
 {
   Agent *a = lookup (pool, agent);
+  uint32_t before;
   uint32_t i;
 
   if (a == NULL)
     return;
-  clear_idle (pool, a);
+  before = a->held.n_idle;
+  hs_agent_credits_clear (&a->held);
+  recount (pool, a, before);
   for (i = 0; i < n; i++)
     keep (pool, agent, &credits[i], HS_CREDIT_GRANTED, now);
   relist (pool, agent);
@@ -315,12 +320,12 @@
   a->list = LIST_NONE;
 }
 
+/* Brings the count of idle credits up to date after an agent's changed. */
 static void
-clear_idle (HsCredits *pool, Agent *a)
+recount (HsCredits *pool, const Agent *a, uint32_t before)
 {
   if (a->health != HS_HEALTH_EJECTED)
-    pool->n_idle -= a->held.n_idle;
-  a->held.n_idle = 0;
+    pool->n_idle += a->held.n_idle - before;
 }
 
 static bool
@@ -335,19 +340,17 @@
 
   if (!hs_agent_credits_keep (pool, &a->held, credit, source, now))
     return false;
-  if (a->health != HS_HEALTH_EJECTED)
-    pool->n_idle += a->held.n_idle - before;
+  recount (pool, a, before);
   return true;
 }
 
-/* Only for agents in a list, which aren't ejected. */
 static bool
 is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left)
 {
   uint32_t before = a->held.n_idle;
   bool usable = hs_agent_credits_usable (&a->held, now, lease_left);
 
-  pool->n_idle -= before - a->held.n_idle;
+  recount (pool, a, before);
   return usable;
 }
 
