Order jobs by arrival plus run time; count usable credits only

Cause: an entry counted all credits of a target on probation as idle and so asked for none; small jobs waited behind large ones under overload. Change: idle counts what trust allows to use; the key of a job is its arrival plus its whole expected run time, in place of a sixteenth of it.

--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -27,6 +27,7 @@
   hsx_needs capacity;
   uint32_t in_use;
   HsAgentCredits held;
+  uint32_t n_counted; /* Idle credits that may be used now. */
   ListId list;
   uint32_t position; /* In its list. */
 } Agent;
@@ -41,7 +42,7 @@
 {
   uint64_t random;
   uint32_t n_agents;
-  uint32_t n_idle; /* But of ejected agents. */
+  uint32_t n_idle; /* Sum of Agent.n_counted. */
   uint32_t n_in_use;
   Agent *agents;
   List lists[N_LISTS];
@@ -51,13 +52,9 @@
 static void agents_reserve (HsCredits *pool, uint32_t agent);
 static ListId list_of (const Agent *agent);
 static void relist (HsCredits *pool, uint32_t agent);
+static void recount (HsCredits *pool, Agent *a);
+static void enlist (HsCredits *pool, uint32_t agent, ListId id);
 static void unlist (HsCredits *pool, uint32_t agent);
-static void recount (HsCredits *pool, const Agent *a, uint32_t before);
-static bool keep (HsCredits *pool,
-                  uint32_t agent,
-                  const hsx_credit *credit,
-                  HsCreditSource source,
-                  HsTime now);
 static bool
 is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left);
 static bool fits (const Agent *a, const hsx_needs *needs);
@@ -101,14 +98,11 @@
 hs_credits_drop (HsCredits *pool, uint32_t agent)
 {
   Agent *a = lookup (pool, agent);
-  uint32_t before;
 
   if (a == NULL)
     return;
-  before = a->held.n_idle;
   hs_agent_credits_free (&a->held);
-  recount (pool, a, before);
-  unlist (pool, agent);
+  relist (pool, agent);
   pool->n_in_use -= a->in_use;
   *a = (Agent){ .known = false };
 }
@@ -120,10 +114,6 @@
 
   if (a == NULL || a->health == state)
     return;
-  if (a->health == HS_HEALTH_EJECTED)
-    pool->n_idle += a->held.n_idle;
-  if (state == HS_HEALTH_EJECTED)
-    pool->n_idle -= a->held.n_idle;
   a->health = state;
   relist (pool, agent);
 }
@@ -136,16 +126,13 @@
                   HsTime now)
 {
   Agent *a = lookup (pool, agent);
-  uint32_t before;
   uint32_t i;
 
   if (a == NULL)
     return;
-  before = a->held.n_idle;
   hs_agent_credits_clear (&a->held);
-  recount (pool, a, before);
   for (i = 0; i < n; i++)
-    keep (pool, agent, &credits[i], HS_CREDIT_GRANTED, now);
+    hs_agent_credits_keep (pool, &a->held, &credits[i], HS_CREDIT_GRANTED, now);
   relist (pool, agent);
 }
 
@@ -156,7 +143,9 @@
                 HsCreditSource source,
                 HsTime now)
 {
-  if (lookup (pool, agent) == NULL || !keep (pool, agent, credit, source, now))
+  Agent *a = lookup (pool, agent);
+
+  if (a == NULL || !hs_agent_credits_keep (pool, &a->held, credit, source, now))
     return false;
   relist (pool, agent);
   return true;
@@ -291,15 +280,24 @@
 {
   Agent *a = &pool->agents[agent];
   ListId id = list_of (a);
-  List *list;
 
-  if (id == a->list)
-    return;
-  unlist (pool, agent);
+  if (id != a->list)
+    {
+      unlist (pool, agent);
+      enlist (pool, agent, id);
+    }
+  recount (pool, a);
+}
+
+static void
+enlist (HsCredits *pool, uint32_t agent, ListId id)
+{
+  Agent *a = &pool->agents[agent];
+  List *list = &pool->lists[id];
+
   a->list = id;
   if (id == LIST_NONE)
     return;
-  list = &pool->lists[id];
   a->position = list->n;
   list->agents[list->n++] = agent;
 }
@@ -320,38 +318,33 @@
   a->list = LIST_NONE;
 }
 
-/* Brings the count of idle credits up to date after an agent's changed. */
-static void
-recount (HsCredits *pool, const Agent *a, uint32_t before)
-{
-  if (a->health != HS_HEALTH_EJECTED)
-    pool->n_idle += a->held.n_idle - before;
-}
-
 static bool
-keep (HsCredits *pool,
-      uint32_t agent,
-      const hsx_credit *credit,
-      HsCreditSource source,
-      HsTime now)
+is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left)
 {
-  Agent *a = &pool->agents[agent];
-  uint32_t before = a->held.n_idle;
+  bool usable = hs_agent_credits_usable (&a->held, now, lease_left);
 
-  if (!hs_agent_credits_keep (pool, &a->held, credit, source, now))
-    return false;
-  recount (pool, a, before);
-  return true;
+  recount (pool, a);
+  return usable;
 }
 
-static bool
-is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left)
+static void
+recount (HsCredits *pool, Agent *a)
 {
-  uint32_t before = a->held.n_idle;
-  bool usable = hs_agent_credits_usable (&a->held, now, lease_left);
+  uint32_t n = 0;
 
-  recount (pool, a, before);
-  return usable;
+  switch (a->list)
+    {
+    case LIST_OK:
+      n = a->held.n_idle;
+      break;
+    case LIST_PROBATION:
+      n = a->held.n_idle > 0;
+      break;
+    case LIST_NONE:
+      break;
+    }
+  pool->n_idle += n - a->n_counted;
+  a->n_counted = n;
 }
 
 static bool
@@ -422,7 +415,6 @@
 {
   hsx_credit credit = hs_agent_credits_pop (&pool->agents[agent].held, to_lend);
 
-  pool->n_idle--;
   relist (pool, agent);
   return credit;
 }
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -82,7 +82,7 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
-/** Idle credits of agents that aren't ejected; of one agent; in use. */
+/** Idle credits that trust allows to use now; all of one agent; in use. */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
 uint32_t hs_credits_in_use (const HsCredits *pool);
--- a/src/policy/fair_queue.c
+++ b/src/policy/fair_queue.c
@@ -9,10 +9,6 @@
  * 1000 still tells short tasks apart. */
 #define VIRTUAL_SCALE 16
 
-/* A job goes ahead of one that came later if that one's whole run time over
- * this exceeds its wait: the bound on how long small jobs pass a large one. */
-#define JOB_SPREAD 16
-
 typedef enum
 {
   FLOW_FREE,
@@ -369,7 +365,7 @@
   switch (q->order)
     {
     case HS_JOBS_SHORTEST:
-      return now + expected / JOB_SPREAD;
+      return now + expected;
     case HS_JOBS_ROUND_ROBIN:
       return flow->job_tag;
     case HS_JOBS_FIFO:
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -25,7 +25,7 @@
 /** Which job of a flow goes first. */
 typedef enum
 {
-  HS_JOBS_SHORTEST,    /**< Small jobs pass large ones, within a bound. */
+  HS_JOBS_SHORTEST,    /**< By arrival plus whole expected run time. */
   HS_JOBS_ROUND_ROBIN, /**< One task of each job in turn. */
   HS_JOBS_FIFO         /**< In order of arrival. */
 } HsJobOrder;
