--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -17,6 +17,7 @@
 #include <talloc.h>
 
 #include "base/time.h"
+#include "policy/agent_credits.h"
 #include "policy/health.h"
 #include "proto/hspoke.h"
 
@@ -46,23 +47,14 @@
                        HsTime now);
 
 /**
- * Adds one credit, as it comes with a result. False if it was used already or
- * the agent isn't known.
+ * Adds one credit. False if it was used already or the agent isn't known.
  */
 bool hs_credits_add (HsCredits *pool,
                      uint32_t agent,
                      const hsx_credit *credit,
+                     HsCreditSource source,
                      HsTime now);
 
-/**
- * Adds a credit lent by another entry. May be one that this entry lent
- * before; a duplicate that this makes possible is refused by the agent.
- */
-bool hs_credits_add_loan (HsCredits *pool,
-                          uint32_t agent,
-                          const hsx_credit *credit,
-                          HsTime now);
-
 /**
  * Takes the best credit for a task. Counts it as in use until
  * hs_credits_finished().
@@ -90,7 +82,7 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
-/** Idle credits of agents that aren't ejected; of one agent; in use. */
+/** Idle credits that trust allows to use now; all of one agent; in use. */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
 uint32_t hs_credits_in_use (const HsCredits *pool);
