Serve callers on HTTP threads

Cause: callers submit, fetch and cancel jobs over HTTP. Change: front.c runs threads with a tevent loop and a libmicrohttpd server each on one listening socket; calls reach the core and come back by wfcqueue with one wakeup a batch (base/queue). job_json reads and writes the JSON; publish.c is the read-copy-update box of the lists. A refusal promises not_run only for a job that no entry can accept: for any other reason the same id may have been accepted before.

--- /dev/null
+++ b/src/base/tsan.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * Tells the thread sanitizer of an ordering that liburcu gives by means that
+ * the sanitizer can't see. Empty in other builds.
+ */
+#ifndef HS_BASE_TSAN_H
+#define HS_BASE_TSAN_H
+
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define HS_TSAN_RELEASE(address) __tsan_release ((void *) (address))
+#define HS_TSAN_ACQUIRE(address) __tsan_acquire ((void *) (address))
+#else
+#define HS_TSAN_RELEASE(address) ((void) (address))
+#define HS_TSAN_ACQUIRE(address) ((void) (address))
+#endif
+
+#endif
--- /dev/null
+++ b/src/entry/job_json.c
@@ -0,0 +1,360 @@
+#include "entry/job_json.h"
+
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "config/json_check.h"
+#include "config/json_fields.h"
+#include "lists/lists.h"
+
+/** Longest run time and deadline that can be asked for. */
+#define SPAN_MAX_MS 86400000
+
+/** The request's own members. */
+typedef struct
+{
+  char *customer;
+  char *id;
+  struct json_object *tasks;
+} Job;
+
+/** One element of "tasks". */
+typedef struct
+{
+  struct json_object *body;
+  struct json_object *needs;
+  bool idempotent;
+  uint32_t run_ms;
+  uint32_t deadline_ms;
+} Task;
+
+typedef struct
+{
+  uint32_t memory_mb;
+  uint32_t accelerators;
+} Needs;
+
+static const HsField JOB_FIELDS[] = {
+  { "customer", HS_FIELD_STRING, true, 1, HSX_NAME_MAX,
+    offsetof (Job, customer), hs_name_valid,
+    "use the customer's name as in the list of plans" },
+  { "id", HS_FIELD_STRING, true, 1, HSX_ID_MAX, offsetof (Job, id),
+    hs_job_id_valid, "use 1 to 128 visible ASCII characters without '/'" },
+  { "tasks", HS_FIELD_ARRAY, true, 1, HSX_TASKS_MAX, offsetof (Job, tasks),
+    NULL, NULL },
+};
+
+static const HsField TASK_FIELDS[] = {
+  { "body", HS_FIELD_TEXT, true, 0, HSX_BODY_MAX, offsetof (Task, body), NULL,
+    NULL },
+  { "idempotent", HS_FIELD_BOOL, false, 0, 0, offsetof (Task, idempotent), NULL,
+    NULL },
+  { "run_ms", HS_FIELD_UINT32, false, 0, SPAN_MAX_MS, offsetof (Task, run_ms),
+    NULL, NULL },
+  { "deadline_ms", HS_FIELD_UINT32, false, 0, SPAN_MAX_MS,
+    offsetof (Task, deadline_ms), NULL, NULL },
+  { "needs", HS_FIELD_OBJECT, false, 0, 0, offsetof (Task, needs), NULL, NULL },
+};
+
+static const HsField NEEDS_FIELDS[] = {
+  { "memory_mb", HS_FIELD_UINT32, false, 0, UINT32_MAX,
+    offsetof (Needs, memory_mb), NULL, NULL },
+  { "accelerators", HS_FIELD_UINT32, false, 0, UINT32_MAX,
+    offsetof (Needs, accelerators), NULL, NULL },
+};
+
+static bool
+read_job (hsx_forward_args *args, struct json_object *root, GError **error);
+static bool read_task (hsx_forward_args *args,
+                       size_t index,
+                       struct json_object *object,
+                       GError **error);
+static struct json_object *render_job (const hsx_forward_args *args,
+                                       const hsx_answer *answer);
+static struct json_object *
+render_error (HsErrorKind kind, const char *message, bool not_run);
+static char *to_text (TALLOC_CTX *ctx, struct json_object *object, size_t *len);
+static HsErrorKind known_kind (unsigned int kind);
+
+hsx_forward_args *
+hs_job_parse (TALLOC_CTX *ctx, const char *text, size_t len, GError **error)
+{
+  hsx_forward_args *args;
+  HsJsonDoc *doc = hs_json_parse (ctx, text, len, HS_JSON_PLAIN, NULL, error);
+  bool ok;
+
+  if (doc == NULL)
+    return NULL;
+  args = talloc_zero (ctx, hsx_forward_args);
+  args->verb = HSX_SUBMIT;
+  ok = read_job (args, doc->root, error);
+  talloc_free (doc);
+  if (!ok)
+    {
+      talloc_free (args);
+      return NULL;
+    }
+  hs_job_digest (args);
+  return args;
+}
+
+void
+hs_job_digest (hsx_forward_args *args)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize size = HSX_DIGEST_SIZE;
+  const hsx_task *task;
+  unsigned int i;
+
+  /* Fixed-width members in a fixed order, then the body after its length:
+   * no two lists of tasks give the same bytes. */
+  for (i = 0; i < args->tasks.tasks_len; i++)
+    {
+      task = &args->tasks.tasks_val[i];
+      const uint32_t members[] = {
+        GUINT32_TO_BE (task->idempotent ? 1 : 0),
+        GUINT32_TO_BE (task->run_ms),
+        GUINT32_TO_BE (task->deadline_ms),
+        GUINT32_TO_BE (task->needs.memory_mb),
+        GUINT32_TO_BE (task->needs.accelerators),
+        GUINT32_TO_BE (task->body.body_len),
+      };
+
+      g_checksum_update (sum, (const guchar *) members, sizeof members);
+      g_checksum_update (sum, (const guchar *) task->body.body_val,
+                         task->body.body_len);
+    }
+  g_checksum_get_digest (sum, (guint8 *) args->digest, &size);
+  g_checksum_free (sum);
+}
+
+bool
+hs_job_id_valid (const char *id)
+{
+  size_t i;
+
+  if (strcmp (id, ".") == 0 || strcmp (id, "..") == 0)
+    return false;
+  for (i = 0; id[i] != '\0'; i++)
+    if (i == HSX_ID_MAX || !g_ascii_isgraph (id[i]) || id[i] == '/')
+      return false;
+  return i > 0;
+}
+
+char *
+hs_job_render (TALLOC_CTX *ctx,
+               const hsx_forward_args *args,
+               const hsx_answer *answer,
+               size_t *len)
+{
+  if (answer->state == HSX_JOB_REFUSED)
+    return hs_job_render_error (ctx, known_kind (answer->kind),
+                                answer->reason != NULL ? answer->reason : "",
+                                answer->not_run, len);
+  return to_text (ctx, render_job (args, answer), len);
+}
+
+unsigned int
+hs_job_http_status (const hsx_answer *answer)
+{
+  switch (answer->state)
+    {
+    case HSX_JOB_RUNNING:
+      return 202;
+    case HSX_JOB_COMPLETE:
+    case HSX_JOB_FAILED:
+      return 200;
+    case HSX_JOB_REFUSED:
+      return hs_error_http_status (known_kind (answer->kind));
+    default:
+      return 500;
+    }
+}
+
+char *
+hs_job_render_error (TALLOC_CTX *ctx,
+                     HsErrorKind kind,
+                     const char *message,
+                     bool not_run,
+                     size_t *len)
+{
+  return to_text (ctx, render_error (kind, message, not_run), len);
+}
+
+static bool
+read_job (hsx_forward_args *args, struct json_object *root, GError **error)
+{
+  HsFieldPlace place = { .prefix = "" };
+  Job job = { NULL, NULL, NULL };
+  size_t n;
+  size_t i;
+
+  if (!hs_fields_read (args, root, JOB_FIELDS, G_N_ELEMENTS (JOB_FIELDS), &job,
+                       &place, error))
+    return false;
+  args->customer = job.customer;
+  args->id = job.id;
+  n = json_object_array_length (job.tasks);
+  args->tasks.tasks_len = (u_int) n;
+  args->tasks.tasks_val = talloc_zero_array (args, hsx_task, n);
+  for (i = 0; i < n; i++)
+    if (!read_task (args, i, json_object_array_get_idx (job.tasks, i), error))
+      return false;
+  return true;
+}
+
+static bool
+read_needs (hsx_task *task,
+            struct json_object *object,
+            const char *prefix,
+            GError **error)
+{
+  char longer[64];
+  HsFieldPlace place = { .prefix = longer };
+  Needs needs = { 0, 0 };
+
+  if (object == NULL)
+    return true;
+  g_snprintf (longer, sizeof longer, "%sneeds.", prefix);
+  if (!hs_fields_read (NULL, object, NEEDS_FIELDS, G_N_ELEMENTS (NEEDS_FIELDS),
+                       &needs, &place, error))
+    return false;
+  task->needs.memory_mb = needs.memory_mb;
+  task->needs.accelerators = needs.accelerators;
+  return true;
+}
+
+static bool
+read_task (hsx_forward_args *args,
+           size_t index,
+           struct json_object *object,
+           GError **error)
+{
+  hsx_task *task = &args->tasks.tasks_val[index];
+  Task read = { NULL, NULL, false, 0, 0 };
+  char prefix[32];
+  HsFieldPlace place = { .prefix = prefix };
+
+  g_snprintf (prefix, sizeof prefix, "tasks[%zu].", index);
+  if (!hs_fields_read (args, object, TASK_FIELDS, G_N_ELEMENTS (TASK_FIELDS),
+                       &read, &place, error))
+    return false;
+  task->body.body_len = (u_int) json_object_get_string_len (read.body);
+  task->body.body_val
+      = talloc_memdup (args->tasks.tasks_val,
+                       json_object_get_string (read.body), task->body.body_len);
+  task->idempotent = read.idempotent;
+  task->run_ms = read.run_ms;
+  task->deadline_ms = read.deadline_ms;
+  return read_needs (task, read.needs, prefix, error);
+}
+
+static void
+add_string (struct json_object *object, const char *key, const char *value)
+{
+  json_object_object_add (object, key, json_object_new_string (value));
+}
+
+static void
+add_result (struct json_object *object, const hsx_task_answer *answer)
+{
+  const char *body = answer->body.body_val;
+  u_int len = answer->body.body_len;
+  g_autofree char *base64 = NULL;
+
+  json_object_object_add (object, "status",
+                          json_object_new_int ((int) answer->http_status));
+  if (len == 0 || g_utf8_validate_len (body, len, NULL))
+    {
+      json_object_object_add (
+          object, "result",
+          json_object_new_string_len (len > 0 ? body : "", (int) len));
+      return;
+    }
+  base64 = g_base64_encode ((const guchar *) body, len);
+  add_string (object, "result_base64", base64);
+}
+
+static struct json_object *
+render_task (const hsx_task_answer *answer)
+{
+  struct json_object *object = json_object_new_object ();
+
+  switch (answer->state)
+    {
+    case HSX_TASK_DONE:
+      add_string (object, "state", "done");
+      add_result (object, answer);
+      break;
+    case HSX_TASK_FAILED:
+      add_string (object, "state", "failed");
+      add_result (object, answer);
+      break;
+    case HSX_TASK_NOT_RUN:
+      add_string (object, "state", "not_run");
+      add_string (object, "kind", hs_error_kind (known_kind (answer->kind)));
+      break;
+    case HSX_TASK_MAY_HAVE_RUN:
+    default:
+      add_string (object, "state", "may_have_run");
+      add_string (object, "kind", hs_error_kind (known_kind (answer->kind)));
+      break;
+    }
+  return object;
+}
+
+static struct json_object *
+render_job (const hsx_forward_args *args, const hsx_answer *answer)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *tasks;
+  u_int i;
+
+  add_string (object, "customer", args->customer);
+  add_string (object, "id", args->id);
+  if (answer->state == HSX_JOB_RUNNING)
+    {
+      add_string (object, "state", "running");
+      return object;
+    }
+  add_string (object, "state",
+              answer->state == HSX_JOB_COMPLETE ? "complete" : "failed");
+  tasks = json_object_new_array_ext ((int) answer->tasks.tasks_len);
+  for (i = 0; i < answer->tasks.tasks_len; i++)
+    json_object_array_add (tasks, render_task (&answer->tasks.tasks_val[i]));
+  json_object_object_add (object, "tasks", tasks);
+  return object;
+}
+
+static struct json_object *
+render_error (HsErrorKind kind, const char *message, bool not_run)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *inner = json_object_new_object ();
+
+  add_string (inner, "kind", hs_error_kind (kind));
+  add_string (inner, "message", message);
+  json_object_object_add (inner, "not_run", json_object_new_boolean (not_run));
+  json_object_object_add (object, "error", inner);
+  return object;
+}
+
+/** Writes and frees @p object. */
+static char *
+to_text (TALLOC_CTX *ctx, struct json_object *object, size_t *len)
+{
+  const char *text = json_object_to_json_string_length (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, len);
+  char *copy = talloc_memdup (ctx, text, *len + 1);
+
+  json_object_put (object);
+  return copy;
+}
+
+/** Kinds from a newer peer count as a defect. */
+static HsErrorKind
+known_kind (unsigned int kind)
+{
+  return kind <= HS_ERROR_INTERNAL ? (HsErrorKind) kind : HS_ERROR_INTERNAL;
+}
--- /dev/null
+++ b/src/entry/part.mk
@@ -0,0 +1,2 @@
+SRCS += src/entry/job_json.c
+SRCS += src/entry/front.c src/entry/front_http.c src/entry/front_table.c
--- a/src/lists/part.mk
+++ b/src/lists/part.mk
@@ -1,1 +1,1 @@
-SRCS += src/lists/lists.c src/lists/records.c
+SRCS += src/lists/lists.c src/lists/records.c src/lists/publish.c
--- /dev/null
+++ b/test/test_front.c
@@ -0,0 +1,520 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+
+#include "base/error.h"
+#include "entry/front.h"
+
+#define KEY "key-of-customer-one"
+#define POLL_US 1000
+#define SMALL_BODY_MAX 65536
+#define TWO_THREADS 2
+
+/** What the server answered. */
+typedef struct
+{
+  long status;
+  GString *body;
+  GString *headers;
+} Answer;
+
+/** A request made from a thread of its own. */
+typedef struct
+{
+  const char *method;
+  char *url;
+  const char *body;
+  const char *key;
+  Answer answer;
+  GThread *thread;
+} Caller;
+
+typedef struct
+{
+  HsEntrySettings settings;
+  HsListsBox *box;
+  HsFront *front;
+  GAsyncQueue *calls;
+} Fixture;
+
+static size_t
+append (char *data, size_t size, size_t n, void *arg)
+{
+  g_string_append_len (arg, data, (gssize) (size * n));
+  return size * n;
+}
+
+static void *
+run_caller (void *arg)
+{
+  Caller *caller = arg;
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers = NULL;
+  g_autofree char *bearer = g_strconcat (
+      "Authorization: Bearer ", caller->key != NULL ? caller->key : "", NULL);
+
+  if (caller->key != NULL)
+    headers = curl_slist_append (headers, bearer);
+  curl_easy_setopt (easy, CURLOPT_URL, caller->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, caller->method);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  if (caller->body != NULL)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, caller->body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, caller->answer.body);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, caller->answer.headers);
+  curl_easy_perform (easy);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &caller->answer.status);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (easy);
+  return NULL;
+}
+
+static Caller *
+start_caller (Fixture *f,
+              const char *method,
+              const char *path,
+              const char *body)
+{
+  Caller *caller = g_new0 (Caller, 1);
+
+  caller->method = method;
+  caller->url = g_strdup_printf ("http://127.0.0.1:%u%s",
+                                 hs_front_port (f->front), path);
+  caller->body = body;
+  caller->key = KEY;
+  caller->answer.body = g_string_new (NULL);
+  caller->answer.headers = g_string_new (NULL);
+  return caller;
+}
+
+static void
+go (Caller *caller)
+{
+  caller->thread = g_thread_new ("caller", run_caller, caller);
+}
+
+static void
+finish (Caller *caller)
+{
+  if (caller->thread != NULL)
+    g_thread_join (caller->thread);
+  g_string_free (caller->answer.body, TRUE);
+  g_string_free (caller->answer.headers, TRUE);
+  g_free (caller->url);
+  g_free (caller);
+}
+
+/** The core of these tests keeps calls until the test answers them. */
+static void
+keep_call (void *arg, HsFrontCall *call)
+{
+  Fixture *f = arg;
+
+  g_async_queue_push (f->calls, call);
+}
+
+/** Answers a call with its own id as the result of its only task. */
+static void
+answer_with_id (HsFrontCall *call)
+{
+  hsx_answer *answer = talloc_zero (call, hsx_answer);
+  hsx_task_answer *task = talloc_zero (answer, hsx_task_answer);
+
+  task->state = HSX_TASK_DONE;
+  task->http_status = 200;
+  task->body.body_val = call->args->id;
+  task->body.body_len = (u_int) strlen (call->args->id);
+  answer->state = HSX_JOB_COMPLETE;
+  answer->tasks.tasks_len = 1;
+  answer->tasks.tasks_val = task;
+  call->answer = answer;
+  hs_front_answer (call);
+}
+
+static int
+set_up (void **state)
+{
+  Fixture *f = g_new0 (Fixture, 1);
+  HsLists *lists = hs_lists_new (NULL);
+  g_autoptr (GError) error = NULL;
+
+  f->settings.http_listen = "127.0.0.1:0";
+  f->settings.threads = TWO_THREADS;
+  f->settings.max_connections = 64;
+  f->settings.max_body = SMALL_BODY_MAX;
+  f->box = hs_lists_box_new (NULL);
+  hs_lists_apply (lists, HS_LIST_PLANS, "c1",
+                  "{\"plan\":\"gold\",\"key\":\"" KEY "\"}", 1, NULL);
+  hs_lists_publish (f->box, lists);
+  f->calls = g_async_queue_new ();
+  f->front = hs_front_new (NULL, &f->settings, f->box, keep_call, f, &error);
+  assert_non_null (f->front);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Fixture *f = *state;
+  HsFrontCall *call;
+
+  if (f->front != NULL)
+    hs_front_free (f->front);
+  while ((call = g_async_queue_try_pop (f->calls)) != NULL)
+    talloc_free (call);
+  g_async_queue_unref (f->calls);
+  talloc_free (f->box);
+  g_free (f);
+  return 0;
+}
+
+static void
+wait_until_idle (Fixture *f)
+{
+  while (!hs_front_idle (f->front))
+    g_usleep (POLL_US);
+}
+
+#define JOB(id)                                                                \
+  "{\"customer\":\"c1\",\"id\":\"" id "\",\"tasks\":[{\"body\":\"b\"}]}"
+
+static void
+a_job_is_answered (void **state)
+{
+  Fixture *f = *state;
+  Caller *caller = start_caller (f, "POST", "/v1/jobs", JOB ("i1"));
+  HsFrontCall *call;
+
+  go (caller);
+  call = g_async_queue_pop (f->calls);
+  assert_int_equal (call->args->verb, HSX_SUBMIT);
+  assert_string_equal (call->args->id, "i1");
+  assert_int_equal (call->args->tasks.tasks_len, 1);
+  assert_true (call->arrived.mono > 0);
+  assert_false (hs_front_idle (f->front));
+  answer_with_id (call);
+  g_thread_join (g_steal_pointer (&caller->thread));
+  assert_int_equal (caller->answer.status, 200);
+  assert_string_equal (
+      caller->answer.body->str,
+      "{\"customer\":\"c1\",\"id\":\"i1\",\"state\":\"complete\",\"tasks\":["
+      "{\"state\":\"done\",\"status\":200,\"result\":\"i1\"}]}");
+  wait_until_idle (f);
+  finish (caller);
+}
+
+static void
+fetch_and_cancel_name_the_job (void **state)
+{
+  Fixture *f = *state;
+  Caller *fetch = start_caller (f, "GET", "/v1/jobs/c1/a%20b?wait=1", NULL);
+  Caller *cancel = start_caller (f, "DELETE", "/v1/jobs/c1/a%3Fb", NULL);
+  Caller *again = start_caller (f, "GET", "/v1/jobs/c1/a%25b?wait=1", NULL);
+  HsFrontCall *call;
+
+  go (cancel);
+  call = g_async_queue_pop (f->calls);
+  assert_int_equal (call->args->verb, HSX_CANCEL);
+  assert_string_equal (call->args->customer, "c1");
+  assert_string_equal (call->args->id, "a?b");
+  answer_with_id (call);
+  go (again);
+  call = g_async_queue_pop (f->calls);
+  assert_int_equal (call->args->verb, HSX_FETCH);
+  assert_true (call->args->wait);
+  assert_string_equal (call->args->id, "a%b");
+  answer_with_id (call);
+  run_caller (fetch);
+  assert_int_equal (fetch->answer.status, 404);
+  finish (fetch);
+  finish (cancel);
+  finish (again);
+}
+
+/** Answers in the reverse order of arrival; each caller gets its own. */
+static void
+crossed_answers_reach_their_callers (void **state)
+{
+  enum
+  {
+    N = 24
+  };
+  Fixture *f = *state;
+  Caller *callers[N];
+  HsFrontCall *calls[N];
+  char *bodies[N];
+  g_autofree char *expected = NULL;
+  int i;
+
+  for (i = 0; i < N; i++)
+    {
+      bodies[i] = g_strdup_printf ("{\"customer\":\"c1\",\"id\":\"id-%d\","
+                                   "\"tasks\":[{\"body\":\"b\"}]}",
+                                   i);
+      callers[i] = start_caller (f, "POST", "/v1/jobs", bodies[i]);
+      go (callers[i]);
+    }
+  for (i = 0; i < N; i++)
+    calls[i] = g_async_queue_pop (f->calls);
+  for (i = N - 1; i >= 0; i--)
+    answer_with_id (calls[i]);
+  for (i = 0; i < N; i++)
+    {
+      g_thread_join (g_steal_pointer (&callers[i]->thread));
+      g_free (expected);
+      expected = g_strdup_printf ("\"result\":\"id-%d\"", i);
+      assert_non_null (strstr (callers[i]->answer.body->str, expected));
+      finish (callers[i]);
+      g_free (bodies[i]);
+    }
+}
+
+/** Sends a job on a connection of its own, which stays open. */
+static int
+send_raw (Fixture *f, int fd, const char *job)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (hs_front_port (f->front)),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  g_autofree char *text = g_strdup_printf (
+      "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " KEY
+      "\r\nContent-Length: %zu\r\n\r\n%s",
+      strlen (job), job);
+
+  if (fd < 0)
+    {
+      fd = socket (AF_INET, SOCK_STREAM, 0);
+      assert_int_equal (
+          connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+    }
+  assert_int_equal (send (fd, text, strlen (text), 0), strlen (text));
+  return fd;
+}
+
+/** Reads until the text that ends the answer has come. */
+static void
+read_raw (int fd, const char *end)
+{
+  GString *text = g_string_new (NULL);
+  char part[512];
+  ssize_t n;
+
+  while (strstr (text->str, end) == NULL)
+    {
+      n = recv (fd, part, sizeof part, 0);
+      assert_true (n > 0);
+      g_string_append_len (text, part, n);
+    }
+  g_string_free (text, TRUE);
+}
+
+static void
+a_call_outlives_its_connection (void **state)
+{
+  Fixture *f = *state;
+  Caller *next = start_caller (f, "POST", "/v1/jobs", JOB ("next"));
+  int fd = send_raw (f, -1, JOB ("gone"));
+  HsFrontCall *gone = g_async_queue_pop (f->calls);
+
+  close (fd);
+  go (next);
+  answer_with_id (gone);
+  answer_with_id (g_async_queue_pop (f->calls));
+  g_thread_join (g_steal_pointer (&next->thread));
+  assert_non_null (strstr (next->answer.body->str, "\"result\":\"next\""));
+  wait_until_idle (f);
+  finish (next);
+}
+
+static void
+draining_refuses_later_requests_on_open_connections (void **state)
+{
+  Fixture *f = *state;
+  int fd = send_raw (f, -1, JOB ("first"));
+  char rest;
+
+  answer_with_id (g_async_queue_pop (f->calls));
+  read_raw (fd, "\"result\":\"first\"}]}");
+  hs_front_drain (f->front);
+  send_raw (f, fd, JOB ("second"));
+  read_raw (fd, "\"kind\":\"shutting_down\"");
+  while (recv (fd, &rest, 1, 0) > 0)
+    ;
+  close (fd);
+  assert_null (g_async_queue_try_pop (f->calls));
+  wait_until_idle (f);
+}
+
+static void
+expect_refusal (Fixture *f,
+                const char *method,
+                const char *path,
+                const char *body,
+                const char *key,
+                long status,
+                const char *text)
+{
+  Caller *caller = start_caller (f, method, path, body);
+
+  caller->key = key;
+  run_caller (caller);
+  if (caller->answer.status != status
+      || strstr (caller->answer.body->str, text) == NULL)
+    fail_msg ("%s %s: %ld %s", method, path, caller->answer.status,
+              caller->answer.body->str);
+  finish (caller);
+}
+
+static void
+bad_requests_are_refused_before_the_core (void **state)
+{
+  Fixture *f = *state;
+  g_autofree char *big = g_strnfill (SMALL_BODY_MAX + 1, ' ');
+
+  expect_refusal (f, "POST", "/v1/jobs", JOB ("i"), "wrong-key", 401,
+                  "\"kind\":\"unauthorized\"");
+  expect_refusal (f, "POST", "/v1/jobs", JOB ("i"), NULL, 401,
+                  "Authorization: Bearer KEY");
+  expect_refusal (f, "GET", "/v1/jobs/c2/i", NULL, KEY, 401,
+                  "\"not_run\":false");
+  expect_refusal (f, "POST", "/v1/jobs", "{}", KEY, 400, "\"not_run\":true");
+  expect_refusal (f, "POST", "/v1/jobs", big, KEY, 413,
+                  "\"kind\":\"too_large\"");
+  expect_refusal (f, "POST", "/v1/jobs", big, KEY, 413, "\"not_run\":true");
+  expect_refusal (f, "PUT", "/v1/jobs", "{}", KEY, 405, "use POST");
+  expect_refusal (f, "POST", "/v1/jobs/c1/i", "{}", KEY, 405,
+                  "use GET, DELETE");
+  expect_refusal (f, "GET", "/v1/jobs/c1/i?wait=yes", NULL, KEY, 400,
+                  "wait: must be");
+  expect_refusal (f, "GET", "/v1/jobs/c1/a%2Fb", NULL, KEY, 404, "no such");
+  expect_refusal (f, "GET", "/v1/jobs/c1/a%00b", NULL, KEY, 404, "no such");
+  expect_refusal (f, "GET", "/other", NULL, KEY, 404, "no such path");
+  assert_null (g_async_queue_try_pop (f->calls));
+  wait_until_idle (f);
+}
+
+static void
+refusals_carry_their_status_and_retry_time (void **state)
+{
+  Fixture *f = *state;
+  Caller *caller = start_caller (f, "POST", "/v1/jobs", JOB ("i1"));
+  HsFrontCall *call;
+
+  go (caller);
+  call = g_async_queue_pop (f->calls);
+  call->answer = talloc_zero (call, hsx_answer);
+  call->answer->state = HSX_JOB_REFUSED;
+  call->answer->kind = HS_ERROR_LIMIT;
+  call->answer->not_run = TRUE;
+  call->answer->reason = "over the allowance; retry later";
+  call->answer->retry_after_ms = 1500;
+  hs_front_answer (call);
+  g_thread_join (g_steal_pointer (&caller->thread));
+  assert_int_equal (caller->answer.status, 429);
+  assert_non_null (strstr (caller->answer.headers->str, "Retry-After: 2"));
+  assert_non_null (strstr (caller->answer.body->str, "\"not_run\":true"));
+  finish (caller);
+}
+
+static void
+lists_not_loaded_are_no_wrong_key (void **state)
+{
+  Fixture *f = *state;
+
+  hs_lists_publish (f->box, hs_lists_new (NULL));
+  expect_refusal (f, "POST", "/v1/jobs", JOB ("i"), KEY, 503,
+                  "\"kind\":\"unavailable\"");
+}
+
+static void
+draining_finishes_what_is_in_flight (void **state)
+{
+  Fixture *f = *state;
+  Caller *caller = start_caller (f, "POST", "/v1/jobs", JOB ("i1"));
+  Caller *late = start_caller (f, "GET", "/v1/jobs/c1/i1", NULL);
+  HsFrontCall *call;
+
+  go (caller);
+  call = g_async_queue_pop (f->calls);
+  hs_front_drain (f->front);
+  assert_false (hs_front_idle (f->front));
+  answer_with_id (call);
+  g_thread_join (g_steal_pointer (&caller->thread));
+  assert_int_equal (caller->answer.status, 200);
+  assert_non_null (strstr (caller->answer.headers->str, "Connection: close"));
+  wait_until_idle (f);
+  hs_front_free (g_steal_pointer (&f->front));
+  run_caller (late);
+  assert_int_equal (late->answer.status, 0);
+  finish (caller);
+  finish (late);
+}
+
+static void
+stopping_answers_what_still_waits (void **state)
+{
+  Fixture *f = *state;
+  Caller *caller = start_caller (f, "POST", "/v1/jobs", JOB ("i1"));
+  HsFrontCall *call;
+
+  go (caller);
+  call = g_async_queue_pop (f->calls);
+  hs_front_free (g_steal_pointer (&f->front));
+  g_thread_join (g_steal_pointer (&caller->thread));
+  assert_int_equal (caller->answer.status, 504);
+  assert_non_null (strstr (caller->answer.body->str, "\"not_run\":false"));
+  talloc_free (call);
+  finish (caller);
+}
+
+static void
+an_address_in_use_is_an_io_error (void **state)
+{
+  Fixture *f = *state;
+  HsEntrySettings settings = f->settings;
+  g_autoptr (GError) error = NULL;
+  g_autofree char *taken
+      = g_strdup_printf ("127.0.0.1:%u", hs_front_port (f->front));
+
+  settings.http_listen = taken;
+  assert_null (hs_front_new (NULL, &settings, f->box, keep_call, f, &error));
+  assert_true (g_error_matches (error, HS_ERROR, HS_ERROR_IO));
+}
+
+#define FRONT_TEST(test)                                                       \
+  cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    FRONT_TEST (a_job_is_answered),
+    FRONT_TEST (fetch_and_cancel_name_the_job),
+    FRONT_TEST (crossed_answers_reach_their_callers),
+    FRONT_TEST (a_call_outlives_its_connection),
+    FRONT_TEST (bad_requests_are_refused_before_the_core),
+    FRONT_TEST (refusals_carry_their_status_and_retry_time),
+    FRONT_TEST (lists_not_loaded_are_no_wrong_key),
+    FRONT_TEST (draining_finishes_what_is_in_flight),
+    FRONT_TEST (draining_refuses_later_requests_on_open_connections),
+    FRONT_TEST (stopping_answers_what_still_waits),
+    FRONT_TEST (an_address_in_use_is_an_io_error),
+  };
+
+  rcu_register_thread ();
+  curl_global_init (CURL_GLOBAL_ALL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
