Free replaced lists after synchronize_rcu

Cause: call_rcu keeps a thread a process, and its insides look like races to the thread sanitizer, as GLib's queues in the test did. Change: the writer waits for readers and frees the old view itself; the test keeps calls under a pthread mutex.

--- a/src/lists/publish.c
+++ b/src/lists/publish.c
@@ -2,45 +2,36 @@
 
 #include "base/tsan.h"
 
-typedef struct View View;
-
 struct HsListsBox
 {
-  View *view;
-};
-
-/** A published view; the lists are its talloc child. */
-struct View
-{
-  struct rcu_head head;
   HsLists *lists;
-  HsListsBox *box;
 };
 
-static View *new_view (HsListsBox *box, HsLists *lists);
-static int free_box (HsListsBox *box);
-static void free_view (struct rcu_head *head);
+static int free_lists (HsListsBox *box);
 
 HsListsBox *
 hs_lists_box_new (TALLOC_CTX *ctx)
 {
   HsListsBox *box = talloc_zero (ctx, HsListsBox);
 
-  box->view = new_view (box, hs_lists_new (NULL));
-  talloc_set_destructor (box, free_box);
+  box->lists = hs_lists_new (NULL);
+  talloc_set_destructor (box, free_lists);
   return box;
 }
 
 void
 hs_lists_publish (HsListsBox *box, HsLists *lists)
 {
-  View *view = new_view (box, lists);
-  View *old;
-
-  HS_TSAN_RELEASE (&box->view);
-  old = rcu_xchg_pointer (&box->view, view);
-  HS_TSAN_RELEASE (old);
-  call_rcu (&old->head, free_view);
+  HsLists *old;
+
+  talloc_steal (NULL, lists);
+  HS_TSAN_RELEASE (&box->lists);
+  old = rcu_xchg_pointer (&box->lists, lists);
+  /* Edits are rare and read sections take microseconds, so that waiting
+   * here costs less than a thread that frees old views. */
+  synchronize_rcu ();
+  HS_TSAN_ACQUIRE (box);
+  talloc_free (old);
 }
 
 void
@@ -53,10 +44,10 @@
 const HsLists *
 hs_lists_get (HsListsBox *box)
 {
-  View *view = rcu_dereference (box->view);
+  const HsLists *lists = rcu_dereference (box->lists);
 
-  HS_TSAN_ACQUIRE (&box->view);
-  return view->lists;
+  HS_TSAN_ACQUIRE (&box->lists);
+  return lists;
 }
 
 void
@@ -66,30 +57,9 @@
   rcu_read_unlock ();
 }
 
-static View *
-new_view (HsListsBox *box, HsLists *lists)
-{
-  View *view = talloc_zero (NULL, View);
-
-  view->box = box;
-  view->lists = talloc_steal (view, lists);
-  return view;
-}
-
-static void
-free_view (struct rcu_head *head)
-{
-  View *view = caa_container_of (head, View, head);
-
-  HS_TSAN_ACQUIRE (view);
-  HS_TSAN_ACQUIRE (view->box);
-  talloc_free (view);
-}
-
 static int
-free_box (HsListsBox *box)
+free_lists (HsListsBox *box)
 {
-  rcu_barrier ();
-  talloc_free (box->view);
+  talloc_free (box->lists);
   return 0;
 }
--- a/src/lists/publish.h
+++ b/src/lists/publish.h
@@ -18,7 +18,7 @@
 HsListsBox *hs_lists_box_new (TALLOC_CTX *ctx);
 
 /**
- * Replaces the view; the old one is freed once no reader can hold it.
+ * Replaces the view; waits until no reader can hold the old one and frees it.
  * Called by the writer only, outside of a read section.
  * @param lists taken over by the box; not to be changed any more
  */
--- a/test/test_front.c
+++ b/test/test_front.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -35,7 +36,8 @@
   const char *body;
   const char *key;
   Answer answer;
-  GThread *thread;
+  pthread_t thread;
+  bool running;
 } Caller;
 
 typedef struct
@@ -43,7 +45,9 @@
   HsEntrySettings settings;
   HsListsBox *box;
   HsFront *front;
-  GAsyncQueue *calls;
+  pthread_mutex_t lock; /**< GLib's own locks are hidden from tsan. */
+  pthread_cond_t changed;
+  GQueue calls;
 } Fixture;
 
 static size_t
@@ -102,14 +106,23 @@
 static void
 go (Caller *caller)
 {
-  caller->thread = g_thread_new ("caller", run_caller, caller);
+  assert_int_equal (pthread_create (&caller->thread, NULL, run_caller, caller),
+                    0);
+  caller->running = true;
+}
+
+static void
+join (Caller *caller)
+{
+  if (caller->running)
+    pthread_join (caller->thread, NULL);
+  caller->running = false;
 }
 
 static void
 finish (Caller *caller)
 {
-  if (caller->thread != NULL)
-    g_thread_join (caller->thread);
+  join (caller);
   g_string_free (caller->answer.body, TRUE);
   g_string_free (caller->answer.headers, TRUE);
   g_free (caller->url);
@@ -122,7 +135,34 @@
 {
   Fixture *f = arg;
 
-  g_async_queue_push (f->calls, call);
+  pthread_mutex_lock (&f->lock);
+  g_queue_push_tail (&f->calls, call);
+  pthread_cond_signal (&f->changed);
+  pthread_mutex_unlock (&f->lock);
+}
+
+static HsFrontCall *
+try_take_call (Fixture *f)
+{
+  HsFrontCall *call;
+
+  pthread_mutex_lock (&f->lock);
+  call = g_queue_pop_head (&f->calls);
+  pthread_mutex_unlock (&f->lock);
+  return call;
+}
+
+/** The next call that reaches the core; waits for it. */
+static HsFrontCall *
+take_call (Fixture *f)
+{
+  HsFrontCall *call;
+
+  pthread_mutex_lock (&f->lock);
+  while ((call = g_queue_pop_head (&f->calls)) == NULL)
+    pthread_cond_wait (&f->changed, &f->lock);
+  pthread_mutex_unlock (&f->lock);
+  return call;
 }
 
 /** Answers a call with its own id as the result of its only task. */
@@ -158,7 +198,9 @@
   hs_lists_apply (lists, HS_LIST_PLANS, "c1",
                   "{\"plan\":\"gold\",\"key\":\"" KEY "\"}", 1, NULL);
   hs_lists_publish (f->box, lists);
-  f->calls = g_async_queue_new ();
+  pthread_mutex_init (&f->lock, NULL);
+  pthread_cond_init (&f->changed, NULL);
+  g_queue_init (&f->calls);
   f->front = hs_front_new (NULL, &f->settings, f->box, keep_call, f, &error);
   assert_non_null (f->front);
   *state = f;
@@ -173,9 +215,8 @@
 
   if (f->front != NULL)
     hs_front_free (f->front);
-  while ((call = g_async_queue_try_pop (f->calls)) != NULL)
+  while ((call = try_take_call (f)) != NULL)
     talloc_free (call);
-  g_async_queue_unref (f->calls);
   talloc_free (f->box);
   g_free (f);
   return 0;
@@ -199,14 +240,14 @@
   HsFrontCall *call;
 
   go (caller);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   assert_int_equal (call->args->verb, HSX_SUBMIT);
   assert_string_equal (call->args->id, "i1");
   assert_int_equal (call->args->tasks.tasks_len, 1);
   assert_true (call->arrived.mono > 0);
   assert_false (hs_front_idle (f->front));
   answer_with_id (call);
-  g_thread_join (g_steal_pointer (&caller->thread));
+  join (caller);
   assert_int_equal (caller->answer.status, 200);
   assert_string_equal (
       caller->answer.body->str,
@@ -226,13 +267,13 @@
   HsFrontCall *call;
 
   go (cancel);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   assert_int_equal (call->args->verb, HSX_CANCEL);
   assert_string_equal (call->args->customer, "c1");
   assert_string_equal (call->args->id, "a?b");
   answer_with_id (call);
   go (again);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   assert_int_equal (call->args->verb, HSX_FETCH);
   assert_true (call->args->wait);
   assert_string_equal (call->args->id, "a%b");
@@ -268,12 +309,12 @@
       go (callers[i]);
     }
   for (i = 0; i < N; i++)
-    calls[i] = g_async_queue_pop (f->calls);
+    calls[i] = take_call (f);
   for (i = N - 1; i >= 0; i--)
     answer_with_id (calls[i]);
   for (i = 0; i < N; i++)
     {
-      g_thread_join (g_steal_pointer (&callers[i]->thread));
+      join (callers[i]);
       g_free (expected);
       expected = g_strdup_printf ("\"result\":\"id-%d\"", i);
       assert_non_null (strstr (callers[i]->answer.body->str, expected));
@@ -327,13 +368,13 @@
   Fixture *f = *state;
   Caller *next = start_caller (f, "POST", "/v1/jobs", JOB ("next"));
   int fd = send_raw (f, -1, JOB ("gone"));
-  HsFrontCall *gone = g_async_queue_pop (f->calls);
+  HsFrontCall *gone = take_call (f);
 
   close (fd);
   go (next);
   answer_with_id (gone);
-  answer_with_id (g_async_queue_pop (f->calls));
-  g_thread_join (g_steal_pointer (&next->thread));
+  answer_with_id (take_call (f));
+  join (next);
   assert_non_null (strstr (next->answer.body->str, "\"result\":\"next\""));
   wait_until_idle (f);
   finish (next);
@@ -346,7 +387,7 @@
   int fd = send_raw (f, -1, JOB ("first"));
   char rest;
 
-  answer_with_id (g_async_queue_pop (f->calls));
+  answer_with_id (take_call (f));
   read_raw (fd, "\"result\":\"first\"}]}");
   hs_front_drain (f->front);
   send_raw (f, fd, JOB ("second"));
@@ -354,7 +395,7 @@
   while (recv (fd, &rest, 1, 0) > 0)
     ;
   close (fd);
-  assert_null (g_async_queue_try_pop (f->calls));
+  assert_null (try_take_call (f));
   wait_until_idle (f);
 }
 
@@ -402,7 +443,7 @@
   expect_refusal (f, "GET", "/v1/jobs/c1/a%2Fb", NULL, KEY, 404, "no such");
   expect_refusal (f, "GET", "/v1/jobs/c1/a%00b", NULL, KEY, 404, "no such");
   expect_refusal (f, "GET", "/other", NULL, KEY, 404, "no such path");
-  assert_null (g_async_queue_try_pop (f->calls));
+  assert_null (try_take_call (f));
   wait_until_idle (f);
 }
 
@@ -414,7 +455,7 @@
   HsFrontCall *call;
 
   go (caller);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   call->answer = talloc_zero (call, hsx_answer);
   call->answer->state = HSX_JOB_REFUSED;
   call->answer->kind = HS_ERROR_LIMIT;
@@ -422,7 +463,7 @@
   call->answer->reason = "over the allowance; retry later";
   call->answer->retry_after_ms = 1500;
   hs_front_answer (call);
-  g_thread_join (g_steal_pointer (&caller->thread));
+  join (caller);
   assert_int_equal (caller->answer.status, 429);
   assert_non_null (strstr (caller->answer.headers->str, "Retry-After: 2"));
   assert_non_null (strstr (caller->answer.body->str, "\"not_run\":true"));
@@ -448,11 +489,11 @@
   HsFrontCall *call;
 
   go (caller);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   hs_front_drain (f->front);
   assert_false (hs_front_idle (f->front));
   answer_with_id (call);
-  g_thread_join (g_steal_pointer (&caller->thread));
+  join (caller);
   assert_int_equal (caller->answer.status, 200);
   assert_non_null (strstr (caller->answer.headers->str, "Connection: close"));
   wait_until_idle (f);
@@ -471,9 +512,9 @@
   HsFrontCall *call;
 
   go (caller);
-  call = g_async_queue_pop (f->calls);
+  call = take_call (f);
   hs_front_free (g_steal_pointer (&f->front));
-  g_thread_join (g_steal_pointer (&caller->thread));
+  join (caller);
   assert_int_equal (caller->answer.status, 504);
   assert_non_null (strstr (caller->answer.body->str, "\"not_run\":false"));
   talloc_free (call);
