--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -18,6 +18,7 @@
 const HSX_PARTS_MAX = 1024;
 const HSX_CREDITS_MAX = 4096;
 const HSX_DIGEST_SIZE = 32;
+const HSX_NONCE_SIZE = 16;
 
 /* Who speaks on a connection. */
 enum hsx_role {
@@ -31,6 +32,7 @@
 	uint64_t incarnation;
 	string address<HSX_ADDRESS_MAX>;	/* where it accepts RPC */
 	string data_centre<HSX_NAME_MAX>;
+	opaque nonce[HSX_NONCE_SIZE];		/* fresh for each connection */
 };
 
 /* The identity of one task of one submission. */
@@ -39,6 +41,7 @@
 	string customer<HSX_NAME_MAX>;
 	string id<HSX_ID_MAX>;
 	unsigned int index;
+	uint64_t content;		/* first bytes of the job's digest */
 };
 
 struct hsx_needs {
@@ -146,6 +149,7 @@
 
 /* MEMBERS, one-way, entry to entry: changes only, all after connecting. */
 struct hsx_members_args {
+	int64_t complete_since_ms;	/* wall time since when none is missing */
 	hsx_member members<HSX_MEMBERS_MAX>;
 };
 
