Serve a request over the whole path

Cause: the parts stood apart; no request had run from caller to target. Change: the entry's core thread (links, calls, keeper of ownership in the store, handover, lists and claims) around the owner; subcommands entry and agent in the one binary.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 #	make lint     formatter and linter
 #	SAN=asan|tsan builds apart with that sanitizer
 
+.DEFAULT_GOAL := all
 SAN ?=
 B := build$(if $(SAN),/$(SAN))
 PKGS := talloc tevent libtirpc libmicrohttpd libcurl glib-2.0 liburcu json-c
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "agent/agent.h"
+#include "entry/core.h"
+
 typedef struct
 {
   const char *name;
@@ -15,6 +18,8 @@
 static void usage (FILE *out);
 
 static const Command COMMANDS[] = {
+  { "entry", hs_entry_main, "serve callers and operators" },
+  { "agent", hs_agent_main, "run beside a target" },
   { NULL, NULL, NULL },
 };
 
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -16,6 +16,9 @@
 /** Membership, routing and the keeper are looked after this often. */
 #define HOUSEKEEPING (50 * HS_MSEC)
 
+/** Bodies of finished jobs that are kept for resubmissions. */
+#define KEPT_BYTES_MAX (UINT64_C (256) << 20)
+
 /** Bound on a planned stop. */
 #define LEAVE_TIMEOUT (60 * HS_SEC)
 
@@ -41,6 +44,7 @@
                             HsTime queued,
                             HsTime run,
                             HsTime whole);
+static void watch_leave (HsCore *core, HsNow now);
 
 HsCore *
 hs_core_new (TALLOC_CTX *ctx,
@@ -76,10 +80,10 @@
   hello.address = core->entry->rpc_address;
   hello.data_centre = settings->data_centre;
   hs_links_rpc_handler (&handler);
-  core->rpc = hs_rpc_new (core, ev, &hello, settings->cluster_key, &handler,
-                          core);
-  core->store = hs_store_new (core, ev, (const char *const *) core->entry->store,
-                              STORE_TIMEOUT);
+  core->rpc
+      = hs_rpc_new (core, ev, &hello, settings->cluster_key, &handler, core);
+  core->store = hs_store_new (
+      core, ev, (const char *const *) core->entry->store, STORE_TIMEOUT);
   core->members = hs_members_new (core);
   core->links = hs_links_new (core);
   core->calls = hs_calls_new (core);
@@ -89,8 +93,8 @@
   core->keeper = hs_keeper_new (core);
   cds_wfcq_init (&core->inbox_head, &core->inbox_tail);
   tevent_add_fd (ev, core, core->inbox_fd, TEVENT_FD_READ, on_inbox, core);
-  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error)
-      || !hs_admin_side_start (core, error))
+  hs_records_start (core);
+  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error))
     {
       talloc_free (core);
       return NULL;
@@ -179,9 +183,9 @@
   (void) event;
   (void) flags;
   (void) !read (core->inbox_fd, &count, sizeof count);
-  while ((node = cds_wfcq_dequeue_blocking (&core->inbox_head,
-                                            &core->inbox_tail))
-         != NULL)
+  while (
+      (node = cds_wfcq_dequeue_blocking (&core->inbox_head, &core->inbox_tail))
+      != NULL)
     hs_calls_local (core->calls, caa_container_of (node, HsFrontCall, node),
                     now);
   hs_core_rearm (core, now);
@@ -223,20 +227,29 @@
   hs_owner_tick (core->owner, now);
   hs_core_rearm (core, now);
   schedule_housekeeping (core);
-  if (!core->leaving || core->finished)
-    return;
-  if ((hs_owner_owned (core->owner) == 0 || hs_owner_unfinished (core->owner) == 0)
-      && hs_calls_waiting (core->calls) == 0 && hs_front_idle (core->front)
-      && (hs_owner_owned (core->owner) == 0
-          || hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1))
-    core->finished = true;
+  if (core->leaving && !core->drained)
+    watch_leave (core, now);
+}
+
+/* Done when nothing is owned or, without another entry, nothing is left. */
+static void
+watch_leave (HsCore *core, HsNow now)
+{
+  bool alone = hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1;
+  bool handed_over = hs_owner_owned (core->owner) == 0
+                     || (alone && hs_owner_unfinished (core->owner) == 0);
+
+  if (handed_over && hs_calls_waiting (core->calls) == 0
+      && hs_front_idle (core->front))
+    core->drained = true;
   if (now.mono >= core->leave_until)
     {
       hs_warn (PART, "planned stop takes too long; stopping with %u requests",
                hs_calls_waiting (core->calls));
-      core->finished = true;
+      core->drained = true;
     }
-  if (core->finished)
+  /* The entry's record goes with its lease; `finished` follows. */
+  if (core->drained)
     hs_keeper_revoke (core->keeper);
 }
 
@@ -257,7 +270,7 @@
     .settle = hs_agents_settle,
     .answer = hs_calls_answer,
     .reroute = hs_calls_reroute,
-    .claim = hs_claim_side_claim,
+    .claim = hs_records_claim,
     .borrow = hs_entry_borrow,
     .lend = hs_entry_lend,
     .measure = effect_measure,
@@ -269,7 +282,7 @@
   config.ahead = core->entry->ahead;
   config.skew = core->entry->skew;
   config.task_timeout = core->entry->task_timeout;
-  config.kept_bytes = KEPT_BYTES;
+  config.kept_bytes = KEPT_BYTES_MAX;
   config.seed = core->incarnation;
   core->owner = hs_owner_new (core, &config, &effects, core);
   hs_owner_set_complete_since (core->owner, now.wall_ms);
@@ -282,3 +295,19 @@
 
   hs_links_start (core->links, agent, start);
 }
+
+static void
+effect_measure (void *arg,
+                const char *customer,
+                HsTime queued,
+                HsTime run,
+                HsTime whole)
+{
+  HsCore *core = arg;
+
+  (void) core;
+  (void) customer;
+  (void) queued;
+  (void) run;
+  (void) whole;
+}
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -25,6 +25,7 @@
 typedef struct HsLink HsLink;
 typedef struct HsCalls HsCalls;
 typedef struct HsKeeper HsKeeper;
+typedef struct HsHandovers HsHandovers;
 
 struct HsCore
 {
@@ -41,7 +42,7 @@
   HsLinks *links;
   HsCalls *calls;
   HsKeeper *keeper;
-  struct HsHandovers *handovers;
+  HsHandovers *handovers;
   HsListsBox *lists;
   HsFront *front;
   struct cds_wfcq_head inbox_head;
@@ -50,7 +51,11 @@
   struct tevent_timer *tick;
   HsTime tick_at;
   GArray *questions; /* Of peers for credits; see peers.c. */
+  struct HsClaims *claims;
+  struct HsListsSync *sync;
   bool leaving;
+  bool drained;
+  HsTime leave_until;
   bool finished;
 };
 
@@ -67,10 +72,6 @@
 /** Sets the timer for the owner's next tick; after each input. */
 void hs_core_rearm (HsCore *core, HsNow now);
 
-/** A partition has come to, or gone from, this entry. */
-void hs_core_owned (HsCore *core, uint32_t part, int64_t revision);
-void hs_core_disowned (HsCore *core, uint32_t part);
-
 /** @} */
 /** @name links.c: connections to agents and other entries @{ */
 
@@ -191,8 +192,6 @@
 /** @} */
 /** @name handover.c: planned moves of partitions @{ */
 
-typedef struct HsHandovers HsHandovers;
-
 HsHandovers *hs_handovers_new (HsCore *core);
 
 /** Notes that a partition should move; ignored while it is moving. */
@@ -209,6 +208,20 @@
 
 /** @} */
 
+/** @name records.c: the lists and the claims of opaque ids @{ */
+
+void hs_records_start (HsCore *core);
+void hs_records_owned (HsCore *core, uint32_t part, int64_t revision);
+void hs_records_disowned (HsCore *core, uint32_t part);
+void hs_records_claim (void *arg,
+                       uint32_t part,
+                       uint64_t epoch,
+                       const char *customer,
+                       const char *id,
+                       const char digest[HSX_DIGEST_SIZE]);
+
+/** @} */
+
 /** int main of `hibiscusspoke entry`. */
 int hs_entry_main (int argc, char **argv);
 
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -126,7 +126,8 @@
       owner->stats.results++;
       take_one (owner, handle, result, now);
       if (result->next != NULL && owner->agents[handle].state == HSX_MEMBER_UP)
-        hs_credits_add (owner->credits, handle, result->next, now.mono);
+        hs_credits_add (owner->credits, handle, result->next,
+                        HS_CREDIT_RETURNED, now.mono);
     }
   health_update (owner, now);
   pump (owner, now);
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -16,6 +16,7 @@
                          const hsx_result *result,
                          HsNow now);
 static void send_start (HsOwner *owner, Task *task, HsNow now);
+static void enqueue_again (HsOwner *owner, Task *task, HsNow now);
 static void
 take_refusal (HsOwner *owner, Task *task, hsx_refusal refusal, HsNow now);
 static void set_timer (HsOwner *owner, const Task *task, HsTime at);
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -119,6 +119,7 @@
 {
   PartState state;
   bool fresh; /* Never had an owner before. */
+  bool claims_loaded;
   uint64_t epoch;
   /* Ids minted before this and unknown may have run; 0: none. */
   int64_t uncertain_before_ms;
@@ -261,6 +262,7 @@
 
 /* submit.c */
 void request_parked (HsOwner *owner, Part *part, HsNow now);
+void job_reroute (HsOwner *owner, Job *job);
 
 /* takeover.c */
 Recovered *recovered_find (HsOwner *owner, const char *key);
--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -1,11 +1,13 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/uuid7.h"
 #include "owner/internal.h"
 
 static void drop_task (HsOwner *owner, Task *task);
 static uint32_t take_handle (HsOwner *owner, Task *task);
 static void drop_bodies (HsOwner *owner, Job *job);
+static void forget (HsOwner *owner, Job *job, HsNow now);
 
 void
 job_key (char key[JOB_KEY_SIZE], const char *customer, const char *id)
@@ -172,6 +174,17 @@
             reason);
 }
 
+void
+job_reroute (HsOwner *owner, Job *job)
+{
+  g_autoptr (GArray) waiters = g_array_ref (job->waiters);
+  guint i;
+
+  job_drop (owner, job);
+  for (i = 0; i < waiters->len; i++)
+    owner->effects.reroute (owner->arg, g_array_index (waiters, HsWaiter, i));
+}
+
 void
 refuse (HsOwner *owner,
         HsWaiter waiter,
@@ -203,7 +216,7 @@
 
       if (now.mono - job->finished_at < keep)
         break;
-      job_drop (owner, job);
+      forget (owner, job, now);
     }
   for (link = owner->kept.head;
        link != NULL && owner->kept_bytes > owner->config.kept_bytes;
@@ -263,6 +276,21 @@
   return handle;
 }
 
+/* A UUIDv7 tells by itself that it is too old; an opaque id is remembered. */
+static void
+forget (HsOwner *owner, Job *job, HsNow now)
+{
+  g_autofree char *customer = g_strdup (job->customer);
+  g_autofree char *id = g_strdup (job->id);
+  uint32_t part = job->part;
+  int64_t arrived_ms = now.wall_ms - (now.mono - job->arrived) / HS_MSEC;
+  int64_t minted_ms;
+
+  job_drop (owner, job);
+  if (!hs_uuid7_parse (id, &minted_ms))
+    hs_owner_claim_found (owner, part, customer, id, arrived_ms);
+}
+
 /* The ids stay known, so that nothing runs again. */
 static void
 drop_bodies (HsOwner *owner, Job *job)
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -74,10 +74,11 @@
 /** What became of a claim. */
 typedef enum
 {
-  HS_CLAIMED,        /**< Durable under this epoch. */
-  HS_CLAIM_REFUSED,  /**< Certain that it was not written. */
-  HS_CLAIM_UNDECIDED /**< May have been written; the id isn't started. */
-} HsClaimOutcome;
+  HS_OWNER_CLAIMED,        /**< Durable under this epoch. */
+  HS_OWNER_CLAIM_DEPOSED,  /**< Another entry owns the partition. */
+  HS_OWNER_CLAIM_REFUSED,  /**< Certain that it was not written. */
+  HS_OWNER_CLAIM_UNDECIDED /**< May have been written; the id isn't started. */
+} HsOwnerClaim;
 
 /** Counters; read by the owner's thread. */
 typedef struct
@@ -187,9 +188,15 @@
 void hs_owner_claimed (HsOwner *owner,
                        const char *customer,
                        const char *id,
-                       HsClaimOutcome outcome,
+                       HsOwnerClaim outcome,
                        HsNow now);
 
+/**
+ * All claims of earlier owners were told by hs_owner_claim_found(). Opaque
+ * ids wait until then.
+ */
+void hs_owner_claims_loaded (HsOwner *owner, uint32_t part, HsNow now);
+
 /** An id that was claimed under an earlier epoch of a partition. */
 void hs_owner_claim_found (HsOwner *owner,
                            uint32_t part,
--- a/src/owner/peers.c
+++ b/src/owner/peers.c
@@ -74,7 +74,7 @@
       Agent *agent = agent_find (owner, credit->agent, &of);
 
       if (agent != NULL && agent->state == HSX_MEMBER_UP && agent->connected)
-        hs_credits_add (owner->credits, of, credit, now.mono);
+        hs_credits_add (owner->credits, of, credit, HS_CREDIT_LENT, now.mono);
     }
   if (handle != NO_PEER)
     hs_loans_answered (owner->loans, handle,
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -118,7 +118,7 @@
 hs_owner_claimed (HsOwner *owner,
                   const char *customer,
                   const char *id,
-                  HsClaimOutcome outcome,
+                  HsOwnerClaim outcome,
                   HsNow now)
 {
   Job *job = job_find (owner, customer, id);
@@ -128,23 +128,40 @@
   job->claiming = false;
   switch (outcome)
     {
-    case HS_CLAIMED:
+    case HS_OWNER_CLAIMED:
       if (owner->parts[job->part].state != PART_FROZEN)
         task_enqueue_all (owner, job, now);
       pump (owner, now);
       return;
-    case HS_CLAIM_REFUSED:
+    case HS_OWNER_CLAIM_DEPOSED:
+      job_reroute (owner, job);
+      return;
+    case HS_OWNER_CLAIM_REFUSED:
       job_refuse (owner, job, HS_ERROR_UNAVAILABLE, true,
                   "the id could not be claimed in the store; "
                   "send a UUIDv7 id or try again later");
       return;
-    case HS_CLAIM_UNDECIDED:
+    case HS_OWNER_CLAIM_UNDECIDED:
       job_refuse (owner, job, HS_ERROR_UNKNOWN, false,
                   "the claim of the id is undecided; resubmit the same id");
       return;
     }
 }
 
+void
+hs_owner_claims_loaded (HsOwner *owner, uint32_t part, HsNow now)
+{
+  Part *p = &owner->parts[part];
+
+  if (p->state == PART_FOREIGN)
+    return;
+  p->claims_loaded = true;
+  if (p->state != PART_SERVING)
+    return;
+  request_parked (owner, p, now);
+  pump (owner, now);
+}
+
 void
 request_parked (HsOwner *owner, Part *part, HsNow now)
 {
@@ -191,7 +208,14 @@
 
   if (job == NULL)
     {
-      submit_new (owner, waiter, args, now);
+      int64_t minted_ms;
+      Part *part = &owner->parts[hs_partition_of (args->customer,
+                                                  owner->config.partitions)];
+
+      if (!part->claims_loaded && !hs_uuid7_parse (args->id, &minted_ms))
+        park (owner, part, waiter, args);
+      else
+        submit_new (owner, waiter, args, now);
       return;
     }
   if (memcmp (job->digest, args->digest, sizeof job->digest) != 0)
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -68,6 +68,7 @@
   if (p->state == PART_RECOVERING)
     owner->recovering--;
   p->state = PART_FOREIGN;
+  p->claims_loaded = false;
   p->uncertain_before_ms = 0;
   owner->owned--;
   parts_drop_staged (p);
