Keep a timer that is always due from starving the sockets

Cause: with 3 entries the core threads ran at 100% without a system call: the owner's next tick lay in the past, and tevent runs timers before sockets, so lease renewals were never read and every lease lapsed after 4 s. Change: limits are waited for only under a lease, peers asked only with tasks waiting, and ticks are at least 200 us apart.

--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -13,6 +13,9 @@
 /** Bound on calls to the store. */
 #define STORE_TIMEOUT (2 * HS_SEC)
 
+/** Shortest span to the next tick of the owner. */
+#define TICK_MIN (200 * HS_USEC)
+
 /** Membership, routing and the keeper are looked after this often. */
 #define HOUSEKEEPING (50 * HS_MSEC)
 
@@ -135,7 +138,8 @@
   TALLOC_FREE (core->tick);
   if (at == HS_NEVER)
     return;
-  span = MAX (0, at - now.mono);
+  /* Timers run before sockets: one that is always due would starve them. */
+  span = MAX (TICK_MIN, at - now.mono);
   core->tick_at = at;
   core->tick = tevent_add_timer (
       core->ev, core,
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -113,11 +113,15 @@
 HsTime
 hs_owner_next_tick (const HsOwner *owner)
 {
-  HsTime at = hs_fair_queue_ready_at (owner->queue);
+  HsTime at = HS_NEVER;
   uint32_t i;
 
+  /* Without a lease nothing starts, so no limit is waited for. */
+  if (owner->lease_until != 0)
+    at = hs_fair_queue_ready_at (owner->queue);
   at = MIN (at, hs_health_wake_at (owner->health));
-  at = MIN (at, hs_loans_ask_at (owner->loans));
+  if (hs_fair_queue_length (owner->queue) > 0)
+    at = MIN (at, hs_loans_ask_at (owner->loans));
   at = MIN (at, hs_loans_due_at (owner->loans));
 
   if (owner->timers.n > 0)
