Let a refused start wait instead of failing its task

Cause: after SIGKILL of an entry its credits went stale at the others; the refused starts spent the retry budget and 7 of about 2900 tasks were answered not run although targets were free. Change: a stale credit costs a short pause and no budget; a target that can't be reached spends the budget, and over it the task waits longer. Conclusion: waiting with a true reason goes before refusing.

--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -2,6 +2,10 @@
 
 #include "base/error.h"
 #include "owner/internal.h"
+#include "policy/random.h"
+
+/** Refusals of stale credits after which the pause grows no longer. */
+#define STALE_RETRIES 50
 
 /** A task for which no idle credit is large enough is asked again. */
 #define UNFIT_RETRY (50 * HS_MSEC)
@@ -127,22 +131,21 @@
 }
 
 void
-task_requeue (HsOwner *owner, Task *task, HsNow now)
+task_requeue (HsOwner *owner, Task *task, bool target_failed, HsNow now)
 {
-  HsTime at;
+  HsTime at = now.mono + MIN (task->attempts, STALE_RETRIES) * HS_MSEC;
 
   clear_timer (owner, task);
   task_leave_agent (owner, task);
   task->job->owner_of_limits->queued++;
   task->attempts++;
   task->state = TASK_HELD;
-  if (!hs_retry_allow (&owner->retry, task->attempts, now.mono, &owner->random,
-                       &at))
-    {
-      task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_UNAVAILABLE, 0, NULL,
-                   0, now);
-      return;
-    }
+  /* Over the budget the task isn't given up: it waits longer. */
+  if (target_failed
+      && !hs_retry_allow (&owner->retry, task->attempts, now.mono,
+                          &owner->random, &at))
+    at = now.mono + HS_SEC
+         + hs_random_below (&owner->random, (uint32_t) HS_SEC);
   set_timer (owner, task, MIN (at, task->deadline));
 }
 
@@ -353,7 +356,7 @@
     case HSX_REFUSAL_TARGET:
     case HSX_REFUSAL_NEEDS:
     case HSX_REFUSAL_FENCED:
-      task_requeue (owner, task, now);
+      task_requeue (owner, task, refusal == HSX_REFUSAL_TARGET, now);
       return;
     }
 }
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -249,7 +249,7 @@
                   const char *body,
                   size_t n,
                   HsNow now);
-void task_requeue (HsOwner *owner, Task *task, HsNow now);
+void task_requeue (HsOwner *owner, Task *task, bool target_failed, HsNow now);
 void task_take_result (HsOwner *owner,
                        Task *task,
                        const hsx_result *result,
