Test the claims with every fate of a write

Cause: a claim held wrongly lets two owners start one submission. Change: nine tests with fake time: grouping, lost, late and refused writes, deposition, outage, rate, retention, 40 seeds of random fates, and the driver against the stand-in with 130 keys in pages and a lost answer.

--- /dev/null
+++ b/test/test_claims.c
@@ -0,0 +1,523 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "standin/gateway.h"
+#include "standin/store_server.h"
+#include "store/claims.h"
+#include "store/codec.h"
+
+#define PATIENCE (2 * HS_SEC)
+#define RETENTION (600 * HS_SEC)
+#define WRITES_PER_S 20
+#define IDS_MAX 4000
+
+static const HsClaimLimits LIMITS = { WRITES_PER_S, PATIENCE, RETENTION };
+
+/* How a write fares between the log and the store. */
+typedef enum
+{
+  FATE_ANSWERED,
+  FATE_LOST_ANSWER,
+  FATE_REFUSED, /* Never sent. */
+  FATE_LOST,    /* Sent, and never arrives. */
+  FATE_LATE,    /* No answer; arrives at land(). */
+  N_FATES
+} Fate;
+
+typedef struct
+{
+  HsKv *kv;
+  HsClaimLog *log;
+  HsNow now;
+  char *late[64]; /* Requests yet to arrive. */
+  size_t n_late;
+  unsigned int n_writes;
+  int outcomes[IDS_MAX]; /* -1: none yet. */
+  unsigned int n_ended;
+} Fixture;
+
+typedef struct
+{
+  Fixture *fixture;
+  unsigned int id;
+} Asked;
+
+static int
+setup (void **state)
+{
+  Fixture *fixture = talloc_zero (NULL, Fixture);
+
+  fixture->kv = hs_kv_new (fixture);
+  fixture->log = hs_claim_log_new (fixture, &LIMITS);
+  fixture->now.mono = HS_SEC;
+  fixture->now.wall_ms = 1700000000000;
+  memset (fixture->outcomes, -1, sizeof fixture->outcomes);
+  *state = fixture;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  talloc_free (*state);
+  return 0;
+}
+
+static void
+pass (Fixture *fixture, HsTime span)
+{
+  fixture->now.mono += span;
+  fixture->now.wall_ms += span / HS_MSEC;
+}
+
+/* Writes the owner record; its revision is the epoch. */
+static int64_t
+own (HsKv *kv, uint32_t part)
+{
+  g_autofree char *key = g_strdup_printf ("hs/part/%u", part);
+  const HsKvOp put
+      = { HS_KV_PUT, { key, NULL }, "owner", strlen ("owner"), 0, 0 };
+  HsKvOpResult result;
+
+  assert_int_equal (hs_kv_apply (kv, &put, 1, &result), HS_KV_OK);
+  return hs_kv_revision (kv);
+}
+
+static int64_t
+own_and_open (Fixture *fixture, uint32_t part)
+{
+  int64_t revision = own (fixture->kv, part);
+
+  hs_claim_log_open (fixture->log, part, revision, 1);
+  return revision;
+}
+
+static void
+on_ended (void *arg, HsClaimOutcome outcome)
+{
+  Asked *asked = arg;
+  Fixture *fixture = asked->fixture;
+
+  assert_int_equal (fixture->outcomes[asked->id], -1);
+  fixture->outcomes[asked->id] = (int) outcome;
+  fixture->n_ended++;
+}
+
+static void
+ask (Fixture *fixture, uint32_t part, int64_t revision, unsigned int id)
+{
+  Asked *asked = talloc_zero (fixture, Asked);
+  char text[16];
+
+  asked->fixture = fixture;
+  asked->id = id;
+  g_snprintf (text, sizeof text, "id-%u", id);
+  hs_claim_log_add (fixture->log, part, revision, "customer", text, "digest",
+                    &fixture->now, on_ended, asked);
+}
+
+static void
+arrive (Fixture *fixture, const char *request, HsStoreReply *reply)
+{
+  HsGatewayAnswer answer;
+
+  hs_gateway_handle (fixture, fixture->kv, HS_GATEWAY_TXN, request,
+                     strlen (request), 0, fixture->now.mono, &answer);
+  assert_int_equal (answer.http_status, 200);
+  memset (reply, 0, sizeof *reply);
+  assert_true (
+      hs_store_decode_txn (fixture, answer.body, strlen (answer.body), reply));
+}
+
+/* Gives the log's next write its fate; false if there is none. */
+static bool
+write_once (Fixture *fixture, Fate fate)
+{
+  const HsStoreTxn *txn = hs_claim_log_next (fixture->log, &fixture->now);
+  HsStoreReply reply = { 0 };
+  char *request;
+
+  if (txn == NULL)
+    return false;
+  assert_in_range (txn->n_success, 1, HS_STORE_TXN_MAX);
+  assert_in_range (txn->n_failure, 1, HS_STORE_TXN_MAX);
+  fixture->n_writes++;
+  request = hs_store_encode_txn (fixture, txn);
+  if (fate == FATE_ANSWERED || fate == FATE_LOST_ANSWER)
+    arrive (fixture, request, &reply);
+  if (fate == FATE_LATE && fixture->n_late < G_N_ELEMENTS (fixture->late))
+    fixture->late[fixture->n_late++] = request;
+  if (fate == FATE_REFUSED)
+    reply.status = HS_STORE_NOT_APPLIED;
+  else if (fate != FATE_ANSWERED)
+    {
+      memset (&reply, 0, sizeof reply);
+      reply.status = HS_STORE_UNKNOWN;
+    }
+  hs_claim_log_answer (fixture->log, &reply, &fixture->now);
+  return true;
+}
+
+static void
+land (Fixture *fixture)
+{
+  HsStoreReply reply;
+  size_t i;
+
+  for (i = 0; i < fixture->n_late; i++)
+    arrive (fixture, fixture->late[i], &reply);
+  fixture->n_late = 0;
+}
+
+/* How many claims of an id the store has; all keys are read. */
+static unsigned int
+count_stored (Fixture *fixture, unsigned int id)
+{
+  const HsKvSpan span = { "hs/claim/", "hs/claim0" };
+  g_autofree char *text = g_strdup_printf ("id-%u", id);
+  HsKvOpResult result;
+  unsigned int n = 0;
+  unsigned int i;
+  size_t j;
+
+  hs_kv_range (fixture->kv, &span, 0, 0, &result);
+  for (i = 0; i < result.records->len; i++)
+    {
+      const HsKvRecord *record = result.records->pdata[i];
+      HsClaimRecord *claims;
+      size_t n_claims;
+      int64_t wall_ms;
+
+      assert_true (hs_claim_decode (fixture, record->value, record->value_len,
+                                    &claims, &n_claims, &wall_ms));
+      for (j = 0; j < n_claims; j++)
+        n += strcmp (claims[j].id, text) == 0;
+      talloc_free (claims);
+    }
+  g_ptr_array_unref (result.records);
+  return n;
+}
+
+static void
+waiting_claims_of_all_parts_share_a_write (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t one = own_and_open (fixture, 1);
+  int64_t two = own_and_open (fixture, 2);
+  unsigned int id;
+
+  for (id = 0; id < 10; id++)
+    ask (fixture, id % 2 ? 1 : 2, id % 2 ? one : two, id);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_false (write_once (fixture, FATE_ANSWERED));
+  for (id = 0; id < 10; id++)
+    {
+      assert_int_equal (fixture->outcomes[id], HS_CLAIM_HELD);
+      assert_int_equal (count_stored (fixture, id), 1);
+    }
+}
+
+static void
+lost_answer_is_settled_before_the_claim_ends (void **state)
+{
+  const Fate fates[] = { FATE_LOST_ANSWER, FATE_LOST, FATE_REFUSED };
+  Fixture *fixture = *state;
+  int64_t revision = own_and_open (fixture, 1);
+  unsigned int i;
+
+  for (i = 0; i < G_N_ELEMENTS (fates); i++)
+    {
+      ask (fixture, 1, revision, i);
+      assert_true (write_once (fixture, fates[i]));
+      assert_int_equal (fixture->outcomes[i], -1);
+      pass (fixture, HS_SEC);
+      assert_true (write_once (fixture, FATE_ANSWERED));
+      assert_int_equal (fixture->outcomes[i], HS_CLAIM_HELD);
+      assert_int_equal (count_stored (fixture, i), 1);
+    }
+}
+
+static void
+deposed_writer_holds_nothing_and_others_go_on (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t lost = own_and_open (fixture, 1);
+  int64_t kept = own_and_open (fixture, 2);
+
+  own (fixture->kv, 1);
+  ask (fixture, 1, lost, 0);
+  ask (fixture, 2, kept, 1);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (fixture->outcomes[0], HS_CLAIM_DEPOSED);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (fixture->outcomes[1], HS_CLAIM_HELD);
+  assert_int_equal (count_stored (fixture, 0), 0);
+  ask (fixture, 1, lost, 2);
+  assert_int_equal (fixture->outcomes[2], HS_CLAIM_UNAVAILABLE);
+}
+
+static void
+outage_ends_claims_by_what_is_certain (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t revision = own_and_open (fixture, 1);
+
+  ask (fixture, 1, revision, 0);
+  assert_true (write_once (fixture, FATE_REFUSED));
+  pass (fixture, PATIENCE);
+  assert_false (write_once (fixture, FATE_REFUSED));
+  assert_int_equal (fixture->outcomes[0], HS_CLAIM_UNAVAILABLE);
+  ask (fixture, 1, revision, 1);
+  assert_true (write_once (fixture, FATE_LOST));
+  pass (fixture, PATIENCE);
+  assert_false (write_once (fixture, FATE_REFUSED));
+  assert_int_equal (fixture->outcomes[1], HS_CLAIM_UNKNOWN);
+}
+
+/* A write thought lost arrives after its claim has ended as unknown, and takes
+   the number of the next one. */
+static void
+late_write_costs_a_number_only (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t revision = own_and_open (fixture, 1);
+
+  ask (fixture, 1, revision, 0);
+  assert_true (write_once (fixture, FATE_LATE));
+  pass (fixture, PATIENCE);
+  ask (fixture, 1, revision, 1);
+  land (fixture);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (fixture->outcomes[0], HS_CLAIM_UNKNOWN);
+  assert_int_equal (fixture->outcomes[1], -1);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (fixture->outcomes[1], HS_CLAIM_HELD);
+  assert_int_equal (count_stored (fixture, 0), 1);
+}
+
+static void
+writes_stay_below_the_rate (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t revision = own_and_open (fixture, 1);
+  unsigned int id;
+
+  for (id = 0; id < 2000; id++)
+    {
+      ask (fixture, 1, revision, id);
+      write_once (fixture, FATE_ANSWERED);
+      pass (fixture, 5 * HS_MSEC);
+    }
+  assert_in_range (fixture->n_writes, 10 * WRITES_PER_S, 10 * WRITES_PER_S + 4);
+  while (fixture->n_ended < 2000)
+    {
+      fixture->now.mono = hs_claim_log_wake (fixture->log, &fixture->now);
+      write_once (fixture, FATE_ANSWERED);
+    }
+  assert_int_equal (fixture->outcomes[1999], HS_CLAIM_HELD);
+}
+
+static void
+old_keys_are_deleted_along_with_claims_or_later_alone (void **state)
+{
+  Fixture *fixture = *state;
+  int64_t revision = own_and_open (fixture, 1);
+
+  ask (fixture, 1, revision, 0);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  pass (fixture, RETENTION + HS_SEC);
+  assert_false (write_once (fixture, FATE_ANSWERED));
+  ask (fixture, 1, revision, 1);
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (count_stored (fixture, 0), 0);
+  assert_int_equal (count_stored (fixture, 1), 1);
+  fixture->now.wall_ms
+      += (hs_claim_log_wake (fixture->log, &fixture->now) - fixture->now.mono)
+         / HS_MSEC;
+  assert_true (write_once (fixture, FATE_ANSWERED));
+  assert_int_equal (count_stored (fixture, 1), 0);
+  assert_int_equal (hs_claim_log_wake (fixture->log, &fixture->now), HS_NEVER);
+}
+
+static void
+run_random_faults (Fixture *fixture, unsigned int seed)
+{
+  const unsigned int n_ids = 200;
+  GRand *rand = g_rand_new_with_seed (seed);
+  int64_t revisions[4];
+  unsigned int id;
+  uint32_t part;
+
+  for (part = 0; part < 4; part++)
+    revisions[part] = own_and_open (fixture, part);
+  for (id = 0; id < n_ids; id++)
+    {
+      part = (uint32_t) g_rand_int_range (rand, 0, 4);
+      ask (fixture, part, revisions[part], id);
+      write_once (fixture, (Fate) g_rand_int_range (rand, 0, N_FATES));
+      pass (fixture, g_rand_int_range (rand, 0, 400) * HS_MSEC);
+      if (g_rand_int_range (rand, 0, 8) == 0)
+        land (fixture);
+      if (id % 64 == 63)
+        own (fixture->kv, id / 64);
+    }
+  while (fixture->n_ended < n_ids)
+    {
+      pass (fixture, HS_SEC);
+      write_once (fixture, FATE_ANSWERED);
+    }
+  land (fixture);
+  g_rand_free (rand);
+  for (id = 0; id < n_ids; id++)
+    {
+      if (fixture->outcomes[id] == HS_CLAIM_HELD)
+        assert_in_range (count_stored (fixture, id), 1, 2);
+      if (fixture->outcomes[id] == HS_CLAIM_UNAVAILABLE)
+        assert_int_equal (count_stored (fixture, id), 0);
+    }
+}
+
+/* Each claim ends once; what was held is stored, and what was certain not to
+   be written never gets there. */
+static void
+outcomes_are_true_under_random_faults (void **state)
+{
+  unsigned int seed;
+
+  (void) state;
+  for (seed = 1; seed <= 40; seed++)
+    {
+      void *fixture;
+
+      setup (&fixture);
+      run_random_faults (fixture, seed);
+      teardown (&fixture);
+    }
+}
+
+typedef struct
+{
+  unsigned int n_loads;
+  bool complete;
+  size_t n_records;
+  char last_id[16];
+  unsigned int n_held;
+} Driven;
+
+static void
+on_loaded (void *arg,
+           uint32_t part,
+           bool complete,
+           size_t n_records,
+           const HsClaimRecord *records)
+{
+  Driven *driven = arg;
+
+  assert_int_equal (part, 7);
+  driven->n_loads++;
+  driven->complete = complete;
+  driven->n_records = n_records;
+  if (n_records > 0)
+    g_strlcpy (driven->last_id, records[n_records - 1].id,
+               sizeof driven->last_id);
+}
+
+static void
+on_held (void *arg, HsClaimOutcome outcome)
+{
+  Driven *driven = arg;
+
+  assert_int_equal (outcome, HS_CLAIM_HELD);
+  driven->n_held++;
+}
+
+static void
+put_claim (HsKv *kv, uint64_t number)
+{
+  g_autofree char *id = g_strdup_printf ("old-%u", (unsigned int) number);
+  const HsClaimRecord record = { "customer", id, "digest", 0 };
+  HsKvOp put = { .kind = HS_KV_PUT };
+  HsKvOpResult result;
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  put.span.key = hs_claim_key (ctx, 7, number);
+  put.value = hs_claim_encode (ctx, 1, hs_now ().wall_ms, &record, 1);
+  put.value_len = strlen (put.value);
+  hs_kv_apply (kv, &put, 1, &result);
+  talloc_free (ctx);
+}
+
+static void
+driver_loads_in_pages_and_survives_a_lost_answer (void **state)
+{
+  struct tevent_context *ev = tevent_context_init (NULL);
+  HsStoreServer *server = hs_store_server_new (ev, ev, "127.0.0.1", 0);
+  HsKv *kv = hs_store_server_kv (server);
+  char *url = talloc_asprintf (ev, "http://127.0.0.1:%u",
+                               hs_store_server_port (server));
+  const char *endpoints[] = { url, NULL };
+  HsStore *store = hs_store_new (ev, ev, endpoints, HS_SEC);
+  HsClaims *claims = hs_claims_new (ev, ev, store, &LIMITS);
+  int64_t revision = own (kv, 7);
+  Driven driven = { 0 };
+  uint64_t number;
+  HsNow now;
+
+  (void) state;
+  for (number = 95; number < 225; number++)
+    put_claim (kv, number);
+  hs_claims_load (claims, 7, revision, on_loaded, &driven);
+  while (driven.n_loads == 0)
+    tevent_loop_once (ev);
+  assert_true (driven.complete);
+  assert_int_equal (driven.n_records, 130);
+  assert_string_equal (driven.last_id, "old-224");
+  hs_store_server_faults (server)->lose_answers = 1;
+  now = hs_now ();
+  hs_claims_add (claims, 7, revision, "customer", "id", "digest", &now, on_held,
+                 &driven);
+  while (driven.n_held == 0)
+    tevent_loop_once (ev);
+  assert_non_null (hs_kv_get (kv, "hs/claim/7/000000000225"));
+  assert_null (hs_kv_get (kv, "hs/claim/7/000000000226"));
+  now = hs_now ();
+  hs_claims_add (claims, 7, revision, "customer", "id2", "digest", &now,
+                 on_held, &driven);
+  talloc_free (claims);
+  while (hs_store_server_calls (server, HS_GATEWAY_TXN) < 3)
+    tevent_loop_once (ev);
+  talloc_free (store);
+  talloc_free (server);
+  talloc_free (ev);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (waiting_claims_of_all_parts_share_a_write,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        lost_answer_is_settled_before_the_claim_ends, setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        deposed_writer_holds_nothing_and_others_go_on, setup, teardown),
+    cmocka_unit_test_setup_teardown (outage_ends_claims_by_what_is_certain,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (late_write_costs_a_number_only, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (writes_stay_below_the_rate, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (
+        old_keys_are_deleted_along_with_claims_or_later_alone, setup, teardown),
+    cmocka_unit_test (outcomes_are_true_under_random_faults),
+    cmocka_unit_test (driver_loads_in_pages_and_survives_a_lost_answer),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
