--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -254,6 +254,29 @@
   assert_int_equal (put_at (fixture, "hs/a", 0, 0), HS_STORE_UNKNOWN);
 }
 
+static void
+stale_range_and_late_watch_are_as_the_faults_say (void **state)
+{
+  Fixture *fixture = *state;
+
+  put_at (fixture, "hs/a", 0, 0);
+  put_at (fixture, "hs/b", 0, 0);
+  fixture->faults->stale_ranges = 1;
+  range (fixture, "hs/");
+  assert_int_equal (fixture->reply.n_kvs, 1);
+  assert_int_equal (fixture->reply.revision, 2);
+  range (fixture, "hs/");
+  assert_int_equal (fixture->reply.n_kvs, 2);
+  hs_store_watch (fixture->store, "hs/", 0, on_note, fixture);
+  await_notes (fixture, HS_WATCH_PROGRESS, 1);
+  fixture->faults->lag_watches = 3600 * HS_SEC;
+  put_at (fixture, "hs/c", 0, 0);
+  assert_int_equal (fixture->n_events, 0);
+  hs_store_server_cut_watches (fixture->server);
+  await_notes (fixture, HS_WATCH_EVENTS, 1);
+  assert_string_equal (fixture->last_key, "hs/c");
+}
+
 static void
 watch_tells_changes_and_goes_on_after_a_cut (void **state)
 {
@@ -334,6 +357,8 @@
         refused_connection_is_not_applied_and_the_next_is_tried, setup,
         teardown),
     cmocka_unit_test_setup_teardown (late_answer_is_unknown, setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        stale_range_and_late_watch_are_as_the_faults_say, setup, teardown),
     cmocka_unit_test_setup_teardown (
         watch_tells_changes_and_goes_on_after_a_cut, setup, teardown),
     cmocka_unit_test_setup_teardown (compacted_watch_says_so_and_ends, setup,
