--- a/src/store/client.h
+++ b/src/store/client.h
@@ -49,6 +49,10 @@
 /** Goes on to the next endpoint, unless that has been done since. */
 void hs_store_endpoint_failed (HsStore *store, size_t endpoint);
 
+/** Dials watches of a failed endpoint anew, since a host that hangs may keep
+ *  their connections open without a word. */
+void hs_store_move_watches (HsStore *store, size_t endpoint);
+
 /** Frees all watches, as the store's destructor needs. */
 void hs_store_free_watches (HsStore *store);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -170,7 +170,10 @@
   store->stats.failures++;
   if (store->endpoint != endpoint)
     return;
+  if (store->n_endpoints == 1)
+    return;
   store->endpoint = (endpoint + 1) % store->n_endpoints;
+  hs_store_move_watches (store, endpoint);
   hs_debug ("store", "endpoint %s failed, next is %s",
             store->endpoints[endpoint], store->endpoints[store->endpoint]);
 }
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -24,7 +24,7 @@
   HsStoreReceiver receiver;
   GByteArray *buffer;
   struct tevent_immediate *deliver;
-  struct tevent_timer *timer;
+  struct tevent_timer *timer; /* To redial, or to cut. */
   HsTime backoff;
   bool ended; /* Compacted: nothing more comes. */
   bool *freed;
@@ -35,6 +35,7 @@
 static int free_watch (HsStoreWatch *watch);
 static void dial (HsStoreWatch *watch);
 static void cut (HsStoreWatch *watch);
+static void cut_after (HsStoreWatch *watch, HsTime delay);
 static bool append_data (void *arg, const char *data, size_t len);
 static void on_watch_end (void *arg, CURL *easy, CURLcode result, bool sent);
 static void
@@ -75,6 +76,16 @@
     talloc_free (store->watches);
 }
 
+void
+hs_store_move_watches (HsStore *store, size_t endpoint)
+{
+  HsStoreWatch *watch;
+
+  for (watch = store->watches; watch != NULL; watch = watch->next)
+    if (watch->easy != NULL && watch->endpoint == endpoint)
+      cut_after (watch, 0);
+}
+
 static int
 free_watch (HsStoreWatch *watch)
 {
@@ -105,9 +116,36 @@
   curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPIDLE, PROBE_IDLE_S);
   curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPINTVL, PROBE_INTERVAL_S);
   talloc_free (body);
+  cut_after (watch, store->timeout);
   hs_curl_add (store->curl, watch->easy, on_watch_end, watch);
 }
 
+static void
+on_silent (struct tevent_context *ev,
+           struct tevent_timer *te,
+           struct timeval now,
+           void *arg)
+{
+  HsStoreWatch *watch = arg;
+
+  (void) ev;
+  (void) te;
+  (void) now;
+  cut (watch);
+}
+
+/* Cuts the watch unless a line comes before. */
+static void
+cut_after (HsStoreWatch *watch, HsTime delay)
+{
+  struct timeval when
+      = tevent_timeval_current_ofs (delay / HS_SEC, delay % HS_SEC);
+
+  TALLOC_FREE (watch->timer);
+  watch->timer
+      = tevent_add_timer (watch->store->ev, watch, when, on_silent, watch);
+}
+
 static void
 on_redial (struct tevent_context *ev,
            struct tevent_timer *te,
@@ -136,6 +174,7 @@
   watch->easy = NULL;
   g_byte_array_set_size (watch->buffer, 0);
   hs_store_endpoint_failed (watch->store, watch->endpoint);
+  TALLOC_FREE (watch->timer);
   watch->timer
       = tevent_add_timer (watch->store->ev, watch, when, on_redial, watch);
   watch->backoff = MIN (watch->backoff * 2, REDIAL_MAX);
@@ -186,6 +225,7 @@
 end (HsStoreWatch *watch)
 {
   watch->ended = true;
+  TALLOC_FREE (watch->timer);
   if (watch->easy != NULL)
     hs_curl_remove (watch->store->curl, watch->easy);
   watch->easy = NULL;
@@ -221,6 +261,7 @@
     {
       note_progress (watch, &line, &note);
       watch->backoff = REDIAL_MIN;
+      TALLOC_FREE (watch->timer);
     }
   watch->freed = freed;
   watch->func (watch->arg, &note);
