Lend what stays idle, in batches; test the new parts

A target that returned needed two failures to go. Change: an entry asks after 5 ms of shortage and lends what was idle for 20 ms, four credits at least or after 30 ms; one failure ends a return.

--- a/bench/dispatch.c
+++ b/bench/dispatch.c
@@ -101,6 +101,7 @@
 measure (TALLOC_CTX *ctx, const Scenario *s, const Contender *c, Sum *sum);
 static void add_run (Sum *sum,
                      const Scenario *s,
+                     const Contender *c,
                      const BenchWorkload *load,
                      const BenchResult *result);
 static void find_percentiles (Sum *sum);
@@ -143,10 +144,8 @@
   fprintf (table,
            "Commit %s, %d seeds.\n\n"
            "| scenario | rule | p50 ms | p99 ms | p99.9 ms | p50/ideal | "
-           "p99/ideal | p99.9/ideal | borrow msg/task | refresh msg/task | "
-           "refused/task | failed |\n"
-           "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-           "--- | --- |\n",
+           "p99/ideal | p99.9/ideal | extra messages/task | failed |\n"
+           "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
            argv[1], SEEDS);
   for (s = 0; s < N_SCENARIOS; s++)
     {
@@ -190,7 +189,7 @@
 
       mix.length = LENGTH;
       load = bench_workload_new (tmp, &mix, seed);
-      add_run (sum, s, load, bench_fleet_run (tmp, load, &run));
+      add_run (sum, s, c, load, bench_fleet_run (tmp, load, &run));
       talloc_free (tmp);
     }
   find_percentiles (sum);
@@ -199,6 +198,7 @@
 static void
 add_run (Sum *sum,
          const Scenario *s,
+         const Contender *c,
          const BenchWorkload *load,
          const BenchResult *result)
 {
@@ -213,8 +213,11 @@
         || (load->jobs[i].customer == s->measured && load->jobs[i].n == 1))
       sum->response[sum->n++] = (double) result->response[i] / 1000.0;
   sum->n_tasks += load->n_tasks;
-  sum->borrows += result->borrows;
-  sum->grants += result->grants;
+  if (c->rule == HS_RULE_CREDITS && !c->is_ideal)
+    {
+      sum->borrows += result->borrows;
+      sum->grants += result->grants;
+    }
   sum->refused += result->refused;
   sum->failed += result->failed;
   sum->n_late += result->n_late;
@@ -283,13 +286,12 @@
            const Sum *ideal)
 {
   fprintf (out,
-           "| %s | %s | %.1f | %.0f | %.0f | %.3f | %.3f | %.3f | %.4f | "
-           "%.4f | %.5f | %.2f%% |\n",
+           "| %s | %s | %.1f | %.0f | %.0f | %.3f | %.3f | %.3f | %.3f | "
+           "%.2f%% |\n",
            s->name, c->name, sum->percentiles[0], sum->percentiles[1],
            sum->percentiles[2], sum->percentiles[0] / ideal->percentiles[0],
            sum->percentiles[1] / ideal->percentiles[1],
            sum->percentiles[2] / ideal->percentiles[2],
-           per_task (sum, sum->borrows), per_task (sum, sum->grants),
-           per_task (sum, sum->refused),
+           per_task (sum, sum->borrows + sum->grants + sum->refused),
            100.0 * (double) sum->failed / (double) sum->n_late);
 }
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -12,8 +12,8 @@
 
 #define STRAGGLER_FACTOR 10
 
-static const uint32_t job_sizes[] = { 1, 30, 390 };
-#define N_SIZES (sizeof job_sizes / sizeof job_sizes[0])
+#define N_SIZES 3
+static const uint32_t job_sizes[N_SIZES] = { 1, 30, 390 };
 
 typedef struct
 {
--- a/mk/bench.mk
+++ b/mk/bench.mk
@@ -1,7 +1,9 @@
-# Benches in fake time. Results go to bench/results/.
+# Benches in fake time. Results go to bench/results/, the table of
+# bench-dispatch also to the end of docs/design/dispatch.md.
 
 BENCH_COMMIT = $(shell git rev-parse --short HEAD)$(shell \
 	git diff --quiet HEAD -- src bench || echo -modified)
+BENCH_RESULTS := bench/results
 
 bench: $(BENCHES:%=bench-%)
 
@@ -9,8 +11,13 @@
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
 bench-dispatch: $(B)/bench-dispatch
-	@mkdir -p bench/results
-	$(B)/bench-dispatch $(BENCH_COMMIT) bench/results/dispatch.json \
-		bench/results/dispatch.md
+	@mkdir -p $(BENCH_RESULTS)
+	$(B)/bench-dispatch $(BENCH_COMMIT) $(BENCH_RESULTS)/dispatch.json \
+		$(BENCH_RESULTS)/dispatch.md
+	@sed -i '/^## Figures/,$$d' docs/design/dispatch.md
+	@{ printf '## Figures\n\n'; cat $(BENCH_RESULTS)/dispatch.md; } \
+		>>docs/design/dispatch.md
+	@if command -v gnuplot >/dev/null; then gnuplot bench/plot_dispatch.gp; \
+	else echo "bench-dispatch: no gnuplot, plot not drawn"; fi
 
 .PHONY: bench-dispatch
--- a/src/policy/health.c
+++ b/src/policy/health.c
@@ -12,9 +12,9 @@
 #define PROBATE 7.0
 #define EJECT 12.0
 
-/* The score of a target that returns: one more failure ejects it again, if
- * failures are rare elsewhere. */
-#define RETURN (EJECT - 2.0)
+/* The score of a target that returns: one more failure ejects it again,
+ * unless failures are common elsewhere. */
+#define RETURN (EJECT - 1.0)
 
 /* Successes in a row that end a probation. */
 #define RECOVER 3
--- a/src/policy/loans.c
+++ b/src/policy/loans.c
@@ -9,6 +9,18 @@
 #define PAUSE_MIN (5 * HS_MSEC)
 #define PAUSE_MAX (1 * HS_SEC)
 
+/* Credits are lent that were idle this long: those that this entry would
+ * need again at once are not, since each loan is two messages. */
+#define LINGER (20 * HS_MSEC)
+
+/* Few credits are lent only to a peer that wants few, or has waited long. */
+#define BATCH 4
+#define BATCH_WAIT (30 * HS_MSEC)
+
+/* Peers are asked once tasks have waited this long for a credit: often one
+ * of this entry's own comes back sooner. */
+#define ASK_AFTER (5 * HS_MSEC)
+
 typedef struct
 {
   bool known;
@@ -18,7 +30,7 @@
   uint32_t asking_for;  /* Credits in our open question. */
   HsTime pause;         /* 0 after a success. */
   HsTime ask_at;        /* Not before. */
-  HsTime hold_until;    /* Of its question. */
+  HsTime asked_at;      /* Of its question. */
   hsx_borrow_args args; /* Of its question. */
 } Peer;
 
@@ -30,11 +42,20 @@
   uint32_t asking_for;
   uint32_t next; /* Whose question is looked at first. */
   Peer *peers;
+  HsTime short_since;   /* HS_NEVER: not short of credits. */
+  HsTime window_end;    /* Of the present window, LINGER long. */
+  uint32_t low;         /* Least credits idle in this window, */
+  uint32_t earlier_low; /* and in the one before. */
 };
 
 static void close_ask (HsLoans *loans, Peer *p);
 static uint32_t best_peer (HsLoans *loans, HsTime now);
-static uint32_t may_lend (const HsDemand *mine, const hsx_borrow_args *args);
+static uint32_t may_lend (const HsLoans *loans,
+                          const HsDemand *mine,
+                          const hsx_borrow_args *args);
+static HsTime answer_at (const Peer *p, uint32_t n);
+static void note_shortage (HsLoans *loans, const HsDemand *mine, HsTime now);
+static void note_idle (HsLoans *loans, uint32_t idle, HsTime now);
 
 HsLoans *
 hs_loans_new (TALLOC_CTX *ctx, uint64_t seed)
@@ -42,6 +63,7 @@
   HsLoans *loans = talloc_zero (ctx, HsLoans);
 
   loans->random = seed;
+  loans->short_since = HS_NEVER - ASK_AFTER;
   return loans;
 }
 
@@ -76,7 +98,9 @@
   uint32_t best;
   Peer *p;
 
-  if (mine->queued <= mine->idle + loans->asking_for
+  note_shortage (loans, mine, now);
+  if (now < loans->short_since + ASK_AFTER
+      || mine->queued <= mine->idle + loans->asking_for
       || loans->n_asking == ASKS_MAX)
     return false;
   best = best_peer (loans, now);
@@ -135,7 +159,8 @@
       if (p->known && !p->asking && p->ask_at < at)
         at = p->ask_at;
     }
-  return at;
+  return at > loans->short_since + ASK_AFTER ? at
+                                             : loans->short_since + ASK_AFTER;
 }
 
 void
@@ -150,7 +175,7 @@
   p = &loans->peers[peer];
   p->asks = true;
   p->args = *args;
-  p->hold_until = now + HS_LOANS_HOLD;
+  p->asked_at = now;
 }
 
 bool
@@ -162,6 +187,7 @@
 {
   uint32_t i;
 
+  note_idle (loans, mine->idle, now);
   for (i = 0; i < loans->n_peers; i++)
     {
       uint32_t at = (loans->next + i) % loans->n_peers;
@@ -169,8 +195,8 @@
 
       if (!p->known || !p->asks)
         continue;
-      *n = may_lend (mine, &p->args);
-      if (*n == 0 && now < p->hold_until)
+      *n = may_lend (loans, mine, &p->args);
+      if (now < answer_at (p, *n))
         continue;
       p->asks = false;
       loans->next = at + 1;
@@ -187,8 +213,16 @@
   uint32_t i;
 
   for (i = 0; i < loans->n_peers; i++)
-    if (loans->peers[i].asks && loans->peers[i].hold_until < at)
-      at = loans->peers[i].hold_until;
+    {
+      const Peer *p = &loans->peers[i];
+
+      if (!p->asks)
+        continue;
+      if (answer_at (p, 0) < at)
+        at = answer_at (p, 0);
+      if (loans->low > 0 && loans->window_end < at)
+        at = loans->window_end;
+    }
   return at;
 }
 
@@ -228,12 +262,15 @@
   return best;
 }
 
-/* All that is idle while nothing waits here; else only what the other lacks
+/* What stayed idle while nothing waits here; else only what the other lacks
  * to its share of what both hold. */
 static uint32_t
-may_lend (const HsDemand *mine, const hsx_borrow_args *args)
+may_lend (const HsLoans *loans,
+          const HsDemand *mine,
+          const hsx_borrow_args *args)
 {
-  uint32_t spare = mine->idle;
+  uint32_t spare
+      = loans->low < loans->earlier_low ? loans->low : loans->earlier_low;
 
   if (mine->queued > 0)
     {
@@ -243,8 +280,42 @@
 
       if (share <= args->held)
         return 0;
+      spare = mine->idle;
       if (share - args->held < spare)
         spare = (uint32_t) (share - args->held);
     }
   return spare < args->want ? spare : args->want;
 }
+
+/* When a peer's question is answered if n credits can be lent by then. */
+static HsTime
+answer_at (const Peer *p, uint32_t n)
+{
+  uint32_t enough = p->args.want < BATCH ? p->args.want : BATCH;
+
+  if (n == 0)
+    return p->asked_at + HS_LOANS_HOLD;
+  return n < enough ? p->asked_at + BATCH_WAIT : p->asked_at;
+}
+
+static void
+note_shortage (HsLoans *loans, const HsDemand *mine, HsTime now)
+{
+  if (mine->queued <= mine->idle)
+    loans->short_since = HS_NEVER - ASK_AFTER;
+  else if (now < loans->short_since)
+    loans->short_since = now;
+}
+
+static void
+note_idle (HsLoans *loans, uint32_t idle, HsTime now)
+{
+  if (now >= loans->window_end)
+    {
+      loans->earlier_low = now < loans->window_end + LINGER ? loans->low : idle;
+      loans->low = idle;
+      loans->window_end = now + LINGER;
+    }
+  else if (idle < loans->low)
+    loans->low = idle;
+}
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -44,8 +44,7 @@
 
   if (attempt >= ATTEMPTS_MAX || !spend (retry, now))
     return false;
-  *at = now + delay / 2
-        + (HsTime) (hs_random_unit (random) * (double) (delay / 2));
+  *at = now + (HsTime) ((double) delay * (0.5 + 0.5 * hs_random_unit (random)));
   return true;
 }
 
--- /dev/null
+++ b/test/test_dispatch.c
@@ -0,0 +1,84 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "policy/dispatch.h"
+
+#define N 4
+
+static const uint32_t outstanding[N] = { 5, 9, 1, 7 };
+
+static void
+count_choices (HsRule *rule, uint32_t n, uint32_t counts[N])
+{
+  const HsRuleView view = { .n_targets = N, .outstanding = outstanding };
+  hsx_credit credit;
+  uint32_t target;
+
+  for (; n > 0; n--)
+    {
+      assert_true (hs_rule_choose (rule, &view, &target, &credit));
+      counts[target]++;
+    }
+}
+
+static void
+rules_choose_as_named (void **state)
+{
+  HsRule random = { .kind = HS_RULE_RANDOM, .u.random = 1 };
+  HsRule in_turn = { .kind = HS_RULE_ROUND_ROBIN };
+  HsRule two = { .kind = HS_RULE_TWO_CHOICES, .u.random = 1 };
+  HsRule least = { .kind = HS_RULE_LEAST_OUTSTANDING, .u.random = 1 };
+  uint32_t counts[4][N] = { 0 };
+  uint32_t i;
+
+  (void) state;
+  count_choices (&random, 4000, counts[0]);
+  count_choices (&in_turn, 4000, counts[1]);
+  count_choices (&two, 4000, counts[2]);
+  count_choices (&least, 4000, counts[3]);
+  for (i = 0; i < N; i++)
+    {
+      assert_in_range (counts[0][i], 850, 1150);
+      assert_int_equal (counts[1][i], 1000);
+    }
+  /* Of two draws with replacement: least 7 in 16, most 1 in 16. */
+  assert_in_range (counts[2][2], 1600, 1900);
+  assert_in_range (counts[2][1], 180, 320);
+  assert_int_equal (counts[3][2], 4000);
+}
+
+static void
+without_target_or_credit_a_task_waits (void **state)
+{
+  HsRule rule = { .kind = HS_RULE_CREDITS };
+  const HsRuleView none = { .n_targets = 0 };
+  HsRuleView view = { .n_targets = 1, .lease_left = HS_SEC };
+  const hsx_needs capacity = { 0, 0 };
+  hsx_credit credit = { .slot = 0, .generation = 1 };
+  uint32_t target;
+
+  (void) state;
+  rule.u.credits = hs_credits_new (NULL, 1);
+  assert_false (hs_rule_choose (&rule, &none, &target, &credit));
+  assert_false (hs_rule_choose (&rule, &view, &target, &credit));
+  hs_credits_agent (rule.u.credits, 0, &capacity);
+  hs_credits_add (rule.u.credits, 0, &credit, HS_CREDIT_RETURNED, 0);
+  assert_true (hs_rule_choose (&rule, &view, &target, &credit));
+  assert_int_equal (target, 0);
+  talloc_free (rule.u.credits);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (rules_choose_as_named),
+    cmocka_unit_test (without_target_or_credit_a_task_waits),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_health.c
@@ -0,0 +1,224 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "policy/health.h"
+#include "policy/random.h"
+
+#define N_TARGETS 11
+#define N_FLOWS 4
+#define RUN (200 * HS_MSEC)
+
+static HsHealth *
+health_of (uint32_t n)
+{
+  HsHealth *health = hs_health_new (NULL);
+  uint32_t i;
+
+  for (i = 0; i < n; i++)
+    hs_health_add (health, i);
+  return health;
+}
+
+/* Applies all changes due and returns the number of ejected targets. */
+static uint32_t
+settle (HsHealth *health, uint32_t n_targets, HsTime now)
+{
+  uint32_t n = 0;
+  uint32_t target;
+  HsHealthState state;
+
+  while (hs_health_changed (health, now, &target, &state))
+    assert_int_equal (hs_health_state (health, target), state);
+  for (target = 0; target < n_targets; target++)
+    n += hs_health_state (health, target) == HS_HEALTH_EJECTED;
+  return n;
+}
+
+static void
+result (HsHealth *health, uint32_t target, bool failed, HsTime now)
+{
+  hs_health_result (health, target, 0, failed, RUN, RUN, now);
+}
+
+static void
+a_target_that_fails_all_is_ejected_soon (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  int i;
+
+  (void) state;
+  for (i = 0; i < 2; i++)
+    result (health, 3, true, 0);
+  settle (health, N_TARGETS, 0);
+  assert_int_equal (hs_health_state (health, 3), HS_HEALTH_OK);
+  for (i = 0; i < 4; i++)
+    result (health, 3, true, 0);
+  assert_int_equal (settle (health, N_TARGETS, 0), 1);
+  assert_int_equal (hs_health_state (health, 3), HS_HEALTH_EJECTED);
+  talloc_free (health);
+}
+
+static void
+it_returns_on_probation_for_growing_spans (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  HsTime now = 0;
+  HsTime span = 0;
+  int i;
+
+  (void) state;
+  for (i = 0; i < 6; i++)
+    result (health, 3, true, now);
+  settle (health, N_TARGETS, now);
+  for (i = 0; i < 4; i++)
+    {
+      HsTime wake = hs_health_wake_at (health);
+
+      assert_true (wake - now >= 2 * span);
+      span = wake - now;
+      now = wake;
+      assert_int_equal (settle (health, N_TARGETS, now), 0);
+      assert_int_equal (hs_health_state (health, 3), HS_HEALTH_PROBATION);
+      result (health, 3, true, now);
+      assert_int_equal (settle (health, N_TARGETS, now), 1);
+    }
+  now = hs_health_wake_at (health);
+  settle (health, N_TARGETS, now);
+  for (i = 0; i < 3; i++)
+    result (health, 3, false, now);
+  settle (health, N_TARGETS, now);
+  assert_int_equal (hs_health_state (health, 3), HS_HEALTH_OK);
+  assert_true (hs_health_wake_at (health) == HS_NEVER);
+  talloc_free (health);
+}
+
+/* One customer of four whose tasks all fail, wherever they run. */
+static void
+a_bad_customer_ejects_no_target (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  uint64_t random = 5;
+  HsTime now;
+
+  (void) state;
+  for (now = 0; now < 100 * HS_SEC; now += 4 * HS_MSEC)
+    {
+      uint32_t flow = hs_random_below (&random, N_FLOWS);
+
+      hs_health_result (health, hs_random_below (&random, N_TARGETS), flow,
+                        flow == 0, RUN, RUN, now);
+      assert_int_equal (settle (health, N_TARGETS, now), 0);
+    }
+  talloc_free (health);
+}
+
+static void
+a_bad_target_is_found_among_bad_customers (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  uint64_t random = 5;
+  uint32_t n_ejected = 0;
+  HsTime now;
+
+  (void) state;
+  for (now = 0; now < 20 * HS_SEC && n_ejected == 0; now += 4 * HS_MSEC)
+    {
+      uint32_t flow = hs_random_below (&random, N_FLOWS);
+      uint32_t target = hs_random_below (&random, N_TARGETS);
+
+      hs_health_result (health, target, flow, flow == 0 || target == 7, RUN,
+                        RUN, now);
+      n_ejected = settle (health, N_TARGETS, now);
+    }
+  assert_int_equal (n_ejected, 1);
+  assert_int_equal (hs_health_state (health, 7), HS_HEALTH_EJECTED);
+  assert_true (now < 5 * HS_SEC);
+  talloc_free (health);
+}
+
+static void
+the_ejected_share_is_capped (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  HsTime later = 150 * HS_MSEC;
+  uint32_t target;
+  int i;
+
+  (void) state;
+  for (i = 0; i < 6 * 8 * 30; i++)
+    if (i % 30 == 0)
+      result (health, (uint32_t) (i / 30 % 6), true, 0);
+    else
+      result (health, (uint32_t) (6 + i % 5), false, 0);
+  settle (health, N_TARGETS, 0);
+  /* Those over the cap pause for a moment only. */
+  assert_int_equal (settle (health, N_TARGETS, later), 3);
+  for (target = 0; target < 6; target++)
+    assert_int_not_equal (hs_health_state (health, target), HS_HEALTH_OK);
+  hs_health_drop (health, 0);
+  hs_health_drop (health, 1);
+  hs_health_drop (health, 2);
+  assert_int_equal (settle (health, N_TARGETS, 100 * HS_SEC), 0);
+  talloc_free (health);
+}
+
+static void
+a_slow_target_is_on_probation_until_it_keeps_up (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  uint32_t target;
+  HsTime now;
+
+  (void) state;
+  for (now = 0; now < 10 * HS_SEC; now += 100 * HS_MSEC)
+    for (target = 0; target < N_TARGETS; target++)
+      hs_health_result (health, target, 0, false, target == 2 ? 5 * RUN : RUN,
+                        RUN, now);
+  assert_int_equal (settle (health, N_TARGETS, now), 0);
+  for (target = 0; target < N_TARGETS; target++)
+    assert_int_equal (hs_health_state (health, target),
+                      target == 2 ? HS_HEALTH_PROBATION : HS_HEALTH_OK);
+  for (; now < 20 * HS_SEC; now += 100 * HS_MSEC)
+    result (health, 2, false, now);
+  settle (health, N_TARGETS, now);
+  assert_int_equal (hs_health_state (health, 2), HS_HEALTH_OK);
+  talloc_free (health);
+}
+
+/* All expectations are wrong alike: nobody is slow beside the others. */
+static void
+wrong_declared_times_make_nobody_slow (void **state)
+{
+  HsHealth *health = health_of (N_TARGETS);
+  uint32_t target;
+  HsTime now;
+
+  (void) state;
+  for (now = 0; now < 10 * HS_SEC; now += 100 * HS_MSEC)
+    for (target = 0; target < N_TARGETS; target++)
+      hs_health_result (health, target, 0, false, 10 * RUN, RUN, now);
+  settle (health, N_TARGETS, now);
+  for (target = 0; target < N_TARGETS; target++)
+    assert_int_equal (hs_health_state (health, target), HS_HEALTH_OK);
+  talloc_free (health);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_target_that_fails_all_is_ejected_soon),
+    cmocka_unit_test (it_returns_on_probation_for_growing_spans),
+    cmocka_unit_test (a_bad_customer_ejects_no_target),
+    cmocka_unit_test (a_bad_target_is_found_among_bad_customers),
+    cmocka_unit_test (the_ejected_share_is_capped),
+    cmocka_unit_test (a_slow_target_is_on_probation_until_it_keeps_up),
+    cmocka_unit_test (wrong_declared_times_make_nobody_slow),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
