Ask peers again only when no answer is awaited

Cause: the time to ask could lie in the past, and a timer on it would spin; two lint findings. Change: hs_loans_ask_at() gives HS_NEVER while an answer may be enough. Conclusion: safe to arm a timer with.

--- a/src/policy/loans.c
+++ b/src/policy/loans.c
@@ -141,9 +141,9 @@
   p->pause = p->pause > 0 ? p->pause * 2 : PAUSE_MIN;
   if (p->pause > PAUSE_MAX)
     p->pause = PAUSE_MAX;
-  p->ask_at
-      = now + p->pause / 2
-        + (HsTime) (hs_random_unit (&loans->random) * (double) (p->pause / 2));
+  p->ask_at = now
+              + (HsTime) ((double) p->pause
+                          * (0.5 + 0.5 * hs_random_unit (&loans->random)));
 }
 
 HsTime
@@ -152,6 +152,8 @@
   HsTime at = HS_NEVER;
   uint32_t i;
 
+  if (loans->n_asking == ASKS_MAX || loans->asking_for > 0)
+    return HS_NEVER;
   for (i = 0; i < loans->n_peers; i++)
     {
       const Peer *p = &loans->peers[i];
--- a/src/policy/loans.h
+++ b/src/policy/loans.h
@@ -59,7 +59,10 @@
                         uint32_t idle,
                         HsTime now);
 
-/** When hs_loans_ask() may ask again although nothing else happens. */
+/**
+ * When hs_loans_ask() may ask, if tasks still lack credits and nothing else
+ * happens before; HS_NEVER while an answer is awaited that may be enough.
+ */
 HsTime hs_loans_ask_at (const HsLoans *loans);
 
 /** A peer asks; hs_loans_due() tells when and how to answer. */
