--- /dev/null
+++ b/model/drain.pml
@@ -0,0 +1,124 @@
+/*
+ * A target that leaves: no new work after the leave was taken, what runs is
+ * finished and its results are delivered, refused starts go elsewhere.
+ *
+ * One owner, agent 0 whose target leaves, agent 1 that stays. Each agent has
+ * SLOTS slots and grants a credit for each free one.
+ */
+
+#ifndef TASKS
+#define TASKS 3
+#endif
+#ifndef SLOTS
+#define SLOTS 1
+#endif
+#define QUEUED 0
+#define SENT 1
+#define DONE 2
+
+#define UP 0
+#define LEAVING 1
+#define LEFT 2
+
+byte state;			/* of agent 0 */
+byte task[TASKS];
+byte at[TASKS];
+bit arrived[TASKS];		/* the START reached its agent */
+bit running[TASKS];
+bit result[TASKS];		/* held by the agent until it is delivered */
+bit refused[TASKS];
+byte credits[2];		/* in the owner's hands */
+byte used[2];			/* slots granted or running */
+bit leave_answered;
+
+proctype agent(byte a)
+{
+end:	do
+	/* GRANT. */
+	:: d_step { used[a] < SLOTS && (a == 1 || state == UP) ->
+		used[a]++; credits[a]++ }
+	/* The target's DELETE: taken at once, answered when all is done. */
+	:: d_step { a == 0 && state == UP -> state = LEAVING }
+#ifdef MUT_LEAVE_ANSWERED_EARLY
+	:: d_step { a == 0 && state == LEAVING && !leave_answered ->
+#else
+	:: d_step { a == 0 && state == LEAVING && !leave_answered &&
+	   !(running[0] && at[0] == 0) && !(running[1] && at[1] == 0) &&
+	   !(running[2] && at[2] == 0) ->
+#endif
+		leave_answered = 1 }
+	/* The agent exits once its results were taken. */
+#ifdef MUT_EXIT_WITH_RESULTS
+	:: d_step { a == 0 && leave_answered && state == LEAVING ->
+#else
+	:: d_step { a == 0 && leave_answered && state == LEAVING &&
+	   !(result[0] && at[0] == 0) && !(result[1] && at[1] == 0) &&
+	   !(result[2] && at[2] == 0) ->
+#endif
+		state = LEFT;
+		credits[0] = 0 }
+	od
+}
+
+proctype dispatch(byte t; byte a)
+{
+end:	do
+	:: d_step { task[t] == QUEUED && credits[a] > 0 &&
+	   (a == 1 || state != LEFT) ->
+		credits[a]--; task[t] = SENT; at[t] = a }
+	/* START arrives. */
+	:: d_step { task[t] == SENT && at[t] == a && !arrived[t] &&
+	   (a == 1 || state != LEFT) ->
+		arrived[t] = 1;
+		if
+#ifdef MUT_START_WHILE_LEAVING
+		:: true ->
+#else
+		:: a == 1 || state == UP ->
+#endif
+			assert (a == 1 || state == UP);
+			running[t] = 1
+#ifndef MUT_START_WHILE_LEAVING
+		:: else -> refused[t] = 1
+#endif
+		fi }
+	/* An agent that has left can't be reached: certainly not started. */
+	:: d_step { task[t] == SENT && at[t] == a && !arrived[t] && a == 0 &&
+	   state == LEFT -> task[t] = QUEUED }
+	/* REFUSED: back into the queue; the slot is the agent's again. */
+	:: d_step { refused[t] && at[t] == a ->
+		refused[t] = 0; used[a]--;
+#ifndef MUT_REFUSED_IS_DROPPED
+		arrived[t] = 0; task[t] = QUEUED
+#endif
+	}
+	/* The target answers; it must still be there. */
+	:: d_step { running[t] && at[t] == a ->
+		assert (a == 1 || !leave_answered);
+		running[t] = 0; result[t] = 1 }
+	/* RESULT; the freed slot is granted again unless the target leaves. */
+	:: d_step { result[t] && at[t] == a ->
+		assert (a == 1 || state != LEFT);
+		result[t] = 0; task[t] = DONE; used[a]--;
+		if
+		:: a == 1 || state == UP -> used[a]++; credits[a]++
+		:: else
+		fi }
+	od
+}
+
+proctype observer()
+{
+	timeout -> assert (task[0] == DONE && task[1] == DONE && task[2] == DONE)
+}
+
+init
+{
+	atomic {
+		run agent(0); run agent(1);
+		run dispatch(0, 0); run dispatch(0, 1);
+		run dispatch(1, 0); run dispatch(1, 1);
+		run dispatch(2, 0); run dispatch(2, 1);
+		run observer()
+	}
+}
