--- /dev/null
+++ b/src/metrics/part.mk
@@ -0,0 +1,1 @@
+SRCS += src/metrics/metrics.c src/metrics/histogram.c
