Share the reading of HTTP bodies and keys

Cause: the operators' server needs what the callers' has. Change: http/mhd_request holds both; hs_key_matches compares any key.

--- a/src/entry/front_http.c
+++ b/src/entry/front_http.c
@@ -5,15 +5,12 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "base/log.h"
 #include "entry/front_thread.h"
 #include "entry/job_json.h"
 
 #define JOBS_PATH "/v1/jobs"
-#define BEARER "Bearer "
 /** When to try again after a refusal that has no time of its own. */
 #define RETRY_AFTER_MS 1000
-#define BODY_FIRST_SIZE ((size_t) 4096)
 
 static HsFrontRequest *begin (HsFrontThread *thread,
                               struct MHD_Connection *connection,
@@ -45,7 +42,7 @@
     {
       request = begin (cls, connection, url, method);
       *state = request;
-      if (request->error != NULL && request->expected > 0)
+      if (request->error != NULL && request->body.expected > 0)
         return respond_error (request);
       return MHD_YES;
     }
@@ -113,49 +110,19 @@
   return request;
 }
 
-static const char *
-header (const HsFrontRequest *request, const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
-                                      name);
-}
-
-/** The key that the caller shows, or NULL. */
-static const char *
-bearer_key (const HsFrontRequest *request)
-{
-  const char *value = header (request, MHD_HTTP_HEADER_AUTHORIZATION);
-
-  if (value == NULL
-      || g_ascii_strncasecmp (value, BEARER, strlen (BEARER)) != 0)
-    return NULL;
-  return value + strlen (BEARER);
-}
-
 /** Refuses what can be refused before the body is read. */
 static void
 check_headers (HsFrontRequest *request)
 {
-  const char *length = header (request, MHD_HTTP_HEADER_CONTENT_LENGTH);
-  bool chunked = header (request, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
-  uint32_t most = request->thread->front->settings->max_body;
-  guint64 expected = chunked ? 1 : 0;
-  bool number = length == NULL
-                || g_ascii_string_to_unsigned (length, 10, 0, G_MAXUINT64,
-                                               &expected, NULL);
-
-  request->expected = expected;
-  if (request->error != NULL)
-    return;
-  if (chunked || !number)
-    g_set_error (&request->error, HS_ERROR, HS_ERROR_INVALID,
-                 "the body has no valid Content-Length; send one");
-  else if (expected > most)
-    g_set_error (&request->error, HS_ERROR, HS_ERROR_TOO_LARGE,
-                 "the body is over %u bytes; split the job", most);
-  else if (bearer_key (request) == NULL)
-    g_set_error (&request->error, HS_ERROR, HS_ERROR_UNAUTHORIZED,
+  size_t most = request->thread->front->settings->max_body;
+  g_autoptr (GError) error = NULL;
+
+  if (hs_mhd_body_begin (&request->body, request->connection, most, &error)
+      && hs_mhd_bearer (request->connection) == NULL)
+    g_set_error (&error, HS_ERROR, HS_ERROR_UNAUTHORIZED,
                  "no key; send Authorization: Bearer KEY");
+  if (request->error == NULL)
+    request->error = g_steal_pointer (&error);
 }
 
 static void
@@ -237,24 +204,10 @@
 static enum MHD_Result
 receive (HsFrontRequest *request, const char *data, size_t *len)
 {
-  size_t size = talloc_get_size (request->body);
-  size_t total = request->body_len + *len;
+  bool wanted = request->state == HS_REQUEST_READING && request->error == NULL;
 
-  if (request->state != HS_REQUEST_READING || request->error != NULL)
-    {
-      *len = 0;
-      return MHD_YES;
-    }
-  if (total > request->expected)
+  if (wanted && !hs_mhd_body_add (request, &request->body, data, *len))
     return MHD_NO;
-  if (total > size)
-    {
-      size = MAX (MAX (2 * size, total), BODY_FIRST_SIZE);
-      request->body = talloc_realloc (request, request->body, char,
-                                      MIN (size, request->expected));
-    }
-  memcpy (request->body + request->body_len, data, *len);
-  request->body_len = total;
   *len = 0;
   return MHD_YES;
 }
@@ -275,7 +228,8 @@
   loaded = hs_lists_revision (lists) > 0;
   plan = hs_lists_plan (lists, customer);
   /* An unknown customer takes as long as a wrong key. */
-  ok = hs_plan_check_key (plan != NULL ? plan : &none, bearer_key (request))
+  ok = hs_plan_check_key (plan != NULL ? plan : &none,
+                          hs_mhd_bearer (request->connection))
        && plan != NULL;
   hs_lists_read_unlock (box);
   if (!loaded)
@@ -300,11 +254,12 @@
       return false;
     }
   if (request->verb == HSX_SUBMIT)
-    call->args = hs_job_parse (call, request->body != NULL ? request->body : "",
-                               request->body_len, &request->error);
+    call->args = hs_job_parse (
+        call, request->body.data != NULL ? request->body.data : "",
+        request->body.len, &request->error);
   else
     call->args = talloc_steal (call, request->args);
-  TALLOC_FREE (request->body);
+  TALLOC_FREE (request->body.data);
   return call->args != NULL && authenticate (request, call->args->customer);
 }
 
@@ -331,12 +286,6 @@
   return MHD_YES;
 }
 
-static void
-free_text (void *text)
-{
-  talloc_free (text);
-}
-
 static void
 add_retry_after (struct MHD_Response *response, unsigned int after_ms)
 {
@@ -360,11 +309,7 @@
   struct MHD_Response *response;
   enum MHD_Result result;
 
-  talloc_steal (NULL, text);
-  response = MHD_create_response_from_buffer_with_free_callback_cls (
-      len, text, free_text, text);
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                           "application/json");
+  response = hs_mhd_response (text, len, "application/json");
   add_retry_after (response, retry_after_ms);
   if (request->allow != NULL)
     MHD_add_response_header (response, MHD_HTTP_HEADER_ALLOW, request->allow);
--- a/src/entry/front_thread.h
+++ b/src/entry/front_thread.h
@@ -14,6 +14,7 @@
 
 #include "base/queue.h"
 #include "entry/front.h"
+#include "http/mhd_request.h"
 
 typedef struct HsFrontThread HsFrontThread;
 
@@ -46,9 +47,7 @@
   uint32_t slot;
   hsx_verb verb;
   hsx_forward_args *args; /**< FETCH and CANCEL: read from the path. */
-  char *body;
-  size_t body_len;
-  size_t expected;     /**< Length of the body as announced. */
+  HsMhdBody body;
   GError *error;       /**< Found early; answered once the request is read. */
   unsigned int status; /**< Overrides the status of the error's kind. */
   const char *allow;   /**< Methods that the path takes. */
--- a/src/http/part.mk
+++ b/src/http/part.mk
@@ -1,2 +1,3 @@
 SRCS += src/http/curl_loop.c
 SRCS += src/http/mhd_loop.c
+SRCS += src/http/mhd_request.c
--- a/src/lists/lists.h
+++ b/src/lists/lists.h
@@ -93,6 +93,9 @@
 /** True if @p key is the customer's key (constant-time comparison). */
 bool hs_plan_check_key (const HsPlan *plan, const char *key);
 
+/** True if @p key has this hash (constant-time comparison). */
+bool hs_key_matches (const char *key, const char hash[HS_KEY_HASH_LEN + 1]);
+
 /** SHA-256 of a key in hex, into @p hash. */
 void hs_key_hash (const char *key, char hash[HS_KEY_HASH_LEN + 1]);
 
--- a/src/lists/records.c
+++ b/src/lists/records.c
@@ -143,13 +143,19 @@
 bool
 hs_plan_check_key (const HsPlan *plan, const char *key)
 {
-  char hash[HS_KEY_HASH_LEN + 1];
+  return hs_key_matches (key, plan->key_hash);
+}
+
+bool
+hs_key_matches (const char *key, const char hash[HS_KEY_HASH_LEN + 1])
+{
+  char own[HS_KEY_HASH_LEN + 1];
   unsigned char difference = 0;
   size_t i;
 
-  hs_key_hash (key, hash);
+  hs_key_hash (key, own);
   for (i = 0; i < HS_KEY_HASH_LEN; i++)
-    difference |= (unsigned char) (hash[i] ^ plan->key_hash[i]);
+    difference |= (unsigned char) (own[i] ^ hash[i]);
   return difference == 0;
 }
 
