--- a/src/agent/target_msg.c
+++ b/src/agent/target_msg.c
@@ -87,7 +87,8 @@
   HsJsonDoc *doc;
   bool ok = false;
 
-  doc = hs_json_parse (ctx, body, len, HS_JSON_PLAIN, NULL, error);
+  doc = hs_json_parse (ctx, len > 0 ? body : "", len, HS_JSON_PLAIN, NULL,
+                       error);
   if (doc != NULL)
     ok = hs_fields_read (ctx, doc->root, FIELDS, G_N_ELEMENTS (FIELDS), &fields,
                          &place, error);
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -374,8 +374,9 @@
                   .index = result->key.index,
                   .http_status = result->http_status,
                   .has_next = result->next != NULL };
-  memcpy (seen->body, result->body.body_val,
-          MIN (result->body.body_len, sizeof seen->body - 1));
+  if (result->body.body_len > 0)
+    memcpy (seen->body, result->body.body_val,
+            MIN (result->body.body_len, sizeof seen->body - 1));
   if (result->next != NULL)
     own->credits[own->n_credits++] = *result->next;
 }
