Time the leaving notice from its acceptance; answer stale owners

Cause: the notice of a leave was timed from its start, also if no entry had been reached; a stale owner's RECOVER got a reply without its records. Change: it is timed from the home's acceptance; such a reply remembers 0 s. Measured: test_agent passes. Conclusion: no owner concludes from a reply that leaves records out.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -257,7 +257,8 @@
 progress_leave (HsAgent *agent, HsTime now)
 {
   HsTime span = now - agent->stage_since;
-  bool current = hs_home_is_current (agent->home);
+  HsTime since = hs_home_current_since (agent->home);
+  bool told = since != HS_NEVER;
 
   switch (agent->stage)
     {
@@ -267,13 +268,13 @@
     case HS_AGENT_LEAVING:
       if (hs_slots_busy (agent->slots) > 0 || !hs_peers_idle (agent->peers))
         return;
-      if (!(current && span >= LEAVING_NOTICE) && span < LEAVING_ALONE_MAX)
+      if (told ? now - since < LEAVING_NOTICE : span < LEAVING_ALONE_MAX)
         return;
       set_stage (agent, HS_AGENT_SAYS_LEFT, now);
       hs_home_changed (agent->home);
       return;
     case HS_AGENT_SAYS_LEFT:
-      if (!current && span < SAYS_LEFT_MAX)
+      if (!told && span < SAYS_LEFT_MAX)
         return;
       set_stage (agent, HS_AGENT_LEFT, now);
       hs_info (HS_AGENT_PART, "left");
--- a/src/agent/home.c
+++ b/src/agent/home.c
@@ -29,6 +29,7 @@
   uint32_t revision; /* Of the agent's record; rises with each change. */
   uint32_t sent;     /* Revision in flight or answered last. */
   uint32_t accepted; /* Newest revision that this home accepted. */
+  HsTime accepted_at;
   HsHomeMember member;
   void *arg;
   HsAgentStats *stats;
@@ -116,10 +117,12 @@
   hs_home_tick (home, now);
 }
 
-bool
-hs_home_is_current (const HsHome *home)
+HsTime
+hs_home_current_since (const HsHome *home)
 {
-  return home->is_up && home->accepted == home->revision;
+  if (!home->is_up || home->accepted != home->revision)
+    return HS_NEVER;
+  return home->accepted_at;
 }
 
 static void
@@ -180,6 +183,7 @@
   if (home->accepted == 0)
     hs_info (PART, "announced to %s", hs_conn_peer (home->conn)->address);
   home->accepted = home->sent;
+  home->accepted_at = hs_now ().mono;
   home->tried = 0;
   home->pause = FIRST_PAUSE;
   learn (home, reply);
--- a/src/agent/home.h
+++ b/src/agent/home.h
@@ -43,7 +43,7 @@
 /** A connection ended; the next entry is tried if it was the home's. */
 void hs_home_down (HsHome *home, HsConn *conn, HsTime now);
 
-/** Whether the newest record was accepted by the home. */
-bool hs_home_is_current (const HsHome *home);
+/** When the home accepted the newest record; HS_NEVER if it hasn't. */
+HsTime hs_home_current_since (const HsHome *home);
 
 #endif
--- a/src/agent/recover.c
+++ b/src/agent/recover.c
@@ -3,7 +3,7 @@
 /** Bound on the result bodies of one reply. */
 #define REPLY_BYTES_MAX (4 * 1024 * 1024)
 
-static void take_over (HsAgent *agent,
+static bool take_over (HsAgent *agent,
                        HsPeer *peer,
                        const hsx_recover_args *args,
                        bool *parts);
@@ -26,7 +26,8 @@
   size_t bytes = 0;
   uint32_t n = 0;
 
-  take_over (agent, peer, args, parts);
+  if (take_over (agent, peer, args, parts))
+    reply.remembers_s = hs_memory_remembers_s (agent->memory);
   while ((handle = hs_memory_next (agent->memory, handle, parts)) != 0)
     {
       hs_memory_result (agent->memory, handle, &records[n]);
@@ -40,7 +41,6 @@
   if (handle == 0)
     reply.next = 0;
   reply.records.records_len = n;
-  reply.remembers_s = hs_memory_remembers_s (agent->memory);
   hs_conn_reply (conn, call, HSX_RECOVER, &reply);
   talloc_free (records);
 }
@@ -66,13 +66,16 @@
   hs_conn_reply (conn, call, HSX_SETTLE, &reply);
 }
 
-/* Partitions of which a newer owner is known are left out of the reply. */
-static void
+/* Partitions of which a newer owner is known are left out of the reply, which
+   then remembers 0 seconds, so that its caller concludes nothing from it.
+   False if there is such a partition. */
+static bool
 take_over (HsAgent *agent,
            HsPeer *peer,
            const hsx_recover_args *args,
            bool *parts)
 {
+  bool all = true;
   uint32_t i;
 
   for (i = 0; i < args->parts.parts_len; i++)
@@ -80,10 +83,14 @@
       const hsx_part_epoch *given = &args->parts.parts_val[i];
 
       if (!hs_gate_raise (agent->gate, given->part, given->epoch))
-        continue;
+        {
+          all = false;
+          continue;
+        }
       parts[given->part] = true;
       agent->sinks[given->part] = hs_peer_incarnation (peer);
     }
+  return all;
 }
 
 /* The gate starts nothing of a partition that can't be, so that such a task
--- a/src/agent/slots.h
+++ b/src/agent/slots.h
@@ -18,7 +18,8 @@
  *
  * A list of credits replaces the idle ones an entry has. An entry must skip
  * a listed credit if it has a start with the same slot and generation under
- * way, or has lent it; using it twice is safe (the second start is refused
+ * way, or has lent it, and of two credits of a slot keep the one of the
+ * higher generation; using it twice is safe (the second start is refused
  * with HSX_REFUSAL_CREDIT) but costs a message.
  */
 #ifndef HS_AGENT_SLOTS_H
