Test the reply to a stale owner's RECOVER

Cause: the reply to a stale owner was not tested. Change: the test of a takeover asks again with the old epoch. Conclusion: such a reply has no records and remembers 0 s.

--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -41,6 +41,7 @@
   Seen replied[RESULTS_MAX];
   uint32_t n_replied;
   uint32_t replies;
+  uint32_t remembers_s;
   hsx_member_state member;
   uint32_t announced_slots;
 } Entry;
@@ -222,6 +223,11 @@
   assert_int_equal (result_of (entry, 2)->refusal, HSX_REFUSAL_EPOCH);
   WAIT_UNTIL (heir->n_seen == 1);
   assert_int_equal (result_of (heir, 1)->outcome, HSX_DONE);
+  recover (entry, 1);
+  WAIT_UNTIL (entry->replies == 1);
+  assert_int_equal (entry->n_replied, 0);
+  assert_int_equal (entry->remembers_s, 0);
+  assert_int_equal (heir->remembers_s, 600);
 }
 
 static void
@@ -390,6 +396,7 @@
 
   assert_int_equal (status, HS_RPC_OK);
   assert_int_equal (reply->next, 0);
+  own->remembers_s = reply->remembers_s;
   for (i = 0; i < reply->records.records_len; i++)
     see (own, &own->replied[own->n_replied++], &reply->records.records_val[i]);
   own->replies++;
