Test recovery in pages

Cause: a reply over its bound had not been tried. Change: 20 results of 256 KiB are recovered in two pages, each once. Conclusion: the cursor misses and repeats nothing.

--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -42,6 +42,7 @@
   uint32_t n_replied;
   uint32_t replies;
   uint32_t remembers_s;
+  uint32_t next;
   hsx_member_state member;
   uint32_t announced_slots;
 } Entry;
@@ -105,7 +106,7 @@
                  .rack = "r1",
                  .entries = entries,
                  .retention = 600 * HS_SEC,
-                 .memory_bytes = 1024 * 1024 },
+                 .memory_bytes = 16 * 1024 * 1024 },
   };
   agent = hs_agent_new (ev, ev, &settings, &error);
   assert_non_null (agent);
@@ -215,6 +216,7 @@
   recover (heir, 2);
   WAIT_UNTIL (heir->replies == 1);
   assert_int_equal (heir->n_replied, 2);
+  assert_int_equal (heir->next, 0);
   assert_int_equal (heir->replied[0].outcome, HSX_DONE);
   assert_memory_equal (heir->replied[0].body, "nonce=first", 11);
   assert_int_equal (heir->replied[1].outcome, HSX_RUNNING);
@@ -259,6 +261,32 @@
   assert_int_equal (target_starts (target), 1);
 }
 
+static void
+records_come_in_pages_bounded_in_bytes (void **state)
+{
+  uint32_t pages = 0;
+  uint32_t i;
+
+  (void) state;
+  start_target (FAULT_NONE);
+  for (i = 0; i < 20; i++)
+    {
+      start (entry, 1, i, "size=262144");
+      WAIT_UNTIL (entry->n_seen == i + 1);
+    }
+  do
+    {
+      recover (entry, 2);
+      pages++;
+      WAIT_UNTIL (entry->replies == pages);
+    }
+  while (entry->next != 0);
+  assert_int_equal (pages, 2);
+  assert_int_equal (entry->n_replied, 20);
+  for (i = 0; i < 20; i++)
+    assert_int_equal (entry->replied[i].index, i);
+}
+
 static void
 a_leave_waits_for_what_runs (void **state)
 {
@@ -395,7 +423,7 @@
   uint32_t i;
 
   assert_int_equal (status, HS_RPC_OK);
-  assert_int_equal (reply->next, 0);
+  own->next = reply->next;
   own->remembers_s = reply->remembers_s;
   for (i = 0; i < reply->records.records_len; i++)
     see (own, &own->replied[own->n_replied++], &reply->records.records_val[i]);
@@ -476,7 +504,8 @@
 recover (Entry *from, uint64_t epoch)
 {
   hsx_part_epoch part = { .part = PART, .epoch = epoch };
-  hsx_recover_args args = { .parts = { .parts_len = 1, .parts_val = &part } };
+  hsx_recover_args args = { .parts = { .parts_len = 1, .parts_val = &part },
+                            .cursor = from->next };
 
   assert_true (
       hs_conn_call (from->conn, HSX_RECOVER, &args, HS_NEVER, recovered, from));
@@ -518,6 +547,8 @@
         a_new_owner_gets_all_records_and_later_results, setup, teardown),
     cmocka_unit_test_setup_teardown (a_result_without_a_connection_is_kept,
                                      setup, teardown),
+    cmocka_unit_test_setup_teardown (records_come_in_pages_bounded_in_bytes,
+                                     setup, teardown),
     cmocka_unit_test_setup_teardown (a_leave_waits_for_what_runs, setup,
                                      teardown),
     cmocka_unit_test_setup_teardown (an_agent_leaves_after_its_last_result,
