--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -4,8 +4,6 @@
 
 #include <sys/random.h>
 
-#include "base/address.h"
-#include "base/error.h"
 #include "base/log.h"
 
 /** Period of the agent's housekeeping. */
@@ -27,6 +25,7 @@
                      struct timeval tv,
                      void *arg);
 static void progress_leave (HsAgent *agent, HsTime now);
+static bool may_say_left (const HsAgent *agent, HsTime now);
 static void set_stage (HsAgent *agent, HsAgentStage stage, HsTime now);
 static void on_plan (struct tevent_context *ev,
                      struct tevent_immediate *immediate,
@@ -36,10 +35,6 @@
 static void on_down (void *arg, HsConn *conn, bool refused);
 static void
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args);
-static bool on_announce (void *arg, const HsAnnouncement *a, GError **error);
-static bool on_leave (void *arg);
-static char *on_metrics (void *arg, TALLOC_CTX *ctx);
-static void target_gone (HsAgent *agent, const char *why);
 
 HsAgent *
 hs_agent_new (TALLOC_CTX *ctx,
@@ -121,18 +116,6 @@
   return &agent->stats;
 }
 
-void
-hs_agent_update (HsAgent *agent)
-{
-  bool grants = agent->target_state == HS_TARGET_UP
-                && agent->stage == HS_AGENT_RUNNING && !agent->target_refuses;
-
-  hs_slots_resize (agent->slots, grants ? agent->target.slots : 0);
-  hs_agent_schedule_plan (agent);
-  if (!agent->target_refuses)
-    hs_home_changed (agent->home);
-}
-
 void
 hs_agent_schedule_plan (HsAgent *agent)
 {
@@ -142,37 +125,6 @@
   tevent_schedule_immediate (agent->plan, agent->ev, on_plan, agent);
 }
 
-void
-hs_agent_member (const HsAgent *agent, hsx_member *out)
-{
-  bool up
-      = agent->target_state == HS_TARGET_UP && agent->stage == HS_AGENT_RUNNING;
-  bool leaving = agent->stage != HS_AGENT_RUNNING
-                 || agent->target_state == HS_TARGET_LEAVING
-                 || agent->target_state == HS_TARGET_GONE;
-
-  memset (out, 0, sizeof *out);
-  out->incarnation = agent->incarnation;
-  out->state = leaving ? HSX_MEMBER_LEAVING : HSX_MEMBER_UP;
-  if (agent->stage == HS_AGENT_SAYS_LEFT || agent->stage == HS_AGENT_LEFT)
-    out->state = HSX_MEMBER_LEFT;
-  out->address = agent->address;
-  out->data_centre = agent->data_centre;
-  out->rack = agent->settings->rack != NULL ? agent->settings->rack : "";
-  if (!up)
-    return;
-  out->slots = agent->target.slots;
-  out->capacity = agent->target.capacity;
-}
-
-void
-hs_agent_task_ended (HsAgent *agent)
-{
-  if (agent->target_state == HS_TARGET_LEAVING
-      && hs_slots_busy (agent->slots) == 0)
-    target_gone (agent, "has left");
-}
-
 static int
 free_agent (HsAgent *agent)
 {
@@ -185,8 +137,6 @@
 {
   const HsAgentSettings *own = &settings->u.agent;
   HsRpcHandler rpc = { .up = on_up, .down = on_down, .call = on_call };
-  HsTargetApiHandler api
-      = { .announce = on_announce, .leave = on_leave, .metrics = on_metrics };
   hsx_hello self = { .role = HSX_ROLE_AGENT,
                      .incarnation = agent->incarnation,
                      .address = own->rpc_address,
@@ -197,7 +147,8 @@
   if (!hs_rpc_listen (agent->rpc, own->rpc_listen, error))
     return false;
   agent->api = hs_target_api_new (agent, agent->ev, own->target_listen,
-                                  settings->cluster_key, &api, agent, error);
+                                  settings->cluster_key,
+                                  &HS_AGENT_TARGET_HANDLER, agent, error);
   return agent->api != NULL;
 }
 
@@ -242,8 +193,7 @@
   (void) ev;
   (void) te;
   (void) tv;
-  if (agent->target_state == HS_TARGET_UP && now > agent->target_lapses_at)
-    target_gone (agent, "no longer renews its announcement");
+  hs_agent_check_lapse (agent, now);
   hs_peers_flush (agent->peers);
   hs_memory_expire (agent->memory, now);
   hs_home_tick (agent->home, now);
@@ -257,8 +207,7 @@
 progress_leave (HsAgent *agent, HsTime now)
 {
   HsTime span = now - agent->stage_since;
-  HsTime since = hs_home_current_since (agent->home);
-  bool told = since != HS_NEVER;
+  bool told = hs_home_current_since (agent->home) != HS_NEVER;
 
   switch (agent->stage)
     {
@@ -266,9 +215,7 @@
     case HS_AGENT_LEFT:
       return;
     case HS_AGENT_LEAVING:
-      if (hs_slots_busy (agent->slots) > 0 || !hs_peers_idle (agent->peers))
-        return;
-      if (told ? now - since < LEAVING_NOTICE : span < LEAVING_ALONE_MAX)
+      if (!may_say_left (agent, now))
         return;
       set_stage (agent, HS_AGENT_SAYS_LEFT, now);
       hs_home_changed (agent->home);
@@ -282,6 +229,21 @@
     }
 }
 
+/* Whether all has been handed on. With no entry in reach, an agent that
+   remembers nothing has nothing to wait for. */
+static bool
+may_say_left (const HsAgent *agent, HsTime now)
+{
+  HsTime told_at = hs_home_current_since (agent->home);
+
+  if (hs_slots_busy (agent->slots) > 0 || !hs_peers_idle (agent->peers))
+    return false;
+  if (told_at != HS_NEVER)
+    return now - told_at >= LEAVING_NOTICE;
+  return hs_memory_count (agent->memory) == 0
+         || now - agent->stage_since >= LEAVING_ALONE_MAX;
+}
+
 static void
 set_stage (HsAgent *agent, HsAgentStage stage, HsTime now)
 {
@@ -390,79 +352,3 @@
       hs_conn_close (conn);
     }
 }
-
-static bool
-on_announce (void *arg, const HsAnnouncement *announcement, GError **error)
-{
-  HsAgent *agent = arg;
-  bool renewal = agent->target_state == HS_TARGET_UP && !agent->target_refuses
-                 && strcmp (agent->target.address, announcement->address) == 0
-                 && agent->target.slots == announcement->slots
-                 && memcmp (&agent->target.capacity, &announcement->capacity,
-                            sizeof announcement->capacity)
-                        == 0;
-
-  if (agent->stage != HS_AGENT_RUNNING
-      || agent->target_state == HS_TARGET_LEAVING)
-    {
-      g_set_error (error, HS_ERROR, HS_ERROR_SHUTTING_DOWN,
-                   "the agent or its target is leaving; announce again when "
-                   "the leave is answered or the agent runs anew");
-      return false;
-    }
-  agent->target_lapses_at = hs_now ().mono + announcement->ttl;
-  agent->target = *announcement;
-  if (renewal)
-    return true;
-  hs_info (HS_AGENT_PART, "target %s announced, %u slots",
-           announcement->address, announcement->slots);
-  agent->target_state = HS_TARGET_UP;
-  agent->target_refuses = false;
-  hs_agent_update (agent);
-  return true;
-}
-
-static bool
-on_leave (void *arg)
-{
-  HsAgent *agent = arg;
-
-  if (hs_slots_busy (agent->slots) == 0)
-    {
-      if (agent->target_state == HS_TARGET_UP)
-        target_gone (agent, "has left");
-      return true;
-    }
-  if (agent->target_state == HS_TARGET_LEAVING)
-    return false;
-  hs_info (HS_AGENT_PART, "target %s is leaving, %u tasks run",
-           agent->target.address, hs_slots_busy (agent->slots));
-  agent->target_state = HS_TARGET_LEAVING;
-  hs_agent_update (agent);
-  return false;
-}
-
-static char *
-on_metrics (void *arg, TALLOC_CTX *ctx)
-{
-  const HsAgent *agent = arg;
-  HsAgentGauges gauges = {
-    .slots = agent->target_state == HS_TARGET_UP ? agent->target.slots : 0,
-    .busy = hs_slots_busy (agent->slots),
-    .entries = hs_peers_count (agent->peers),
-    .records = hs_memory_count (agent->memory),
-    .body_bytes = hs_memory_body_bytes (agent->memory),
-  };
-
-  return hs_agent_stats_text (ctx, &agent->stats, &gauges);
-}
-
-static void
-target_gone (HsAgent *agent, const char *why)
-{
-  hs_info (HS_AGENT_PART, "target %s %s", agent->target.address, why);
-  agent->target_state = HS_TARGET_GONE;
-  agent->target_refuses = false;
-  hs_agent_update (agent);
-  hs_target_api_left (agent->api);
-}
--- a/src/agent/internal.h
+++ b/src/agent/internal.h
@@ -88,7 +88,19 @@
 /** The agent's record as it is announced; strings belong to the agent. */
 void hs_agent_member (const HsAgent *agent, hsx_member *member);
 
-/** Takes the target's end of its last task into account. */
+/** The target is gone if its announcement wasn't renewed in time. */
+void hs_agent_check_lapse (HsAgent *agent, HsTime now);
+
+/** What the agent does on the requests of its target; `arg` is the agent. */
+extern const HsTargetApiHandler HS_AGENT_TARGET_HANDLER;
+
+/** The target is gone if its announcement wasn't renewed in time. */
+void hs_agent_check_lapse (HsAgent *agent, HsTime now);
+
+/** What the agent does on requests of its target; `arg` is the agent. */
+extern const HsTargetApiHandler HS_AGENT_TARGET_HANDLER;
+
+/** A task has ended: a leaving target may be free now. */
 void hs_agent_task_ended (HsAgent *agent);
 
 #endif
--- a/src/agent/slots.c
+++ b/src/agent/slots.c
@@ -22,7 +22,6 @@
 {
   uint64_t incarnation;
   HsTime last_start;
-  HsTime last_list;
   uint32_t held; /* Granted and busy slots. */
   uint32_t idle; /* Granted slots. */
   bool due;      /* Its list changed or must be refreshed. */
@@ -45,6 +44,9 @@
 static void withdraw (HsSlots *slots, uint32_t slot);
 static void unhold (HsSlots *slots, const Slot *slot);
 static void refresh_due (HsSlots *slots, HsTime now);
+static HsTime oldest_stamp (const HsSlots *slots, const Entry *entry);
+static void stamp_all (HsSlots *slots, const Entry *entry, HsTime now);
+static bool is_granted_to (const Slot *slot, const Entry *entry);
 static hsx_credit credit_of (const HsSlots *slots, uint32_t slot);
 
 HsSlots *
@@ -104,8 +106,7 @@
   if (entry == NULL)
     return;
   for (i = 0; i < slots->size; i++)
-    if (slots->table[i].state == SLOT_GRANTED
-        && slots->table[i].holder == incarnation)
+    if (is_granted_to (&slots->table[i], entry))
       withdraw (slots, i);
   *entry = slots->entries[--slots->n_entries];
 }
@@ -206,8 +207,7 @@
       entry->due = false;
       *n_credits = 0;
       for (s = 0; s < slots->count; s++)
-        if (slots->table[s].state == SLOT_GRANTED
-            && slots->table[s].holder == entry->incarnation)
+        if (is_granted_to (&slots->table[s], entry))
           credits[(*n_credits)++] = credit_of (slots, s);
       return entry->incarnation;
     }
@@ -293,20 +293,42 @@
       Entry *entry = &slots->entries[i];
       bool sends = now - entry->last_start <= HS_SLOTS_BUSY_SPAN;
       HsTime period = sends ? HS_SLOTS_BUSY_REFRESH : HS_SLOTS_IDLE_REFRESH;
-      uint32_t s;
-
-      if (entry->due || (entry->idle > 0 && now - entry->last_list >= period))
-        {
-          entry->due = true;
-          entry->last_list = now;
-          for (s = 0; s < slots->count; s++)
-            if (slots->table[s].state == SLOT_GRANTED
-                && slots->table[s].holder == entry->incarnation)
-              slots->table[s].last_stamp = now;
-        }
+
+      if (entry->idle > 0 && now - oldest_stamp (slots, entry) >= period)
+        entry->due = true;
+      if (entry->due)
+        stamp_all (slots, entry, now);
     }
 }
 
+static HsTime
+oldest_stamp (const HsSlots *slots, const Entry *entry)
+{
+  HsTime oldest = HS_NEVER;
+  uint32_t i;
+
+  for (i = 0; i < slots->count; i++)
+    if (is_granted_to (&slots->table[i], entry))
+      oldest = MIN (oldest, slots->table[i].last_stamp);
+  return oldest;
+}
+
+static void
+stamp_all (HsSlots *slots, const Entry *entry, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < slots->count; i++)
+    if (is_granted_to (&slots->table[i], entry))
+      slots->table[i].last_stamp = now;
+}
+
+static bool
+is_granted_to (const Slot *slot, const Entry *entry)
+{
+  return slot->state == SLOT_GRANTED && slot->holder == entry->incarnation;
+}
+
 static hsx_credit
 credit_of (const HsSlots *slots, uint32_t number)
 {
--- /dev/null
+++ b/test/standin/fake_entry.h
@@ -0,0 +1,72 @@
+/**
+ * @file
+ * An entry for tests of an agent: answers ANNOUNCE, keeps the credits and
+ * results it gets, and sends what a test asks for.
+ */
+#ifndef STANDIN_FAKE_ENTRY_H
+#define STANDIN_FAKE_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "rpc/conn.h"
+
+#define FAKE_RESULTS_MAX 32
+#define FAKE_CREDITS_MAX 32
+/** Partition, customer and id of every task. */
+#define FAKE_PART 5
+#define FAKE_CUSTOMER "c1"
+#define FAKE_ID "j b"
+
+/** One result as it came. */
+typedef struct
+{
+  hsx_outcome outcome;
+  hsx_refusal refusal;
+  uint32_t index;
+  uint32_t http_status;
+  bool has_next;
+  char body[64];
+} FakeResult;
+
+/** The entry; `seen` are results, `replied` those in replies. */
+typedef struct
+{
+  HsRpc *rpc;
+  HsConn *conn;
+  uint64_t incarnation;
+  hsx_credit credits[FAKE_CREDITS_MAX];
+  uint32_t n_credits;
+  FakeResult seen[FAKE_RESULTS_MAX];
+  uint32_t n_seen;
+  FakeResult replied[FAKE_RESULTS_MAX];
+  uint32_t n_replied;
+  uint32_t replies;
+  uint32_t remembers_s;
+  uint32_t next;
+  hsx_member_state member;
+  uint32_t announced_slots;
+} FakeEntry;
+
+/** An entry that listens on a free port of 127.0.0.1; NULL if it can't. */
+FakeEntry *fake_entry_new (struct tevent_context *ev,
+                           const char *key,
+                           uint64_t incarnation);
+
+/** Sends a start with the newest credit; false without one. */
+bool fake_entry_start (FakeEntry *entry,
+                       uint64_t epoch,
+                       uint32_t index,
+                       const char *body,
+                       uint32_t timeout_ms);
+
+/** The first result of a task; NULL if none came. */
+const FakeResult *fake_entry_result (const FakeEntry *entry, uint32_t index);
+
+/** Sends RECOVER from where the last reply ended; `replies` counts replies. */
+bool fake_entry_recover (FakeEntry *entry, uint64_t epoch);
+
+/** Sends SETTLE of these tasks. */
+bool fake_entry_settle (FakeEntry *entry, const uint32_t *indexes, uint32_t n);
+
+#endif
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -15,4 +15,4 @@
 		$(B)/libhspoke.a
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
-$(B)/test/test_agent: $(STANDIN_TARGET_OBJS)
+$(B)/test/test_agent: $(STANDIN_TARGET_OBJS) $(B)/test/standin/fake_entry.o
--- a/test/test_agent_slots.c
+++ b/test/test_agent_slots.c
@@ -102,6 +102,25 @@
   assert_int_equal (credits[8].stamp_us, HS_SLOTS_IDLE_REFRESH - 1);
 }
 
+static void
+credits_that_results_brought_need_no_refresh (void **state)
+{
+  hsx_credit next;
+  HsTime half = HS_SLOTS_BUSY_REFRESH / 2;
+
+  (void) state;
+  hs_slots_resize (slots, 1);
+  hs_slots_entry_up (slots, 1);
+  hs_slots_plan (slots, 0);
+  list (1, credits);
+  hs_slots_take (slots, &credits[0], 1, half);
+  hs_slots_release (slots, 0, 1, half, &next);
+  hs_slots_plan (slots, HS_SLOTS_BUSY_REFRESH);
+  assert_int_equal (list (1, credits), 0);
+  hs_slots_plan (slots, half + HS_SLOTS_BUSY_REFRESH);
+  assert_int_equal (list (1, credits), 1);
+}
+
 static void
 credits_of_a_lost_entry_go_to_the_others (void **state)
 {
@@ -174,6 +193,8 @@
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (
         idle_credits_are_refreshed_sooner_while_starts_come, setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        credits_that_results_brought_need_no_refresh, setup, teardown),
     cmocka_unit_test_setup_teardown (credits_of_a_lost_entry_go_to_the_others,
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (
