Add the commands of callers and operators

Cause: callers and operators need commands to submit jobs, edit the two lists and see what is in force.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "agent/agent.h"
+#include "cli/cli.h"
 #include "entry/core.h"
 
 typedef struct
@@ -20,6 +21,11 @@
 static const Command COMMANDS[] = {
   { "entry", hs_entry_main, "serve callers and operators" },
   { "agent", hs_agent_main, "run beside a target" },
+  { "submit", hs_cli_submit_main, "submit, fetch or cancel a job" },
+  { "plan", hs_cli_plan_main, "show and edit the customers' plans" },
+  { "allowance", hs_cli_allowance_main, "show and edit what plans may use" },
+  { "status", hs_cli_status_main, "show what entries have in force" },
+  { "check", hs_cli_check_main, "check settings" },
   { NULL, NULL, NULL },
 };
 
