Use loans first and take unused ones back after two seconds

Cause: loans that arrived after a queue had drained were unusable after one second and lay idle up to eight more until the agent repeated its GRANT.

--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -9,7 +9,6 @@
 #define FAIL_RUN (5 * HS_MSEC)
 #define SLOW_FACTOR 5
 #define REFRESH_PERIOD (2 * HS_SEC)
-#define RECLAIM_PERIOD (8 * HS_SEC)
 #define FAULTY_TARGET 0
 #define FAULT_GRACE (2 * HS_SEC)
 #define CREDITS_MAX (BENCH_TARGETS * BENCH_SLOTS)
@@ -25,8 +24,7 @@
 typedef struct
 {
   Slot slots[BENCH_SLOTS];
-  HsTime told[BENCH_ENTRIES];    /* Last message to each entry, */
-  HsTime granted[BENCH_ENTRIES]; /* and last GRANT. */
+  HsTime granted[BENCH_ENTRIES]; /* Last GRANT to each entry. */
   uint32_t *queue;               /* Tasks that wait here; rules but credits. */
   uint32_t first;
   uint32_t last;
@@ -453,7 +451,6 @@
   slot->busy = false;
   slot->generation++;
   slot->idle_since = f->now;
-  t->told[slot->holder] = f->now;
   result.credit = (hsx_credit){ .agent = event->b,
                                 .slot = event->c,
                                 .generation = slot->generation,
@@ -541,9 +538,7 @@
 
         if (t->slots[s].busy || t->slots[s].holder != e)
           continue;
-        if (f->now - t->told[e] >= REFRESH_PERIOD
-            || (idle >= RECLAIM_PERIOD
-                && f->now - t->granted[e] >= RECLAIM_PERIOD))
+        if (idle >= REFRESH_PERIOD && f->now - t->granted[e] >= REFRESH_PERIOD)
           {
             refresh_entry (f, target, e);
             f->result->grants++;
@@ -566,7 +561,6 @@
                                    .slot = s,
                                    .generation = t->slots[s].generation,
                                    .stamp_us = f->now };
-  t->told[entry] = f->now;
   t->granted[entry] = f->now;
   post (f, f->run->delay,
         &(BenchEvent){ .kind = EVENT_GRANT,
--- a/src/policy/agent_credits.c
+++ b/src/policy/agent_credits.c
@@ -81,6 +81,12 @@
   return a->n_idle > 0 && clock - a->stamp < lease_left;
 }
 
+bool
+hs_agent_credits_has_loan (const HsAgentCredits *a)
+{
+  return a->n_idle > 0 && a->idle[a->n_idle - 1].is_loan;
+}
+
 hsx_credit
 hs_agent_credits_pop (HsAgentCredits *a, bool to_lend)
 {
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -22,7 +22,7 @@
 #include "proto/hspoke.h"
 
 /** How long a lent credit can be used, by the agent's clock. */
-#define HS_LOAN_LIFE (1 * HS_SEC)
+#define HS_LOAN_LIFE (2 * HS_SEC)
 
 /** By which message a credit came. */
 typedef enum
@@ -76,6 +76,9 @@
  */
 bool hs_agent_credits_usable (HsAgentCredits *a, HsTime now, HsTime lease_left);
 
+/** Whether the newest is a loan. */
+bool hs_agent_credits_has_loan (const HsAgentCredits *a);
+
 /** Takes the newest out, for a start or (@p to_lend) for another entry. */
 hsx_credit hs_agent_credits_pop (HsAgentCredits *a, bool to_lend);
 
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -354,12 +354,16 @@
          && needs->accelerators <= a->capacity.accelerators;
 }
 
-/* Keeps accelerators for those who need them, then spreads. */
+/* Keeps accelerators for those who need them, uses loans before they expire,
+ * then spreads. */
 static bool
 better (const Agent *a, const Agent *b)
 {
   if (a->capacity.accelerators != b->capacity.accelerators)
     return a->capacity.accelerators < b->capacity.accelerators;
+  if (hs_agent_credits_has_loan (&a->held)
+      != hs_agent_credits_has_loan (&b->held))
+    return hs_agent_credits_has_loan (&a->held);
   return a->held.n_idle > b->held.n_idle;
 }
 
