End an entry's other connections when one is lost

Cause: with two connections the entry isn't told that one was lost, and what was on it is never settled; an always due timer could starve the sockets. Change: the agent closes the others too, so that the entry settles; the HTTP server takes up to 16 turns in a row, then waits at least 200 us.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -309,9 +309,14 @@
 on_down (void *arg, HsConn *conn, bool refused)
 {
   HsAgent *agent = arg;
+  HsPeer *peer = hs_peers_of (conn);
   uint64_t gone = hs_peers_down (agent->peers, conn);
 
   (void) refused;
+  /* What was under way on it may be lost. The entry settles that when it has
+     no connection left and a new one comes up. */
+  if (peer != NULL && gone == 0)
+    hs_conn_close (hs_peer_conn (peer));
   if (gone != 0)
     {
       hs_slots_entry_down (agent->slots, gone);
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -8,9 +8,16 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/time.h"
 
 #define LISTEN_BACKLOG 256
 
+/** Turns of libmicrohttpd in a row while it has more to do at once. */
+#define RUNS_MAX 16
+
+/** Shortest span to its next turn after that. */
+#define SPAN_MIN (200 * HS_USEC)
+
 struct HsMhd
 {
   struct MHD_Daemon *daemon;
@@ -147,20 +154,30 @@
   return mhd->fde != NULL;
 }
 
-/* Lets libmicrohttpd work, and asks when it wants to be called at latest. */
+/* Lets libmicrohttpd work, and asks when it wants to be called at latest.
+   tevent runs timers before sockets: one that is always due would starve the
+   loop's other sockets. */
 static void
 run (HsMhd *mhd)
 {
-  MHD_UNSIGNED_LONG_LONG ms;
+  MHD_UNSIGNED_LONG_LONG ms = 0;
+  bool waits = true;
+  HsTime span;
+  int i;
 
-  MHD_run (mhd->daemon);
+  for (i = 0; i < RUNS_MAX && waits && ms == 0; i++)
+    {
+      MHD_run (mhd->daemon);
+      waits = MHD_get_timeout (mhd->daemon, &ms) == MHD_YES;
+    }
   TALLOC_FREE (mhd->timer);
-  if (MHD_get_timeout (mhd->daemon, &ms) != MHD_YES)
+  if (!waits)
     return;
+  span = MAX ((HsTime) ms * HS_MSEC, SPAN_MIN);
   mhd->timer = tevent_add_timer (
       mhd->ev, mhd,
-      tevent_timeval_current_ofs ((uint32_t) (ms / 1000),
-                                  (uint32_t) (ms % 1000) * 1000),
+      tevent_timeval_current_ofs ((uint32_t) (span / HS_SEC),
+                                  (uint32_t) (span % HS_SEC)),
       on_timer, mhd);
 }
 
