Count a permit from the receipt of the stamp; accept any later stamp

Cause: half of the 88 slots vanished under load. An entry echoes the freshest stamp it has of an agent, but the agent took only stamps of the same slot: the start was refused, the credit counted as used at the entry and as granted at the agent. Idle credits also went stale under a lease of 4 s. Change: a slot's credit is valid with any stamp since its grant. The permit is the lease's end less the receipt of the stamp, which is as safe (the stamp was made before) and never goes stale while the lease is renewed. Conclusion: no periodic refresh is needed for safety any more.

--- a/src/agent/slots.c
+++ b/src/agent/slots.c
@@ -119,9 +119,10 @@
   if (credit->agent != slots->agent || credit->slot >= slots->count)
     return false;
   slot = &slots->table[credit->slot];
+  /* The stamp may be of a later message about another slot: an entry echoes
+     the freshest that it had when it checked its lease. */
   return slot->state == SLOT_GRANTED && slot->generation == credit->generation
-         && credit->stamp_us >= slot->first_stamp
-         && credit->stamp_us <= slot->last_stamp;
+         && credit->stamp_us >= slot->first_stamp;
 }
 
 void
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -313,8 +313,8 @@
   memcpy (&start.key.content, job->digest, sizeof start.key.content);
   start.epoch = owner->parts[job->part].epoch;
   start.credit = owner->pick.credit;
-  /* The lease is judged now, after the credit was received. */
-  start.permit_us = owner->lease_until - now.mono;
+  start.permit_us = owner->lease_until
+                    - hs_credits_stamp_received (owner->credits, task->agent);
   start.timeout_ms = (unsigned int) (owner->config.task_timeout / HS_MSEC);
   start.idempotent = task->task.idempotent;
   start.needs = task->task.needs;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -90,7 +90,9 @@
   uint64_t starts;
   uint64_t refused_starts; /**< Wasted: the agent refused the start. */
   uint64_t results;
-  uint64_t late_results; /**< Wasted: the task was not waiting for it. */
+  uint64_t late_results;   /**< Wasted: the task was not waiting for it. */
+  uint64_t empty_loans;    /**< Wasted: a peer had no credit to lend. */
+  uint64_t needless_polls; /**< Wasted: fetched while still running. */
   uint64_t done;
   uint64_t failed;
   uint64_t not_run;
--- a/src/owner/peers.c
+++ b/src/owner/peers.c
@@ -76,6 +76,7 @@
       if (agent != NULL && agent->state == HSX_MEMBER_UP && agent->connected)
         hs_credits_add (owner->credits, of, credit, HS_CREDIT_LENT, now.mono);
     }
+  owner->stats.empty_loans += reply == NULL || reply->credits.credits_len == 0;
   if (handle != NO_PEER)
     hs_loans_answered (owner->loans, handle,
                        reply != NULL ? reply->credits.credits_len : 0,
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -310,6 +310,7 @@
               "no job with this id is known; submit it again");
       return;
     }
+  owner->stats.needless_polls += job->unfinished > 0 && !args->wait;
   if (job->unfinished > 0 && args->wait)
     job_wait (owner, job, waiter);
   else
--- a/src/policy/agent_credits.c
+++ b/src/policy/agent_credits.c
@@ -78,7 +78,7 @@
   while (a->n_idle > 0 && a->idle[a->n_idle - 1].is_loan
          && clock - a->idle[a->n_idle - 1].credit.stamp_us >= HS_LOAN_LIFE)
     a->n_idle--;
-  return a->n_idle > 0 && clock - a->stamp < lease_left;
+  return a->n_idle > 0 && lease_left > PERMIT_MARGIN;
 }
 
 bool
@@ -155,12 +155,12 @@
   int64_t offset = stamp - now;
 
   if (a->window_end == 0)
+    a->earlier_offset = offset;
+  if (a->window_end == 0 || stamp > a->stamp)
     {
-      a->earlier_offset = offset;
       a->stamp = stamp;
+      a->stamp_received = now;
     }
-  if (stamp > a->stamp)
-    a->stamp = stamp;
   if (a->window_end == 0 || now >= a->window_end)
     {
       if (a->window_end != 0)
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -52,7 +52,8 @@
   uint32_t n_idle;
   HsHeldCredit *idle; /**< Newest last. */
   HsCreditSlot *slots;
-  int64_t stamp;          /**< Freshest time of the agent's clock seen. */
+  int64_t stamp;          /**< Freshest time of the agent's clock seen, */
+  HsTime stamp_received;  /**< and when it arrived here. */
   int64_t offset;         /**< Agent's clock less ours: highest seen in */
   int64_t earlier_offset; /**< this window, and in the one before. */
   HsTime window_end;
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -170,6 +170,14 @@
   return true;
 }
 
+HsTime
+hs_credits_stamp_received (const HsCredits *pool, uint32_t agent)
+{
+  const Agent *a = lookup (pool, agent);
+
+  return a != NULL ? a->held.stamp_received : HS_NEVER;
+}
+
 void
 hs_credits_finished (HsCredits *pool, uint32_t agent)
 {
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -68,6 +68,14 @@
                       uint32_t *agent,
                       hsx_credit *credit);
 
+/**
+ * When the stamp that starts to this agent echo was received. The permit of a
+ * start ends by the agent's clock as long after the stamp as the lease ends
+ * after this: the stamp was made before, so the permit ends no later than the
+ * lease, however old the credit is.
+ */
+HsTime hs_credits_stamp_received (const HsCredits *pool, uint32_t agent);
+
 /** The task that took a credit of this agent has ended. */
 void hs_credits_finished (HsCredits *pool, uint32_t agent);
 
--- /dev/null
+++ b/test/part.mk
@@ -0,0 +1,2 @@
+# Objects that several test programs share.
+$(B)/test/test_owner $(B)/test/test_takeover: $(B)/test/owner_world.o
