Order the task key without padding; free a list by its context

Cause: the linter found 8 padding bytes in the key and a list it could not follow. Change: fields reordered, talloc in place of autofree.

--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -320,7 +320,7 @@
 on_entries (void *arg, const HsStoreReply *reply)
 {
   HsKeeper *keeper = arg;
-  g_autofree uint64_t *seen = NULL;
+  uint64_t *seen;
   size_t i;
 
   if (reply->status != HS_STORE_OK)
@@ -329,7 +329,7 @@
       retry_later (keeper);
       return;
     }
-  seen = g_new0 (uint64_t, reply->n_kvs + 1);
+  seen = talloc_zero_array (keeper, uint64_t, reply->n_kvs + 1);
   for (i = 0; i < reply->n_kvs; i++)
     {
       hs_ownership_parse_entry_key (reply->kvs[i].key, &seen[i]);
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -45,9 +45,9 @@
 
 struct hsx_task_key {
 	u_int part;
+	u_int index;
 	char *customer;
 	char *id;
-	u_int index;
 	uint64_t content;
 };
 typedef struct hsx_task_key hsx_task_key;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -38,9 +38,9 @@
 /* The identity of one task of one submission. */
 struct hsx_task_key {
 	unsigned int part;
+	unsigned int index;
 	string customer<HSX_NAME_MAX>;
 	string id<HSX_ID_MAX>;
-	unsigned int index;
 	uint64_t content;		/* first bytes of the job's digest */
 };
 
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -41,12 +41,12 @@
 
 	 if (!xdr_u_int (xdrs, &objp->part))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->customer, HSX_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->id, HSX_ID_MAX))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->index))
-		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->content))
 		 return FALSE;
 	return TRUE;
