--- a/model/start.pml
+++ b/model/start.pml
@@ -510,10 +510,11 @@
 }
 
 /*
- * A permit lasts from the credit's stamp for the span that was left of the
- * lease when it was checked. The check comes after the credit was received,
- * so the worst case is a stamp of this very moment: the end of the lease. An
- * older stamp makes a shorter permit, which is the same as a later delivery.
+ * A permit lasts from the credit's stamp for the span between the receipt of
+ * the stamp and the end of the lease. The stamp was made before it was
+ * received, so the worst case is a stamp received at once: the permit ends
+ * with the lease. A slower one makes a shorter permit, which is the same as
+ * a later delivery. The mutant counts the span from before the receipt.
  */
 #ifdef MUT_CHECK_BEFORE
 #define until(e) (now + checked[e])
