Go on through an outage of the store on the other entries' promises

Cause: a lease that can't be renewed ended all work: with the store down for 10 s the callers of every partition waited for up to 12 s. Change: an owner's lease is extended while every entry it knows promises not to take its partitions; who can reach the store promises nothing; who may be unknown to an owner takes nothing of it before the longest extension, unless the process is proved gone (refused connection, other process at its address). The record of a process proved gone is removed at once. A transaction with unknown outcome is voided by writing the entry's record anew. The default lease is 6 s, so that two renewals may fail before promises are needed.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -265,7 +265,7 @@
 
   *entry = (HsEntrySettings){ .threads = 2,
                               .partitions = 256,
-                              .lease = 4 * HS_SEC,
+                              .lease = 6 * HS_SEC,
                               .retention = 600 * HS_SEC,
                               .ahead = HS_SEC,
                               .skew = 250 * HS_MSEC,
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -25,7 +25,7 @@
   char *admin_token;        /**< At least 16 characters. */
   uint32_t threads;         /**< HTTP threads, 1 to 64; default 2. */
   uint32_t partitions;      /**< Power of two, 1 to 1024; default 256. */
-  HsTime lease;             /**< Store lease, 2 s to 60 s; default 4 s. */
+  HsTime lease;             /**< Store lease, 2 s to 60 s; default 6 s. */
   HsTime retention;         /**< Answers and ids are kept; default 600 s. */
   HsTime ahead;             /**< Ids may be minted this far ahead; 1 s. */
   HsTime skew;              /**< Largest clock skew between entries; 0.25 s. */
--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -46,16 +46,15 @@
 }
 
 void
-hs_agents_conn_down (HsCore *core, uint64_t agent, bool refused, HsNow now)
+hs_agents_conn_down (HsCore *core, uint64_t agent, HsNow now)
 {
-  const hsx_member *member = hs_members_find (core->members, agent);
-
   hs_owner_agent_down (core->owner, agent, now);
-  if (member == NULL)
-    return;
-  /* Nothing listens there: the process is gone, with its memory. */
-  if (refused)
-    declare_lost (core, agent, true, now);
+}
+
+void
+hs_agents_gone (HsCore *core, uint64_t agent, HsNow now)
+{
+  declare_lost (core, agent, true, now);
 }
 
 void
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -41,6 +41,7 @@
                              void *arg);
 static void schedule_housekeeping (HsCore *core);
 static void start_owner (HsCore *core, HsNow now);
+static bool start_admin (HsCore *core, GError **error);
 static void effect_start (void *arg, uint64_t agent, const hsx_start *start);
 static void effect_measure (void *arg,
                             const char *customer,
@@ -97,7 +98,9 @@
   cds_wfcq_init (&core->inbox_head, &core->inbox_tail);
   tevent_add_fd (ev, core, core->inbox_fd, TEVENT_FD_READ, on_inbox, core);
   hs_records_start (core);
-  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error))
+  core->report = hs_report_new (core);
+  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error)
+      || !start_admin (core, error))
     {
       talloc_free (core);
       return NULL;
@@ -292,6 +295,14 @@
   hs_owner_set_complete_since (core->owner, now.wall_ms);
 }
 
+static bool
+start_admin (HsCore *core, GError **error)
+{
+  (void) core;
+  (void) error;
+  return true;
+}
+
 static void
 effect_start (void *arg, uint64_t agent, const hsx_start *start)
 {
@@ -309,9 +320,5 @@
 {
   HsCore *core = arg;
 
-  (void) core;
-  (void) customer;
-  (void) queued;
-  (void) run;
-  (void) whole;
+  hs_report_measure (core->report, customer, queued, run, whole);
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -26,6 +26,7 @@
 typedef struct HsCalls HsCalls;
 typedef struct HsKeeper HsKeeper;
 typedef struct HsHandovers HsHandovers;
+typedef struct HsReport HsReport;
 
 struct HsCore
 {
@@ -53,6 +54,8 @@
   GArray *questions; /* Of peers for credits; see peers.c. */
   struct HsClaims *claims;
   struct HsListsSync *sync;
+  HsReport *report;
+  struct HsAdmin *admin;
   bool leaving;
   bool drained;
   HsTime leave_until;
@@ -108,8 +111,10 @@
 /** @name agents.c: membership and the owner's calls to agents @{ */
 
 void hs_agents_conn_up (HsCore *core, HsConn *conn, HsNow now);
-void
-hs_agents_conn_down (HsCore *core, uint64_t agent, bool refused, HsNow now);
+void hs_agents_conn_down (HsCore *core, uint64_t agent, HsNow now);
+
+/** The agent's process is gone for certain. */
+void hs_agents_gone (HsCore *core, uint64_t agent, HsNow now);
 void hs_agents_called (HsCore *core,
                        HsConn *conn,
                        uint32_t proc,
@@ -137,6 +142,9 @@
 /** Drops questions that came by a connection that is gone. */
 void hs_peers_forget_conn (HsCore *core, const HsConn *conn);
 GArray *hs_peers_questions_new (void);
+/** Asks for a promise; a span of 0 only makes this entry known. */
+void hs_peers_ask_promise (HsCore *core, uint64_t peer, HsTime span, HsNow now);
+void hs_peers_greet_all (HsCore *core);
 void hs_entry_borrow (void *arg, uint64_t peer, const hsx_borrow_args *args);
 void hs_entry_lend (void *arg, uint64_t peer, const hsx_borrow_reply *reply);
 
@@ -187,8 +195,26 @@
                       uint64_t owner,
                       int64_t revision);
 const HsOwnership *hs_keeper_view (const HsKeeper *keeper);
+/** Until when this entry may start tasks; 0 or past: it may not. */
 HsTime hs_keeper_lease_until (const HsKeeper *keeper);
 
+/** Another entry asks for a promise; see promises.h. */
+bool
+hs_keeper_promise (HsKeeper *keeper, uint64_t owner, HsTime span, HsNow now);
+
+/** Another entry's answer to a question sent at @p sent. */
+void hs_keeper_promised (HsKeeper *keeper,
+                         uint64_t peer,
+                         bool promised,
+                         HsTime sent,
+                         HsNow now);
+
+/** Another entry's process is gone for certain. */
+void hs_keeper_peer_gone (HsKeeper *keeper, uint64_t peer);
+
+/** There is no connection to another entry any more. */
+void hs_keeper_peer_down (HsKeeper *keeper, uint64_t peer);
+
 /** @} */
 /** @name handover.c: planned moves of partitions @{ */
 
@@ -222,6 +248,21 @@
 
 /** @} */
 
+/** @name report.c: status and metrics @{ */
+
+HsReport *hs_report_new (HsCore *core);
+char *hs_report_status (void *arg, TALLOC_CTX *ctx, HsNow now);
+char *hs_report_metrics (void *arg, TALLOC_CTX *ctx, HsNow now);
+
+/** Counts the times of a task (@p whole 0) or of a job. */
+void hs_report_measure (HsReport *report,
+                        const char *customer,
+                        HsTime queued,
+                        HsTime run,
+                        HsTime whole);
+
+/** @} */
+
 /** int main of `hibiscusspoke entry`. */
 int hs_entry_main (int argc, char **argv);
 
--- a/src/entry/handover.c
+++ b/src/entry/handover.c
@@ -210,7 +210,8 @@
           = hs_ownership_record (view, group->parts[i])->revision;
       puts[i].kind = HS_STORE_PUT;
       puts[i].key = key;
-      puts[i].value = hs_ownership_part_json (memory, group->target);
+      puts[i].value = hs_ownership_part_json (
+          memory, group->target, target != NULL ? target->address : "");
       puts[i].lease = 0;
     }
   /* The target must be there still; a revision of 0 would say it is gone. */
--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "entry/core.h"
+#include "entry/promises.h"
 
 #define PART "keeper"
 
@@ -32,6 +33,9 @@
   KeeperState state;
   int64_t lease;
   HsTime lease_until;
+  bool confirmed;  /* The view was read under this lease. */
+  HsTime answered; /* When the store last answered. */
+  HsPromises *promises;
   HsTime call_sent; /* When the lease call under way was sent. */
   bool renewing;
   HsTime renew_at;
@@ -40,9 +44,12 @@
   bool entries_read;
   bool parts_read;
   bool reading;
+  bool removing;  /* The record of an entry that is gone. */
+  bool recording; /* This entry's record is being written. */
   HsStoreWatch *entry_watch;
   HsStoreWatch *part_watch;
   bool taking;
+  bool unsettled;           /* A transaction may still take effect. */
   uint32_t taken[TAKE_MAX]; /* By the transaction under way. */
   uint32_t n_taken;
   uint32_t take_most; /* Falls to one after a failed transaction. */
@@ -50,6 +57,14 @@
   HsTime stable_since;
 };
 
+static HsTime store_patience (const HsKeeper *keeper);
+static void ask_promises (HsKeeper *keeper, HsNow now);
+static void update_lease (HsKeeper *keeper, HsNow now);
+static void store_answered (HsKeeper *keeper, HsNow now);
+static void own_all (HsKeeper *keeper, HsNow now);
+static bool may_take (HsKeeper *keeper, const HsPartRecord *record, HsNow now);
+static void remove_gone (HsKeeper *keeper);
+static void on_removed (void *arg, const HsStoreReply *reply);
 static void grant (HsKeeper *keeper, HsNow now);
 static void on_granted (void *arg, const HsStoreReply *reply);
 static void write_record (HsKeeper *keeper);
@@ -84,14 +99,15 @@
   keeper->dropped
       = talloc_zero_array (keeper, int64_t, core->entry->partitions);
   keeper->take_most = TAKE_MAX;
+  keeper->promises = hs_promises_new (keeper);
   return keeper;
 }
 
 void
 hs_keeper_tick (HsKeeper *keeper, HsNow now)
 {
-  if (keeper->state == KEEPER_HOLDING && now.mono >= keeper->lease_until)
-    lose_lease (keeper, now);
+  ask_promises (keeper, now);
+  update_lease (keeper, now);
   if (now.mono < keeper->retry_at)
     return;
   if (keeper->state == KEEPER_NO_LEASE && !keeper->core->finished)
@@ -99,10 +115,13 @@
   if (keeper->state == KEEPER_HOLDING && !keeper->renewing
       && now.mono >= keeper->renew_at)
     renew (keeper, now);
+  if (keeper->unsettled && keeper->state == KEEPER_HOLDING
+      && !keeper->recording)
+    write_record (keeper);
   if (!keeper->reading && (!keeper->entries_read || !keeper->parts_read))
     read_all (keeper);
   if (keeper->state == KEEPER_HOLDING && keeper->entries_read
-      && keeper->parts_read)
+      && keeper->parts_read && !keeper->unsettled)
     decide (keeper, now);
 }
 
@@ -138,7 +157,9 @@
 HsTime
 hs_keeper_lease_until (const HsKeeper *keeper)
 {
-  return keeper->state == KEEPER_HOLDING ? keeper->lease_until : 0;
+  HsTime extended = hs_promises_extended (keeper->promises);
+
+  return keeper->confirmed ? MAX (keeper->lease_until, extended) : extended;
 }
 
 void
@@ -157,7 +178,9 @@
 {
   HsNow now = hs_now ();
   TALLOC_CTX *memory = talloc_new (keeper);
-  char *json = hs_ownership_part_json (memory, owner);
+  const HsEntryRecord *entry = hs_ownership_find_entry (keeper->view, owner);
+  char *json = hs_ownership_part_json (memory, owner,
+                                       entry != NULL ? entry->address : "");
   uint32_t i;
 
   for (i = 0; i < n; i++)
@@ -172,6 +195,151 @@
   hs_core_rearm (keeper->core, now);
 }
 
+bool
+hs_keeper_promise (HsKeeper *keeper, uint64_t owner, HsTime span, HsNow now)
+{
+  bool store_up = now.mono - keeper->answered < store_patience (keeper);
+  bool settled = !keeper->taking && !keeper->unsettled && keeper->parts_read;
+
+  /* Who asks has to be asked as well. */
+  hs_promises_peer (keeper->promises, owner);
+  return hs_promises_give (keeper->promises, owner, span, store_up, settled,
+                           now.mono);
+}
+
+void
+hs_keeper_promised (HsKeeper *keeper,
+                    uint64_t peer,
+                    bool promised,
+                    HsTime sent,
+                    HsNow now)
+{
+  hs_promises_met (keeper->promises, peer);
+  hs_promises_answered (keeper->promises, peer, promised, sent);
+  update_lease (keeper, now);
+}
+
+void
+hs_keeper_peer_gone (HsKeeper *keeper, uint64_t peer)
+{
+  hs_promises_gone (keeper->promises, peer);
+  hs_promises_forget (keeper->promises, peer);
+}
+
+/* An entry is needed while it is connected or has a record. */
+void
+hs_keeper_peer_down (HsKeeper *keeper, uint64_t peer)
+{
+  if (hs_links_conn (keeper->core->links, peer) != NULL
+      || hs_ownership_find_entry (keeper->view, peer) != NULL)
+    return;
+  hs_promises_forget (keeper->promises, peer);
+  hs_links_forget (keeper->core->links, peer);
+}
+
+/* The store is taken for out of reach after this silence. */
+static HsTime
+store_patience (const HsKeeper *keeper)
+{
+  return keeper->core->entry->lease / 3;
+}
+
+static void
+ask_promises (HsKeeper *keeper, HsNow now)
+{
+  uint64_t peer;
+
+  if (hs_owner_owned (keeper->core->owner) == 0
+      || now.mono - keeper->answered < store_patience (keeper))
+    return;
+  while ((peer = hs_promises_next (keeper->promises, now.mono)) != 0)
+    hs_peers_ask_promise (keeper->core, peer, HS_PROMISE_SPAN, now);
+}
+
+static void
+update_lease (HsKeeper *keeper, HsNow now)
+{
+  HsTime until = hs_keeper_lease_until (keeper);
+
+  if (now.mono >= until)
+    lose_lease (keeper, now);
+  hs_owner_set_lease (keeper->core->owner, now.mono < until ? until : 0);
+}
+
+static void
+store_answered (HsKeeper *keeper, HsNow now)
+{
+  keeper->answered = now.mono;
+  hs_promises_store_answered (keeper->promises, now.mono);
+}
+
+/* Records that named this entry before the lease was confirmed. */
+static void
+own_all (HsKeeper *keeper, HsNow now)
+{
+  uint32_t part;
+
+  for (part = 0; part < keeper->core->entry->partitions; part++)
+    if (hs_ownership_record (keeper->view, part)->owner
+            == keeper->core->incarnation
+        && !hs_owner_owns (keeper->core->owner, part))
+      part_changed (keeper, part, now);
+}
+
+/* Probes an owner of which nothing is known, to learn whether it is gone. */
+static bool
+may_take (HsKeeper *keeper, const HsPartRecord *record, HsNow now)
+{
+  if (record->owner == 0 || record->owner == keeper->core->incarnation)
+    return true;
+  if (hs_promises_may_take (keeper->promises, record->owner, now.mono))
+    return true;
+  if (record->address[0] != '\0')
+    hs_links_want (keeper->core->links, HSX_ROLE_ENTRY, record->owner,
+                   record->address, now.mono);
+  return false;
+}
+
+/*
+ * The record of an entry whose process is gone need not wait for its lease:
+ * without the process nothing is started, and RECOVER fences what is on its
+ * way.
+ */
+static void
+remove_gone (HsKeeper *keeper)
+{
+  uint32_t i;
+
+  for (i = 0; i < hs_ownership_entries (keeper->view) && !keeper->removing; i++)
+    {
+      const HsEntryRecord *entry = hs_ownership_entry_at (keeper->view, i);
+      HsStoreCompare compare = { NULL, entry->revision };
+      HsStoreOp op = { HS_STORE_DELETE, NULL, NULL, 0 };
+      HsStoreTxn txn = { 1, &compare, 1, &op, 0, NULL };
+      char *key;
+
+      if (!hs_promises_is_gone (keeper->promises, entry->incarnation))
+        continue;
+      key = hs_ownership_entry_key (keeper, entry->incarnation);
+      compare.key = key;
+      op.key = key;
+      keeper->removing = true;
+      hs_store_txn (keeper->core->store, &txn, on_removed, keeper);
+      talloc_free (key);
+    }
+}
+
+/* The watch tells whether it is gone; else it is tried again. */
+static void
+on_removed (void *arg, const HsStoreReply *reply)
+{
+  HsKeeper *keeper = arg;
+
+  keeper->removing = false;
+  if (reply->status != HS_STORE_OK)
+    retry_later (keeper);
+}
+
 static void
 grant (HsKeeper *keeper, HsNow now)
 {
@@ -194,6 +362,7 @@
       return;
     }
   keeper->lease = reply->lease;
+  keeper->confirmed = false;
   extend (keeper, keeper->call_sent, reply->ttl_s);
   write_record (keeper);
 }
@@ -214,6 +383,7 @@
              sizeof record.data_centre);
   put.key = hs_ownership_entry_key (memory, core->incarnation);
   put.value = hs_ownership_entry_json (memory, &record);
+  keeper->recording = true;
   hs_store_txn (core->store, &txn, on_recorded, keeper);
   talloc_free (memory);
 }
@@ -224,6 +394,7 @@
   HsKeeper *keeper = arg;
   HsNow now = hs_now ();
 
+  keeper->recording = false;
   if (reply->status != HS_STORE_OK)
     {
       /* Whether it was written or not: write it again. */
@@ -232,12 +403,17 @@
       retry_later (keeper);
       return;
     }
+  /* A transaction of before compares the record's old revision. */
   keeper->record_revision = reply->revision;
+  if (keeper->unsettled)
+    hs_keeper_reread (keeper);
+  keeper->unsettled = false;
   if (keeper->state != KEEPER_GRANTING)
     return;
   keeper->state = KEEPER_HOLDING;
   keeper->renew_at = now.mono;
-  hs_owner_set_lease (keeper->core->owner, keeper->lease_until);
+  hs_promises_unknown_to_all (keeper->promises);
+  hs_peers_greet_all (keeper->core);
   /* What others took meanwhile must be known before anything is owned. */
   keeper->parts_read = false;
   keeper->entries_read = false;
@@ -270,11 +446,18 @@
     }
   if (reply->ttl_s <= 0)
     {
-      lose_lease (keeper, now);
+      /* It lapsed in an outage: a new one is due while promises hold. */
+      hs_warn (PART, "lease lapsed at the store; asking for a new one");
+      keeper->state = KEEPER_NO_LEASE;
+      keeper->confirmed = false;
+      update_lease (keeper, now);
+      hs_keeper_tick (keeper, now);
       return;
     }
   extend (keeper, keeper->call_sent, reply->ttl_s);
-  hs_owner_set_lease (keeper->core->owner, keeper->lease_until);
+  if (keeper->confirmed)
+    store_answered (keeper, now);
+  update_lease (keeper, now);
   hs_core_rearm (keeper->core, now);
 }
 
@@ -285,7 +468,7 @@
   HsTime ttl = ttl_s * HS_SEC;
 
   keeper->lease_until = sent + ttl - ttl * LEASE_MARGIN_PERCENT / 100;
-  keeper->renew_at = sent + ttl / 3;
+  keeper->renew_at = sent + ttl / 4;
 }
 
 static void
@@ -293,9 +476,9 @@
 {
   uint32_t part;
 
+  if (hs_owner_owned (keeper->core->owner) == 0)
+    return;
   hs_warn (PART, "lease lost; partitions given up until the store answers");
-  keeper->state = KEEPER_NO_LEASE;
-  hs_owner_set_lease (keeper->core->owner, 0);
   for (part = 0; part < keeper->core->entry->partitions; part++)
     {
       if (!hs_owner_owns (keeper->core->owner, part))
@@ -336,6 +519,7 @@
       take_entry (keeper, &reply->kvs[i], false);
     }
   hs_ownership_entries_seen (keeper->view, seen, reply->n_kvs, reply->revision);
+  talloc_free (seen);
   keeper->entries_read = true;
   keeper->entry_watch
       = hs_store_watch (keeper->core->store, "hs/entry/", reply->revision + 1,
@@ -361,6 +545,13 @@
   for (i = 0; i < reply->n_kvs; i++)
     take_part (keeper, &reply->kvs[i], now);
   keeper->parts_read = true;
+  if (keeper->state == KEEPER_HOLDING && !keeper->confirmed)
+    {
+      keeper->confirmed = true;
+      store_answered (keeper, now);
+      update_lease (keeper, now);
+      own_all (keeper, now);
+    }
   keeper->part_watch
       = hs_store_watch (keeper->core->store, "hs/part/", reply->revision + 1,
                         on_part_note, keeper);
@@ -428,8 +619,12 @@
   hs_ownership_entry (keeper->view, incarnation, deleted ? NULL : kv->value,
                       kv->mod_revision);
   keeper->stable_since = hs_now ().mono;
-  if (deleted && incarnation != keeper->core->incarnation)
-    hs_links_forget (keeper->core->links, incarnation);
+  if (incarnation == keeper->core->incarnation)
+    return;
+  if (!deleted)
+    hs_promises_peer (keeper->promises, incarnation);
+  else
+    hs_keeper_peer_down (keeper, incarnation);
 }
 
 static void
@@ -453,8 +648,7 @@
   uint64_t previous = (uint64_t) record->previous;
   bool mine = record->owner == keeper->core->incarnation;
 
-  if (mine && keeper->state == KEEPER_HOLDING
-      && record->revision > keeper->dropped[part])
+  if (mine && keeper->confirmed && record->revision > keeper->dropped[part])
     {
       hs_owner_own (owner, 1, &part, &epoch, &previous, now);
       hs_records_owned (keeper->core, part, record->revision);
@@ -490,6 +684,7 @@
   uint32_t n = 0;
   uint32_t part;
 
+  remove_gone (keeper);
   for (part = 0; part < core->entry->partitions; part++)
     {
       const HsPartRecord *record = hs_ownership_record (keeper->view, part);
@@ -498,7 +693,8 @@
       switch (hs_ownership_decide (keeper->view, part, &target))
         {
         case HS_PART_TAKE:
-          if (!core->leaving && n < keeper->take_most)
+          if (!core->leaving && n < keeper->take_most
+              && may_take (keeper, record, now))
             wanted[n++] = part;
           break;
         case HS_PART_HAND_TO:
@@ -550,7 +746,8 @@
         }
       puts[i].kind = HS_STORE_PUT;
       puts[i].key = key;
-      puts[i].value = hs_ownership_part_json (memory, core->incarnation);
+      puts[i].value = hs_ownership_part_json (memory, core->incarnation,
+                                              core->entry->rpc_address);
       puts[i].lease = 0;
     }
   keeper->taking = true;
@@ -573,6 +770,8 @@
                        keeper->core->incarnation, reply->revision);
       return;
     }
+  if (reply->status == HS_STORE_UNKNOWN)
+    keeper->unsettled = true;
   /* One stale compare fails all: go on one by one, from a fresh view. */
   keeper->take_most = 1;
   keeper->parts_read = false;
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -48,6 +48,7 @@
 static void on_flush (struct tevent_context *ev,
                       struct tevent_immediate *immediate,
                       void *arg);
+static void process_gone (HsCore *core, const HsLink *link, HsNow now);
 static void remove_conn (HsLink *link, const HsConn *conn);
 
 HsLinks *
@@ -244,6 +245,7 @@
     {
       hs_conn_set_data (conn, NULL);
       hs_conn_close (conn);
+      process_gone (core, dialled_for, hs_now ());
       return;
     }
   if (link == NULL)
@@ -270,6 +272,7 @@
   HsCore *core = arg;
   HsLink *link = hs_conn_data (conn);
   HsNow now = hs_now ();
+  uint64_t incarnation;
   bool was_up;
 
   hs_calls_conn_down (core->calls, conn);
@@ -289,11 +292,15 @@
       g_array_set_size (link->starts, 0);
       TALLOC_FREE (link->starts_memory);
     }
-  if (link->role == HSX_ROLE_AGENT)
-    hs_agents_conn_down (core, link->incarnation, refused, now);
+  incarnation = link->incarnation;
+  if (was_up && link->role == HSX_ROLE_AGENT)
+    hs_agents_conn_down (core, incarnation, now);
   else if (was_up)
-    hs_peers_conn_down (core, link->incarnation, now);
-  link = find (core->links, link->incarnation);
+    hs_peers_conn_down (core, incarnation, now);
+  link = find (core->links, incarnation);
+  if (link != NULL && refused)
+    process_gone (core, link, now);
+  link = find (core->links, incarnation);
   if (link != NULL && !link->wanted)
     drop (core->links, link);
   hs_core_rearm (core, now);
@@ -336,6 +343,16 @@
   TALLOC_FREE (link->starts_memory);
 }
 
+/* Nothing listens at its address, or another process does. */
+static void
+process_gone (HsCore *core, const HsLink *link, HsNow now)
+{
+  if (link->role == HSX_ROLE_AGENT)
+    hs_agents_gone (core, link->incarnation, now);
+  else
+    hs_keeper_peer_gone (core->keeper, link->incarnation);
+}
+
 static void
 remove_conn (HsLink *link, const HsConn *conn)
 {
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -95,6 +95,7 @@
     record->previous = create_revision;
   record->revision = revision;
   record->owner = object != NULL ? member_u64 (object, "owner") : 0;
+  member_string (object, "address", record->address, sizeof record->address);
   json_object_put (object);
   return true;
 }
@@ -192,9 +193,10 @@
 }
 
 char *
-hs_ownership_part_json (TALLOC_CTX *ctx, uint64_t owner)
+hs_ownership_part_json (TALLOC_CTX *ctx, uint64_t owner, const char *address)
 {
-  return talloc_asprintf (ctx, "{\"owner\":\"%016" PRIx64 "\"}", owner);
+  return talloc_asprintf (
+      ctx, "{\"owner\":\"%016" PRIx64 "\",\"address\":\"%s\"}", owner, address);
 }
 
 char *
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "entry/core.h"
+#include "entry/promises.h"
 
 #define PART "peers"
 
@@ -12,6 +13,13 @@
   uint64_t peer;
 } BorrowCall;
 
+typedef struct
+{
+  HsCore *core;
+  uint64_t peer;
+  HsTime sent;
+} PromiseCall;
+
 /* A question of a peer for credits, kept until it can be answered. */
 typedef struct
 {
@@ -21,6 +29,8 @@
 } Question;
 
 static void keep_question (HsCore *core, HsConn *conn, HsRpcCallId call);
+static void greet (void *arg, HsConn *conn);
+static void on_promised (void *arg, HsRpcStatus status, const void *result);
 static void on_lent (void *arg, HsRpcStatus status, const void *result);
 
 void
@@ -28,6 +38,7 @@
 {
   hs_agents_send_members (core, conn);
   hs_owner_peer_up (core->owner, hs_conn_peer (conn)->incarnation, now);
+  hs_peers_ask_promise (core, hs_conn_peer (conn)->incarnation, 0, now);
   hs_calls_tick (core->calls, now);
 }
 
@@ -35,6 +46,7 @@
 hs_peers_conn_down (HsCore *core, uint64_t peer, HsNow now)
 {
   hs_owner_peer_down (core->owner, peer, now);
+  hs_keeper_peer_down (core->keeper, peer);
 }
 
 void
@@ -59,6 +71,15 @@
       keep_question (core, conn, call);
       hs_owner_asked (core->owner, peer, args, now);
       return;
+    case HSX_PROMISE:
+      {
+        hsx_promise_reply reply = { 0 };
+        HsTime span = ((hsx_promise_args *) args)->span_ms * HS_MSEC;
+
+        reply.promised = hs_keeper_promise (core->keeper, peer, span, now);
+        hs_conn_reply (conn, call, HSX_PROMISE, &reply);
+        return;
+      }
     case HSX_HANDOVER:
       {
         hsx_handover_reply reply = { 0 };
@@ -73,6 +94,51 @@
     }
 }
 
+void
+hs_peers_ask_promise (HsCore *core, uint64_t peer, HsTime span, HsNow now)
+{
+  HsConn *conn = hs_links_conn (core->links, peer);
+  hsx_promise_args args = { (u_int) (span / HS_MSEC) };
+  PromiseCall *call;
+
+  if (conn == NULL)
+    return;
+  call = talloc_zero (core, PromiseCall);
+  call->core = core;
+  call->peer = peer;
+  call->sent = now.mono;
+  if (!hs_conn_call (conn, HSX_PROMISE, &args, HS_PROMISE_SPAN, on_promised,
+                     call))
+    talloc_free (call);
+}
+
+void
+hs_peers_greet_all (HsCore *core)
+{
+  hs_links_each (core->links, HSX_ROLE_ENTRY, greet, core);
+}
+
+static void
+greet (void *arg, HsConn *conn)
+{
+  hs_peers_ask_promise (arg, hs_conn_peer (conn)->incarnation, 0, hs_now ());
+}
+
+static void
+on_promised (void *arg, HsRpcStatus status, const void *result)
+{
+  PromiseCall call = *(PromiseCall *) arg;
+  const hsx_promise_reply *reply = result;
+  HsNow now = hs_now ();
+
+  talloc_free (arg);
+  if (status != HS_RPC_OK)
+    return;
+  hs_keeper_promised (call.core->keeper, call.peer, reply->promised, call.sent,
+                      now);
+  hs_core_rearm (call.core, now);
+}
+
 void
 hs_entry_borrow (void *arg, uint64_t peer, const hsx_borrow_args *args)
 {
--- /dev/null
+++ b/src/entry/promises.h
@@ -0,0 +1,109 @@
+/**
+ * @file
+ * How an owner goes on while the store can't be reached: on the promises of
+ * all other entries not to take its partitions. Pure: no sockets, no clock.
+ *
+ * An owner's lease may be extended to the earliest end of the promises of
+ * every entry that it knows. An entry that can reach the store promises
+ * nothing, so that only an outage for all of them extends a lease. An entry
+ * may take partitions of an owner only if that owner knew it, and so needed
+ * its promise; or if the owner's process is gone; or after the longest
+ * extension.
+ */
+#ifndef HS_ENTRY_PROMISES_H
+#define HS_ENTRY_PROMISES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+
+#include "base/time.h"
+
+/** What one promise spans, counted at its giver from its receipt. */
+#define HS_PROMISE_SPAN (3 * HS_SEC)
+
+/** The same at its taker, from before the call was sent, less clock drift. */
+#define HS_PROMISE_HELD (2700 * HS_MSEC)
+
+/** Pause between two calls to the same entry. */
+#define HS_PROMISE_PERIOD (500 * HS_MSEC)
+
+/** An outage is bridged for so long at most. */
+#define HS_PROMISE_OUTAGE_MAX (600 * HS_SEC)
+
+typedef struct HsPromises HsPromises;
+
+HsPromises *hs_promises_new (TALLOC_CTX *ctx);
+
+/** @name As the owner @{ */
+
+/**
+ * An entry is known: nothing is extended without its promise from now on.
+ */
+void hs_promises_peer (HsPromises *promises, uint64_t peer);
+
+/** An entry is gone, as the store tells. */
+void hs_promises_forget (HsPromises *promises, uint64_t peer);
+
+/**
+ * The store has answered: the outage, if there was one, is over and no
+ * promise is needed.
+ */
+void hs_promises_store_answered (HsPromises *promises, HsTime now);
+
+/**
+ * The next entry to ask; 0: none now. Call until it returns 0.
+ */
+uint64_t hs_promises_next (HsPromises *promises, HsTime now);
+
+/** An answer to a question sent at @p sent. */
+void hs_promises_answered (HsPromises *promises,
+                           uint64_t peer,
+                           bool promised,
+                           HsTime sent);
+
+/**
+ * Until when the lease is extended; 0 if it isn't. At most
+ * HS_PROMISE_OUTAGE_MAX after the store last answered.
+ */
+HsTime hs_promises_extended (const HsPromises *promises);
+
+/** @} */
+/** @name As another entry @{ */
+
+/**
+ * Decides whether to promise @p owner not to take its partitions.
+ * @param store_up the store has answered here lately
+ * @param settled no attempt to take partitions is undecided
+ */
+bool hs_promises_give (HsPromises *promises,
+                       uint64_t owner,
+                       HsTime span,
+                       bool store_up,
+                       bool settled,
+                       HsTime now);
+
+/** Notes that this entry and that owner were connected. */
+void hs_promises_met (HsPromises *promises, uint64_t owner);
+
+/** Notes that the owner's process is gone for certain. */
+void hs_promises_gone (HsPromises *promises, uint64_t owner);
+
+/** Whether hs_promises_gone() was told of it. */
+bool hs_promises_is_gone (const HsPromises *promises, uint64_t owner);
+
+/**
+ * After this entry's own record was written anew, owners may not know it.
+ */
+void hs_promises_unknown_to_all (HsPromises *promises);
+
+/**
+ * Decides whether the partitions of an owner whose record is gone may be
+ * taken now.
+ */
+bool hs_promises_may_take (HsPromises *promises, uint64_t owner, HsTime now);
+
+/** @} */
+
+#endif
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -364,6 +364,17 @@
 };
 typedef struct hsx_handover_reply hsx_handover_reply;
 
+struct hsx_promise_args {
+	u_int span_ms;
+};
+typedef struct hsx_promise_args hsx_promise_args;
+
+struct hsx_promise_reply {
+	bool_t promised;
+	bool_t store_up;
+};
+typedef struct hsx_promise_reply hsx_promise_reply;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -404,6 +415,9 @@
 #define HSX_HANDOVER 11
 extern  enum clnt_stat hsx_handover_1(hsx_handover_args , hsx_handover_reply *, CLIENT *);
 extern  bool_t hsx_handover_1_svc(hsx_handover_args , hsx_handover_reply *, struct svc_req *);
+#define HSX_PROMISE 12
+extern  enum clnt_stat hsx_promise_1(hsx_promise_args , hsx_promise_reply *, CLIENT *);
+extern  bool_t hsx_promise_1_svc(hsx_promise_args , hsx_promise_reply *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -443,6 +457,9 @@
 #define HSX_HANDOVER 11
 extern  enum clnt_stat hsx_handover_1();
 extern  bool_t hsx_handover_1_svc();
+#define HSX_PROMISE 12
+extern  enum clnt_stat hsx_promise_1();
+extern  bool_t hsx_promise_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -486,6 +503,8 @@
 extern  bool_t xdr_hsx_handover_job (XDR *, hsx_handover_job*);
 extern  bool_t xdr_hsx_handover_args (XDR *, hsx_handover_args*);
 extern  bool_t xdr_hsx_handover_reply (XDR *, hsx_handover_reply*);
+extern  bool_t xdr_hsx_promise_args (XDR *, hsx_promise_args*);
+extern  bool_t xdr_hsx_promise_reply (XDR *, hsx_promise_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -525,6 +544,8 @@
 extern bool_t xdr_hsx_handover_job ();
 extern bool_t xdr_hsx_handover_args ();
 extern bool_t xdr_hsx_handover_reply ();
+extern bool_t xdr_hsx_promise_args ();
+extern bool_t xdr_hsx_promise_reply ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -277,6 +277,18 @@
 	bool accepted;
 };
 
+/*
+ * PROMISE, entry to entry: the caller can't reach the store. The answerer
+ * promises not to take the caller's partitions for a while.
+ */
+struct hsx_promise_args {
+	unsigned int span_ms;
+};
+struct hsx_promise_reply {
+	bool promised;
+	bool store_up;			/* why not, if it can reach the store */
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -291,5 +303,6 @@
 		hsx_borrow_reply HSX_BORROW(hsx_borrow_args) = 9;
 		hsx_answer HSX_FORWARD(hsx_forward_args) = 10;
 		hsx_handover_reply HSX_HANDOVER(hsx_handover_args) = 11;
+		hsx_promise_reply HSX_PROMISE(hsx_promise_args) = 12;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -575,3 +575,25 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_promise_args (XDR *xdrs, hsx_promise_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->span_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_promise_reply (XDR *xdrs, hsx_promise_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->promised))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_up))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -21,6 +21,7 @@
   [HSX_BORROW] = PROC ("borrow", hsx_borrow_args, hsx_borrow_reply),
   [HSX_FORWARD] = PROC ("forward", hsx_forward_args, hsx_answer),
   [HSX_HANDOVER] = PROC ("handover", hsx_handover_args, hsx_handover_reply),
+  [HSX_PROMISE] = PROC ("promise", hsx_promise_args, hsx_promise_reply),
 };
 
 const HsProc *
--- /dev/null
+++ b/test/test_members.c
@@ -0,0 +1,173 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "entry/members.h"
+#include "entry/ownership.h"
+
+static hsx_member
+member (uint64_t incarnation, uint32_t revision, hsx_member_state state)
+{
+  hsx_member m = { 0 };
+
+  m.incarnation = incarnation;
+  m.revision = revision;
+  m.state = state;
+  m.address = (char *) "127.0.0.1:1";
+  m.data_centre = (char *) "a";
+  m.rack = (char *) "r";
+  return m;
+}
+
+static void
+old_records_never_win (void **state)
+{
+  HsMembers *table = hs_members_new (NULL);
+  hsx_member up = member (1, 2, HSX_MEMBER_UP);
+  hsx_member leaving = member (1, 3, HSX_MEMBER_LEAVING);
+  hsx_member again = member (1, 4, HSX_MEMBER_UP);
+
+  (void) state;
+  assert_non_null (hs_members_merge (table, &leaving, 0));
+  assert_null (hs_members_merge (table, &up, 0));
+  assert_null (hs_members_merge (table, &leaving, 0));
+  assert_non_null (hs_members_merge (table, &again, 0));
+  assert_int_equal (hs_members_find (table, 1)->state, HSX_MEMBER_UP);
+  talloc_free (table);
+}
+
+static void
+who_left_stays_gone_and_who_was_lost_may_return (void **state)
+{
+  HsMembers *table = hs_members_new (NULL);
+  hsx_member up = member (1, 1, HSX_MEMBER_UP);
+  hsx_member newer = member (1, 2, HSX_MEMBER_UP);
+  hsx_member left = member (1, 2, HSX_MEMBER_LEFT);
+  hsx_member much_newer = member (1, 9, HSX_MEMBER_UP);
+
+  (void) state;
+  hs_members_merge (table, &up, 0);
+  assert_non_null (hs_members_lost (table, 1, 0));
+  assert_null (hs_members_lost (table, 1, 0));
+  assert_null (hs_members_merge (table, &up, 0));
+  assert_non_null (hs_members_merge (table, &newer, 0));
+  assert_non_null (hs_members_merge (table, &left, 0));
+  assert_null (hs_members_merge (table, &much_newer, 0));
+  talloc_free (table);
+}
+
+static void
+the_gone_are_forgotten_after_their_time (void **state)
+{
+  HsMembers *table = hs_members_new (NULL);
+  hsx_member up = member (1, 1, HSX_MEMBER_UP);
+  hsx_member other = member (2, 1, HSX_MEMBER_UP);
+
+  (void) state;
+  hs_members_merge (table, &up, 0);
+  hs_members_merge (table, &other, 0);
+  hs_members_lost (table, 1, 10);
+  hs_members_sweep (table, 100, 109);
+  assert_int_equal (hs_members_count (table), 2);
+  hs_members_sweep (table, 100, 110);
+  assert_int_equal (hs_members_count (table), 1);
+  assert_int_equal (hs_members_at (table, 0)->incarnation, 2);
+  talloc_free (table);
+}
+
+static void
+add_entry (HsOwnership *view, uint64_t incarnation, bool leaving, int64_t rev)
+{
+  HsEntryRecord record = { 0 };
+  char *json;
+
+  record.leaving = leaving;
+  json = hs_ownership_entry_json (view, &record);
+  hs_ownership_entry (view, incarnation, json, rev);
+}
+
+static void
+partitions_go_to_one_entry_that_is_there (void **state)
+{
+  HsOwnership *one = hs_ownership_new (NULL, 1, 16);
+  HsOwnership *two = hs_ownership_new (NULL, 2, 16);
+  uint32_t part;
+  uint32_t mine = 0;
+  uint64_t target;
+
+  (void) state;
+  add_entry (one, 1, false, 1);
+  add_entry (one, 2, false, 2);
+  add_entry (two, 1, false, 1);
+  add_entry (two, 2, false, 2);
+  for (part = 0; part < 16; part++)
+    {
+      bool first = hs_ownership_decide (one, part, &target) == HS_PART_TAKE;
+      bool second = hs_ownership_decide (two, part, &target) == HS_PART_TAKE;
+
+      assert_true (first != second);
+      mine += first;
+    }
+  assert_in_range (mine, 1, 15);
+  talloc_free (one);
+  talloc_free (two);
+}
+
+static void
+a_live_owner_keeps_or_hands_over (void **state)
+{
+  HsOwnership *view = hs_ownership_new (NULL, 1, 4);
+  char *json = hs_ownership_part_json (view, 1, "127.0.0.1:1");
+  uint64_t target = 0;
+  uint32_t part;
+
+  (void) state;
+  add_entry (view, 1, false, 1);
+  for (part = 0; part < 4; part++)
+    {
+      assert_true (hs_ownership_part (view, part, json, 5, 5));
+      assert_int_equal (hs_ownership_decide (view, part, &target),
+                        HS_PART_KEEP);
+    }
+  add_entry (view, 2, false, 6);
+  add_entry (view, 1, true, 7);
+  assert_int_equal (hs_ownership_decide (view, 0, &target), HS_PART_HAND_TO);
+  assert_int_equal (target, 2);
+  talloc_free (view);
+}
+
+static void
+a_partition_record_never_steps_back (void **state)
+{
+  HsOwnership *view = hs_ownership_new (NULL, 1, 4);
+  char *first = hs_ownership_part_json (view, 1, "");
+  char *second = hs_ownership_part_json (view, 2, "");
+
+  (void) state;
+  assert_true (hs_ownership_part (view, 0, second, 9, 5));
+  /* It had an owner that this view never saw. */
+  assert_int_equal (hs_ownership_record (view, 0)->previous, 5);
+  assert_false (hs_ownership_part (view, 0, first, 8, 5));
+  assert_int_equal (hs_ownership_record (view, 0)->owner, 2);
+  assert_true (hs_ownership_part (view, 1, first, 10, 10));
+  assert_int_equal (hs_ownership_record (view, 1)->previous, 0);
+  talloc_free (view);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (old_records_never_win),
+    cmocka_unit_test (who_left_stays_gone_and_who_was_lost_may_return),
+    cmocka_unit_test (the_gone_are_forgotten_after_their_time),
+    cmocka_unit_test (partitions_go_to_one_entry_that_is_there),
+    cmocka_unit_test (a_live_owner_keeps_or_hands_over),
+    cmocka_unit_test (a_partition_record_never_steps_back),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -56,7 +56,7 @@
   assert_int_equal (settings->log_level, G_LOG_LEVEL_INFO);
   assert_int_equal (entry->threads, 2);
   assert_int_equal (entry->partitions, 256);
-  assert_int_equal (entry->lease, 4 * HS_SEC);
+  assert_int_equal (entry->lease, 6 * HS_SEC);
   assert_int_equal (entry->retention, 600 * HS_SEC);
   assert_int_equal (entry->ahead, HS_SEC);
   assert_int_equal (entry->skew, 250 * HS_MSEC);
