Serve operators' edits of the lists

Cause: operators drive the system by editing plans and allowances. Change: admin.c serves both lists, single edits by revision, whole lists with their difference and a dry run, status and metrics on the core's loop. An edit whose revision is known to be old is refused without a store call; one that this entry has yet to see is refused as not applied, since a plan's key is kept from the record held.

--- /dev/null
+++ b/src/entry/admin.c
@@ -0,0 +1,332 @@
+#include "entry/admin.h"
+
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "entry/admin_private.h"
+
+#define BODY_MAX ((size_t) 8 * 1024 * 1024)
+#define CONNECTIONS_MAX 64
+#define IDLE_TIMEOUT_S 30
+
+static int free_admin (HsAdmin *admin);
+static enum MHD_Result on_request (void *cls,
+                                   struct MHD_Connection *connection,
+                                   const char *url,
+                                   const char *method,
+                                   const char *version,
+                                   const char *upload,
+                                   size_t *upload_len,
+                                   void **state);
+static void on_completed (void *cls,
+                          struct MHD_Connection *connection,
+                          void **state,
+                          enum MHD_RequestTerminationCode code);
+static enum MHD_Result dispatch (HsAdminRequest *request);
+static enum MHD_Result respond_error (HsAdminRequest *request);
+
+HsAdmin *
+hs_admin_new (TALLOC_CTX *ctx,
+              struct tevent_context *ev,
+              const char *listen,
+              const char *token,
+              HsListsBox *box,
+              HsListsSync *sync,
+              const HsAdminPages *pages,
+              GError **error)
+{
+  HsAdmin *admin = talloc_zero (ctx, HsAdmin);
+  HsMhdOptions options = { .listen = listen,
+                           .handle = on_request,
+                           .completed = on_completed,
+                           .arg = admin,
+                           .max_connections = CONNECTIONS_MAX,
+                           .idle_timeout_s = IDLE_TIMEOUT_S };
+
+  admin->box = box;
+  admin->sync = sync;
+  admin->pages = *pages;
+  hs_key_hash (token, admin->token_hash);
+  admin->mhd = hs_mhd_new (admin, ev, &options, error);
+  if (admin->mhd == NULL)
+    {
+      g_prefix_error (error, "admin_listen: ");
+      talloc_free (admin);
+      return NULL;
+    }
+  talloc_set_destructor (admin, free_admin);
+  return admin;
+}
+
+uint16_t
+hs_admin_port (const HsAdmin *admin)
+{
+  return hs_mhd_port (admin->mhd);
+}
+
+bool
+hs_admin_edit_ended (HsAdminRequest *request)
+{
+  request->pending--;
+  if (request->admin != NULL)
+    return true;
+  if (request->pending == 0)
+    talloc_free (request);
+  return false;
+}
+
+void
+hs_admin_answer (HsAdminRequest *request, unsigned int status, char *json)
+{
+  request->answer = json;
+  request->answer_status = status;
+  if (request->suspended)
+    hs_mhd_resume (request->admin->mhd, request->connection);
+  request->suspended = false;
+}
+
+char *
+hs_admin_error_json (TALLOC_CTX *ctx,
+                     HsErrorKind kind,
+                     const char *message,
+                     const char *present)
+{
+  struct json_object *text = json_object_new_string (message);
+  char *json = talloc_asprintf (
+      ctx, "{\"error\":{\"kind\":\"%s\",\"message\":%s}%s%s}",
+      hs_error_kind (kind),
+      json_object_to_json_string_ext (text, JSON_C_TO_STRING_NOSLASHESCAPE),
+      present != NULL ? ",\"present\":" : "", present != NULL ? present : "");
+
+  json_object_put (text);
+  return json;
+}
+
+static int
+free_admin (HsAdmin *admin)
+{
+  HsAdminRequest *request;
+
+  for (request = admin->requests; request != NULL; request = request->next)
+    if (request->suspended)
+      {
+        request->suspended = false;
+        MHD_resume_connection (request->connection);
+      }
+  TALLOC_FREE (admin->mhd);
+  return 0;
+}
+
+/** The key is checked before anything else is told. */
+static void
+authenticate (HsAdminRequest *request)
+{
+  const char *key = hs_mhd_bearer (request->connection);
+
+  if (key != NULL && hs_key_matches (key, request->admin->token_hash))
+    return;
+  g_clear_error (&request->error);
+  g_set_error (&request->error, HS_ERROR, HS_ERROR_UNAUTHORIZED,
+               "not the operators' token; send Authorization: Bearer TOKEN");
+}
+
+static HsAdminRequest *
+begin (HsAdmin *admin,
+       struct MHD_Connection *connection,
+       const char *url,
+       const char *method)
+{
+  HsAdminRequest *request = talloc_zero (NULL, HsAdminRequest);
+
+  request->admin = admin;
+  request->connection = connection;
+  request->next = admin->requests;
+  if (request->next != NULL)
+    request->next->prev = request;
+  admin->requests = request;
+  if (hs_mhd_body_begin (&request->body, connection, BODY_MAX, &request->error))
+    hs_admin_route (request, url, method);
+  authenticate (request);
+  return request;
+}
+
+static enum MHD_Result
+on_request (void *cls,
+            struct MHD_Connection *connection,
+            const char *url,
+            const char *method,
+            const char *version,
+            const char *upload,
+            size_t *upload_len,
+            void **state)
+{
+  HsAdminRequest *request = *state;
+
+  (void) version;
+  if (request == NULL)
+    {
+      request = begin (cls, connection, url, method);
+      *state = request;
+      if (request->error != NULL && request->body.expected > 0)
+        return respond_error (request);
+      return MHD_YES;
+    }
+  if (*upload_len > 0)
+    {
+      if (request->error == NULL
+          && !hs_mhd_body_add (request, &request->body, upload, *upload_len))
+        return MHD_NO;
+      *upload_len = 0;
+      return MHD_YES;
+    }
+  return dispatch (request);
+}
+
+static void
+on_completed (void *cls,
+              struct MHD_Connection *connection,
+              void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  HsAdmin *admin = cls;
+  HsAdminRequest *request = *state;
+
+  (void) connection;
+  (void) code;
+  if (request == NULL)
+    return;
+  *state = NULL;
+  if (request->prev != NULL)
+    request->prev->next = request->next;
+  else
+    admin->requests = request->next;
+  if (request->next != NULL)
+    request->next->prev = request->prev;
+  g_clear_error (&request->error);
+  request->admin = NULL;
+  if (request->pending == 0)
+    talloc_free (request);
+  else
+    talloc_steal (admin->sync, request);
+}
+
+static enum MHD_Result
+respond (HsAdminRequest *request,
+         unsigned int status,
+         char *text,
+         const char *type)
+{
+  struct MHD_Response *response = hs_mhd_response (text, strlen (text), type);
+  enum MHD_Result result;
+
+  if (request->allow != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_ALLOW, request->allow);
+  if (status == MHD_HTTP_UNAUTHORIZED)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_WWW_AUTHENTICATE,
+                             "Bearer");
+  result = MHD_queue_response (request->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+respond_json (HsAdminRequest *request, unsigned int status, char *json)
+{
+  return respond (request, status, json, "application/json");
+}
+
+static enum MHD_Result
+respond_error (HsAdminRequest *request)
+{
+  HsErrorKind kind = (HsErrorKind) request->error->code;
+  unsigned int status
+      = request->status != 0 ? request->status : hs_error_http_status (kind);
+
+  return respond_json (
+      request, status,
+      hs_admin_error_json (request, kind, request->error->message, NULL));
+}
+
+static enum MHD_Result
+respond_record (HsAdminRequest *request)
+{
+  char *json = hs_list_record_json (request, hs_lists_get (request->admin->box),
+                                    request->kind, request->name);
+
+  if (json != NULL)
+    return respond_json (request, MHD_HTTP_OK, json);
+  g_set_error (&request->error, HS_ERROR, HS_ERROR_NOT_FOUND,
+               "no record %s; create it by PUT with revision=0", request->name);
+  return respond_error (request);
+}
+
+/** Lists that were never read are no empty lists. */
+static bool
+check_loaded (HsAdminRequest *request)
+{
+  if (hs_lists_sync_loaded (request->admin->sync))
+    return true;
+  g_set_error (&request->error, HS_ERROR, HS_ERROR_UNAVAILABLE,
+               "the lists aren't loaded from the store yet, nothing was "
+               "applied; send it again later");
+  return false;
+}
+
+static enum MHD_Result
+respond_page (HsAdminRequest *request, HsAdminPage page, const char *type)
+{
+  return respond (request, MHD_HTTP_OK,
+                  page (request->admin->pages.arg, request, hs_now ()), type);
+}
+
+static enum MHD_Result
+start_edits (HsAdminRequest *request)
+{
+  request->suspended = true;
+  MHD_suspend_connection (request->connection);
+  if (request->verb == HS_ADMIN_APPLY)
+    hs_admin_apply (request);
+  else
+    hs_admin_edit (request);
+  if (request->error != NULL)
+    hs_admin_answer (request, 0, NULL);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+dispatch (HsAdminRequest *request)
+{
+  const HsAdminPages *pages = &request->admin->pages;
+
+  if (request->suspended)
+    return MHD_YES;
+  if (request->answer != NULL)
+    return respond_json (request, request->answer_status, request->answer);
+  if (request->error != NULL)
+    return respond_error (request);
+  switch (request->verb)
+    {
+    case HS_ADMIN_STATUS:
+      return respond_page (request, pages->status, "application/json");
+    case HS_ADMIN_METRICS:
+      return respond_page (request, pages->metrics,
+                           "text/plain; version=0.0.4");
+    default:
+      break;
+    }
+  if (!check_loaded (request))
+    return respond_error (request);
+  switch (request->verb)
+    {
+    case HS_ADMIN_LIST:
+      return respond_json (request, MHD_HTTP_OK,
+                           hs_list_json (request,
+                                         hs_lists_get (request->admin->box),
+                                         request->kind));
+    case HS_ADMIN_GET:
+      return respond_record (request);
+    default:
+      return start_edits (request);
+    }
+}
--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -159,8 +159,8 @@
   call->core = core;
   call->agent = agent;
   if (conn == NULL
-      || !hs_conn_call (conn, HSX_SETTLE, args, SETTLE_CALL_TIMEOUT,
-                        on_settled, call))
+      || !hs_conn_call (conn, HSX_SETTLE, args, SETTLE_CALL_TIMEOUT, on_settled,
+                        call))
     talloc_free (call);
 }
 
@@ -185,8 +185,7 @@
 static void
 take_member (HsCore *core, const hsx_member *member, HsNow now)
 {
-  const hsx_member *merged
-      = hs_members_merge (core->members, member, now.mono);
+  const hsx_member *merged = hs_members_merge (core->members, member, now.mono);
   bool home = member->home == core->incarnation;
 
   if (merged != NULL && home)
@@ -282,8 +281,7 @@
 static void
 declare_lost (HsCore *core, uint64_t agent, bool certain, HsNow now)
 {
-  const hsx_member *member
-      = hs_members_lost (core->members, agent, now.mono);
+  const hsx_member *member = hs_members_lost (core->members, agent, now.mono);
 
   if (member == NULL)
     return;
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -76,10 +76,10 @@
   hello.address = core->entry->rpc_address;
   hello.data_centre = settings->data_centre;
   hs_links_rpc_handler (&handler);
-  core->rpc = hs_rpc_new (core, ev, &hello, settings->cluster_key, &handler,
-                          core);
-  core->store = hs_store_new (core, ev, (const char *const *) core->entry->store,
-                              STORE_TIMEOUT);
+  core->rpc
+      = hs_rpc_new (core, ev, &hello, settings->cluster_key, &handler, core);
+  core->store = hs_store_new (
+      core, ev, (const char *const *) core->entry->store, STORE_TIMEOUT);
   core->members = hs_members_new (core);
   core->links = hs_links_new (core);
   core->calls = hs_calls_new (core);
@@ -179,9 +179,9 @@
   (void) event;
   (void) flags;
   (void) !read (core->inbox_fd, &count, sizeof count);
-  while ((node = cds_wfcq_dequeue_blocking (&core->inbox_head,
-                                            &core->inbox_tail))
-         != NULL)
+  while (
+      (node = cds_wfcq_dequeue_blocking (&core->inbox_head, &core->inbox_tail))
+      != NULL)
     hs_calls_local (core->calls, caa_container_of (node, HsFrontCall, node),
                     now);
   hs_core_rearm (core, now);
@@ -225,7 +225,8 @@
   schedule_housekeeping (core);
   if (!core->leaving || core->finished)
     return;
-  if ((hs_owner_owned (core->owner) == 0 || hs_owner_unfinished (core->owner) == 0)
+  if ((hs_owner_owned (core->owner) == 0
+       || hs_owner_unfinished (core->owner) == 0)
       && hs_calls_waiting (core->calls) == 0 && hs_front_idle (core->front)
       && (hs_owner_owned (core->owner) == 0
           || hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1))
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -232,7 +232,7 @@
   if (fd < 0)
     return fail_io (error, "dup", settings->http_listen);
   thread->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_USE_SUSPEND_RESUME, 0, NULL, NULL, hs_front_handle,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, hs_front_handle,
       thread, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, limit,
       MHD_OPTION_CONNECTION_TIMEOUT, INACTIVITY_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
--- a/src/entry/handover.c
+++ b/src/entry/handover.c
@@ -47,10 +47,8 @@
 };
 
 static int handovers_destructor (HsHandovers *handovers);
-static void begin (HsHandovers *handovers,
-                   HsConn *conn,
-                   uint64_t target,
-                   HsNow now);
+static void
+begin (HsHandovers *handovers, HsConn *conn, uint64_t target, HsNow now);
 static void send_part (Group *group, HsConn *conn, uint32_t part, HsNow now);
 static void on_sent (void *arg, HsRpcStatus status, const void *result);
 static void write_owners (Group *group);
@@ -163,8 +161,8 @@
   size_t n;
   size_t i;
 
-  messages = hs_owner_export (group->handovers->core->owner, memory, part, now,
-                              &n);
+  messages
+      = hs_owner_export (group->handovers->core->owner, memory, part, now, &n);
   for (i = 0; i < n; i++)
     if (hs_conn_call (conn, HSX_HANDOVER, &messages[i], HANDOVER_CALL_TIMEOUT,
                       on_sent, group))
--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -20,9 +20,9 @@
 
 typedef enum
 {
-  KEEPER_NO_LEASE,  /* Grant is due. */
-  KEEPER_GRANTING,  /* Grant or the entry's record is under way. */
-  KEEPER_HOLDING    /* The lease is held and the record is written. */
+  KEEPER_NO_LEASE, /* Grant is due. */
+  KEEPER_GRANTING, /* Grant or the entry's record is under way. */
+  KEEPER_HOLDING   /* The lease is held and the record is written. */
 } KeeperState;
 
 struct HsKeeper
@@ -32,7 +32,7 @@
   KeeperState state;
   int64_t lease;
   HsTime lease_until;
-  HsTime call_sent;   /* When the lease call under way was sent. */
+  HsTime call_sent; /* When the lease call under way was sent. */
   bool renewing;
   HsTime renew_at;
   HsTime retry_at;
@@ -45,8 +45,8 @@
   bool taking;
   uint32_t taken[TAKE_MAX]; /* By the transaction under way. */
   uint32_t n_taken;
-  uint32_t take_most;  /* Falls to one after a failed transaction. */
-  int64_t *dropped;    /* By partition: epochs given up with a lease. */
+  uint32_t take_most; /* Falls to one after a failed transaction. */
+  int64_t *dropped;   /* By partition: epochs given up with a lease. */
   HsTime stable_since;
 };
 
@@ -78,8 +78,8 @@
   HsKeeper *keeper = talloc_zero (core, HsKeeper);
 
   keeper->core = core;
-  keeper->view = hs_ownership_new (keeper, core->incarnation,
-                                   core->entry->partitions);
+  keeper->view
+      = hs_ownership_new (keeper, core->incarnation, core->entry->partitions);
   keeper->dropped
       = talloc_zero_array (keeper, int64_t, core->entry->partitions);
   keeper->take_most = TAKE_MAX;
@@ -205,8 +205,7 @@
   HsStoreTxn txn = { 0, NULL, 1, &put, 0, NULL };
 
   record.leaving = core->leaving;
-  g_strlcpy (record.address, core->entry->rpc_address,
-             sizeof record.address);
+  g_strlcpy (record.address, core->entry->rpc_address, sizeof record.address);
   g_strlcpy (record.data_centre, core->settings->data_centre,
              sizeof record.data_centre);
   put.key = hs_ownership_entry_key (memory, core->incarnation);
@@ -331,8 +330,7 @@
       hs_ownership_parse_entry_key (reply->kvs[i].key, &seen[i]);
       take_entry (keeper, &reply->kvs[i], false);
     }
-  hs_ownership_entries_seen (keeper->view, seen, reply->n_kvs,
-                             reply->revision);
+  hs_ownership_entries_seen (keeper->view, seen, reply->n_kvs, reply->revision);
   keeper->entries_read = true;
   keeper->entry_watch
       = hs_store_watch (keeper->core->store, "hs/entry/", reply->revision + 1,
@@ -474,8 +472,8 @@
       const HsEntryRecord *entry = hs_ownership_entry_at (keeper->view, i);
 
       if (entry->incarnation != keeper->core->incarnation)
-        hs_links_want (keeper->core->links, HSX_ROLE_ENTRY,
-                       entry->incarnation, entry->address, now.mono);
+        hs_links_want (keeper->core->links, HSX_ROLE_ENTRY, entry->incarnation,
+                       entry->address, now.mono);
     }
 }
 
@@ -505,8 +503,7 @@
         case HS_PART_KEEP:
           /* Given up with an earlier lease and not taken by others. */
           if (record->owner == core->incarnation
-              && !hs_owner_owns (core->owner, part)
-              && n < keeper->take_most)
+              && !hs_owner_owns (core->owner, part) && n < keeper->take_most)
             wanted[n++] = part;
           break;
         }
@@ -535,8 +532,7 @@
   compares[txn.n_compares++].mod_revision = keeper->record_revision;
   for (i = 0; i < n; i++)
     {
-      const HsPartRecord *record
-          = hs_ownership_record (keeper->view, parts[i]);
+      const HsPartRecord *record = hs_ownership_record (keeper->view, parts[i]);
       char *key = hs_ownership_part_key (memory, parts[i]);
 
       compares[txn.n_compares].key = key;
--- /dev/null
+++ b/test/http_caller.h
@@ -0,0 +1,110 @@
+/**
+ * @file
+ * An HTTP request made from a thread of its own, for tests of servers.
+ */
+#ifndef HS_TEST_HTTP_CALLER_H
+#define HS_TEST_HTTP_CALLER_H
+
+#include <pthread.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+typedef struct
+{
+  const char *method;
+  char *url;
+  const char *body;
+  const char *key;
+  void (*ended) (void *arg); /**< Called in the thread; may be NULL. */
+  void *arg;
+  long status; /**< 0: no answer. */
+  GString *text;
+  GString *headers;
+  pthread_t thread;
+  bool running;
+} Caller;
+
+static inline size_t
+append_part (char *data, size_t size, size_t n, void *arg)
+{
+  g_string_append_len (arg, data, (gssize) (size * n));
+  return size * n;
+}
+
+/** Makes the request and waits for its answer. */
+static inline void *
+run_caller (void *arg)
+{
+  Caller *caller = arg;
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers = NULL;
+  g_autofree char *bearer = g_strconcat (
+      "Authorization: Bearer ", caller->key != NULL ? caller->key : "", NULL);
+
+  if (caller->key != NULL)
+    headers = curl_slist_append (headers, bearer);
+  curl_easy_setopt (easy, CURLOPT_URL, caller->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, caller->method);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  if (caller->body != NULL)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, caller->body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_part);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, caller->text);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, caller->headers);
+  curl_easy_perform (easy);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &caller->status);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (easy);
+  if (caller->ended != NULL)
+    caller->ended (caller->arg);
+  return NULL;
+}
+
+static inline Caller *
+new_caller (unsigned int port,
+            const char *method,
+            const char *path,
+            const char *body,
+            const char *key)
+{
+  Caller *caller = g_new0 (Caller, 1);
+
+  caller->method = method;
+  caller->url = g_strdup_printf ("http://127.0.0.1:%u%s", port, path);
+  caller->body = body;
+  caller->key = key;
+  caller->text = g_string_new (NULL);
+  caller->headers = g_string_new (NULL);
+  return caller;
+}
+
+static inline void
+go (Caller *caller)
+{
+  assert_int_equal (pthread_create (&caller->thread, NULL, run_caller, caller),
+                    0);
+  caller->running = true;
+}
+
+static inline void
+join (Caller *caller)
+{
+  if (caller->running)
+    pthread_join (caller->thread, NULL);
+  caller->running = false;
+}
+
+static inline void
+finish (Caller *caller)
+{
+  join (caller);
+  g_string_free (caller->text, TRUE);
+  g_string_free (caller->headers, TRUE);
+  g_free (caller->url);
+  g_free (caller);
+}
+
+#endif
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -5,7 +5,7 @@
 $(B)/standin-store: $(B)/test/standin/store.o $(STANDIN_STORE_OBJS)
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
-$(addprefix $(B)/test/test_,kv store_codec store_client claims): \
+$(addprefix $(B)/test/test_,kv store_codec store_client claims admin): \
 	$(STANDIN_STORE_OBJS)
 
 STANDINS += $(B)/standin-target
--- a/test/test_front.c
+++ b/test/test_front.c
@@ -10,36 +10,16 @@
 #include <sys/socket.h>
 
 #include <cmocka.h>
-#include <curl/curl.h>
 
 #include "base/error.h"
 #include "entry/front.h"
+#include "http_caller.h"
 
 #define KEY "key-of-customer-one"
 #define POLL_US 1000
 #define SMALL_BODY_MAX 65536
 #define TWO_THREADS 2
 
-/** What the server answered. */
-typedef struct
-{
-  long status;
-  GString *body;
-  GString *headers;
-} Answer;
-
-/** A request made from a thread of its own. */
-typedef struct
-{
-  const char *method;
-  char *url;
-  const char *body;
-  const char *key;
-  Answer answer;
-  pthread_t thread;
-  bool running;
-} Caller;
-
 typedef struct
 {
   HsEntrySettings settings;
@@ -50,83 +30,13 @@
   GQueue calls;
 } Fixture;
 
-static size_t
-append (char *data, size_t size, size_t n, void *arg)
-{
-  g_string_append_len (arg, data, (gssize) (size * n));
-  return size * n;
-}
-
-static void *
-run_caller (void *arg)
-{
-  Caller *caller = arg;
-  CURL *easy = curl_easy_init ();
-  struct curl_slist *headers = NULL;
-  g_autofree char *bearer = g_strconcat (
-      "Authorization: Bearer ", caller->key != NULL ? caller->key : "", NULL);
-
-  if (caller->key != NULL)
-    headers = curl_slist_append (headers, bearer);
-  curl_easy_setopt (easy, CURLOPT_URL, caller->url);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, caller->method);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  if (caller->body != NULL)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, caller->body);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, caller->answer.body);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, caller->answer.headers);
-  curl_easy_perform (easy);
-  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &caller->answer.status);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  return NULL;
-}
-
 static Caller *
 start_caller (Fixture *f,
               const char *method,
               const char *path,
               const char *body)
 {
-  Caller *caller = g_new0 (Caller, 1);
-
-  caller->method = method;
-  caller->url = g_strdup_printf ("http://127.0.0.1:%u%s",
-                                 hs_front_port (f->front), path);
-  caller->body = body;
-  caller->key = KEY;
-  caller->answer.body = g_string_new (NULL);
-  caller->answer.headers = g_string_new (NULL);
-  return caller;
-}
-
-static void
-go (Caller *caller)
-{
-  assert_int_equal (pthread_create (&caller->thread, NULL, run_caller, caller),
-                    0);
-  caller->running = true;
-}
-
-static void
-join (Caller *caller)
-{
-  if (caller->running)
-    pthread_join (caller->thread, NULL);
-  caller->running = false;
-}
-
-static void
-finish (Caller *caller)
-{
-  join (caller);
-  g_string_free (caller->answer.body, TRUE);
-  g_string_free (caller->answer.headers, TRUE);
-  g_free (caller->url);
-  g_free (caller);
+  return new_caller (hs_front_port (f->front), method, path, body, KEY);
 }
 
 /** The core of these tests keeps calls until the test answers them. */
@@ -248,9 +158,9 @@
   assert_false (hs_front_idle (f->front));
   answer_with_id (call);
   join (caller);
-  assert_int_equal (caller->answer.status, 200);
+  assert_int_equal (caller->status, 200);
   assert_string_equal (
-      caller->answer.body->str,
+      caller->text->str,
       "{\"customer\":\"c1\",\"id\":\"i1\",\"state\":\"complete\",\"tasks\":["
       "{\"state\":\"done\",\"status\":200,\"result\":\"i1\"}]}");
   wait_until_idle (f);
@@ -279,7 +189,7 @@
   assert_string_equal (call->args->id, "a%b");
   answer_with_id (call);
   run_caller (fetch);
-  assert_int_equal (fetch->answer.status, 404);
+  assert_int_equal (fetch->status, 404);
   finish (fetch);
   finish (cancel);
   finish (again);
@@ -317,7 +227,7 @@
       join (callers[i]);
       g_free (expected);
       expected = g_strdup_printf ("\"result\":\"id-%d\"", i);
-      assert_non_null (strstr (callers[i]->answer.body->str, expected));
+      assert_non_null (strstr (callers[i]->text->str, expected));
       finish (callers[i]);
       g_free (bodies[i]);
     }
@@ -375,7 +285,7 @@
   answer_with_id (gone);
   answer_with_id (take_call (f));
   join (next);
-  assert_non_null (strstr (next->answer.body->str, "\"result\":\"next\""));
+  assert_non_null (strstr (next->text->str, "\"result\":\"next\""));
   wait_until_idle (f);
   finish (next);
 }
@@ -412,10 +322,8 @@
 
   caller->key = key;
   run_caller (caller);
-  if (caller->answer.status != status
-      || strstr (caller->answer.body->str, text) == NULL)
-    fail_msg ("%s %s: %ld %s", method, path, caller->answer.status,
-              caller->answer.body->str);
+  if (caller->status != status || strstr (caller->text->str, text) == NULL)
+    fail_msg ("%s %s: %ld %s", method, path, caller->status, caller->text->str);
   finish (caller);
 }
 
@@ -464,9 +372,9 @@
   call->answer->retry_after_ms = 1500;
   hs_front_answer (call);
   join (caller);
-  assert_int_equal (caller->answer.status, 429);
-  assert_non_null (strstr (caller->answer.headers->str, "Retry-After: 2"));
-  assert_non_null (strstr (caller->answer.body->str, "\"not_run\":true"));
+  assert_int_equal (caller->status, 429);
+  assert_non_null (strstr (caller->headers->str, "Retry-After: 2"));
+  assert_non_null (strstr (caller->text->str, "\"not_run\":true"));
   finish (caller);
 }
 
@@ -494,12 +402,12 @@
   assert_false (hs_front_idle (f->front));
   answer_with_id (call);
   join (caller);
-  assert_int_equal (caller->answer.status, 200);
-  assert_non_null (strstr (caller->answer.headers->str, "Connection: close"));
+  assert_int_equal (caller->status, 200);
+  assert_non_null (strstr (caller->headers->str, "Connection: close"));
   wait_until_idle (f);
   hs_front_free (g_steal_pointer (&f->front));
   run_caller (late);
-  assert_int_equal (late->answer.status, 0);
+  assert_int_equal (late->status, 0);
   finish (caller);
   finish (late);
 }
@@ -515,8 +423,8 @@
   call = take_call (f);
   hs_front_free (g_steal_pointer (&f->front));
   join (caller);
-  assert_int_equal (caller->answer.status, 504);
-  assert_non_null (strstr (caller->answer.body->str, "\"not_run\":false"));
+  assert_int_equal (caller->status, 504);
+  assert_non_null (strstr (caller->text->str, "\"not_run\":false"));
   talloc_free (call);
   finish (caller);
 }
