--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -13,9 +13,15 @@
 /** Bound on calls to the store. */
 #define STORE_TIMEOUT (2 * HS_SEC)
 
+/** Shortest span to the next tick of the owner. */
+#define TICK_MIN (200 * HS_USEC)
+
 /** Membership, routing and the keeper are looked after this often. */
 #define HOUSEKEEPING (50 * HS_MSEC)
 
+/** Bodies of finished jobs that are kept for resubmissions. */
+#define KEPT_BYTES_MAX (UINT64_C (256) << 20)
+
 /** Bound on a planned stop. */
 #define LEAVE_TIMEOUT (60 * HS_SEC)
 
@@ -41,6 +47,7 @@
                             HsTime queued,
                             HsTime run,
                             HsTime whole);
+static void watch_leave (HsCore *core, HsNow now);
 
 HsCore *
 hs_core_new (TALLOC_CTX *ctx,
@@ -89,8 +96,8 @@
   core->keeper = hs_keeper_new (core);
   cds_wfcq_init (&core->inbox_head, &core->inbox_tail);
   tevent_add_fd (ev, core, core->inbox_fd, TEVENT_FD_READ, on_inbox, core);
-  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error)
-      || !hs_admin_side_start (core, error))
+  hs_records_start (core);
+  if (!hs_rpc_listen (core->rpc, core->entry->rpc_listen, error))
     {
       talloc_free (core);
       return NULL;
@@ -131,7 +138,8 @@
   TALLOC_FREE (core->tick);
   if (at == HS_NEVER)
     return;
-  span = MAX (0, at - now.mono);
+  /* Timers run before sockets: one that is always due would starve them. */
+  span = MAX (TICK_MIN, at - now.mono);
   core->tick_at = at;
   core->tick = tevent_add_timer (
       core->ev, core,
@@ -223,21 +231,29 @@
   hs_owner_tick (core->owner, now);
   hs_core_rearm (core, now);
   schedule_housekeeping (core);
-  if (!core->leaving || core->finished)
-    return;
-  if ((hs_owner_owned (core->owner) == 0
-       || hs_owner_unfinished (core->owner) == 0)
-      && hs_calls_waiting (core->calls) == 0 && hs_front_idle (core->front)
-      && (hs_owner_owned (core->owner) == 0
-          || hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1))
-    core->finished = true;
+  if (core->leaving && !core->drained)
+    watch_leave (core, now);
+}
+
+/* Done when nothing is owned or, without another entry, nothing is left. */
+static void
+watch_leave (HsCore *core, HsNow now)
+{
+  bool alone = hs_ownership_entries (hs_keeper_view (core->keeper)) <= 1;
+  bool handed_over = hs_owner_owned (core->owner) == 0
+                     || (alone && hs_owner_unfinished (core->owner) == 0);
+
+  if (handed_over && hs_calls_waiting (core->calls) == 0
+      && hs_front_idle (core->front))
+    core->drained = true;
   if (now.mono >= core->leave_until)
     {
       hs_warn (PART, "planned stop takes too long; stopping with %u requests",
                hs_calls_waiting (core->calls));
-      core->finished = true;
+      core->drained = true;
     }
-  if (core->finished)
+  /* The entry's record goes with its lease; `finished` follows. */
+  if (core->drained)
     hs_keeper_revoke (core->keeper);
 }
 
@@ -258,7 +274,7 @@
     .settle = hs_agents_settle,
     .answer = hs_calls_answer,
     .reroute = hs_calls_reroute,
-    .claim = hs_claim_side_claim,
+    .claim = hs_records_claim,
     .borrow = hs_entry_borrow,
     .lend = hs_entry_lend,
     .measure = effect_measure,
@@ -270,7 +286,7 @@
   config.ahead = core->entry->ahead;
   config.skew = core->entry->skew;
   config.task_timeout = core->entry->task_timeout;
-  config.kept_bytes = KEPT_BYTES;
+  config.kept_bytes = KEPT_BYTES_MAX;
   config.seed = core->incarnation;
   core->owner = hs_owner_new (core, &config, &effects, core);
   hs_owner_set_complete_since (core->owner, now.wall_ms);
@@ -283,3 +299,19 @@
 
   hs_links_start (core->links, agent, start);
 }
+
+static void
+effect_measure (void *arg,
+                const char *customer,
+                HsTime queued,
+                HsTime run,
+                HsTime whole)
+{
+  HsCore *core = arg;
+
+  (void) core;
+  (void) customer;
+  (void) queued;
+  (void) run;
+  (void) whole;
+}
--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -70,6 +70,7 @@
 static void decide (HsKeeper *keeper, HsNow now);
 static void take (HsKeeper *keeper, const uint32_t *parts, uint32_t n);
 static void on_taken (void *arg, const HsStoreReply *reply);
+static void on_revoked (void *arg, const HsStoreReply *reply);
 static void retry_later (HsKeeper *keeper);
 
 HsKeeper *
@@ -122,7 +123,10 @@
 hs_keeper_revoke (HsKeeper *keeper)
 {
   if (keeper->state == KEEPER_HOLDING)
-    hs_store_lease_revoke (keeper->core->store, keeper->lease, NULL, NULL);
+    hs_store_lease_revoke (keeper->core->store, keeper->lease, on_revoked,
+                           keeper);
+  else
+    keeper->core->finished = true;
 }
 
 const HsOwnership *
@@ -299,6 +303,7 @@
       keeper->dropped[part]
           = hs_ownership_record (keeper->view, part)->revision;
       hs_owner_disown (keeper->core->owner, part, now);
+      hs_records_disowned (keeper->core, part);
     }
 }
 
@@ -315,7 +320,7 @@
 on_entries (void *arg, const HsStoreReply *reply)
 {
   HsKeeper *keeper = arg;
-  g_autofree uint64_t *seen = NULL;
+  uint64_t *seen;
   size_t i;
 
   if (reply->status != HS_STORE_OK)
@@ -324,7 +329,7 @@
       retry_later (keeper);
       return;
     }
-  seen = g_new0 (uint64_t, reply->n_kvs + 1);
+  seen = talloc_zero_array (keeper, uint64_t, reply->n_kvs + 1);
   for (i = 0; i < reply->n_kvs; i++)
     {
       hs_ownership_parse_entry_key (reply->kvs[i].key, &seen[i]);
@@ -452,12 +457,12 @@
       && record->revision > keeper->dropped[part])
     {
       hs_owner_own (owner, 1, &part, &epoch, &previous, now);
-      hs_core_owned (keeper->core, part, record->revision);
+      hs_records_owned (keeper->core, part, record->revision);
     }
   else if (!mine && hs_owner_owns (owner, part))
     {
       hs_owner_disown (owner, part, now);
-      hs_core_disowned (keeper->core, part);
+      hs_records_disowned (keeper->core, part);
     }
   hs_calls_part_moved (keeper->core->calls, part, now);
 }
@@ -574,6 +579,16 @@
   retry_later (keeper);
 }
 
+/* If the store didn't answer, the lease lapses by itself. */
+static void
+on_revoked (void *arg, const HsStoreReply *reply)
+{
+  HsKeeper *keeper = arg;
+
+  (void) reply;
+  keeper->core->finished = true;
+}
+
 static void
 retry_later (HsKeeper *keeper)
 {
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -119,6 +119,7 @@
 {
   PartState state;
   bool fresh; /* Never had an owner before. */
+  bool claims_loaded;
   uint64_t epoch;
   /* Ids minted before this and unknown may have run; 0: none. */
   int64_t uncertain_before_ms;
@@ -248,7 +249,7 @@
                   const char *body,
                   size_t n,
                   HsNow now);
-void task_requeue (HsOwner *owner, Task *task, HsNow now);
+void task_requeue (HsOwner *owner, Task *task, bool target_failed, HsNow now);
 void task_take_result (HsOwner *owner,
                        Task *task,
                        const hsx_result *result,
@@ -261,6 +262,7 @@
 
 /* submit.c */
 void request_parked (HsOwner *owner, Part *part, HsNow now);
+void job_reroute (HsOwner *owner, Job *job);
 
 /* takeover.c */
 Recovered *recovered_find (HsOwner *owner, const char *key);
--- a/src/owner/peers.c
+++ b/src/owner/peers.c
@@ -74,8 +74,9 @@
       Agent *agent = agent_find (owner, credit->agent, &of);
 
       if (agent != NULL && agent->state == HSX_MEMBER_UP && agent->connected)
-        hs_credits_add (owner->credits, of, credit, now.mono);
+        hs_credits_add (owner->credits, of, credit, HS_CREDIT_LENT, now.mono);
     }
+  owner->stats.empty_loans += reply == NULL || reply->credits.credits_len == 0;
   if (handle != NO_PEER)
     hs_loans_answered (owner->loans, handle,
                        reply != NULL ? reply->credits.credits_len : 0,
