--- /dev/null
+++ b/test/fake_store.h
@@ -0,0 +1,242 @@
+/**
+ * @file
+ * A store whose answers the test gives by hand, and lists that follow it.
+ * It stands in for the functions of store/store.h in one test program.
+ */
+#ifndef HS_TEST_FAKE_STORE_H
+#define HS_TEST_FAKE_STORE_H
+
+#include "lists/sync.h"
+
+#define CALLS_MAX 16
+
+/** A call that waits for its answer. */
+typedef struct
+{
+  char prefix[64];
+  HsStoreDone done;
+  void *arg;
+  bool put;
+  int64_t expected;
+} Pending;
+
+struct HsStore
+{
+  Pending ranges[CALLS_MAX];
+  unsigned int n_ranges;
+  Pending txns[CALLS_MAX];
+  unsigned int n_txns;
+  unsigned int n_watches;
+};
+
+struct HsStoreWatch
+{
+  HsStore *store;
+  char prefix[64];
+  int64_t start_revision;
+  HsWatchFunc func;
+  void *arg;
+};
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsStore *store;
+  HsListsBox *box;
+  HsListsSync *sync;
+  unsigned int changes;
+  unsigned int edits;
+  HsEditOutcome outcome;
+  int64_t edit_revision;
+  char present[128];
+} Fixture;
+
+/** Watches by kind of list; the latest one. */
+static HsStoreWatch *watches[2];
+
+void
+hs_store_range (HsStore *store,
+                const char *prefix,
+                int64_t limit,
+                HsStoreDone done,
+                void *arg)
+{
+  Pending *pending = &store->ranges[store->n_ranges++];
+
+  (void) limit;
+  assert_true (store->n_ranges <= CALLS_MAX);
+  g_strlcpy (pending->prefix, prefix, sizeof pending->prefix);
+  pending->done = done;
+  pending->arg = arg;
+}
+
+void
+hs_store_txn (HsStore *store,
+              const HsStoreTxn *txn,
+              HsStoreDone done,
+              void *arg)
+{
+  Pending *pending = &store->txns[store->n_txns++];
+
+  assert_true (store->n_txns <= CALLS_MAX);
+  g_strlcpy (pending->prefix, txn->compares[0].key, sizeof pending->prefix);
+  pending->expected = txn->compares[0].mod_revision;
+  pending->put = txn->success[0].kind == HS_STORE_PUT;
+  pending->done = done;
+  pending->arg = arg;
+}
+
+static inline int
+end_watch (HsStoreWatch *watch)
+{
+  int kind = strcmp (watch->prefix, "hs/plan/") == 0 ? 0 : 1;
+
+  if (watches[kind] == watch)
+    watches[kind] = NULL;
+  return 0;
+}
+
+HsStoreWatch *
+hs_store_watch (HsStore *store,
+                const char *prefix,
+                int64_t start_revision,
+                HsWatchFunc func,
+                void *arg)
+{
+  HsStoreWatch *watch = talloc_zero (store, HsStoreWatch);
+
+  store->n_watches++;
+  g_strlcpy (watch->prefix, prefix, sizeof watch->prefix);
+  watch->start_revision = start_revision;
+  watch->func = func;
+  watch->arg = arg;
+  watches[strcmp (prefix, "hs/plan/") == 0 ? 0 : 1] = watch;
+  talloc_set_destructor (watch, end_watch);
+  return watch;
+}
+
+static inline HsStoreKv
+record (const char *key, const char *value, int64_t revision)
+{
+  HsStoreKv kv = { .key = key,
+                   .value = value,
+                   .value_len = value != NULL ? strlen (value) : 0,
+                   .mod_revision = revision };
+
+  return kv;
+}
+
+/** The waiting range of a list; runs the loop until there is one. */
+static inline Pending
+take_range (Fixture *f, const char *prefix)
+{
+  Pending taken;
+  unsigned int i;
+
+  for (;;)
+    {
+      for (i = 0; i < f->store->n_ranges; i++)
+        if (strcmp (f->store->ranges[i].prefix, prefix) == 0)
+          {
+            taken = f->store->ranges[i];
+            f->store->ranges[i] = f->store->ranges[--f->store->n_ranges];
+            return taken;
+          }
+      tevent_loop_once (f->ev);
+    }
+}
+
+static inline void
+answer_range (Fixture *f,
+              const char *prefix,
+              int64_t revision,
+              size_t n,
+              const HsStoreKv *kvs)
+{
+  Pending pending = take_range (f, prefix);
+  HsStoreReply reply
+      = { .status = HS_STORE_OK, .revision = revision, .n_kvs = n, .kvs = kvs };
+
+  pending.done (pending.arg, &reply);
+}
+
+static inline void
+answer_txn (Fixture *f, const HsStoreReply *reply)
+{
+  Pending pending;
+
+  while (f->store->n_txns == 0)
+    tevent_loop_once (f->ev);
+  pending = f->store->txns[--f->store->n_txns];
+  pending.done (pending.arg, reply);
+}
+
+static inline void
+send_event (int kind, const char *key, const char *value, int64_t revision)
+{
+  HsStoreEvent event
+      = { .deleted = value == NULL, .kv = record (key, value, revision) };
+  HsWatchNote note = { .kind = HS_WATCH_EVENTS,
+                       .revision = revision,
+                       .n_events = 1,
+                       .events = &event };
+
+  watches[kind]->func (watches[kind]->arg, &note);
+}
+
+static inline const HsPlan *
+plan (Fixture *f, const char *customer)
+{
+  return hs_lists_plan (hs_lists_get (f->box), customer);
+}
+
+static inline void
+count_change (void *arg, const HsLists *lists)
+{
+  Fixture *f = arg;
+
+  (void) lists;
+  f->changes++;
+}
+
+#define GOLD "{\"plan\":\"gold\"}"
+#define IRON "{\"plan\":\"iron\"}"
+#define LIMITS "{\"in_flight\":8,\"starts_per_s\":50,\"queued\":100}"
+
+static inline int
+set_up (void **state)
+{
+  Fixture *f = g_new0 (Fixture, 1);
+
+  f->ev = tevent_context_init (NULL);
+  f->store = talloc_zero (f->ev, HsStore);
+  f->box = hs_lists_box_new (f->ev);
+  f->sync = hs_lists_sync_new (f->ev, f->ev, f->store, f->box, count_change, f);
+  *state = f;
+  return 0;
+}
+
+static inline int
+tear_down (void **state)
+{
+  Fixture *f = *state;
+
+  talloc_free (f->sync);
+  talloc_free (f->ev);
+  g_free (f);
+  return 0;
+}
+
+/** Both lists read at revision 10: c1 and c2 on gold, gold's limits. */
+static inline void
+load (Fixture *f)
+{
+  HsStoreKv plans[]
+      = { record ("hs/plan/c2", GOLD, 4), record ("hs/plan/c1", GOLD, 3) };
+  HsStoreKv allowances[] = { record ("hs/allowance/gold", LIMITS, 2) };
+
+  answer_range (f, "hs/plan/", 10, 2, plans);
+  answer_range (f, "hs/allowance/", 10, 1, allowances);
+}
+
+#endif
