--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "entry/admin.h"
 #include "entry/core.h"
 
 #define PART "entry"
@@ -298,9 +299,12 @@
 static bool
 start_admin (HsCore *core, GError **error)
 {
-  (void) core;
-  (void) error;
-  return true;
+  HsAdminPages pages = { hs_report_status, hs_report_metrics, core->report };
+
+  core->admin = hs_admin_new (core, core->ev, core->entry->admin_listen,
+                              core->entry->admin_token, core->lists, core->sync,
+                              &pages, error);
+  return core->admin != NULL;
 }
 
 static void
