--- a/test/test_metrics.c
+++ b/test/test_metrics.c
@@ -64,17 +64,17 @@
   static HsHistogram histogram;
   HsTime quantile;
   HsTime us;
-  double q;
+  int percent;
 
   (void) state;
   assert_int_equal (hs_histogram_quantile (&histogram, 0.5), 0);
   for (us = 1; us <= 1000000; us += 7)
     hs_histogram_record (&histogram, us);
-  for (q = 0.1; q < 1; q += 0.1)
+  for (percent = 10; percent < 100; percent += 10)
     {
-      quantile = hs_histogram_quantile (&histogram, q);
-      assert_in_range (quantile, (HsTime) (q * 1e6 - 7),
-                       (HsTime) (q * 1e6 * 9 / 8 + 1));
+      quantile = hs_histogram_quantile (&histogram, percent / 100.0);
+      assert_in_range (quantile, percent * 10000 - 7,
+                       percent * 10000 * 9 / 8 + 1);
     }
 }
 
