Wake a lender whose credits begin to stay idle

Change: the time of the next answer follows the idle credits as last seen; credits are lent after 50 ms idle in place of 20.

--- a/src/policy/loans.c
+++ b/src/policy/loans.c
@@ -11,7 +11,7 @@
 
 /* Credits are lent that were idle this long: those that this entry would
  * need again at once are not, since each loan is two messages. */
-#define LINGER (20 * HS_MSEC)
+#define LINGER (50 * HS_MSEC)
 
 /* Few credits are lent only to a peer that wants few, or has waited long. */
 #define BATCH 4
@@ -44,7 +44,8 @@
   Peer *peers;
   HsTime short_since;   /* HS_NEVER: not short of credits. */
   HsTime window_end;    /* Of the present window, LINGER long. */
-  uint32_t low;         /* Least credits idle in this window, */
+  uint32_t idle;        /* Credits, as last seen; */
+  uint32_t low;         /* the least in this window, */
   uint32_t earlier_low; /* and in the one before. */
 };
 
@@ -222,7 +223,7 @@
         continue;
       if (answer_at (p, 0) < at)
         at = answer_at (p, 0);
-      if (loans->low > 0 && loans->window_end < at)
+      if (loans->idle > 0 && loans->window_end < at)
         at = loans->window_end;
     }
   return at;
@@ -312,6 +313,7 @@
 static void
 note_idle (HsLoans *loans, uint32_t idle, HsTime now)
 {
+  loans->idle = idle;
   if (now >= loans->window_end)
     {
       loans->earlier_low = now < loans->window_end + LINGER ? loans->low : idle;
