--- a/bench/part.mk
+++ b/bench/part.mk
@@ -1,3 +1,3 @@
 BENCHES += dispatch
-BENCH_DISPATCH := bench/dispatch.c bench/fleet.c bench/events.c \
-	bench/workload.c
+BENCH_DISPATCH := bench/dispatch.c bench/fleet.c bench/fleet_entry.c \
+	bench/fleet_target.c bench/events.c bench/workload.c
