Let tasks wait for healthy targets while most are healthy

Cause: tasks went to a slow target whenever no other slot was free, about 1% of all, which is where p99 is read. Change: a target on probation gets a task about every 5 s; more only if fewer than half are healthy or none of those is large enough.

--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -7,9 +7,9 @@
 /* So many agents are compared for one task; more changes little. */
 #define SAMPLES 4
 
-/* One task in so many goes to a target on probation although a healthy one
- * is free, so that it can prove itself at low load. */
-#define PROBE_PERIOD 16
+/* Each target on probation is given a task about this often although healthy
+ * ones serve, so that it can prove itself. */
+#define PROBE_PERIOD (5 * HS_SEC)
 
 /* Agents that have an idle credit which may be used now, by trust. */
 typedef enum
@@ -27,7 +27,7 @@
   hsx_needs capacity;
   uint32_t in_use;
   HsAgentCredits held;
-  uint32_t n_counted; /* Idle credits that may be used now. */
+  uint32_t n_counted; /* Idle credits, while healthy. */
   ListId list;
   uint32_t position; /* In its list. */
 } Agent;
@@ -41,7 +41,10 @@
 struct HsCredits
 {
   uint64_t random;
+  HsTime probe_at;
   uint32_t n_agents;
+  uint32_t n_known;
+  uint32_t n_healthy;
   uint32_t n_idle; /* Sum of Agent.n_counted. */
   uint32_t n_in_use;
   Agent *agents;
@@ -68,6 +71,7 @@
                             const hsx_needs *needs,
                             HsTime now,
                             HsTime lease_left);
+static bool healthy_serve (const HsCredits *pool, const hsx_needs *needs);
 static hsx_credit pop (HsCredits *pool, uint32_t agent, bool to_lend);
 
 HsCredits *
@@ -90,6 +94,8 @@
   if (a->known)
     return;
   a->known = true;
+  pool->n_known++;
+  pool->n_healthy++;
   a->health = HS_HEALTH_OK;
   a->list = LIST_NONE;
 }
@@ -101,6 +107,8 @@
 
   if (a == NULL)
     return;
+  pool->n_known--;
+  pool->n_healthy -= a->health == HS_HEALTH_OK;
   hs_agent_credits_free (&a->held);
   relist (pool, agent);
   pool->n_in_use -= a->in_use;
@@ -114,6 +122,8 @@
 
   if (a == NULL || a->health == state)
     return;
+  pool->n_healthy += state == HS_HEALTH_OK;
+  pool->n_healthy -= a->health == HS_HEALTH_OK;
   a->health = state;
   relist (pool, agent);
 }
@@ -330,19 +340,8 @@
 static void
 recount (HsCredits *pool, Agent *a)
 {
-  uint32_t n = 0;
+  uint32_t n = a->list == LIST_OK ? a->held.n_idle : 0;
 
-  switch (a->list)
-    {
-    case LIST_OK:
-      n = a->held.n_idle;
-      break;
-    case LIST_PROBATION:
-      n = a->held.n_idle > 0;
-      break;
-    case LIST_NONE:
-      break;
-    }
   pool->n_idle += n - a->n_counted;
   a->n_counted = n;
 }
@@ -403,15 +402,39 @@
             HsTime now,
             HsTime lease_left)
 {
-  bool probe = pool->lists[LIST_PROBATION].n > 0
-               && hs_random_below (&pool->random, PROBE_PERIOD) == 0;
-  ListId first = probe ? LIST_PROBATION : LIST_OK;
-  ListId second = probe ? LIST_OK : LIST_PROBATION;
-  uint32_t agent = choose (pool, &pool->lists[first], needs, now, lease_left);
+  uint32_t n = pool->lists[LIST_PROBATION].n;
+  uint32_t agent = NONE;
 
+  if (now >= pool->probe_at)
+    agent = choose (pool, &pool->lists[LIST_PROBATION], needs, now, lease_left);
   if (agent != NONE)
+    {
+      pool->probe_at = now + PROBE_PERIOD / n;
+      return agent;
+    }
+  agent = choose (pool, &pool->lists[LIST_OK], needs, now, lease_left);
+  if (agent != NONE || healthy_serve (pool, needs))
     return agent;
-  return choose (pool, &pool->lists[second], needs, now, lease_left);
+  return choose (pool, &pool->lists[LIST_PROBATION], needs, now, lease_left);
+}
+
+/* Whether a task had better wait for a healthy target than go to one on
+ * probation: most are healthy, and one of them is large enough. */
+static bool
+healthy_serve (const HsCredits *pool, const hsx_needs *needs)
+{
+  uint32_t i;
+
+  if (pool->n_healthy * 2 < pool->n_known)
+    return false;
+  for (i = 0; i < pool->n_agents; i++)
+    {
+      const Agent *a = &pool->agents[i];
+
+      if (a->known && a->health == HS_HEALTH_OK && fits (a, needs))
+        return true;
+    }
+  return false;
 }
 
 static hsx_credit
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -82,7 +82,10 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
-/** Idle credits that trust allows to use now; all of one agent; in use. */
+/**
+ * Idle credits of healthy agents, all idle ones of one agent, and those in
+ * use. With none idle, hs_credits_take() may still find one on probation.
+ */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
 uint32_t hs_credits_in_use (const HsCredits *pool);
