--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -20,6 +20,7 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_hsx_role (xdrs, &objp->role))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
@@ -28,6 +29,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->data_centre, HSX_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->nonce, HSX_NONCE_SIZE))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -38,11 +41,13 @@
 
 	 if (!xdr_u_int (xdrs, &objp->part))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->customer, HSX_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->id, HSX_ID_MAX))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->index))
+	 if (!xdr_uint64_t (xdrs, &objp->content))
 		 return FALSE;
 	return TRUE;
 }
@@ -254,6 +259,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_int64_t (xdrs, &objp->complete_since_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, HSX_MEMBERS_MAX,
 		sizeof (hsx_member), (xdrproc_t) xdr_hsx_member))
 		 return FALSE;
--- /dev/null
+++ b/test/test_agent.c
@@ -0,0 +1,435 @@
+/* A whole agent between a fake entry and the stand-in target, on one loop. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "agent/agent.h"
+#include "base/error.h"
+#include "standin/fake_entry.h"
+#include "standin/target_server.h"
+
+#define KEY "a key of the test's cluster"
+#define SLOTS 4
+#define TIMEOUT_MS 30000
+/* Only stops a test that hangs; no test waits for it. */
+#define GUARD_S 60
+
+static char *dead_address (void);
+static void start_target (TargetFault fault);
+static void start (uint64_t epoch, uint32_t index, const char *body);
+static void on_guard (struct tevent_context *loop,
+                      struct tevent_timer *te,
+                      struct timeval now,
+                      void *arg);
+static void wait_once (void);
+
+#define WAIT_UNTIL(condition)                                                  \
+  while (!(condition))                                                         \
+  wait_once ()
+
+static struct tevent_context *ev;
+static FakeEntry *entry;
+static HsAgent *agent;
+static Target *target;
+static HsSettings settings;
+static char *entries[3];
+static uint32_t ttl_ms;
+static bool hangs;
+
+static int
+setup (void **state)
+{
+  GError *error = NULL;
+
+  (void) state;
+  hangs = false;
+  ttl_ms = 3000;
+  ev = tevent_context_init (NULL);
+  tevent_add_timer (ev, ev, tevent_timeval_current_ofs (GUARD_S, 0), on_guard,
+                    NULL);
+  entry = fake_entry_new (ev, KEY, 100);
+  entries[0] = dead_address ();
+  entries[1] = talloc_asprintf (ev, "127.0.0.1:%u", hs_rpc_port (entry->rpc));
+  settings = (HsSettings){
+    .role = HS_ROLE_AGENT,
+    .data_centre = "dc1",
+    .cluster_key = KEY,
+    .u.agent = { .name = "a1",
+                 .target_listen = "127.0.0.1:0",
+                 .rpc_listen = "127.0.0.1:0",
+                 .rpc_address = "127.0.0.1:0",
+                 .rack = "r1",
+                 .entries = entries,
+                 .retention = 600 * HS_SEC,
+                 .memory_bytes = 16 * 1024 * 1024 },
+  };
+  agent = hs_agent_new (ev, ev, &settings, &error);
+  assert_non_null (agent);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  TALLOC_FREE (target);
+  TALLOC_FREE (agent);
+  TALLOC_FREE (ev);
+  return 0;
+}
+
+static void
+a_task_runs_and_its_slot_returns (void **state)
+{
+  const FakeResult *seen;
+
+  (void) state;
+  start_target (FAULT_NONE);
+  assert_int_equal (entry->member, HSX_MEMBER_UP);
+  start (1, 0, "sleep=5;nonce=n1");
+  WAIT_UNTIL (entry->n_seen == 1);
+  seen = fake_entry_result (entry, 0);
+  assert_int_equal (seen->outcome, HSX_DONE);
+  assert_int_equal (seen->http_status, 200);
+  assert_string_equal (seen->body, "nonce=n1 task=c1/j%20b/0\n");
+  assert_true (seen->has_next);
+  start (1, 1, "fail=1");
+  WAIT_UNTIL (entry->n_seen == 2);
+  assert_int_equal (fake_entry_result (entry, 1)->outcome, HSX_FAILED);
+  assert_int_equal (target_starts (target), 2);
+}
+
+static void
+a_task_never_starts_twice (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=20");
+  start (1, 0, "sleep=20");
+  WAIT_UNTIL (entry->n_seen == 2);
+  assert_int_equal (entry->seen[0].outcome, HSX_RUNNING);
+  assert_int_equal (entry->seen[0].refusal, HSX_REFUSAL_DUPLICATE);
+  assert_int_equal (entry->seen[1].outcome, HSX_DONE);
+  assert_int_equal (target_starts (target), 1);
+}
+
+static void
+an_answer_that_is_not_whole_is_maybe (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "fault=foreign");
+  start (1, 1, "fault=cut");
+  assert_true (fake_entry_start (entry, 1, 2, "sleep=10000", 500));
+  WAIT_UNTIL (entry->n_seen == 3);
+  assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_MAYBE);
+  assert_int_equal (fake_entry_result (entry, 1)->outcome, HSX_MAYBE);
+  assert_int_equal (fake_entry_result (entry, 2)->outcome, HSX_MAYBE);
+  assert_int_equal (hs_agent_stats (agent)->ends[HS_TARGET_FOREIGN], 1);
+  assert_int_equal (hs_agent_stats (agent)->ends[HS_TARGET_BROKEN], 1);
+  assert_int_equal (hs_agent_stats (agent)->ends[HS_TARGET_TIMEOUT], 1);
+}
+
+static void
+a_second_answer_is_no_other_tasks_answer (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  start_target (FAULT_TWICE);
+  for (i = 0; i < 8; i++)
+    {
+      g_autofree char *body = g_strdup_printf ("nonce=%u", i);
+      g_autofree char *wanted
+          = g_strdup_printf ("nonce=%u task=c1/j%%20b/%u\n", i, i);
+
+      start (1, i, body);
+      WAIT_UNTIL (entry->n_seen == i + 1);
+      if (fake_entry_result (entry, i)->outcome == HSX_DONE)
+        assert_string_equal (fake_entry_result (entry, i)->body, wanted);
+      else
+        assert_int_equal (fake_entry_result (entry, i)->outcome, HSX_MAYBE);
+    }
+  assert_int_equal (target_starts (target), 8);
+}
+
+static void
+a_new_owner_gets_all_records_and_later_results (void **state)
+{
+  FakeEntry *heir;
+
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "nonce=first");
+  WAIT_UNTIL (entry->n_seen == 1);
+  start (1, 1, "sleep=50");
+  WAIT_UNTIL (target_running (target) == 1);
+  heir = fake_entry_new (ev, KEY, 200);
+  hs_rpc_dial (heir->rpc,
+               talloc_asprintf (ev, "127.0.0.1:%u", hs_agent_rpc_port (agent)));
+  WAIT_UNTIL (heir->conn != NULL);
+  assert_true (fake_entry_recover (heir, 2));
+  WAIT_UNTIL (heir->replies == 1);
+  assert_int_equal (heir->n_replied, 2);
+  assert_int_equal (heir->next, 0);
+  assert_int_equal (heir->replied[0].outcome, HSX_DONE);
+  assert_memory_equal (heir->replied[0].body, "nonce=first", 11);
+  assert_int_equal (heir->replied[1].outcome, HSX_RUNNING);
+  start (1, 2, "");
+  WAIT_UNTIL (entry->n_seen == 2);
+  assert_int_equal (fake_entry_result (entry, 2)->refusal, HSX_REFUSAL_EPOCH);
+  WAIT_UNTIL (heir->n_seen == 1);
+  assert_int_equal (fake_entry_result (heir, 1)->outcome, HSX_DONE);
+  assert_true (fake_entry_recover (entry, 1));
+  WAIT_UNTIL (entry->replies == 1);
+  assert_int_equal (entry->n_replied, 0);
+  assert_int_equal (entry->remembers_s, 0);
+  assert_int_equal (heir->remembers_s, 600);
+}
+
+static void
+a_result_without_a_connection_is_kept (void **state)
+{
+  static const uint32_t indexes[] = { 0, 9 };
+
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=20");
+  WAIT_UNTIL (target_running (target) == 1);
+  hs_conn_close (entry->conn);
+  WAIT_UNTIL (entry->conn != NULL);
+  WAIT_UNTIL (hs_agent_stats (agent)->ends[HS_TARGET_ANSWERED] == 1);
+  assert_true (fake_entry_settle (entry, indexes, 2));
+  WAIT_UNTIL (entry->replies == 1);
+  assert_int_equal (entry->replied[0].outcome, HSX_DONE);
+  assert_int_equal (entry->replied[1].outcome, HSX_REFUSED);
+  assert_int_equal (entry->replied[1].refusal, HSX_REFUSAL_FENCED);
+  WAIT_UNTIL (entry->n_credits > 0);
+  start (1, 9, "");
+  WAIT_UNTIL (fake_entry_result (entry, 9) != NULL);
+  assert_int_equal (fake_entry_result (entry, 9)->refusal, HSX_REFUSAL_FENCED);
+  assert_int_equal (target_starts (target), 1);
+}
+
+static void
+records_come_in_pages_bounded_in_bytes (void **state)
+{
+  uint32_t pages = 0;
+  uint32_t i;
+
+  (void) state;
+  start_target (FAULT_NONE);
+  for (i = 0; i < 20; i++)
+    {
+      start (1, i, "size=262144");
+      WAIT_UNTIL (entry->n_seen == i + 1);
+    }
+  do
+    {
+      assert_true (fake_entry_recover (entry, 2));
+      pages++;
+      WAIT_UNTIL (entry->replies == pages);
+    }
+  while (entry->next != 0);
+  assert_int_equal (pages, 2);
+  assert_int_equal (entry->n_replied, 20);
+  for (i = 0; i < 20; i++)
+    assert_int_equal (entry->replied[i].index, i);
+}
+
+static void
+a_leave_waits_for_what_runs (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=50");
+  WAIT_UNTIL (target_running (target) == 1);
+  target_leave (target);
+  WAIT_UNTIL (entry->member == HSX_MEMBER_LEAVING);
+  assert_int_equal (entry->announced_slots, 0);
+  WAIT_UNTIL (target_has_left (target));
+  assert_int_equal (target_running (target), 0);
+  WAIT_UNTIL (entry->n_seen == 1);
+  assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_DONE);
+}
+
+static void
+an_agent_leaves_after_its_last_result (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=50");
+  WAIT_UNTIL (target_running (target) == 1);
+  hs_agent_leave (agent);
+  start (1, 1, "");
+  WAIT_UNTIL (entry->member == HSX_MEMBER_LEFT);
+  assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_DONE);
+  assert_int_equal (fake_entry_result (entry, 1)->refusal, HSX_REFUSAL_LEAVING);
+  WAIT_UNTIL (hs_agent_has_left (agent));
+  assert_int_equal (target_starts (target), 1);
+}
+
+static void
+a_closed_target_started_nothing (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  TALLOC_FREE (target);
+  start (1, 0, "");
+  WAIT_UNTIL (entry->n_seen == 1);
+  assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_REFUSED);
+  assert_int_equal (fake_entry_result (entry, 0)->refusal, HSX_REFUSAL_TARGET);
+  assert_false (fake_entry_result (entry, 0)->has_next);
+  start_target (FAULT_NONE);
+  start (1, 0, "");
+  WAIT_UNTIL (entry->n_seen == 2);
+  assert_int_equal (entry->seen[1].outcome, HSX_DONE);
+}
+
+static void
+a_target_that_stops_renewing_gets_nothing (void **state)
+{
+  (void) state;
+  ttl_ms = 300;
+  start_target (FAULT_NONE);
+  TALLOC_FREE (target);
+  WAIT_UNTIL (entry->member == HSX_MEMBER_LEAVING && entry->n_credits == 0);
+  assert_int_equal (entry->announced_slots, 0);
+  start_target (FAULT_NONE);
+  assert_int_equal (entry->member, HSX_MEMBER_UP);
+}
+
+static void
+a_target_that_dies_leaves_maybe (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=10000");
+  WAIT_UNTIL (target_running (target) == 1);
+  TALLOC_FREE (target);
+  WAIT_UNTIL (entry->n_seen == 1);
+  assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_MAYBE);
+}
+
+static void
+a_lost_connection_ends_the_others_of_its_entry (void **state)
+{
+  static const uint32_t indexes[] = { 0 };
+  HsConn *first;
+  HsConn *second;
+
+  (void) state;
+  start_target (FAULT_NONE);
+  first = entry->conn;
+  second
+      = hs_rpc_dial (entry->rpc, talloc_asprintf (ev, "127.0.0.1:%u",
+                                                  hs_agent_rpc_port (agent)));
+  WAIT_UNTIL (entry->conn == second);
+  start (1, 0, "sleep=20");
+  WAIT_UNTIL (target_running (target) == 1);
+  hs_conn_close (first);
+  WAIT_UNTIL (entry->conn == NULL);
+  WAIT_UNTIL (entry->conn != NULL && target_running (target) == 0);
+  WAIT_UNTIL (hs_agent_stats (agent)->ends[HS_TARGET_ANSWERED] == 1);
+  assert_true (fake_entry_settle (entry, indexes, 1));
+  WAIT_UNTIL (entry->replies == 1);
+  assert_int_equal (entry->replied[0].outcome, HSX_DONE);
+}
+
+/* An address where nothing listens. */
+static char *
+dead_address (void)
+{
+  HsRpcHandler none = { 0 };
+  hsx_hello self = { .address = "", .data_centre = "" };
+  HsRpc *rpc = hs_rpc_new (ev, ev, &self, KEY, &none, NULL);
+  char *address;
+
+  assert_true (hs_rpc_listen (rpc, "127.0.0.1:0", NULL));
+  address = talloc_asprintf (ev, "127.0.0.1:%u", hs_rpc_port (rpc));
+  talloc_free (rpc);
+  return address;
+}
+
+static void
+start_target (TargetFault fault)
+{
+  TargetOptions options = { .listen = "127.0.0.1:0",
+                            .key = KEY,
+                            .slots = SLOTS,
+                            .memory_mb = 64,
+                            .ttl_ms = ttl_ms,
+                            .seed = 1,
+                            .fault = fault };
+
+  options.agent
+      = talloc_asprintf (ev, "127.0.0.1:%u", hs_agent_target_port (agent));
+  target = target_new (ev, ev, &options, NULL);
+  assert_non_null (target);
+  WAIT_UNTIL (entry->announced_slots == SLOTS && entry->n_credits >= SLOTS);
+}
+
+static void
+start (uint64_t epoch, uint32_t index, const char *body)
+{
+  assert_true (fake_entry_start (entry, epoch, index, body, TIMEOUT_MS));
+}
+
+static void
+on_guard (struct tevent_context *loop,
+          struct tevent_timer *te,
+          struct timeval now,
+          void *arg)
+{
+  (void) loop;
+  (void) te;
+  (void) now;
+  (void) arg;
+  hangs = true;
+}
+
+static void
+wait_once (void)
+{
+  assert_int_equal (tevent_loop_once (ev), 0);
+  assert_false (hangs);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (a_task_runs_and_its_slot_returns, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (a_task_never_starts_twice, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (an_answer_that_is_not_whole_is_maybe,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (a_second_answer_is_no_other_tasks_answer,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        a_new_owner_gets_all_records_and_later_results, setup, teardown),
+    cmocka_unit_test_setup_teardown (a_result_without_a_connection_is_kept,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (records_come_in_pages_bounded_in_bytes,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (a_leave_waits_for_what_runs, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (an_agent_leaves_after_its_last_result,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (a_target_that_stops_renewing_gets_nothing,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (a_target_that_dies_leaves_maybe, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (
+        a_lost_connection_ends_the_others_of_its_entry, setup, teardown),
+    cmocka_unit_test_setup_teardown (a_closed_target_started_nothing, setup,
+                                     teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
