Count what lacks only a credit; ask the pool whether any may be taken

Change: hs_fair_queue_ready_length(), the weight counts the same flows; hs_credits_any(); idle counts targets on probation while fewer than half are healthy.

--- a/bench/fleet_entry.c
+++ b/bench/fleet_entry.c
@@ -226,7 +226,7 @@
 static HsDemand
 demand_of (const Entry *e)
 {
-  return (HsDemand){ .queued = hs_fair_queue_length (e->queue),
+  return (HsDemand){ .queued = hs_fair_queue_ready_length (e->queue),
                      .weight = hs_fair_queue_weight (e->queue),
                      .idle = hs_credits_idle (e->credits),
                      .in_use = hs_credits_in_use (e->credits) };
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -71,6 +71,7 @@
                             const hsx_needs *needs,
                             HsTime now,
                             HsTime lease_left);
+static bool most_are_healthy (const HsCredits *pool);
 static bool healthy_serve (const HsCredits *pool, const hsx_needs *needs);
 static hsx_credit pop (HsCredits *pool, uint32_t agent, bool to_lend);
 
@@ -222,10 +223,21 @@
   return taken;
 }
 
+bool
+hs_credits_any (const HsCredits *pool, HsTime now)
+{
+  if (pool->lists[LIST_OK].n > 0)
+    return true;
+  return pool->lists[LIST_PROBATION].n > 0
+         && (now >= pool->probe_at || !most_are_healthy (pool));
+}
+
 uint32_t
 hs_credits_idle (const HsCredits *pool)
 {
-  return pool->n_idle;
+  if (most_are_healthy (pool))
+    return pool->n_idle;
+  return pool->n_idle + pool->lists[LIST_PROBATION].n;
 }
 
 uint32_t
@@ -426,6 +438,12 @@
   return choose (pool, &pool->lists[LIST_PROBATION], needs, now, lease_left);
 }
 
+static bool
+most_are_healthy (const HsCredits *pool)
+{
+  return pool->n_healthy * 2 >= pool->n_known;
+}
+
 /* Whether a task had better wait for a healthy target than go to one on
  * probation: most are healthy, and one of them is large enough. */
 static bool
@@ -433,7 +451,7 @@
 {
   uint32_t i;
 
-  if (pool->n_healthy * 2 < pool->n_known)
+  if (!most_are_healthy (pool))
     return false;
   for (i = 0; i < pool->n_agents; i++)
     {
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -90,9 +90,13 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
+/** Whether hs_credits_take() may find a credit for a task of small needs. */
+bool hs_credits_any (const HsCredits *pool, HsTime now);
+
 /**
- * Idle credits of healthy agents, all idle ones of one agent, and those in
- * use. With none idle, hs_credits_take() may still find one on probation.
+ * Idle credits that tasks may use: of healthy agents, and while fewer than
+ * half are healthy one of each on probation. Then: all idle ones of one
+ * agent; those in use, of all and of one agent.
  */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
--- a/src/policy/fair_queue.c
+++ b/src/policy/fair_queue.c
@@ -1,76 +1,11 @@
 #include "policy/fair_queue.h"
 
-#include "policy/heap.h"
-#include "policy/run_time.h"
-
-#define NONE UINT32_MAX
+#include "policy/fair_queue_tables.h"
 
 /* Virtual time is run time times this over the weight, so that a weight of
  * 1000 still tells short tasks apart. */
 #define VIRTUAL_SCALE 16
 
-typedef enum
-{
-  FLOW_FREE,
-  FLOW_IDLE,   /* No job that could be asked. */
-  FLOW_READY,  /* In the ready heap, keyed by start tag. */
-  FLOW_WAITING /* In the waiting heap, keyed by ready_at. */
-} FlowState;
-
-typedef struct
-{
-  FlowState state;
-  uint32_t weight;
-  uint32_t n_tasks;
-  int64_t tag;     /* Start tag of the next task, in virtual time. */
-  int64_t job_tag; /* Round robin: tag of the job last served. */
-  HsRunTime run_time;
-  HsHeap jobs;
-} Flow;
-
-typedef struct
-{
-  uint32_t flow; /* The next free job while free. */
-  uint32_t first;
-  uint32_t last;
-  bool waits;
-  int64_t key;
-} Job;
-
-typedef struct
-{
-  uint32_t job; /* NONE: not waiting. */
-  uint32_t prev;
-  uint32_t next;
-  HsTime declared;
-} Task;
-
-struct HsFairQueue
-{
-  HsJobOrder order;
-  int64_t virtual_now;
-  uint32_t n_tasks;
-  uint32_t active_weight;
-  uint32_t free_job;
-  uint32_t n_flows;
-  uint32_t n_jobs;
-  uint32_t n_nodes;
-  Flow *flows;
-  Job *jobs;
-  Task *tasks; /* Indexed by the caller's handle. */
-  uint32_t *flow_positions;
-  uint32_t *job_positions;
-  HsHeap ready;
-  HsHeap waiting;
-  HsHeap waiting_jobs;
-};
-
-static uint32_t grow (uint32_t size, uint32_t least);
-static void flows_reserve (HsFairQueue *q, uint32_t flow);
-static uint32_t job_new (HsFairQueue *q, uint32_t flow);
-static void job_free (HsFairQueue *q, uint32_t job);
-static void job_append (HsFairQueue *q, uint32_t job, uint32_t task);
-static void tasks_reserve (HsFairQueue *q, uint32_t task);
 static int64_t
 first_key (const HsFairQueue *q, const Flow *flow, HsTime now, HsTime expected);
 static void flow_ready (HsFairQueue *q, uint32_t flow);
@@ -80,6 +15,7 @@
 static void job_wake (HsFairQueue *q, uint32_t job);
 static void wake_due (HsFairQueue *q, HsTime now);
 static void unlink_task (HsFairQueue *q, uint32_t task);
+static void recount (HsFairQueue *q, Flow *f);
 static void serve (HsFairQueue *q, uint32_t flow, uint32_t job, HsPopped *out);
 
 HsFairQueue *
@@ -88,7 +24,7 @@
   HsFairQueue *q = talloc_zero (ctx, HsFairQueue);
 
   q->order = order;
-  q->free_job = NONE;
+  q->free_job = HS_FQ_NONE;
   return q;
 }
 
@@ -101,7 +37,7 @@
     flow++;
   if (flow == q->n_flows)
     {
-      flows_reserve (q, flow);
+      hs_fq_reserve_flow (q, flow);
       q->n_flows++;
     }
   q->flows[flow] = (Flow){ .state = FLOW_IDLE,
@@ -119,8 +55,8 @@
 
   if (weight == 0)
     weight = 1;
-  if (f->n_tasks > 0)
-    q->active_weight += weight - f->weight;
+  if (f->n_ready > 0)
+    q->ready_weight += weight - f->weight;
   f->weight = weight;
 }
 
@@ -152,22 +88,21 @@
 
   if (n == 0)
     return;
-  job = job_new (q, flow);
+  job = hs_fq_job_new (q, flow);
   for (i = 0; i < n; i++)
     {
-      tasks_reserve (q, tasks[i]);
+      hs_fq_reserve_task (q, tasks[i]);
       q->tasks[tasks[i]].declared = declared != NULL ? declared[i] : 0;
-      job_append (q, job, tasks[i]);
+      hs_fq_job_append (q, job, tasks[i]);
       expected += hs_fair_queue_expect (q, flow, q->tasks[tasks[i]].declared);
     }
-  if (f->n_tasks == 0)
-    q->active_weight += f->weight;
   f->n_tasks += n;
   q->n_tasks += n;
   q->jobs[job].key = first_key (q, f, now, expected);
   hs_heap_push (q, &f->jobs, q->job_positions, job, q->jobs[job].key);
   if (f->state == FLOW_IDLE)
     flow_ready (q, flow);
+  recount (q, f);
 }
 
 bool
@@ -205,7 +140,7 @@
 bool
 hs_fair_queue_remove (HsFairQueue *q, uint32_t task)
 {
-  if (task >= q->n_nodes || q->tasks[task].job == NONE)
+  if (task >= q->n_nodes || q->tasks[task].job == HS_FQ_NONE)
     return false;
   unlink_task (q, task);
   return true;
@@ -268,95 +203,21 @@
 }
 
 uint32_t
-hs_fair_queue_flow_length (const HsFairQueue *q, uint32_t flow)
+hs_fair_queue_ready_length (const HsFairQueue *q)
 {
-  return q->flows[flow].n_tasks;
+  return q->n_ready;
 }
 
 uint32_t
-hs_fair_queue_weight (const HsFairQueue *q)
-{
-  return q->active_weight;
-}
-
-static uint32_t
-grow (uint32_t size, uint32_t least)
-{
-  size = size > 0 ? size * 2 : 64;
-  return size > least ? size : least;
-}
-
-static void
-flows_reserve (HsFairQueue *q, uint32_t flow)
-{
-  uint32_t size;
-
-  if (flow < talloc_array_length (q->flows))
-    return;
-  size = grow (q->n_flows, flow + 1);
-  q->flows = talloc_realloc (q, q->flows, Flow, size);
-  q->flow_positions = talloc_realloc (q, q->flow_positions, uint32_t, size);
-}
-
-static uint32_t
-job_new (HsFairQueue *q, uint32_t flow)
-{
-  uint32_t job = q->free_job;
-  uint32_t i;
-
-  if (job == NONE)
-    {
-      uint32_t size = grow (q->n_jobs, 0);
-
-      q->jobs = talloc_realloc (q, q->jobs, Job, size);
-      q->job_positions = talloc_realloc (q, q->job_positions, uint32_t, size);
-      for (i = size; i-- > q->n_jobs;)
-        {
-          q->jobs[i].flow = q->free_job;
-          q->free_job = i;
-        }
-      job = q->n_jobs;
-      q->n_jobs = size;
-    }
-  q->free_job = q->jobs[job].flow;
-  q->jobs[job] = (Job){ .flow = flow, .first = NONE, .last = NONE };
-  return job;
-}
-
-static void
-job_free (HsFairQueue *q, uint32_t job)
-{
-  q->jobs[job].flow = q->free_job;
-  q->free_job = job;
-}
-
-static void
-job_append (HsFairQueue *q, uint32_t job, uint32_t task)
+hs_fair_queue_flow_length (const HsFairQueue *q, uint32_t flow)
 {
-  Job *j = &q->jobs[job];
-  Task *t = &q->tasks[task];
-
-  t->job = job;
-  t->prev = j->last;
-  t->next = NONE;
-  if (j->last == NONE)
-    j->first = task;
-  else
-    q->tasks[j->last].next = task;
-  j->last = task;
+  return q->flows[flow].n_tasks;
 }
 
-static void
-tasks_reserve (HsFairQueue *q, uint32_t task)
+uint32_t
+hs_fair_queue_weight (const HsFairQueue *q)
 {
-  uint32_t size;
-
-  if (task < q->n_nodes)
-    return;
-  size = grow (q->n_nodes, task + 1);
-  q->tasks = talloc_realloc (q, q->tasks, Task, size);
-  for (; q->n_nodes < size; q->n_nodes++)
-    q->tasks[q->n_nodes].job = NONE;
+  return q->ready_weight;
 }
 
 static int64_t
@@ -386,6 +247,7 @@
     f->tag = q->virtual_now;
   f->state = FLOW_READY;
   hs_heap_push (q, &q->ready, q->flow_positions, flow, f->tag);
+  recount (q, f);
 }
 
 static void
@@ -398,6 +260,7 @@
   if (f->state == FLOW_WAITING)
     hs_heap_remove (&q->waiting, q->flow_positions, flow);
   f->state = FLOW_IDLE;
+  recount (q, f);
 }
 
 static void
@@ -416,9 +279,11 @@
 
   hs_heap_remove (&f->jobs, q->job_positions, job);
   j->waits = true;
+  f->n_aside += j->n;
   hs_heap_push (q, &q->waiting_jobs, q->job_positions, job, ready_at);
   if (f->jobs.n == 0)
     flow_stop (q, j->flow);
+  recount (q, f);
 }
 
 static void
@@ -429,9 +294,11 @@
 
   hs_heap_remove (&q->waiting_jobs, q->job_positions, job);
   j->waits = false;
+  f->n_aside -= j->n;
   hs_heap_push (q, &f->jobs, q->job_positions, job, j->key);
   if (f->state == FLOW_IDLE)
     flow_ready (q, j->flow);
+  recount (q, f);
 }
 
 static void
@@ -448,30 +315,37 @@
 static void
 unlink_task (HsFairQueue *q, uint32_t task)
 {
-  Task *t = &q->tasks[task];
-  uint32_t job = t->job;
+  uint32_t job = q->tasks[task].job;
   Job *j = &q->jobs[job];
   Flow *f = &q->flows[j->flow];
 
-  if (t->prev != NONE)
-    q->tasks[t->prev].next = t->next;
-  else
-    j->first = t->next;
-  if (t->next != NONE)
-    q->tasks[t->next].prev = t->prev;
-  else
-    j->last = t->prev;
-  t->job = NONE;
+  hs_fq_job_unlink (q, task);
   q->n_tasks--;
-  if (--f->n_tasks == 0)
-    q->active_weight -= f->weight;
-  if (j->first != NONE)
+  f->n_tasks--;
+  if (j->waits)
+    f->n_aside--;
+  recount (q, f);
+  if (j->n > 0)
     return;
   hs_heap_remove (j->waits ? &q->waiting_jobs : &f->jobs, q->job_positions,
                   job);
   if (f->jobs.n == 0)
     flow_stop (q, j->flow);
-  job_free (q, job);
+  hs_fq_job_free (q, job);
+}
+
+/* Brings the counts of what could start up to date after a flow changed. */
+static void
+recount (HsFairQueue *q, Flow *f)
+{
+  uint32_t n = f->state == FLOW_READY ? f->n_tasks - f->n_aside : 0;
+
+  if (f->n_ready == 0 && n > 0)
+    q->ready_weight += f->weight;
+  if (f->n_ready > 0 && n == 0)
+    q->ready_weight -= f->weight;
+  q->n_ready += n - f->n_ready;
+  f->n_ready = n;
 }
 
 static void
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -116,11 +116,15 @@
 HsTime
 hs_fair_queue_expect (const HsFairQueue *q, uint32_t flow, HsTime declared);
 
-/** Tasks waiting in all, and in one flow. */
+/**
+ * Tasks waiting in all; of these, those that lack nothing but a credit (their
+ * flow is at no limit, their job isn't set aside); all of one flow.
+ */
 uint32_t hs_fair_queue_length (const HsFairQueue *q);
+uint32_t hs_fair_queue_ready_length (const HsFairQueue *q);
 uint32_t hs_fair_queue_flow_length (const HsFairQueue *q, uint32_t flow);
 
-/** Sum of the weights of the flows that have tasks waiting. */
+/** Sum of the weights of the flows that hs_fair_queue_ready_length() counts. */
 uint32_t hs_fair_queue_weight (const HsFairQueue *q);
 
 #endif
--- a/test/test_fair_queue.c
+++ b/test/test_fair_queue.c
@@ -145,6 +145,9 @@
       assert_int_equal (popped.flow, free_flow);
     }
   assert_int_equal (answers->asked, 101);
+  assert_int_equal (hs_fair_queue_ready_length (q), 0);
+  assert_int_equal (hs_fair_queue_length (q), 10);
+  assert_int_equal (hs_fair_queue_weight (q), 0);
   assert_false (hs_fair_queue_pop (q, HS_SEC, answer, answers, &popped));
   assert_true (hs_fair_queue_ready_at (q) == 5 * HS_SEC);
   answers->by_flow[limited] = HS_MAY_START;
@@ -172,8 +175,10 @@
   assert_true (hs_fair_queue_pop (q, 2, answer, answers, &popped));
   assert_int_equal (popped.task, 8);
   assert_false (hs_fair_queue_pop (q, 2, answer, answers, &popped));
+  assert_int_equal (hs_fair_queue_ready_length (q), 0);
   answers->job_waits_task = UINT32_MAX;
   hs_fair_queue_wake_jobs (q);
+  assert_int_equal (hs_fair_queue_ready_length (q), 1);
   assert_true (hs_fair_queue_pop (q, 2, answer, answers, &popped));
   assert_int_equal (popped.task, 7);
 }
@@ -254,6 +259,7 @@
           n--;
         }
       assert_int_equal (hs_fair_queue_length (q), n);
+      assert_true (hs_fair_queue_ready_length (q) <= n);
     }
   answers->by_flow[0] = answers->by_flow[1] = answers->by_flow[2]
       = HS_MAY_START;
@@ -261,6 +267,7 @@
     n--;
   assert_int_equal (n, 0);
   assert_int_equal (hs_fair_queue_weight (q), 0);
+  assert_int_equal (hs_fair_queue_ready_length (q), 0);
   assert_false (hs_fair_queue_remove (q, 0));
   assert_true (hs_fair_queue_drop_flow (q, 1));
   assert_int_equal (hs_fair_queue_flow (q, 2), 1);
