Borrow only for tasks that lack a credit; look at probation too

Cause: the owner asked peers for credits for customers at their limits, and its gate on idle credits kept tasks from targets on probation. Change: one line each in the owner: hs_credits_any(), hs_fair_queue_ready_length().

--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -266,7 +266,7 @@
   Customer *customer = owner->flows->pdata[flow];
   const Task *task = owner->tasks->pdata[handle];
 
-  if (hs_credits_idle (owner->credits) == 0)
+  if (!hs_credits_any (owner->credits, now))
     return HS_NONE_STARTS;
   if (!customer->known || customer->in_flight >= customer->allowance.in_flight)
     return HS_FLOW_WAITS;
--- a/src/owner/peers.c
+++ b/src/owner/peers.c
@@ -108,7 +108,7 @@
 {
   HsDemand mine;
 
-  mine.queued = hs_fair_queue_length (owner->queue);
+  mine.queued = hs_fair_queue_ready_length (owner->queue);
   mine.weight = hs_fair_queue_weight (owner->queue);
   mine.idle = hs_credits_idle (owner->credits);
   mine.in_use = hs_credits_in_use (owner->credits);
