--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 TESTS := $(patsubst test/%.c,$(B)/test/%,$(sort $(wildcard test/test_*.c)))
 STANDINS :=
 include $(sort $(wildcard test/standin/part.mk))
+include $(sort $(wildcard test/load/part.mk))
 BENCHES :=
 -include bench/part.mk
 
--- /dev/null
+++ b/test/load/main.c
@@ -0,0 +1,160 @@
+/* The load tool: "hs-load run" submits jobs, "hs-load verify" compares the
+ * answers with the targets' records. */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "client.h"
+#include "report.h"
+#include "verify.h"
+
+typedef struct
+{
+  Scenario scenario;
+  char *sizes;
+  char *run_ms;
+  char *jobs;
+} RunOptions;
+
+static int run (int argc, char **argv);
+static bool parse (int argc, char **argv, RunOptions *options);
+static const char *complete_options (RunOptions *options);
+static int run_scenario (const RunOptions *options, FILE *jobs);
+
+int
+main (int argc, char **argv)
+{
+  if (argc > 1 && strcmp (argv[1], "run") == 0)
+    return run (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "verify") == 0)
+    return verify_main (argc - 1, argv + 1);
+  fprintf (stderr, "usage: hs-load run|verify [--help] [OPTION...]\n");
+  return 2;
+}
+
+static int
+run (int argc, char **argv)
+{
+  RunOptions options = { .scenario = { .seconds = 10,
+                                       .jobs_per_s = 10,
+                                       .seed = 1,
+                                       .slots = 88,
+                                       .timeout_ms = 30000 } };
+  const char *fault;
+  FILE *jobs;
+
+  if (!parse (argc, argv, &options))
+    return 2;
+  fault = complete_options (&options);
+  if (fault != NULL)
+    {
+      fprintf (stderr, "hs-load: %s\n", fault);
+      return 2;
+    }
+  jobs = fopen (options.jobs != NULL ? options.jobs : "/dev/null", "we");
+  if (jobs == NULL)
+    {
+      perror (options.jobs);
+      return 1;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  return run_scenario (&options, jobs);
+}
+
+static int
+run_scenario (const RunOptions *options, FILE *jobs)
+{
+  struct tevent_context *ev = tevent_context_init (NULL);
+  Load *load = load_run (ev, ev, &options->scenario);
+  struct json_object *summary = report_summary (load);
+  bool ok = report_jobs (load, jobs);
+
+  printf ("%s\n",
+          json_object_to_json_string_ext (summary, JSON_C_TO_STRING_PLAIN));
+  if (fclose (jobs) != 0 || !ok)
+    {
+      fprintf (stderr, "hs-load: can't write the jobs\n");
+      return 1;
+    }
+  return 0;
+}
+
+static bool
+parse (int argc, char **argv, RunOptions *options)
+{
+  Scenario *scenario = &options->scenario;
+  int seed = (int) scenario->seed;
+  int slots = (int) scenario->slots;
+  int timeout_ms = (int) scenario->timeout_ms;
+  gboolean fresh = FALSE;
+  const GOptionEntry entries[] = {
+    { "entry", 0, 0, G_OPTION_ARG_STRING_ARRAY, &scenario->entries,
+      "Submit here; repeatable", "URL" },
+    { "customer", 0, 0, G_OPTION_ARG_STRING_ARRAY, &scenario->customers,
+      "Submit for this customer; repeatable", "NAME:KEY" },
+    { "rate", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->jobs_per_s,
+      "Jobs per second", "X" },
+    { "tasks-per-s", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->tasks_per_s,
+      "Tasks per second, in place of --rate", "X" },
+    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->seconds,
+      "Time in which jobs arrive", "X" },
+    { "sizes", 0, 0, G_OPTION_ARG_STRING, &options->sizes,
+      "Tasks of a job and their shares", "N:SHARE,..." },
+    { "run-ms", 0, 0, G_OPTION_ARG_STRING, &options->run_ms,
+      "Run times of tasks, log-uniform", "LEAST-MOST" },
+    { "resubmit", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->resubmit_share,
+      "Share of jobs sent again to another entry", "X" },
+    { "cancel", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->cancel_share,
+      "Share of jobs that are cancelled", "X" },
+    { "opaque", 0, 0, G_OPTION_ARG_DOUBLE, &scenario->opaque_share,
+      "Share of jobs whose id isn't a UUIDv7", "X" },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of what is submitted", "N" },
+    { "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots of the ideal", "N" },
+    { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &timeout_ms,
+      "Longest wait for an answer", "N" },
+    { "fresh", 0, 0, G_OPTION_ARG_NONE, &fresh,
+      "Open a connection for each request", NULL },
+    { "jobs", 0, 0, G_OPTION_ARG_FILENAME, &options->jobs,
+      "Write each job with its answers to FILE", "FILE" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+  bool ok;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, &argc, &argv, &error);
+  g_option_context_free (context);
+  if (!ok)
+    fprintf (stderr, "hs-load: %s\n", error->message);
+  scenario->seed = (uint32_t) seed;
+  scenario->slots = (uint32_t) MAX (slots, 1);
+  scenario->timeout_ms = (uint32_t) timeout_ms;
+  scenario->fresh = fresh;
+  return ok;
+}
+
+/** @return what is wrong with the options, or NULL */
+static const char *
+complete_options (RunOptions *options)
+{
+  Scenario *scenario = &options->scenario;
+  size_t i;
+
+  if (scenario->entries == NULL)
+    return "give at least one --entry URL";
+  if (scenario->customers == NULL)
+    return "give at least one --customer NAME:KEY";
+  for (i = 0; scenario->customers[i] != NULL; i++)
+    if (strchr (scenario->customers[i], ':') == NULL)
+      return "--customer must be NAME:KEY";
+  if (!scenario_read_sizes (scenario,
+                            options->sizes != NULL ? options->sizes : "1:1"))
+    return "--sizes must be N:SHARE,...";
+  if (!scenario_read_run_ms (scenario, options->run_ms != NULL ? options->run_ms
+                                                               : "50-1000"))
+    return "--run-ms must be LEAST-MOST";
+  if (scenario->jobs_per_s <= 0 && scenario->tasks_per_s <= 0)
+    return "give --rate or --tasks-per-s";
+  return NULL;
+}
--- /dev/null
+++ b/test/load/verify.c
@@ -0,0 +1,496 @@
+#include "verify.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "answer.h"
+#include "base/time.h"
+
+#define PLANNED_MAX 64
+
+/* What all targets recorded of one task. */
+typedef struct
+{
+  HsTime first_start;
+  uint32_t starts;
+  uint32_t ends;
+  uint32_t open_planned; /* Starts on planned targets that have not ended. */
+  bool submitted;
+} Start;
+
+struct Verify
+{
+  GHashTable *starts; /* "CUSTOMER/ID/INDEX" to Start. */
+  Verdict verdict;
+  GString *findings;
+};
+
+/* One job of the file. */
+typedef struct
+{
+  const char *customer;
+  const char *id;
+  uint32_t n_tasks;
+  struct json_object *sends;
+  struct json_object *events;
+} Job;
+
+static void
+take_record (Verify *verify, const char *const *words, bool planned);
+static void check_send (Verify *verify, const Job *job, struct json_object *s);
+static void check_event (Verify *verify,
+                         const Job *job,
+                         struct json_object *event,
+                         const int *planned_entries,
+                         size_t n_planned);
+static void check_all_refused (Verify *verify, const Job *job);
+static Start *lookup (Verify *verify, const Job *job, uint32_t index);
+static void
+found (Verify *verify, uint64_t *counter, const char *what, const char *key);
+
+Verify *
+verify_new (void)
+{
+  Verify *verify = g_new0 (Verify, 1);
+
+  verify->starts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  verify->findings = g_string_new (NULL);
+  return verify;
+}
+
+void
+verify_free (Verify *verify)
+{
+  g_hash_table_unref (verify->starts);
+  g_string_free (verify->findings, TRUE);
+  g_free (verify);
+}
+
+void
+verify_record (Verify *verify, const char *text, bool planned)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  size_t i;
+
+  for (i = 0; lines[i] != NULL; i++)
+    {
+      g_auto (GStrv) words = g_strsplit (lines[i], " ", 3);
+
+      if (g_strv_length (words) == 3)
+        take_record (verify, (const char *const *) words, planned);
+    }
+}
+
+static void
+take_record (Verify *verify, const char *const *words, bool planned)
+{
+  Start *start = g_hash_table_lookup (verify->starts, words[1]);
+
+  if (start == NULL)
+    {
+      start = g_new0 (Start, 1);
+      start->first_start = HS_NEVER;
+      g_hash_table_insert (verify->starts, g_strdup (words[1]), start);
+    }
+  if (strcmp (words[0], "start") == 0)
+    {
+      start->first_start
+          = MIN (start->first_start, g_ascii_strtoll (words[2], NULL, 10));
+      start->starts++;
+      start->open_planned += planned ? 1 : 0;
+      return;
+    }
+  start->ends++;
+  if (planned && start->open_planned > 0)
+    start->open_planned--;
+}
+
+static bool
+read_string (struct json_object *object, const char *key, const char **value)
+{
+  struct json_object *member;
+
+  if (!json_object_object_get_ex (object, key, &member)
+      || !json_object_is_type (member, json_type_string))
+    return false;
+  *value = json_object_get_string (member);
+  return true;
+}
+
+static bool
+read_array (struct json_object *object, const char *key, struct json_object **v)
+{
+  return json_object_object_get_ex (object, key, v)
+         && json_object_is_type (*v, json_type_array);
+}
+
+bool
+verify_job (Verify *verify,
+            const char *line,
+            const int *planned_entries,
+            size_t n_planned)
+{
+  struct json_object *root = json_tokener_parse (line);
+  struct json_object *run_ms;
+  Job job;
+  uint32_t i;
+  bool ok = read_string (root, "customer", &job.customer)
+            && read_string (root, "id", &job.id)
+            && read_array (root, "run_ms", &run_ms)
+            && read_array (root, "sends", &job.sends)
+            && read_array (root, "events", &job.events);
+
+  if (ok)
+    {
+      job.n_tasks = (uint32_t) json_object_array_length (run_ms);
+      verify->verdict.jobs++;
+      verify->verdict.tasks += job.n_tasks;
+      for (i = 0; i < job.n_tasks; i++)
+        {
+          Start *start = lookup (verify, &job, i);
+
+          if (start != NULL)
+            start->submitted = true;
+        }
+      for (i = 0; i < json_object_array_length (job.sends); i++)
+        check_send (verify, &job, json_object_array_get_idx (job.sends, i));
+      for (i = 0; i < json_object_array_length (job.events); i++)
+        check_event (verify, &job, json_object_array_get_idx (job.events, i),
+                     planned_entries, n_planned);
+      check_all_refused (verify, &job);
+    }
+  json_object_put (root);
+  return ok;
+}
+
+Verdict
+verify_verdict (Verify *verify)
+{
+  Verdict *verdict = &verify->verdict;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, verify->starts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Start *start = value;
+
+      if (start->starts > 1)
+        found (verify, &verdict->started_twice, "started_twice", key);
+      if (start->open_planned > 0)
+        found (verify, &verdict->cut_by_planned_stop, "cut_by_planned_stop",
+               key);
+      if (!start->submitted)
+        found (verify, &verdict->not_submitted, "not_submitted", key);
+    }
+  return *verdict;
+}
+
+const char *
+verify_findings (const Verify *verify)
+{
+  return verify->findings->str;
+}
+
+bool
+verify_kept (const Verdict *verdict)
+{
+  return verdict->started_twice == 0 && verdict->partial == 0
+         && verdict->crossed == 0 && verdict->false_not_run == 0
+         && verdict->cut_by_planned_stop == 0 && verdict->unanswered == 0
+         && verdict->done_without_end == 0 && verdict->not_submitted == 0;
+}
+
+static Start *
+lookup (Verify *verify, const Job *job, uint32_t index)
+{
+  g_autofree char *key
+      = g_strdup_printf ("%s/%s/%u", job->customer, job->id, index);
+
+  return g_hash_table_lookup (verify->starts, key);
+}
+
+static void
+found (Verify *verify, uint64_t *counter, const char *what, const char *key)
+{
+  (*counter)++;
+  g_string_append_printf (verify->findings, "%s %s\n", what, key);
+}
+
+static bool
+read_bool (struct json_object *object, const char *key)
+{
+  struct json_object *member;
+
+  return json_object_object_get_ex (object, key, &member)
+         && json_object_get_boolean (member);
+}
+
+static int64_t
+read_int (struct json_object *object, const char *key)
+{
+  struct json_object *member;
+
+  return json_object_object_get_ex (object, key, &member)
+             ? json_object_get_int64 (member)
+             : 0;
+}
+
+static void
+check_task (Verify *verify, const Job *job, uint32_t index, TaskState state)
+{
+  const Start *start = lookup (verify, job, index);
+  g_autofree char *key
+      = g_strdup_printf ("%s/%s/%u", job->customer, job->id, index);
+
+  if (state == TASK_NOT_RUN && start != NULL)
+    found (verify, &verify->verdict.false_not_run, "false_not_run", key);
+  if (state == TASK_DONE && (start == NULL || start->ends == 0))
+    found (verify, &verify->verdict.done_without_end, "done_without_end", key);
+}
+
+static void
+check_send (Verify *verify, const Job *job, struct json_object *send)
+{
+  Verdict *verdict = &verify->verdict;
+  const char *state = "unanswered";
+  const char *kind = "";
+  struct json_object *tasks = NULL;
+  size_t i;
+
+  read_string (send, "state", &state);
+  read_string (send, "kind", &kind);
+  if (strcmp (state, "unanswered") == 0 || strcmp (state, "malformed") == 0
+      || strcmp (kind, "unknown") == 0)
+    found (verify, &verdict->unanswered, "unanswered", job->id);
+  if (read_bool (send, "partial"))
+    found (verify, &verdict->partial, "partial", job->id);
+  if (read_bool (send, "crossed"))
+    found (verify, &verdict->crossed, "crossed", job->id);
+  if (!read_array (send, "tasks", &tasks))
+    return;
+  for (i = 0; i < json_object_array_length (tasks); i++)
+    check_task (verify, job, (uint32_t) i,
+                answer_task_state (json_object_get_string (
+                    json_object_array_get_idx (tasks, i))));
+}
+
+static bool
+started_before (Verify *verify, const Job *job, HsTime time)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      const Start *start = lookup (verify, job, i);
+
+      if (start != NULL && start->first_start < time)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_planned (int64_t entry, const int *planned_entries, size_t n_planned)
+{
+  size_t i;
+
+  for (i = 0; i < n_planned; i++)
+    if (planned_entries[i] == entry)
+      return true;
+  return false;
+}
+
+static void
+check_event (Verify *verify,
+             const Job *job,
+             struct json_object *event,
+             const int *planned_entries,
+             size_t n_planned)
+{
+  Verdict *verdict = &verify->verdict;
+  const char *kind = "";
+  HsTime sent = read_int (event, "sent_us");
+  HsTime ended = read_int (event, "ended_us");
+
+  read_string (event, "kind", &kind);
+  /* A start after the refusal may come from sending the id again; one while
+   * another request for the job was open, from that one. */
+  if (read_bool (event, "not_run")
+      && started_before (verify, job,
+                         read_bool (event, "alone") ? ended : sent))
+    found (verify, &verdict->false_not_run, "false_not_run refusal", job->id);
+  if ((strcmp (kind, "broken") == 0 || strcmp (kind, "unknown") == 0)
+      && is_planned (read_int (event, "entry"), planned_entries, n_planned))
+    found (verify, &verdict->cut_by_planned_stop, "cut_by_planned_stop request",
+           job->id);
+}
+
+/** A job whose every answer is "not run" must have no start at all. */
+static void
+check_all_refused (Verify *verify, const Job *job)
+{
+  size_t n = json_object_array_length (job->sends);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      struct json_object *send = json_object_array_get_idx (job->sends, i);
+      const char *state = "";
+
+      read_string (send, "state", &state);
+      if (strcmp (state, "refused") != 0 || !read_bool (send, "not_run"))
+        return;
+    }
+  if (n > 0 && started_before (verify, job, HS_NEVER))
+    found (verify, &verify->verdict.false_not_run, "false_not_run job",
+           job->id);
+}
+
+typedef struct
+{
+  char *records;
+  char *jobs;
+  char *findings;
+  char **planned;
+  char **planned_entries;
+} VerifyOptions;
+
+static bool
+parse (int argc, char **argv, VerifyOptions *options)
+{
+  const GOptionEntry entries[] = {
+    { "records", 0, 0, G_OPTION_ARG_FILENAME, &options->records,
+      "Folder of the targets' NAME.rec", "DIR" },
+    { "jobs", 0, 0, G_OPTION_ARG_FILENAME, &options->jobs,
+      "Jobs as written by run --jobs", "FILE" },
+    { "findings", 0, 0, G_OPTION_ARG_FILENAME, &options->findings,
+      "Write each broken promise to FILE", "FILE" },
+    { "planned", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->planned,
+      "A target that was stopped gracefully; repeatable", "NAME" },
+    { "planned-entry", 0, 0, G_OPTION_ARG_STRING_ARRAY,
+      &options->planned_entries,
+      "An entry that was stopped gracefully, as its place among --entry; "
+      "repeatable",
+      "N" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+  bool ok;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, &argc, &argv, &error);
+  g_option_context_free (context);
+  if (!ok)
+    fprintf (stderr, "hs-load: %s\n", error->message);
+  else if (options->records == NULL || options->jobs == NULL)
+    {
+      fprintf (stderr, "hs-load: give --records and --jobs\n");
+      ok = false;
+    }
+  return ok;
+}
+
+static bool
+read_records (Verify *verify, const VerifyOptions *options, GError **error)
+{
+  g_autoptr (GDir) dir = g_dir_open (options->records, 0, error);
+  const char *name;
+
+  if (dir == NULL)
+    return false;
+  while ((name = g_dir_read_name (dir)) != NULL)
+    {
+      g_autofree char *path = g_build_filename (options->records, name, NULL);
+      g_autofree char *text = NULL;
+      g_autofree char *target = NULL;
+
+      if (!g_str_has_suffix (name, ".rec"))
+        continue;
+      if (!g_file_get_contents (path, &text, NULL, error))
+        return false;
+      target = g_strndup (name, strlen (name) - strlen (".rec"));
+      verify_record (verify, text,
+                     options->planned != NULL
+                         && g_strv_contains (
+                             (const char *const *) options->planned, target));
+    }
+  return true;
+}
+
+static bool
+read_jobs (Verify *verify, const VerifyOptions *options, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+  int planned[PLANNED_MAX];
+  size_t n = 0;
+  size_t i;
+
+  if (!g_file_get_contents (options->jobs, &text, NULL, error))
+    return false;
+  while (options->planned_entries != NULL && n < PLANNED_MAX
+         && options->planned_entries[n] != NULL)
+    {
+      planned[n]
+          = (int) g_ascii_strtoll (options->planned_entries[n], NULL, 10);
+      n++;
+    }
+  lines = g_strsplit (text, "\n", -1);
+  for (i = 0; lines[i] != NULL; i++)
+    if (lines[i][0] != '\0' && !verify_job (verify, lines[i], planned, n))
+      {
+        g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_INVAL,
+                     "%s: line %zu isn't a job", options->jobs, i + 1);
+        return false;
+      }
+  return true;
+}
+
+static void
+print_verdict (const Verdict *verdict)
+{
+  printf ("{\"jobs\":%" PRIu64 ",\"tasks\":%" PRIu64
+          ",\"started_twice\":%" PRIu64 ",\"partial\":%" PRIu64
+          ",\"crossed\":%" PRIu64 ",\"false_not_run\":%" PRIu64
+          ",\"cut_by_planned_stop\":%" PRIu64 ",\"unanswered\":%" PRIu64
+          ",\"done_without_end\":%" PRIu64 ",\"not_submitted\":%" PRIu64 "}\n",
+          verdict->jobs, verdict->tasks, verdict->started_twice,
+          verdict->partial, verdict->crossed, verdict->false_not_run,
+          verdict->cut_by_planned_stop, verdict->unanswered,
+          verdict->done_without_end, verdict->not_submitted);
+}
+
+int
+verify_main (int argc, char **argv)
+{
+  VerifyOptions options = { 0 };
+  g_autoptr (GError) error = NULL;
+  Verify *verify;
+  Verdict verdict;
+  bool ok;
+
+  if (!parse (argc, argv, &options))
+    return 2;
+  verify = verify_new ();
+  ok = read_records (verify, &options, &error)
+       && read_jobs (verify, &options, &error);
+  if (ok)
+    {
+      verdict = verify_verdict (verify);
+      print_verdict (&verdict);
+      if (options.findings != NULL)
+        ok = g_file_set_contents (options.findings, verify_findings (verify),
+                                  -1, &error);
+    }
+  if (error != NULL)
+    fprintf (stderr, "hs-load: %s\n", error->message);
+  verify_free (verify);
+  return ok && verify_kept (&verdict) ? 0 : 1;
+}
--- /dev/null
+++ b/test/test_load_ideal.c
@@ -0,0 +1,67 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "load/ideal.h"
+
+static void
+free_slots_run_all_tasks_at_once (void **state)
+{
+  static const uint32_t run_ms[] = { 50, 70, 30 };
+  IdealJob job = { .arrival = 5 * HS_SEC, .run_ms = run_ms, .n_tasks = 3 };
+
+  (void) state;
+  ideal_run (&job, 1, 3);
+  assert_int_equal (job.response, 70 * HS_MSEC);
+}
+
+static void
+tasks_wait_in_the_order_of_arrival (void **state)
+{
+  static const uint32_t first[] = { 100, 40, 30 };
+  static const uint32_t second[] = { 10 };
+  IdealJob jobs[] = {
+    { .arrival = 0, .run_ms = first, .n_tasks = 3 },
+    { .arrival = 5 * HS_MSEC, .run_ms = second, .n_tasks = 1 },
+    { .arrival = 500 * HS_MSEC, .run_ms = second, .n_tasks = 1 },
+  };
+
+  (void) state;
+  /* Two slots: 0 to 100; 0 to 40, 40 to 70, then 70 to 80. */
+  ideal_run (jobs, 3, 2);
+  assert_int_equal (jobs[0].response, 100 * HS_MSEC);
+  assert_int_equal (jobs[1].response, 75 * HS_MSEC);
+  assert_int_equal (jobs[2].response, 10 * HS_MSEC);
+}
+
+static void
+many_slots_stay_in_order (void **state)
+{
+  /* Seven slots, 14 tasks: the second seven start as the first seven end. */
+  static const uint32_t run_ms[]
+      = { 70, 10, 60, 20, 50, 30, 40, 1, 2, 3, 4, 5, 6, 7 };
+  IdealJob job = { .arrival = 0, .run_ms = run_ms, .n_tasks = 14 };
+  IdealJob alone = { .arrival = 0, .run_ms = run_ms, .n_tasks = 14 };
+
+  (void) state;
+  ideal_run (&job, 1, 7);
+  /* 1 to 4 follow one another at the slots that are free at 10 and 11. */
+  assert_int_equal (job.response, 70 * HS_MSEC);
+  ideal_run (&alone, 1, 1);
+  assert_int_equal (alone.response, 309 * HS_MSEC - HS_MSEC);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (free_slots_run_all_tasks_at_once),
+    cmocka_unit_test (tasks_wait_in_the_order_of_arrival),
+    cmocka_unit_test (many_slots_stay_in_order),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
