--- /dev/null
+++ b/test/matrix/checks.c
@@ -0,0 +1,262 @@
+#include "checks.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "jobs.h"
+#include "operators.h"
+
+/** A leaving target gets no start later than this after its leave. */
+#define LEAVE_SPAN (1 * HS_SEC)
+/** An accepted edit is in force everywhere after this. */
+#define EDIT_SPAN (6 * HS_SEC)
+
+typedef struct
+{
+  char customer[HSX_NAME_MAX + 1];
+  char id[HSX_ID_MAX + 1];
+  uint32_t index;
+  Proc *agent;
+  uint32_t life; /* Of the agent's process. */
+  HsTime at;
+  bool running;
+  bool counted; /* Its owner can still know of it. */
+} Start;
+
+static GArray *starts;
+static uint32_t failures;
+static uint32_t made;
+static double tokens[WORLD_CUSTOMERS];
+static HsTime refilled[WORLD_CUSTOMERS];
+
+static void check_leaving (const Proc *agent, const hsx_task_key *key);
+static void check_limits (const Start *start);
+static void check_rate (const Start *start, const OperatorLimits *limits);
+
+void
+checks_begin (void)
+{
+  uint32_t i;
+
+  if (starts != NULL)
+    g_array_unref (starts);
+  starts = g_array_new (FALSE, TRUE, sizeof (Start));
+  failures = 0;
+  made = 0;
+  for (i = 0; i < WORLD_CUSTOMERS; i++)
+    {
+      tokens[i] = OPERATORS_BURST;
+      refilled[i] = 0;
+    }
+}
+
+uint32_t
+checks_started (Proc *agent, const hsx_task_key *key, const char *body)
+{
+  Start start = { .index = key->index,
+                  .agent = agent,
+                  .life = agent->life,
+                  .at = sim_now (),
+                  .running = true,
+                  .counted = true };
+  g_autofree char *prefix
+      = g_strdup_printf ("%s/%s/%u/", key->customer, key->id, key->index);
+
+  g_strlcpy (start.customer, key->customer, sizeof start.customer);
+  g_strlcpy (start.id, key->id, sizeof start.id);
+  made++;
+  if (checks_starts (key->customer, key->id, (int) key->index, 0, HS_NEVER) > 0)
+    checks_fail ("%s started twice", prefix);
+  if (!g_str_has_prefix (body, prefix))
+    checks_fail ("%s started with the body %s", prefix, body);
+  check_leaving (agent, key);
+  g_array_append_val (starts, start);
+  check_limits (&start);
+  sim_trace ("target starts %s", body);
+  return starts->len - 1;
+}
+
+void
+checks_ended (uint32_t number)
+{
+  g_array_index (starts, Start, number).running = false;
+}
+
+void
+checks_host_died (const Proc *agent)
+{
+  guint i;
+
+  for (i = 0; i < starts->len; i++)
+    if (g_array_index (starts, Start, i).agent == agent)
+      g_array_index (starts, Start, i).running = false;
+}
+
+void
+checks_agent_died (const Proc *agent)
+{
+  guint i;
+
+  for (i = 0; i < starts->len; i++)
+    if (g_array_index (starts, Start, i).agent == agent)
+      g_array_index (starts, Start, i).counted = false;
+}
+
+uint32_t
+checks_starts (const char *customer,
+               const char *id,
+               int index,
+               HsTime from,
+               HsTime to)
+{
+  uint32_t n = 0;
+  guint i;
+
+  for (i = 0; i < starts->len; i++)
+    {
+      const Start *s = &g_array_index (starts, Start, i);
+
+      if ((index < 0 || s->index == (uint32_t) index) && s->at >= from
+          && s->at < to && strcmp (s->id, id) == 0
+          && strcmp (s->customer, customer) == 0)
+        n++;
+    }
+  return n;
+}
+
+uint32_t
+checks_running (const Proc *agent)
+{
+  uint32_t n = 0;
+  guint i;
+
+  for (i = 0; i < starts->len; i++)
+    {
+      const Start *s = &g_array_index (starts, Start, i);
+
+      if (s->running && s->agent == agent && s->life == agent->life)
+        n++;
+    }
+  return n;
+}
+
+/* What is in the store is the truth; an entry's view never steps back. */
+void
+checks_lists (void)
+{
+  uint32_t e;
+  uint32_t p;
+
+  for (e = 0; e < WORLD_ENTRIES; e++)
+    for (p = 0; p < OPERATORS_PLANS; p++)
+      {
+        Proc *entry = world_entry (e);
+        int64_t seen = operators_revision_at (entry, p);
+        int64_t due = operators_revision_due (
+            p, MAX (world.calm_at, entry->started_at), EDIT_SPAN);
+
+        if (!entry->alive || entry->paused_until > sim_now ())
+          continue;
+        made++;
+        if (seen < entry->seen_revision[p])
+          checks_fail ("%s went back from revision %" G_GINT64_FORMAT
+                       " to %" G_GINT64_FORMAT " of plan %s",
+                       entry->name, entry->seen_revision[p], seen,
+                       operators_plan (p));
+        if (seen < due)
+          checks_fail ("%s has revision %" G_GINT64_FORMAT
+                       ", not %" G_GINT64_FORMAT " of plan %s",
+                       entry->name, seen, due, operators_plan (p));
+        entry->seen_revision[p] = seen;
+      }
+}
+
+void
+checks_fail (const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  sim_trace ("BROKEN PROMISE: %s", text);
+  if (failures < CHECKS_REPORT_MAX)
+    {
+      g_strlcpy (checks_report[failures], text, sizeof checks_report[0]);
+    }
+  failures++;
+  g_free (text);
+}
+
+uint32_t
+checks_failures (void)
+{
+  return failures;
+}
+
+uint32_t
+checks_made (void)
+{
+  return made;
+}
+
+uint32_t
+checks_total_starts (void)
+{
+  return starts->len;
+}
+
+static void
+check_leaving (const Proc *agent, const hsx_task_key *key)
+{
+  HsTime since = MIN (agent->target.left_at, agent->leave_at);
+
+  made++;
+  if (since != HS_NEVER && sim_now () > since + LEAVE_SPAN)
+    checks_fail ("%s/%u started on %s after it left", key->id, key->index,
+                 agent->name);
+}
+
+static void
+check_limits (const Start *start)
+{
+  OperatorLimits limits = operators_limits (start->customer, EDIT_SPAN);
+  uint32_t running = 0;
+  guint i;
+
+  for (i = 0; i < starts->len; i++)
+    {
+      const Start *s = &g_array_index (starts, Start, i);
+
+      if (s->running && s->counted
+          && strcmp (s->customer, start->customer) == 0)
+        running++;
+    }
+  made++;
+  if (running > limits.in_flight)
+    checks_fail ("%s runs %u tasks, its allowance is %u", start->customer,
+                 running, limits.in_flight);
+  check_rate (start, &limits);
+}
+
+/* A token bucket beside the owners' own, with the network's jitter. */
+static void
+check_rate (const Start *start, const OperatorLimits *limits)
+{
+  uint32_t c = 0;
+  HsTime now = sim_now ();
+
+  while (strcmp (job_customer (c), start->customer) != 0)
+    c++;
+  tokens[c] += (double) (now - refilled[c]) / (double) HS_SEC
+               * limits->starts_per_s;
+  tokens[c] = MIN (tokens[c], OPERATORS_BURST) - 1;
+  refilled[c] = now;
+  made++;
+  if (tokens[c] < -CHECKS_RATE_SLACK)
+    checks_fail ("%s starts faster than its allowance of %u a second",
+                 start->customer, limits->starts_per_s);
+}
+
+char checks_report[CHECKS_REPORT_MAX][CHECKS_REPORT_SIZE];
--- /dev/null
+++ b/test/matrix/checks.h
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * The promises, judged by the targets' own records of starts, by what
+ * callers were told and by what operators were told.
+ */
+#ifndef HS_MATRIX_CHECKS_H
+#define HS_MATRIX_CHECKS_H
+
+#include "world.h"
+
+/** The first broken promises of a run, in words. */
+#define CHECKS_REPORT_MAX 4
+#define CHECKS_REPORT_SIZE 200
+extern char checks_report[CHECKS_REPORT_MAX][CHECKS_REPORT_SIZE];
+
+/** Starts that messages' delays may bring together. */
+#define CHECKS_RATE_SLACK 1.5
+
+void checks_begin (void);
+
+/** A target starts a task. @return names the start for checks_ended(). */
+uint32_t
+checks_started (Proc *agent, const hsx_task_key *key, const char *body);
+void checks_ended (uint32_t start);
+
+/** The host died with what ran on it. */
+void checks_host_died (const Proc *agent);
+
+/** The agent's death is known: who runs there can't be counted any more. */
+void checks_agent_died (const Proc *agent);
+
+/** Starts of one task, or of all tasks of an id (index < 0), in [from, to). */
+uint32_t checks_starts (const char *customer,
+                        const char *id,
+                        int index,
+                        HsTime from,
+                        HsTime to);
+
+/** Tasks that a living agent's target runs for it. */
+uint32_t checks_running (const Proc *agent);
+
+/** Looks at each entry's lists; called often. */
+void checks_lists (void);
+
+/** Notes a broken promise. */
+void checks_fail (const char *format, ...) G_GNUC_PRINTF (1, 2);
+
+uint32_t checks_failures (void);
+uint32_t checks_made (void);
+uint32_t checks_total_starts (void);
+
+#endif
--- /dev/null
+++ b/test/matrix/front.c
@@ -0,0 +1,253 @@
+/* The HTTP threads for callers: in place of entry/front.c. */
+
+#include <string.h>
+
+#include "front.h"
+
+struct HsFront
+{
+  Proc *proc;
+  HsFrontSubmit submit;
+  void *arg;
+  bool draining;
+};
+
+static GPtrArray *open_requests; /* Request, with an entry. */
+static bool lose_next;
+static HsTime delay_next;
+
+static void on_arrival (void *arg);
+static void on_answer (void *arg);
+static void on_broken (void *arg);
+static void broken_later (Request *request, HsTime span);
+static HsFrontCall *call_of (const Request *request);
+static hsx_answer *copy_answer (TALLOC_CTX *ctx, const hsx_answer *answer);
+
+void
+front_begin (void)
+{
+  g_clear_pointer (&open_requests, g_ptr_array_unref);
+  open_requests = g_ptr_array_new ();
+  lose_next = false;
+  delay_next = 0;
+}
+
+void
+jobs_lose_next (void)
+{
+  lose_next = true;
+}
+
+void
+jobs_delay_next (HsTime span)
+{
+  delay_next = span;
+}
+
+void
+front_send (Request *request)
+{
+  Proc *entry = request->entry;
+
+  if (!entry->alive)
+    {
+      broken_later (request, entry->host_gone ? NET_SILENCE : NET_DELAY);
+      return;
+    }
+  g_ptr_array_add (open_requests, request);
+  sim_at (sim_now () + NET_DELAY, entry, on_arrival, request, false);
+}
+
+void
+front_proc_died (Proc *proc)
+{
+  HsTime span = proc->host_gone ? NET_SILENCE : NET_DELAY;
+  guint i;
+
+  for (i = open_requests->len; i > 0; i--)
+    {
+      Request *request = open_requests->pdata[i - 1];
+
+      if (request->entry != proc)
+        continue;
+      request->call = NULL;
+      g_ptr_array_remove_index_fast (open_requests, i - 1);
+      broken_later (request, span);
+    }
+  proc->front = NULL;
+}
+
+uint32_t
+front_open (const Proc *proc)
+{
+  uint32_t n = 0;
+  guint i;
+
+  for (i = 0; i < open_requests->len; i++)
+    {
+      const Request *request = open_requests->pdata[i];
+
+      if (request->entry == proc && request->call != NULL)
+        n++;
+    }
+  return n;
+}
+
+HsFront *
+hs_front_new (TALLOC_CTX *ctx,
+              const HsEntrySettings *settings,
+              HsListsBox *lists,
+              HsFrontSubmit submit,
+              void *arg,
+              GError **error)
+{
+  HsFront *front = talloc_zero (ctx, HsFront);
+  HsCore *core = arg;
+
+  (void) settings;
+  (void) lists;
+  (void) error;
+  front->proc = core->ev->proc;
+  front->submit = submit;
+  front->arg = arg;
+  front->proc->front = front;
+  return front;
+}
+
+void
+hs_front_answer (HsFrontCall *call)
+{
+  Request *request = NULL;
+  guint i;
+
+  for (i = 0; i < open_requests->len; i++)
+    if (((Request *) open_requests->pdata[i])->call == call)
+      request = open_requests->pdata[i];
+  if (request == NULL || !proc_acts (request->entry)
+      || !fault_before (STEP_ANSWER, request->entry, NULL, NULL))
+    return;
+  g_ptr_array_remove_fast (open_requests, request);
+  request->answer = copy_answer (request, call->answer);
+  request->issued_at = sim_now ();
+  request->call = NULL;
+  sim_trace ("answers %s/%s: state %d kind %u%s %s", request->args->customer,
+             request->args->id, (int) call->answer->state, call->answer->kind,
+             call->answer->not_run ? " not run" : "", call->answer->reason);
+  if (lose_next)
+    broken_later (request, NET_DELAY);
+  else
+    sim_at (sim_now () + NET_DELAY + delay_next, NULL, on_answer, request,
+            false);
+  lose_next = false;
+  delay_next = 0;
+  fault_after (STEP_ANSWER, request->entry, NULL, NULL);
+  talloc_free (call);
+}
+
+void
+hs_front_drain (HsFront *front)
+{
+  front->draining = true;
+}
+
+bool
+hs_front_idle (const HsFront *front)
+{
+  return front_open (front->proc) == 0;
+}
+
+void
+hs_front_free (HsFront *front)
+{
+  (void) front;
+}
+
+static void
+on_arrival (void *arg)
+{
+  Request *request = arg;
+  Proc *entry = request->entry;
+  HsFront *front = entry->front;
+
+  if (request->call != NULL || !g_ptr_array_find (open_requests, request, NULL))
+    return;
+  if (delay_next > 0)
+    {
+      sim_at (sim_now () + delay_next, entry, on_arrival, request, false);
+      delay_next = 0;
+      return;
+    }
+  if (front == NULL || front->draining || lose_next)
+    {
+      lose_next = false;
+      g_ptr_array_remove_fast (open_requests, request);
+      broken_later (request, NET_DELAY);
+      return;
+    }
+  if (!fault_before (STEP_ACCEPT, entry, NULL, NULL))
+    return;
+  request->call = call_of (request);
+  front->submit (front->arg, request->call);
+  entry->ev.wake (&entry->ev, NULL, TEVENT_FD_READ, entry->ev.wake_arg);
+  if (entry->front == front)
+    fault_after (STEP_ACCEPT, entry, NULL, NULL);
+}
+
+static void
+on_answer (void *arg)
+{
+  request_answered (arg);
+}
+
+static void
+on_broken (void *arg)
+{
+  request_broken (arg);
+}
+
+static void
+broken_later (Request *request, HsTime span)
+{
+  sim_at (sim_now () + span, NULL, on_broken, request, false);
+}
+
+static HsFrontCall *
+call_of (const Request *request)
+{
+  HsFrontCall *call = talloc_zero (NULL, HsFrontCall);
+  const hsx_forward_args *from = request->args;
+  hsx_forward_args *args = talloc_memdup (call, from, sizeof *from);
+  u_int i;
+
+  call->arrived = hs_now ();
+  call->args = args;
+  args->customer = talloc_strdup (args, from->customer);
+  args->id = talloc_strdup (args, from->id);
+  args->tasks.tasks_val = talloc_memdup (
+      args, from->tasks.tasks_val, from->tasks.tasks_len * sizeof (hsx_task));
+  for (i = 0; i < args->tasks.tasks_len; i++)
+    {
+      hsx_task *task = &args->tasks.tasks_val[i];
+
+      task->body.body_val
+          = talloc_memdup (args, task->body.body_val, task->body.body_len);
+    }
+  return call;
+}
+
+static hsx_answer *
+copy_answer (TALLOC_CTX *ctx, const hsx_answer *answer)
+{
+  hsx_answer *copy = talloc_memdup (ctx, answer, sizeof *answer);
+  u_int i;
+
+  copy->reason = talloc_strdup (copy, answer->reason);
+  copy->tasks.tasks_val
+      = talloc_memdup (copy, answer->tasks.tasks_val,
+                       answer->tasks.tasks_len * sizeof (hsx_task_answer));
+  for (i = 0; i < answer->tasks.tasks_len; i++)
+    copy->tasks.tasks_val[i].body.body_val
+        = talloc_memdup (copy, answer->tasks.tasks_val[i].body.body_val,
+                         answer->tasks.tasks_val[i].body.body_len);
+  return copy;
+}
--- /dev/null
+++ b/test/matrix/front.h
@@ -0,0 +1,35 @@
+/**
+ * @file
+ * Requests of callers on their way to an entry and back.
+ */
+#ifndef HS_MATRIX_FRONT_H
+#define HS_MATRIX_FRONT_H
+
+#include "entry/front.h"
+#include "jobs.h"
+
+/** One request that a caller sent. */
+typedef struct
+{
+  uint32_t job;
+  uint32_t variant; /**< Which content it has. */
+  Proc *entry;
+  hsx_forward_args *args;
+  HsTime sent_at;
+  HsTime issued_at; /**< When the entry wrote the answer. */
+  hsx_answer *answer;
+  bool over; /**< The caller waits for it no more. */
+  HsFrontCall *call;
+} Request;
+
+void front_begin (void);
+
+/** Sends it; request_answered() or request_broken() follows. */
+void front_send (Request *request);
+
+/** @name jobs.c @{ */
+void request_answered (Request *request);
+void request_broken (Request *request);
+/** @} */
+
+#endif
--- /dev/null
+++ b/test/matrix/jobs.c
@@ -0,0 +1,440 @@
+#include "front.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/uuid7.h"
+#include "checks.h"
+
+#define JOBS_MAX 30
+#define TASKS_MAX 6
+/** A caller gives a request up after this and submits the id again. */
+#define CALLER_PATIENCE (8 * HS_SEC)
+/** Two requests of one id at once may overtake each other by this. */
+#define RACE_SPAN (50 * HS_MSEC)
+#define FIRST_SUBMIT (800 * HS_MSEC)
+#define LAST_SUBMIT (7 * HS_SEC)
+
+typedef struct
+{
+  uint32_t customer;
+  char id[HS_UUID_SIZE + 8];
+  uint32_t n_tasks;
+  uint32_t run_ms[TASKS_MAX];
+  uint32_t pending; /* Requests that the caller waits for. */
+  bool final;
+  bool never_again; /* The caller was told "not run" and left it at that. */
+  HsTime last_sent;
+  hsx_answer *answer; /* The first whole one. */
+  bool asked_again;
+} Job;
+
+/* Something that was said not to have run. */
+typedef struct
+{
+  uint32_t job;
+  int index; /* Below 0: the whole job. */
+  HsTime at;
+  bool others; /* Other requests of the id were under way. */
+} Claim;
+
+static Job jobs[JOBS_MAX];
+static uint32_t n_jobs;
+static uint32_t n_complete;
+static GArray *claims;
+
+static void draw (uint32_t number);
+static void on_due (void *arg);
+static void submit (uint32_t job, Proc *entry, uint32_t variant, hsx_verb verb);
+static hsx_forward_args *
+args_of (TALLOC_CTX *ctx, const Job *job, uint32_t variant, hsx_verb verb);
+static void on_patience_end (void *arg);
+static void resubmit_later (uint32_t job, HsTime span);
+static void on_resubmit (void *arg);
+static void answered (Request *request);
+static void check_whole (const Request *request);
+static void check_same (const Job *job, const Request *request);
+static void refused (Request *request);
+static void claim_not_run (const Request *request, int index);
+static Proc *other_entry (const Proc *entry);
+static char *
+body_of (TALLOC_CTX *ctx, const Job *job, uint32_t index, uint32_t variant);
+static uint32_t *boxed (uint32_t number);
+
+void
+jobs_begin (void)
+{
+  uint32_t i;
+
+  front_begin ();
+  memset (jobs, 0, sizeof jobs);
+  n_jobs = JOBS_MAX;
+  n_complete = 0;
+  if (claims != NULL)
+    g_array_unref (claims);
+  claims = g_array_new (FALSE, FALSE, sizeof (Claim));
+  for (i = 0; i < n_jobs; i++)
+    draw (i);
+}
+
+void
+jobs_duplicate (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < n_jobs; i++)
+    if (jobs[i].pending > 0 && !jobs[i].final)
+      submit (i, world_entry (sim_random (WORLD_ENTRIES)), 0, HSX_SUBMIT);
+}
+
+uint32_t
+jobs_open (void)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < n_jobs; i++)
+    if (!jobs[i].final || jobs[i].pending > 0)
+      n++;
+  return n;
+}
+
+uint32_t
+jobs_complete (void)
+{
+  return n_complete;
+}
+
+void
+jobs_check (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < n_jobs; i++)
+    if (!jobs[i].final)
+      checks_fail ("job %s/%s was never answered",
+                   job_customer (jobs[i].customer), jobs[i].id);
+  for (i = 0; i < claims->len; i++)
+    {
+      const Claim *c = &g_array_index (claims, Claim, i);
+      const Job *job = &jobs[c->job];
+      const char *customer = job_customer (job->customer);
+      HsTime race = c->others ? RACE_SPAN : 0;
+
+      if (checks_starts (customer, job->id, c->index, 0, c->at - race) > 0)
+        checks_fail ("%s/%s/%d was said not to have run, but had", customer,
+                     job->id, c->index);
+      if (!c->others && job->last_sent <= c->at
+          && checks_starts (customer, job->id, c->index, c->at, HS_NEVER) > 0)
+        checks_fail ("%s/%s/%d ran after it was said not to have run",
+                     customer, job->id, c->index);
+    }
+}
+
+HsTime
+job_run_span (const char *body)
+{
+  return strtol (strrchr (body, '/') + 1, NULL, 10) * HS_MSEC;
+}
+
+const char *
+job_customer (uint32_t i)
+{
+  static const char *const NAMES[WORLD_CUSTOMERS]
+      = { "suva", "lautoka", "galway", "clifden" };
+
+  return NAMES[i];
+}
+
+void
+request_answered (Request *request)
+{
+  if (request->answer->state == HSX_JOB_RUNNING)
+    checks_fail ("%s was answered before it was finished", request->args->id);
+  check_whole (request);
+  if (request->over)
+    return;
+  request->over = true;
+  jobs[request->job].pending--;
+  if (request->answer->state == HSX_JOB_REFUSED)
+    refused (request);
+  else
+    answered (request);
+}
+
+void
+request_broken (Request *request)
+{
+  const Job *job = &jobs[request->job];
+
+  if (request->over)
+    return;
+  request->over = true;
+  jobs[request->job].pending--;
+  sim_trace ("caller of %s: connection broken", request->args->id);
+  if (!job->final && job->pending == 0)
+    resubmit_later (request->job, sim_between (50, 300) * HS_MSEC);
+}
+
+static void
+draw (uint32_t number)
+{
+  Job *job = &jobs[number];
+  HsTime at = sim_between (FIRST_SUBMIT, LAST_SUBMIT);
+  uint8_t random[HS_UUID7_RANDOM_SIZE];
+  uint32_t i;
+
+  for (i = 0; i < sizeof random; i++)
+    random[i] = (uint8_t) sim_random (256);
+  job->customer = sim_random (WORLD_CUSTOMERS);
+  job->n_tasks = 1 + sim_random (TASKS_MAX);
+  for (i = 0; i < job->n_tasks; i++)
+    job->run_ms[i] = 20 + sim_random (sim_random (4) == 0 ? 900 : 200);
+  if (sim_random (4) == 0)
+    g_snprintf (job->id, sizeof job->id, "order-%u", number);
+  else
+    hs_uuid7_format (WORLD_WALL_MS + at / HS_MSEC, random, job->id);
+  sim_at (at, NULL, on_due, boxed (number), false);
+}
+
+/* One in eight goes to two entries at once, one in twelve with other content,
+   and one in ten is cancelled. */
+static void
+on_due (void *arg)
+{
+  uint32_t number = *(uint32_t *) arg;
+  Proc *entry = world_entry (sim_random (WORLD_ENTRIES));
+
+  submit (number, entry, 0, HSX_SUBMIT);
+  if (sim_random (8) == 0)
+    submit (number, other_entry (entry), 0, HSX_SUBMIT);
+  if (sim_random (12) == 0)
+    submit (number, other_entry (entry), 1, HSX_SUBMIT);
+  if (sim_random (10) == 0)
+    submit (number, entry, 0, HSX_CANCEL);
+}
+
+static void
+submit (uint32_t number, Proc *entry, uint32_t variant, hsx_verb verb)
+{
+  Job *job = &jobs[number];
+  Request *request = talloc_zero (sim_memory (), Request);
+
+  request->job = number;
+  request->variant = variant;
+  request->entry = entry;
+  request->args = args_of (request, job, variant, verb);
+  request->sent_at = sim_now ();
+  job->last_sent = sim_now ();
+  job->pending++;
+  sim_trace ("caller: %s %s/%s (%u tasks) by %s",
+             verb == HSX_SUBMIT ? "submits" : "cancels",
+             job_customer (job->customer), job->id, job->n_tasks, entry->name);
+  sim_at (sim_now () + CALLER_PATIENCE, NULL, on_patience_end, request, false);
+  front_send (request);
+}
+
+static hsx_forward_args *
+args_of (TALLOC_CTX *ctx, const Job *job, uint32_t variant, hsx_verb verb)
+{
+  hsx_forward_args *args = talloc_zero (ctx, hsx_forward_args);
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize len = HSX_DIGEST_SIZE;
+  uint32_t i;
+
+  args->verb = verb;
+  args->customer = talloc_strdup (args, job_customer (job->customer));
+  args->id = talloc_strdup (args, job->id);
+  if (verb == HSX_SUBMIT)
+    {
+      args->tasks.tasks_len = job->n_tasks;
+      args->tasks.tasks_val = talloc_zero_array (args, hsx_task, job->n_tasks);
+    }
+  for (i = 0; i < args->tasks.tasks_len; i++)
+    {
+      hsx_task *task = &args->tasks.tasks_val[i];
+
+      task->body.body_val = body_of (args, job, i, variant);
+      task->body.body_len = (u_int) strlen (task->body.body_val);
+      task->idempotent = i % 2 == 0;
+      task->run_ms = job->run_ms[i];
+      g_checksum_update (sum, (guchar *) task->body.body_val,
+                         task->body.body_len);
+    }
+  g_checksum_get_digest (sum, (guint8 *) args->digest, &len);
+  g_checksum_free (sum);
+  return args;
+}
+
+static void
+on_patience_end (void *arg)
+{
+  Request *request = arg;
+  Job *job = &jobs[request->job];
+
+  if (request->over)
+    return;
+  request->over = true;
+  job->pending--;
+  sim_trace ("caller of %s: timeout", job->id);
+  if (!job->final && job->pending == 0)
+    resubmit_later (request->job, 0);
+}
+
+static void
+resubmit_later (uint32_t job, HsTime span)
+{
+  sim_at (sim_now () + span, NULL, on_resubmit, boxed (job), false);
+}
+
+static void
+on_resubmit (void *arg)
+{
+  submit (*(uint32_t *) arg, world_entry (sim_random (WORLD_ENTRIES)), 0,
+          HSX_SUBMIT);
+}
+
+static void
+answered (Request *request)
+{
+  Job *job = &jobs[request->job];
+
+  if (request->variant != 0 || request->args->verb != HSX_SUBMIT)
+    {
+      if (!job->final && job->pending == 0)
+        resubmit_later (request->job, HS_SEC / 10);
+      return;
+    }
+  if (job->answer != NULL)
+    {
+      check_same (job, request);
+      return;
+    }
+  job->answer = request->answer;
+  job->final = true;
+  if (request->answer->state == HSX_JOB_COMPLETE)
+    n_complete++;
+  if (sim_random (5) == 0)
+    resubmit_later (request->job, sim_between (HS_SEC / 2, 3 * HS_SEC));
+}
+
+/* Each answer: whole, and of this request's own content. */
+static void
+check_whole (const Request *request)
+{
+  const hsx_answer *answer = request->answer;
+  const Job *job = &jobs[request->job];
+  bool all_done = true;
+  u_int i;
+
+  if (answer->state == HSX_JOB_REFUSED)
+    return;
+  if (answer->tasks.tasks_len != job->n_tasks)
+    checks_fail ("the answer to %s has %u of %u tasks", job->id,
+                 answer->tasks.tasks_len, job->n_tasks);
+  for (i = 0; i < answer->tasks.tasks_len; i++)
+    {
+      const hsx_task_answer *task = &answer->tasks.tasks_val[i];
+      char *body = body_of (NULL, job, i, request->variant);
+      char *want = talloc_asprintf (body, "done:%s", body);
+
+      if (task->state != HSX_TASK_DONE)
+        all_done = false;
+      else if (request->args->verb == HSX_SUBMIT
+               && (task->body.body_len != strlen (want)
+                   || memcmp (task->body.body_val, want, strlen (want)) != 0))
+        checks_fail ("the answer to %s/%u isn't its own", job->id, i);
+      if (task->state == HSX_TASK_NOT_RUN)
+        claim_not_run (request, (int) i);
+      if (faults_lossless () && task->state != HSX_TASK_DONE
+          && task->kind != HS_ERROR_CANCELLED)
+        checks_fail ("%s/%u was cut without a fault: state %d kind %u",
+                     job->id, i, (int) task->state, task->kind);
+      talloc_free (body);
+    }
+  if (all_done != (answer->state == HSX_JOB_COMPLETE))
+    checks_fail ("the answer to %s is marked %s", job->id,
+                 all_done ? "failed" : "complete");
+}
+
+static void
+check_same (const Job *job, const Request *request)
+{
+  u_int i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    if (job->answer->tasks.tasks_val[i].state == HSX_TASK_DONE
+        && (request->answer->tasks.tasks_val[i].state == HSX_TASK_NOT_RUN))
+      checks_fail ("%s/%u was done and later not run", job->id, i);
+}
+
+static void
+refused (Request *request)
+{
+  Job *job = &jobs[request->job];
+  const hsx_answer *answer = request->answer;
+
+  if (answer->not_run)
+    claim_not_run (request, -1);
+  if (job->final || job->pending > 0)
+    return;
+  switch (answer->kind)
+    {
+    case HS_ERROR_CONFLICT:
+      if (request->variant == 0)
+        {
+          job->final = true;
+          return;
+        }
+      break;
+    case HS_ERROR_EXPIRED:
+      checks_fail ("%s was refused as expired within the retention", job->id);
+      job->final = true;
+      return;
+    default:
+      break;
+    }
+  if (answer->not_run && request->variant == 0 && sim_random (2) == 0)
+    {
+      job->final = true;
+      return;
+    }
+  resubmit_later (request->job,
+                  CLAMP (answer->retry_after_ms * HS_MSEC, HS_SEC / 5,
+                         2 * HS_SEC));
+}
+
+static void
+claim_not_run (const Request *request, int index)
+{
+  Claim claim = { request->job, index, request->issued_at,
+                  jobs[request->job].pending > (request->over ? 0 : 1)
+                      || jobs[request->job].last_sent > request->sent_at };
+
+  g_array_append_val (claims, claim);
+}
+
+static Proc *
+other_entry (const Proc *entry)
+{
+  return world_entry ((entry->number + 1 + sim_random (WORLD_ENTRIES - 1))
+                      % WORLD_ENTRIES);
+}
+
+static char *
+body_of (TALLOC_CTX *ctx, const Job *job, uint32_t index, uint32_t variant)
+{
+  return talloc_asprintf (ctx, "%s/%s/%u/%u/%u",
+                          job_customer (job->customer), job->id, index,
+                          variant, job->run_ms[index]);
+}
+
+static uint32_t *
+boxed (uint32_t number)
+{
+  uint32_t *box = talloc (sim_memory (), uint32_t);
+
+  *box = number;
+  return box;
+}
--- /dev/null
+++ b/test/matrix/main.c
@@ -0,0 +1,341 @@
+/* The fault matrix: every fault at every step, some seeds each. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "checks.h"
+#include "jobs.h"
+#include "operators.h"
+#include "world.h"
+
+#define SEEDS 5
+/** Bound on the time that callers wait after the last fault. */
+#define PATIENCE (45 * HS_SEC)
+/** Late starts and edits are looked for this long after all is answered. */
+#define AFTERMATH (12 * HS_SEC)
+#define SCENE_END (11 * HS_SEC)
+/** Failed runs that are printed. */
+#define PRINTED_MAX 60
+
+typedef struct
+{
+  uint32_t runs;
+  uint32_t struck; /* Runs in which the fault struck. */
+  uint32_t failed;
+  uint64_t checks;
+  uint64_t starts;
+} Cell;
+
+static gchar *step_option;
+static gchar *fault_option;
+static gint seed_option = -1;
+static gint seeds_option = SEEDS;
+static gboolean trace_option;
+static Cell cells[STEP_COUNT][FAULT_COUNT];
+static uint32_t printed;
+
+static const GOptionEntry OPTIONS[]
+    = { { "step", 0, 0, G_OPTION_ARG_STRING, &step_option, "One row", "STEP" },
+        { "fault", 0, 0, G_OPTION_ARG_STRING, &fault_option, "One column",
+          "FAULT" },
+        { "seed", 0, 0, G_OPTION_ARG_INT, &seed_option, "One seed", "N" },
+        { "seeds", 0, 0, G_OPTION_ARG_INT, &seeds_option, "Seeds a cell", "N" },
+        { "trace", 0, 0, G_OPTION_ARG_NONE, &trace_option,
+          "Print every message", NULL },
+        { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL } };
+
+static void run_cell (Step step, Fault fault);
+static bool run (Step step, Fault fault, int seed, bool first);
+static void finish (Step step, Fault fault, int seed);
+static void scene (Step step);
+static void at (HsTime when, SimFunc func);
+static void start_entry_2 (void *arg);
+static void kill_entry_0 (void *arg);
+static void leave_entry_1 (void *arg);
+static void leave_agent_1 (void *arg);
+static void leave_target_2 (void *arg);
+static void return_target_2 (void *arg);
+static void break_links (void *arg);
+static void edit (void *arg);
+static void print_table (void);
+static void print_absent (void);
+
+int
+main (int argc, char **argv)
+{
+  GOptionContext *context = g_option_context_new ("- run the fault matrix");
+  GError *error = NULL;
+  uint32_t passed = 0;
+  uint32_t failed = 0;
+  Step step;
+  Fault fault;
+
+  g_option_context_add_main_entries (context, OPTIONS, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "%s\n", error->message);
+      return 2;
+    }
+  g_option_context_free (context);
+  rcu_register_thread ();
+  for (step = 0; step < STEP_COUNT; step++)
+    for (fault = 0; fault < FAULT_COUNT; fault++)
+      if ((step_option == NULL || strcmp (step_option, step_name (step)) == 0)
+          && (fault_option == NULL
+              || strcmp (fault_option, fault_name (fault)) == 0))
+        {
+          run_cell (step, fault);
+          passed += cells[step][fault].runs - cells[step][fault].failed;
+          failed += cells[step][fault].failed;
+        }
+  rcu_unregister_thread ();
+  print_table ();
+  if (step_option == NULL && fault_option == NULL)
+    print_absent ();
+  printf ("%u passed, %u failed\n", passed, failed);
+  return failed > 0 ? 1 : 0;
+}
+
+static void
+run_cell (Step step, Fault fault)
+{
+  int seed;
+
+  if (fault_absent (step, fault) != NULL)
+    return;
+  for (seed = 1; seed <= seeds_option; seed++)
+    if (seed_option < 0 || seed == seed_option)
+      {
+        if (!run (step, fault, seed, false))
+          run (step, fault, seed, true);
+        finish (step, fault, seed);
+      }
+  if (seed_option > seeds_option)
+    {
+      if (!run (step, fault, seed_option, false))
+        run (step, fault, seed_option, true);
+      finish (step, fault, seed_option);
+    }
+}
+
+/* False if the fault found no occasion and nothing failed. */
+static bool
+run (Step step, Fault fault, int seed, bool first)
+{
+  uint64_t mixed
+      = (uint64_t) seed * 10007 + (uint64_t) step * 101 + (uint64_t) fault;
+  HsTime end;
+  uint32_t i;
+
+  world_begin (mixed, trace_option);
+  faults_begin (step, fault, first);
+  for (i = 0; i < WORLD_PROCS; i++)
+    if (step != STEP_HANDOVER || i != WORLD_ENTRIES - 1)
+      world_start (&world.procs[i]);
+  jobs_begin ();
+  scene (step);
+  sim_run (SCENE_END);
+  end = world.calm_at + PATIENCE;
+  while (jobs_open () > 0 && sim_now () < MAX (end, SCENE_END + PATIENCE))
+    sim_run (sim_now () + HS_SEC);
+  sim_run (MAX (sim_now (), world.calm_at) + AFTERMATH);
+  jobs_check ();
+  if (!first && faults_struck () == 0 && fault != FAULT_NONE
+      && checks_failures () == 0)
+    {
+      world_end ();
+      return false;
+    }
+  return true;
+}
+
+static void
+finish (Step step, Fault fault, int seed)
+{
+  Cell *cell = &cells[step][fault];
+  uint32_t i;
+
+  cell->runs++;
+  cell->checks += checks_made ();
+  cell->starts += checks_total_starts ();
+  if (faults_struck () > 0 || fault == FAULT_NONE)
+    cell->struck++;
+  if (checks_failures () > 0)
+    cell->failed++;
+  if (checks_failures () > 0 && printed++ < PRINTED_MAX)
+    {
+      printf ("FAILED --step %s --fault %s --seed %d: %u broken\n",
+              step_name (step), fault_name (fault), seed, checks_failures ());
+      for (i = 0; i < MIN (checks_failures (), CHECKS_REPORT_MAX); i++)
+        printf ("    %s\n", checks_report[i]);
+      fflush (stdout);
+    }
+  world_end ();
+}
+
+/* What makes the steps of a row happen. */
+static void
+scene (Step step)
+{
+  HsTime first = FAULTS_WARM_UP + HS_SEC / 2;
+
+  at (first, edit);
+  at (first + 2 * HS_SEC, edit);
+  switch (step)
+    {
+    case STEP_TAKEOVER:
+    case STEP_RECOVER:
+      at (first, kill_entry_0);
+      break;
+    case STEP_HANDOVER:
+      at (first, start_entry_2);
+      at (first + 3 * HS_SEC, leave_entry_1);
+      break;
+    case STEP_SETTLE:
+      at (first, break_links);
+      at (first + 2 * HS_SEC, break_links);
+      break;
+    case STEP_ANNOUNCE:
+    case STEP_LEAVE:
+      at (first, leave_target_2);
+      at (first + HS_SEC, leave_agent_1);
+      at (first + 4 * HS_SEC, return_target_2);
+      at (first + 6 * HS_SEC, leave_target_2);
+      break;
+    case STEP_EDIT:
+    case STEP_WATCH:
+      at (first + HS_SEC, edit);
+      at (first + 3 * HS_SEC, edit);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+at (HsTime when, SimFunc func)
+{
+  sim_at (when + sim_between (0, HS_SEC / 2), NULL, func, NULL, false);
+}
+
+static void
+start_entry_2 (void *arg)
+{
+  (void) arg;
+  world_start (world_entry (2));
+}
+
+static void
+kill_entry_0 (void *arg)
+{
+  (void) arg;
+  world_kill (world_entry (0), sim_random (2) == 0);
+  world_restart_later (world_entry (0), 5 * HS_SEC);
+}
+
+static void
+leave_entry_1 (void *arg)
+{
+  (void) arg;
+  world_leave (world_entry (1));
+}
+
+static void
+leave_agent_1 (void *arg)
+{
+  (void) arg;
+  world_leave (world_agent (1));
+}
+
+static void
+leave_target_2 (void *arg)
+{
+  (void) arg;
+  sim_at (sim_now (), world_agent (2), (SimFunc) target_leave, world_agent (2),
+          false);
+}
+
+static void
+return_target_2 (void *arg)
+{
+  (void) arg;
+  world_agent (2)->target.leaving = false;
+  world_agent (2)->target.left_at = HS_NEVER;
+}
+
+static void
+break_links (void *arg)
+{
+  (void) arg;
+  net_break_between (world_entry (sim_random (WORLD_ENTRIES)),
+                     world_agent (sim_random (WORLD_AGENTS)));
+}
+
+static void
+edit (void *arg)
+{
+  (void) arg;
+  operators_edit (sim_random (OPERATORS_PLANS),
+                  world_entry (sim_random (WORLD_ENTRIES)));
+}
+
+static void
+print_table (void)
+{
+  Step step;
+  Fault fault;
+  uint64_t checks = 0;
+  uint64_t starts = 0;
+
+  printf ("%-14s", "");
+  for (fault = 0; fault < FAULT_COUNT; fault++)
+    printf (" %3s", fault_mark (fault));
+  printf ("  runs  failed\n");
+  for (step = 0; step < STEP_COUNT; step++)
+    {
+      uint32_t runs = 0;
+      uint32_t failed = 0;
+
+      printf ("%-14s", step_name (step));
+      for (fault = 0; fault < FAULT_COUNT; fault++)
+        {
+          const Cell *cell = &cells[step][fault];
+
+          runs += cell->runs;
+          failed += cell->failed;
+          checks += cell->checks;
+          starts += cell->starts;
+          if (cell->runs == 0)
+            printf ("   .");
+          else if (cell->failed > 0)
+            printf ("  F%u", cell->failed);
+          else if (cell->struck == 0)
+            printf ("   ?");
+          else
+            printf ("  %2u", cell->struck);
+        }
+      printf ("  %4u  %6u\n", runs, failed);
+    }
+  printf ("marks:");
+  for (fault = 0; fault < FAULT_COUNT; fault++)
+    printf (" %s=%s", fault_mark (fault), fault_name (fault));
+  printf ("\nnumbers are seeds in which the fault struck, all kept; Fn: failed "
+          "seeds; ?: never struck; .: can't occur\n");
+  printf ("%" G_GUINT64_FORMAT " checks of %" G_GUINT64_FORMAT " starts\n",
+          checks, starts);
+}
+
+static void
+print_absent (void)
+{
+  Step step;
+  Fault fault;
+
+  for (step = 0; step < STEP_COUNT; step++)
+    for (fault = 0; fault < FAULT_COUNT; fault++)
+      if (fault_absent (step, fault) != NULL)
+        printf ("can't occur: %s x %s: %s\n", step_name (step),
+                fault_name (fault), fault_absent (step, fault));
+}
--- /dev/null
+++ b/test/matrix/targets.c
@@ -0,0 +1,291 @@
+/* Targets and the agent's two interfaces to them, in place of
+   agent/target_call.c and agent/target_api.c. */
+
+#include <string.h>
+
+#include "agent/target_call.h"
+#include "checks.h"
+#include "jobs.h"
+#include "world.h"
+
+/** A call on the same host. */
+#define LOCAL_DELAY (100 * HS_USEC)
+/** Announcements last this long. */
+#define TARGET_TTL (3 * HS_SEC)
+#define ANNOUNCE_PERIOD (1 * HS_SEC)
+#define STRAGGLER_FACTOR 10
+#define TARGET_MEMORY_MB 1024
+#define HTTP_FAILED 500
+
+struct HsTargetCall
+{
+  Proc *agent;
+  hsx_task_key key;
+  char *body;
+  u_int body_len;
+  HsTargetDone done;
+  void *arg;
+  SimEvent *timeout;
+  SimEvent *answer;
+  TargetMood mood;
+  struct Running *running;
+};
+
+/* A task that a target runs, whoever still waits for it. */
+typedef struct Running
+{
+  HsTargetCall *call; /* NULL: the agent gave it up or died. */
+  uint32_t start;     /* Of checks_started(). */
+} Running;
+
+struct HsTargetApi
+{
+  Proc *agent;
+};
+
+static void on_announce_due (void *arg);
+static void begin (HsTargetCall *call, const hsx_start *start);
+static void on_unsent (void *arg);
+static void on_run_end (void *arg);
+static void on_answer (void *arg);
+static void on_call_timeout (void *arg);
+static void end (HsTargetCall *call, HsTargetEnd how, const HsFinish *finish);
+static int call_destructor (HsTargetCall *call);
+static TargetMood mood_of (const Proc *agent);
+
+void
+target_begin (Proc *agent)
+{
+  agent->target.left_at = HS_NEVER;
+  sim_at (sim_now () + LOCAL_DELAY, NULL, on_announce_due, agent, false);
+}
+
+void
+target_announce (Proc *agent)
+{
+  HsAnnouncement a = { .slots = TARGET_SLOTS, .ttl = TARGET_TTL };
+  GError *error = NULL;
+
+  if (!agent->alive || agent->target.leaving || agent->agent == NULL
+      || agent->target.handler.announce == NULL
+      || agent->paused_until > sim_now ())
+    return;
+  g_strlcpy (a.address, "target", sizeof a.address);
+  a.capacity.memory_mb = TARGET_MEMORY_MB;
+  agent->target.handler.announce (agent->target.handler_arg, &a, &error);
+  g_clear_error (&error);
+}
+
+void
+target_leave (Proc *agent)
+{
+  if (agent->target.leaving || !agent->alive
+      || !fault_before (STEP_LEAVE, agent, NULL, NULL))
+    return;
+  agent->target.leaving = true;
+  agent->target.left_at = sim_now ();
+  sim_trace ("%s: target leaves", agent->name);
+  agent->target.handler.leave (agent->target.handler_arg);
+  fault_after (STEP_LEAVE, agent, NULL, NULL);
+}
+
+struct HsCurl
+{
+  int unused;
+};
+
+HsCurl *
+hs_curl_new (TALLOC_CTX *ctx, struct tevent_context *ev)
+{
+  (void) ev;
+  return talloc_zero (ctx, HsCurl);
+}
+
+HsTargetApi *
+hs_target_api_new (TALLOC_CTX *ctx,
+                   struct tevent_context *ev,
+                   const char *listen,
+                   const char *key,
+                   const HsTargetApiHandler *handler,
+                   void *arg,
+                   GError **error)
+{
+  HsTargetApi *api = talloc_zero (ctx, HsTargetApi);
+
+  (void) listen;
+  (void) key;
+  (void) error;
+  api->agent = ev->proc;
+  ev->proc->target.handler = *handler;
+  ev->proc->target.handler_arg = arg;
+  return api;
+}
+
+uint16_t
+hs_target_api_port (const HsTargetApi *api)
+{
+  (void) api;
+  return 1;
+}
+
+void
+hs_target_api_left (HsTargetApi *api)
+{
+  sim_trace ("%s: target has left", api->agent->name);
+}
+
+HsTargetCall *
+hs_target_call (TALLOC_CTX *ctx,
+                HsCurl *curl,
+                const char *address,
+                const hsx_start *start,
+                HsTargetDone done,
+                void *arg)
+{
+  HsTargetCall *call = talloc_zero (ctx, HsTargetCall);
+  Proc *agent = sim_current ();
+
+  (void) curl;
+  (void) address;
+  call->agent = agent;
+  call->key = start->key;
+  call->key.customer = talloc_strdup (call, start->key.customer);
+  call->key.id = talloc_strdup (call, start->key.id);
+  call->body = talloc_strndup (call, start->body.body_val, start->body.body_len);
+  call->body_len = start->body.body_len;
+  call->done = done;
+  call->arg = arg;
+  talloc_set_destructor (call, call_destructor);
+  if (!fault_before (STEP_TARGET_CALLED, agent, NULL, NULL))
+    return call;
+  begin (call, start);
+  fault_after (STEP_TARGET_CALLED, agent, NULL, NULL);
+  return call;
+}
+
+static void
+on_announce_due (void *arg)
+{
+  Proc *agent = arg;
+
+  /* Run as the agent's event, so that its clock is read. */
+  sim_at (sim_now (), agent, (SimFunc) target_announce, agent, false);
+  sim_at (sim_now () + ANNOUNCE_PERIOD, NULL, on_announce_due, agent, false);
+}
+
+static void
+begin (HsTargetCall *call, const hsx_start *start)
+{
+  TargetMood mood = mood_of (call->agent);
+  HsTime span = job_run_span (call->body);
+  Running *running;
+
+  if (mood == TARGET_REFUSING)
+    {
+      call->answer = sim_at (sim_now () + LOCAL_DELAY, call->agent, on_unsent,
+                             call, false);
+      return;
+    }
+  running = talloc_zero (sim_memory (), Running);
+  running->call = call;
+  running->start = checks_started (call->agent, &call->key, call->body);
+  call->running = running;
+  call->mood = mood;
+  if (mood == TARGET_STRAGGLING)
+    span *= STRAGGLER_FACTOR;
+  if (mood == TARGET_FAILING)
+    span = LOCAL_DELAY;
+  call->timeout
+      = sim_at (sim_now () + start->timeout_ms * HS_MSEC, call->agent,
+                on_call_timeout, call, false);
+  sim_at (sim_now () + LOCAL_DELAY + span, NULL, on_run_end, running, false);
+}
+
+static void
+on_unsent (void *arg)
+{
+  HsTargetCall *call = arg;
+  HsFinish refused = { .outcome = HSX_REFUSED };
+
+  call->answer = NULL;
+  end (call, HS_TARGET_UNSENT, &refused);
+}
+
+static void
+on_run_end (void *arg)
+{
+  Running *running = arg;
+  HsTargetCall *call = running->call;
+
+  checks_ended (running->start);
+  if (call == NULL)
+    return;
+  call->running = NULL;
+  call->answer = sim_at (sim_now (), call->agent, on_answer, call, false);
+}
+
+static void
+on_answer (void *arg)
+{
+  HsTargetCall *call = arg;
+  char *text = talloc_asprintf (call, "done:%s", call->body);
+  HsFinish finish = { HSX_DONE, 200, 1000, text, strlen (text) };
+  HsFinish lost = { .outcome = HSX_MAYBE };
+
+  call->answer = NULL;
+  switch (call->mood)
+    {
+    case TARGET_SOUND:
+    case TARGET_STRAGGLING:
+    case TARGET_REFUSING:
+      end (call, HS_TARGET_ANSWERED, &finish);
+      return;
+    case TARGET_FAILING:
+      finish.outcome = HSX_FAILED;
+      finish.http_status = HTTP_FAILED;
+      end (call, HS_TARGET_ANSWERED, &finish);
+      return;
+    case TARGET_LYING:
+      end (call, HS_TARGET_FOREIGN, &lost);
+      return;
+    case TARGET_CUTTING:
+      end (call, HS_TARGET_BROKEN, &lost);
+      return;
+    }
+}
+
+static void
+on_call_timeout (void *arg)
+{
+  HsTargetCall *call = arg;
+  HsFinish lost = { .outcome = HSX_MAYBE };
+
+  call->timeout = NULL;
+  end (call, HS_TARGET_TIMEOUT, &lost);
+}
+
+static void
+end (HsTargetCall *call, HsTargetEnd how, const HsFinish *finish)
+{
+  call->done (call->arg, how, finish);
+  talloc_free (call);
+}
+
+static int
+call_destructor (HsTargetCall *call)
+{
+  if (call->timeout != NULL)
+    sim_cancel (call->timeout);
+  if (call->answer != NULL)
+    sim_cancel (call->answer);
+  if (call->running != NULL)
+    call->running->call = NULL;
+  return 0;
+}
+
+static TargetMood
+mood_of (const Proc *agent)
+{
+  return agent->target.mood_until > sim_now () ? agent->target.mood
+                                               : TARGET_SOUND;
+}
--- /dev/null
+++ b/test/matrix/world.c
@@ -0,0 +1,299 @@
+#include "world.h"
+
+#include <string.h>
+
+#include "agent/internal.h"
+#include "checks.h"
+#include "jobs.h"
+#include "operators.h"
+
+/** The lease is short, so that a pause beyond it stays short. */
+#define LEASE (3 * HS_SEC)
+#define RETENTION (300 * HS_SEC)
+#define TASK_TIMEOUT (8 * HS_SEC)
+#define SKEW (250 * HS_MSEC)
+/** Planned stops are looked at this often. */
+#define LEAVE_PERIOD (50 * HS_MSEC)
+/** A process that has stopped as planned runs again after this. */
+#define PLANNED_PAUSE (4 * HS_SEC)
+#define LISTS_PERIOD (100 * HS_MSEC)
+
+World world;
+
+static void lay_out (Proc *proc, uint32_t number);
+static void settings_of (Proc *proc);
+static void on_start (void *arg);
+static void on_restart (void *arg);
+static void on_leave (void *arg);
+static void on_leave_check (void *arg);
+static void bury (Proc *proc);
+static void on_lists (void *arg);
+
+void
+world_begin (uint64_t seed, bool trace)
+{
+  uint32_t i;
+
+  sim_begin (seed, trace);
+  memset (&world, 0, sizeof world);
+  store_begin ();
+  checks_begin ();
+  operators_begin ();
+  for (i = 0; i < WORLD_PROCS; i++)
+    lay_out (&world.procs[i], i);
+  for (i = 0; i < WORLD_AGENTS; i++)
+    target_begin (world_agent (i));
+  on_lists (NULL);
+}
+
+void
+world_end (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < WORLD_PROCS; i++)
+    if (world.procs[i].alive)
+      world_kill (&world.procs[i], false);
+  sim_end ();
+}
+
+void
+world_start (Proc *proc)
+{
+  proc->alive = true;
+  proc->doomed = false;
+  proc->host_gone = false;
+  proc->leaving = false;
+  proc->leave_at = HS_NEVER;
+  proc->target.leaving = false;
+  proc->target.left_at = HS_NEVER;
+  proc->paused_until = 0;
+  proc->mono_offset = sim_between (HS_SEC, 100000 * HS_SEC);
+  proc->wall_skew_ms = sim_between (0, SKEW / HS_MSEC) - SKEW / HS_MSEC / 2;
+  proc->started_at = sim_now ();
+  memset (proc->seen_revision, 0, sizeof proc->seen_revision);
+  proc->ev.proc = proc;
+  proc->memory = talloc_new (NULL);
+  settings_of (proc);
+  sim_at (sim_now (), proc, on_start, proc, false);
+}
+
+void
+world_kill (Proc *proc, bool with_host)
+{
+  if (!proc->alive || proc->doomed)
+    return;
+  proc->host_gone = with_host;
+  proc->doomed = true;
+  sim_trace ("%s dies%s", proc->name, with_host ? " with its host" : "");
+  if (proc != sim_current ())
+    bury (proc);
+}
+
+void
+world_reap (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < WORLD_PROCS; i++)
+    if (world.procs[i].alive && world.procs[i].doomed)
+      bury (&world.procs[i]);
+}
+
+void
+world_pause (Proc *proc, HsTime span)
+{
+  sim_trace ("%s is paused for %.1f s", proc->name,
+             (double) span / (double) HS_SEC);
+  proc->paused_until = MAX (proc->paused_until, sim_now () + span);
+}
+
+void
+world_restart_later (Proc *proc, HsTime span)
+{
+  sim_at (sim_now () + span, NULL, on_restart, proc, false);
+}
+
+void
+world_leave (Proc *proc)
+{
+  if (!proc->alive || proc->leaving)
+    return;
+  proc->leaving = true;
+  proc->leave_at = sim_now ();
+  sim_at (sim_now (), proc, on_leave, proc, false);
+  sim_at (sim_now () + LEAVE_PERIOD, proc, on_leave_check, proc, false);
+}
+
+Proc *
+world_entry (uint32_t i)
+{
+  return &world.procs[i % WORLD_ENTRIES];
+}
+
+Proc *
+world_agent (uint32_t i)
+{
+  return &world.procs[WORLD_ENTRIES + i % WORLD_AGENTS];
+}
+
+Proc *
+world_find (const char *address)
+{
+  uint32_t i;
+
+  for (i = 0; i < WORLD_PROCS; i++)
+    if (strcmp (world.procs[i].address, address) == 0)
+      return &world.procs[i];
+  return NULL;
+}
+
+bool
+proc_acts (const Proc *proc)
+{
+  return proc->alive && !proc->doomed;
+}
+
+static void
+lay_out (Proc *proc, uint32_t number)
+{
+  proc->number = number;
+  proc->kind = number < WORLD_ENTRIES ? PROC_ENTRY : PROC_AGENT;
+  g_snprintf (proc->name, sizeof proc->name, "%s%u",
+              proc->kind == PROC_ENTRY ? "entry" : "agent",
+              number < WORLD_ENTRIES ? number : number - WORLD_ENTRIES);
+  g_snprintf (proc->address, sizeof proc->address, "10.0.0.%u:7000",
+              number + 1);
+  proc->leave_at = HS_NEVER;
+}
+
+static void
+settings_of (Proc *proc)
+{
+  HsSettings *settings = &proc->settings;
+  HsEntrySettings *entry = &settings->u.entry;
+  HsAgentSettings *agent = &settings->u.agent;
+  uint32_t i;
+
+  memset (settings, 0, sizeof *settings);
+  settings->data_centre = talloc_strdup (proc->memory, "dc1");
+  settings->cluster_key = talloc_strdup (proc->memory, "0123456789abcdef");
+  if (proc->kind == PROC_ENTRY)
+    {
+      settings->role = HS_ROLE_ENTRY;
+      entry->name = proc->name;
+      entry->http_listen = proc->address;
+      entry->admin_listen = proc->address;
+      entry->rpc_listen = proc->address;
+      entry->rpc_address = proc->address;
+      entry->threads = 1;
+      entry->partitions = WORLD_PARTITIONS;
+      entry->lease = LEASE;
+      entry->retention = RETENTION;
+      entry->ahead = HS_SEC;
+      entry->skew = SKEW;
+      entry->task_timeout = TASK_TIMEOUT;
+      entry->claims_per_s = 20;
+      entry->store = talloc_zero_array (proc->memory, char *, 1);
+      return;
+    }
+  settings->role = HS_ROLE_AGENT;
+  agent->name = proc->name;
+  agent->target_listen = proc->address;
+  agent->rpc_listen = proc->address;
+  agent->rpc_address = proc->address;
+  agent->rack = talloc_strdup (proc->memory, "r1");
+  agent->retention = RETENTION;
+  agent->memory_bytes = 1 << 20;
+  agent->entries
+      = talloc_zero_array (proc->memory, char *, WORLD_ENTRIES + 1);
+  for (i = 0; i < WORLD_ENTRIES; i++)
+    agent->entries[i] = world_entry (proc->number + i)->address;
+}
+
+static void
+on_start (void *arg)
+{
+  Proc *proc = arg;
+  GError *error = NULL;
+
+  if (proc->kind == PROC_ENTRY)
+    proc->core
+        = hs_core_new (proc->memory, &proc->ev, &proc->settings, &error);
+  else
+    proc->agent
+        = hs_agent_new (proc->memory, &proc->ev, &proc->settings, &error);
+  if (error != NULL)
+    g_error ("%s: %s", proc->name, error->message);
+  sim_trace ("%s starts", proc->name);
+}
+
+static void
+on_restart (void *arg)
+{
+  Proc *proc = arg;
+
+  if (!proc->alive)
+    world_start (proc);
+}
+
+static void
+on_leave (void *arg)
+{
+  Proc *proc = arg;
+
+  sim_trace ("%s leaves as planned", proc->name);
+  if (proc->core != NULL)
+    hs_core_leave (proc->core);
+  else if (proc->agent != NULL)
+    hs_agent_leave (proc->agent);
+}
+
+static void
+on_leave_check (void *arg)
+{
+  Proc *proc = arg;
+  bool left = proc->core != NULL ? proc->core->finished
+                                 : hs_agent_has_left (proc->agent);
+
+  if (!left)
+    {
+      sim_at (sim_now () + LEAVE_PERIOD, proc, on_leave_check, proc, false);
+      return;
+    }
+  if (proc->kind == PROC_ENTRY && front_open (proc) > 0)
+    checks_fail ("%s left with %u requests unanswered", proc->name,
+                 front_open (proc));
+  if (proc->kind == PROC_AGENT && checks_running (proc) > 0)
+    checks_fail ("%s left with %u tasks running", proc->name,
+                 checks_running (proc));
+  world_kill (proc, false);
+  world_restart_later (proc, PLANNED_PAUSE);
+}
+
+static void
+bury (Proc *proc)
+{
+  net_proc_died (proc, proc->host_gone);
+  if (proc->kind == PROC_ENTRY)
+    front_proc_died (proc);
+  else if (proc->host_gone)
+    checks_host_died (proc);
+  else
+    checks_agent_died (proc);
+  memset (&proc->target.handler, 0, sizeof proc->target.handler);
+  proc->core = NULL;
+  proc->agent = NULL;
+  TALLOC_FREE (proc->memory);
+  proc->alive = false;
+  proc->doomed = false;
+  proc->life++;
+}
+
+static void
+on_lists (void *arg)
+{
+  (void) arg;
+  checks_lists ();
+  sim_at (sim_now () + LISTS_PERIOD, NULL, on_lists, NULL, false);
+}
