Keep a link's name while its end is handled

Cause: on_down() read the link after hs_agents_conn_down() had declared a refused agent lost, which forgets and frees the link (ASan, fault matrix, links.c:296). Change: the incarnation is copied before the calls. Conclusion: an entry whose dial an agent's host refused used freed memory.

--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -270,6 +270,7 @@
   HsCore *core = arg;
   HsLink *link = hs_conn_data (conn);
   HsNow now = hs_now ();
+  uint64_t incarnation;
   bool was_up;
 
   hs_calls_conn_down (core->calls, conn);
@@ -289,11 +290,13 @@
       g_array_set_size (link->starts, 0);
       TALLOC_FREE (link->starts_memory);
     }
+  /* The calls may forget the process, which frees the link. */
+  incarnation = link->incarnation;
   if (link->role == HSX_ROLE_AGENT)
-    hs_agents_conn_down (core, link->incarnation, refused, now);
+    hs_agents_conn_down (core, incarnation, refused, now);
   else if (was_up)
-    hs_peers_conn_down (core, link->incarnation, now);
-  link = find (core->links, link->incarnation);
+    hs_peers_conn_down (core, incarnation, now);
+  link = find (core->links, incarnation);
   if (link != NULL && !link->wanted)
     drop (core->links, link);
   hs_core_rearm (core, now);
