Take each RECOVER's reply for its own

Cause: an agent that announces itself anew on a connection that is up made hs_owner_agent_up() send a second RECOVER while the first was under way. Change: a connection counts as new only after hs_owner_agent_down(); that clears the RECOVER under way also of an agent that was lost meanwhile. Conclusion: an announcement no longer starts a second recovery.

--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -67,10 +67,11 @@
   Agent *agent = agent_find (owner, incarnation, &handle);
 
   (void) now;
-  if (agent == NULL)
+  /* An announcement on a connection that is up already changes nothing: the
+     reply to a RECOVER under way would be taken for the reply to another. */
+  if (agent == NULL || agent->connected)
     return;
   agent->connected = true;
-  agent->recovering = false;
   if (owner->owned == 0)
     return;
   recover_agent (owner, handle);
@@ -83,10 +84,12 @@
   uint32_t handle;
   Agent *agent = agent_find (owner, incarnation, &handle);
 
-  if (agent == NULL || !agent->connected)
+  if (agent == NULL)
     return;
-  agent->connected = false;
   agent->recovering = false;
+  if (!agent->connected)
+    return;
+  agent->connected = false;
   hs_credits_drop (owner->credits, handle);
   if (agent->state == HSX_MEMBER_UP)
     hs_credits_agent (owner->credits, handle, &agent->capacity);
