Take back partitions that were given up and belong elsewhere

Cause: a partition given up with a lapsed lease, whose record still names this entry, was taken back only if this entry was also its best owner. Change: decide() takes such a partition back first, unless the entry leaves.

--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -502,7 +502,15 @@
             wanted[n++] = part;
           break;
         case HS_PART_HAND_TO:
-          if (now.mono - keeper->stable_since >= SETTLE_SPAN || core->leaving)
+          /* Given up with an earlier lease: nobody else may take it while
+             this entry lives, so it is taken back before it is handed on. */
+          if (!core->leaving && !hs_owner_owns (core->owner, part))
+            {
+              if (n < keeper->take_most)
+                wanted[n++] = part;
+            }
+          else if (now.mono - keeper->stable_since >= SETTLE_SPAN
+                   || core->leaving)
             hs_handovers_want (core->handovers, target, part, now);
           break;
         case HS_PART_KEEP:
