Refuse list records whose name can't be held

Cause: hs_lists_apply() took any name; one of more than 64 characters was cut, so that two records could meet under one name. Change: names that hs_name_valid() refuses are a typed error with a remedy. Conclusion: the watch's reader checked names already; the function now holds by itself.

--- a/src/lists/lists.c
+++ b/src/lists/lists.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/error.h"
+
 /** Deletions remembered, to refuse older records that arrive late. */
 #define DELETIONS_MAX 4096
 
@@ -90,6 +92,14 @@
                 int64_t revision,
                 GError **error)
 {
+  if (!hs_name_valid (name))
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
+                   "name: is not one of a record; use 1 to %d of a-z, A-Z, "
+                   "0-9, '.', '_' and '-', not starting with '.'",
+                   HS_NAME_MAX);
+      return false;
+    }
   if (revision <= known_revision (lists, kind, name))
     return false;
   if (json == NULL)
--- a/src/lists/lists.h
+++ b/src/lists/lists.h
@@ -68,6 +68,7 @@
 /**
  * Applies one record as the store holds it; @p json NULL deletes.
  * Older revisions than the one held (or than the deletion) are ignored.
+ * Errors: HS_ERROR_INVALID, also for a name that is not hs_name_valid().
  * @param revision the record's mod_revision
  * @return true if the view changed; false with @p error unset if it was old
  */
