Write refusals as valid JSON whatever the reason holds

Cause: the reason of a refusal, which may come cut from another entry, was put into the JSON as it is; bytes that are not UTF-8 made the text no JSON. Change: the message is made valid UTF-8 first.

--- a/src/entry/job_json.c
+++ b/src/entry/job_json.c
@@ -332,9 +332,11 @@
 {
   struct json_object *object = json_object_new_object ();
   struct json_object *inner = json_object_new_object ();
+  /* Another entry's reason may be cut inside of a character. */
+  g_autofree char *valid = g_utf8_make_valid (message, -1);
 
   add_string (inner, "kind", hs_error_kind (kind));
-  add_string (inner, "message", message);
+  add_string (inner, "message", valid);
   json_object_object_add (inner, "not_run", json_object_new_boolean (not_run));
   json_object_object_add (object, "error", inner);
   return object;
