Measure entries that run, with many agents in one thread

Cause: nothing measured a running entry at the target's rates. Change: bench-system runs shipped agents with instant targets in one thread and a caller on kept connections; bench/run-system brings entries up.

--- a/bench/part.mk
+++ b/bench/part.mk
@@ -1,3 +1,5 @@
 BENCHES += dispatch
 BENCH_DISPATCH := bench/dispatch.c bench/fleet.c bench/events.c \
 	bench/workload.c
+BENCHES += system
+BENCH_SYSTEM := bench/system.c bench/client.c bench/fakes.c
--- /dev/null
+++ b/bench/system.c
@@ -0,0 +1,254 @@
+/**
+ * @file
+ * Measures entries that run: many agents with instant targets in one thread,
+ * a caller in another, the processor time of the entries from /proc. Prints
+ * one JSON object for the measured span.
+ */
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "client.h"
+#include "fakes.h"
+
+/** Agents announce and are connected within this span. */
+#define SETTLE_SPAN (3 * HS_SEC)
+#define DRAIN_SPAN (20 * HS_SEC)
+
+typedef struct
+{
+  double cpu_s;
+  long rss_kb;
+} Usage;
+
+static char *name;
+static char *entries_rpc;
+static char *entries_http;
+static char *customers;
+static char *pids;
+static char *key;
+static char *cluster_key;
+static int agents = 11;
+static int slots = 8;
+static int run_us;
+static int tasks = 1;
+static int connections = 64;
+static double rate;
+static double seconds = 5;
+static double warmup = 2;
+
+static const GOptionEntry OPTIONS[] = {
+  { "name", 0, 0, G_OPTION_ARG_STRING, &name, "Name of the run", "TEXT" },
+  { "rpc", 0, 0, G_OPTION_ARG_STRING, &entries_rpc, "For agents", "LIST" },
+  { "http", 0, 0, G_OPTION_ARG_STRING, &entries_http, "For callers", "LIST" },
+  { "customers", 0, 0, G_OPTION_ARG_STRING, &customers, "Names", "LIST" },
+  { "pids", 0, 0, G_OPTION_ARG_STRING, &pids, "Of the entries", "LIST" },
+  { "key", 0, 0, G_OPTION_ARG_STRING, &key, "Key of the customers", "TEXT" },
+  { "cluster-key", 0, 0, G_OPTION_ARG_STRING, &cluster_key, "", "TEXT" },
+  { "agents", 0, 0, G_OPTION_ARG_INT, &agents, "Number of agents", "N" },
+  { "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Of each target", "N" },
+  { "run-us", 0, 0, G_OPTION_ARG_INT, &run_us, "Run time of a task", "N" },
+  { "tasks", 0, 0, G_OPTION_ARG_INT, &tasks, "Of a job", "N" },
+  { "connections", 0, 0, G_OPTION_ARG_INT, &connections, "Callers; 0: no load",
+    "N" },
+  { "rate", 0, 0, G_OPTION_ARG_DOUBLE, &rate,
+    "Jobs a second; 0: as fast "
+    "as answers come",
+    "N" },
+  { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &seconds, "Span measured", "N" },
+  { "warmup", 0, 0, G_OPTION_ARG_DOUBLE, &warmup, "Span before", "N" },
+  G_OPTION_ENTRY_NULL,
+};
+
+static void start_fakes (void);
+static void open_client (void);
+static void load (double span, BenchClientResult *result);
+static Usage usage_of (const char *pid);
+static void report (double span,
+                    const BenchClientResult *result,
+                    const BenchFakesStats *before,
+                    const BenchFakesStats *after,
+                    const Usage *used,
+                    const Usage *used_after);
+static double percentile (const BenchClientResult *result, double share);
+static int compare_times (const void *a, const void *b);
+
+int
+main (int argc, char **argv)
+{
+  GOptionContext *context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+  g_auto (GStrv) pid_list = NULL;
+  BenchClientResult result = { 0 };
+  BenchFakesStats before;
+  BenchFakesStats after;
+  Usage sums[2] = { { 0, 0 }, { 0, 0 } };
+  HsTime begin;
+  int i;
+
+  g_option_context_add_main_entries (context, OPTIONS, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error)
+      || entries_rpc == NULL || entries_http == NULL || pids == NULL
+      || customers == NULL || key == NULL || cluster_key == NULL)
+    g_error ("bench-system: %s", error != NULL ? error->message : "options");
+  g_option_context_free (context);
+  pid_list = g_strsplit (pids, ",", -1);
+  start_fakes ();
+  g_usleep (SETTLE_SPAN);
+  open_client ();
+  load (warmup, &result);
+  g_free (result.latencies);
+  before = bench_fakes_stats ();
+  for (i = 0; pid_list[i] != NULL; i++)
+    {
+      Usage usage = usage_of (pid_list[i]);
+
+      sums[0].cpu_s += usage.cpu_s;
+    }
+  begin = hs_now ().mono;
+  load (seconds, &result);
+  seconds = (double) (hs_now ().mono - begin) / (double) HS_SEC;
+  for (i = 0; pid_list[i] != NULL; i++)
+    {
+      Usage usage = usage_of (pid_list[i]);
+
+      sums[1].cpu_s += usage.cpu_s;
+      sums[1].rss_kb += usage.rss_kb;
+    }
+  after = bench_fakes_stats ();
+  report (seconds, &result, &before, &after, &sums[0], &sums[1]);
+  if (connections > 0 && !bench_client_drain (DRAIN_SPAN))
+    fprintf (stderr, "bench-system: jobs are open 20 s after the end\n");
+  return 0;
+}
+
+static void
+start_fakes (void)
+{
+  BenchFakes fakes = { .agents = (uint32_t) agents,
+                       .slots = (uint32_t) slots,
+                       .run = run_us * HS_USEC,
+                       .key = cluster_key,
+                       .entries = g_strsplit (entries_rpc, ",", -1) };
+
+  bench_fakes_start (&fakes);
+}
+
+static void
+open_client (void)
+{
+  BenchClient config = { .entries = g_strsplit (entries_http, ",", -1),
+                         .customers = g_strsplit (customers, ",", -1),
+                         .key = key,
+                         .connections = (uint32_t) connections,
+                         .tasks = (uint32_t) tasks,
+                         .run_ms = (uint32_t) (run_us / 1000),
+                         .jobs_per_s = rate };
+
+  bench_client_open (&config);
+}
+
+static void
+load (double span, BenchClientResult *result)
+{
+  memset (result, 0, sizeof *result);
+  if (connections == 0)
+    g_usleep ((gulong) (span * HS_SEC));
+  else
+    bench_client_run ((HsTime) (span * HS_SEC), result);
+}
+
+static Usage
+usage_of (const char *pid)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/%s/stat", pid);
+  g_autofree char *text = NULL;
+  unsigned long user = 0;
+  unsigned long system = 0;
+  long pages = 0;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL)
+      || sscanf (strrchr (text, ')') + 1,
+                 " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu %*d "
+                 "%*d %*d %*d %*d %*d %*u %*u %ld",
+                 &user, &system, &pages)
+             != 3)
+    g_error ("bench-system: process %s is gone", pid);
+  return (Usage){ (double) (user + system) / (double) sysconf (_SC_CLK_TCK),
+                  pages * (sysconf (_SC_PAGESIZE) / 1024) };
+}
+
+static void
+report (double span,
+        const BenchClientResult *result,
+        const BenchFakesStats *before,
+        const BenchFakesStats *after,
+        const Usage *used,
+        const Usage *used_after)
+{
+  uint64_t starts = after->starts - before->starts;
+  uint64_t bytes = after->rpc.bytes_sent - before->rpc.bytes_sent
+                   + after->rpc.bytes_received - before->rpc.bytes_received;
+  double cpu = used_after->cpu_s - used->cpu_s;
+  uint64_t messages = 0;
+  uint64_t grants = after->rpc.sent_by_proc[HSX_GRANT]
+                    - before->rpc.sent_by_proc[HSX_GRANT];
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (after->rpc.sent_by_proc); i++)
+    messages += after->rpc.sent_by_proc[i] - before->rpc.sent_by_proc[i]
+                + after->rpc.received_by_proc[i]
+                - before->rpc.received_by_proc[i];
+  qsort (result->latencies, result->n_latencies, sizeof (HsTime),
+         compare_times);
+  printf ("{\"name\":\"%s\",\"agents\":%d,\"slots\":%d,\"run_us\":%d,"
+          "\"tasks\":%d,\"connections\":%d,\"rate\":%.0f,\"seconds\":%.2f,",
+          name, agents, slots, run_us, tasks, connections, rate, span);
+  printf ("\"jobs\":%lu,\"not_complete\":%lu,\"starts\":%lu,\"refused\":%lu,"
+          "\"starts_per_s\":%.0f,",
+          result->complete, result->other, starts,
+          after->refused - before->refused, (double) starts / span);
+  printf ("\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"max_ms\":%.3f,",
+          percentile (result, 0.5), percentile (result, 0.99),
+          percentile (result, 1));
+  printf ("\"entry_cores\":%.3f,\"entry_us_per_start\":%.1f,"
+          "\"entry_rss_kb\":%ld,\"agents_cores\":%.3f,",
+          cpu / span, starts > 0 ? cpu * 1e6 / (double) starts : 0,
+          used_after->rss_kb,
+          (double) (after->cpu_us - before->cpu_us) / 1e6 / span);
+  printf ("\"inner_messages\":%lu,\"start_messages\":%lu,"
+          "\"result_messages\":%lu,\"grant_messages\":%lu,"
+          "\"inner_bytes_per_s\":%.0f,\"bytes_per_start\":%.0f}\n",
+          messages,
+          after->rpc.received_by_proc[HSX_START]
+              - before->rpc.received_by_proc[HSX_START],
+          after->rpc.sent_by_proc[HSX_RESULT]
+              - before->rpc.sent_by_proc[HSX_RESULT],
+          grants, (double) bytes / span,
+          starts > 0 ? (double) bytes / (double) starts : 0);
+}
+
+static double
+percentile (const BenchClientResult *result, double share)
+{
+  uint32_t at = (uint32_t) (share * result->n_latencies);
+
+  if (result->n_latencies == 0)
+    return 0;
+  return (double) result->latencies[MIN (at, result->n_latencies - 1)]
+         / (double) HS_MSEC;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  HsTime x = *(const HsTime *) a;
+  HsTime y = *(const HsTime *) b;
+
+  return x < y ? -1 : x > y;
+}
--- a/mk/bench.mk
+++ b/mk/bench.mk
@@ -21,3 +21,13 @@
 	else echo "bench-dispatch: no gnuplot, plot not drawn"; fi
 
 .PHONY: bench-dispatch
+
+# The fakes stand in for parts of the library, so they come before it.
+$(B)/bench-system: $(BENCH_SYSTEM:%.c=$(B)/%.o) $(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
+
+bench-system: $(B)/bench-system $(BIN) $(STANDINS)
+	@mkdir -p $(BENCH_RESULTS)
+	@bench/run-system $(B) $(BENCH_COMMIT) $(BENCH_RESULTS)/system.json
+
+.PHONY: bench-system
