--- a/bench/table.awk
+++ b/bench/table.awk
@@ -1,15 +1,19 @@
-# Shows the lines of bench-system as a Markdown table.
-function field(key,    at) {
+# Shows flat JSON objects, one a line, as a Markdown table. The variable
+# "columns" names what to show.
+function field(key,    text) {
 	if (!match($0, "\"" key "\":[^,}]*"))
 		return ""
-	at = substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3)
-	gsub("\"", "", at)
-	return at
+	text = substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3)
+	gsub("\"", "", text)
+	return text
 }
 BEGIN {
-	n = split("name entries agents starts_per_s p50_ms p99_ms entry_cores " \
-		"entry_us_per_start agents_cores bytes_per_start " \
-		"inner_bytes_per_s entry_rss_kb", keys, " ")
+	if (columns == "")
+		columns = "name entries agents starts_per_s p50_ms p99_ms " \
+			"entry_cores entry_us_per_start agents_cores " \
+			"bytes_per_start inner_bytes_per_s entry_rss_kb " \
+			"store_calls_per_s"
+	n = split(columns, keys, " ")
 	for (i = 1; i <= n; i++)
 		printf "| %s ", keys[i]
 	print "|"
