--- a/src/base/time.c
+++ b/src/base/time.c
@@ -9,7 +9,8 @@
   struct timespec wall;
   HsNow now;
 
-  clock_gettime (CLOCK_MONOTONIC, &mono);
+  /* A lease goes on lapsing while the host is suspended. */
+  clock_gettime (CLOCK_BOOTTIME, &mono);
   clock_gettime (CLOCK_REALTIME, &wall);
   now.mono = (HsTime) mono.tv_sec * HS_SEC + mono.tv_nsec / 1000;
   now.wall_ms = (int64_t) wall.tv_sec * 1000 + wall.tv_nsec / 1000000;
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -5,6 +5,10 @@
 
 static Agent *
 agent_add (HsOwner *owner, const hsx_member *member, uint32_t *handle);
+static void
+send_settle (HsOwner *owner, uint32_t handle, hsx_settle_args *args);
+static void mark_unsettled (HsOwner *owner, uint32_t handle);
+static void mark_settled (HsOwner *owner, const hsx_task_key *key);
 static void agent_gone (HsOwner *owner, uint32_t handle, HsNow now);
 static void
 take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now);
@@ -75,7 +79,8 @@
   if (owner->owned == 0)
     return;
   recover_agent (owner, handle);
-  settle_agent (owner, handle, false);
+  mark_unsettled (owner, handle);
+  settle_agent (owner, handle);
 }
 
 void
@@ -146,12 +151,21 @@
   Agent *agent = agent_find (owner, incarnation, &handle);
   u_int i;
 
+  if (agent == NULL)
+    return;
+  if (agent->settling > 0)
+    agent->settling--;
   /* Without an answer the next connection asks again, or the timeout of the
      tasks decides. */
-  if (agent == NULL || reply == NULL)
+  if (reply == NULL)
     return;
   for (i = 0; i < reply->results.results_len; i++)
-    take_one (owner, handle, &reply->results.results_val[i], now);
+    {
+      mark_settled (owner, &reply->results.results_val[i].key);
+      take_one (owner, handle, &reply->results.results_val[i], now);
+    }
+  if (reply->results.results_len > 0 && owner->agents[handle].settling == 0)
+    settle_agent (owner, handle);
   pump (owner, now);
 }
 
@@ -215,8 +229,9 @@
   pump (owner, now);
 }
 
+/* Asks for the unsettled ones; an agent's reply may leave some out. */
 void
-settle_agent (HsOwner *owner, uint32_t handle, bool unsettled_only)
+settle_agent (HsOwner *owner, uint32_t handle)
 {
   hsx_task_key keys[HSX_BATCH_MAX];
   hsx_settle_args args = { { 0, keys } };
@@ -224,28 +239,54 @@
 
   for (i = 0; i < owner->tasks->len; i++)
     {
-      Task *task = owner->tasks->pdata[i];
+      const Task *task = owner->tasks->pdata[i];
       hsx_task_key *key;
 
       if (task == NULL || task->state != TASK_SENT || task->agent != handle
-          || (unsettled_only && !task->unsettled))
+          || !task->unsettled)
         continue;
-      task->unsettled = false;
       key = &keys[args.keys.keys_len++];
       key->part = task->job->part;
       key->customer = task->job->customer;
       key->id = task->job->id;
       key->index = task->index;
       memcpy (&key->content, task->job->digest, sizeof key->content);
-      if (args.keys.keys_len < HSX_BATCH_MAX)
-        continue;
-      owner->effects.settle (owner->arg, owner->agents[handle].incarnation,
-                             &args);
-      args.keys.keys_len = 0;
+      if (args.keys.keys_len == HSX_BATCH_MAX)
+        send_settle (owner, handle, &args);
     }
   if (args.keys.keys_len > 0)
-    owner->effects.settle (owner->arg, owner->agents[handle].incarnation,
-                           &args);
+    send_settle (owner, handle, &args);
+}
+
+static void
+send_settle (HsOwner *owner, uint32_t handle, hsx_settle_args *args)
+{
+  owner->agents[handle].settling++;
+  owner->effects.settle (owner->arg, owner->agents[handle].incarnation, args);
+  args->keys.keys_len = 0;
+}
+
+static void
+mark_unsettled (HsOwner *owner, uint32_t handle)
+{
+  guint i;
+
+  for (i = 0; i < owner->tasks->len; i++)
+    {
+      Task *task = owner->tasks->pdata[i];
+
+      if (task != NULL && task->state == TASK_SENT && task->agent == handle)
+        task->unsettled = true;
+    }
+}
+
+static void
+mark_settled (HsOwner *owner, const hsx_task_key *key)
+{
+  Job *job = job_find (owner, key->customer, key->id);
+
+  if (job != NULL && key->index < job->n_tasks)
+    job->tasks[key->index].unsettled = false;
 }
 
 static void
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -110,6 +110,7 @@
   Customer *customer = task->job->owner_of_limits;
 
   clear_timer (owner, task);
+  task->unsettled = false;
   task->state = TASK_SENT;
   task->agent = agent;
   task->sent_at = now.mono;
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -48,7 +48,7 @@
   TaskState state;
   uint32_t agent; /* Handle; TASK_SENT only. */
   bool took_credit;
-  bool unsettled; /* Adopted as sent; SETTLE is due. */
+  bool unsettled; /* Sent, but perhaps never received; see SETTLE. */
   uint32_t attempts;
   HsTime charged;
   HsTime queued_at;
@@ -104,6 +104,7 @@
   uint32_t recovered;    /* Generation answered whole. */
   uint32_t cursor;       /* Of the next page of the reply. */
   bool forgetful;        /* Remembers less than the retention. */
+  uint32_t settling;     /* SETTLE calls without reply. */
   int64_t lost_ms;       /* Wall time at which it was lost. */
 } Agent;
 
@@ -196,7 +197,8 @@
   uint32_t *timer_positions;
   uint32_t timer_room;
   HsHeap timers;
-  GQueue kept; /* Finished jobs, oldest first. */
+  GList *keeping; /* Oldest link with bodies; NULL: none. */
+  GQueue kept;    /* Finished jobs, oldest first. */
   uint64_t kept_bytes;
   uint32_t unfinished;
   Agent *agents; /* Table by handle. */
@@ -282,6 +284,6 @@
 
 /* agents.c */
 Agent *agent_find (HsOwner *owner, uint64_t incarnation, uint32_t *handle);
-void settle_agent (HsOwner *owner, uint32_t handle, bool unsettled_only);
+void settle_agent (HsOwner *owner, uint32_t handle);
 
 #endif
--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -6,6 +6,7 @@
 
 static void drop_task (HsOwner *owner, Task *task);
 static uint32_t take_handle (HsOwner *owner, Task *task);
+static void unkeep (HsOwner *owner, Job *job);
 static void drop_bodies (HsOwner *owner, Job *job);
 static void forget (HsOwner *owner, Job *job, HsNow now);
 
@@ -77,7 +78,7 @@
   if (job->unfinished > 0)
     owner->unfinished--;
   else
-    g_queue_unlink (&owner->kept, &job->kept_link);
+    unkeep (owner, job);
   owner->kept_bytes -= job->kept_bytes;
   for (i = 0; i < job->waiters->len; i++)
     g_hash_table_remove (owner->waiters,
@@ -102,6 +103,8 @@
   job->finished_at = now.mono;
   owner->unfinished--;
   g_queue_push_tail_link (&owner->kept, &job->kept_link);
+  if (owner->keeping == NULL)
+    owner->keeping = &job->kept_link;
   owner->kept_bytes += job->kept_bytes;
   owner->effects.measure (owner->arg, job->customer, job->queue_wait, 0,
                           now.mono - job->arrived);
@@ -218,10 +221,12 @@
         break;
       forget (owner, job, now);
     }
-  for (link = owner->kept.head;
-       link != NULL && owner->kept_bytes > owner->config.kept_bytes;
-       link = link->next)
-    drop_bodies (owner, link->data);
+  while (owner->keeping != NULL && owner->kept_bytes > owner->config.kept_bytes)
+    {
+      link = owner->keeping;
+      owner->keeping = link->next;
+      drop_bodies (owner, link->data);
+    }
 }
 
 static void
@@ -276,6 +281,14 @@
   return handle;
 }
 
+static void
+unkeep (HsOwner *owner, Job *job)
+{
+  if (owner->keeping == &job->kept_link)
+    owner->keeping = job->kept_link.next;
+  g_queue_unlink (&owner->kept, &job->kept_link);
+}
+
 /* A UUIDv7 tells by itself that it is too old; an opaque id is remembered. */
 static void
 forget (HsOwner *owner, Job *job, HsNow now)
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -52,7 +52,7 @@
     if (owner->agents[i].connected)
       {
         recover_agent (owner, i);
-        settle_agent (owner, i, true);
+        settle_agent (owner, i);
       }
   recovery_check (owner, now);
   pump (owner, now);
@@ -124,8 +124,7 @@
     }
   agent->cursor = 0;
   agent->recovered = agent->recover_sent;
-  if (reply->remembers_s * HS_SEC < owner->config.retention)
-    agent->forgetful = true;
+  agent->forgetful = reply->remembers_s * HS_SEC < owner->config.retention;
   if (agent->recovered < owner->generation)
     recover_agent (owner, handle);
   recovery_check (owner, now);
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -217,6 +217,52 @@
   world_free (w);
 }
 
+/* An agent's reply to SETTLE is bounded and may leave tasks out. */
+static void
+what_a_reply_leaves_out_is_asked_again (void **state)
+{
+  World *w = serving_world ();
+  HsWaiter waiter = world_submit (w, world_id (w, 0, 1), 2, 'x');
+  hsx_result done;
+  hsx_settle_reply reply = { { 1, &done } };
+
+  (void) state;
+  hs_owner_agent_down (w->owner, AGENT, w->now);
+  hs_owner_agent_up (w->owner, AGENT, w->now);
+  assert_int_equal (w->settles->len, 1);
+  done = world_record (world_start (w, 0)->id, world_start (w, 0)->index,
+                       HSX_DONE);
+  hs_owner_settled (w->owner, AGENT, &reply, w->now);
+  assert_int_equal (w->settles->len, 2);
+  done = world_record (world_start (w, 1)->id, world_start (w, 1)->index,
+                       HSX_DONE);
+  hs_owner_settled (w->owner, AGENT, &reply, w->now);
+  assert_int_equal (w->settles->len, 2);
+  assert_int_equal (world_answer (w, waiter)->state, HSX_JOB_COMPLETE);
+  world_free (w);
+}
+
+static void
+bodies_over_the_bound_are_dropped_and_ids_are_not (void **state)
+{
+  World *w = serving_world ();
+  g_autofree char *large = g_strnfill (1 << 20, 'b');
+  char *first = world_id (w, 0, 1);
+  HsWaiter waiter;
+
+  (void) state;
+  world_submit (w, first, 1, 'x');
+  world_result (w, world_start (w, 0), HSX_DONE, HSX_REFUSAL_NONE, large);
+  world_submit (w, world_id (w, 0, 2), 1, 'x');
+  world_result (w, world_start (w, 1), HSX_DONE, HSX_REFUSAL_NONE, "small");
+  world_pass (w, HS_MSEC);
+  waiter = world_submit (w, first, 1, 'x');
+  assert_int_equal (world_answer (w, waiter)->kind, HS_ERROR_EXPIRED);
+  assert_false (world_answer (w, waiter)->not_run);
+  assert_int_equal (w->starts->len, 2);
+  world_free (w);
+}
+
 static void
 an_opaque_id_starts_after_its_claim (void **state)
 {
@@ -250,6 +296,8 @@
     cmocka_unit_test (a_refused_start_is_sent_again),
     cmocka_unit_test (a_lost_agent_leaves_tasks_that_may_have_run),
     cmocka_unit_test (a_broken_connection_is_settled_when_it_is_back),
+    cmocka_unit_test (what_a_reply_leaves_out_is_asked_again),
+    cmocka_unit_test (bodies_over_the_bound_are_dropped_and_ids_are_not),
     cmocka_unit_test (an_opaque_id_starts_after_its_claim),
   };
 
