--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -110,6 +110,7 @@
   Customer *customer = task->job->owner_of_limits;
 
   clear_timer (owner, task);
+  task->unsettled = false;
   task->state = TASK_SENT;
   task->agent = agent;
   task->sent_at = now.mono;
@@ -266,7 +267,7 @@
   Customer *customer = owner->flows->pdata[flow];
   const Task *task = owner->tasks->pdata[handle];
 
-  if (hs_credits_idle (owner->credits) == 0)
+  if (!hs_credits_any (owner->credits, now))
     return HS_NONE_STARTS;
   if (!customer->known || customer->in_flight >= customer->allowance.in_flight)
     return HS_FLOW_WAITS;
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -90,7 +90,14 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
-/** Idle credits that trust allows to use now; all of one agent; in use. */
+/** Whether hs_credits_take() may find a credit for a task of small needs. */
+bool hs_credits_any (const HsCredits *pool, HsTime now);
+
+/**
+ * Idle credits that tasks may use: of healthy agents, and while fewer than
+ * half are healthy one of each on probation. Then: all idle ones of one
+ * agent; those in use, of all and of one agent.
+ */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
 uint32_t hs_credits_in_use (const HsCredits *pool);
