Follow the operators' HTTP as the entry serves it

Cause: the entry gives lists as records by name and other words in status. Change: list, apply and status read these shapes; deleting a record that isn't there is told without a call. Conclusion: the commands fit the server in the tree.

--- a/src/cli/allowance.c
+++ b/src/cli/allowance.c
@@ -10,8 +10,6 @@
   static const HsCliList LIST = {
     .command = "allowance",
     .path = "v1/allowances",
-    .list_key = "allowances",
-    .name_key = "plan",
     .normalize = normalize,
   };
 
--- a/src/cli/apply.c
+++ b/src/cli/apply.c
@@ -23,17 +23,15 @@
 typedef struct
 {
   const HsCliRecords *records;
-  struct json_object *array; /**< The present records. */
+  struct json_object *present; /**< The present records by name. */
   Change *changes;
   size_t n;
 } Plan;
 
 static int get_present (TALLOC_CTX *ctx, Plan *plan);
-static struct json_object *find (const Plan *plan, const char *name);
 static bool
 plan_record (Plan *plan, const char *name, struct json_object *wanted);
 static char *merge (TALLOC_CTX *ctx,
-                    const HsCliList *list,
                     struct json_object *present,
                     struct json_object *wanted);
 static void copy_fields (struct json_object *to, struct json_object *from);
@@ -85,15 +83,12 @@
 {
   const HsCliRecords *records = plan->records;
   HsHttpReply *reply = hs_cli_records_get (ctx, records, NULL);
-  struct json_object *root;
 
   if (reply->outcome != HS_HTTP_ANSWERED || reply->status != HTTP_OK)
     return hs_cli_explain (records->list->command, "list", records->admin,
                            reply);
-  root = hs_cli_parse (ctx, reply->body);
-  if (json_object_is_type (root, json_type_object)
-      && json_object_object_get_ex (root, records->list->list_key, &plan->array)
-      && json_object_is_type (plan->array, json_type_array))
+  plan->present = hs_cli_records_of (hs_cli_parse (ctx, reply->body));
+  if (plan->present != NULL)
     return HS_CLI_OK;
   hs_cli_error (records->list->command,
                 "%s gave no list; check that it is an admin address",
@@ -101,30 +96,16 @@
   return HS_CLI_UNKNOWN;
 }
 
-static struct json_object *
-find (const Plan *plan, const char *name)
-{
-  const char *key = plan->records->list->name_key;
-  size_t i;
-
-  for (i = 0; i < json_object_array_length (plan->array); i++)
-    {
-      struct json_object *record = json_object_array_get_idx (plan->array, i);
-
-      if (strcmp (hs_cli_string (record, key, ""), name) == 0)
-        return record;
-    }
-  return NULL;
-}
-
 static bool
 plan_record (Plan *plan, const char *name, struct json_object *wanted)
 {
   const HsCliList *list = plan->records->list;
-  struct json_object *present = find (plan, name);
+  struct json_object *present = NULL;
   g_autoptr (GError) error = NULL;
-  Change change
-      = { .name = name, .revision = hs_cli_record_revision (present) };
+  Change change = { .name = name };
+
+  json_object_object_get_ex (plan->present, name, &present);
+  change.revision = hs_cli_record_revision (present);
 
   if (!json_object_is_type (wanted, json_type_object))
     {
@@ -133,9 +114,9 @@
     }
   if (present != NULL)
     change.present = list->normalize (
-        plan, hs_cli_record_fields (plan, list, present), name, NULL);
-  change.wanted = list->normalize (plan, merge (plan, list, present, wanted),
-                                   name, &error);
+        plan, hs_cli_record_fields (plan, present), name, NULL);
+  change.wanted
+      = list->normalize (plan, merge (plan, present, wanted), name, &error);
   if (change.wanted == NULL)
     {
       hs_cli_error (list->command, "%s: %s", name, error->message);
@@ -148,10 +129,7 @@
 
 /* The present fields, overlaid by those of the file. */
 static char *
-merge (TALLOC_CTX *ctx,
-       const HsCliList *list,
-       struct json_object *present,
-       struct json_object *wanted)
+merge (TALLOC_CTX *ctx, struct json_object *present, struct json_object *wanted)
 {
   struct json_object *fields = json_object_new_object ();
   char *text;
@@ -162,7 +140,7 @@
   if (json_object_object_get_ex (wanted, "key", NULL))
     json_object_object_del (fields, "key_hash");
   copy_fields (fields, wanted);
-  text = hs_cli_record_fields (ctx, list, fields);
+  text = hs_cli_record_fields (ctx, fields);
   json_object_put (fields);
   return text;
 }
@@ -179,19 +157,15 @@
 static void
 plan_prune (Plan *plan, struct json_object *file)
 {
-  const HsCliList *list = plan->records->list;
-  size_t i;
-
-  for (i = 0; i < json_object_array_length (plan->array); i++)
-    {
-      struct json_object *record = json_object_array_get_idx (plan->array, i);
-      Change change = { .name = hs_cli_string (record, list->name_key, ""),
-                        .present = "{}",
-                        .revision = hs_cli_record_revision (record) };
+  json_object_object_foreach (plan->present, name, record)
+  {
+    Change change = { .name = name,
+                      .present = "{}",
+                      .revision = hs_cli_record_revision (record) };
 
-      if (!json_object_object_get_ex (file, change.name, NULL))
-        add (plan, &change);
-    }
+    if (!json_object_object_get_ex (file, name, NULL))
+      add (plan, &change);
+  }
 }
 
 static void
--- a/src/cli/plan.c
+++ b/src/cli/plan.c
@@ -10,8 +10,6 @@
   static const HsCliList LIST = {
     .command = "plan",
     .path = "v1/plans",
-    .list_key = "plans",
-    .name_key = "customer",
     .normalize = normalize,
   };
 
--- a/src/cli/records.c
+++ b/src/cli/records.c
@@ -11,7 +11,7 @@
 
 static int run_verb (HsCliRecords *records, int argc, char **argv);
 static int show (const HsCliRecords *records, const char *name);
-static void print_list (const HsCliRecords *records, struct json_object *root);
+static void print_list (struct json_object *records);
 static int
 put_file (const HsCliRecords *records, const char *name, const char *path);
 static int
@@ -118,19 +118,31 @@
   return json_object_get_int64 (revision);
 }
 
+struct json_object *
+hs_cli_records_of (struct json_object *root)
+{
+  struct json_object *records;
+
+  if (!json_object_is_type (root, json_type_object)
+      || !json_object_object_get_ex (root, "records", &records)
+      || !json_object_is_type (records, json_type_object))
+    return NULL;
+  return records;
+}
+
 char *
-hs_cli_record_fields (TALLOC_CTX *ctx,
-                      const HsCliList *list,
-                      struct json_object *record)
+hs_cli_record_fields (TALLOC_CTX *ctx, struct json_object *record)
 {
-  struct json_object *fields = json_object_new_object ();
+  struct json_object *fields;
   char *text;
 
+  if (!json_object_is_type (record, json_type_object))
+    return talloc_strdup (ctx, "{}");
+  fields = json_object_new_object ();
   json_object_object_foreach (record, key, value)
   {
-    if (strcmp (key, "revision") == 0 || strcmp (key, list->name_key) == 0)
-      continue;
-    json_object_object_add (fields, key, json_object_get (value));
+    if (strcmp (key, "revision") != 0)
+      json_object_object_add (fields, key, json_object_get (value));
   }
   text = talloc_strdup (
       ctx, json_object_to_json_string_ext (fields, JSON_C_TO_STRING_PLAIN));
@@ -164,6 +176,7 @@
 {
   TALLOC_CTX *tmp = talloc_new (NULL);
   HsHttpReply *reply = hs_cli_records_get (tmp, records, name);
+  struct json_object *list;
   int code = HS_CLI_OK;
 
   if (reply->outcome != HS_HTTP_ANSWERED || reply->status != HTTP_OK)
@@ -172,34 +185,26 @@
   else if (records->json || name != NULL)
     printf ("%s\n", reply->body);
   else
-    print_list (records, hs_cli_parse (tmp, reply->body));
+    {
+      list = hs_cli_records_of (hs_cli_parse (tmp, reply->body));
+      if (list != NULL)
+        print_list (list);
+    }
   talloc_free (tmp);
   return code;
 }
 
 static void
-print_list (const HsCliRecords *records, struct json_object *root)
+print_list (struct json_object *records)
 {
-  struct json_object *array = NULL;
-  size_t i;
-
-  if (json_object_is_type (root, json_type_object))
-    json_object_object_get_ex (root, records->list->list_key, &array);
-  if (!json_object_is_type (array, json_type_array))
-    return;
-  for (i = 0; i < json_object_array_length (array); i++)
-    {
-      struct json_object *record = json_object_array_get_idx (array, i);
-      char *fields;
+  json_object_object_foreach (records, name, record)
+  {
+    char *fields = hs_cli_record_fields (NULL, record);
 
-      if (!json_object_is_type (record, json_type_object))
-        continue;
-      fields = hs_cli_record_fields (NULL, records->list, record);
-      printf ("%s %" PRId64 " %s\n",
-              hs_cli_string (record, records->list->name_key, "?"),
-              hs_cli_record_revision (record), fields);
-      talloc_free (fields);
-    }
+    printf ("%s %" PRId64 " %s\n", name, hs_cli_record_revision (record),
+            fields);
+    talloc_free (fields);
+  }
 }
 
 static int
@@ -236,6 +241,12 @@
       if (code != HS_CLI_OK)
         return code;
     }
+  if (json == NULL && revision == 0)
+    {
+      hs_cli_error (records->list->command,
+                    "%s: no such record; list them to find its name", name);
+      return HS_CLI_FAILED;
+    }
   return hs_cli_records_write (records, name, json, revision);
 }
 
--- a/src/cli/records.h
+++ b/src/cli/records.h
@@ -15,10 +15,8 @@
 /** One of the two lists. */
 typedef struct
 {
-  const char *command;  /**< "plan" */
-  const char *path;     /**< "v1/plans" */
-  const char *list_key; /**< Key of the array in the answer: "plans". */
-  const char *name_key; /**< Key of a record's name: "customer". */
+  const char *command; /**< "plan" */
+  const char *path;    /**< "v1/plans" */
   /** Checks a record and writes it in one canonical line of JSON. */
   char *(*normalize) (TALLOC_CTX *ctx,
                       const char *json,
@@ -57,10 +55,11 @@
 /** The record's revision, 0 when @p record is NULL. */
 int64_t hs_cli_record_revision (struct json_object *record);
 
-/** The fields of a record alone, without name and revision, as JSON. */
-char *hs_cli_record_fields (TALLOC_CTX *ctx,
-                            const HsCliList *list,
-                            struct json_object *record);
+/** The fields of a record alone, without its revision, as JSON. */
+char *hs_cli_record_fields (TALLOC_CTX *ctx, struct json_object *record);
+
+/** The records by name in the answer to GET of a list; NULL if it has none. */
+struct json_object *hs_cli_records_of (struct json_object *root);
 
 /** Makes the list what the file says. */
 int hs_cli_records_apply (const HsCliRecords *records, const char *path);
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -93,10 +93,10 @@
 print_line (const char *admin, struct json_object *status)
 {
   printf ("%s", hs_cli_string (status, "name", admin));
-  print_number (status, "revision", "revision");
-  print_number (status, "revision_age_ms", "age_ms");
+  print_number (status, "lists_revision", "revision");
+  print_number (status, "lists_age_ms", "age_ms");
   print_number (status, "partitions_owned", "partitions");
-  print_number (status, "agents", "agents");
+  print_number (status, "agents_connected", "agents");
   printf ("\n");
 }
 
@@ -105,7 +105,7 @@
 {
   struct json_object *member;
 
-  if (json_object_object_get_ex (status, key, &member))
+  if (json_object_object_get_ex (status, key, &member) && member != NULL)
     printf (" %s=%" PRId64, label, json_object_get_int64 (member));
   else
     printf (" %s=?", label);
