Let messages of entries stand without a second remedy

Cause: an entry's message names its remedy; a second one was appended. Change: the remedy is added only where the answer has no message. Conclusion: one line, one remedy.

--- a/src/cli/common.c
+++ b/src/cli/common.c
@@ -131,6 +131,7 @@
   struct json_object *answer;
   struct json_object *inner = NULL;
   const char *kind;
+  const char *message;
   int code;
 
   switch (reply->outcome)
@@ -159,9 +160,13 @@
   kind = hs_cli_string (inner, "kind", reply->status == 409 ? "conflict" : "");
   code = *kind == '\0' && reply->status >= 500 ? HS_CLI_UNKNOWN
                                                : exit_for_kind (kind);
-  hs_cli_error (command, "%s: %s (HTTP %ld); %s", what,
-                hs_cli_string (inner, "message", "refused"), reply->status,
-                remedy_for (code));
+  /* The messages of entries name their remedy themselves. */
+  message = hs_cli_string (inner, "message", NULL);
+  if (message != NULL)
+    hs_cli_error (command, "%s: %s (HTTP %ld)", what, message, reply->status);
+  else
+    hs_cli_error (command, "%s: refused by %s (HTTP %ld); %s", what, url,
+                  reply->status, remedy_for (code));
   talloc_free (tmp);
   return code;
 }
@@ -204,6 +209,6 @@
     case HS_CLI_UNKNOWN:
       return "try again, with the same id for a job";
     default:
-      return "see the message";
+      return "check that the address is that of an entry";
     }
 }
