--- a/src/entry/calls.c
+++ b/src/entry/calls.c
@@ -299,6 +299,8 @@
 static void
 route_later (Call *call, HsNow now)
 {
+  if (call->state != CALL_ROUTING)
+    call->give_up_at = now.mono + ROUTE_TIMEOUT;
   call->state = CALL_ROUTING;
   call->route_at = now.mono + ROUTE_PAUSE;
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -193,6 +193,7 @@
                       const uint32_t *parts,
                       uint32_t n,
                       uint64_t owner,
+                      bool handed_over,
                       int64_t revision);
 const HsOwnership *hs_keeper_view (const HsKeeper *keeper);
 /** Until when this entry may start tasks; 0 or past: it may not. */
--- a/src/entry/handover.c
+++ b/src/entry/handover.c
@@ -211,7 +211,8 @@
       puts[i].kind = HS_STORE_PUT;
       puts[i].key = key;
       puts[i].value = hs_ownership_part_json (
-          memory, group->target, target != NULL ? target->address : "");
+          memory, group->target, target != NULL ? target->address : "",
+          compares[i].mod_revision);
       puts[i].lease = 0;
     }
   /* The target must be there still; a revision of 0 would say it is gone. */
@@ -230,7 +231,7 @@
   if (reply->status == HS_STORE_OK && reply->succeeded)
     {
       hs_keeper_wrote (core->keeper, group->parts, group->n, group->target,
-                       reply->revision);
+                       true, reply->revision);
       end (group);
       return;
     }
--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -45,6 +45,7 @@
   bool parts_read;
   bool reading;
   bool removing;  /* The record of an entry that is gone. */
+  bool rewrite;   /* The last write of it may have failed. */
   bool recording; /* This entry's record is being written. */
   HsStoreWatch *entry_watch;
   HsStoreWatch *part_watch;
@@ -106,8 +107,9 @@
 void
 hs_keeper_tick (HsKeeper *keeper, HsNow now)
 {
-  ask_promises (keeper, now);
+  /* Only a lease that still stands is extended. */
   update_lease (keeper, now);
+  ask_promises (keeper, now);
   if (now.mono < keeper->retry_at)
     return;
   if (keeper->state == KEEPER_NO_LEASE && !keeper->core->finished)
@@ -115,7 +117,7 @@
   if (keeper->state == KEEPER_HOLDING && !keeper->renewing
       && now.mono >= keeper->renew_at)
     renew (keeper, now);
-  if (keeper->unsettled && keeper->state == KEEPER_HOLDING
+  if ((keeper->unsettled || keeper->rewrite) && keeper->state == KEEPER_HOLDING
       && !keeper->recording)
     write_record (keeper);
   if (!keeper->reading && (!keeper->entries_read || !keeper->parts_read))
@@ -174,18 +176,20 @@
                  const uint32_t *parts,
                  uint32_t n,
                  uint64_t owner,
+                 bool handed_over,
                  int64_t revision)
 {
   HsNow now = hs_now ();
   TALLOC_CTX *memory = talloc_new (keeper);
   const HsEntryRecord *entry = hs_ownership_find_entry (keeper->view, owner);
-  char *json = hs_ownership_part_json (memory, owner,
-                                       entry != NULL ? entry->address : "");
+  const char *address = entry != NULL ? entry->address : "";
   uint32_t i;
 
   for (i = 0; i < n; i++)
     {
       int64_t before = hs_ownership_record (keeper->view, parts[i])->revision;
+      char *json = hs_ownership_part_json (memory, owner, address,
+                                           handed_over ? before : 0);
 
       if (hs_ownership_part (keeper->view, parts[i], json, revision,
                              before == 0 ? revision : before))
@@ -215,6 +219,10 @@
                     HsNow now)
 {
   hs_promises_met (keeper->promises, peer);
+  /* A lease that lapsed while the answer was on its way stays lapsed. */
+  update_lease (keeper, now);
+  if (hs_owner_owned (keeper->core->owner) == 0)
+    return;
   hs_promises_answered (keeper->promises, peer, promised, sent);
   update_lease (keeper, now);
 }
@@ -400,6 +408,7 @@
       /* Whether it was written or not: write it again. */
       if (keeper->state == KEEPER_GRANTING)
         keeper->state = KEEPER_NO_LEASE;
+      keeper->rewrite = true;
       retry_later (keeper);
       return;
     }
@@ -408,6 +417,7 @@
   if (keeper->unsettled)
     hs_keeper_reread (keeper);
   keeper->unsettled = false;
+  keeper->rewrite = false;
   if (keeper->state != KEEPER_GRANTING)
     return;
   keeper->state = KEEPER_HOLDING;
@@ -644,13 +654,14 @@
 {
   const HsPartRecord *record = hs_ownership_record (keeper->view, part);
   HsOwner *owner = keeper->core->owner;
-  uint64_t epoch = (uint64_t) record->revision;
-  uint64_t previous = (uint64_t) record->previous;
+  HsOwnedPart owned
+      = { part, (uint64_t) record->revision, (uint64_t) record->previous,
+          record->handed_from != 0 && record->handed_from == record->previous };
   bool mine = record->owner == keeper->core->incarnation;
 
   if (mine && keeper->confirmed && record->revision > keeper->dropped[part])
     {
-      hs_owner_own (owner, 1, &part, &epoch, &previous, now);
+      hs_owner_own (owner, 1, &owned, now);
       hs_records_owned (keeper->core, part, record->revision);
     }
   else if (!mine && hs_owner_owns (owner, part))
@@ -755,7 +766,7 @@
       puts[i].kind = HS_STORE_PUT;
       puts[i].key = key;
       puts[i].value = hs_ownership_part_json (memory, core->incarnation,
-                                              core->entry->rpc_address);
+                                              core->entry->rpc_address, 0);
       puts[i].lease = 0;
     }
   keeper->taking = true;
@@ -775,7 +786,7 @@
     {
       keeper->take_most = TAKE_MAX;
       hs_keeper_wrote (keeper, keeper->taken, keeper->n_taken,
-                       keeper->core->incarnation, reply->revision);
+                       keeper->core->incarnation, false, reply->revision);
       return;
     }
   if (reply->status == HS_STORE_UNKNOWN)
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -9,6 +9,9 @@
 #define FIRST_PAUSE (100 * HS_MSEC)
 #define LONGEST_PAUSE (2 * HS_SEC)
 
+/** Bodies in one message of starts. */
+#define START_BYTES_MAX ((size_t) 4 << 20)
+
 /** Connections of one process: both sides may dial, and one may be stale. */
 #define CONNS_MAX 4
 
@@ -25,7 +28,8 @@
   HsTime dial_at;
   HsTime pause;
   HsTime down_since;
-  GArray *starts; /* hsx_start, deep copies below `starts_memory`. */
+  size_t starts_bytes; /* Bodies of `starts`. */
+  GArray *starts;      /* hsx_start, deep copies below `starts_memory`. */
   TALLOC_CTX *starts_memory;
   struct tevent_immediate *flush;
 };
@@ -179,7 +183,9 @@
   copy.body.body_val = talloc_memdup (link->starts_memory, start->body.body_val,
                                       start->body.body_len);
   g_array_append_val (link->starts, copy);
-  if (link->starts->len == HSX_BATCH_MAX)
+  link->starts_bytes += start->body.body_len;
+  if (link->starts->len == HSX_BATCH_MAX
+      || link->starts_bytes >= START_BYTES_MAX)
     on_flush (NULL, NULL, link);
 }
 
@@ -290,6 +296,7 @@
       link->down_since = now.mono;
       link->dial_at = now.mono;
       g_array_set_size (link->starts, 0);
+      link->starts_bytes = 0;
       TALLOC_FREE (link->starts_memory);
     }
   /* The calls may forget the process, which frees the link. */
@@ -341,6 +348,7 @@
                      NULL, NULL))
     hs_warn (PART, "start batch could not be sent; its tasks time out");
   g_array_set_size (link->starts, 0);
+  link->starts_bytes = 0;
   TALLOC_FREE (link->starts_memory);
 }
 
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -95,6 +95,8 @@
     record->previous = create_revision;
   record->revision = revision;
   record->owner = object != NULL ? member_u64 (object, "owner") : 0;
+  record->handed_from
+      = json_object_get_int64 (json_object_object_get (object, "handed_from"));
   member_string (object, "address", record->address, sizeof record->address);
   json_object_put (object);
   return true;
@@ -193,10 +195,15 @@
 }
 
 char *
-hs_ownership_part_json (TALLOC_CTX *ctx, uint64_t owner, const char *address)
+hs_ownership_part_json (TALLOC_CTX *ctx,
+                        uint64_t owner,
+                        const char *address,
+                        int64_t handed_from)
 {
-  return talloc_asprintf (
-      ctx, "{\"owner\":\"%016" PRIx64 "\",\"address\":\"%s\"}", owner, address);
+  return talloc_asprintf (ctx,
+                          "{\"owner\":\"%016" PRIx64
+                          "\",\"address\":\"%s\",\"handed_from\":%" PRId64 "}",
+                          owner, address, handed_from);
 }
 
 char *
--- a/src/entry/ownership.h
+++ b/src/entry/ownership.h
@@ -29,10 +29,11 @@
 /** A partition as its record in the store tells. */
 typedef struct
 {
-  uint64_t owner;   /**< Incarnation; 0: never had one. */
-  char address[64]; /**< Of the owner; "" if not told. */
-  int64_t revision; /**< mod_revision, the epoch; 0: no record. */
-  int64_t previous; /**< The revision before; 0: there was none. */
+  uint64_t owner;      /**< Incarnation; 0: never had one. */
+  char address[64];    /**< Of the owner; "" if not told. */
+  int64_t revision;    /**< mod_revision, the epoch; 0: no record. */
+  int64_t previous;    /**< The revision before; 0: there was none. */
+  int64_t handed_from; /**< The revision whose owner wrote this one; 0: none. */
 } HsPartRecord;
 
 /** What should be done about one partition. */
@@ -90,8 +91,10 @@
 
 /** The JSON of the two kinds of record. */
 char *hs_ownership_entry_json (TALLOC_CTX *ctx, const HsEntryRecord *entry);
-char *
-hs_ownership_part_json (TALLOC_CTX *ctx, uint64_t owner, const char *address);
+char *hs_ownership_part_json (TALLOC_CTX *ctx,
+                              uint64_t owner,
+                              const char *address,
+                              int64_t handed_from);
 
 /** Store keys, and back; the back ways return false if it isn't one. */
 char *hs_ownership_entry_key (TALLOC_CTX *ctx, uint64_t incarnation);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -71,6 +71,15 @@
                    HsTime whole);
 } HsOwnerEffects;
 
+/** A partition that this entry has come to own. */
+typedef struct
+{
+  uint32_t part;
+  uint64_t epoch;
+  uint64_t previous; /**< The epoch before; 0: it never had an owner. */
+  bool handed_over;  /**< The owner of that epoch wrote this one's record. */
+} HsOwnedPart;
+
 /** What became of a claim. */
 typedef enum
 {
@@ -126,16 +135,11 @@
 /** @name Partitions @{ */
 
 /**
- * Begins to own partitions.
- * @param epochs the epoch of each
- * @param previous the epoch before of each; 0: it never had an owner
+ * Begins to own partitions. What was staged by hs_owner_import() counts only
+ * for one that was handed over: a copy may be stale in a takeover.
  */
-void hs_owner_own (HsOwner *owner,
-                   uint32_t n,
-                   const uint32_t *parts,
-                   const uint64_t *epochs,
-                   const uint64_t *previous,
-                   HsNow now);
+void
+hs_owner_own (HsOwner *owner, uint32_t n, const HsOwnedPart *parts, HsNow now);
 
 /** Stops to own a partition; its waiters are rerouted, its jobs dropped. */
 void hs_owner_disown (HsOwner *owner, uint32_t part, HsNow now);
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -22,31 +22,29 @@
 static void drop_part_jobs (HsOwner *owner, uint32_t part);
 
 void
-hs_owner_own (HsOwner *owner,
-              uint32_t n,
-              const uint32_t *parts,
-              const uint64_t *epochs,
-              const uint64_t *previous,
-              HsNow now)
+hs_owner_own (HsOwner *owner, uint32_t n, const HsOwnedPart *parts, HsNow now)
 {
   uint32_t i;
 
   owner->generation++;
   for (i = 0; i < n; i++)
     {
-      Part *part = &owner->parts[parts[i]];
+      const HsOwnedPart *p = &parts[i];
+      Part *part = &owner->parts[p->part];
 
-      part->epoch = epochs[i];
+      part->epoch = p->epoch;
       if (part->state != PART_FOREIGN)
         continue;
       part->state = PART_RECOVERING;
       part->recover_until = now.mono + RECOVER_TIMEOUT;
       part->generation = owner->generation;
-      part->fresh = previous[i] == 0;
+      part->fresh = p->previous == 0;
       owner->owned++;
       owner->recovering++;
-      owner->stats.takeovers += !part->fresh;
-      staged_adopt (owner, parts[i], previous[i], now);
+      owner->stats.takeovers += !part->fresh && !p->handed_over;
+      if (!p->handed_over)
+        parts_drop_staged (part);
+      staged_adopt (owner, p->part, p->previous, now);
     }
   for (i = 0; i < owner->n_agents; i++)
     if (owner->agents[i].connected)
--- a/src/rpc/record.h
+++ b/src/rpc/record.h
@@ -18,8 +18,9 @@
 
 #include "proto/procs.h"
 
-/** Largest record accepted or sent, in bytes, without its mark. */
-#define HS_RECORD_MAX (32u << 20)
+/** Largest record accepted or sent, in bytes, without its mark: an answer of
+ *  390 tasks with the largest bodies, and headers. */
+#define HS_RECORD_MAX (112u << 20)
 
 /** Bytes of the record mark. */
 #define HS_RECORD_MARK_SIZE 4
--- a/test/owner_world.c
+++ b/test/owner_world.c
@@ -167,10 +167,19 @@
 void
 world_own (World *w, uint64_t epoch, uint64_t previous)
 {
-  uint32_t part = world_part ();
+  HsOwnedPart part = { world_part (), epoch, previous, false };
 
-  hs_owner_own (w->owner, 1, &part, &epoch, &previous, w->now);
-  hs_owner_claims_loaded (w->owner, part, w->now);
+  hs_owner_own (w->owner, 1, &part, w->now);
+  hs_owner_claims_loaded (w->owner, part.part, w->now);
+}
+
+void
+world_own_handed (World *w, uint64_t epoch, uint64_t previous)
+{
+  HsOwnedPart part = { world_part (), epoch, previous, true };
+
+  hs_owner_own (w->owner, 1, &part, w->now);
+  hs_owner_claims_loaded (w->owner, part.part, w->now);
 }
 
 void
--- a/test/owner_world.h
+++ b/test/owner_world.h
@@ -57,6 +57,7 @@
 
 /** Owns the partition of customer "c" with all claims loaded. */
 void world_own (World *w, uint64_t epoch, uint64_t previous);
+void world_own_handed (World *w, uint64_t epoch, uint64_t previous);
 uint32_t world_part (void);
 
 /** Announces, connects and grants all slots of an agent. */
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -120,7 +120,7 @@
 a_live_owner_keeps_or_hands_over (void **state)
 {
   HsOwnership *view = hs_ownership_new (NULL, 1, 4);
-  char *json = hs_ownership_part_json (view, 1, "127.0.0.1:1");
+  char *json = hs_ownership_part_json (view, 1, "127.0.0.1:1", 0);
   uint64_t target = 0;
   uint32_t part;
 
@@ -143,11 +143,12 @@
 a_partition_record_never_steps_back (void **state)
 {
   HsOwnership *view = hs_ownership_new (NULL, 1, 4);
-  char *first = hs_ownership_part_json (view, 1, "");
-  char *second = hs_ownership_part_json (view, 2, "");
+  char *first = hs_ownership_part_json (view, 1, "", 0);
+  char *second = hs_ownership_part_json (view, 2, "", 5);
 
   (void) state;
   assert_true (hs_ownership_part (view, 0, second, 9, 5));
+  assert_int_equal (hs_ownership_record (view, 0)->handed_from, 5);
   /* It had an owner that this view never saw. */
   assert_int_equal (hs_ownership_record (view, 0)->previous, 5);
   assert_false (hs_ownership_part (view, 0, first, 8, 5));
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -187,7 +187,7 @@
   messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
   assert_int_equal (n, 1);
   assert_true (hs_owner_import (to->owner, &messages[0], to->now));
-  world_own (to, EPOCH + 1, EPOCH);
+  world_own_handed (to, EPOCH + 1, EPOCH);
   waiter = world_submit (to, id, 4, 'x');
   running = world_record (id, 1, HSX_RUNNING);
   world_recovered (to, AGENT, &running, 1);
@@ -220,12 +220,45 @@
   hs_owner_freeze (from->owner, world_part ());
   messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
   assert_true (hs_owner_import (to->owner, &messages[0], to->now));
-  world_own (to, EPOCH + 2, EPOCH + 1);
+  world_own_handed (to, EPOCH + 2, EPOCH + 1);
   assert_int_equal (hs_owner_unfinished (to->owner), 0);
   world_free (from);
   world_free (to);
 }
 
+/* The handover was called off, the old owner went on with the job and died. */
+static void
+a_staged_copy_is_not_adopted_by_a_takeover (void **state)
+{
+  World *from = world_new ();
+  World *to = world_new ();
+  char *id = world_id (from, 0, 1);
+  hsx_handover_args *messages;
+  HsWaiter waiter;
+  size_t n;
+
+  (void) state;
+  world_own (from, EPOCH, 0);
+  world_submit (from, id, 1, 'x');
+  hs_owner_freeze (from->owner, world_part ());
+  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
+  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  hs_owner_thaw (from->owner, world_part (), from->now);
+  world_agent (from, OTHER_AGENT);
+  assert_int_equal (from->starts->len, 1);
+  world_agent (to, AGENT);
+  world_agent (to, OTHER_AGENT);
+  world_member (to, OTHER_AGENT, HSX_MEMBER_LOST);
+  world_own (to, EPOCH + 1, EPOCH);
+  world_recovered (to, AGENT, NULL, 0);
+  assert_int_equal (to->starts->len, 0);
+  waiter = world_submit (to, id, 1, 'x');
+  assert_int_equal (to->starts->len, 0);
+  assert_int_equal (world_answer (to, waiter)->tasks[0], HSX_TASK_MAY_HAVE_RUN);
+  world_free (from);
+  world_free (to);
+}
+
 static void
 a_handover_that_failed_goes_on_here (void **state)
 {
@@ -260,6 +293,7 @@
     cmocka_unit_test (a_lost_partition_reroutes_its_callers),
     cmocka_unit_test (a_handover_carries_every_task),
     cmocka_unit_test (a_handover_of_another_epoch_is_dropped),
+    cmocka_unit_test (a_staged_copy_is_not_adopted_by_a_takeover),
     cmocka_unit_test (a_handover_that_failed_goes_on_here),
   };
 
