Say nothing under a lapsed lease; mend what the readers found

Cause: reading found that an owner whose lease had lapsed still answered 'not run' (overdue timers, cancel, admission), 'minted in the future' said so of an id that agents remembered, agents forget a start earlier than the owner refuses its id, a handover lost that bodies were dropped, a withdrawn plan left held tasks waiting for ever, recovered records were never swept. Change: without a lease requests are rerouted and timers rest; the window of ids is shorter than the agents' memory by the clocks' margins; the rest as named. A test that submitted at the very end of the lease now does so 50 ms before it, which is what it is about.

--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -116,7 +116,7 @@
     }
   for (i = 0; i < n; i++)
     hs_owner_claim_found (core->owner, part, records[i].customer, records[i].id,
-                          records[i].wall_ms);
+                          records[i].wall_ms, now);
   hs_owner_claims_loaded (core->owner, part, now);
   hs_core_rearm (core, now);
 }
--- a/src/owner/customers.c
+++ b/src/owner/customers.c
@@ -62,6 +62,14 @@
   hs_fair_queue_wake (owner->queue, customer->flow);
 }
 
+/* Waits for a retry; not for a claim or for what agents remember. */
+static bool
+is_held_back (const HsOwner *owner, const Task *task)
+{
+  return task->state == TASK_HELD && !task->job->claiming
+         && owner->parts[task->job->part].state == PART_SERVING;
+}
+
 /* The customer's plan was withdrawn: what waits will never start. */
 static void
 fail_waiting (HsOwner *owner, const Customer *customer, HsNow now)
@@ -72,8 +80,8 @@
     {
       Task *task = owner->tasks->pdata[i];
 
-      if (task != NULL && task->state == TASK_QUEUED
-          && task->job->owner_of_limits == customer)
+      if (task != NULL && task->job->owner_of_limits == customer
+          && (task->state == TASK_QUEUED || is_held_back (owner, task)))
         task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_NOT_FOUND, 0, NULL,
                      0, now);
     }
--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -177,6 +177,7 @@
   out->job.customer = job->customer;
   out->job.id = job->id;
   memcpy (out->job.digest, job->digest, sizeof job->digest);
+  out->dropped = job->answer_dropped;
   out->age_ms = (now.mono - job->arrived) / HS_MSEC;
   out->job.tasks.tasks_len = job->n_tasks;
   out->job.tasks.tasks_val = talloc_array (ctx, hsx_task, job->n_tasks);
@@ -265,6 +266,7 @@
       || in->states.states_len != in->job.tasks.tasks_len)
     return;
   job = job_new (owner, &in->job, arrived);
+  job->answer_dropped = in->dropped;
   for (i = 0; i < job->n_tasks; i++)
     {
       const hsx_handover_task *state = &in->states.states_val[i];
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -152,7 +152,8 @@
   char key[JOB_KEY_SIZE];
   uint32_t part;
   GPtrArray *results; /* RecoveredTask. */
-  bool claimed;       /* A claim was found; the id is opaque. */
+  HsTime learnt;
+  bool claimed; /* A claim was found; the id is opaque. */
   int64_t claimed_ms;
 } Recovered;
 
@@ -200,6 +201,7 @@
   GList *keeping; /* Oldest link with bodies; NULL: none. */
   GQueue kept;    /* Finished jobs, oldest first. */
   uint64_t kept_bytes;
+  HsTime sweep_at; /* Of `recovered`. */
   uint32_t unfinished;
   Agent *agents; /* Table by handle. */
   uint32_t n_agents;
@@ -222,7 +224,7 @@
 void job_drop (HsOwner *owner, Job *job);
 void job_wait (HsOwner *owner, Job *job, HsWaiter waiter);
 void job_finished (HsOwner *owner, Job *job, HsNow now);
-void job_answer_all (HsOwner *owner, Job *job);
+void job_answer_all (HsOwner *owner, Job *job, HsNow now);
 void job_answer_one (HsOwner *owner, const Job *job, HsWaiter waiter);
 void job_refuse (HsOwner *owner,
                  Job *job,
@@ -230,6 +232,8 @@
                  bool not_run,
                  const char *reason);
 void jobs_sweep (HsOwner *owner, HsNow now);
+/* While it doesn't hold, another owner may act: nothing may be said. */
+bool lease_holds (const HsOwner *owner, HsNow now);
 void refuse (HsOwner *owner,
              HsWaiter waiter,
              unsigned int kind,
@@ -270,6 +274,7 @@
 Recovered *recovered_find (HsOwner *owner, const char *key);
 void recovered_drop (HsOwner *owner, Recovered *recovered);
 bool recovered_take_result (HsOwner *owner, const hsx_result *result);
+void recovered_sweep (HsOwner *owner, HsNow now);
 void recovered_agent_lost (HsOwner *owner, uint32_t agent);
 void recover_agent (HsOwner *owner, uint32_t agent);
 void recovery_check (HsOwner *owner, HsNow now);
--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -108,11 +108,11 @@
   owner->kept_bytes += job->kept_bytes;
   owner->effects.measure (owner->arg, job->customer, job->queue_wait, 0,
                           now.mono - job->arrived);
-  job_answer_all (owner, job);
+  job_answer_all (owner, job, now);
 }
 
 void
-job_answer_all (HsOwner *owner, Job *job)
+job_answer_all (HsOwner *owner, Job *job, HsNow now)
 {
   g_autoptr (GArray) waiters = job->waiters;
   guint i;
@@ -123,7 +123,10 @@
       HsWaiter waiter = g_array_index (waiters, HsWaiter, i);
 
       g_hash_table_remove (owner->waiters, &waiter);
-      job_answer_one (owner, job, waiter);
+      if (lease_holds (owner, now))
+        job_answer_one (owner, job, waiter);
+      else
+        owner->effects.reroute (owner->arg, waiter);
     }
 }
 
@@ -177,6 +180,12 @@
             reason);
 }
 
+bool
+lease_holds (const HsOwner *owner, HsNow now)
+{
+  return now.mono < owner->lease_until;
+}
+
 void
 job_reroute (HsOwner *owner, Job *job)
 {
@@ -301,7 +310,7 @@
 
   job_drop (owner, job);
   if (!hs_uuid7_parse (id, &minted_ms))
-    hs_owner_claim_found (owner, part, customer, id, arrived_ms);
+    hs_owner_claim_found (owner, part, customer, id, arrived_ms, now);
 }
 
 /* The ids stay known, so that nothing runs again. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -103,10 +103,12 @@
 void
 hs_owner_tick (HsOwner *owner, HsNow now)
 {
-  timers_run (owner, now);
+  if (lease_holds (owner, now))
+    timers_run (owner, now);
   health_update (owner, now);
   recovery_check (owner, now);
   jobs_sweep (owner, now);
+  recovered_sweep (owner, now);
   pump (owner, now);
 }
 
@@ -124,7 +126,7 @@
     at = MIN (at, hs_loans_ask_at (owner->loans));
   at = MIN (at, hs_loans_due_at (owner->loans));
 
-  if (owner->timers.n > 0)
+  if (owner->timers.n > 0 && owner->lease_until != 0)
     at = MIN (at, owner->timers.items[0].key);
   if (owner->recovering == 0)
     return at;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -208,7 +208,8 @@
                            uint32_t part,
                            const char *customer,
                            const char *id,
-                           int64_t claimed_ms);
+                           int64_t claimed_ms,
+                           HsNow now);
 
 /** @} */
 /** @name Agents @{ */
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -66,6 +66,11 @@
   Part *part = &owner->parts[hs_partition_of (args->customer,
                                               owner->config.partitions)];
 
+  if (part->state != PART_FOREIGN && !lease_holds (owner, now))
+    {
+      owner->effects.reroute (owner->arg, waiter);
+      return;
+    }
   switch (part->state)
     {
     case PART_FOREIGN:
@@ -248,7 +253,7 @@
   standing = judge_id (owner, args, recovered, now);
   if (standing == ID_AHEAD)
     {
-      refuse (owner, waiter, HS_ERROR_INVALID, true, 0,
+      refuse (owner, waiter, HS_ERROR_INVALID, recovered == NULL, 0,
               "the id was minted in the future; set the caller's clock");
       return;
     }
@@ -352,7 +357,9 @@
 {
   const Part *part = &owner->parts[hs_partition_of (args->customer,
                                                     owner->config.partitions)];
-  int64_t oldest = now.wall_ms - owner->config.retention / HS_MSEC;
+  /* An agent forgets a start this much sooner than the id is too old. */
+  HsTime early = owner->config.ahead + 2 * owner->config.skew;
+  int64_t oldest = now.wall_ms - (owner->config.retention - early) / HS_MSEC;
   int64_t ms;
 
   if (hs_uuid7_parse (args->id, &ms))
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -6,7 +6,8 @@
 static Recovered *recovered_get (HsOwner *owner,
                                  const char *customer,
                                  const char *id,
-                                 uint32_t part);
+                                 uint32_t part,
+                                 HsNow now);
 static void take_record (HsOwner *owner,
                          uint32_t handle,
                          const hsx_result *record,
@@ -80,13 +81,14 @@
                       uint32_t part,
                       const char *customer,
                       const char *id,
-                      int64_t claimed_ms)
+                      int64_t claimed_ms,
+                      HsNow now)
 {
   Recovered *recovered;
 
   if (job_find (owner, customer, id) != NULL)
     return;
-  recovered = recovered_get (owner, customer, id, part);
+  recovered = recovered_get (owner, customer, id, part, now);
   recovered->claimed = true;
   recovered->claimed_ms = claimed_ms;
 }
@@ -174,6 +176,32 @@
   return false;
 }
 
+/* Ids that carry their time are too old by then; claims are kept. */
+void
+recovered_sweep (HsOwner *owner, HsNow now)
+{
+  HsTime keep = owner->config.retention + owner->config.ahead;
+  g_autoptr (GPtrArray) old = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  if (now.mono < owner->sweep_at)
+    return;
+  owner->sweep_at = now.mono + HS_SEC;
+  old = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, owner->recovered);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Recovered *recovered = value;
+
+      if (!recovered->claimed && now.mono - recovered->learnt >= keep)
+        g_ptr_array_add (old, value);
+    }
+  for (i = 0; i < old->len; i++)
+    recovered_drop (owner, old->pdata[i]);
+}
+
 void
 recovered_agent_lost (HsOwner *owner, uint32_t agent)
 {
@@ -266,7 +294,8 @@
 recovered_get (HsOwner *owner,
                const char *customer,
                const char *id,
-               uint32_t part)
+               uint32_t part,
+               HsNow now)
 {
   char key[JOB_KEY_SIZE];
   Recovered *recovered;
@@ -278,6 +307,7 @@
   recovered = talloc_zero (owner, Recovered);
   memcpy (recovered->key, key, sizeof recovered->key);
   recovered->part = part;
+  recovered->learnt = now.mono;
   recovered->results = g_ptr_array_new ();
   g_hash_table_insert (owner->recovered, recovered->key, recovered);
   return recovered;
@@ -311,7 +341,7 @@
         task_take_result (owner, own, record, now);
       return;
     }
-  recovered = recovered_get (owner, key->customer, key->id, key->part);
+  recovered = recovered_get (owner, key->customer, key->id, key->part, now);
   for (i = 0; i < recovered->results->len; i++)
     if (((RecoveredTask *) recovered->results->pdata[i])->index == key->index)
       return;
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -340,6 +340,7 @@
 struct hsx_handover_job {
 	hsx_forward_args job;
 	int64_t age_ms;
+	bool_t dropped;
 	struct {
 		u_int states_len;
 		hsx_handover_task *states_val;
@@ -371,7 +372,6 @@
 
 struct hsx_promise_reply {
 	bool_t promised;
-	bool_t store_up;
 };
 typedef struct hsx_promise_reply hsx_promise_reply;
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -264,6 +264,7 @@
 struct hsx_handover_job {
 	hsx_forward_args job;
 	int64_t age_ms;
+	bool dropped;			/* its bodies are no longer kept */
 	hsx_handover_task states<HSX_TASKS_MAX>;
 };
 struct hsx_handover_args {
@@ -286,7 +287,6 @@
 };
 struct hsx_promise_reply {
 	bool promised;
-	bool store_up;			/* why not, if it can reach the store */
 };
 
 program HSX_PROGRAM {
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -541,6 +541,8 @@
 		 return FALSE;
 	 if (!xdr_int64_t (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->dropped))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, HSX_TASKS_MAX,
 		sizeof (hsx_handover_task), (xdrproc_t) xdr_hsx_handover_task))
 		 return FALSE;
@@ -593,7 +595,5 @@
 
 	 if (!xdr_bool (xdrs, &objp->promised))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->store_up))
-		 return FALSE;
 	return TRUE;
 }
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -119,7 +119,7 @@
   World *w = serving_world ();
 
   (void) state;
-  world_pass (w, 4 * HS_SEC);
+  world_pass (w, 4 * HS_SEC - 50 * HS_MSEC);
   world_grant (w, AGENT, 1);
   world_submit (w, world_id (w, 0, 1), 1, 'x');
   assert_int_equal (w->starts->len, 0);
@@ -217,6 +217,31 @@
   world_free (w);
 }
 
+/* Another owner may have taken over by then. */
+static void
+nothing_is_said_under_a_lapsed_lease (void **state)
+{
+  World *w = serving_world ();
+  char *id = world_id (w, 0, 1);
+  HsWaiter waiter;
+  HsWaiter late;
+
+  (void) state;
+  world_allow (w, 1, 1000, 2);
+  waiter = world_submit (w, id, 2, 'x');
+  world_pass (w, 4 * HS_SEC);
+  world_cancel (w, id);
+  late = world_submit (w, world_id (w, 0, 2), 9, 'x');
+  assert_null (world_answer (w, waiter));
+  assert_null (world_answer (w, late));
+  assert_int_equal (w->rerouted->len, 2);
+  hs_owner_set_lease (w->owner, w->now.mono + 4 * HS_SEC);
+  world_cancel (w, id);
+  world_result (w, world_start (w, 0), HSX_DONE, HSX_REFUSAL_NONE, "");
+  assert_int_equal (world_answer (w, waiter)->tasks[1], HSX_TASK_NOT_RUN);
+  world_free (w);
+}
+
 /* An agent's reply to SETTLE is bounded and may leave tasks out. */
 static void
 what_a_reply_leaves_out_is_asked_again (void **state)
@@ -296,6 +321,7 @@
     cmocka_unit_test (a_refused_start_is_sent_again),
     cmocka_unit_test (a_lost_agent_leaves_tasks_that_may_have_run),
     cmocka_unit_test (a_broken_connection_is_settled_when_it_is_back),
+    cmocka_unit_test (nothing_is_said_under_a_lapsed_lease),
     cmocka_unit_test (what_a_reply_leaves_out_is_asked_again),
     cmocka_unit_test (bodies_over_the_bound_are_dropped_and_ids_are_not),
     cmocka_unit_test (an_opaque_id_starts_after_its_claim),
