Use an agent only when every entry knows it

Cause: MEMBERS had no reply. An agent announced to one entry could be used and the entry die before any other had heard of the agent; the next owner would not ask it what was started and start the task again (rule 2 of the model). Change: MEMBERS is answered; each entry passes a new agent on and uses its credits only after all entries of its view know it. RECOVER still asks every agent that was heard of.

--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "entry/core.h"
+#include "entry/introductions.h"
 
 #define PART "agents"
 
@@ -10,6 +11,7 @@
 
 #define RECOVER_CALL_TIMEOUT (2 * HS_SEC)
 #define SETTLE_CALL_TIMEOUT (5 * HS_SEC)
+#define MEMBERS_CALL_TIMEOUT (2 * HS_SEC)
 
 /* A call to an agent that waits for its reply. */
 typedef struct
@@ -24,8 +26,20 @@
   hsx_members_args args;
 } Broadcast;
 
-static void take_member (HsCore *core, const hsx_member *member, HsNow now);
+/* A call of MEMBERS that waits for its reply. */
+typedef struct
+{
+  HsCore *core;
+  uint64_t entry;
+  uint64_t *agents;
+  uint32_t n;
+} Told;
+
+static void learn (HsCore *core, const hsx_member *member, HsNow now);
 static void broadcast (HsCore *core, const hsx_member *member);
+static void tell (HsCore *core, HsConn *conn, const hsx_members_args *args);
+static void on_told (void *arg, HsRpcStatus status, const void *result);
+static void introduce (HsCore *core, HsNow now);
 static void send_to_peer (void *arg, HsConn *conn);
 static void answer_announce (HsCore *core, HsConn *conn, HsRpcCallId call);
 static void on_recovered (void *arg, HsRpcStatus status, const void *result);
@@ -83,7 +97,9 @@
         known = hs_members_find (core->members, agent);
         if (known != NULL && known->state == HSX_MEMBER_LOST)
           self->revision = MAX (self->revision, known->revision + 1);
-        take_member (core, self, now);
+        known = hs_members_merge (core->members, self, now.mono);
+        if (known != NULL)
+          learn (core, known, now);
         answer_announce (core, conn, call);
         return;
       }
@@ -101,7 +117,10 @@
 }
 
 void
-hs_agents_members (HsCore *core, const hsx_members_args *args, HsNow now)
+hs_agents_members (HsCore *core,
+                   uint64_t entry,
+                   const hsx_members_args *args,
+                   HsNow now)
 {
   u_int i;
 
@@ -116,8 +135,10 @@
       const hsx_member *member = hs_members_merge (
           core->members, &args->members.members_val[i], now.mono);
 
+      hs_introductions_known (core->introductions,
+                              args->members.members_val[i].incarnation, entry);
       if (member != NULL)
-        take_member (core, member, now);
+        learn (core, member, now);
     }
 }
 
@@ -129,7 +150,7 @@
 
   args.complete_since_ms = core->complete_since_ms;
   hs_members_all (core->members, memory, &args);
-  hs_conn_call (conn, HSX_MEMBERS, &args, HS_NEVER, NULL, NULL);
+  tell (core, conn, &args);
   talloc_free (memory);
 }
 
@@ -177,29 +198,91 @@
           && now.mono - since >= LOST_AFTER)
         declare_lost (core, member->incarnation, false, now);
     }
+  introduce (core, now);
   hs_members_sweep (core->members, core->entry->retention, now.mono);
 }
 
-/* The record is new or changed: keep a connection while the agent is there. */
+/* The record is new or changed: keep a connection while the agent is there.
+   A new one is passed on by every entry that learns of it. */
 static void
-take_member (HsCore *core, const hsx_member *member, HsNow now)
+learn (HsCore *core, const hsx_member *member, HsNow now)
 {
-  const hsx_member *merged = hs_members_merge (core->members, member, now.mono);
-  bool home = member->home == core->incarnation;
+  uint64_t agent = member->incarnation;
 
-  if (merged != NULL && home)
-    broadcast (core, merged);
-  member = hs_members_find (core->members, member->incarnation);
+  if (member->home == core->incarnation
+      || !hs_introductions_complete (core->introductions, agent,
+                                     hs_keeper_view (core->keeper),
+                                     core->incarnation))
+    broadcast (core, member);
   hs_owner_agent (core->owner, member, now);
   if (member->state >= HSX_MEMBER_LEFT)
     {
-      hs_links_forget (core->links, member->incarnation);
+      hs_links_forget (core->links, agent);
+      hs_introductions_forget (core->introductions, agent);
       return;
     }
-  hs_links_want (core->links, HSX_ROLE_AGENT, member->incarnation,
-                 member->address, now.mono);
-  if (hs_links_conn (core->links, member->incarnation) != NULL)
-    hs_owner_agent_up (core->owner, member->incarnation, now);
+  hs_links_want (core->links, HSX_ROLE_AGENT, agent, member->address, now.mono);
+  if (hs_links_conn (core->links, agent) != NULL)
+    hs_owner_agent_up (core->owner, agent, now);
+  introduce (core, now);
+}
+
+/* Without a view of the entries nobody can be missed. */
+static void
+introduce (HsCore *core, HsNow now)
+{
+  uint32_t i;
+
+  if (!hs_keeper_ready (core->keeper))
+    return;
+  for (i = 0; i < hs_members_count (core->members); i++)
+    {
+      const hsx_member *member = hs_members_at (core->members, i);
+
+      if (member->state < HSX_MEMBER_LEFT
+          && hs_introductions_complete (
+              core->introductions, member->incarnation,
+              hs_keeper_view (core->keeper), core->incarnation))
+        hs_owner_agent_introduced (core->owner, member->incarnation, now);
+    }
+}
+
+/* Calls MEMBERS; the reply says that the entry knows them. */
+static void
+tell (HsCore *core, HsConn *conn, const hsx_members_args *args)
+{
+  Told *told = talloc_zero (core, Told);
+  u_int i;
+
+  told->core = core;
+  told->entry = hs_conn_peer (conn)->incarnation;
+  told->n = args->members.members_len;
+  told->agents = talloc_array (told, uint64_t, told->n);
+  for (i = 0; i < told->n; i++)
+    told->agents[i] = args->members.members_val[i].incarnation;
+  if (!hs_conn_call (conn, HSX_MEMBERS, args, MEMBERS_CALL_TIMEOUT, on_told,
+                     told))
+    talloc_free (told);
+}
+
+static void
+on_told (void *arg, HsRpcStatus status, const void *result)
+{
+  Told *told = arg;
+  HsCore *core = told->core;
+  HsConn *conn = hs_links_conn (core->links, told->entry);
+  HsNow now = hs_now ();
+  uint32_t i;
+
+  (void) result;
+  for (i = 0; status == HS_RPC_OK && i < told->n; i++)
+    hs_introductions_known (core->introductions, told->agents[i], told->entry);
+  talloc_free (told);
+  /* A broken connection tells all of them again when it is back. */
+  if (status == HS_RPC_TIMEOUT && conn != NULL)
+    hs_agents_send_members (core, conn);
+  introduce (core, now);
+  hs_core_rearm (core, now);
 }
 
 static void
@@ -219,7 +302,7 @@
 {
   Broadcast *b = arg;
 
-  hs_conn_call (conn, HSX_MEMBERS, &b->args, HS_NEVER, NULL, NULL);
+  tell (b->core, conn, &b->args);
 }
 
 static void
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "entry/admin.h"
 #include "entry/core.h"
+#include "entry/introductions.h"
 
 #define PART "entry"
 
@@ -91,6 +92,7 @@
   core->store = hs_store_new (
       core, ev, (const char *const *) core->entry->store, STORE_TIMEOUT);
   core->members = hs_members_new (core);
+  core->introductions = hs_introductions_new (core);
   core->links = hs_links_new (core);
   core->calls = hs_calls_new (core);
   core->handovers = hs_handovers_new (core);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -55,6 +55,7 @@
   struct HsClaims *claims;
   struct HsListsSync *sync;
   HsReport *report;
+  struct HsIntroductions *introductions;
   struct HsAdmin *admin;
   bool leaving;
   bool drained;
@@ -121,7 +122,10 @@
                        HsRpcCallId call,
                        void *args,
                        HsNow now);
-void hs_agents_members (HsCore *core, const hsx_members_args *args, HsNow now);
+void hs_agents_members (HsCore *core,
+                        uint64_t entry,
+                        const hsx_members_args *args,
+                        HsNow now);
 void hs_agents_send_members (HsCore *core, HsConn *conn);
 void
 hs_agents_recover (void *arg, uint64_t agent, const hsx_recover_args *args);
@@ -196,6 +200,9 @@
                       bool handed_over,
                       int64_t revision);
 const HsOwnership *hs_keeper_view (const HsKeeper *keeper);
+/** Whether the view was read under the lease that is held. */
+bool hs_keeper_ready (const HsKeeper *keeper);
+
 /** Until when this entry may start tasks; 0 or past: it may not. */
 HsTime hs_keeper_lease_until (const HsKeeper *keeper);
 
--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -164,6 +164,12 @@
   return keeper->confirmed ? MAX (keeper->lease_until, extended) : extended;
 }
 
+bool
+hs_keeper_ready (const HsKeeper *keeper)
+{
+  return keeper->confirmed && keeper->entries_read;
+}
+
 void
 hs_keeper_reread (HsKeeper *keeper)
 {
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -65,8 +65,13 @@
       hs_calls_remote (core->calls, conn, call, args, now);
       return;
     case HSX_MEMBERS:
-      hs_agents_members (core, args, now);
-      return;
+      {
+        hsx_members_reply reply = { TRUE };
+
+        hs_agents_members (core, peer, args, now);
+        hs_conn_reply (conn, call, HSX_MEMBERS, &reply);
+        return;
+      }
     case HSX_BORROW:
       keep_question (core, conn, call);
       hs_owner_asked (core->owner, peer, args, now);
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -9,6 +9,7 @@
 send_settle (HsOwner *owner, uint32_t handle, hsx_settle_args *args);
 static void mark_unsettled (HsOwner *owner, uint32_t handle);
 static void mark_settled (HsOwner *owner, const hsx_task_key *key);
+static void admit_credits (HsOwner *owner, uint32_t handle);
 static void agent_gone (HsOwner *owner, uint32_t handle, HsNow now);
 static void
 take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now);
@@ -52,7 +53,7 @@
   switch (member->state)
     {
     case HSX_MEMBER_UP:
-      hs_credits_agent (owner->credits, handle, &member->capacity);
+      admit_credits (owner, handle);
       break;
     case HSX_MEMBER_LEAVING:
       hs_credits_drop (owner->credits, handle);
@@ -64,6 +65,21 @@
     }
 }
 
+void
+hs_owner_agent_introduced (HsOwner *owner, uint64_t incarnation, HsNow now)
+{
+  uint32_t handle;
+  Agent *agent = agent_find (owner, incarnation, &handle);
+
+  if (agent == NULL || agent->introduced)
+    return;
+  agent->introduced = true;
+  if (agent->state == HSX_MEMBER_UP)
+    admit_credits (owner, handle);
+  hs_fair_queue_wake_jobs (owner->queue);
+  pump (owner, now);
+}
+
 void
 hs_owner_agent_up (HsOwner *owner, uint64_t incarnation, HsNow now)
 {
@@ -97,7 +113,7 @@
   agent->connected = false;
   hs_credits_drop (owner->credits, handle);
   if (agent->state == HSX_MEMBER_UP)
-    hs_credits_agent (owner->credits, handle, &agent->capacity);
+    admit_credits (owner, handle);
   recovery_check (owner, now);
 }
 
@@ -206,6 +222,19 @@
   return agent;
 }
 
+/* Credits are kept, but used only of an agent that others know as well. */
+static void
+admit_credits (HsOwner *owner, uint32_t handle)
+{
+  const Agent *agent = &owner->agents[handle];
+
+  hs_credits_agent (owner->credits, handle, &agent->capacity);
+  hs_credits_set_health (owner->credits, handle,
+                         agent->introduced
+                             ? hs_health_state (owner->health, handle)
+                             : HS_HEALTH_EJECTED);
+}
+
 /* What was sent there and not answered may have run. */
 static void
 agent_gone (HsOwner *owner, uint32_t handle, HsNow now)
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -232,7 +232,8 @@
   uint32_t agent;
 
   while (hs_health_changed (owner->health, now.mono, &agent, &state))
-    hs_credits_set_health (owner->credits, agent, state);
+    if (owner->agents[agent].introduced)
+      hs_credits_set_health (owner->credits, agent, state);
 }
 
 /* Only what this entry started says something of the target's speed. */
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -98,6 +98,7 @@
   hsx_needs capacity;
   uint32_t slots;
   bool connected;
+  bool introduced;       /* Every other entry knows it. */
   bool feasible;         /* Its capacity is counted in `feasible`. */
   bool recovering;       /* RECOVER sent, no reply yet. */
   uint32_t recover_sent; /* Generation of that RECOVER. */
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -217,6 +217,12 @@
 /** Learns or updates an agent. */
 void hs_owner_agent (HsOwner *owner, const hsx_member *member, HsNow now);
 
+/**
+ * Every other entry knows the agent: it may be used from now on. Before, the
+ * next owner might not know whom to ask what was started.
+ */
+void hs_owner_agent_introduced (HsOwner *owner, uint64_t agent, HsNow now);
+
 /** A connection to the agent is up; credits may come. */
 void hs_owner_agent_up (HsOwner *owner, uint64_t agent, HsNow now);
 
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -193,6 +193,11 @@
 };
 typedef struct hsx_members_args hsx_members_args;
 
+struct hsx_members_reply {
+	bool_t known;
+};
+typedef struct hsx_members_reply hsx_members_reply;
+
 struct hsx_part_epoch {
 	u_int part;
 	uint64_t epoch;
@@ -398,8 +403,8 @@
 extern  enum clnt_stat hsx_announce_1(hsx_announce_args , hsx_announce_reply *, CLIENT *);
 extern  bool_t hsx_announce_1_svc(hsx_announce_args , hsx_announce_reply *, struct svc_req *);
 #define HSX_MEMBERS 6
-extern  enum clnt_stat hsx_members_1(hsx_members_args , void *, CLIENT *);
-extern  bool_t hsx_members_1_svc(hsx_members_args , void *, struct svc_req *);
+extern  enum clnt_stat hsx_members_1(hsx_members_args , hsx_members_reply *, CLIENT *);
+extern  bool_t hsx_members_1_svc(hsx_members_args , hsx_members_reply *, struct svc_req *);
 #define HSX_RECOVER 7
 extern  enum clnt_stat hsx_recover_1(hsx_recover_args , hsx_recover_reply *, CLIENT *);
 extern  bool_t hsx_recover_1_svc(hsx_recover_args , hsx_recover_reply *, struct svc_req *);
@@ -484,6 +489,7 @@
 extern  bool_t xdr_hsx_announce_args (XDR *, hsx_announce_args*);
 extern  bool_t xdr_hsx_announce_reply (XDR *, hsx_announce_reply*);
 extern  bool_t xdr_hsx_members_args (XDR *, hsx_members_args*);
+extern  bool_t xdr_hsx_members_reply (XDR *, hsx_members_reply*);
 extern  bool_t xdr_hsx_part_epoch (XDR *, hsx_part_epoch*);
 extern  bool_t xdr_hsx_recover_args (XDR *, hsx_recover_args*);
 extern  bool_t xdr_hsx_recover_reply (XDR *, hsx_recover_reply*);
@@ -525,6 +531,7 @@
 extern bool_t xdr_hsx_announce_args ();
 extern bool_t xdr_hsx_announce_reply ();
 extern bool_t xdr_hsx_members_args ();
+extern bool_t xdr_hsx_members_reply ();
 extern bool_t xdr_hsx_part_epoch ();
 extern bool_t xdr_hsx_recover_args ();
 extern bool_t xdr_hsx_recover_reply ();
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -147,11 +147,17 @@
 	hsx_entry_info entries<64>;
 };
 
-/* MEMBERS, one-way, entry to entry: changes only, all after connecting. */
+/*
+ * MEMBERS, entry to entry: changes only, all after connecting. The reply says
+ * that they are known; an agent is used only when every entry knows it.
+ */
 struct hsx_members_args {
 	int64_t complete_since_ms;	/* wall time since when none is missing */
 	hsx_member members<HSX_MEMBERS_MAX>;
 };
+struct hsx_members_reply {
+	bool known;
+};
 
 /*
  * RECOVER, entry to agent: the caller now owns the partitions at the epochs
@@ -297,7 +303,7 @@
 		void HSX_RESULT(hsx_result_args) = 3;
 		void HSX_GRANT(hsx_grant_args) = 4;
 		hsx_announce_reply HSX_ANNOUNCE(hsx_announce_args) = 5;
-		void HSX_MEMBERS(hsx_members_args) = 6;
+		hsx_members_reply HSX_MEMBERS(hsx_members_args) = 6;
 		hsx_recover_reply HSX_RECOVER(hsx_recover_args) = 7;
 		hsx_settle_reply HSX_SETTLE(hsx_settle_args) = 8;
 		hsx_borrow_reply HSX_BORROW(hsx_borrow_args) = 9;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -267,6 +267,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hsx_members_reply (XDR *xdrs, hsx_members_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hsx_part_epoch (XDR *xdrs, hsx_part_epoch *objp)
 {
--- a/test/owner_world.c
+++ b/test/owner_world.c
@@ -219,6 +219,7 @@
 world_agent (World *w, uint64_t agent)
 {
   world_member (w, agent, HSX_MEMBER_UP);
+  hs_owner_agent_introduced (w->owner, agent, w->now);
   hs_owner_agent_up (w->owner, agent, w->now);
   world_grant (w, agent, 1);
 }
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -5,6 +5,7 @@
 
 #include <cmocka.h>
 
+#include "entry/introductions.h"
 #include "entry/members.h"
 #include "entry/ownership.h"
 
@@ -158,6 +159,29 @@
   talloc_free (view);
 }
 
+static void
+an_agent_is_introduced_when_all_entries_know_it (void **state)
+{
+  HsOwnership *view = hs_ownership_new (NULL, 1, 4);
+  HsIntroductions *table = hs_introductions_new (view);
+
+  (void) state;
+  add_entry (view, 1, false, 1);
+  add_entry (view, 2, false, 2);
+  add_entry (view, 3, true, 3);
+  assert_false (hs_introductions_complete (table, 9, view, 1));
+  hs_introductions_known (table, 9, 2);
+  assert_false (hs_introductions_complete (table, 9, view, 1));
+  hs_introductions_known (table, 9, 3);
+  assert_true (hs_introductions_complete (table, 9, view, 1));
+  add_entry (view, 4, false, 4);
+  assert_true (hs_introductions_complete (table, 9, view, 1));
+  assert_false (hs_introductions_complete (table, 8, view, 1));
+  hs_introductions_forget (table, 9);
+  assert_false (hs_introductions_complete (table, 9, view, 1));
+  talloc_free (view);
+}
+
 int
 main (void)
 {
@@ -167,6 +191,7 @@
     cmocka_unit_test (the_gone_are_forgotten_after_their_time),
     cmocka_unit_test (partitions_go_to_one_entry_that_is_there),
     cmocka_unit_test (a_live_owner_keeps_or_hands_over),
+    cmocka_unit_test (an_agent_is_introduced_when_all_entries_know_it),
     cmocka_unit_test (a_partition_record_never_steps_back),
   };
 
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -27,6 +27,24 @@
   world_free (w);
 }
 
+static void
+an_agent_is_used_once_every_entry_knows_it (void **state)
+{
+  World *w = world_new ();
+
+  (void) state;
+  world_own (w, EPOCH, 0);
+  world_member (w, AGENT, HSX_MEMBER_UP);
+  hs_owner_agent_up (w->owner, AGENT, w->now);
+  world_recovered (w, AGENT, NULL, 0);
+  world_grant (w, AGENT, 1);
+  world_submit (w, world_id (w, 0, 1), 1, 'x');
+  assert_int_equal (w->starts->len, 0);
+  hs_owner_agent_introduced (w->owner, AGENT, w->now);
+  assert_int_equal (w->starts->len, 1);
+  world_free (w);
+}
+
 static void
 what_agents_remember_is_not_started_again (void **state)
 {
@@ -284,6 +302,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_new_owner_waits_for_the_agents),
+    cmocka_unit_test (an_agent_is_used_once_every_entry_knows_it),
     cmocka_unit_test (what_agents_remember_is_not_started_again),
     cmocka_unit_test (other_content_under_a_recovered_id_is_refused),
     cmocka_unit_test (running_tasks_of_the_old_owner_count_in_flight),
