--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -292,6 +292,7 @@
       g_array_set_size (link->starts, 0);
       TALLOC_FREE (link->starts_memory);
     }
+  /* The calls may forget the process, which frees the link. */
   incarnation = link->incarnation;
   if (was_up && link->role == HSX_ROLE_AGENT)
     hs_agents_conn_down (core, incarnation, now);
