Record the entry of each request

Cause: long waits could not be told apart by the entry that was asked. Change: each request in the file of jobs names the place of its last entry.

--- a/test/load/report.c
+++ b/test/load/report.c
@@ -282,6 +282,7 @@
       json_object_new_string (answer != NULL ? answer_state_word (answer->state)
                                              : "unanswered"));
   add_count (object, "attempts", send->attempts);
+  add_count (object, "entry", send->entry);
   if (answer != NULL)
     {
       json_object_object_add (object, "answered_us",
