Start nothing of a partition that changes hands

Change: timers of waiting tasks are put off while the partition isn't served. Conclusion: between freeze and thaw, and during recovery, nothing starts.

--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -7,6 +7,9 @@
 /** Refusals of stale credits after which the pause grows no longer. */
 #define STALE_RETRIES 50
 
+/** Timers of tasks wait so long anew while their partition isn't served. */
+#define PART_RETRY (20 * HS_MSEC)
+
 /** A task for which no idle credit is large enough is asked again. */
 #define UNFIT_RETRY (50 * HS_MSEC)
 
@@ -213,7 +216,14 @@
     {
       Task *task = owner->tasks->pdata[owner->timers.items[0].handle];
 
-      if (task->state == TASK_HELD && task->deadline > now.mono)
+      /* While it changes hands, the other owner decides about what waits. */
+      if (task->state != TASK_SENT
+          && owner->parts[task->job->part].state != PART_SERVING)
+        {
+          clear_timer (owner, task);
+          set_timer (owner, task, now.mono + PART_RETRY);
+        }
+      else if (task->state == TASK_HELD && task->deadline > now.mono)
         enqueue_again (owner, task, now);
       else if (task->state == TASK_SENT)
         task_finish (owner, task, HSX_TASK_MAY_HAVE_RUN, HS_ERROR_UNKNOWN, 0,
