Count kept bytes of finished jobs only

Cause: job_drop() took the bytes of a job that was not finished off the sum of kept answers, to which only job_finished() adds them. Change: the bytes are taken off where the job is among the kept ones. Conclusion: an entry that gave up a partition in use kept no answers.

--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -77,8 +77,10 @@
   if (job->unfinished > 0)
     owner->unfinished--;
   else
-    g_queue_unlink (&owner->kept, &job->kept_link);
-  owner->kept_bytes -= job->kept_bytes;
+    {
+      g_queue_unlink (&owner->kept, &job->kept_link);
+      owner->kept_bytes -= job->kept_bytes;
+    }
   for (i = 0; i < job->waiters->len; i++)
     g_hash_table_remove (owner->waiters,
                          &g_array_index (job->waiters, HsWaiter, i));
