Hand over dropped results as such

Change: such tasks are handed over as may_have_run, kind expired. Conclusion: an answer is whole or marked failed also after a handover.

--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -204,6 +204,12 @@
           break;
         case TASK_FINISHED:
           state->state = HSX_HO_FINISHED;
+          /* A result that isn't kept must not look like an empty one. */
+          if (job->answer_dropped)
+            {
+              state->answer.state = HSX_TASK_MAY_HAVE_RUN;
+              state->answer.kind = HS_ERROR_EXPIRED;
+            }
           break;
         }
     }
