Note edits of the lists as the store takes them in

Change: the record is read after each write; the check is as strict. Conclusion: the check and the store agree on the time of an edit.

--- a/test/matrix/operators.c
+++ b/test/matrix/operators.c
@@ -6,9 +6,6 @@
 #include "jobs.h"
 #include "lists/sync.h"
 
-/** Edits are far apart in comparison. */
-#define OBSERVE_PERIOD (20 * HS_MSEC)
-
 /* A revision of an allowance, as the store took it in. */
 typedef struct
 {
@@ -32,7 +29,6 @@
 static HsAllowance allowance (uint32_t plan, uint32_t in_flight);
 static void on_edit_due (void *arg);
 static void on_edited (void *arg, const HsEditResult *result);
-static void on_observe (void *arg);
 static void observe (uint32_t plan);
 
 void
@@ -67,7 +63,7 @@
            hs_plan_to_json (memory, &plan));
     }
   talloc_free (memory);
-  on_observe (NULL);
+  operators_observe ();
 }
 
 void
@@ -90,6 +86,15 @@
   operators_edit (plan, world_entry ((first + 1) % WORLD_ENTRIES));
 }
 
+void
+operators_observe (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < OPERATORS_PLANS; i++)
+    observe (i);
+}
+
 const char *
 operators_plan (uint32_t plan)
 {
@@ -229,18 +234,6 @@
   observe (asked->plan);
 }
 
-/* Every revision is noted soon after the store took it in. */
-static void
-on_observe (void *arg)
-{
-  uint32_t i;
-
-  (void) arg;
-  for (i = 0; i < OPERATORS_PLANS; i++)
-    observe (i);
-  sim_at (sim_now () + OBSERVE_PERIOD, NULL, on_observe, NULL, false);
-}
-
 static void
 observe (uint32_t plan)
 {
--- a/test/matrix/operators.h
+++ b/test/matrix/operators.h
@@ -26,6 +26,9 @@
 /** Two operators edit one record through two entries at once. */
 void operators_race (void);
 
+/** Notes what the store holds; after each write. */
+void operators_observe (void);
+
 const char *operators_plan (uint32_t plan);
 
 /** The revision that an entry applies. */
--- a/test/matrix/stores.c
+++ b/test/matrix/stores.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "operators.h"
 #include "world.h"
 
 /** One way between an entry and the store, with a synced write. */
@@ -306,6 +307,7 @@
     return;
   hs_kv_advance (world.kv, now);
   run (call);
+  operators_observe ();
   poll_all ();
   if (call->ended || call->life != call->proc->life
       || (store_mood.lose_until > now && call->kind != CALL_RANGE))
