--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -48,6 +48,7 @@
 static void on_flush (struct tevent_context *ev,
                       struct tevent_immediate *immediate,
                       void *arg);
+static void process_gone (HsCore *core, const HsLink *link, HsNow now);
 static void remove_conn (HsLink *link, const HsConn *conn);
 
 HsLinks *
@@ -244,6 +245,7 @@
     {
       hs_conn_set_data (conn, NULL);
       hs_conn_close (conn);
+      process_gone (core, dialled_for, hs_now ());
       return;
     }
   if (link == NULL)
@@ -292,11 +294,14 @@
     }
   /* The calls may forget the process, which frees the link. */
   incarnation = link->incarnation;
-  if (link->role == HSX_ROLE_AGENT)
-    hs_agents_conn_down (core, incarnation, refused, now);
+  if (was_up && link->role == HSX_ROLE_AGENT)
+    hs_agents_conn_down (core, incarnation, now);
   else if (was_up)
     hs_peers_conn_down (core, incarnation, now);
   link = find (core->links, incarnation);
+  if (link != NULL && refused)
+    process_gone (core, link, now);
+  link = find (core->links, incarnation);
   if (link != NULL && !link->wanted)
     drop (core->links, link);
   hs_core_rearm (core, now);
@@ -339,6 +344,16 @@
   TALLOC_FREE (link->starts_memory);
 }
 
+/* Nothing listens at its address, or another process does. */
+static void
+process_gone (HsCore *core, const HsLink *link, HsNow now)
+{
+  if (link->role == HSX_ROLE_AGENT)
+    hs_agents_gone (core, link->incarnation, now);
+  else
+    hs_keeper_peer_gone (core->keeper, link->incarnation);
+}
+
 static void
 remove_conn (HsLink *link, const HsConn *conn)
 {
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -22,7 +22,7 @@
 #include "proto/hspoke.h"
 
 /** How long a lent credit can be used, by the agent's clock. */
-#define HS_LOAN_LIFE (1 * HS_SEC)
+#define HS_LOAN_LIFE (2 * HS_SEC)
 
 /** By which message a credit came. */
 typedef enum
@@ -52,7 +52,8 @@
   uint32_t n_idle;
   HsHeldCredit *idle; /**< Newest last. */
   HsCreditSlot *slots;
-  int64_t stamp;          /**< Freshest time of the agent's clock seen. */
+  int64_t stamp;          /**< Freshest time of the agent's clock seen, */
+  HsTime stamp_received;  /**< and when it arrived here. */
   int64_t offset;         /**< Agent's clock less ours: highest seen in */
   int64_t earlier_offset; /**< this window, and in the one before. */
   HsTime window_end;
@@ -76,6 +77,9 @@
  */
 bool hs_agent_credits_usable (HsAgentCredits *a, HsTime now, HsTime lease_left);
 
+/** Whether the newest is a loan. */
+bool hs_agent_credits_has_loan (const HsAgentCredits *a);
+
 /** Takes the newest out, for a start or (@p to_lend) for another entry. */
 hsx_credit hs_agent_credits_pop (HsAgentCredits *a, bool to_lend);
 
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -68,6 +68,14 @@
                       uint32_t *agent,
                       hsx_credit *credit);
 
+/**
+ * When the stamp that starts to this agent echo was received. The permit of a
+ * start ends by the agent's clock as long after the stamp as the lease ends
+ * after this: the stamp was made before, so the permit ends no later than the
+ * lease, however old the credit is.
+ */
+HsTime hs_credits_stamp_received (const HsCredits *pool, uint32_t agent);
+
 /** The task that took a credit of this agent has ended. */
 void hs_credits_finished (HsCredits *pool, uint32_t agent);
 
@@ -82,7 +90,14 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
-/** Idle credits that trust allows to use now; all of one agent; in use. */
+/** Whether hs_credits_take() may find a credit for a task of small needs. */
+bool hs_credits_any (const HsCredits *pool, HsTime now);
+
+/**
+ * Idle credits that tasks may use: of healthy agents, and while fewer than
+ * half are healthy one of each on probation. Then: all idle ones of one
+ * agent; those in use, of all and of one agent.
+ */
 uint32_t hs_credits_idle (const HsCredits *pool);
 uint32_t hs_credits_idle_at (const HsCredits *pool, uint32_t agent);
 uint32_t hs_credits_in_use (const HsCredits *pool);
