Drop agents whose loans expired from the lists of credits

Change: after a vain search the expired loans are dropped and the agents listed anew; test_credits asks hs_credits_any() after an expiry. Conclusion: an entry without credits asks for them.

--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -60,6 +60,7 @@
 static void unlist (HsCredits *pool, uint32_t agent);
 static bool
 is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left);
+static void drop_expired (HsCredits *pool, HsTime now, HsTime lease_left);
 static bool fits (const Agent *a, const hsx_needs *needs);
 static bool better (const Agent *a, const Agent *b);
 static uint32_t choose (HsCredits *pool,
@@ -173,7 +174,10 @@
   uint32_t chosen = choose_any (pool, needs, now, lease_left);
 
   if (chosen == NONE)
-    return false;
+    {
+      drop_expired (pool, now, lease_left);
+      return false;
+    }
   pool->agents[chosen].in_use++;
   pool->n_in_use++;
   *credit = pop (pool, chosen, false);
@@ -366,6 +370,24 @@
   a->n_counted = n;
 }
 
+/* An agent whose last loans have expired must not count as one with credits,
+ * else nobody is asked for others. */
+static void
+drop_expired (HsCredits *pool, HsTime now, HsTime lease_left)
+{
+  ListId id;
+  uint32_t i;
+
+  for (id = 0; id < N_LISTS; id++)
+    for (i = pool->lists[id].n; i > 0; i--)
+      {
+        uint32_t agent = pool->lists[id].agents[i - 1];
+
+        is_usable (pool, &pool->agents[agent], now, lease_left);
+        relist (pool, agent);
+      }
+}
+
 static bool
 fits (const Agent *a, const hsx_needs *needs)
 {
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -177,6 +177,7 @@
   assert_int_equal (hs_credits_idle (lender), 0);
   assert_false (take (borrower, lent_at + HS_LOAN_LIFE, &agent, &credit));
   assert_int_equal (hs_credits_idle (borrower), 0);
+  assert_false (hs_credits_any (borrower, lent_at + HS_LOAN_LIFE));
   granted.stamp_us += HS_LOAN_LIFE;
   hs_credits_grant (lender, 0, 1, &granted, lent_at + 2 * HS_LOAN_LIFE);
   assert_int_equal (hs_credits_idle (lender), 1);
