--- a/test/matrix/faults.c
+++ b/test/matrix/faults.c
@@ -38,7 +38,7 @@
   { "start-sent" }, { "start-gated" }, { "target-called" }, { "result" },
   { "answer" },     { "announce" },    { "leave" },         { "renewal" },
   { "takeover" },   { "recover" },     { "settle" },        { "borrow" },
-  { "handover" }, { "promise" },   { "edit" },        { "watch" },
+  { "handover" },   { "promise" },     { "edit" },          { "watch" },
 };
 
 static const struct
