--- a/test/matrix/front.c
+++ b/test/matrix/front.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "front.h"
+#include "mutants.h"
 
 struct HsFront
 {
@@ -128,6 +129,7 @@
     return;
   g_ptr_array_remove_fast (open_requests, request);
   request->answer = copy_answer (request, call->answer);
+  mutant_answer (request->answer);
   request->issued_at = sim_now ();
   request->call = NULL;
   sim_trace ("answers %s/%s: state %d kind %u%s %s", request->args->customer,
--- a/test/matrix/main.c
+++ b/test/matrix/main.c
@@ -7,6 +7,7 @@
 
 #include "checks.h"
 #include "jobs.h"
+#include "mutants.h"
 #include "operators.h"
 #include "world.h"
 
@@ -35,6 +36,8 @@
 static gint seed_option = -1;
 static gint seeds_option = SEEDS;
 static gboolean trace_option;
+static gchar *mutant_option;
+static gboolean mutants_option;
 static Cell cells[STEP_COUNT][FAULT_COUNT];
 static uint32_t printed;
 
@@ -46,9 +49,17 @@
         { "seeds", 0, 0, G_OPTION_ARG_INT, &seeds_option, "Seeds a cell", "N" },
         { "trace", 0, 0, G_OPTION_ARG_NONE, &trace_option,
           "Print every message", NULL },
+        { "mutant", 0, 0, G_OPTION_ARG_STRING, &mutant_option,
+          "Run a faulty variant", "NAME" },
+        { "mutants", 0, 0, G_OPTION_ARG_NONE, &mutants_option,
+          "Run until each faulty variant was caught", NULL },
         { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL } };
 
 static void draw_library_seeds (void);
+static int run_matrix (void);
+static int run_mutants (void);
+static bool catch_mutant (Mutant mutant);
+static void choose_mutant (void);
 static void run_cell (Step step, Fault fault);
 static bool run (Step step, Fault fault, int seed, bool first);
 static void finish (Step step, Fault fault, int seed);
@@ -71,10 +82,7 @@
 {
   GOptionContext *context = g_option_context_new ("- run the fault matrix");
   GError *error = NULL;
-  uint32_t passed = 0;
-  uint32_t failed = 0;
-  Step step;
-  Fault fault;
+  int status;
 
   g_option_context_add_main_entries (context, OPTIONS, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error))
@@ -85,6 +93,20 @@
   g_option_context_free (context);
   rcu_register_thread ();
   draw_library_seeds ();
+  choose_mutant ();
+  status = mutants_option ? run_mutants () : run_matrix ();
+  rcu_unregister_thread ();
+  return status;
+}
+
+static int
+run_matrix (void)
+{
+  uint32_t passed = 0;
+  uint32_t failed = 0;
+  Step step;
+  Fault fault;
+
   for (step = 0; step < STEP_COUNT; step++)
     for (fault = 0; fault < FAULT_COUNT; fault++)
       if ((step_option == NULL || strcmp (step_option, step_name (step)) == 0)
@@ -95,12 +117,67 @@
           passed += cells[step][fault].runs - cells[step][fault].failed;
           failed += cells[step][fault].failed;
         }
-  rcu_unregister_thread ();
   print_table ();
   if (step_option == NULL && fault_option == NULL)
     print_absent ();
   printf ("%u passed, %u failed\n", passed, failed);
-  return failed > 0 ? 1 : 0;
+  return failed > 0 || passed == 0 ? 1 : 0;
+}
+
+static int
+run_mutants (void)
+{
+  uint32_t caught = 0;
+  Mutant mutant;
+
+  for (mutant = MUTANT_NONE + 1; mutant < MUTANT_COUNT; mutant++)
+    caught += catch_mutant (mutant);
+  printf ("%u passed, %u failed\n", caught, MUTANT_COUNT - 1 - caught);
+  return caught == MUTANT_COUNT - 1 ? 0 : 1;
+}
+
+/* Runs cell after cell, one seed each, until a check fails. */
+static bool
+catch_mutant (Mutant mutant)
+{
+  uint32_t runs = 0;
+  int seed;
+  Step step;
+  Fault fault;
+
+  mutant_choose (mutant);
+  for (seed = 1; seed <= seeds_option; seed++)
+    for (step = 0; step < STEP_COUNT; step++)
+      for (fault = 0; fault < FAULT_COUNT; fault++)
+        {
+          uint32_t failures;
+
+          if (fault_absent (step, fault) != NULL)
+            continue;
+          runs++;
+          run (step, fault, seed, true);
+          failures = checks_failures ();
+          world_end ();
+          if (failures == 0)
+            continue;
+          printf ("mutant %-8s caught by --step %s --fault %s --seed %d, "
+                  "run %u: %s\n",
+                  mutant_name (mutant), step_name (step), fault_name (fault),
+                  seed, runs, checks_report[0]);
+          return true;
+        }
+  printf ("mutant %-8s NOT caught in %u runs\n", mutant_name (mutant), runs);
+  return false;
+}
+
+static void
+choose_mutant (void)
+{
+  Mutant mutant;
+
+  for (mutant = 0; mutant_option != NULL && mutant < MUTANT_COUNT; mutant++)
+    if (strcmp (mutant_option, mutant_name (mutant)) == 0)
+      mutant_choose (mutant);
 }
 
 /* json-c draws its hash seed at first use; no run may pay for that. */
--- /dev/null
+++ b/test/matrix/mutants.c
@@ -0,0 +1,100 @@
+#include "mutants.h"
+
+#include <string.h>
+
+#include "agent/internal.h"
+
+#define ANY_PERMIT (3600 * HS_SEC)
+
+static const char *const NAMES[MUTANT_COUNT]
+    = { "none",   "gate",  "memory", "settle",  "lease",   "compare", "claim",
+        "limits", "stale", "leave",  "partial", "crossed", "not-run", "drain" };
+
+static Mutant chosen;
+
+static void accept_any (const Proc *to, hsx_start_args *args);
+static void deny (hsx_settle_reply *reply);
+
+const char *
+mutant_name (Mutant mutant)
+{
+  return NAMES[mutant];
+}
+
+void
+mutant_choose (Mutant mutant)
+{
+  chosen = mutant;
+}
+
+bool
+mutant_is (Mutant mutant)
+{
+  return chosen == mutant;
+}
+
+void
+mutant_call (const Proc *to, uint32_t proc, void *args)
+{
+  if (chosen == MUTANT_GATE && proc == HSX_START)
+    accept_any (to, args);
+}
+
+/* What is cut off here leaks, as little as a failing run may. */
+void
+mutant_reply (uint32_t proc, void *result)
+{
+  if (chosen == MUTANT_MEMORY && proc == HSX_RECOVER)
+    ((hsx_recover_reply *) result)->records.records_len = 0;
+  if (chosen == MUTANT_SETTLE && proc == HSX_SETTLE)
+    deny (result);
+}
+
+void
+mutant_answer (hsx_answer *answer)
+{
+  u_int n = answer->tasks.tasks_len;
+  hsx_task_answer *tasks = answer->tasks.tasks_val;
+  u_int i;
+
+  if (chosen == MUTANT_PARTIAL && n > 1)
+    answer->tasks.tasks_len--;
+  if (chosen == MUTANT_CROSSED && n > 1)
+    {
+      hsx_task_answer first = tasks[0];
+
+      tasks[0] = tasks[1];
+      tasks[1] = first;
+    }
+  for (i = 0; chosen == MUTANT_NOT_RUN && i < n; i++)
+    if (tasks[i].state == HSX_TASK_FAILED
+        || tasks[i].state == HSX_TASK_MAY_HAVE_RUN)
+      tasks[i].state = HSX_TASK_NOT_RUN;
+}
+
+static void
+accept_any (const Proc *to, hsx_start_args *args)
+{
+  u_int i;
+
+  for (i = 0; i < args->starts.starts_len; i++)
+    {
+      hsx_start *start = &args->starts.starts_val[i];
+      uint64_t epoch = hs_gate_epoch (to->agent->gate, start->key.part);
+
+      start->permit_us = ANY_PERMIT;
+      start->epoch = MAX (start->epoch, epoch);
+    }
+}
+
+static void
+deny (hsx_settle_reply *reply)
+{
+  u_int i;
+
+  for (i = 0; i < reply->results.results_len; i++)
+    {
+      reply->results.results_val[i].outcome = HSX_REFUSED;
+      reply->results.results_val[i].refusal = HSX_REFUSAL_FENCED;
+    }
+}
--- a/test/matrix/net.c
+++ b/test/matrix/net.c
@@ -5,6 +5,7 @@
 
 #include "proto/procs.h"
 #include "rpc/conn.h"
+#include "mutants.h"
 #include "world.h"
 
 #define MESSAGE_MAX (16u << 20)
@@ -480,6 +481,7 @@
   xdrmem_create (&xdr, message->bytes, message->len, XDR_DECODE);
   if (!proc->args (&xdr, args))
     g_error ("message of procedure %s can't be decoded", proc->name);
+  mutant_call (self, message->proc, args);
   sim_trace ("<- %s %s", peer->name, proc->name);
   if (!gate || fault_before (STEP_START_GATED, self, peer, conn))
     conn->rpc->handler.call (conn->rpc->arg, conn, message->proc, message->call,
@@ -512,6 +514,7 @@
   xdrmem_create (&xdr, message->bytes, message->len, XDR_DECODE);
   if (!proc->result (&xdr, result))
     g_error ("reply of procedure %s can't be decoded", proc->name);
+  mutant_reply (message->proc, result);
   sim_trace ("<- %s reply to %s", conn->peer_proc->name, proc->name);
   pending->done (pending->arg, HS_RPC_OK, result);
   xdr_destroy (&xdr);
--- a/test/matrix/stores.c
+++ b/test/matrix/stores.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "mutants.h"
 #include "operators.h"
 #include "world.h"
 
@@ -12,6 +13,7 @@
 #define CALL_TIMEOUT (2 * HS_SEC)
 /** Pause before a cut watch is dialled again. */
 #define REDIAL_PAUSE (300 * HS_MSEC)
+#define MUTANT_LEASE_FACTOR 10
 /** Leases that lapsed are looked for this often. */
 #define CLOCK_PERIOD (50 * HS_MSEC)
 /** How many revisions a stale replica is behind. */
@@ -79,6 +81,7 @@
 static void run_range (Call *call);
 static void run_txn (Call *call);
 static void take_kvs (Call *call, const HsKvOpResult *result);
+static void raise_limit (char *json);
 static void on_reply (void *arg);
 static void end_call (Call *call, HsStoreStatus status);
 static HsKvOp *copy_ops (Call *call, size_t n, const HsStoreOp *ops);
@@ -336,6 +339,8 @@
     case CALL_KEEPALIVE:
       call->reply.ttl_s
           = hs_kv_lease_keepalive (world.kv, call->lease, sim_now ());
+      if (mutant_is (MUTANT_LEASE))
+        call->reply.ttl_s *= MUTANT_LEASE_FACTOR;
       break;
     case CALL_REVOKE:
       hs_kv_lease_revoke (world.kv, call->lease);
@@ -365,12 +370,20 @@
 static void
 run_txn (Call *call)
 {
-  bool held = hs_kv_compare_all (world.kv, call->compares, call->n_compares);
+  bool held = mutant_is (MUTANT_COMPARE)
+              || hs_kv_compare_all (world.kv, call->compares, call->n_compares);
   size_t n = call->n_ops[held];
   HsKvOpResult *results = talloc_zero_array (call, HsKvOpResult, n + 1);
-  HsKvStatus status = hs_kv_apply (world.kv, call->ops[held], n, results);
+  HsKvStatus status;
   size_t i;
 
+  if (mutant_is (MUTANT_CLAIM) && call->step == STEP_CLAIM)
+    {
+      call->reply.succeeded = true;
+      return;
+    }
+  status = hs_kv_apply (world.kv, call->ops[held], n, results);
+
   if (status != HS_KV_OK)
     {
       call->reply.status = HS_STORE_NOT_APPLIED;
@@ -406,11 +419,23 @@
                                 record->mod_revision,
                                 record->lease };
     }
+  if (mutant_is (MUTANT_LIMITS))
+    for (i = 0; i < result->records->len; i++)
+      raise_limit ((char *) (uintptr_t) kvs[n + i].value);
   call->reply.kvs = kvs;
   call->reply.n_kvs = n + result->records->len;
   g_ptr_array_unref (result->records);
 }
 
+static void
+raise_limit (char *json)
+{
+  char *number = strstr (json, "\"in_flight\":");
+
+  if (number != NULL)
+    number[strcspn (number, "0123456789")] = '9';
+}
+
 static void
 on_reply (void *arg)
 {
@@ -596,7 +621,9 @@
     }
   note.events = told;
   watch->next_revision = note.revision + 1;
-  watch->func (watch->arg, &note);
+  if (!mutant_is (MUTANT_STALE)
+      || !g_str_has_prefix (watch->prefix, "hs/allowance/"))
+    watch->func (watch->arg, &note);
   talloc_free (told);
   if (proc->life == life)
     fault_after (STEP_WATCH, proc, NULL, NULL);
--- a/test/matrix/targets.c
+++ b/test/matrix/targets.c
@@ -6,6 +6,7 @@
 #include "agent/target_call.h"
 #include "checks.h"
 #include "jobs.h"
+#include "mutants.h"
 #include "world.h"
 
 /** A call on the same host. */
@@ -85,7 +86,8 @@
   agent->target.leaving = true;
   agent->target.left_at = sim_now ();
   sim_trace ("%s: target leaves", agent->name);
-  agent->target.handler.leave (agent->target.handler_arg);
+  if (!mutant_is (MUTANT_LEAVE))
+    agent->target.handler.leave (agent->target.handler_arg);
   fault_after (STEP_LEAVE, agent, NULL, NULL);
 }
 
--- a/test/matrix/world.c
+++ b/test/matrix/world.c
@@ -5,6 +5,7 @@
 #include "agent/internal.h"
 #include "checks.h"
 #include "jobs.h"
+#include "mutants.h"
 #include "operators.h"
 
 /** The lease is short, so that a pause beyond it stays short. */
@@ -272,7 +273,7 @@
   bool left = proc->core != NULL ? proc->core->finished
                                  : hs_agent_has_left (proc->agent);
 
-  if (!left)
+  if (!left && !mutant_is (MUTANT_DRAIN))
     {
       sim_at (sim_now () + LEAVE_PERIOD, proc, on_leave_check, proc, false);
       return;
