Keep an agent's record of a start in one chunk

Cause: make bench-state, new, shows 745 bytes for each remembered start with a result of 100 bytes: talloc's own part of four chunks is more than the record. At the target's peak an agent keeps 29 starts a second for 600 s. Change: the strings of the key stand behind the record, the body is a plain allocation.

--- a/bench/part.mk
+++ b/bench/part.mk
@@ -3,3 +3,5 @@
 	bench/fleet_target.c bench/events.c bench/workload.c
 BENCHES += system
 BENCH_SYSTEM := bench/system.c bench/client.c bench/fakes.c
+BENCHES += state
+BENCH_STATE := bench/state.c
--- /dev/null
+++ b/bench/state.c
@@ -0,0 +1,174 @@
+/*
+ * Bytes and processor time that one more record of each kind costs a process,
+ * as JSON: the slopes of state in docs/CAPACITY.md.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "agent/memory.h"
+#include "entry/members.h"
+#include "lists/lists.h"
+
+#define AGENT_RECORDS 20000
+#define RESULT_BYTES 100
+#define MEMBERS 510
+#define CUSTOMERS 120
+#define EDITS 1000
+
+/* What one measured span took. */
+typedef struct
+{
+  size_t bytes;
+  HsTime begin;
+} Span;
+
+static void measure_agent_records (TALLOC_CTX *ctx);
+static void measure_members (TALLOC_CTX *ctx);
+static void measure_lists (TALLOC_CTX *ctx);
+static void measure_edits (TALLOC_CTX *ctx, const HsLists *lists);
+static void
+apply (HsLists *lists, HsListKind kind, const char *name, int64_t revision);
+static Span begin (void);
+static void report (const char *name, Span span, uint32_t n, const char *end);
+static size_t allocated (void);
+
+int
+main (int argc, char **argv)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  printf ("{\"commit\":\"%s\",\"records\":{\n", argc > 1 ? argv[1] : "");
+  measure_agent_records (ctx);
+  measure_members (ctx);
+  measure_lists (ctx);
+  printf ("}}\n");
+  talloc_free (ctx);
+  return 0;
+}
+
+static void
+measure_agent_records (TALLOC_CTX *ctx)
+{
+  char result[RESULT_BYTES + 1];
+  char id[40];
+  hsx_task_key key = { .customer = (char *) "nadroga", .id = id };
+  HsFinish finish = { .outcome = HSX_DONE,
+                      .http_status = 200,
+                      .body = result,
+                      .body_len = RESULT_BYTES };
+  Span span = begin ();
+  HsMemory *memory = hs_memory_new (ctx, 600 * HS_SEC, UINT32_MAX);
+  uint32_t i;
+
+  memset (result, 'r', RESULT_BYTES);
+  result[RESULT_BYTES] = '\0';
+  for (i = 0; i < AGENT_RECORDS; i++)
+    {
+      HsTaskHandle task;
+
+      g_snprintf (id, sizeof id, "01a3185c-542f-78d8-b5fe-%012x", i);
+      task = hs_memory_start (memory, &key, i);
+      hs_memory_finish (memory, task, &finish);
+    }
+  report ("agent_task_result_100_bytes", span, AGENT_RECORDS, ",");
+  talloc_free (memory);
+}
+
+static void
+measure_members (TALLOC_CTX *ctx)
+{
+  hsx_member member = { .revision = 1,
+                        .state = HSX_MEMBER_UP,
+                        .address = (char *) "192.0.2.120:7000",
+                        .data_centre = (char *) "suva-1",
+                        .rack = (char *) "rack-17",
+                        .slots = 8 };
+  Span span = begin ();
+  HsMembers *members = hs_members_new (ctx);
+  uint32_t i;
+
+  for (i = 0; i < MEMBERS; i++)
+    {
+      member.incarnation = i + 1;
+      hs_members_merge (members, &member, 0);
+    }
+  report ("entry_member", span, MEMBERS, ",");
+}
+
+static void
+measure_lists (TALLOC_CTX *ctx)
+{
+  Span span = begin ();
+  HsLists *lists = hs_lists_new (ctx);
+  char name[HS_NAME_MAX + 1];
+  uint32_t i;
+
+  for (i = 0; i < CUSTOMERS; i++)
+    {
+      g_snprintf (name, sizeof name, "customer-%u", i);
+      apply (lists, HS_LIST_PLANS, name, i + 1);
+      apply (lists, HS_LIST_ALLOWANCES, name, i + 1);
+    }
+  report ("entry_customer_with_plan", span, CUSTOMERS, ",");
+  measure_edits (ctx, lists);
+}
+
+/* Each edit copies the view, as publishing does. */
+static void
+measure_edits (TALLOC_CTX *ctx, const HsLists *lists)
+{
+  HsLists *view = hs_lists_copy (ctx, lists);
+  Span span = begin ();
+  uint32_t i;
+
+  for (i = 0; i < EDITS; i++)
+    {
+      HsLists *next = hs_lists_copy (ctx, view);
+
+      apply (next, HS_LIST_ALLOWANCES, "customer-7", CUSTOMERS + 1 + i);
+      talloc_free (view);
+      view = next;
+    }
+  report ("entry_edit_of_120_customers", span, EDITS, "");
+}
+
+static void
+apply (HsLists *lists, HsListKind kind, const char *name, int64_t revision)
+{
+  const char *json = kind == HS_LIST_PLANS
+                         ? "{\"plan\":\"gold\"}"
+                         : "{\"in_flight\":10,\"starts_per_s\":100,"
+                           "\"queued\":1000}";
+  g_autoptr (GError) error = NULL;
+
+  if (!hs_lists_apply (lists, kind, name, json, revision, &error))
+    g_error ("bench-state: %s", error != NULL ? error->message : "old record");
+}
+
+static Span
+begin (void)
+{
+  return (Span){ .bytes = allocated (), .begin = hs_now ().mono };
+}
+
+static void
+report (const char *name, Span span, uint32_t n, const char *end)
+{
+  double us = (double) (hs_now ().mono - span.begin) / n;
+  double bytes = ((double) allocated () - (double) span.bytes) / n;
+
+  printf ("\"%s\":{\"n\":%u,\"bytes\":%.0f,\"us\":%.2f}%s\n", name, n, bytes,
+          us, end);
+}
+
+static size_t
+allocated (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
--- a/mk/bench.mk
+++ b/mk/bench.mk
@@ -31,3 +31,12 @@
 	@bench/run-system $(B) $(BENCH_COMMIT) $(BENCH_RESULTS)/system.json
 
 .PHONY: bench-system
+
+$(B)/bench-state: $(BENCH_STATE:%.c=$(B)/%.o) $(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
+
+bench-state: $(B)/bench-state
+	@mkdir -p $(BENCH_RESULTS)
+	$(B)/bench-state $(BENCH_COMMIT) | tee $(BENCH_RESULTS)/state.json
+
+.PHONY: bench-state
--- a/src/agent/memory.c
+++ b/src/agent/memory.c
@@ -25,8 +25,9 @@
   hsx_outcome outcome;
   uint32_t http_status;
   uint32_t run_us;
-  char *body;
+  char *body; /* Freed by g_free(). */
   uint32_t body_len;
+  char names[]; /* Customer and id, which the key points to. */
 } Record;
 
 struct HsMemory
@@ -47,6 +48,7 @@
 static uint32_t hash_key (const hsx_task_key *key);
 static guint record_hash (gconstpointer item);
 static gboolean record_equal (gconstpointer a, gconstpointer b);
+static Record *new_record (HsMemory *memory, const hsx_task_key *key);
 static Record *add (HsMemory *memory, const hsx_task_key *key, HsTime now);
 static void grow (HsMemory *memory);
 static void drop_body (HsMemory *memory, Record *record);
@@ -105,7 +107,7 @@
   record->run_us = finish->run_us;
   if (finish->body_len == 0)
     return;
-  record->body = talloc_memdup (record, finish->body, finish->body_len);
+  record->body = g_memdup2 (finish->body, finish->body_len);
   record->body_len = (uint32_t) finish->body_len;
   memory->body_bytes += finish->body_len;
   g_queue_push_tail_link (&memory->bodies, &record->by_body);
@@ -200,9 +202,12 @@
   return memory->body_bytes;
 }
 
+/* Bodies aren't chunks of talloc, which would double the small ones. */
 static int
 free_memory (HsMemory *memory)
 {
+  while (memory->bodies.head != NULL)
+    drop_body (memory, memory->bodies.head->data);
   g_hash_table_destroy (memory->by_key);
   return 0;
 }
@@ -235,14 +240,11 @@
 static Record *
 add (HsMemory *memory, const hsx_task_key *key, HsTime now)
 {
-  Record *record = talloc_zero (memory, Record);
+  Record *record = new_record (memory, key);
 
   if (memory->n_unused == 0)
     grow (memory);
   record->handle = memory->unused[--memory->n_unused];
-  record->key = *key;
-  record->key.customer = talloc_strdup (record, key->customer);
-  record->key.id = talloc_strdup (record, key->id);
   record->hash = hash_key (key);
   record->started_at = now;
   record->by_age.data = record;
@@ -253,6 +255,24 @@
   return record;
 }
 
+/* One chunk with the strings of the key: at the peak an agent keeps tens of
+   thousands of records, and each chunk costs a hundred bytes of its own. */
+static Record *
+new_record (HsMemory *memory, const hsx_task_key *key)
+{
+  size_t customer_size = strlen (key->customer) + 1;
+  size_t id_size = strlen (key->id) + 1;
+  Record *record
+      = talloc_zero_size (memory, sizeof *record + customer_size + id_size);
+
+  record->key = *key;
+  record->key.customer = record->names;
+  record->key.id = record->names + customer_size;
+  memcpy (record->key.customer, key->customer, customer_size);
+  memcpy (record->key.id, key->id, id_size);
+  return record;
+}
+
 /* Doubles the table; low handles are handed out first. */
 static void
 grow (HsMemory *memory)
@@ -277,7 +297,7 @@
     return;
   g_queue_unlink (&memory->bodies, &record->by_body);
   memory->body_bytes -= record->body_len;
-  TALLOC_FREE (record->body);
+  g_clear_pointer (&record->body, g_free);
   record->body_len = 0;
 }
 
