Let hs-load's callers come through a balancer; run the response bench

Change: an entry that refuses a connection is passed over for a second, and the next one is tried at once; the attempt still counts as wasted. bench-response, until now run by hand, is a part of make bench.

--- a/bench/part.mk
+++ b/bench/part.mk
@@ -5,3 +5,4 @@
 BENCH_SYSTEM := bench/system.c bench/client.c bench/fakes.c
 BENCHES += state
 BENCH_STATE := bench/state.c
+BENCHES += response
--- a/mk/bench.mk
+++ b/mk/bench.mk
@@ -40,3 +40,10 @@
 	$(B)/bench-state $(BENCH_COMMIT) | tee $(BENCH_RESULTS)/state.json
 
 .PHONY: bench-state
+
+# Response over ideal and wasted messages under each single fault.
+bench-response: $(BIN) $(STANDINS)
+	@mkdir -p $(BENCH_RESULTS)
+	@bench/run-response $(B) $(BENCH_COMMIT) $(BENCH_RESULTS)/response.json
+
+.PHONY: bench-response
--- a/test/load/client.c
+++ b/test/load/client.c
@@ -60,6 +60,7 @@
   load->scenario = scenario;
   load->ev = ev;
   load->curl = hs_curl_new (load, ev);
+  load->balancer = balancer_new (load, g_strv_length (scenario->entries));
   load->jobs = talloc_zero_array (load, LoadJob, load->n_jobs);
   load->started = hs_now ().mono;
   for (i = 0; i < load->n_jobs; i++)
@@ -222,9 +223,9 @@
   LoadSend *other = other_send (send);
   CURL *easy;
 
-  send->entry %= g_strv_length (job->load->scenario->entries);
   send->attempts++;
   send->sent = hs_now ().mono;
+  send->entry = balancer_pick (job->load->balancer, send->entry, send->sent);
   send->open = true;
   send->alone = !other->open;
   other->alone = false;
@@ -273,7 +274,10 @@
   else if (result == CURLE_OPERATION_TIMEDOUT)
     retry (send, "timeout", false, 0, now);
   else if (!sent)
-    retry (send, "connect", false, 0, now);
+    {
+      balancer_refused (send->job->load->balancer, send->entry, now);
+      retry (send, "connect", false, 0, now);
+    }
   else
     retry (send, "broken", false, 0, now);
   curl_easy_cleanup (easy);
@@ -347,6 +351,10 @@
       TALLOC_FREE (send->answer);
       send->answered = 0;
     }
+  /* The balancer itself tries the next entry after a refused connection. */
+  if (strcmp (kind, "connect") == 0
+      && balancer_has_entry (send->job->load->balancer, now))
+    backoff = 0;
   call_after (send->job->load, MAX (wait, backoff), on_retry, send);
 }
 
--- a/test/load/client.h
+++ b/test/load/client.h
@@ -13,6 +13,7 @@
 #include <tevent.h>
 
 #include "answer.h"
+#include "balancer.h"
 #include "scenario.h"
 
 #define LOAD_ID_SIZE 64
@@ -68,6 +69,7 @@
   size_t n_jobs;
   size_t next;   /**< The job that arrives next. */
   uint64_t open; /**< Sends that have not ended, and cancellations. */
+  Balancer *balancer;
   HsTime started;
 } Load;
 
