--- a/model/promises.pml
+++ b/model/promises.pml
@@ -1,6 +1,6 @@
 /*
  * How an owner goes on while the store can't be reached (src/entry/promises.h
- * and keeper.c).
+ * and keeper_promises.c).
  *
  * A owns a partition. B is an entry that A knows; X registers at any time.
  * Each of them reaches the store or not, as faults switch it. Steps are
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -176,7 +176,7 @@
 uint32_t hs_calls_waiting (const HsCalls *calls);
 
 /** @} */
-/** @name keeper.c: lease, ownership records and watches in the store @{ */
+/** @name keeper*.c: lease, ownership records and watches in the store @{ */
 
 HsKeeper *hs_keeper_new (HsCore *core);
 void hs_keeper_tick (HsKeeper *keeper, HsNow now);
