Split the matrix's connections, store and faults by concern

Change: net.c keeps the life of a connection, net_calls.c the messages, net_faults.c what befalls connections. stores.c keeps the client's calls, stores_run.c runs them on the state machine, stores_watch.c has the watches. faults.c arms the faults, strikes.c carries them out.

--- a/test/matrix/faults.h
+++ b/test/matrix/faults.h
@@ -95,6 +95,13 @@
 /** Whether the run has no fault, only what operators plan. */
 bool faults_lossless (void);
 
+/** What is at the other end of a step's message: the store, or a caller. */
+bool step_is_store (Step step);
+bool step_is_caller (Step step);
+
+/** Lets a fault happen here and now. */
+void fault_strike (Fault fault, const Point *point);
+
 /** Told by the fakes at each step; may kill the actor. */
 void fault_point (const Point *point);
 
--- a/test/matrix/main.c
+++ b/test/matrix/main.c
@@ -376,7 +376,7 @@
   (void) arg;
   store_mood.down_until = sim_now () + STORE_OUTAGE;
   store_mood.silent = sim_random (2) == 0;
-  world.calm_at = MAX (world.calm_at, store_mood.down_until + 2 * HS_SEC);
+  world_disturbed_until (store_mood.down_until + 2 * HS_SEC);
 }
 
 static void
--- a/test/matrix/net.c
+++ b/test/matrix/net.c
@@ -1,76 +1,8 @@
-/* Connections between processes: in place of rpc/conn.c. Messages go through
-   the real codecs; a connection keeps their order or loses its tail. */
+/* Connections between processes: in place of rpc/conn.c. */
 
 #include <string.h>
 
-#include "proto/procs.h"
-#include "rpc/conn.h"
-#include "mutants.h"
-#include "world.h"
-
-#define MESSAGE_MAX (16u << 20)
-
-typedef struct
-{
-  HsConn *ends[2];      /* NULL: that side has closed, or is not up. */
-  HsTime last_at[2];    /* Arrival of the last message to a side. */
-  HsTime held_until[2]; /* Nothing arrives at a side before. */
-  bool lost[2];         /* What is in flight to a side is lost. */
-} Pipe;
-
-typedef struct Pending Pending;
-struct Pending
-{
-  HsConn *conn;
-  Pending *next;
-  HsRpcCallId call;
-  uint32_t proc;
-  HsRpcDone done;
-  void *arg;
-  SimEvent *timeout;
-};
-
-struct HsRpc
-{
-  Proc *proc;
-  char address[HSX_ADDRESS_MAX + 1];
-  hsx_hello self;
-  HsRpcHandler handler;
-  void *arg;
-  GPtrArray *conns;
-  HsRpcStats stats;
-};
-
-struct HsConn
-{
-  HsRpc *rpc;
-  Pipe *pipe;
-  int side;
-  bool up;
-  bool ended;
-  void *data;
-  hsx_hello peer;
-  Proc *peer_proc;
-  Pending *pending;
-  HsRpcCallId next_call;
-};
-
-typedef struct
-{
-  Pipe *pipe;
-  int to;
-  bool is_reply;
-  uint32_t proc;
-  HsRpcCallId call;
-  char *bytes;
-  u_int len;
-} Message;
-
-typedef struct
-{
-  Pipe *pipe;
-  int side;
-} PipeEnd;
+#include "net_private.h"
 
 typedef struct
 {
@@ -82,21 +14,10 @@
 static HsConn *conn_new (HsRpc *rpc);
 static void on_dialled (void *arg);
 static void on_dial_failed (void *arg);
-static void on_up (void *arg);
 static void come_up (HsConn *conn, const HsRpc *peer);
-static bool send_message (HsConn *conn,
-                          const Message *head,
-                          xdrproc_t codec,
-                          const void *body);
-static void deliver (void *arg);
-static void deliver_call (HsConn *conn, const Message *message);
-static void deliver_reply (HsConn *conn, const Message *message);
-static void on_timeout (void *arg);
+static void on_up (void *arg);
 static void on_end (void *arg);
-static void end_later (Pipe *pipe, int side, HsTime at);
 static void conn_end (HsConn *conn, bool refused);
-static void fail_pending (HsConn *conn);
-static bool step_of (uint32_t proc, Step *step);
 
 HsRpc *
 hs_rpc_new (TALLOC_CTX *ctx,
@@ -182,7 +103,7 @@
 hs_conn_close (HsConn *conn)
 {
   if (conn->pipe != NULL)
-    end_later (conn->pipe, !conn->side, sim_now () + NET_DELAY);
+    net_end_later (conn->pipe, !conn->side, sim_now () + NET_DELAY);
   conn_end (conn, false);
 }
 
@@ -199,135 +120,18 @@
   return 0;
 }
 
-bool
-hs_conn_call (HsConn *conn,
-              uint32_t number,
-              const void *args,
-              HsTime timeout,
-              HsRpcDone done,
-              void *arg)
-{
-  const HsProc *proc = hs_proc (number);
-  Message head = { .proc = number };
-  Pending *pending;
-  Step step = STEP_COUNT;
-
-  if (!conn->up || !proc_acts (conn->rpc->proc))
-    return false;
-  if (step_of (number, &step)
-      && !fault_before (step, conn->rpc->proc, conn->peer_proc, conn))
-    return false;
-  if (proc->result != NULL)
-    head.call = ++conn->next_call;
-  if (!send_message (conn, &head, proc->args, args))
-    return false;
-  sim_trace ("-> %s %s", conn->peer_proc->name, proc->name);
-  if (step != STEP_COUNT)
-    fault_after (step, conn->rpc->proc, conn->peer_proc, conn);
-  if (proc->result == NULL)
-    return true;
-  pending = talloc_zero (conn, Pending);
-  pending->conn = conn;
-  pending->call = head.call;
-  pending->proc = number;
-  pending->done = done;
-  pending->arg = arg;
-  pending->next = conn->pending;
-  conn->pending = pending;
-  if (timeout != HS_NEVER)
-    pending->timeout = sim_at (sim_now () + timeout, conn->rpc->proc,
-                               on_timeout, pending, false);
-  return true;
-}
-
-bool
-hs_conn_reply (HsConn *conn,
-               HsRpcCallId call,
-               uint32_t number,
-               const void *result)
-{
-  Message head = { .proc = number, .call = call, .is_reply = true };
-
-  if (!conn->up || !proc_acts (conn->rpc->proc))
-    return false;
-  sim_trace ("-> %s reply to %s", conn->peer_proc->name,
-             hs_proc (number)->name);
-  return send_message (conn, &head, hs_proc (number)->result, result);
-}
-
-void
-net_proc_died (Proc *proc, bool with_host)
-{
-  HsTime at = sim_now () + (with_host ? NET_SILENCE : NET_DELAY);
-  guint i;
-
-  for (i = 0; proc->rpc != NULL && i < proc->rpc->conns->len; i++)
-    {
-      HsConn *conn = proc->rpc->conns->pdata[i];
-
-      if (conn->pipe == NULL)
-        continue;
-      conn->pipe->ends[conn->side] = NULL;
-      end_later (conn->pipe, !conn->side, at);
-    }
-  proc->rpc = NULL;
-}
-
-void
-net_break (HsConn *conn)
-{
-  Pipe *pipe = conn->pipe;
-
-  if (pipe == NULL)
-    return;
-  pipe->lost[0] = true;
-  pipe->lost[1] = true;
-  end_later (pipe, conn->side, sim_now ());
-  end_later (pipe, !conn->side, sim_now () + NET_DELAY);
-}
-
 void
-net_cross (HsConn *conn, HsTime span)
+net_end_later (Pipe *pipe, int side, HsTime at)
 {
-  Pipe *pipe = conn->pipe;
+  PipeEnd *end;
 
-  if (pipe == NULL)
+  if (pipe->ends[side] == NULL)
     return;
-  pipe->lost[conn->side] = true;
-  end_later (pipe, conn->side, sim_now ());
-  net_hold (conn, span);
-  end_later (pipe, !conn->side, sim_now () + span + NET_DELAY);
-}
-
-void
-net_hold (HsConn *conn, HsTime span)
-{
-  if (conn->pipe != NULL)
-    conn->pipe->held_until[!conn->side] = sim_now () + span;
-}
-
-/* The peer dials, as either side may. */
-void
-net_second (HsConn *conn)
-{
-  Proc *peer = conn->peer_proc;
-
-  if (peer->rpc != NULL && proc_acts (peer))
-    hs_rpc_dial (peer->rpc, conn->rpc->proc->address);
-}
-
-void
-net_break_between (const Proc *a, const Proc *b)
-{
-  guint i;
-
-  for (i = 0; a->rpc != NULL && i < a->rpc->conns->len; i++)
-    {
-      HsConn *conn = a->rpc->conns->pdata[i];
-
-      if (conn->peer_proc == b)
-        net_break (conn);
-    }
+  end = talloc_zero (NULL, PipeEnd);
+  end->pipe = pipe;
+  end->side = side;
+  sim_at (MAX (at, pipe->last_at[side]), pipe->ends[side]->rpc->proc, on_end,
+          end, true);
 }
 
 static int
@@ -412,142 +216,6 @@
   conn->rpc->handler.up (conn->rpc->arg, conn);
 }
 
-static bool
-send_message (HsConn *conn,
-              const Message *head,
-              xdrproc_t codec,
-              const void *body)
-{
-  Pipe *pipe = conn->pipe;
-  int to = !conn->side;
-  Message *message = talloc_zero (NULL, Message);
-  HsTime at = sim_now () + NET_DELAY + sim_between (0, NET_DELAY / 5);
-  static char buffer[MESSAGE_MAX];
-  XDR xdr;
-  bool fits;
-
-  *message = *head;
-  message->pipe = pipe;
-  message->to = to;
-  xdrmem_create (&xdr, buffer, MESSAGE_MAX, XDR_ENCODE);
-  fits = codec (&xdr, (void *) (uintptr_t) body);
-  message->len = xdr_getpos (&xdr);
-  message->bytes = talloc_memdup (message, buffer, message->len);
-  xdr_destroy (&xdr);
-  if (!fits)
-    {
-      talloc_free (message);
-      return false;
-    }
-  pipe->last_at[to] = MAX (at, pipe->last_at[to]);
-  sim_at (pipe->last_at[to], conn->peer_proc, deliver, message, true);
-  return true;
-}
-
-static void
-deliver (void *arg)
-{
-  Message *message = arg;
-  Pipe *pipe = message->pipe;
-  HsConn *conn = pipe->ends[message->to];
-
-  if (conn == NULL || pipe->lost[message->to])
-    return;
-  if (pipe->held_until[message->to] > sim_now ())
-    {
-      Message *again = talloc_memdup (NULL, message, sizeof *message);
-
-      talloc_steal (again, message->bytes);
-      sim_at (pipe->held_until[message->to], conn->rpc->proc, deliver, again,
-              true);
-      return;
-    }
-  if (message->is_reply)
-    deliver_reply (conn, message);
-  else
-    deliver_call (conn, message);
-}
-
-static void
-deliver_call (HsConn *conn, const Message *message)
-{
-  const HsProc *proc = hs_proc (message->proc);
-  Proc *self = conn->rpc->proc;
-  Proc *peer = conn->peer_proc;
-  void *args = g_malloc0 (proc->args_size);
-  bool gate = message->proc == HSX_START;
-  XDR xdr;
-
-  xdrmem_create (&xdr, message->bytes, message->len, XDR_DECODE);
-  if (!proc->args (&xdr, args))
-    g_error ("message of procedure %s can't be decoded", proc->name);
-  mutant_call (self, message->proc, args);
-  sim_trace ("<- %s %s", peer->name, proc->name);
-  if (!gate || fault_before (STEP_START_GATED, self, peer, conn))
-    conn->rpc->handler.call (conn->rpc->arg, conn, message->proc, message->call,
-                             args);
-  if (gate && message->pipe->ends[message->to] == conn)
-    fault_after (STEP_START_GATED, self, peer, conn);
-  xdr_destroy (&xdr);
-  xdr_free (proc->args, args);
-  g_free (args);
-}
-
-static void
-deliver_reply (HsConn *conn, const Message *message)
-{
-  const HsProc *proc = hs_proc (message->proc);
-  Pending **link = &conn->pending;
-  Pending *pending;
-  void *result;
-  XDR xdr;
-
-  while (*link != NULL && (*link)->call != message->call)
-    link = &(*link)->next;
-  pending = *link;
-  if (pending == NULL)
-    return;
-  *link = pending->next;
-  if (pending->timeout != NULL)
-    sim_cancel (pending->timeout);
-  result = g_malloc0 (proc->result_size);
-  xdrmem_create (&xdr, message->bytes, message->len, XDR_DECODE);
-  if (!proc->result (&xdr, result))
-    g_error ("reply of procedure %s can't be decoded", proc->name);
-  mutant_reply (message->proc, result);
-  sim_trace ("<- %s reply to %s", conn->peer_proc->name, proc->name);
-  pending->done (pending->arg, HS_RPC_OK, result);
-  xdr_destroy (&xdr);
-  xdr_free (proc->result, result);
-  g_free (result);
-}
-
-static void
-on_timeout (void *arg)
-{
-  Pending *pending = arg;
-  Pending **link = &pending->conn->pending;
-
-  while (*link != pending)
-    link = &(*link)->next;
-  *link = pending->next;
-  pending->done (pending->arg, HS_RPC_TIMEOUT, NULL);
-}
-
-static void
-end_later (Pipe *pipe, int side, HsTime at)
-{
-  PipeEnd *end;
-
-  if (pipe->ends[side] == NULL)
-    return;
-  end = talloc_zero (NULL, PipeEnd);
-  end->pipe = pipe;
-  end->side = side;
-  sim_at (MAX (at, pipe->last_at[side]), pipe->ends[side]->rpc->proc, on_end,
-          end, true);
-}
-
 static void
 on_end (void *arg)
 {
@@ -573,57 +241,6 @@
   sim_trace ("connection to %s ended%s",
              conn->peer_proc != NULL ? conn->peer_proc->name : "?",
              refused ? " (refused)" : "");
-  fail_pending (conn);
+  net_fail_pending (conn);
   rpc->handler.down (rpc->arg, conn, refused);
 }
-
-static void
-fail_pending (HsConn *conn)
-{
-  while (conn->pending != NULL)
-    {
-      Pending *pending = conn->pending;
-
-      conn->pending = pending->next;
-      if (pending->timeout != NULL)
-        sim_cancel (pending->timeout);
-      pending->done (pending->arg, HS_RPC_BROKEN, NULL);
-    }
-}
-
-static bool
-step_of (uint32_t proc, Step *step)
-{
-  switch (proc)
-    {
-    case HSX_FORWARD:
-      *step = STEP_FORWARD;
-      return true;
-    case HSX_START:
-      *step = STEP_START_SENT;
-      return true;
-    case HSX_RESULT:
-      *step = STEP_RESULT;
-      return true;
-    case HSX_ANNOUNCE:
-      *step = STEP_ANNOUNCE;
-      return true;
-    case HSX_RECOVER:
-      *step = STEP_RECOVER;
-      return true;
-    case HSX_SETTLE:
-      *step = STEP_SETTLE;
-      return true;
-    case HSX_BORROW:
-      *step = STEP_BORROW;
-      return true;
-    case HSX_HANDOVER:
-      *step = STEP_HANDOVER;
-      return true;
-    case HSX_PROMISE:
-      *step = STEP_PROMISE;
-      return true;
-    default:
-      return false;
-    }
-}
--- a/test/matrix/world.c
+++ b/test/matrix/world.c
@@ -130,6 +130,12 @@
   sim_at (sim_now () + LEAVE_PERIOD, proc, on_leave_check, proc, false);
 }
 
+void
+world_disturbed_until (HsTime at)
+{
+  world.calm_at = MAX (world.calm_at, at);
+}
+
 Proc *
 world_entry (uint32_t i)
 {
--- a/test/matrix/world.h
+++ b/test/matrix/world.h
@@ -117,6 +117,9 @@
 /** Starts a dead process anew after a while. */
 void world_restart_later (Proc *proc, HsTime span);
 
+/** Notes that a fault lasts until then. */
+void world_disturbed_until (HsTime at);
+
 Proc *world_entry (uint32_t i);
 Proc *world_agent (uint32_t i);
 Proc *world_find (const char *address);
@@ -124,7 +127,7 @@
 /** False for one that is dead or dies in the running event. */
 bool proc_acts (const Proc *proc);
 
-/** @name net.c @{ */
+/** @name net*.c @{ */
 
 /** Ends a process's connections; peers of a lost host learn it late. */
 void net_proc_died (Proc *proc, bool with_host);
@@ -151,7 +154,7 @@
 void target_leave (Proc *agent);
 
 /** @} */
-/** @name stores.c @{ */
+/** @name stores*.c @{ */
 
 /** How the store misbehaves until a time. */
 typedef struct
