Serve requests on open connections during a planned stop

Change: a leaving entry passes such requests on like any other and closes each connection after its answer. Only one that knows no other entry refuses, and then without Retry-After.

--- a/src/entry/calls.c
+++ b/src/entry/calls.c
@@ -50,6 +50,8 @@
 static int calls_destructor (HsCalls *calls);
 static Call *call_new (HsCalls *calls, HsNow now);
 static void call_free (HsCalls *calls, Call *call);
+static bool takes_requests (const HsCore *core);
+static void refuse_leaving (HsCalls *calls, Call *call);
 static void route (HsCalls *calls, Call *call, HsNow now);
 static void forward (HsCalls *calls, Call *call, HsConn *conn);
 static void on_forwarded (void *arg, HsRpcStatus status, const void *result);
@@ -81,7 +83,10 @@
   call->args = front_call->args;
   call->part
       = hs_partition_of (call->args->customer, calls->core->entry->partitions);
-  route (calls, call, now);
+  if (takes_requests (calls->core))
+    route (calls, call, now);
+  else
+    refuse_leaving (calls, call);
 }
 
 void
@@ -233,6 +238,29 @@
   talloc_free (call);
 }
 
+/* While an entry leaves, others take over its partitions and the requests on
+   its open connections are forwarded to them. Alone it only ends its jobs. */
+static bool
+takes_requests (const HsCore *core)
+{
+  if (!core->leaving)
+    return true;
+  return !core->drained && hs_core_other_entry_stays (core);
+}
+
+/* The id may have been accepted before: "not run" would be a guess. */
+static void
+refuse_leaving (HsCalls *calls, Call *call)
+{
+  hsx_answer answer = { 0 };
+
+  answer.state = HSX_JOB_REFUSED;
+  answer.kind = HS_ERROR_SHUTTING_DOWN;
+  answer.reason
+      = (char *) "this entry is leaving; send the same id to another entry";
+  answer_call (calls, call, &answer);
+}
+
 static void
 route (HsCalls *calls, Call *call, HsNow now)
 {
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -50,7 +50,6 @@
                             HsTime queued,
                             HsTime run,
                             HsTime whole);
-static bool other_entry_stays (const HsCore *core);
 static void watch_leave (HsCore *core, HsNow now);
 
 HsCore *
@@ -134,6 +133,22 @@
   hs_keeper_leave (core->keeper);
 }
 
+bool
+hs_core_other_entry_stays (const HsCore *core)
+{
+  const HsOwnership *view = hs_keeper_view (core->keeper);
+  uint32_t i;
+
+  for (i = 0; i < hs_ownership_entries (view); i++)
+    {
+      const HsEntryRecord *entry = hs_ownership_entry_at (view, i);
+
+      if (!entry->leaving && entry->incarnation != core->incarnation)
+        return true;
+    }
+  return false;
+}
+
 void
 hs_core_rearm (HsCore *core, HsNow now)
 {
@@ -242,27 +257,11 @@
     watch_leave (core, now);
 }
 
-static bool
-other_entry_stays (const HsCore *core)
-{
-  const HsOwnership *view = hs_keeper_view (core->keeper);
-  uint32_t i;
-
-  for (i = 0; i < hs_ownership_entries (view); i++)
-    {
-      const HsEntryRecord *entry = hs_ownership_entry_at (view, i);
-
-      if (!entry->leaving && entry->incarnation != core->incarnation)
-        return true;
-    }
-  return false;
-}
-
 /* Done when nothing is owned or, without another entry, nothing is left. */
 static void
 watch_leave (HsCore *core, HsNow now)
 {
-  bool alone = !other_entry_stays (core);
+  bool alone = !hs_core_other_entry_stays (core);
   bool handed_over = hs_owner_owned (core->owner) == 0
                      || (alone && hs_owner_unfinished (core->owner) == 0);
 
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -73,6 +73,9 @@
 /** Begins a planned stop: hand over, drain, then `finished`. */
 void hs_core_leave (HsCore *core);
 
+/** Whether an entry that isn't leaving is known besides this one. */
+bool hs_core_other_entry_stays (const HsCore *core);
+
 /** Sets the timer for the owner's next tick; after each input. */
 void hs_core_rearm (HsCore *core, HsNow now);
 
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -62,8 +62,9 @@
 void hs_front_answer (HsFrontCall *call);
 
 /**
- * Stops accepting connections. Requests passed to the core finish; later
- * ones on open connections are refused as shutting_down.
+ * Stops accepting connections. Requests on open ones still go to the core;
+ * each connection is closed after its next answer, so that its caller finds
+ * another entry.
  */
 void hs_front_drain (HsFront *front);
 
--- a/src/entry/front_http.c
+++ b/src/entry/front_http.c
@@ -247,12 +247,6 @@
 {
   if (request->error != NULL)
     return false;
-  if (atomic_load (&request->thread->front->draining))
-    {
-      g_set_error (&request->error, HS_ERROR, HS_ERROR_SHUTTING_DOWN,
-                   "this entry is leaving; send it to another entry");
-      return false;
-    }
   if (request->verb == HSX_SUBMIT)
     call->args = hs_job_parse (
         call, request->body.data != NULL ? request->body.data : "",
@@ -345,14 +339,14 @@
 {
   const GError *error = request->error;
   HsErrorKind kind = (HsErrorKind) error->code;
-  bool retry = kind == HS_ERROR_UNAVAILABLE || kind == HS_ERROR_SHUTTING_DOWN;
   unsigned int status
       = request->status != 0 ? request->status : hs_error_http_status (kind);
   size_t len;
   char *text = hs_job_render_error (request, kind, error->message,
                                     is_not_run (request, kind), &len);
 
-  return respond (request, status, text, len, retry ? RETRY_AFTER_MS : 0);
+  return respond (request, status, text, len,
+                  kind == HS_ERROR_UNAVAILABLE ? RETRY_AFTER_MS : 0);
 }
 
 static enum MHD_Result
--- a/src/entry/keeper_take.c
+++ b/src/entry/keeper_take.c
@@ -35,7 +35,7 @@
         case HS_PART_HAND_TO:
           /* Given up with an earlier lease: nobody else may take it while
              this entry lives, so it is taken back before it is handed on. */
-          if (!core->leaving && !hs_owner_owns (core->owner, part))
+          if (!hs_owner_owns (core->owner, part))
             {
               if (n < keeper->take_most)
                 wanted[n++] = part;
