--- a/test/load/balancer.c
+++ b/test/load/balancer.c
@@ -39,14 +39,15 @@
 uint32_t
 balancer_pick (const Balancer *balancer, uint32_t wanted, HsTime now)
 {
+  uint32_t first = wanted % balancer->n;
   uint32_t i;
 
   for (i = 0; i < balancer->n; i++)
     {
-      uint32_t entry = (wanted + i) % balancer->n;
+      uint32_t entry = (first + i) % balancer->n;
 
       if (now >= balancer->usable_from[entry])
         return entry;
     }
-  return wanted % balancer->n;
+  return first;
 }
