Break links with starts on their way in the matrix's row of SETTLE

Change: ten times, half a second apart, the connection that carries the next START breaks: with the START, or after it has arrived.

--- a/test/matrix/faults.c
+++ b/test/matrix/faults.c
@@ -11,6 +11,13 @@
   bool struck;
 } Armed;
 
+/* Whose connection breaks. */
+typedef struct
+{
+  Proc *entry;
+  Proc *agent;
+} Link;
+
 static struct
 {
   Step step;
@@ -20,6 +27,7 @@
   uint32_t seen; /* Occurrences so far. */
   uint32_t struck;
   bool striking;
+  bool break_start; /* The connection of the next START breaks. */
 } state;
 
 static const struct
@@ -62,6 +70,8 @@
   { "two", "ab" },
 };
 
+static void break_start (const Point *point);
+static void on_break (void *arg);
 static bool is_local_step (Step step);
 static bool strikes_before (Fault fault, Step step);
 static Fault draw (Step step);
@@ -134,6 +144,12 @@
   state.armed[1].at = state.armed[0].at + 1 + sim_random (most);
 }
 
+void
+faults_break_next_start (void)
+{
+  state.break_start = true;
+}
+
 uint32_t
 faults_struck (void)
 {
@@ -172,6 +188,8 @@
 {
   uint32_t i;
 
+  if (state.break_start && point->step == STEP_START_SENT && point->after)
+    break_start (point);
   if (point->step != state.step || sim_now () < FAULTS_WARM_UP
       || state.striking)
     return;
@@ -196,6 +214,32 @@
     }
 }
 
+/* Without the connection the entry can't know whether the START arrived. */
+static void
+break_start (const Point *point)
+{
+  Link *link;
+
+  state.break_start = false;
+  if (sim_random (2) == 0)
+    {
+      net_break (point->conn);
+      return;
+    }
+  link = talloc_zero (NULL, Link);
+  link->entry = point->actor;
+  link->agent = point->peer;
+  sim_at (sim_now () + 2 * NET_DELAY, NULL, on_break, link, true);
+}
+
+static void
+on_break (void *arg)
+{
+  const Link *link = arg;
+
+  net_break_between (link->entry, link->agent);
+}
+
 bool
 step_is_store (Step step)
 {
--- a/test/matrix/faults.h
+++ b/test/matrix/faults.h
@@ -89,6 +89,10 @@
 /** Arms the fault of a cell. */
 void faults_begin (Step step, Fault fault, bool first);
 
+/** Breaks the connection that carries the next START, with the START or a
+ *  little after it has arrived. */
+void faults_break_next_start (void);
+
 /** How often the fault struck. */
 uint32_t faults_struck (void);
 
--- a/test/matrix/main.c
+++ b/test/matrix/main.c
@@ -19,6 +19,9 @@
 #define SCENE_END (11 * HS_SEC)
 /** Longer than a lease and a promise. */
 #define STORE_OUTAGE (6 * HS_SEC)
+/** Connections that break in the row of SETTLE. */
+#define LINK_BREAKS 10
+#define LINK_BREAK_PERIOD (HS_SEC / 2)
 /** Failed runs that are printed. */
 #define PRINTED_MAX 60
 
@@ -71,7 +74,7 @@
 static void leave_agent_1 (void *arg);
 static void leave_target_2 (void *arg);
 static void return_target_2 (void *arg);
-static void break_links (void *arg);
+static void break_link (void *arg);
 static void stop_store (void *arg);
 static void edit (void *arg);
 static void print_table (void);
@@ -273,6 +276,7 @@
 scene (Step step)
 {
   HsTime first = FAULTS_WARM_UP + HS_SEC / 2;
+  uint32_t i;
 
   at (first, edit);
   at (first + 2 * HS_SEC, edit);
@@ -290,8 +294,8 @@
       at (first, stop_store);
       break;
     case STEP_SETTLE:
-      at (first, break_links);
-      at (first + 2 * HS_SEC, break_links);
+      for (i = 0; i < LINK_BREAKS; i++)
+        at (first + i * LINK_BREAK_PERIOD, break_link);
       break;
     case STEP_ANNOUNCE:
     case STEP_LEAVE:
@@ -362,11 +366,10 @@
 }
 
 static void
-break_links (void *arg)
+break_link (void *arg)
 {
   (void) arg;
-  net_break_between (world_entry (sim_random (WORLD_ENTRIES)),
-                     world_agent (sim_random (WORLD_AGENTS)));
+  faults_break_next_start ();
 }
 
 /* For longer than a lease, so that entries go on by promises. */
