Send a task that an agent has fenced to other agents only

Cause: SETTLE marks a task that the agent doesn't know as never to start there. The owner sent it again to the agent with the best credit, often the same one, which refused it as fenced, for ever: the job was never answered and each round cost two messages, about 20 a second and task.

Change: a task keeps the handles of the agents that fenced it (up to four) and takes no credit of theirs. With the fourth it ends as not run; so it does after 3 s in which the only credits are of such agents. Either is certain: each START of it was refused or can't start any more.

--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -13,6 +13,10 @@
 /** A task for which no idle credit is large enough is asked again. */
 #define UNFIT_RETRY (50 * HS_MSEC)
 
+/** A task waits this long for a credit of an agent that may start it, if
+ *  others never start it, and ends as not run. */
+#define FENCED_PATIENCE (3 * HS_SEC)
+
 static HsMayStart may_start (void *arg,
                              uint32_t flow,
                              uint32_t handle,
@@ -26,6 +30,8 @@
 static void enqueue_again (HsOwner *owner, Task *task, HsNow now);
 static void
 take_refusal (HsOwner *owner, Task *task, hsx_refusal refusal, HsNow now);
+static void take_fence (HsOwner *owner, Task *task, HsNow now);
+static void limit_wait (HsOwner *owner, Task *task, HsTime now);
 static void set_timer (HsOwner *owner, const Task *task, HsTime at);
 static void clear_timer (HsOwner *owner, const Task *task);
 
@@ -276,7 +282,7 @@
 {
   HsOwner *owner = arg;
   Customer *customer = owner->flows->pdata[flow];
-  const Task *task = owner->tasks->pdata[handle];
+  Task *task = owner->tasks->pdata[handle];
 
   if (!hs_credits_any (owner->credits, now))
     return HS_NONE_STARTS;
@@ -285,10 +291,11 @@
   *ready_at = hs_bucket_ready_at (&customer->bucket, now);
   if (*ready_at > now)
     return HS_FLOW_WAITS;
-  if (!hs_credits_take (owner->credits, &task->task.needs, now,
-                        owner->lease_until - now, &owner->pick.agent,
-                        &owner->pick.credit))
+  if (!hs_credits_take_elsewhere (
+          owner->credits, &task->task.needs, task->fences, task->n_fences, now,
+          owner->lease_until - now, &owner->pick.agent, &owner->pick.credit))
     {
+      limit_wait (owner, task, now);
       *ready_at = now + UNFIT_RETRY;
       return HS_JOB_WAITS;
     }
@@ -357,6 +364,9 @@
                                owner->agents[task->agent].incarnation, &args);
         return;
       }
+    case HSX_REFUSAL_FENCED:
+      take_fence (owner, task, now);
+      return;
     case HSX_REFUSAL_EPOCH:
       /* Another entry owns the partition; the store will tell soon, and
          the task must not be sent again from here. */
@@ -367,12 +377,36 @@
     case HSX_REFUSAL_LEAVING:
     case HSX_REFUSAL_TARGET:
     case HSX_REFUSAL_NEEDS:
-    case HSX_REFUSAL_FENCED:
       task_requeue (owner, task, refusal == HSX_REFUSAL_TARGET, now);
       return;
     }
 }
 
+/* The agent never starts it, so that it has to go elsewhere. */
+static void
+take_fence (HsOwner *owner, Task *task, HsNow now)
+{
+  task->fences[task->n_fences++] = task->agent;
+  if (task->n_fences == TASK_FENCES_MAX)
+    task_finish (owner, task, HSX_TASK_NOT_RUN, HS_ERROR_UNAVAILABLE, 0, NULL,
+                 0, now);
+  else
+    task_requeue (owner, task, false, now);
+}
+
+/* There are credits, but none that the task can use. */
+static void
+limit_wait (HsOwner *owner, Task *task, HsTime now)
+{
+  HsTime until = now + FENCED_PATIENCE;
+
+  if (task->n_fences == 0 || task->deadline <= until)
+    return;
+  task->deadline = until;
+  clear_timer (owner, task);
+  set_timer (owner, task, until);
+}
+
 static void
 set_timer (HsOwner *owner, const Task *task, HsTime at)
 {
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -37,6 +37,9 @@
   TASK_FINISHED
 } TaskState;
 
+/** Agents that may mark a task as never to start before it ends as not run. */
+#define TASK_FENCES_MAX 4
+
 typedef struct Job Job;
 typedef struct Customer Customer;
 
@@ -50,6 +53,8 @@
   bool took_credit;
   bool unsettled; /* Sent, but perhaps never received; see SETTLE. */
   uint32_t attempts;
+  uint32_t fences[TASK_FENCES_MAX]; /* Handles of agents that never start it. */
+  uint32_t n_fences;
   HsTime charged;
   HsTime queued_at;
   HsTime sent_at;
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -38,6 +38,14 @@
   uint32_t n;
 } List;
 
+/* What a task wants of an agent, and which agents it avoids. */
+typedef struct
+{
+  hsx_needs needs;
+  const uint32_t *avoided;
+  uint32_t n_avoided;
+} Wish;
+
 struct HsCredits
 {
   uint64_t random;
@@ -62,18 +70,17 @@
 is_usable (HsCredits *pool, Agent *a, HsTime now, HsTime lease_left);
 static void drop_expired (HsCredits *pool, HsTime now, HsTime lease_left);
 static bool fits (const Agent *a, const hsx_needs *needs);
+static bool is_avoided (const Wish *wish, uint32_t agent);
 static bool better (const Agent *a, const Agent *b);
 static uint32_t choose (HsCredits *pool,
                         const List *list,
-                        const hsx_needs *needs,
+                        const Wish *wish,
                         HsTime now,
                         HsTime lease_left);
-static uint32_t choose_any (HsCredits *pool,
-                            const hsx_needs *needs,
-                            HsTime now,
-                            HsTime lease_left);
+static uint32_t
+choose_any (HsCredits *pool, const Wish *wish, HsTime now, HsTime lease_left);
 static bool most_are_healthy (const HsCredits *pool);
-static bool healthy_serve (const HsCredits *pool, const hsx_needs *needs);
+static bool healthy_serve (const HsCredits *pool, const Wish *wish);
 static hsx_credit pop (HsCredits *pool, uint32_t agent, bool to_lend);
 
 HsCredits *
@@ -171,7 +178,22 @@
                  uint32_t *agent,
                  hsx_credit *credit)
 {
-  uint32_t chosen = choose_any (pool, needs, now, lease_left);
+  return hs_credits_take_elsewhere (pool, needs, NULL, 0, now, lease_left,
+                                    agent, credit);
+}
+
+bool
+hs_credits_take_elsewhere (HsCredits *pool,
+                           const hsx_needs *needs,
+                           const uint32_t *avoided,
+                           uint32_t n_avoided,
+                           HsTime now,
+                           HsTime lease_left,
+                           uint32_t *agent,
+                           hsx_credit *credit)
+{
+  Wish wish = { *needs, avoided, n_avoided };
+  uint32_t chosen = choose_any (pool, &wish, now, lease_left);
 
   if (chosen == NONE)
     {
@@ -212,7 +234,7 @@
                       HsTime lease_left,
                       hsx_credit *credits)
 {
-  const hsx_needs none = { 0 };
+  const Wish none = { 0 };
   uint32_t taken;
 
   for (taken = 0; taken < n; taken++)
@@ -395,6 +417,17 @@
          && needs->accelerators <= a->capacity.accelerators;
 }
 
+static bool
+is_avoided (const Wish *wish, uint32_t agent)
+{
+  uint32_t i;
+
+  for (i = 0; i < wish->n_avoided; i++)
+    if (wish->avoided[i] == agent)
+      return true;
+  return false;
+}
+
 /* Keeps accelerators for those who need them, uses loans before they expire,
  * then spreads. */
 static bool
@@ -413,7 +446,7 @@
 static uint32_t
 choose (HsCredits *pool,
         const List *list,
-        const hsx_needs *needs,
+        const Wish *wish,
         HsTime now,
         HsTime lease_left)
 {
@@ -430,7 +463,8 @@
       Agent *a = &pool->agents[agent];
 
       at = at + 1 < list->n ? at + 1 : 0;
-      if (!fits (a, needs) || !is_usable (pool, a, now, lease_left))
+      if (!fits (a, &wish->needs) || is_avoided (wish, agent)
+          || !is_usable (pool, a, now, lease_left))
         continue;
       if (best == NONE || better (a, &pool->agents[best]))
         best = agent;
@@ -439,25 +473,22 @@
 }
 
 static uint32_t
-choose_any (HsCredits *pool,
-            const hsx_needs *needs,
-            HsTime now,
-            HsTime lease_left)
+choose_any (HsCredits *pool, const Wish *wish, HsTime now, HsTime lease_left)
 {
   uint32_t n = pool->lists[LIST_PROBATION].n;
   uint32_t agent = NONE;
 
   if (now >= pool->probe_at)
-    agent = choose (pool, &pool->lists[LIST_PROBATION], needs, now, lease_left);
+    agent = choose (pool, &pool->lists[LIST_PROBATION], wish, now, lease_left);
   if (agent != NONE)
     {
       pool->probe_at = now + PROBE_PERIOD / n;
       return agent;
     }
-  agent = choose (pool, &pool->lists[LIST_OK], needs, now, lease_left);
-  if (agent != NONE || healthy_serve (pool, needs))
+  agent = choose (pool, &pool->lists[LIST_OK], wish, now, lease_left);
+  if (agent != NONE || healthy_serve (pool, wish))
     return agent;
-  return choose (pool, &pool->lists[LIST_PROBATION], needs, now, lease_left);
+  return choose (pool, &pool->lists[LIST_PROBATION], wish, now, lease_left);
 }
 
 static bool
@@ -469,7 +500,7 @@
 /* Whether a task had better wait for a healthy target than go to one on
  * probation: most are healthy, and one of them is large enough. */
 static bool
-healthy_serve (const HsCredits *pool, const hsx_needs *needs)
+healthy_serve (const HsCredits *pool, const Wish *wish)
 {
   uint32_t i;
 
@@ -479,7 +510,8 @@
     {
       const Agent *a = &pool->agents[i];
 
-      if (a->known && a->health == HS_HEALTH_OK && fits (a, needs))
+      if (a->known && a->health == HS_HEALTH_OK && fits (a, &wish->needs)
+          && !is_avoided (wish, i))
         return true;
     }
   return false;
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -68,6 +68,18 @@
                       uint32_t *agent,
                       hsx_credit *credit);
 
+/**
+ * Like hs_credits_take(), but from none of the agents in @p avoided.
+ */
+bool hs_credits_take_elsewhere (HsCredits *pool,
+                                const hsx_needs *needs,
+                                const uint32_t *avoided,
+                                uint32_t n_avoided,
+                                HsTime now,
+                                HsTime lease_left,
+                                uint32_t *agent,
+                                hsx_credit *credit);
+
 /**
  * When the stamp that starts to this agent echo was received. The permit of a
  * start ends by the agent's clock as long after the stamp as the lease ends
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -121,6 +121,28 @@
   talloc_free (pool);
 }
 
+static void
+an_avoided_agent_gives_no_credit (void **state)
+{
+  const uint32_t avoided[] = { 0, 2 };
+  HsCredits *pool = pool_of (3, 2);
+  hsx_credit credit;
+  uint32_t agent;
+  int i;
+
+  (void) state;
+  for (i = 0; i < 2; i++)
+    {
+      assert_true (hs_credits_take_elsewhere (pool, &no_needs, avoided, 2, 1,
+                                              LEASE, &agent, &credit));
+      assert_int_equal (agent, 1);
+    }
+  assert_false (hs_credits_take_elsewhere (pool, &no_needs, avoided, 2, 1,
+                                           LEASE, &agent, &credit));
+  assert_int_equal (hs_credits_idle (pool), 4);
+  talloc_free (pool);
+}
+
 /* The agent's clock shows AHEAD more than this process's. */
 #define AHEAD (1000 * HS_SEC)
 
@@ -290,6 +312,7 @@
     cmocka_unit_test (tasks_are_spread_over_agents),
     cmocka_unit_test (a_crossing_grant_gives_no_slot_twice),
     cmocka_unit_test (needs_are_kept_and_accelerators_spared),
+    cmocka_unit_test (an_avoided_agent_gives_no_credit),
     cmocka_unit_test (the_receipt_of_the_freshest_stamp_is_told),
     cmocka_unit_test (a_loan_expires_and_is_taken_back),
     cmocka_unit_test (health_decides_first),
