Bench: don't count the caller's timer slack as latency

Cause: the caller sleeps until the next arrival, and the kernel wakes a sleeper up to 50 us late (its default timer slack). That was counted as latency of the entry. Change: the bench's caller asks for a slack of 1 ns and reports how late it sent (caller_late_p50_ms, p99). Latency is counted from the planned arrival as before.

--- a/bench/client.c
+++ b/bench/client.c
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,10 @@
 #define EVENTS_MAX 256
 #define READ_SIZE 65536
 
+/** The kernel may wake a sleeper this late; by default it is 50 us, which
+ *  would count as latency of the entry. */
+#define TIMER_SLACK_NS 1UL
+
 /* One kept connection; at most one job is open on it. */
 typedef struct
 {
@@ -39,6 +44,7 @@
   uint32_t open;
   uint64_t random;
   GArray *latencies;
+  GArray *delays; /* From a job's arrival to its first byte sent. */
   BenchClientResult result;
 } client;
 
@@ -58,9 +64,11 @@
   uint32_t i;
 
   client.config = *config;
+  prctl (PR_SET_TIMERSLACK, TIMER_SLACK_NS);
   client.epoll = epoll_create1 (EPOLL_CLOEXEC);
   client.random = (uint64_t) hs_now ().mono | 1;
   client.latencies = g_array_new (FALSE, FALSE, sizeof (HsTime));
+  client.delays = g_array_new (FALSE, FALSE, sizeof (HsTime));
   client.connections = g_new0 (Connection, config->connections);
   g_queue_init (&client.idle);
   for (i = 0; i < config->connections; i++)
@@ -87,6 +95,7 @@
 
   memset (&client.result, 0, sizeof client.result);
   g_array_set_size (client.latencies, 0);
+  g_array_set_size (client.delays, 0);
   while ((now = hs_now ().mono) < end)
     {
       while (rate > 0 && next <= (double) now
@@ -107,6 +116,9 @@
   result->n_latencies = client.latencies->len;
   result->latencies = g_memdup2 (client.latencies->data,
                                  client.latencies->len * sizeof (HsTime));
+  result->n_delays = client.delays->len;
+  result->delays = g_memdup2 (client.delays->data,
+                              client.delays->len * sizeof (HsTime));
 }
 
 bool
@@ -144,6 +156,7 @@
   uint64_t random[2] = { next_random (), next_random () };
   const char *customer;
   char id[HS_UUID_SIZE];
+  HsTime delay;
   uint32_t i;
 
   connection->customer = (uint32_t) (next_random () % n_customers);
@@ -170,6 +183,8 @@
   connection->open = true;
   client.open++;
   client.result.bytes += connection->request->len;
+  delay = hs_now ().mono - arrived;
+  g_array_append_val (client.delays, delay);
   write_request (connection);
 }
 
--- a/bench/client.h
+++ b/bench/client.h
@@ -29,6 +29,8 @@
   uint64_t bytes; /**< Of requests and answers. */
   uint32_t n_latencies;
   HsTime *latencies; /**< Of complete jobs from their planned arrival. */
+  uint32_t n_delays;
+  HsTime *delays; /**< From the planned arrival to the first byte sent. */
 } BenchClientResult;
 
 /** Connects; ends the process if an entry can't be reached. */
@@ -36,7 +38,7 @@
 
 /**
  * Submits for a span; jobs that are open at its end stay open.
- * @param result its latencies are freed by the caller with g_free()
+ * @param result its latencies and delays are freed by the caller with g_free()
  */
 void bench_client_run (HsTime span, BenchClientResult *result);
 
--- a/bench/system.c
+++ b/bench/system.c
@@ -75,7 +75,7 @@
                     const BenchFakesStats *after,
                     const Usage *used,
                     const Usage *used_after);
-static double percentile (const BenchClientResult *result, double share);
+static double percentile (const HsTime *sorted, uint32_t n, double share);
 static int compare_times (const void *a, const void *b);
 
 int
@@ -103,6 +103,7 @@
   open_client ();
   load (warmup, &result);
   g_free (result.latencies);
+  g_free (result.delays);
   before = bench_fakes_stats ();
   for (i = 0; pid_list[i] != NULL; i++)
     {
@@ -206,6 +207,7 @@
                 - before->rpc.received_by_proc[i];
   qsort (result->latencies, result->n_latencies, sizeof (HsTime),
          compare_times);
+  qsort (result->delays, result->n_delays, sizeof (HsTime), compare_times);
   printf ("{\"name\":\"%s\",\"agents\":%d,\"slots\":%d,\"run_us\":%d,"
           "\"tasks\":%d,\"connections\":%d,\"rate\":%.0f,\"seconds\":%.2f,",
           name, agents, slots, run_us, tasks, connections, rate, span);
@@ -214,8 +216,13 @@
           result->complete, result->other, starts,
           after->refused - before->refused, (double) starts / span);
   printf ("\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"max_ms\":%.3f,",
-          percentile (result, 0.5), percentile (result, 0.99),
-          percentile (result, 1));
+          percentile (result->latencies, result->n_latencies, 0.5),
+          percentile (result->latencies, result->n_latencies, 0.99),
+          percentile (result->latencies, result->n_latencies, 1));
+  /* How much of that passed before the caller sent its request. */
+  printf ("\"caller_late_p50_ms\":%.3f,\"caller_late_p99_ms\":%.3f,",
+          percentile (result->delays, result->n_delays, 0.5),
+          percentile (result->delays, result->n_delays, 0.99));
   printf ("\"entry_cores\":%.3f,\"entry_us_per_start\":%.1f,"
           "\"entry_rss_kb\":%ld,\"agents_cores\":%.3f,",
           cpu / span, starts > 0 ? cpu * 1e6 / (double) starts : 0,
@@ -234,14 +241,13 @@
 }
 
 static double
-percentile (const BenchClientResult *result, double share)
+percentile (const HsTime *sorted, uint32_t n, double share)
 {
-  uint32_t at = (uint32_t) (share * result->n_latencies);
+  uint32_t at = (uint32_t) (share * n);
 
-  if (result->n_latencies == 0)
+  if (n == 0)
     return 0;
-  return (double) result->latencies[MIN (at, result->n_latencies - 1)]
-         / (double) HS_MSEC;
+  return (double) sorted[MIN (at, n - 1)] / (double) HS_MSEC;
 }
 
 static int
