Bound what an entry keeps of finished jobs, and keep less of each

Cause: only the bodies of finished jobs were bounded (256 MiB, a constant). Their records stayed for the retention window of 600 s: about 1,120 bytes a job of one task and 214 bytes a task in jobs of 390, so 9 million tasks at the peak would take gigabytes. Change: a job that ends keeps its key, its outcomes and one chunk of bodies (owner/keep.c); tasks, bodies of requests, waiters and copies of names are freed. The setting kept_bytes (default 256 MiB) bounds all of it. Bodies may take three quarters; at the bound the oldest finished jobs are forgotten and the partition keeps the latest minting time of those: an unknown UUIDv7 id minted before is refused as expired, outcome not kept, and never runs. The time goes along in a handover as part of the floor. Ids younger than an eighth of the retention, and opaque ids, are not forgotten. New metrics kept_bytes and jobs_forgotten_total. The matrix also found that a claim may end after its job was cancelled; test_keep covers that. Checks changed: the matrix's world sets kept_bytes to the old constant, the settings fuzzer writes the new key, test_settings checks its default and range. New: test_keep (also run under the address sanitizer). Conclusion: bounded, but ids younger than 75 s may exceed the bound: at 15,000 starts a second in jobs of 1 on one entry they'd take about 640 MB (worked out); in jobs of 390 far less than the bound.

--- a/bench/client.c
+++ b/bench/client.c
@@ -117,8 +117,8 @@
   result->latencies = g_memdup2 (client.latencies->data,
                                  client.latencies->len * sizeof (HsTime));
   result->n_delays = client.delays->len;
-  result->delays = g_memdup2 (client.delays->data,
-                              client.delays->len * sizeof (HsTime));
+  result->delays
+      = g_memdup2 (client.delays->data, client.delays->len * sizeof (HsTime));
 }
 
 bool
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -114,6 +114,7 @@
   ENTRY (HS_FIELD_UINT32, max_connections, "max_connections", 1, 1000000),
   ENTRY (HS_FIELD_UINT32, max_body, "max_body", 1024, 256 * MIB),
   ENTRY (HS_FIELD_UINT32, claims_per_s, "claims_per_s", 1, 1000),
+  ENTRY (HS_FIELD_INT64, kept_bytes, "kept_bytes", MIB, 65536 * MIB),
   { "store", HS_FIELD_STRINGS, true, 1, PEERS_MAX,
     offsetof (HsEntrySettings, store), is_endpoint,
     "write each endpoint as http://IP:port" },
@@ -272,7 +273,8 @@
                               .task_timeout = 60 * HS_SEC,
                               .max_connections = 4096,
                               .max_body = 8 * MIB,
-                              .claims_per_s = 20 };
+                              .claims_per_s = 20,
+                              .kept_bytes = 256 * MIB };
   place->prefix = "entry.";
   if (!hs_fields_read (settings, object, ENTRY_FIELDS,
                        G_N_ELEMENTS (ENTRY_FIELDS), entry, place, error))
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -33,6 +33,7 @@
   uint32_t max_connections; /**< From callers; default 4096. */
   uint32_t max_body;        /**< Bytes of one request body; default 8 MiB. */
   uint32_t claims_per_s;    /**< Store writes for claims; default 20. */
+  uint64_t kept_bytes;      /**< Of finished jobs; default 256 MiB. */
   char **store;             /**< Endpoints, NULL-terminated. */
 } HsEntrySettings;
 
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -21,9 +21,6 @@
 /** Membership, routing and the keeper are looked after this often. */
 #define HOUSEKEEPING (50 * HS_MSEC)
 
-/** Bodies of finished jobs that are kept for resubmissions. */
-#define KEPT_BYTES_MAX (UINT64_C (256) << 20)
-
 /** Bound on a planned stop. */
 #define LEAVE_TIMEOUT (60 * HS_SEC)
 
@@ -309,7 +306,7 @@
   config.ahead = core->entry->ahead;
   config.skew = core->entry->skew;
   config.task_timeout = core->entry->task_timeout;
-  config.kept_bytes = KEPT_BYTES_MAX;
+  config.kept_bytes = core->entry->kept_bytes;
   config.seed = core->incarnation;
   core->owner = hs_owner_new (core, &config, &effects, core);
   hs_owner_set_complete_since (core->owner, now.wall_ms);
--- a/src/entry/report.c
+++ b/src/entry/report.c
@@ -58,6 +58,8 @@
     "Partitions offered to another entry." },
   { "hibiscusspoke_recovered_total", NULL, NULL, OWNER (recovered),
     "Starts that agents told a new owner." },
+  { "hibiscusspoke_jobs_forgotten_total", NULL, NULL, OWNER (forgotten),
+    "Finished jobs forgotten early, for room." },
   { TASKS, "outcome", "done", OWNER (done), TASKS_HELP },
   { TASKS, "outcome", "failed", OWNER (failed), TASKS_HELP },
   { TASKS, "outcome", "not_run", OWNER (not_run), TASKS_HELP },
@@ -80,6 +82,7 @@
 static void add_gauges (HsReport *report);
 static double read_owned (void *arg);
 static double read_unfinished (void *arg);
+static double read_kept (void *arg);
 static double read_agents (void *arg);
 static double read_connected (void *arg);
 static double read_credits (void *arg);
@@ -280,6 +283,8 @@
   hs_metrics_gauge (m, "hibiscusspoke_jobs_unfinished",
                     "Jobs that wait or run.", NULL, NULL, read_unfinished,
                     core);
+  hs_metrics_gauge (m, "hibiscusspoke_kept_bytes", "Kept of finished jobs.",
+                    NULL, NULL, read_kept, core);
   hs_metrics_gauge (m, "hibiscusspoke_agents", "Agents known.", "state",
                     "known", read_agents, core);
   hs_metrics_gauge (m, "hibiscusspoke_agents", "Agents known.", "state",
@@ -304,6 +309,12 @@
   return hs_owner_unfinished (((HsCore *) arg)->owner);
 }
 
+static double
+read_kept (void *arg)
+{
+  return (double) hs_owner_kept_bytes (((HsCore *) arg)->owner);
+}
+
 static double
 read_agents (void *arg)
 {
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -314,7 +314,7 @@
 {
   Job *job = job_find (owner, key->customer, key->id);
 
-  if (job != NULL && key->index < job->n_tasks)
+  if (job != NULL && job->unfinished > 0 && key->index < job->n_tasks)
     job->tasks[key->index].unsettled = false;
 }
 
@@ -332,8 +332,8 @@
     }
   if (result->key.index >= job->n_tasks)
     return;
-  task = &job->tasks[result->key.index];
-  if (task->state != TASK_SENT || task->agent != handle)
+  task = job->unfinished > 0 ? &job->tasks[result->key.index] : NULL;
+  if (task == NULL || task->state != TASK_SENT || task->agent != handle)
     {
       owner->stats.late_results++;
       return;
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -84,9 +84,9 @@
   task->answer.state = state;
   task->answer.kind = kind;
   task->answer.http_status = http_status;
-  task->answer.body.body_val = n > 0 ? talloc_memdup (job, body, n) : NULL;
+  task->answer.body.body_val
+      = n > 0 ? talloc_memdup (job->tasks, body, n) : NULL;
   task->answer.body.body_len = (unsigned int) n;
-  job->kept_bytes += n;
   switch (state)
     {
     case HSX_TASK_DONE:
--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -13,6 +13,9 @@
                           const Job *job,
                           hsx_handover_job *out,
                           HsNow now);
+static void export_answers (const Job *job, hsx_handover_job *out);
+static void
+export_task (const HsOwner *owner, const Task *task, hsx_handover_task *state);
 static hsx_handover_args *add_message (TALLOC_CTX *ctx,
                                        hsx_handover_args **messages,
                                        size_t *n,
@@ -180,43 +183,66 @@
   out->dropped = job->answer_dropped;
   out->age_ms = (now.mono - job->arrived) / HS_MSEC;
   out->job.tasks.tasks_len = job->n_tasks;
-  out->job.tasks.tasks_val = talloc_array (ctx, hsx_task, job->n_tasks);
+  out->job.tasks.tasks_val = talloc_zero_array (ctx, hsx_task, job->n_tasks);
   out->states.states_len = job->n_tasks;
   out->states.states_val
       = talloc_zero_array (ctx, hsx_handover_task, job->n_tasks);
+  if (job->unfinished == 0)
+    {
+      export_answers (job, out);
+      return job->bodies_len;
+    }
   for (i = 0; i < job->n_tasks; i++)
     {
       const Task *task = &job->tasks[i];
-      hsx_handover_task *state = &out->states.states_val[i];
 
       out->job.tasks.tasks_val[i] = task->task;
       bytes += task->task.body.body_len + task->answer.body.body_len;
-      state->answer = task->answer;
-      state->answer.state = MAX (task->answer.state, HSX_TASK_DONE);
-      switch (task->state)
-        {
-        case TASK_HELD:
-        case TASK_QUEUED:
-          state->state = HSX_HO_QUEUED;
-          break;
-        case TASK_SENT:
-          state->state = HSX_HO_SENT;
-          state->agent = owner->agents[task->agent].incarnation;
-          break;
-        case TASK_FINISHED:
-          state->state = HSX_HO_FINISHED;
-          /* A result that isn't kept must not look like an empty one. */
-          if (job->answer_dropped)
-            {
-              state->answer.state = HSX_TASK_MAY_HAVE_RUN;
-              state->answer.kind = HS_ERROR_EXPIRED;
-            }
-          break;
-        }
+      export_task (owner, task, &out->states.states_val[i]);
     }
   return bytes;
 }
 
+static void
+export_answers (const Job *job, hsx_handover_job *out)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      hsx_handover_task *state = &out->states.states_val[i];
+
+      state->state = HSX_HO_FINISHED;
+      state->answer = job->answers[i];
+      /* A result that isn't kept must not look like an empty one. */
+      if (!job->answer_dropped)
+        continue;
+      state->answer.state = HSX_TASK_MAY_HAVE_RUN;
+      state->answer.kind = HS_ERROR_EXPIRED;
+    }
+}
+
+static void
+export_task (const HsOwner *owner, const Task *task, hsx_handover_task *state)
+{
+  state->answer = task->answer;
+  state->answer.state = MAX (task->answer.state, HSX_TASK_DONE);
+  switch (task->state)
+    {
+    case TASK_HELD:
+    case TASK_QUEUED:
+      state->state = HSX_HO_QUEUED;
+      break;
+    case TASK_SENT:
+      state->state = HSX_HO_SENT;
+      state->agent = owner->agents[task->agent].incarnation;
+      break;
+    case TASK_FINISHED:
+      state->state = HSX_HO_FINISHED;
+      break;
+    }
+}
+
 static hsx_handover_args *
 add_message (TALLOC_CTX *ctx,
              hsx_handover_args **messages,
@@ -231,7 +257,8 @@
   memset (message, 0, sizeof *message);
   message->part = number;
   message->epoch = part->epoch;
-  message->floor_ms = part->uncertain_before_ms;
+  message->floor_ms
+      = MAX (part->uncertain_before_ms, part->forgotten_before_ms);
   message->jobs.jobs_val
       = talloc_zero_array (*messages, hsx_handover_job, MESSAGE_JOBS);
   (*n)++;
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -60,9 +60,8 @@
 
 struct Job
 {
-  char key[JOB_KEY_SIZE];
-  char *customer;
-  char *id;
+  char *customer; /* Its name in `owner_of_limits`. */
+  char *id;       /* The end of `key`. */
   uint32_t part;
   char digest[HSX_DIGEST_SIZE];
   Customer *owner_of_limits;
@@ -72,11 +71,16 @@
   uint32_t unfinished;
   bool claiming;
   bool answer_dropped;
-  size_t kept_bytes;
+  bool set_aside;    /* In the owner's list of opaque ids. */
   HsTime queue_wait; /* Of the last task that was started. */
-  GArray *waiters;   /* HsWaiter. */
-  GList kept_link;   /* In the owner's list of finished jobs. */
-  Task *tasks;
+  GArray *waiters;   /* HsWaiter; NULL once finished. */
+  GList kept_link;   /* In one of the owner's lists of finished jobs. */
+  Task *tasks;       /* NULL once finished. */
+  /* Of a finished job only. */
+  hsx_task_answer *answers;
+  char *bodies; /* Those of `answers`, end to end. */
+  size_t bodies_len;
+  char key[]; /* "customer/id". */
 };
 
 struct Customer
@@ -125,6 +129,8 @@
   uint64_t epoch;
   /* Ids minted before this and unknown may have run; 0: none. */
   int64_t uncertain_before_ms;
+  /* Of ids minted before this, finished jobs were forgotten for room. */
+  int64_t forgotten_before_ms;
   HsTime recover_until;
   uint32_t generation;   /* Agents must have answered this one. */
   uint64_t staged_epoch; /* Epoch of the old owner; 0: nothing staged. */
@@ -199,9 +205,11 @@
   uint32_t *timer_positions;
   uint32_t timer_room;
   HsHeap timers;
-  GList *keeping; /* Oldest link with bodies; NULL: none. */
-  GQueue kept;    /* Finished jobs, oldest first. */
-  uint64_t kept_bytes;
+  GList *keeping;      /* Oldest link of `kept` with bodies; NULL: none. */
+  GQueue kept;         /* Finished jobs, oldest first. */
+  GQueue set_aside;    /* Opaque ids out of `kept`, which stay known. */
+  uint64_t kept_bytes; /* Of all of these, with their bodies. */
+  uint64_t bodies_bytes;
   HsTime sweep_at; /* Of `recovered`. */
   uint32_t unfinished;
   Agent *agents; /* Table by handle. */
@@ -232,7 +240,6 @@
                  unsigned int kind,
                  bool not_run,
                  const char *reason);
-void jobs_sweep (HsOwner *owner, HsNow now);
 /* While it doesn't hold, another owner may act: nothing may be said. */
 bool lease_holds (const HsOwner *owner, HsNow now);
 void refuse (HsOwner *owner,
@@ -242,6 +249,12 @@
              HsTime retry_after,
              const char *reason);
 
+/* keep.c */
+/* The job holds from now on only what an answer needs. */
+void job_keep (HsOwner *owner, Job *job, HsNow now);
+void job_unkeep (HsOwner *owner, Job *job);
+void jobs_sweep (HsOwner *owner, HsNow now);
+
 /* customers.c */
 Customer *customer_get (HsOwner *owner, const char *name, HsNow now);
 void customers_refresh (HsOwner *owner, HsNow now);
--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -1,14 +1,10 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "base/uuid7.h"
 #include "owner/internal.h"
 
 static void drop_task (HsOwner *owner, Task *task);
 static uint32_t take_handle (HsOwner *owner, Task *task);
-static void unkeep (HsOwner *owner, Job *job);
-static void drop_bodies (HsOwner *owner, Job *job);
-static void forget (HsOwner *owner, Job *job, HsNow now);
 
 void
 job_key (char key[JOB_KEY_SIZE], const char *customer, const char *id)
@@ -28,15 +24,17 @@
 Job *
 job_new (HsOwner *owner, const hsx_forward_args *args, HsNow now)
 {
-  Job *job = talloc_zero (owner, Job);
+  size_t name_len = strlen (args->customer);
+  size_t key_size = name_len + 1 + strlen (args->id) + 1;
+  Job *job = talloc_zero_size (owner, sizeof *job + key_size);
   uint32_t i;
 
-  job_key (job->key, args->customer, args->id);
-  job->customer = talloc_strdup (job, args->customer);
-  job->id = talloc_strdup (job, args->id);
+  g_snprintf (job->key, key_size, "%s/%s", args->customer, args->id);
+  job->id = job->key + name_len + 1;
   job->part = hs_partition_of (args->customer, owner->config.partitions);
   memcpy (job->digest, args->digest, sizeof job->digest);
   job->owner_of_limits = customer_get (owner, args->customer, now);
+  job->customer = job->owner_of_limits->name;
   job->arrived = now.mono;
   job->n_tasks = args->tasks.tasks_len;
   job->unfinished = job->n_tasks;
@@ -53,8 +51,8 @@
       task->handle = take_handle (owner, task);
       task->queued_at = now.mono;
       task->task = args->tasks.tasks_val[i];
-      task->task.body.body_val = talloc_memdup (job, task->task.body.body_val,
-                                                task->task.body.body_len);
+      task->task.body.body_val = talloc_memdup (
+          job->tasks, task->task.body.body_val, task->task.body.body_len);
       task->deadline = task->task.deadline_ms == 0
                            ? HS_NEVER
                            : now.mono + task->task.deadline_ms * HS_MSEC;
@@ -72,21 +70,21 @@
 {
   uint32_t i;
 
+  g_hash_table_remove (owner->jobs, job->key);
+  if (job->unfinished == 0)
+    {
+      job_unkeep (owner, job);
+      talloc_free (job);
+      return;
+    }
   for (i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state != TASK_FINISHED)
       drop_task (owner, &job->tasks[i]);
-  if (job->unfinished > 0)
-    owner->unfinished--;
-  else
-    {
-      unkeep (owner, job);
-      owner->kept_bytes -= job->kept_bytes;
-    }
+  owner->unfinished--;
   for (i = 0; i < job->waiters->len; i++)
     g_hash_table_remove (owner->waiters,
                          &g_array_index (job->waiters, HsWaiter, i));
   g_array_unref (job->waiters);
-  g_hash_table_remove (owner->jobs, job->key);
   talloc_free (job);
 }
 
@@ -102,12 +100,8 @@
 void
 job_finished (HsOwner *owner, Job *job, HsNow now)
 {
-  job->finished_at = now.mono;
   owner->unfinished--;
-  g_queue_push_tail_link (&owner->kept, &job->kept_link);
-  if (owner->keeping == NULL)
-    owner->keeping = &job->kept_link;
-  owner->kept_bytes += job->kept_bytes;
+  job_keep (owner, job, now);
   owner->effects.measure (owner->arg, job->customer, job->queue_wait, 0,
                           now.mono - job->arrived);
   job_answer_all (owner, job, now);
@@ -116,10 +110,9 @@
 void
 job_answer_all (HsOwner *owner, Job *job, HsNow now)
 {
-  g_autoptr (GArray) waiters = job->waiters;
+  g_autoptr (GArray) waiters = g_steal_pointer (&job->waiters);
   guint i;
 
-  job->waiters = g_array_new (FALSE, FALSE, sizeof (HsWaiter));
   for (i = 0; i < waiters->len; i++)
     {
       HsWaiter waiter = g_array_index (waiters, HsWaiter, i);
@@ -135,7 +128,6 @@
 void
 job_answer_one (HsOwner *owner, const Job *job, HsWaiter waiter)
 {
-  hsx_task_answer tasks[HSX_TASKS_MAX];
   hsx_answer answer = { 0 };
   bool complete = true;
   uint32_t i;
@@ -156,12 +148,9 @@
       return;
     }
   for (i = 0; i < job->n_tasks; i++)
-    {
-      tasks[i] = job->tasks[i].answer;
-      complete = complete && tasks[i].state == HSX_TASK_DONE;
-    }
+    complete = complete && job->answers[i].state == HSX_TASK_DONE;
   answer.state = complete ? HSX_JOB_COMPLETE : HSX_JOB_FAILED;
-  answer.tasks.tasks_val = tasks;
+  answer.tasks.tasks_val = job->answers;
   answer.tasks.tasks_len = job->n_tasks;
   owner->effects.answer (owner->arg, waiter, &answer);
 }
@@ -218,28 +207,6 @@
   owner->effects.answer (owner->arg, waiter, &answer);
 }
 
-void
-jobs_sweep (HsOwner *owner, HsNow now)
-{
-  HsTime keep = owner->config.retention + owner->config.ahead;
-  GList *link;
-
-  while ((link = g_queue_peek_head_link (&owner->kept)) != NULL)
-    {
-      Job *job = link->data;
-
-      if (now.mono - job->finished_at < keep)
-        break;
-      forget (owner, job, now);
-    }
-  while (owner->keeping != NULL && owner->kept_bytes > owner->config.kept_bytes)
-    {
-      link = owner->keeping;
-      owner->keeping = link->next;
-      drop_bodies (owner, link->data);
-    }
-}
-
 static void
 drop_task (HsOwner *owner, Task *task)
 {
@@ -291,44 +258,3 @@
   owner->timer_positions[handle] = HS_HEAP_NOWHERE;
   return handle;
 }
-
-static void
-unkeep (HsOwner *owner, Job *job)
-{
-  if (owner->keeping == &job->kept_link)
-    owner->keeping = job->kept_link.next;
-  g_queue_unlink (&owner->kept, &job->kept_link);
-}
-
-/* A UUIDv7 tells by itself that it is too old; an opaque id is remembered. */
-static void
-forget (HsOwner *owner, Job *job, HsNow now)
-{
-  g_autofree char *customer = g_strdup (job->customer);
-  g_autofree char *id = g_strdup (job->id);
-  uint32_t part = job->part;
-  int64_t arrived_ms = now.wall_ms - (now.mono - job->arrived) / HS_MSEC;
-  int64_t minted_ms;
-
-  job_drop (owner, job);
-  if (!hs_uuid7_parse (id, &minted_ms))
-    hs_owner_claim_found (owner, part, customer, id, arrived_ms, now);
-}
-
-/* The ids stay known, so that nothing runs again. */
-static void
-drop_bodies (HsOwner *owner, Job *job)
-{
-  uint32_t i;
-
-  if (job->answer_dropped)
-    return;
-  for (i = 0; i < job->n_tasks; i++)
-    {
-      TALLOC_FREE (job->tasks[i].answer.body.body_val);
-      job->tasks[i].answer.body.body_len = 0;
-    }
-  owner->kept_bytes -= job->kept_bytes;
-  job->kept_bytes = 0;
-  job->answer_dropped = true;
-}
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -38,6 +38,7 @@
   owner->peers = g_array_new (FALSE, TRUE, sizeof (uint64_t));
   hs_retry_init (&owner->retry, 0);
   g_queue_init (&owner->kept);
+  g_queue_init (&owner->set_aside);
   talloc_set_destructor (owner, owner_destructor);
   return owner;
 }
@@ -142,6 +143,12 @@
   return owner->unfinished;
 }
 
+uint64_t
+hs_owner_kept_bytes (const HsOwner *owner)
+{
+  return owner->kept_bytes;
+}
+
 const HsOwnerStats *
 hs_owner_stats (const HsOwner *owner)
 {
@@ -157,7 +164,7 @@
 
   g_hash_table_iter_init (&iter, owner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_unref (((Job *) value)->waiters);
+    g_clear_pointer (&((Job *) value)->waiters, g_array_unref);
   g_hash_table_iter_init (&iter, owner->recovered);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_ptr_array_unref (((Recovered *) value)->results);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -34,7 +34,7 @@
   HsTime ahead;        /**< Ids may be minted this far in the future. */
   HsTime skew;         /**< Largest difference of entries' wall clocks. */
   HsTime task_timeout; /**< Bound on the run time of a task. */
-  uint64_t kept_bytes; /**< Bound on bodies of kept answers. */
+  uint64_t kept_bytes; /**< Bound on what is kept of finished jobs. */
   uint64_t seed;       /**< Of the generators used for spreading. */
 } HsOwnerConfig;
 
@@ -99,6 +99,7 @@
   uint64_t starts;
   uint64_t refused_starts; /**< Wasted: the agent refused the start. */
   uint64_t results;
+  uint64_t forgotten;      /**< Finished jobs forgotten early, for room. */
   uint64_t late_results;   /**< Wasted: the task was not waiting for it. */
   uint64_t empty_loans;    /**< Wasted: a peer had no credit to lend. */
   uint64_t needless_polls; /**< Wasted: fetched while still running. */
@@ -281,6 +282,9 @@
 /** Jobs that are not finished. */
 uint32_t hs_owner_unfinished (const HsOwner *owner);
 
+/** What is kept of finished jobs. */
+uint64_t hs_owner_kept_bytes (const HsOwner *owner);
+
 /** Agents known and not gone; connected ones in *connected. */
 uint32_t hs_owner_agents (const HsOwner *owner, uint32_t *connected);
 
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -131,6 +131,13 @@
   if (job == NULL || !job->claiming)
     return;
   job->claiming = false;
+  if (job->unfinished == 0)
+    {
+      /* Cancelled meanwhile: answered, and nothing of it starts. */
+      if (outcome != HS_OWNER_CLAIMED)
+        job_drop (owner, job);
+      return;
+    }
   switch (outcome)
     {
     case HS_OWNER_CLAIMED:
@@ -343,7 +350,7 @@
       return;
     }
   job_wait (owner, job, waiter);
-  for (i = 0; i < job->n_tasks; i++)
+  for (i = 0; i < job->n_tasks && job->unfinished > 0; i++)
     if (job->tasks[i].state == TASK_QUEUED || job->tasks[i].state == TASK_HELD)
       task_finish (owner, &job->tasks[i], HSX_TASK_NOT_RUN, HS_ERROR_CANCELLED,
                    0, NULL, 0, now);
@@ -377,6 +384,8 @@
     }
   if (ms < oldest)
     return ID_EXPIRED;
+  if (ms < part->forgotten_before_ms)
+    return recovered != NULL ? ID_UNCERTAIN : ID_EXPIRED;
   return ms < part->uncertain_before_ms ? ID_UNCERTAIN : ID_FRESH;
 }
 
@@ -484,7 +493,7 @@
 {
   guint i;
 
-  for (i = 0; i < recovered->results->len; i++)
+  for (i = 0; i < recovered->results->len && job->unfinished > 0; i++)
     {
       const RecoveredTask *r = recovered->results->pdata[i];
       Task *task = &job->tasks[r->index];
@@ -506,7 +515,7 @@
 {
   uint32_t i;
 
-  for (i = 0; i < job->n_tasks; i++)
+  for (i = 0; i < job->n_tasks && job->unfinished > 0; i++)
     if (job->tasks[i].state == TASK_HELD)
       task_finish (owner, &job->tasks[i], HSX_TASK_MAY_HAVE_RUN,
                    HS_ERROR_UNKNOWN, 0, NULL, 0, now);
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -69,6 +69,7 @@
   p->state = PART_FOREIGN;
   p->claims_loaded = false;
   p->uncertain_before_ms = 0;
+  p->forgotten_before_ms = 0;
   owner->owned--;
   parts_drop_staged (p);
   drop_part_jobs (owner, part);
@@ -332,7 +333,7 @@
     {
       Task *own;
 
-      if (key->index >= job->n_tasks)
+      if (job->unfinished == 0 || key->index >= job->n_tasks)
         return;
       own = &job->tasks[key->index];
       if (own->state == TASK_HELD)
@@ -468,7 +469,8 @@
     {
       Job *job = jobs->pdata[i];
 
-      g_array_append_vals (waiters, job->waiters->data, job->waiters->len);
+      if (job->waiters != NULL)
+        g_array_append_vals (waiters, job->waiters->data, job->waiters->len);
       job_drop (owner, job);
     }
   g_ptr_array_set_size (jobs, 0);
--- a/test/fuzz/settings_surface.c
+++ b/test/fuzz/settings_surface.c
@@ -85,6 +85,7 @@
   add_number (object, "max_connections", entry->max_connections);
   add_number (object, "max_body", entry->max_body);
   add_number (object, "claims_per_s", entry->claims_per_s);
+  add_number (object, "kept_bytes", (int64_t) entry->kept_bytes);
   add_texts (object, "store", entry->store);
   return object;
 }
--- a/test/matrix/world.c
+++ b/test/matrix/world.c
@@ -199,6 +199,7 @@
       entry->skew = SKEW;
       entry->task_timeout = TASK_TIMEOUT;
       entry->claims_per_s = 20;
+      entry->kept_bytes = UINT64_C (256) << 20;
       entry->store = talloc_zero_array (proc->memory, char *, 1);
       return;
     }
--- a/test/part.mk
+++ b/test/part.mk
@@ -1,2 +1,2 @@
 # Objects that several test programs share.
-$(B)/test/test_owner $(B)/test/test_owner_faults $(B)/test/test_takeover $(B)/test/test_hostile: $(B)/test/owner_world.o
+$(B)/test/test_owner $(B)/test/test_owner_faults $(B)/test/test_keep $(B)/test/test_takeover $(B)/test/test_hostile: $(B)/test/owner_world.o
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -64,6 +64,7 @@
   assert_int_equal (entry->max_connections, 4096);
   assert_int_equal (entry->max_body, 8 * 1024 * 1024);
   assert_int_equal (entry->claims_per_s, 20);
+  assert_int_equal (entry->kept_bytes, 256 * 1024 * 1024);
   assert_string_equal (entry->rpc_address, "127.0.0.1:7000");
   assert_string_equal (entry->store[0], "http://127.0.0.1:2379");
   assert_null (entry->store[1]);
@@ -94,6 +95,9 @@
   (void) state;
   expect_error (ENTRY_WITH (",\n\"lease_ms\":1"),
                 "f:7: entry.lease_ms: 1 is out of range; use 2000 to 60000");
+  expect_error (ENTRY_WITH (",\n\"kept_bytes\":1000"),
+                "f:7: entry.kept_bytes: 1000 is out of range; "
+                "use 1048576 to 68719476736");
   expect_error (ENTRY_WITH (",\n\"lease_ms\":2500"),
                 "f:7: entry.lease_ms: is not a whole number of seconds");
   expect_error (ENTRY_WITH (",\n\"partitions\":100"),
