Count in bench-system what the kernel sends on the agents' connections

Cause: the bench counted records of ours only. Probes of keepalive, acknowledgements and headers were left out, and at the size of the target they are most of the control traffic.

Change: bench-system reads TCP_INFO of its own sockets, which in an idle run are the agents' ends of all connections with entries: payload both ways, and 52 bytes of IP and TCP header for each segment. So other traffic of the machine doesn't matter. Not counted: entries among themselves and with the store.

--- a/bench/part.mk
+++ b/bench/part.mk
@@ -2,4 +2,4 @@
 BENCH_DISPATCH := bench/dispatch.c bench/fleet.c bench/fleet_entry.c \
 	bench/fleet_target.c bench/events.c bench/workload.c
 BENCHES += system
-BENCH_SYSTEM := bench/system.c bench/client.c bench/fakes.c
+BENCH_SYSTEM := bench/system.c bench/client.c bench/fakes.c bench/sockets.c
--- /dev/null
+++ b/bench/sockets.c
@@ -0,0 +1,57 @@
+#include "sockets.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+/* glibc's own struct tcp_info lacks the counters of segments and bytes. */
+#include <linux/tcp.h>
+
+#define FD_DIRECTORY "/proc/self/fd"
+
+/** IPv4 header, TCP header and its timestamp option. */
+#define HEADER_BYTES (20 + 20 + 12)
+
+static void add_socket (BenchSockets *sum, int fd);
+
+BenchSockets
+bench_sockets (void)
+{
+  BenchSockets sum = { 0 };
+  GDir *dir = g_dir_open (FD_DIRECTORY, 0, NULL);
+  const char *name;
+
+  if (dir == NULL)
+    g_error ("bench: can't read " FD_DIRECTORY);
+  while ((name = g_dir_read_name (dir)) != NULL)
+    add_socket (&sum, atoi (name));
+  g_dir_close (dir);
+  return sum;
+}
+
+uint64_t
+bench_sockets_bytes (const BenchSockets *sockets)
+{
+  return sockets->payload + sockets->segments * HEADER_BYTES;
+}
+
+/* Leaves out what is no TCP socket, and listeners, whose fields differ. */
+static void
+add_socket (BenchSockets *sum, int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  int listens = 0;
+  socklen_t listens_size = sizeof listens;
+
+  if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_size) != 0
+      || listens || getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+      || size < sizeof info.tcpi_segs_in
+                    + offsetof (struct tcp_info, tcpi_segs_in))
+    return;
+  sum->n++;
+  sum->segments += (uint64_t) info.tcpi_segs_in + info.tcpi_segs_out;
+  sum->payload += info.tcpi_bytes_acked + info.tcpi_bytes_received;
+}
--- a/bench/system.c
+++ b/bench/system.c
@@ -15,6 +15,7 @@
 
 #include "client.h"
 #include "fakes.h"
+#include "sockets.h"
 
 /** Agents announce and are connected within this span. */
 #define SETTLE_SPAN (3 * HS_SEC)
@@ -75,6 +76,9 @@
                     const BenchFakesStats *after,
                     const Usage *used,
                     const Usage *used_after);
+static void report_sockets (double span,
+                            const BenchSockets *before,
+                            const BenchSockets *after);
 static double percentile (const BenchClientResult *result, double share);
 static int compare_times (const void *a, const void *b);
 
@@ -87,6 +91,8 @@
   BenchClientResult result = { 0 };
   BenchFakesStats before;
   BenchFakesStats after;
+  BenchSockets sockets_before;
+  BenchSockets sockets_after;
   Usage sums[2] = { { 0, 0 }, { 0, 0 } };
   HsTime begin;
   int i;
@@ -104,6 +110,7 @@
   load (warmup, &result);
   g_free (result.latencies);
   before = bench_fakes_stats ();
+  sockets_before = bench_sockets ();
   for (i = 0; pid_list[i] != NULL; i++)
     {
       Usage usage = usage_of (pid_list[i]);
@@ -121,7 +128,9 @@
       sums[1].rss_kb += usage.rss_kb;
     }
   after = bench_fakes_stats ();
+  sockets_after = bench_sockets ();
   report (seconds, &result, &before, &after, &sums[0], &sums[1]);
+  report_sockets (seconds, &sockets_before, &sockets_after);
   if (connections > 0 && !bench_client_drain (DRAIN_SPAN))
     fprintf (stderr, "bench-system: jobs are open 20 s after the end\n");
   return 0;
@@ -223,7 +232,7 @@
           (double) (after->cpu_us - before->cpu_us) / 1e6 / span);
   printf ("\"inner_messages\":%lu,\"start_messages\":%lu,"
           "\"result_messages\":%lu,\"grant_messages\":%lu,"
-          "\"inner_bytes_per_s\":%.0f,\"bytes_per_start\":%.0f}\n",
+          "\"inner_bytes_per_s\":%.0f,\"bytes_per_start\":%.0f,",
           messages,
           after->rpc.received_by_proc[HSX_START]
               - before->rpc.received_by_proc[HSX_START],
@@ -233,6 +242,20 @@
           starts > 0 ? (double) bytes / (double) starts : 0);
 }
 
+/* Of the connections between agents and entries; with a load also of those
+   between callers and entries. */
+static void
+report_sockets (double span,
+                const BenchSockets *before,
+                const BenchSockets *after)
+{
+  printf ("\"tcp_connections\":%u,\"tcp_segments_per_s\":%.1f,"
+          "\"tcp_bytes_per_s\":%.0f}\n",
+          after->n, (double) (after->segments - before->segments) / span,
+          (double) (bench_sockets_bytes (after) - bench_sockets_bytes (before))
+              / span);
+}
+
 static double
 percentile (const BenchClientResult *result, double share)
 {
--- a/bench/table.awk
+++ b/bench/table.awk
@@ -11,8 +11,8 @@
 	if (columns == "")
 		columns = "name entries agents starts_per_s p50_ms p99_ms " \
 			"entry_cores entry_us_per_start agents_cores " \
-			"bytes_per_start inner_bytes_per_s entry_rss_kb " \
-			"store_calls_per_s"
+			"bytes_per_start inner_bytes_per_s tcp_bytes_per_s " \
+			"entry_rss_kb store_calls_per_s"
 	n = split(columns, keys, " ")
 	for (i = 1; i <= n; i++)
 		printf "| %s ", keys[i]
