Bound the age of a stamp; refresh idle credits rarely

Cause: agents refreshed idle credits each 4 s for each entry, and each second for entries that send starts. Permits don't need it: they are counted from the receipt of a stamp. What still needed it: a bound on the drift over a stamp's age, loans that were not used, and lists that an entry dropped because it took the agent for leaving or lost at that moment.

Change: - HS_STAMP_AGE_MAX, 240 s: an entry uses no older stamp. A loan without news for 4.5 s is taken back. Before: with the next refresh, 2 to 6 s after the loan.

--- a/bench/events.h
+++ b/bench/events.h
@@ -24,6 +24,7 @@
   EVENT_ANSWER,  /**< a: from, b: to, c: n; credits, idle. */
   EVENT_GRANT,   /**< a: target, b: entry, c: n; credits. */
   EVENT_REFRESH, /**< a: target. */
+  EVENT_NOTICE,  /**< a: target, b: entry. */
   EVENT_TICK     /**< a: entry. */
 } BenchEventKind;
 
--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -123,6 +123,9 @@
     case EVENT_REFRESH:
       bench_target_refresh (f, event->a);
       break;
+    case EVENT_NOTICE:
+      bench_target_notice (f, event->a, event->b);
+      break;
     case EVENT_TICK:
       f->entries[event->a].tick_at = HS_NEVER;
       bench_entry_turn (f, event->a);
--- a/bench/fleet_entry.c
+++ b/bench/fleet_entry.c
@@ -54,6 +54,7 @@
   HsPopped popped;
 
   apply_health (f, entry);
+  hs_credits_reclaim (e->credits, f->now);
   lend (f, entry);
   while (hs_fair_queue_pop (e->queue, f->now, may_start, &s, &popped))
     {
--- a/bench/fleet_state.h
+++ b/bench/fleet_state.h
@@ -5,6 +5,7 @@
 #ifndef HS_BENCH_FLEET_STATE_H
 #define HS_BENCH_FLEET_STATE_H
 
+#include "agent/slots.h"
 #include "events.h"
 #include "fleet.h"
 #include "policy/credits.h"
@@ -12,7 +13,7 @@
 #include "policy/loans.h"
 
 #define BENCH_LEASE_LEFT (3 * HS_SEC)
-#define BENCH_REFRESH_PERIOD (2 * HS_SEC)
+#define BENCH_REFRESH_PERIOD HS_SLOTS_LAST_REFRESH
 #define BENCH_FAULTY_TARGET 0
 
 typedef struct
@@ -27,6 +28,7 @@
 {
   Slot slots[BENCH_SLOTS];
   HsTime granted[BENCH_ENTRIES]; /* Last GRANT to each entry. */
+  bool notice[BENCH_ENTRIES];    /* One is due, as a loan was used. */
   uint32_t *queue;               /* Tasks that wait here; rules but credits. */
   uint32_t first;
   uint32_t last;
@@ -89,6 +91,9 @@
 /** Repeats GRANT to entries whose slots here have long been idle. */
 void bench_target_refresh (Fleet *f, uint32_t target);
 
+/** Tells an entry that others used credits it had lent. */
+void bench_target_notice (Fleet *f, uint32_t target, uint32_t entry);
+
 /** Sends GRANT to one entry. */
 void bench_target_grant (Fleet *f, uint32_t target, uint32_t entry);
 
--- a/bench/fleet_target.c
+++ b/bench/fleet_target.c
@@ -3,6 +3,8 @@
 #define FAIL_RUN (5 * HS_MSEC)
 #define SLOW_FACTOR 5
 
+static void
+note_loan (Fleet *f, uint32_t target, uint32_t holder, uint32_t user);
 static void run_task (Fleet *f, uint32_t task, uint32_t at, uint32_t slot);
 
 void
@@ -17,6 +19,7 @@
 
       if (!slot->busy && slot->generation == event->credit.generation)
         {
+          note_loan (f, event->b, slot->holder, bench_entry_of (f, event->a));
           run_task (f, event->a, event->b, event->credit.slot);
           return;
         }
@@ -85,6 +88,14 @@
       }
 }
 
+void
+bench_target_notice (Fleet *f, uint32_t target, uint32_t entry)
+{
+  f->targets[target].notice[entry] = false;
+  f->result->grants++;
+  bench_target_grant (f, target, entry);
+}
+
 void
 bench_target_grant (Fleet *f, uint32_t target, uint32_t entry)
 {
@@ -117,6 +128,19 @@
          && f->now >= f->run->fault_at;
 }
 
+/* Who lent the credit is told soon that it was used. */
+static void
+note_loan (Fleet *f, uint32_t target, uint32_t holder, uint32_t user)
+{
+  Target *t = &f->targets[target];
+
+  if (holder == user || t->notice[holder])
+    return;
+  t->notice[holder] = true;
+  bench_post (f, HS_SLOTS_LOAN_NOTICE,
+              &(BenchEvent){ .kind = EVENT_NOTICE, .a = target, .b = holder });
+}
+
 static void
 run_task (Fleet *f, uint32_t task, uint32_t at, uint32_t slot)
 {
--- a/src/agent/slots.c
+++ b/src/agent/slots.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+/** Mixes incarnations into the high bits. */
+#define SPREAD_PRIME UINT64_C (0x9e3779b97f4a7c15)
+#define SPREAD_BITS 8
+
 typedef enum
 {
   SLOT_FREE,
@@ -21,10 +25,11 @@
 typedef struct
 {
   uint64_t incarnation;
-  HsTime last_start;
-  uint32_t held; /* Granted and busy slots. */
-  uint32_t idle; /* Granted slots. */
-  bool due;      /* Its list changed or must be refreshed. */
+  HsTime refresh; /* Age at which idle credits are refreshed. */
+  HsTime notice;  /* When to tell that others used its credits. */
+  uint32_t held;  /* Granted and busy slots. */
+  uint32_t idle;  /* Granted slots. */
+  bool due;       /* Its list changed or must be refreshed. */
 } Entry;
 
 struct HsSlots
@@ -44,6 +49,7 @@
 static void withdraw (HsSlots *slots, uint32_t slot);
 static void unhold (HsSlots *slots, const Slot *slot);
 static void refresh_due (HsSlots *slots, HsTime now);
+static HsTime refresh_at (const HsSlots *slots, const Entry *entry);
 static HsTime oldest_stamp (const HsSlots *slots, const Entry *entry);
 static void stamp_all (HsSlots *slots, const Entry *entry, HsTime now);
 static bool is_granted_to (const Slot *slot, const Entry *entry);
@@ -89,7 +95,8 @@
       = talloc_realloc (slots, slots->entries, Entry, slots->n_entries + 1);
   slots->entries[slots->n_entries++]
       = (Entry){ .incarnation = incarnation,
-                 .last_start = -HS_SLOTS_BUSY_SPAN };
+                 .refresh = HS_SLOTS_FIRST_REFRESH,
+                 .notice = HS_NEVER };
   share = (slots->count + slots->n_entries - 1) / slots->n_entries;
   for (i = 0; i < slots->count; i++)
     if (slots->table[i].state == SLOT_GRANTED
@@ -133,15 +140,16 @@
 {
   Slot *slot = &slots->table[credit->slot];
   Entry *entry = find_entry (slots, incarnation);
+  Entry *lender = find_entry (slots, slot->holder);
 
+  if (lender != NULL && lender != entry && lender->notice == HS_NEVER)
+    lender->notice = now + HS_SLOTS_LOAN_NOTICE;
   unhold (slots, slot);
   slot->state = SLOT_BUSY;
   slot->holder = incarnation;
   slots->busy++;
-  if (entry == NULL)
-    return;
-  entry->held++;
-  entry->last_start = now;
+  if (entry != NULL)
+    entry->held++;
 }
 
 bool
@@ -292,16 +300,32 @@
   for (i = 0; i < slots->n_entries; i++)
     {
       Entry *entry = &slots->entries[i];
-      bool sends = now - entry->last_start <= HS_SLOTS_BUSY_SPAN;
-      HsTime period = sends ? HS_SLOTS_BUSY_REFRESH : HS_SLOTS_IDLE_REFRESH;
-
-      if (entry->idle > 0 && now - oldest_stamp (slots, entry) >= period)
-        entry->due = true;
       if (entry->due)
-        stamp_all (slots, entry, now);
+        entry->refresh = HS_SLOTS_FIRST_REFRESH;
+      else if (entry->idle > 0 && now >= refresh_at (slots, entry))
+        {
+          entry->due = true;
+          entry->refresh = MIN (2 * entry->refresh, HS_SLOTS_LAST_REFRESH);
+        }
+      else if (now >= entry->notice)
+        entry->due = true;
+      if (!entry->due)
+        continue;
+      entry->notice = HS_NEVER;
+      stamp_all (slots, entry, now);
     }
 }
 
+static HsTime
+refresh_at (const HsSlots *slots, const Entry *entry)
+{
+  uint64_t mixed = (slots->agent ^ entry->incarnation) * SPREAD_PRIME;
+  HsTime spread = (HsTime) (mixed >> (64 - SPREAD_BITS));
+
+  return oldest_stamp (slots, entry) + entry->refresh
+         - ((entry->refresh / 4 * spread) >> SPREAD_BITS);
+}
+
 static HsTime
 oldest_stamp (const HsSlots *slots, const Entry *entry)
 {
--- a/src/agent/slots.h
+++ b/src/agent/slots.h
@@ -8,7 +8,8 @@
  * finished slot is granted again to the entry that gets the result, which
  * is the one that used it unless the partition has a new owner. Any entry may
  * use a credit, because entries lend them; the entry whose start was
- * accepted then holds the slot. If an entry's last connection ends, its
+ * accepted then holds the slot, and the one that lent its credit is sent a
+ * list without it soon. If an entry's last connection ends, its
  * idle credits are withdrawn and granted to others.
  *
  * The generation of a slot rises each time it is granted or withdrawn, so
@@ -35,12 +36,17 @@
 
 /** The most slots a target may announce. */
 #define HS_SLOTS_MAX HSX_CREDITS_MAX
-/** Age at which idle credits of an entry that sends starts are refreshed. */
-#define HS_SLOTS_BUSY_REFRESH (1 * HS_SEC)
-/** Age at which idle credits of an entry without starts are refreshed. */
-#define HS_SLOTS_IDLE_REFRESH (4 * HS_SEC)
-/** An entry sends starts if its last one is not older than this. */
-#define HS_SLOTS_BUSY_SPAN (10 * HS_SEC)
+/** Age at which idle credits of an entry are refreshed after a change of its
+ *  list, which the entry may have dropped as it didn't know the agent yet.
+ *  Doubles with each refresh. */
+#define HS_SLOTS_FIRST_REFRESH (4 * HS_SEC)
+/** The longest such age: two fit into the age at which entries no longer use
+ *  a stamp, HS_STAMP_AGE_MAX. A part of up to a quarter is taken off, so
+ *  that agents started together don't refresh together. */
+#define HS_SLOTS_LAST_REFRESH (120 * HS_SEC)
+/** Span from the use of an entry's credit by another to the list without it;
+ *  further uses within the span are told by the same list. */
+#define HS_SLOTS_LOAN_NOTICE (2 * HS_SEC)
 
 typedef struct HsSlots HsSlots;
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -109,6 +109,7 @@
   recovery_check (owner, now);
   jobs_sweep (owner, now);
   recovered_sweep (owner, now);
+  hs_credits_reclaim (owner->credits, now.mono);
   pump (owner, now);
 }
 
--- a/src/policy/agent_credits.c
+++ b/src/policy/agent_credits.c
@@ -18,6 +18,12 @@
 static bool is_spent (const HsCreditSlot *slot,
                       const hsx_credit *credit,
                       HsCreditSource source);
+static bool
+keep_idle (HsAgentCredits *a, const hsx_credit *credit, HsCreditSource source);
+static void
+forget_used_loans (HsAgentCredits *a, uint32_t n, const hsx_credit *credits);
+static void end_loan (HsAgentCredits *a, HsCreditSlot *slot);
+static hsx_credit take_newest (HsAgentCredits *a);
 static HsHeldCredit *find (HsAgentCredits *a, uint32_t slot);
 static void learn_clock (HsAgentCredits *a, int64_t stamp, HsTime now);
 static int64_t agent_clock (const HsAgentCredits *a, HsTime now);
@@ -31,15 +37,22 @@
 }
 
 void
-hs_agent_credits_clear (HsAgentCredits *a)
+hs_agent_credits_grant (TALLOC_CTX *ctx,
+                        HsAgentCredits *a,
+                        uint32_t n,
+                        const hsx_credit *credits,
+                        HsTime now)
 {
-  uint32_t n = 0;
+  uint32_t n_loans = 0;
   uint32_t i;
 
   for (i = 0; i < a->n_idle; i++)
     if (a->idle[i].is_loan)
-      a->idle[n++] = a->idle[i];
-  a->n_idle = n;
+      a->idle[n_loans++] = a->idle[i];
+  a->n_idle = n_loans;
+  for (i = 0; i < n; i++)
+    hs_agent_credits_keep (ctx, a, &credits[i], HS_CREDIT_GRANTED, now);
+  forget_used_loans (a, n, credits);
 }
 
 bool
@@ -49,22 +62,21 @@
                        HsCreditSource source,
                        HsTime now)
 {
-  HsHeldCredit *held;
+  HsCreditSlot *slot;
 
   if (credit->slot >= SLOTS_MAX || credit->generation == UINT32_MAX)
     return false;
   learn_clock (a, credit->stamp_us, now);
   reserve (ctx, a, credit->slot);
-  if (is_spent (&a->slots[credit->slot], credit, source))
-    return false;
-  held = find (a, credit->slot);
-  if (held != NULL && held->credit.generation > credit->generation)
+  slot = &a->slots[credit->slot];
+  if (is_spent (slot, credit, source))
     return false;
-  if (held == NULL)
-    held = &a->idle[a->n_idle++];
-  held->credit = *credit;
-  held->is_loan = source == HS_CREDIT_LENT;
-  return true;
+  if (slot->is_lent)
+    {
+      slot->next_generation = credit->generation;
+      end_loan (a, slot);
+    }
+  return keep_idle (a, credit, source);
 }
 
 bool
@@ -72,6 +84,8 @@
 {
   int64_t clock;
 
+  if (now - a->stamp_received >= HS_STAMP_AGE_MAX)
+    a->n_idle = 0;
   if (a->n_idle == 0)
     return false;
   clock = agent_clock (a, now) + PERMIT_MARGIN;
@@ -88,18 +102,57 @@
 }
 
 hsx_credit
-hs_agent_credits_pop (HsAgentCredits *a, bool to_lend)
+hs_agent_credits_pop (HsAgentCredits *a)
 {
-  hsx_credit credit = a->idle[--a->n_idle].credit;
-  HsCreditSlot *slot = &a->slots[credit.slot];
+  hsx_credit credit = take_newest (a);
 
   credit.stamp_us = a->stamp;
-  slot->next_generation = credit.generation + 1;
-  slot->is_lent = to_lend;
+  return credit;
+}
+
+/* The borrower counts a permit from when it gets the stamp, so the stamp is
+ * brought forward by its age here. It must not pass the agent's clock. */
+hsx_credit
+hs_agent_credits_lend (HsAgentCredits *a, HsTime now)
+{
+  HsTime age = now - a->stamp_received;
+  bool is_loan = hs_agent_credits_has_loan (a);
+  hsx_credit credit = take_newest (a);
+  HsCreditSlot *slot = &a->slots[credit.slot];
+
+  slot->lent = credit;
+  credit.stamp_us
+      = a->stamp + age - (age * HS_CLOCK_DRIFT_PPM + HS_SEC - 1) / HS_SEC;
   slot->lent_stamp = credit.stamp_us;
+  slot->lent_at = now;
+  slot->is_lent = true;
+  slot->is_ours = !is_loan;
+  a->n_lent++;
   return credit;
 }
 
+bool
+hs_agent_credits_reclaim (HsAgentCredits *a, HsTime now)
+{
+  size_t n = a->n_lent > 0 ? talloc_array_length (a->slots) : 0;
+  bool any = false;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      HsCreditSlot *slot = &a->slots[i];
+
+      if (!slot->is_lent || now - slot->lent_at < HS_LOAN_RETURN)
+        continue;
+      end_loan (a, slot);
+      if (!slot->is_ours)
+        continue;
+      slot->next_generation = slot->lent.generation;
+      any |= keep_idle (a, &slot->lent, HS_CREDIT_GRANTED);
+    }
+  return any;
+}
+
 static void
 reserve (TALLOC_CTX *ctx, HsAgentCredits *a, uint32_t slot)
 {
@@ -137,6 +190,56 @@
   return true;
 }
 
+/* Adds it in place of an older one of its slot. */
+static bool
+keep_idle (HsAgentCredits *a, const hsx_credit *credit, HsCreditSource source)
+{
+  HsHeldCredit *held = find (a, credit->slot);
+
+  if (held != NULL && held->credit.generation > credit->generation)
+    return false;
+  if (held == NULL)
+    held = &a->idle[a->n_idle++];
+  held->credit = *credit;
+  held->is_loan = source == HS_CREDIT_LENT;
+  return true;
+}
+
+/* A slot that the agent no longer lists has been taken by the borrower. */
+static void
+forget_used_loans (HsAgentCredits *a, uint32_t n, const hsx_credit *credits)
+{
+  size_t n_slots = a->n_lent > 0 ? talloc_array_length (a->slots) : 0;
+  size_t s;
+  uint32_t i;
+
+  for (s = 0; s < n_slots; s++)
+    {
+      if (!a->slots[s].is_lent)
+        continue;
+      for (i = 0; i < n && credits[i].slot != s; i++)
+        continue;
+      if (i == n)
+        end_loan (a, &a->slots[s]);
+    }
+}
+
+static void
+end_loan (HsAgentCredits *a, HsCreditSlot *slot)
+{
+  slot->is_lent = false;
+  a->n_lent--;
+}
+
+static hsx_credit
+take_newest (HsAgentCredits *a)
+{
+  hsx_credit credit = a->idle[--a->n_idle].credit;
+
+  a->slots[credit.slot].next_generation = credit.generation + 1;
+  return credit;
+}
+
 static HsHeldCredit *
 find (HsAgentCredits *a, uint32_t slot)
 {
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -4,11 +4,15 @@
  *
  * A start echoes the freshest time of the agent's clock that the entry had
  * received when it checked its lease, be it from this credit or a later
- * message; agents compare slot and generation only.
+ * message; agents compare slot and generation only. No stamp older than
+ * HS_STAMP_AGE_MAX is used: clocks drift, and so does a span that is counted
+ * on two of them.
  *
  * A lent credit may be used by the borrower until its stamp is HS_LOAN_LIFE
- * old. If a later GRANT of the agent still has it, it wasn't used, and the
- * lender takes it back.
+ * old; it gets the stamp of the moment of lending. The agent tells the lender
+ * by a GRANT without it soon after it was used. One that a later GRANT still
+ * has, or of which the agent says nothing until HS_LOAN_RETURN, wasn't used,
+ * and the lender takes it back.
  */
 #ifndef HS_POLICY_AGENT_CREDITS_H
 #define HS_POLICY_AGENT_CREDITS_H
@@ -24,6 +28,16 @@
 /** How long a lent credit can be used, by the agent's clock. */
 #define HS_LOAN_LIFE (2 * HS_SEC)
 
+/** When the lender takes back a loan of which it has heard nothing. Agents
+ *  report the use of one within HS_SLOTS_LOAN_NOTICE and a tick. */
+#define HS_LOAN_RETURN (HS_LOAN_LIFE + 2500 * HS_MSEC)
+
+/** Age at which a stamp is no longer used. */
+#define HS_STAMP_AGE_MAX (240 * HS_SEC)
+
+/** The most that two clocks drift apart, in parts of a million. */
+#define HS_CLOCK_DRIFT_PPM 200
+
 /** By which message a credit came. */
 typedef enum
 {
@@ -43,13 +57,17 @@
 {
   uint32_t next_generation; /**< Older ones are used up. */
   bool is_lent;
-  int64_t lent_stamp; /**< The stamp it was lent with. */
+  bool is_ours;       /**< What was lent had come from the agent. */
+  int64_t lent_stamp; /**< The stamp it was lent with, */
+  HsTime lent_at;     /**< and when. */
+  hsx_credit lent;    /**< As it is taken back. */
 } HsCreditSlot;
 
 /** Zero-initialised: none. Arrays are talloc; see hs_agent_credits_free(). */
 typedef struct
 {
   uint32_t n_idle;
+  uint32_t n_lent;    /**< Slots of which the outcome isn't known. */
   HsHeldCredit *idle; /**< Newest last. */
   HsCreditSlot *slots;
   int64_t stamp;          /**< Freshest time of the agent's clock seen, */
@@ -61,8 +79,12 @@
 
 void hs_agent_credits_free (HsAgentCredits *a);
 
-/** Drops all idle credits but loans, before a GRANT replaces them. */
-void hs_agent_credits_clear (HsAgentCredits *a);
+/** Replaces all idle credits but loans. */
+void hs_agent_credits_grant (TALLOC_CTX *ctx,
+                             HsAgentCredits *a,
+                             uint32_t n,
+                             const hsx_credit *credits,
+                             HsTime now);
 
 /** Keeps a credit, in place of an older one of its slot; false: used up. */
 bool hs_agent_credits_keep (TALLOC_CTX *ctx,
@@ -73,14 +95,21 @@
 
 /**
  * Whether the newest credit can be used: the agent would still accept it
- * under a lease that is certain for @p lease_left. Drops loans that expired.
+ * under a lease that is certain for @p lease_left. Drops loans that expired,
+ * and all if the freshest stamp is too old.
  */
 bool hs_agent_credits_usable (HsAgentCredits *a, HsTime now, HsTime lease_left);
 
 /** Whether the newest is a loan. */
 bool hs_agent_credits_has_loan (const HsAgentCredits *a);
 
-/** Takes the newest out, for a start or (@p to_lend) for another entry. */
-hsx_credit hs_agent_credits_pop (HsAgentCredits *a, bool to_lend);
+/** Takes the newest out for a start. */
+hsx_credit hs_agent_credits_pop (HsAgentCredits *a);
+
+/** Takes the newest out for another entry. */
+hsx_credit hs_agent_credits_lend (HsAgentCredits *a, HsTime now);
+
+/** Takes back the loans that are out since HS_LOAN_RETURN; true if any. */
+bool hs_agent_credits_reclaim (HsAgentCredits *a, HsTime now);
 
 #endif
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -74,7 +74,6 @@
                             HsTime lease_left);
 static bool most_are_healthy (const HsCredits *pool);
 static bool healthy_serve (const HsCredits *pool, const hsx_needs *needs);
-static hsx_credit pop (HsCredits *pool, uint32_t agent, bool to_lend);
 
 HsCredits *
 hs_credits_new (TALLOC_CTX *ctx, uint64_t seed)
@@ -138,13 +137,10 @@
                   HsTime now)
 {
   Agent *a = lookup (pool, agent);
-  uint32_t i;
 
   if (a == NULL)
     return;
-  hs_agent_credits_clear (&a->held);
-  for (i = 0; i < n; i++)
-    hs_agent_credits_keep (pool, &a->held, &credits[i], HS_CREDIT_GRANTED, now);
+  hs_agent_credits_grant (pool, &a->held, n, credits, now);
   relist (pool, agent);
 }
 
@@ -180,7 +176,8 @@
     }
   pool->agents[chosen].in_use++;
   pool->n_in_use++;
-  *credit = pop (pool, chosen, false);
+  *credit = hs_agent_credits_pop (&pool->agents[chosen].held);
+  relist (pool, chosen);
   *agent = chosen;
   return true;
 }
@@ -222,11 +219,22 @@
 
       if (agent == NONE)
         break;
-      credits[taken] = pop (pool, agent, true);
+      credits[taken] = hs_agent_credits_lend (&pool->agents[agent].held, now);
+      relist (pool, agent);
     }
   return taken;
 }
 
+void
+hs_credits_reclaim (HsCredits *pool, HsTime now)
+{
+  uint32_t agent;
+
+  for (agent = 0; agent < pool->n_agents; agent++)
+    if (hs_agent_credits_reclaim (&pool->agents[agent].held, now))
+      relist (pool, agent);
+}
+
 bool
 hs_credits_any (const HsCredits *pool, HsTime now)
 {
@@ -484,12 +492,3 @@
     }
   return false;
 }
-
-static hsx_credit
-pop (HsCredits *pool, uint32_t agent, bool to_lend)
-{
-  hsx_credit credit = hs_agent_credits_pop (&pool->agents[agent].held, to_lend);
-
-  relist (pool, agent);
-  return credit;
-}
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -90,6 +90,12 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
+/**
+ * Takes back the loans that were not used; to be called often enough that
+ * HS_LOAN_RETURN is kept.
+ */
+void hs_credits_reclaim (HsCredits *pool, HsTime now);
+
 /** Whether hs_credits_take() may find a credit for a task of small needs. */
 bool hs_credits_any (const HsCredits *pool, HsTime now);
 
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -185,6 +185,133 @@
   talloc_free (borrower);
 }
 
+/* One that was lent, of an agent whose stamp is old, and what the borrower's
+ * permit is counted from. */
+static void
+a_loan_has_a_stamp_of_its_lending (void **state)
+{
+  const hsx_needs capacity = { 0, 0 };
+  const HsTime granted_at = 10 * HS_SEC;
+  const HsTime lent_at = granted_at + 100 * HS_SEC;
+  HsCredits *lender = hs_credits_new (NULL, 7);
+  HsCredits *borrower = hs_credits_new (NULL, 7);
+  hsx_credit granted = credit_of (0, 5, AHEAD + granted_at);
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  hs_credits_agent (lender, 0, &capacity);
+  hs_credits_agent (borrower, 0, &capacity);
+  hs_credits_add (lender, 0, &granted, HS_CREDIT_GRANTED, granted_at);
+  assert_int_equal (hs_credits_take_loan (lender, 1, lent_at, LEASE, &credit),
+                    1);
+  /* 100 s at 200 ppm: the agent's clock shows this much less at the worst. */
+  assert_true (credit.stamp_us == AHEAD + lent_at - 20 * HS_MSEC);
+  hs_credits_add (borrower, 0, &credit, HS_CREDIT_LENT, lent_at);
+  assert_true (take (borrower, lent_at + HS_SEC, &agent, &credit));
+  assert_true (credit.stamp_us == AHEAD + lent_at - 20 * HS_MSEC);
+  assert_int_equal (hs_credits_stamp_received (borrower, 0), lent_at);
+  talloc_free (lender);
+  talloc_free (borrower);
+}
+
+static void
+a_loan_without_news_is_taken_back (void **state)
+{
+  HsCredits *pool = pool_of (2, 2);
+  hsx_credit loans[4];
+  hsx_credit grant[2] = { credit_of (0, 1, 0), credit_of (1, 1, 0) };
+  hsx_credit credit;
+  uint32_t used = 0;
+  uint32_t agent;
+
+  (void) state;
+  assert_int_equal (hs_credits_take_loan (pool, 4, 0, LEASE, loans), 4);
+  /* The agent's list crossed the loan; then it no longer has slot 1. */
+  hs_credits_grant (pool, 0, 2, grant, 1);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  hs_credits_grant (pool, 0, 1, grant, 2);
+  hs_credits_reclaim (pool, HS_LOAN_RETURN - 1);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  hs_credits_reclaim (pool, HS_LOAN_RETURN);
+  assert_int_equal (hs_credits_idle (pool), 3);
+  assert_int_equal (hs_credits_idle_at (pool, 0), 1);
+  while (take (pool, HS_LOAN_RETURN, &agent, &credit))
+    {
+      assert_int_equal (credit.generation, 1);
+      assert_true (agent == 1 || credit.slot == 0);
+      used++;
+    }
+  assert_int_equal (used, 3);
+  hs_credits_reclaim (pool, 2 * HS_LOAN_RETURN);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
+/* A list that has a loan again, and the next with the same credit. */
+static void
+a_loan_taken_back_stays (void **state)
+{
+  HsCredits *pool = pool_of (1, 1);
+  hsx_credit grant = credit_of (0, 1, 2 * HS_LOAN_LIFE);
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  assert_int_equal (hs_credits_take_loan (pool, 1, 0, LEASE, &credit), 1);
+  hs_credits_grant (pool, 0, 1, &grant, 2 * HS_LOAN_LIFE);
+  assert_int_equal (hs_credits_idle (pool), 1);
+  hs_credits_grant (pool, 0, 1, &grant, 3 * HS_LOAN_LIFE);
+  assert_int_equal (hs_credits_idle (pool), 1);
+  assert_true (take (pool, 3 * HS_LOAN_LIFE, &agent, &credit));
+  hs_credits_grant (pool, 0, 1, &grant, 3 * HS_LOAN_LIFE);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
+/* Another's loan goes back to whose it was, not to who passed it on. */
+static void
+a_loan_passed_on_is_not_taken_back (void **state)
+{
+  const hsx_needs capacity = { 0, 0 };
+  HsCredits *pool = hs_credits_new (NULL, 7);
+  hsx_credit loan = credit_of (0, 1, 0);
+  hsx_credit passed;
+
+  (void) state;
+  hs_credits_agent (pool, 0, &capacity);
+  assert_true (hs_credits_add (pool, 0, &loan, HS_CREDIT_LENT, 0));
+  assert_int_equal (hs_credits_take_loan (pool, 1, 1, LEASE, &passed), 1);
+  hs_credits_reclaim (pool, 1 + HS_LOAN_RETURN);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
+/* The drift of two clocks over a stamp's age and the lease has to fit into
+ * the tenth that is taken off the shortest lease. */
+static void
+a_stamp_is_not_used_beyond_its_age (void **state)
+{
+  const HsTime shortest_lease = 2 * HS_SEC;
+  HsCredits *pool = pool_of (1, 2);
+  hsx_credit fresh = credit_of (0, 1, HS_STAMP_AGE_MAX);
+  hsx_credit credit;
+  uint32_t agent;
+
+  (void) state;
+  assert_true (take (pool, HS_STAMP_AGE_MAX - 1, &agent, &credit));
+  assert_false (take (pool, HS_STAMP_AGE_MAX, &agent, &credit));
+  assert_int_equal (
+      hs_credits_take_loan (pool, 1, HS_STAMP_AGE_MAX, LEASE, &credit), 0);
+  assert_false (hs_credits_any (pool, HS_STAMP_AGE_MAX));
+  fresh.generation = 2;
+  hs_credits_grant (pool, 0, 1, &fresh, HS_STAMP_AGE_MAX);
+  assert_true (take (pool, HS_STAMP_AGE_MAX, &agent, &credit));
+  assert_true ((HS_STAMP_AGE_MAX + shortest_lease) * HS_CLOCK_DRIFT_PPM / HS_SEC
+               < shortest_lease / 10);
+  talloc_free (pool);
+}
+
 static void
 health_decides_first (void **state)
 {
@@ -292,6 +419,11 @@
     cmocka_unit_test (needs_are_kept_and_accelerators_spared),
     cmocka_unit_test (the_receipt_of_the_freshest_stamp_is_told),
     cmocka_unit_test (a_loan_expires_and_is_taken_back),
+    cmocka_unit_test (a_loan_has_a_stamp_of_its_lending),
+    cmocka_unit_test (a_loan_without_news_is_taken_back),
+    cmocka_unit_test (a_loan_taken_back_stays),
+    cmocka_unit_test (a_loan_passed_on_is_not_taken_back),
+    cmocka_unit_test (a_stamp_is_not_used_beyond_its_age),
     cmocka_unit_test (health_decides_first),
     cmocka_unit_test (a_lent_credit_may_come_back),
     cmocka_unit_test (tasks_wait_for_healthy_targets_while_most_are),
