Let the home alone probe its agents often; check others on suspicion

Cause: with rare refreshes the wire carries keepalive: both ends of each pair of agent and entry probed each second, 203 bytes/s a pair.

Change: - The home's end probes after 1 s as before, entries among themselves too. All other ends of a connection with an agent probe after 150 s (hs_conn_watch). Longer than the refresh of credits, so that where GRANT passes no probe does. 30 s, as first thought of, would cost 7 bytes/s a pair, 3.5 KB/s at 510 agents. - Who loses a process tells those whose keepalive to it is long (SUSPECT): the home tells the entries of an agent, an entry tells all agents of an entry.

The loss of a host was tried in fake time only; the kernel's 3 s are arithmetic (probes at 1 and 2 s, 2.5 s bound).

Conclusion: an entry with 510 agents, 102 of them its own, comes to 10.6 KB/s of probes and about 1.1 KB/s of GRANT (worked out), from 111 KB/s.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -5,6 +5,7 @@
 #include <sys/random.h>
 
 #include "base/log.h"
+#include "rpc/probe.h"
 
 /** Period of the agent's housekeeping. */
 #define TICK_MS 100
@@ -332,6 +333,8 @@
   HsPeer *peer = hs_peers_of (conn);
   HsTime now = hs_now ().mono;
   const hsx_start_args *starts = args;
+  const hsx_suspect_args *suspect = args;
+  const hsx_probe_args *probe = args;
   uint32_t i;
 
   if (peer == NULL)
@@ -349,6 +352,14 @@
     case HSX_SETTLE:
       hs_agent_on_settle (agent, conn, call, args, now);
       return;
+    case HSX_SUSPECT:
+      hs_peers_probe (agent->peers, suspect->incarnation);
+      return;
+    case HSX_PROBE:
+      hs_probe_reply (conn, call);
+      if (probe->suspected_by != 0)
+        hs_peers_probe (agent->peers, probe->suspected_by);
+      return;
     default:
       hs_warn (HS_AGENT_PART,
                "procedure %u isn't for agents; the connection "
--- a/src/agent/home.c
+++ b/src/agent/home.c
@@ -30,6 +30,7 @@
   uint32_t sent;     /* Revision in flight or answered last. */
   uint32_t accepted; /* Newest revision that this home accepted. */
   HsTime accepted_at;
+  uint64_t entry; /* Incarnation of the last home; 0: none yet. */
   HsHomeMember member;
   void *arg;
   HsAgentStats *stats;
@@ -103,6 +104,10 @@
   if (conn != home->conn)
     return;
   home->is_up = true;
+  /* The record names the home, so that a new one makes a new record. */
+  if (home->entry != 0 && home->entry != hs_conn_peer (conn)->incarnation)
+    home->revision++;
+  home->entry = hs_conn_peer (conn)->incarnation;
   announce (home);
 }
 
--- a/src/agent/peers.c
+++ b/src/agent/peers.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+#include "rpc/probe.h"
+
 /** Connections of one entry: both sides may dial, and one may be stale. */
 #define CONNS_MAX 4
 /** Bytes of result bodies in one message. */
@@ -70,6 +72,7 @@
   peer->conns[peer->n_conns++] = conn;
   peer->preferred = conn;
   hs_conn_set_data (conn, peer);
+  hs_conn_watch (conn, HS_CONN_WATCH_FAR);
   return peer;
 }
 
@@ -118,6 +121,16 @@
   return NULL;
 }
 
+void
+hs_peers_probe (const HsPeers *peers, uint64_t incarnation)
+{
+  const HsPeer *peer = hs_peers_find (peers, incarnation);
+  uint32_t i;
+
+  for (i = 0; peer != NULL && i < peer->n_conns; i++)
+    hs_probe (peer->conns[i], 0);
+}
+
 HsConn *
 hs_peers_find_address (const HsPeers *peers, const char *address)
 {
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -51,6 +51,9 @@
 
 /** Finds a connected entry; NULL if there is none. */
 HsPeer *hs_peers_find (const HsPeers *peers, uint64_t incarnation);
+
+/** Checks the connections to an entry; see rpc/probe.h. */
+void hs_peers_probe (const HsPeers *peers, uint64_t incarnation);
 HsConn *hs_peers_find_address (const HsPeers *peers, const char *address);
 
 uint64_t hs_peer_incarnation (const HsPeer *peer);
--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -63,6 +63,7 @@
 hs_agents_conn_down (HsCore *core, uint64_t agent, HsNow now)
 {
   hs_owner_agent_down (core->owner, agent, now);
+  hs_suspicions_agent_down (core, agent);
 }
 
 void
@@ -110,6 +111,9 @@
       if (((hsx_grant_args *) args)->agent == agent)
         hs_owner_granted (core->owner, args, now);
       return;
+    case HSX_PROBE:
+      hs_suspicions_probed (core, conn, call, args);
+      return;
     default:
       hs_warn (PART, "agent called procedure %u; connection closed", proc);
       hs_conn_close (conn);
@@ -222,6 +226,7 @@
       return;
     }
   hs_links_want (core->links, HSX_ROLE_AGENT, agent, member->address, now.mono);
+  hs_links_watch (core->links, agent, hs_suspicions_watch (core, agent));
   if (hs_links_conn (core->links, agent) != NULL)
     hs_owner_agent_up (core->owner, agent, now);
   introduce (core, now);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -105,6 +105,13 @@
                     void (*func) (void *arg, HsConn *conn),
                     void *arg);
 
+/** Checks the connections to a process; see rpc/probe.h. */
+void
+hs_links_probe (HsLinks *links, uint64_t incarnation, uint64_t suspected_by);
+
+/** Sets the keepalive of the connections to a process. */
+void hs_links_watch (HsLinks *links, uint64_t incarnation, HsConnWatch watch);
+
 /** Queues a start; sent with others at the end of the turn. */
 void hs_links_start (HsLinks *links, uint64_t agent, const hsx_start *start);
 
@@ -132,6 +139,26 @@
 void hs_agents_settle (void *arg, uint64_t agent, const hsx_settle_args *args);
 void hs_agents_tick (HsCore *core, HsNow now);
 
+/** @} */
+/** @name suspicions.c: who watches whom, and what a loss leads to @{ */
+
+/** The keepalive of this entry's connections to an agent. */
+HsConnWatch hs_suspicions_watch (const HsCore *core, uint64_t agent);
+
+/** There is no connection to an agent, or to an entry, any more. */
+void hs_suspicions_agent_down (HsCore *core, uint64_t agent);
+void hs_suspicions_entry_down (HsCore *core, uint64_t entry);
+
+/** Another entry has lost a process. */
+void
+hs_suspicions_told (HsCore *core, uint64_t from, const hsx_suspect_args *args);
+
+/** An agent or entry checks its connection to this entry. */
+void hs_suspicions_probed (HsCore *core,
+                           HsConn *conn,
+                           HsRpcCallId call,
+                           const hsx_probe_args *args);
+
 /** @} */
 /** @name peers.c: other entries @{ */
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "entry/core.h"
+#include "rpc/probe.h"
 
 #define PART "links"
 
@@ -164,6 +165,26 @@
       func (arg, hs_links_conn (links, links->links[i]->incarnation));
 }
 
+void
+hs_links_probe (HsLinks *links, uint64_t incarnation, uint64_t suspected_by)
+{
+  const HsLink *link = find (links, incarnation);
+  uint32_t i;
+
+  for (i = 0; link != NULL && i < link->n_conns; i++)
+    hs_probe (link->conns[i], suspected_by);
+}
+
+void
+hs_links_watch (HsLinks *links, uint64_t incarnation, HsConnWatch watch)
+{
+  const HsLink *link = find (links, incarnation);
+  uint32_t i;
+
+  for (i = 0; link != NULL && i < link->n_conns; i++)
+    hs_conn_watch (link->conns[i], watch);
+}
+
 void
 hs_links_start (HsLinks *links, uint64_t agent, const hsx_start *start)
 {
@@ -264,6 +285,8 @@
   hs_conn_set_data (conn, link);
   link->conns[link->n_conns++] = conn;
   link->pause = 0;
+  if (link->role == HSX_ROLE_AGENT)
+    hs_conn_watch (conn, hs_suspicions_watch (core, link->incarnation));
   if (link->n_conns > 1)
     return;
   if (link->role == HSX_ROLE_AGENT)
--- a/src/entry/part.mk
+++ b/src/entry/part.mk
@@ -5,4 +5,4 @@
 SRCS += src/entry/links.c src/entry/agents.c src/entry/peers.c
 SRCS += src/entry/calls.c src/entry/keeper.c src/entry/handover.c
 SRCS += src/entry/records.c src/entry/core.c src/entry/entry.c
-SRCS += src/entry/report.c
+SRCS += src/entry/report.c src/entry/suspicions.c
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -47,6 +47,7 @@
 {
   hs_owner_peer_down (core->owner, peer, now);
   hs_keeper_peer_down (core->keeper, peer);
+  hs_suspicions_entry_down (core, peer);
 }
 
 void
@@ -72,6 +73,12 @@
         hs_conn_reply (conn, call, HSX_MEMBERS, &reply);
         return;
       }
+    case HSX_SUSPECT:
+      hs_suspicions_told (core, peer, args);
+      return;
+    case HSX_PROBE:
+      hs_suspicions_probed (core, conn, call, args);
+      return;
     case HSX_BORROW:
       keep_question (core, conn, call);
       hs_owner_asked (core->owner, peer, args, now);
--- /dev/null
+++ b/src/entry/suspicions.c
@@ -0,0 +1,82 @@
+/* Who watches whom: the home entry has a short keepalive to its agents, all
+ * entries have one among themselves. Who loses a process tells those whose
+ * keepalive to it is long, and they check. */
+
+#include "entry/core.h"
+#include "rpc/probe.h"
+
+typedef struct
+{
+  HsCore *core;
+  uint64_t incarnation;
+} Suspicion;
+
+static void send_suspect (void *arg, HsConn *conn);
+static void probe_if_homed_there (void *arg, HsConn *conn);
+
+HsConnWatch
+hs_suspicions_watch (const HsCore *core, uint64_t agent)
+{
+  const hsx_member *member = hs_members_find (core->members, agent);
+
+  return member != NULL && member->home == core->incarnation
+             ? HS_CONN_WATCH_CLOSE
+             : HS_CONN_WATCH_FAR;
+}
+
+void
+hs_suspicions_agent_down (HsCore *core, uint64_t agent)
+{
+  Suspicion s = { core, agent };
+
+  if (hs_suspicions_watch (core, agent) == HS_CONN_WATCH_CLOSE)
+    hs_links_each (core->links, HSX_ROLE_ENTRY, send_suspect, &s);
+}
+
+void
+hs_suspicions_entry_down (HsCore *core, uint64_t entry)
+{
+  Suspicion s = { core, entry };
+
+  hs_links_each (core->links, HSX_ROLE_AGENT, send_suspect, &s);
+  hs_links_each (core->links, HSX_ROLE_AGENT, probe_if_homed_there, &s);
+}
+
+void
+hs_suspicions_told (HsCore *core, uint64_t from, const hsx_suspect_args *args)
+{
+  hs_links_probe (core->links, args->incarnation, from);
+}
+
+void
+hs_suspicions_probed (HsCore *core,
+                      HsConn *conn,
+                      HsRpcCallId call,
+                      const hsx_probe_args *args)
+{
+  hs_probe_reply (conn, call);
+  if (args->suspected_by != 0)
+    hs_links_probe (core->links, args->suspected_by, 0);
+}
+
+static void
+send_suspect (void *arg, HsConn *conn)
+{
+  const Suspicion *s = arg;
+  hsx_suspect_args args = { s->incarnation };
+
+  hs_conn_call (conn, HSX_SUSPECT, &args, HS_NEVER, NULL, NULL);
+}
+
+/* With the entry its watch over them is gone, and if it is cut off, so may
+   they be. */
+static void
+probe_if_homed_there (void *arg, HsConn *conn)
+{
+  const Suspicion *s = arg;
+  uint64_t agent = hs_conn_peer (conn)->incarnation;
+  const hsx_member *member = hs_members_find (s->core->members, agent);
+
+  if (member != NULL && member->home == s->incarnation)
+    hs_links_probe (s->core->links, agent, s->incarnation);
+}
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -380,6 +380,21 @@
 };
 typedef struct hsx_promise_reply hsx_promise_reply;
 
+struct hsx_suspect_args {
+	uint64_t incarnation;
+};
+typedef struct hsx_suspect_args hsx_suspect_args;
+
+struct hsx_probe_args {
+	uint64_t suspected_by;
+};
+typedef struct hsx_probe_args hsx_probe_args;
+
+struct hsx_probe_reply {
+	bool_t alive;
+};
+typedef struct hsx_probe_reply hsx_probe_reply;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -423,6 +438,12 @@
 #define HSX_PROMISE 12
 extern  enum clnt_stat hsx_promise_1(hsx_promise_args , hsx_promise_reply *, CLIENT *);
 extern  bool_t hsx_promise_1_svc(hsx_promise_args , hsx_promise_reply *, struct svc_req *);
+#define HSX_SUSPECT 13
+extern  enum clnt_stat hsx_suspect_1(hsx_suspect_args , void *, CLIENT *);
+extern  bool_t hsx_suspect_1_svc(hsx_suspect_args , void *, struct svc_req *);
+#define HSX_PROBE 14
+extern  enum clnt_stat hsx_probe_1(hsx_probe_args , hsx_probe_reply *, CLIENT *);
+extern  bool_t hsx_probe_1_svc(hsx_probe_args , hsx_probe_reply *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -465,6 +486,12 @@
 #define HSX_PROMISE 12
 extern  enum clnt_stat hsx_promise_1();
 extern  bool_t hsx_promise_1_svc();
+#define HSX_SUSPECT 13
+extern  enum clnt_stat hsx_suspect_1();
+extern  bool_t hsx_suspect_1_svc();
+#define HSX_PROBE 14
+extern  enum clnt_stat hsx_probe_1();
+extern  bool_t hsx_probe_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -511,6 +538,9 @@
 extern  bool_t xdr_hsx_handover_reply (XDR *, hsx_handover_reply*);
 extern  bool_t xdr_hsx_promise_args (XDR *, hsx_promise_args*);
 extern  bool_t xdr_hsx_promise_reply (XDR *, hsx_promise_reply*);
+extern  bool_t xdr_hsx_suspect_args (XDR *, hsx_suspect_args*);
+extern  bool_t xdr_hsx_probe_args (XDR *, hsx_probe_args*);
+extern  bool_t xdr_hsx_probe_reply (XDR *, hsx_probe_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -553,6 +583,9 @@
 extern bool_t xdr_hsx_handover_reply ();
 extern bool_t xdr_hsx_promise_args ();
 extern bool_t xdr_hsx_promise_reply ();
+extern bool_t xdr_hsx_suspect_args ();
+extern bool_t xdr_hsx_probe_args ();
+extern bool_t xdr_hsx_probe_reply ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -295,6 +295,26 @@
 	bool promised;
 };
 
+/*
+ * SUSPECT, one-way, entry to entries and agents: the caller has lost its
+ * connection to this process. Who has one checks it by PROBE.
+ */
+struct hsx_suspect_args {
+	uint64_t incarnation;
+};
+
+/*
+ * PROBE, on a connection with a long keepalive: whether the other end still
+ * answers. If told who suspects it, that end checks its connection to the
+ * suspecting process in turn.
+ */
+struct hsx_probe_args {
+	uint64_t suspected_by;		/* 0: nobody */
+};
+struct hsx_probe_reply {
+	bool alive;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -310,5 +330,7 @@
 		hsx_answer HSX_FORWARD(hsx_forward_args) = 10;
 		hsx_handover_reply HSX_HANDOVER(hsx_handover_args) = 11;
 		hsx_promise_reply HSX_PROMISE(hsx_promise_args) = 12;
+		void HSX_SUSPECT(hsx_suspect_args) = 13;
+		hsx_probe_reply HSX_PROBE(hsx_probe_args) = 14;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -607,3 +607,33 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_suspect_args (XDR *xdrs, hsx_suspect_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_probe_args (XDR *xdrs, hsx_probe_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->suspected_by))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_probe_reply (XDR *xdrs, hsx_probe_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->alive))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -25,6 +25,8 @@
   [HSX_FORWARD] = PROC ("forward", hsx_forward_args, hsx_answer),
   [HSX_HANDOVER] = PROC ("handover", hsx_handover_args, hsx_handover_reply),
   [HSX_PROMISE] = PROC ("promise", hsx_promise_args, hsx_promise_reply),
+  [HSX_SUSPECT] = ONE_WAY ("suspect", hsx_suspect_args),
+  [HSX_PROBE] = PROC ("probe", hsx_probe_args, hsx_probe_reply),
 };
 
 const HsProc *
--- a/src/rpc/conn.c
+++ b/src/rpc/conn.c
@@ -20,6 +20,10 @@
 
 /** Silence after which the kernel probes the peer, and between probes. */
 #define KEEPALIVE_IDLE_S 1
+/** The same on a connection that is watched from afar. Longer than the age at
+ *  which an agent refreshes idle credits, so that nothing is probed where
+ *  records pass. */
+#define KEEPALIVE_FAR_IDLE_S 150
 #define KEEPALIVE_PROBES 2
 
 #define READ_CHUNK (256 * 1024)
@@ -126,7 +130,7 @@
   HsConn *conn = talloc_zero (rpc, HsConn);
   int one = 1;
   int unacked = UNACKED_TIMEOUT_MS;
-  int idle = KEEPALIVE_IDLE_S;
+  int interval = KEEPALIVE_IDLE_S;
   int probes = KEEPALIVE_PROBES;
 
   conn->rpc = rpc;
@@ -147,10 +151,10 @@
   set_greeting_keys (conn, NULL);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+  hs_conn_watch (conn, HS_CONN_WATCH_CLOSE);
   /* tevent drops a descriptor in error that waits for writing only. */
   conn->event = tevent_add_fd (rpc->ev, conn, fd,
                                dialled ? TEVENT_FD_READ | TEVENT_FD_WRITE
@@ -198,6 +202,15 @@
   return conn->data;
 }
 
+void
+hs_conn_watch (HsConn *conn, HsConnWatch watch)
+{
+  int idle
+      = watch == HS_CONN_WATCH_CLOSE ? KEEPALIVE_IDLE_S : KEEPALIVE_FAR_IDLE_S;
+
+  setsockopt (conn->fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+}
+
 void
 hs_conn_close (HsConn *conn)
 {
--- a/src/rpc/conn.h
+++ b/src/rpc/conn.h
@@ -110,6 +110,15 @@
 void hs_conn_set_data (HsConn *conn, void *data);
 void *hs_conn_data (const HsConn *conn);
 
+/** How soon the kernel's keepalive ends a connection whose peer is silent. */
+typedef enum
+{
+  HS_CONN_WATCH_CLOSE, /**< 3 s; each new connection. */
+  HS_CONN_WATCH_FAR    /**< Minutes: others watch the peer, see probe.h. */
+} HsConnWatch;
+
+void hs_conn_watch (HsConn *conn, HsConnWatch watch);
+
 /** Closes at once; `down` is called before this returns. */
 void hs_conn_close (HsConn *conn);
 
--- a/test/matrix/mutants.c
+++ b/test/matrix/mutants.c
@@ -7,8 +7,9 @@
 #define ANY_PERMIT (3600 * HS_SEC)
 
 static const char *const NAMES[MUTANT_COUNT]
-    = { "none",   "gate",  "memory", "settle",  "lease",   "compare", "claim",
-        "limits", "stale", "leave",  "partial", "crossed", "not-run", "drain" };
+    = { "none",    "gate",    "memory",  "settle", "lease",
+        "compare", "claim",   "limits",  "stale",  "leave",
+        "partial", "crossed", "not-run", "drain",  "told" };
 
 static Mutant chosen;
 
@@ -38,6 +39,8 @@
 {
   if (chosen == MUTANT_GATE && proc == HSX_START)
     accept_any (to, args);
+  if (chosen == MUTANT_TOLD && proc == HSX_SUSPECT)
+    ((hsx_suspect_args *) args)->incarnation = 0;
 }
 
 /* What is cut off here leaks, as little as a failing run may. */
--- a/test/matrix/mutants.h
+++ b/test/matrix/mutants.h
@@ -26,6 +26,7 @@
   MUTANT_CROSSED, /**< Answers carry another task's result. */
   MUTANT_NOT_RUN, /**< Failed tasks are said not to have run. */
   MUTANT_DRAIN,   /**< Entries stop before they have drained. */
+  MUTANT_TOLD,    /**< Entries and agents hear of no suspicion. */
   MUTANT_COUNT
 } Mutant;
 
--- a/test/matrix/net.c
+++ b/test/matrix/net.c
@@ -5,6 +5,7 @@
 
 #include "proto/procs.h"
 #include "rpc/conn.h"
+#include "checks.h"
 #include "mutants.h"
 #include "world.h"
 
@@ -16,6 +17,7 @@
   HsTime last_at[2];    /* Arrival of the last message to a side. */
   HsTime held_until[2]; /* Nothing arrives at a side before. */
   bool lost[2];         /* What is in flight to a side is lost. */
+  HsTime host_died_at;  /* Of one side; 0: both live. */
 } Pipe;
 
 typedef struct Pending Pending;
@@ -48,6 +50,7 @@
   int side;
   bool up;
   bool ended;
+  HsConnWatch watch;
   void *data;
   hsx_hello peer;
   Proc *peer_proc;
@@ -93,6 +96,8 @@
 static void deliver_reply (HsConn *conn, const Message *message);
 static void on_timeout (void *arg);
 static void on_end (void *arg);
+static void check_work (const HsConn *conn);
+static HsTime silence_of (const HsConn *conn);
 static void end_later (Pipe *pipe, int side, HsTime at);
 static void conn_end (HsConn *conn, bool refused);
 static void fail_pending (HsConn *conn);
@@ -178,6 +183,12 @@
   return conn->data;
 }
 
+void
+hs_conn_watch (HsConn *conn, HsConnWatch watch)
+{
+  conn->watch = watch;
+}
+
 void
 hs_conn_close (HsConn *conn)
 {
@@ -217,6 +228,8 @@
   if (step_of (number, &step)
       && !fault_before (step, conn->rpc->proc, conn->peer_proc, conn))
     return false;
+  if (number == HSX_START)
+    check_work (conn);
   if (proc->result != NULL)
     head.call = ++conn->next_call;
   if (!send_message (conn, &head, proc->args, args))
@@ -258,17 +271,21 @@
 void
 net_proc_died (Proc *proc, bool with_host)
 {
-  HsTime at = sim_now () + (with_host ? NET_SILENCE : NET_DELAY);
   guint i;
 
   for (i = 0; proc->rpc != NULL && i < proc->rpc->conns->len; i++)
     {
       HsConn *conn = proc->rpc->conns->pdata[i];
+      const HsConn *other;
 
       if (conn->pipe == NULL)
         continue;
+      other = conn->pipe->ends[!conn->side];
       conn->pipe->ends[conn->side] = NULL;
-      end_later (conn->pipe, !conn->side, at);
+      conn->pipe->host_died_at = with_host ? sim_now () : 0;
+      if (other != NULL)
+        end_later (conn->pipe, !conn->side,
+                   sim_now () + (with_host ? silence_of (other) : NET_DELAY));
     }
   proc->rpc = NULL;
 }
@@ -441,6 +458,9 @@
     }
   pipe->last_at[to] = MAX (at, pipe->last_at[to]);
   sim_at (pipe->last_at[to], conn->peer_proc, deliver, message, true);
+  /* What is written stays unacknowledged. */
+  if (pipe->ends[to] == NULL)
+    end_later (pipe, conn->side, sim_now () + NET_SILENCE);
   return true;
 }
 
@@ -534,6 +554,29 @@
   pending->done (pending->arg, HS_RPC_TIMEOUT, NULL);
 }
 
+/* An entry that is paused neither notices nor tells. */
+static void
+check_work (const HsConn *conn)
+{
+  HsTime died_at = conn->pipe->host_died_at;
+  uint32_t i;
+
+  if (died_at == 0 || sim_now () - died_at <= NET_DEAD_WORK_MAX)
+    return;
+  for (i = 0; i < WORLD_ENTRIES; i++)
+    if (world_entry (i)->paused_until > died_at)
+      return;
+  checks_fail ("%s sends work to %s, whose host died %d ms ago",
+               conn->rpc->proc->name, conn->peer_proc->name,
+               (int) ((sim_now () - died_at) / HS_MSEC));
+}
+
+static HsTime
+silence_of (const HsConn *conn)
+{
+  return conn->watch == HS_CONN_WATCH_FAR ? NET_FAR_SILENCE : NET_SILENCE;
+}
+
 static void
 end_later (Pipe *pipe, int side, HsTime at)
 {
--- a/test/matrix/world.h
+++ b/test/matrix/world.h
@@ -30,6 +30,13 @@
 /** A silent host is noticed by TCP after this (as rpc/conn.c asks for). */
 #define NET_SILENCE ((HsTime) 2500 * HS_MSEC)
 
+/** The same where nothing is written and the keepalive is long. */
+#define NET_FAR_SILENCE (153 * HS_SEC)
+
+/** No work is sent to a host that died so long ago: its home notices, tells
+ *  the others, and they check. */
+#define NET_DEAD_WORK_MAX ((HsTime) 3300 * HS_MSEC)
+
 typedef enum
 {
   PROC_ENTRY,
--- a/test/standin/fake_entry.c
+++ b/test/standin/fake_entry.c
@@ -127,6 +127,7 @@
     case HSX_ANNOUNCE:
       own->member = announce->self.state;
       own->announced_slots = announce->self.slots;
+      own->revision = announce->self.revision;
       hs_conn_reply (conn, id, proc, &reply);
       return;
     case HSX_GRANT:
@@ -138,6 +139,9 @@
       for (i = 0; i < results->results.results_len; i++)
         see (own, &own->seen[own->n_seen++], &results->results.results_val[i]);
       return;
+    case HSX_PROBE:
+      own->n_probes++;
+      return;
     default:
       hs_conn_close (conn);
     }
--- a/test/standin/fake_entry.h
+++ b/test/standin/fake_entry.h
@@ -46,6 +46,8 @@
   uint32_t next;
   hsx_member_state member;
   uint32_t announced_slots;
+  uint32_t revision; /* Of the agent's record. */
+  uint32_t n_probes; /* Received; none is answered. */
 } FakeEntry;
 
 /** An entry that listens on a free port of 127.0.0.1; NULL if it can't. */
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -241,6 +241,46 @@
     assert_int_equal (entry->replied[i].index, i);
 }
 
+static void
+on_probed (void *arg, HsRpcStatus status, const void *result)
+{
+  (void) result;
+  *(bool *) arg = status == HS_RPC_OK;
+}
+
+/* The record names the home, so that a new one needs a newer record. */
+static void
+a_suspected_home_without_an_answer_is_left (void **state)
+{
+  hsx_suspect_args suspect = { 200 };
+  hsx_probe_args probe = { 0 };
+  FakeEntry *first = fake_entry_new (ev, KEY, 200);
+  uint32_t revision;
+  bool alive = false;
+
+  (void) state;
+  TALLOC_FREE (agent);
+  entries[0] = talloc_asprintf (ev, "127.0.0.1:%u", hs_rpc_port (first->rpc));
+  agent = hs_agent_new (ev, ev, &settings, NULL);
+  assert_non_null (agent);
+  WAIT_UNTIL (first->revision > 0);
+  hs_rpc_dial (entry->rpc,
+               talloc_asprintf (ev, "127.0.0.1:%u", hs_agent_rpc_port (agent)));
+  WAIT_UNTIL (entry->conn != NULL);
+  assert_true (hs_conn_call (entry->conn, HSX_PROBE, &probe, HS_NEVER,
+                             on_probed, &alive));
+  WAIT_UNTIL (alive);
+  assert_int_equal (first->n_probes, 0);
+  assert_int_equal (entry->revision, 0);
+  revision = first->revision;
+  hs_rpc_stop_listening (first->rpc);
+  assert_true (
+      hs_conn_call (entry->conn, HSX_SUSPECT, &suspect, HS_NEVER, NULL, NULL));
+  WAIT_UNTIL (entry->revision > 0);
+  assert_int_equal (first->n_probes, 1);
+  assert_true (entry->revision > revision);
+}
+
 static void
 a_leave_waits_for_what_runs (void **state)
 {
@@ -417,6 +457,8 @@
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (records_come_in_pages_bounded_in_bytes,
                                      setup, teardown),
+    cmocka_unit_test_setup_teardown (a_suspected_home_without_an_answer_is_left,
+                                     setup, teardown),
     cmocka_unit_test_setup_teardown (a_leave_waits_for_what_runs, setup,
                                      teardown),
     cmocka_unit_test_setup_teardown (an_agent_leaves_after_its_last_result,
