--- a/src/entry/part.mk
+++ b/src/entry/part.mk
@@ -7,4 +7,4 @@
 SRCS += src/entry/keeper.c src/entry/keeper_lease.c src/entry/keeper_view.c
 SRCS += src/entry/keeper_take.c src/entry/keeper_promises.c
 SRCS += src/entry/records.c src/entry/core.c src/entry/entry.c
-SRCS += src/entry/report.c
+SRCS += src/entry/report.c src/entry/suspicions.c
--- a/test/matrix/net_faults.c
+++ b/test/matrix/net_faults.c
@@ -1,21 +1,29 @@
 /* What befalls connections between processes. */
 
+#include "checks.h"
 #include "net_private.h"
 
+static HsTime silence_of (const HsConn *conn);
+
 void
 net_proc_died (Proc *proc, bool with_host)
 {
-  HsTime at = sim_now () + (with_host ? NET_SILENCE : NET_DELAY);
   guint i;
 
   for (i = 0; proc->rpc != NULL && i < proc->rpc->conns->len; i++)
     {
       HsConn *conn = proc->rpc->conns->pdata[i];
+      const HsConn *other;
 
       if (conn->pipe == NULL)
         continue;
+      other = conn->pipe->ends[!conn->side];
       conn->pipe->ends[conn->side] = NULL;
-      net_end_later (conn->pipe, !conn->side, at);
+      conn->pipe->host_died_at = with_host ? sim_now () : 0;
+      if (other != NULL)
+        net_end_later (conn->pipe, !conn->side,
+                       sim_now ()
+                           + (with_host ? silence_of (other) : NET_DELAY));
     }
   proc->rpc = NULL;
 }
@@ -76,3 +84,26 @@
         net_break (conn);
     }
 }
+
+/* An entry that is paused neither notices nor tells. */
+void
+net_check_work (const HsConn *conn)
+{
+  HsTime died_at = conn->pipe->host_died_at;
+  uint32_t i;
+
+  if (died_at == 0 || sim_now () - died_at <= NET_DEAD_WORK_MAX)
+    return;
+  for (i = 0; i < WORLD_ENTRIES; i++)
+    if (world_entry (i)->paused_until > died_at)
+      return;
+  checks_fail ("%s sends work to %s, whose host died %d ms ago",
+               conn->rpc->proc->name, conn->peer_proc->name,
+               (int) ((sim_now () - died_at) / HS_MSEC));
+}
+
+static HsTime
+silence_of (const HsConn *conn)
+{
+  return conn->watch == HS_CONN_WATCH_FAR ? NET_FAR_SILENCE : NET_SILENCE;
+}
