Take no claims from a replica that is behind the takeover

Cause: a new owner read the log of claims with whatever replica answered. One that had not seen the takeover yet lacked the last claims of the owner before; a resubmitted opaque id counted as fresh, was claimed again under the next number and ran twice.

Change: hs_claim_load_start takes the revision of the owner record, from which on no other owner can add claims, and ends as incomplete on an answer of an older one. The entry reads again after 300 ms; before, it did so at once, for as long as the store refused.

Tests: driver_loads_in_pages_and_survives_a_lost_answer asks for a revision that the store has not reached, too.

Conclusion: a started task stays started when the store's replicas lag.

--- a/src/entry/records.c
+++ b/src/entry/records.c
@@ -14,6 +14,16 @@
  *  again while a caller may still resubmit it. */
 #define CLAIM_RETENTION (24 * 3600 * HS_SEC)
 
+/** Pause before claims are read again, as the store failed or is behind. */
+#define RELOAD_PAUSE_US (300 * 1000)
+
+/* A partition whose claims are to be read again. */
+typedef struct
+{
+  HsCore *core;
+  uint32_t part;
+} Reload;
+
 /* A claim of the owner that waits. */
 typedef struct
 {
@@ -29,6 +39,11 @@
                               bool complete,
                               size_t n,
                               const HsClaimRecord *records);
+static void load_later (HsCore *core, uint32_t part);
+static void on_reload (struct tevent_context *ev,
+                       struct tevent_timer *timer,
+                       struct timeval now,
+                       void *arg);
 static void on_claimed (void *arg, HsClaimOutcome outcome);
 static HsOwnerClaim translate (HsClaimOutcome outcome);
 
@@ -109,9 +124,7 @@
     return;
   if (!complete)
     {
-      load_claims (
-          core, part,
-          hs_ownership_record (hs_keeper_view (core->keeper), part)->revision);
+      load_later (core, part);
       return;
     }
   for (i = 0; i < n; i++)
@@ -121,6 +134,38 @@
   hs_core_rearm (core, now);
 }
 
+static void
+load_later (HsCore *core, uint32_t part)
+{
+  Reload *reload = talloc_zero (core, Reload);
+
+  reload->core = core;
+  reload->part = part;
+  tevent_add_timer (core->ev, reload,
+                    tevent_timeval_current_ofs (0, RELOAD_PAUSE_US), on_reload,
+                    reload);
+}
+
+static void
+on_reload (struct tevent_context *ev,
+           struct tevent_timer *timer,
+           struct timeval now,
+           void *arg)
+{
+  Reload *reload = arg;
+  HsCore *core = reload->core;
+  uint32_t part = reload->part;
+
+  (void) ev;
+  (void) timer;
+  (void) now;
+  if (hs_owner_owns (core->owner, part))
+    load_claims (
+        core, part,
+        hs_ownership_record (hs_keeper_view (core->keeper), part)->revision);
+  talloc_free (reload);
+}
+
 static void
 on_claimed (void *arg, HsClaimOutcome outcome)
 {
--- a/src/store/claim_load.c
+++ b/src/store/claim_load.c
@@ -18,6 +18,7 @@
 HsClaimLoad *
 hs_claim_load_start (HsStore *store,
                      uint32_t part,
+                     int64_t at_least,
                      void (*done) (void *arg,
                                    const HsClaimLoad *load,
                                    bool complete),
@@ -28,6 +29,7 @@
 
   load->store = store;
   load->part = part;
+  load->at_least = at_least;
   load->done = done;
   load->arg = arg;
   hs_store_range (store, prefix, 1, on_first, load);
@@ -57,7 +59,7 @@
       talloc_free (load);
       return false;
     }
-  if (reply->status != HS_STORE_OK)
+  if (reply->status != HS_STORE_OK || reply->revision < load->at_least)
     {
       finish (load, false);
       return false;
--- a/src/store/claim_load.h
+++ b/src/store/claim_load.h
@@ -20,6 +20,7 @@
 {
   HsStore *store;
   uint32_t part;
+  int64_t at_least; /**< Revision from which on the answers are complete. */
   uint64_t page;
   size_t n_keys;
   HsClaimLoadKey *keys;
@@ -30,9 +31,13 @@
   void *arg;
 };
 
-/** Starts a load; it belongs to the store. */
+/**
+ * Starts a load; it belongs to the store. An answer of a replica that has not
+ * reached @p at_least ends it as incomplete.
+ */
 HsClaimLoad *hs_claim_load_start (HsStore *store,
                                   uint32_t part,
+                                  int64_t at_least,
                                   void (*done) (void *arg,
                                                 const HsClaimLoad *load,
                                                 bool complete),
--- a/src/store/claims.c
+++ b/src/store/claims.c
@@ -67,7 +67,8 @@
   load->revision = revision;
   load->loaded = loaded;
   load->arg = arg;
-  load->load = hs_claim_load_start (claims->store, part, on_loaded, load);
+  load->load
+      = hs_claim_load_start (claims->store, part, revision, on_loaded, load);
   g_hash_table_insert (claims->loads, &load->part, load);
 }
 
--- a/test/test_claims.c
+++ b/test/test_claims.c
@@ -472,9 +472,14 @@
   (void) state;
   for (number = 95; number < 225; number++)
     put_claim (kv, number);
-  hs_claims_load (claims, 7, revision, on_loaded, &driven);
+  /* An answer from before the takeover may lack claims. */
+  hs_claims_load (claims, 7, hs_kv_revision (kv) + 1, on_loaded, &driven);
   while (driven.n_loads == 0)
     tevent_loop_once (ev);
+  assert_false (driven.complete);
+  hs_claims_load (claims, 7, revision, on_loaded, &driven);
+  while (driven.n_loads == 1)
+    tevent_loop_once (ev);
   assert_true (driven.complete);
   assert_int_equal (driven.n_records, 130);
   assert_string_equal (driven.last_id, "old-224");
