Pass the age of recovered ids with a handover

Cause: after a takeover an owner knows some jobs only from the agents' records. A handover passes jobs, not those records, and the new owner's floor was the passed one alone. When an agent left between the two, nobody knew what it had run: a resubmission of a complete job ran again.

Change: the passed floor lies above the newest such id. Ids below it that the new owner can't find at the agents end as "may have run".

Tests: a_handover_after_a_takeover_makes_recovered_ids_uncertain.

Conclusion: at most once holds over takeover, leave and handover in turn. It costs: an id minted before the takeover and first seen after the handover may be refused as uncertain.

--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/uuid7.h"
 #include "owner/internal.h"
 
 /** Bodies in one message, so that records stay far below their bound. */
@@ -17,7 +18,11 @@
                                        hsx_handover_args **messages,
                                        size_t *n,
                                        const Part *part,
+                                       int64_t floor_ms,
                                        uint32_t number);
+static int64_t floor_to_pass (const HsOwner *owner, uint32_t part, HsNow now);
+static int64_t
+minted_ms (const HsOwner *owner, const Recovered *recovered, HsNow now);
 static Staged *stage_job (Part *part, const hsx_handover_job *in, HsNow now);
 static void adopt_job (HsOwner *owner, const Staged *staged, HsNow now);
 
@@ -66,9 +71,11 @@
   GHashTableIter iter;
   gpointer value;
   size_t bytes = 0;
+  int64_t floor_ms = floor_to_pass (owner, part, now);
 
   *n = 0;
-  message = add_message (ctx, &messages, n, &owner->parts[part], part);
+  message
+      = add_message (ctx, &messages, n, &owner->parts[part], floor_ms, part);
   g_hash_table_iter_init (&iter, owner->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -78,7 +85,8 @@
         continue;
       if (message->jobs.jobs_len == MESSAGE_JOBS || bytes >= MESSAGE_BYTES)
         {
-          message = add_message (ctx, &messages, n, &owner->parts[part], part);
+          message = add_message (ctx, &messages, n, &owner->parts[part],
+                                 floor_ms, part);
           bytes = 0;
         }
       bytes += export_job (messages, owner, job,
@@ -222,6 +230,7 @@
              hsx_handover_args **messages,
              size_t *n,
              const Part *part,
+             int64_t floor_ms,
              uint32_t number)
 {
   hsx_handover_args *message;
@@ -231,13 +240,49 @@
   memset (message, 0, sizeof *message);
   message->part = number;
   message->epoch = part->epoch;
-  message->floor_ms = part->uncertain_before_ms;
+  message->floor_ms = floor_ms;
   message->jobs.jobs_val
       = talloc_zero_array (*messages, hsx_handover_job, MESSAGE_JOBS);
   (*n)++;
   return message;
 }
 
+/*
+ * Jobs are passed, but not what only agents told after a takeover: an agent
+ * that ran such a task may be gone before the next owner asks it. Ids as old
+ * as those are uncertain there.
+ */
+static int64_t
+floor_to_pass (const HsOwner *owner, uint32_t part, HsNow now)
+{
+  int64_t floor_ms = owner->parts[part].uncertain_before_ms;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, owner->recovered);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Recovered *recovered = value;
+
+      if (recovered->part == part && recovered->results->len > 0)
+        floor_ms = MAX (floor_ms, minted_ms (owner, recovered, now) + 1);
+    }
+  return floor_ms;
+}
+
+/* When the id was minted or claimed, as judge_id() compares it. */
+static int64_t
+minted_ms (const HsOwner *owner, const Recovered *recovered, HsNow now)
+{
+  int64_t ms;
+
+  if (hs_uuid7_parse (strchr (recovered->key, '/') + 1, &ms))
+    return ms;
+  if (recovered->claimed)
+    return recovered->claimed_ms;
+  return now.wall_ms + (owner->config.ahead + 2 * owner->config.skew) / HS_MSEC;
+}
+
 /* A deep copy, by way of the codec. */
 static Staged *
 stage_job (Part *part, const hsx_handover_job *in, HsNow now)
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -244,6 +244,35 @@
   world_free (to);
 }
 
+/* What only an agent told isn't passed, and the agent may be gone. */
+static void
+a_handover_after_a_takeover_makes_recovered_ids_uncertain (void **state)
+{
+  World *from = world_new ();
+  World *to = world_new ();
+  char *id = world_id (from, 0, 1);
+  hsx_result done = world_record (id, 0, HSX_DONE);
+  hsx_handover_args *messages;
+  HsWaiter waiter;
+  size_t n;
+
+  (void) state;
+  world_agent (from, AGENT);
+  world_own (from, EPOCH + 1, EPOCH);
+  world_recovered (from, AGENT, &done, 1);
+  hs_owner_freeze (from->owner, world_part ());
+  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
+  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  world_agent (to, OTHER_AGENT);
+  world_own_handed (to, EPOCH + 2, EPOCH + 1);
+  world_recovered (to, OTHER_AGENT, NULL, 0);
+  waiter = world_submit (to, id, 1, 'x');
+  assert_int_equal (to->starts->len, 0);
+  assert_int_equal (world_answer (to, waiter)->tasks[0], HSX_TASK_MAY_HAVE_RUN);
+  world_free (from);
+  world_free (to);
+}
+
 /* The handover was called off, the old owner went on with the job and died. */
 static void
 a_staged_copy_is_not_adopted_by_a_takeover (void **state)
@@ -312,6 +341,8 @@
     cmocka_unit_test (a_lost_partition_reroutes_its_callers),
     cmocka_unit_test (a_handover_carries_every_task),
     cmocka_unit_test (a_handover_of_another_epoch_is_dropped),
+    cmocka_unit_test (
+        a_handover_after_a_takeover_makes_recovered_ids_uncertain),
     cmocka_unit_test (a_staged_copy_is_not_adopted_by_a_takeover),
     cmocka_unit_test (a_handover_that_failed_goes_on_here),
   };
