Draw several faults at several steps in the matrix

Cause: a cell has one step, so that faults at different steps met only by chance.

Change: the row "mixed" draws three faults, each at a step of its own, and the scenes of those steps; 200 seeds in `make matrix`. Each armed fault counts its own step's occurrences.

--- a/test/matrix/faults.c
+++ b/test/matrix/faults.c
@@ -6,8 +6,10 @@
 
 typedef struct
 {
+  Step step;
   Fault fault;
-  uint32_t at; /* Strikes at this occurrence of the step. */
+  uint32_t at;   /* Strikes at this occurrence of the step. */
+  uint32_t seen; /* Occurrences so far. */
   bool struck;
 } Armed;
 
@@ -21,10 +23,8 @@
 static struct
 {
   Step step;
-  Fault column;
-  Armed armed[2];
+  Armed armed[FAULTS_MIXED];
   uint32_t n_armed;
-  uint32_t seen; /* Occurrences so far. */
   uint32_t struck;
   bool striking;
   bool break_start; /* The connection of the next START breaks. */
@@ -33,12 +33,13 @@
 static const struct
 {
   const char *name;
-} STEPS[STEP_COUNT] = {
+} STEPS[STEP_COUNT + 1] = {
   { "accept" },     { "forward" },     { "claim" },         { "queue" },
   { "start-sent" }, { "start-gated" }, { "target-called" }, { "result" },
   { "answer" },     { "announce" },    { "leave" },         { "renewal" },
   { "takeover" },   { "recover" },     { "settle" },        { "borrow" },
   { "handover" },   { "promise" },     { "edit" },          { "watch" },
+  { "mixed" },
 };
 
 static const struct
@@ -70,6 +71,8 @@
   { "two", "ab" },
 };
 
+static uint32_t occurrences (Step step);
+static void strike_here (Armed *armed, const Point *point);
 static void break_start (const Point *point);
 static void on_break (void *arg);
 static bool is_local_step (Step step);
@@ -129,11 +132,11 @@
 void
 faults_begin (Step step, Fault fault, bool first)
 {
-  uint32_t most = step >= STEP_ANNOUNCE ? 2 : 6;
+  uint32_t most = occurrences (step);
+  uint32_t i;
 
   memset (&state, 0, sizeof state);
   state.step = step;
-  state.column = fault;
   if (fault == FAULT_NONE)
     return;
   state.n_armed = fault == FAULT_TWICE || fault == FAULT_TWO ? 2 : 1;
@@ -142,6 +145,36 @@
       = fault == FAULT_TWO ? draw (step) : state.armed[0].fault;
   state.armed[0].at = first ? 1 : 1 + sim_random (most);
   state.armed[1].at = state.armed[0].at + 1 + sim_random (most);
+  for (i = 0; i < state.n_armed; i++)
+    state.armed[i].step = step;
+}
+
+void
+faults_begin_mixed (bool first)
+{
+  uint32_t i;
+
+  memset (&state, 0, sizeof state);
+  state.step = STEP_MIXED;
+  state.n_armed = FAULTS_MIXED;
+  for (i = 0; i < FAULTS_MIXED; i++)
+    {
+      Armed *armed = &state.armed[i];
+
+      armed->step = sim_random (STEP_COUNT);
+      armed->fault = draw (armed->step);
+      armed->at = first ? 1 : 1 + sim_random (occurrences (armed->step));
+    }
+}
+
+bool
+faults_armed (uint32_t i, Step *step, Fault *fault)
+{
+  if (i >= state.n_armed)
+    return false;
+  *step = state.armed[i].step;
+  *fault = state.armed[i].fault;
+  return true;
 }
 
 void
@@ -159,7 +192,7 @@
 bool
 faults_lossless (void)
 {
-  return state.column == FAULT_NONE && state.step != STEP_TAKEOVER
+  return state.n_armed == 0 && state.step != STEP_TAKEOVER
          && state.step != STEP_RECOVER && state.step != STEP_SETTLE
          && state.step != STEP_PROMISE;
 }
@@ -190,30 +223,43 @@
 
   if (state.break_start && point->step == STEP_START_SENT && point->after)
     break_start (point);
-  if (point->step != state.step || sim_now () < FAULTS_WARM_UP
-      || state.striking)
+  if (sim_now () < FAULTS_WARM_UP || state.striking)
     return;
-  if (!point->after)
-    state.seen++;
   for (i = 0; i < state.n_armed; i++)
     {
       Armed *armed = &state.armed[i];
 
-      if (armed->struck || state.seen < armed->at
-          || strikes_before (armed->fault, point->step) == point->after)
+      if (armed->step != point->step)
         continue;
-      armed->struck = true;
-      state.struck++;
-      sim_trace ("FAULT %s %s %s of %s", fault_name (armed->fault),
-                 point->after ? "after" : "before", step_name (point->step),
-                 point->actor->name);
-      state.striking = true;
-      fault_strike (armed->fault, point);
-      state.striking = false;
-      world_disturbed_until (sim_now ());
+      if (!point->after)
+        armed->seen++;
+      if (!armed->struck && armed->seen >= armed->at
+          && strikes_before (armed->fault, point->step) != point->after)
+        strike_here (armed, point);
     }
 }
 
+static void
+strike_here (Armed *armed, const Point *point)
+{
+  armed->struck = true;
+  state.struck++;
+  sim_trace ("FAULT %s %s %s of %s", fault_name (armed->fault),
+             point->after ? "after" : "before", step_name (point->step),
+             point->actor->name);
+  state.striking = true;
+  fault_strike (armed->fault, point);
+  state.striking = false;
+  world_disturbed_until (sim_now ());
+}
+
+/* Faults strike at one of so many: steps that are rarer come later. */
+static uint32_t
+occurrences (Step step)
+{
+  return step >= STEP_ANNOUNCE ? 2 : 6;
+}
+
 /* Without the connection the entry can't know whether the START arrived. */
 static void
 break_start (const Point *point)
--- a/test/matrix/faults.h
+++ b/test/matrix/faults.h
@@ -38,9 +38,13 @@
   STEP_PROMISE,
   STEP_EDIT,
   STEP_WATCH,
-  STEP_COUNT
+  STEP_COUNT,
+  STEP_MIXED = STEP_COUNT /**< A row besides: several steps that are drawn. */
 } Step;
 
+/** Faults of a run of STEP_MIXED. */
+#define FAULTS_MIXED 3
+
 /** Columns. */
 typedef enum
 {
@@ -89,6 +93,12 @@
 /** Arms the fault of a cell. */
 void faults_begin (Step step, Fault fault, bool first);
 
+/** Arms faults that are drawn, each at a step that is drawn. */
+void faults_begin_mixed (bool first);
+
+/** What is armed, by number; false if there is no such. */
+bool faults_armed (uint32_t i, Step *step, Fault *fault);
+
 /** Breaks the connection that carries the next START, with the START or a
  *  little after it has arrived. */
 void faults_break_next_start (void);
--- a/test/matrix/main.c
+++ b/test/matrix/main.c
@@ -12,6 +12,8 @@
 #include "world.h"
 
 #define SEEDS 5
+/** Runs of several faults at steps that are drawn. */
+#define MIXED_SEEDS 200
 /** Bound on the time that callers wait after the last fault. */
 #define PATIENCE (45 * HS_SEC)
 /** Late starts and edits are looked for this long after all is answered. */
@@ -30,6 +32,7 @@
   uint32_t runs;
   uint32_t struck; /* Runs in which the fault struck. */
   uint32_t failed;
+  uint32_t strikes; /* In all its runs. */
   uint64_t checks;
   uint64_t starts;
 } Cell;
@@ -37,11 +40,12 @@
 static gchar *step_option;
 static gchar *fault_option;
 static gint seed_option = -1;
-static gint seeds_option = SEEDS;
+static gint seeds_option = -1; /* Below 0: as many as each row has. */
 static gboolean trace_option;
 static gchar *mutant_option;
 static gboolean mutants_option;
 static Cell cells[STEP_COUNT][FAULT_COUNT];
+static Cell mixed;
 static uint32_t printed;
 
 static const GOptionEntry OPTIONS[]
@@ -64,9 +68,15 @@
 static bool catch_mutant (Mutant mutant);
 static void choose_mutant (void);
 static void run_cell (Step step, Fault fault);
+static void run_mixed (void);
+static int seeds_or (int usual);
+static void run_seed (Step step, Fault fault, int seed, Cell *cell);
 static bool run (Step step, Fault fault, int seed, bool first);
-static void finish (Step step, Fault fault, int seed);
+static bool is_drawn (Step step);
+static void finish (Cell *cell, Step step, Fault fault, int seed);
+static void report_failure (Step step, Fault fault, int seed);
 static void scene (Step step);
+static void scene_of_step (Step step);
 static void at (HsTime when, SimFunc func);
 static void start_entry_2 (void *arg);
 static void kill_entry_0 (void *arg);
@@ -78,6 +88,7 @@
 static void stop_store (void *arg);
 static void edit (void *arg);
 static void print_table (void);
+static void print_mixed (void);
 static void print_absent (void);
 
 int
@@ -120,7 +131,13 @@
           passed += cells[step][fault].runs - cells[step][fault].failed;
           failed += cells[step][fault].failed;
         }
+  if (fault_option == NULL
+      && (step_option == NULL || strcmp (step_option, "mixed") == 0))
+    run_mixed ();
+  passed += mixed.runs - mixed.failed;
+  failed += mixed.failed;
   print_table ();
+  print_mixed ();
   if (step_option == NULL && fault_option == NULL)
     print_absent ();
   printf ("%u passed, %u failed\n", passed, failed);
@@ -149,7 +166,7 @@
   Fault fault;
 
   mutant_choose (mutant);
-  for (seed = 1; seed <= seeds_option; seed++)
+  for (seed = 1; seed <= seeds_or (SEEDS); seed++)
     for (step = 0; step < STEP_COUNT; step++)
       for (fault = 0; fault < FAULT_COUNT; fault++)
         {
@@ -197,38 +214,62 @@
 static void
 run_cell (Step step, Fault fault)
 {
+  int most = seeds_or (SEEDS);
   int seed;
 
   if (fault_absent (step, fault) != NULL)
     return;
-  for (seed = 1; seed <= seeds_option; seed++)
-    if (seed_option < 0 || seed == seed_option)
-      {
-        if (!run (step, fault, seed, false))
-          run (step, fault, seed, true);
-        finish (step, fault, seed);
-      }
-  if (seed_option > seeds_option)
-    {
-      if (!run (step, fault, seed_option, false))
-        run (step, fault, seed_option, true);
-      finish (step, fault, seed_option);
-    }
+  if (seed_option >= 0)
+    run_seed (step, fault, seed_option, &cells[step][fault]);
+  for (seed = 1; seed_option < 0 && seed <= most; seed++)
+    run_seed (step, fault, seed, &cells[step][fault]);
+}
+
+static void
+run_mixed (void)
+{
+  int most = seeds_or (MIXED_SEEDS);
+  int seed;
+
+  if (seed_option >= 0)
+    run_seed (STEP_MIXED, FAULT_NONE, seed_option, &mixed);
+  for (seed = 1; seed_option < 0 && seed <= most; seed++)
+    run_seed (STEP_MIXED, FAULT_NONE, seed, &mixed);
+}
+
+static int
+seeds_or (int usual)
+{
+  return seeds_option >= 0 ? seeds_option : usual;
+}
+
+static void
+run_seed (Step step, Fault fault, int seed, Cell *cell)
+{
+  if (!run (step, fault, seed, false))
+    run (step, fault, seed, true);
+  finish (cell, step, fault, seed);
 }
 
 /* False if the fault found no occasion and nothing failed. */
 static bool
 run (Step step, Fault fault, int seed, bool first)
 {
-  uint64_t mixed
+  uint64_t sum
       = (uint64_t) seed * 10007 + (uint64_t) step * 101 + (uint64_t) fault;
   HsTime end;
+  Step armed;
+  Fault drawn;
   uint32_t i;
 
-  world_begin (mixed, trace_option);
-  faults_begin (step, fault, first);
+  world_begin (sum, trace_option);
+  if (step == STEP_MIXED)
+    faults_begin_mixed (first);
+  else
+    faults_begin (step, fault, first);
   for (i = 0; i < WORLD_PROCS; i++)
-    if (step != STEP_HANDOVER || i != WORLD_ENTRIES - 1)
+    if ((step != STEP_HANDOVER && !is_drawn (STEP_HANDOVER))
+        || i != WORLD_ENTRIES - 1)
       world_start (&world.procs[i]);
   jobs_begin ();
   scene (step);
@@ -238,7 +279,7 @@
     sim_run (sim_now () + HS_SEC);
   sim_run (MAX (sim_now (), world.calm_at) + AFTERMATH);
   jobs_check ();
-  if (!first && faults_struck () == 0 && fault != FAULT_NONE
+  if (!first && faults_struck () == 0 && faults_armed (0, &armed, &drawn)
       && checks_failures () == 0)
     {
       world_end ();
@@ -247,39 +288,84 @@
   return true;
 }
 
-static void
-finish (Step step, Fault fault, int seed)
+/* Whether a fault is armed at the step. */
+static bool
+is_drawn (Step step)
 {
-  Cell *cell = &cells[step][fault];
+  Step armed;
+  Fault fault;
   uint32_t i;
 
+  for (i = 0; faults_armed (i, &armed, &fault); i++)
+    if (armed == step)
+      return true;
+  return false;
+}
+
+static void
+finish (Cell *cell, Step step, Fault fault, int seed)
+{
+  Step armed;
+  Fault drawn;
+
   cell->runs++;
   cell->checks += checks_made ();
   cell->starts += checks_total_starts ();
-  if (faults_struck () > 0 || fault == FAULT_NONE)
+  cell->strikes += faults_struck ();
+  if (faults_struck () > 0 || !faults_armed (0, &armed, &drawn))
     cell->struck++;
   if (checks_failures () > 0)
     cell->failed++;
   if (checks_failures () > 0 && printed++ < PRINTED_MAX)
-    {
-      printf ("FAILED --step %s --fault %s --seed %d: %u broken\n",
-              step_name (step), fault_name (fault), seed, checks_failures ());
-      for (i = 0; i < MIN (checks_failures (), CHECKS_REPORT_MAX); i++)
-        printf ("    %s\n", checks_report[i]);
-      fflush (stdout);
-    }
+    report_failure (step, fault, seed);
   world_end ();
 }
 
+static void
+report_failure (Step step, Fault fault, int seed)
+{
+  Step armed;
+  Fault drawn;
+  uint32_t i;
+
+  if (step == STEP_MIXED)
+    printf ("FAILED --step mixed --seed %d: %u broken\n", seed,
+            checks_failures ());
+  else
+    printf ("FAILED --step %s --fault %s --seed %d: %u broken\n",
+            step_name (step), fault_name (fault), seed, checks_failures ());
+  for (i = 0; step == STEP_MIXED && faults_armed (i, &armed, &drawn); i++)
+    printf ("    drawn: %s x %s\n", step_name (armed), fault_name (drawn));
+  for (i = 0; i < MIN (checks_failures (), CHECKS_REPORT_MAX); i++)
+    printf ("    %s\n", checks_report[i]);
+  fflush (stdout);
+}
+
 /* What makes the steps of a row happen. */
 static void
 scene (Step step)
 {
   HsTime first = FAULTS_WARM_UP + HS_SEC / 2;
-  uint32_t i;
+  Step drawn;
 
   at (first, edit);
   at (first + 2 * HS_SEC, edit);
+  if (step != STEP_MIXED)
+    {
+      scene_of_step (step);
+      return;
+    }
+  for (drawn = 0; drawn < STEP_COUNT; drawn++)
+    if (is_drawn (drawn))
+      scene_of_step (drawn);
+}
+
+static void
+scene_of_step (Step step)
+{
+  HsTime first = FAULTS_WARM_UP + HS_SEC / 2;
+  uint32_t i;
+
   switch (step)
     {
     case STEP_TAKEOVER:
@@ -395,8 +481,8 @@
 {
   Step step;
   Fault fault;
-  uint64_t checks = 0;
-  uint64_t starts = 0;
+  uint64_t checks = mixed.checks;
+  uint64_t starts = mixed.starts;
 
   printf ("%-14s", "");
   for (fault = 0; fault < FAULT_COUNT; fault++)
@@ -436,6 +522,16 @@
           checks, starts);
 }
 
+static void
+print_mixed (void)
+{
+  if (mixed.runs > 0)
+    printf ("mixed: %u runs of %u faults, %u failed; %u faults struck, at "
+            "least one in %u runs\n",
+            mixed.runs, FAULTS_MIXED, mixed.failed, mixed.strikes,
+            mixed.struck);
+}
+
 static void
 print_absent (void)
 {
