Make a task's key in one place; split the refusals off submit_new

Change: task_key() makes the key. refuse_standing() and refuse_other_content() say why an id is refused.

Conclusion: behaviour is unchanged but for the content in that SETTLE, which the agent doesn't compare.

--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -269,17 +269,11 @@
   for (i = 0; i < owner->tasks->len; i++)
     {
       const Task *task = owner->tasks->pdata[i];
-      hsx_task_key *key;
 
       if (task == NULL || task->state != TASK_SENT || task->agent != handle
           || !task->unsettled)
         continue;
-      key = &keys[args.keys.keys_len++];
-      key->part = task->job->part;
-      key->customer = task->job->customer;
-      key->id = task->job->id;
-      key->index = task->index;
-      memcpy (&key->content, task->job->digest, sizeof key->content);
+      keys[args.keys.keys_len++] = task_key (task);
       if (args.keys.keys_len == HSX_BATCH_MAX)
         send_settle (owner, handle, &args);
     }
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -113,6 +113,20 @@
     job_finished (owner, job, now);
 }
 
+hsx_task_key
+task_key (const Task *task)
+{
+  const Job *job = task->job;
+  hsx_task_key key = { 0 };
+
+  key.part = job->part;
+  key.customer = (char *) (uintptr_t) job->customer;
+  key.id = (char *) (uintptr_t) job->id;
+  key.index = task->index;
+  memcpy (&key.content, job->digest, sizeof key.content);
+  return key;
+}
+
 void
 task_mark_sent (HsOwner *owner, Task *task, uint32_t agent, HsNow now)
 {
@@ -325,11 +339,7 @@
   task_mark_sent (owner, task, owner->pick.agent, now);
   task->took_credit = true;
   job->queue_wait = MAX (job->queue_wait, now.mono - task->queued_at);
-  start.key.part = job->part;
-  start.key.customer = job->customer;
-  start.key.id = job->id;
-  start.key.index = task->index;
-  memcpy (&start.key.content, job->digest, sizeof start.key.content);
+  start.key = task_key (task);
   start.epoch = owner->parts[job->part].epoch;
   start.credit = owner->pick.credit;
   start.permit_us = owner->lease_until
@@ -353,13 +363,9 @@
     case HSX_REFUSAL_DUPLICATE:
       {
         /* An earlier owner started it there: ask what came of it. */
-        hsx_task_key key = { 0 };
+        hsx_task_key key = task_key (task);
         hsx_settle_args args = { { 1, &key } };
 
-        key.part = task->job->part;
-        key.customer = task->job->customer;
-        key.id = task->job->id;
-        key.index = task->index;
         owner->effects.settle (owner->arg,
                                owner->agents[task->agent].incarnation, &args);
         return;
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -267,6 +267,8 @@
                        const hsx_result *result,
                        HsNow now);
 void task_leave_agent (HsOwner *owner, Task *task);
+/** The task's name in messages; its strings are the job's. */
+hsx_task_key task_key (const Task *task);
 void task_mark_sent (HsOwner *owner, Task *task, uint32_t agent, HsNow now);
 void pump (HsOwner *owner, HsNow now);
 void health_update (HsOwner *owner, HsNow now);
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -45,6 +45,14 @@
                                  const hsx_task *task,
                                  HsNow now,
                                  unsigned int *kind);
+static bool refuse_standing (HsOwner *owner,
+                             HsWaiter waiter,
+                             IdStanding standing,
+                             const Recovered *recovered);
+static bool refuse_other_content (HsOwner *owner,
+                                  HsWaiter waiter,
+                                  const hsx_forward_args *args,
+                                  const Recovered *recovered);
 static bool same_content (const Recovered *recovered,
                           const hsx_forward_args *args);
 static void apply_recovered (HsOwner *owner,
@@ -251,25 +259,9 @@
   job_key (key, args->customer, args->id);
   recovered = recovered_find (owner, key);
   standing = judge_id (owner, args, recovered, now);
-  if (standing == ID_AHEAD)
-    {
-      refuse (owner, waiter, HS_ERROR_INVALID, recovered == NULL, 0,
-              "the id was minted in the future; set the caller's clock");
-      return;
-    }
-  if (standing == ID_EXPIRED)
-    {
-      refuse (owner, waiter, HS_ERROR_EXPIRED, false, 0,
-              "the id is older than the retention window and its outcome "
-              "is not kept; check the outcome by other means");
-      return;
-    }
-  if (recovered != NULL && !same_content (recovered, args))
-    {
-      refuse (owner, waiter, HS_ERROR_CONFLICT, false, 0,
-              "this id was submitted with other content; use a new id");
-      return;
-    }
+  if (refuse_standing (owner, waiter, standing, recovered)
+      || refuse_other_content (owner, waiter, args, recovered))
+    return;
   if (!admit (owner, waiter, args, standing == ID_FRESH && recovered == NULL,
               now))
     return;
@@ -304,6 +296,44 @@
                         job->customer, job->id, job->digest);
 }
 
+/* True if the id's age alone decides, and the request was refused. */
+static bool
+refuse_standing (HsOwner *owner,
+                 HsWaiter waiter,
+                 IdStanding standing,
+                 const Recovered *recovered)
+{
+  switch (standing)
+    {
+    case ID_AHEAD:
+      refuse (owner, waiter, HS_ERROR_INVALID, recovered == NULL, 0,
+              "the id was minted in the future; set the caller's clock");
+      return true;
+    case ID_EXPIRED:
+      refuse (owner, waiter, HS_ERROR_EXPIRED, false, 0,
+              "the id is older than the retention window and its outcome "
+              "is not kept; check the outcome by other means");
+      return true;
+    case ID_FRESH:
+    case ID_UNCERTAIN:
+      break;
+    }
+  return false;
+}
+
+static bool
+refuse_other_content (HsOwner *owner,
+                      HsWaiter waiter,
+                      const hsx_forward_args *args,
+                      const Recovered *recovered)
+{
+  if (recovered == NULL || same_content (recovered, args))
+    return false;
+  refuse (owner, waiter, HS_ERROR_CONFLICT, false, 0,
+          "this id was submitted with other content; use a new id");
+  return true;
+}
+
 static void
 fetch (HsOwner *owner, HsWaiter waiter, const hsx_forward_args *args)
 {
