--- a/src/entry/keeper.c
+++ b/src/entry/keeper.c
@@ -34,7 +34,9 @@
   if ((keeper->unsettled || keeper->rewrite)
       && keeper->state == HS_KEEPER_HOLDING && !keeper->recording)
     hs_keeper_write_record (keeper);
-  if (!keeper->reading && (!keeper->entries_read || !keeper->parts_read))
+  if (!keeper->reading
+      && (!keeper->entries_read || !keeper->parts_read
+          || keeper->entries_doubted))
     hs_keeper_read_all (keeper);
   if (keeper->state == HS_KEEPER_HOLDING && keeper->entries_read
       && keeper->parts_read && !keeper->unsettled)
--- a/src/entry/keeper_lease.c
+++ b/src/entry/keeper_lease.c
@@ -133,7 +133,7 @@
     return;
   keeper->state = HS_KEEPER_HOLDING;
   keeper->renew_at = now.mono;
-  hs_promises_unknown_to_all (keeper->promises);
+  hs_promises_unknown_to_all (keeper->promises, now.mono);
   hs_peers_greet_all (keeper->core);
   /* What others took meanwhile must be known before anything is owned. */
   keeper->parts_read = false;
--- a/src/entry/keeper_private.h
+++ b/src/entry/keeper_private.h
@@ -32,8 +32,11 @@
   bool renewing;
   HsTime renew_at;
   HsTime retry_at;
+  HsTime read_sent;        /* When the read under way began. */
+  HsTime entries_sent;     /* When the last whole read of entries began. */
   int64_t record_revision; /* Of this entry's own record. */
   bool entries_read;
+  bool entries_doubted; /* One may have lost its record: read again. */
   bool parts_read;
   bool reading;
   bool removing;  /* The record of an entry that is gone. */
--- a/src/entry/keeper_view.c
+++ b/src/entry/keeper_view.c
@@ -8,12 +8,15 @@
 static void take_part (HsKeeper *keeper, const HsStoreKv *kv, HsNow now);
 static void part_changed (HsKeeper *keeper, uint32_t part, HsNow now);
 static void own_all (HsKeeper *keeper, HsNow now);
+static void forget_absent (HsKeeper *keeper);
 static void want_entries (HsKeeper *keeper, HsNow now);
 
 void
 hs_keeper_read_all (HsKeeper *keeper)
 {
   keeper->reading = true;
+  keeper->entries_doubted = false;
+  keeper->read_sent = hs_now ().mono;
   TALLOC_FREE (keeper->entry_watch);
   TALLOC_FREE (keeper->part_watch);
   hs_store_range (keeper->core->store, "hs/entry/", 0, on_entries, keeper);
@@ -64,6 +67,7 @@
   if (reply->status != HS_STORE_OK)
     {
       keeper->reading = false;
+      keeper->entries_doubted = true;
       hs_keeper_retry_later (keeper);
       return;
     }
@@ -75,6 +79,8 @@
     }
   hs_ownership_entries_seen (keeper->view, seen, reply->n_kvs, reply->revision);
   talloc_free (seen);
+  keeper->entries_sent = keeper->read_sent;
+  forget_absent (keeper);
   keeper->entries_read = true;
   keeper->entry_watch
       = hs_store_watch (keeper->core->store, "hs/entry/", reply->revision + 1,
@@ -177,7 +183,7 @@
   if (incarnation == keeper->core->incarnation)
     return;
   if (!deleted)
-    hs_promises_peer (keeper->promises, incarnation);
+    hs_promises_peer (keeper->promises, incarnation, hs_now ().mono);
   else
     hs_keeper_peer_down (keeper, incarnation);
 }
@@ -230,6 +236,16 @@
       part_changed (keeper, part, now);
 }
 
+static void
+forget_absent (HsKeeper *keeper)
+{
+  uint64_t peer = 0;
+
+  while ((peer = hs_promises_needed (keeper->promises, peer)) != 0)
+    if (hs_ownership_find_entry (keeper->view, peer) == NULL)
+      hs_keeper_peer_down (keeper, peer);
+}
+
 static void
 want_entries (HsKeeper *keeper, HsNow now)
 {
--- a/src/entry/promises.c
+++ b/src/entry/promises.c
@@ -6,7 +6,8 @@
 typedef struct
 {
   uint64_t entry;
-  bool needed; /* Nothing is extended without its promise. */
+  bool needed;     /* Nothing is extended without its promise. */
+  HsTime known_at; /* When it was last known by record or call. */
   HsTime asked_at;
   HsTime held_until;  /* Its promise to this entry. */
   HsTime given_until; /* This entry's promise to it. */
@@ -20,10 +21,12 @@
   Peer *peers;
   uint32_t n;
   HsTime store_answered;
+  HsTime recorded_at; /* When this entry's record was last written anew. */
 };
 
 static Peer *find (const HsPromises *promises, uint64_t entry);
 static Peer *find_or_add (HsPromises *promises, uint64_t entry);
+static bool promised_any (const HsPromises *promises, HsTime now);
 
 HsPromises *
 hs_promises_new (TALLOC_CTX *ctx)
@@ -32,18 +35,38 @@
 }
 
 void
-hs_promises_peer (HsPromises *promises, uint64_t peer)
+hs_promises_peer (HsPromises *promises, uint64_t peer, HsTime now)
 {
-  find_or_add (promises, peer)->needed = true;
+  Peer *p = find_or_add (promises, peer);
+
+  p->needed = true;
+  p->known_at = now;
+  p->absent_since = 0;
 }
 
-void
-hs_promises_forget (HsPromises *promises, uint64_t peer)
+bool
+hs_promises_forget (HsPromises *promises, uint64_t peer, HsTime read_at)
 {
   Peer *p = find (promises, peer);
 
-  if (p != NULL)
-    p->needed = false;
+  if (p == NULL)
+    return true;
+  if (p->needed && p->known_at >= read_at)
+    return false;
+  p->needed = false;
+  return true;
+}
+
+uint64_t
+hs_promises_needed (const HsPromises *promises, uint64_t after)
+{
+  const Peer *p = after != 0 ? find (promises, after) : NULL;
+  uint32_t i = p != NULL ? (uint32_t) (p - promises->peers) + 1 : 0;
+
+  for (; i < promises->n; i++)
+    if (promises->peers[i].needed)
+      return promises->peers[i].entry;
+  return 0;
 }
 
 void
@@ -129,9 +152,11 @@
 }
 
 void
-hs_promises_met (HsPromises *promises, uint64_t owner)
+hs_promises_met (HsPromises *promises, uint64_t owner, HsTime sent)
 {
-  find_or_add (promises, owner)->met = true;
+  /* That owner may have forgotten the record of before. */
+  if (sent >= promises->recorded_at)
+    find_or_add (promises, owner)->met = true;
 }
 
 void
@@ -149,12 +174,16 @@
 }
 
 void
-hs_promises_unknown_to_all (HsPromises *promises)
+hs_promises_unknown_to_all (HsPromises *promises, HsTime now)
 {
   uint32_t i;
 
+  promises->recorded_at = now;
   for (i = 0; i < promises->n; i++)
-    promises->peers[i].met = false;
+    {
+      promises->peers[i].met = false;
+      promises->peers[i].absent_since = 0;
+    }
 }
 
 bool
@@ -164,11 +193,21 @@
 
   if (p->absent_since == 0)
     p->absent_since = now;
-  if (p->gone)
-    return true;
-  if (now < p->given_until)
+  if (promised_any (promises, now))
     return false;
-  return p->met || now - p->absent_since > HS_PROMISE_OUTAGE_MAX;
+  return p->gone || p->met || now - p->absent_since > HS_PROMISE_OUTAGE_MAX;
+}
+
+/* A promise to an entry whose process is gone binds no longer. */
+static bool
+promised_any (const HsPromises *promises, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < promises->n; i++)
+    if (!promises->peers[i].gone && now < promises->peers[i].given_until)
+      return true;
+  return false;
 }
 
 static Peer *
--- a/src/entry/promises.h
+++ b/src/entry/promises.h
@@ -39,12 +39,22 @@
 /** @name As the owner @{ */
 
 /**
- * An entry is known: nothing is extended without its promise from now on.
+ * An entry is known, by its record or by a call: nothing is extended without
+ * its promise from now on, and its record is no longer counted as missed.
  */
-void hs_promises_peer (HsPromises *promises, uint64_t peer);
+void hs_promises_peer (HsPromises *promises, uint64_t peer, HsTime now);
 
-/** An entry is gone, as the store tells. */
-void hs_promises_forget (HsPromises *promises, uint64_t peer);
+/**
+ * An entry is gone.
+ * @param read_at when a read of the store began that found no record of it;
+ *        HS_NEVER: its process is gone for certain
+ * @return false, and it is still needed, if it was known since: its record
+ *         may be newer than that read
+ */
+bool hs_promises_forget (HsPromises *promises, uint64_t peer, HsTime read_at);
+
+/** The next entry needed after @p after (0 to begin); 0 at the end. */
+uint64_t hs_promises_needed (const HsPromises *promises, uint64_t after);
 
 /**
  * The store has answered: the outage, if there was one, is over and no
@@ -84,8 +94,11 @@
                        bool settled,
                        HsTime now);
 
-/** Notes that this entry and that owner were connected. */
-void hs_promises_met (HsPromises *promises, uint64_t owner);
+/**
+ * Notes that the owner answered a call sent at @p sent, so that it knows this
+ * entry, unless its record was written anew since.
+ */
+void hs_promises_met (HsPromises *promises, uint64_t owner, HsTime sent);
 
 /** Notes that the owner's process is gone for certain. */
 void hs_promises_gone (HsPromises *promises, uint64_t owner);
@@ -94,13 +107,16 @@
 bool hs_promises_is_gone (const HsPromises *promises, uint64_t owner);
 
 /**
- * After this entry's own record was written anew, owners may not know it.
+ * After this entry's own record was written anew, owners may not know it, and
+ * what it missed before counts no longer: an owner may have come back and
+ * have gone on since, without this entry.
  */
-void hs_promises_unknown_to_all (HsPromises *promises);
+void hs_promises_unknown_to_all (HsPromises *promises, HsTime now);
 
 /**
  * Decides whether the partitions of an owner whose record is gone may be
- * taken now.
+ * taken now. Not while a promise to any other live entry stands: the record
+ * of the partition may name one who took it from that entry and died.
  */
 bool hs_promises_may_take (HsPromises *promises, uint64_t owner, HsTime now);
 
--- /dev/null
+++ b/test/test_lockstep_gate.c
@@ -0,0 +1,240 @@
+/* The start gate and the agent's memory beside a random walk of the agent's
+   steps in model/start.pml, with fake time and fixed seeds. A small reference,
+   written from the rules of the model, is compared after each step, and the
+   model's safety property is asserted. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "agent/gate.h"
+#include "random_walk.h"
+
+#define KEYS 4
+#define PARTS 2
+#define SLOTS 2
+#define WALKS 3000
+#define STEPS 600
+#define T0 (100 * HS_SEC)
+
+/* What the model says of a task on an agent. */
+typedef enum
+{
+  TASK_UNKNOWN,
+  TASK_RUNNING,
+  TASK_ENDED,
+  TASK_FENCED
+} TaskState;
+
+typedef struct
+{
+  HsTime now;
+  HsMemory *memory;
+  HsSlots *slots;
+  HsGate *gate;
+  hsx_task_key keys[KEYS];
+  TaskState states[KEYS];
+  HsTaskHandle handles[KEYS];
+  uint32_t slot_of[KEYS];
+  uint32_t starts[KEYS];
+  uint64_t highest[PARTS];
+  hsx_credit credit[SLOTS]; /* The newest of each slot. */
+  bool busy[SLOTS];
+  bool leaving;
+} Agent;
+
+static RandomWalk walk;
+static uint32_t refusals[HSX_REFUSAL_FENCED + 1];
+
+static void start_agent (Agent *a, TALLOC_CTX *ctx);
+static void agent_step (Agent *a);
+static void send_start (Agent *a);
+static hsx_refusal expected (const Agent *a, const hsx_start *start);
+static void end_task (Agent *a, uint32_t k);
+
+static void
+no_task_starts_twice_or_past_its_permit (void **state)
+{
+  uint32_t seed;
+  uint32_t i;
+
+  (void) state;
+  for (seed = 0; seed < WALKS; seed++)
+    {
+      TALLOC_CTX *ctx = talloc_new (NULL);
+      Agent a;
+
+      walk = random_walk (seed);
+      start_agent (&a, ctx);
+      for (i = 0; i < STEPS; i++)
+        agent_step (&a);
+      talloc_free (ctx);
+    }
+  for (i = 0; i <= HSX_REFUSAL_FENCED; i++)
+    if (i != HSX_REFUSAL_TARGET && i != HSX_REFUSAL_NEEDS)
+      assert_true (refusals[i] > 0);
+}
+
+static void
+start_agent (Agent *a, TALLOC_CTX *ctx)
+{
+  static char *const ids[KEYS] = { "a", "b", "c", "d" };
+  static hsx_credit credits[HS_SLOTS_MAX];
+  uint32_t n;
+  uint32_t k;
+
+  memset (a, 0, sizeof *a);
+  a->now = T0;
+  a->memory = hs_memory_new (ctx, HS_SEC * 86400, 1000);
+  a->slots = hs_slots_new (ctx, 7);
+  a->gate = hs_gate_new (ctx, a->memory, a->slots);
+  hs_slots_resize (a->slots, SLOTS);
+  hs_slots_entry_up (a->slots, 1);
+  hs_slots_plan (a->slots, a->now);
+  assert_int_equal (hs_slots_next_grant (a->slots, credits, &n), 1);
+  assert_int_equal (n, SLOTS);
+  for (k = 0; k < SLOTS; k++)
+    a->credit[credits[k].slot] = credits[k];
+  for (k = 0; k < KEYS; k++)
+    a->keys[k]
+        = (hsx_task_key){ .part = k % PARTS, .customer = "c", .id = ids[k] };
+}
+
+static void
+agent_step (Agent *a)
+{
+  uint32_t k = random_pick (&walk, KEYS);
+  uint32_t part = random_pick (&walk, PARTS);
+  uint64_t epoch = a->highest[part] + random_pick (&walk, 4);
+
+  switch (random_pick (&walk, 12))
+    {
+    case 0:
+      a->now += (HsTime) random_pick (&walk, 2000) * HS_MSEC;
+      hs_memory_expire (a->memory, a->now);
+      return;
+    case 1:
+      /* RECOVER, of an older epoch now and then. */
+      epoch = epoch > 2 ? epoch - 2 : epoch;
+      assert_int_equal (hs_gate_raise (a->gate, part, epoch),
+                        epoch >= a->highest[part]);
+      if (epoch > a->highest[part])
+        a->highest[part] = epoch;
+      assert_int_equal (hs_gate_epoch (a->gate, part), a->highest[part]);
+      return;
+    case 2:
+      /* SETTLE. */
+      if (random_pick (&walk, 8) != 0 || a->states[k] != TASK_UNKNOWN)
+        return;
+      a->handles[k] = hs_memory_fence (a->memory, &a->keys[k], a->now);
+      a->states[k] = TASK_FENCED;
+      return;
+    case 3:
+    case 4:
+      if (a->states[k] == TASK_RUNNING)
+        end_task (a, k);
+      return;
+    case 5:
+      if (random_pick (&walk, 10) == 0)
+        a->leaving = !a->leaving;
+      return;
+    default:
+      send_start (a);
+      return;
+    }
+}
+
+/* A START as an owner of any epoch sends it, also late or sent again. */
+static void
+send_start (Agent *a)
+{
+  uint32_t k = random_pick (&walk, KEYS);
+  uint32_t s = random_pick (&walk, SLOTS);
+  HsGateTarget target = { .leaving = a->leaving };
+  hsx_start start = { .key = a->keys[k], .credit = a->credit[s] };
+  uint64_t highest = a->highest[start.key.part];
+  hsx_refusal refusal;
+
+  start.epoch = highest + random_pick (&walk, 3);
+  if (random_pick (&walk, 3) == 0 && start.epoch > 0)
+    start.epoch--;
+  start.permit_us = (HsTime) (1 + random_pick (&walk, 9)) * HS_SEC;
+  if (random_pick (&walk, 6) == 0)
+    start.credit.generation--;
+  refusal = expected (a, &start);
+  assert_int_equal (hs_gate_check (a->gate, &target, &start, a->now), refusal);
+  refusals[refusal]++;
+  if (start.epoch > highest)
+    a->highest[start.key.part] = start.epoch;
+  if (refusal == HSX_REFUSAL_NONE)
+    {
+      assert_true (start.epoch >= highest);
+      assert_true (a->now < start.credit.stamp_us + start.permit_us);
+      assert_int_equal (++a->starts[k], 1);
+      a->handles[k] = hs_memory_start (a->memory, &a->keys[k], a->now);
+      a->states[k] = TASK_RUNNING;
+      a->slot_of[k] = s;
+      a->busy[s] = true;
+      hs_slots_take (a->slots, &start.credit, 1, a->now);
+    }
+  else if (!a->busy[s])
+    assert_true (hs_slots_regrant (a->slots, s, 1, a->now, &a->credit[s]));
+}
+
+/* The rules of the agent in model/start.pml. */
+static hsx_refusal
+expected (const Agent *a, const hsx_start *start)
+{
+  uint32_t k = (uint32_t) (start->key.id[0] - 'a');
+  const hsx_credit *newest = &a->credit[start->credit.slot];
+
+  if (start->epoch < a->highest[start->key.part])
+    return HSX_REFUSAL_EPOCH;
+  if (a->now >= start->credit.stamp_us + start->permit_us)
+    return HSX_REFUSAL_PERMIT;
+  if (!a->leaving
+      && (a->busy[start->credit.slot]
+          || start->credit.generation != newest->generation))
+    return HSX_REFUSAL_CREDIT;
+  if (a->states[k] == TASK_FENCED)
+    return HSX_REFUSAL_FENCED;
+  if (a->states[k] != TASK_UNKNOWN)
+    return HSX_REFUSAL_DUPLICATE;
+  return a->leaving ? HSX_REFUSAL_LEAVING : HSX_REFUSAL_NONE;
+}
+
+/* One that the target never got is forgotten, and may start again. */
+static void
+end_task (Agent *a, uint32_t k)
+{
+  HsFinish finish = { .outcome = HSX_DONE, .http_status = 200 };
+  uint32_t s = a->slot_of[k];
+
+  if (random_pick (&walk, 3) == 0)
+    {
+      hs_memory_remove (a->memory, a->handles[k]);
+      a->states[k] = TASK_UNKNOWN;
+      a->starts[k] = 0;
+    }
+  else
+    {
+      hs_memory_finish (a->memory, a->handles[k], &finish);
+      a->states[k] = TASK_ENDED;
+    }
+  a->busy[s] = false;
+  assert_true (hs_slots_release (a->slots, s, 1, a->now, &a->credit[s]));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (no_task_starts_twice_or_past_its_permit),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
