--- a/model/promises.pml
+++ b/model/promises.pml
@@ -30,7 +30,9 @@
 #define SPAN_HELD 2	/* of a promise, counted by A from before sending */
 #endif
 #define SPAN (SPAN_HELD + 1)	/* the same counted by its giver */
+#ifndef OUTAGE_MAX
 #define OUTAGE_MAX 4	/* the longest extension after A's last answer */
+#endif
 #define AGE(a) ((a) + 1)	/* ages of messages, 0: no message */
 
 /* The age from which a message is of no use. */
