Give mutants of the matrix all seeds of the matrix

Cause: after the merges the mutant 'claim' (claims confirmed, not written) was not caught in the first two seeds of each cell, which was all that mutants got. Change: they get the five seeds that make matrix runs, since the question is whether the matrix catches them.

--- a/mk/matrix.mk
+++ b/mk/matrix.mk
@@ -10,7 +10,7 @@
 	@$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
 matrix: $(B)/test-matrix
-	$(B)/test-matrix --mutants --seeds 2
+	$(B)/test-matrix --mutants
 	$(B)/test-matrix
 
 .PHONY: matrix
