--- a/bench/system.c
+++ b/bench/system.c
@@ -15,6 +15,7 @@
 
 #include "client.h"
 #include "fakes.h"
+#include "sockets.h"
 
 /** Agents announce and are connected within this span. */
 #define SETTLE_SPAN (3 * HS_SEC)
@@ -75,7 +76,10 @@
                     const BenchFakesStats *after,
                     const Usage *used,
                     const Usage *used_after);
-static double percentile (const BenchClientResult *result, double share);
+static void report_sockets (double span,
+                            const BenchSockets *before,
+                            const BenchSockets *after);
+static double percentile (const HsTime *sorted, uint32_t n, double share);
 static int compare_times (const void *a, const void *b);
 
 int
@@ -87,6 +91,8 @@
   BenchClientResult result = { 0 };
   BenchFakesStats before;
   BenchFakesStats after;
+  BenchSockets sockets_before;
+  BenchSockets sockets_after;
   Usage sums[2] = { { 0, 0 }, { 0, 0 } };
   HsTime begin;
   int i;
@@ -103,7 +109,9 @@
   open_client ();
   load (warmup, &result);
   g_free (result.latencies);
+  g_free (result.delays);
   before = bench_fakes_stats ();
+  sockets_before = bench_sockets ();
   for (i = 0; pid_list[i] != NULL; i++)
     {
       Usage usage = usage_of (pid_list[i]);
@@ -121,7 +129,9 @@
       sums[1].rss_kb += usage.rss_kb;
     }
   after = bench_fakes_stats ();
+  sockets_after = bench_sockets ();
   report (seconds, &result, &before, &after, &sums[0], &sums[1]);
+  report_sockets (seconds, &sockets_before, &sockets_after);
   if (connections > 0 && !bench_client_drain (DRAIN_SPAN))
     fprintf (stderr, "bench-system: jobs are open 20 s after the end\n");
   return 0;
@@ -206,6 +216,7 @@
                 - before->rpc.received_by_proc[i];
   qsort (result->latencies, result->n_latencies, sizeof (HsTime),
          compare_times);
+  qsort (result->delays, result->n_delays, sizeof (HsTime), compare_times);
   printf ("{\"name\":\"%s\",\"agents\":%d,\"slots\":%d,\"run_us\":%d,"
           "\"tasks\":%d,\"connections\":%d,\"rate\":%.0f,\"seconds\":%.2f,",
           name, agents, slots, run_us, tasks, connections, rate, span);
@@ -214,8 +225,13 @@
           result->complete, result->other, starts,
           after->refused - before->refused, (double) starts / span);
   printf ("\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"max_ms\":%.3f,",
-          percentile (result, 0.5), percentile (result, 0.99),
-          percentile (result, 1));
+          percentile (result->latencies, result->n_latencies, 0.5),
+          percentile (result->latencies, result->n_latencies, 0.99),
+          percentile (result->latencies, result->n_latencies, 1));
+  /* How much of that passed before the caller sent its request. */
+  printf ("\"caller_late_p50_ms\":%.3f,\"caller_late_p99_ms\":%.3f,",
+          percentile (result->delays, result->n_delays, 0.5),
+          percentile (result->delays, result->n_delays, 0.99));
   printf ("\"entry_cores\":%.3f,\"entry_us_per_start\":%.1f,"
           "\"entry_rss_kb\":%ld,\"agents_cores\":%.3f,",
           cpu / span, starts > 0 ? cpu * 1e6 / (double) starts : 0,
@@ -223,7 +239,7 @@
           (double) (after->cpu_us - before->cpu_us) / 1e6 / span);
   printf ("\"inner_messages\":%lu,\"start_messages\":%lu,"
           "\"result_messages\":%lu,\"grant_messages\":%lu,"
-          "\"inner_bytes_per_s\":%.0f,\"bytes_per_start\":%.0f}\n",
+          "\"inner_bytes_per_s\":%.0f,\"bytes_per_start\":%.0f,",
           messages,
           after->rpc.received_by_proc[HSX_START]
               - before->rpc.received_by_proc[HSX_START],
@@ -233,15 +249,28 @@
           starts > 0 ? (double) bytes / (double) starts : 0);
 }
 
+/* Of the connections between agents and entries; with a load also of those
+   between callers and entries. */
+static void
+report_sockets (double span,
+                const BenchSockets *before,
+                const BenchSockets *after)
+{
+  printf ("\"tcp_connections\":%u,\"tcp_segments_per_s\":%.1f,"
+          "\"tcp_bytes_per_s\":%.0f}\n",
+          after->n, (double) (after->segments - before->segments) / span,
+          (double) (bench_sockets_bytes (after) - bench_sockets_bytes (before))
+              / span);
+}
+
 static double
-percentile (const BenchClientResult *result, double share)
+percentile (const HsTime *sorted, uint32_t n, double share)
 {
-  uint32_t at = (uint32_t) (share * result->n_latencies);
+  uint32_t at = (uint32_t) (share * n);
 
-  if (result->n_latencies == 0)
+  if (n == 0)
     return 0;
-  return (double) result->latencies[MIN (at, result->n_latencies - 1)]
-         / (double) HS_MSEC;
+  return (double) sorted[MIN (at, n - 1)] / (double) HS_MSEC;
 }
 
 static int
