--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -281,8 +281,8 @@
 static int64_t
 floor_to_pass (const HsOwner *owner, uint32_t part, HsNow now)
 {
-  int64_t floor_ms = MAX (owner->parts[part].uncertain_before_ms,
-                          owner->parts[part].forgotten_before_ms);
+  const Part *p = &owner->parts[part];
+  int64_t floor_ms = MAX (p->uncertain_before_ms, p->forgotten_before_ms);
   GHashTableIter iter;
   gpointer value;
 
