--- a/src/entry/front_http.c
+++ b/src/entry/front_http.c
@@ -281,8 +281,10 @@
   call->generation = thread->slots[request->slot].generation;
   call->arrived = hs_now ();
   request->state = HS_REQUEST_WAITING;
-  MHD_suspend_connection (request->connection);
+  /* The core wakes while the connection is suspended: its answer waits in
+     this thread's own queue. */
   thread->front->submit (thread->front->arg, call);
+  MHD_suspend_connection (request->connection);
   return MHD_YES;
 }
 
