--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -68,6 +68,18 @@
                       uint32_t *agent,
                       hsx_credit *credit);
 
+/**
+ * Like hs_credits_take(), but from none of the agents in @p avoided.
+ */
+bool hs_credits_take_elsewhere (HsCredits *pool,
+                                const hsx_needs *needs,
+                                const uint32_t *avoided,
+                                uint32_t n_avoided,
+                                HsTime now,
+                                HsTime lease_left,
+                                uint32_t *agent,
+                                hsx_credit *credit);
+
 /**
  * When the stamp that starts to this agent echo was received. The permit of a
  * start ends by the agent's clock as long after the stamp as the lease ends
@@ -90,6 +102,12 @@
                                HsTime lease_left,
                                hsx_credit *credits);
 
+/**
+ * Takes back the loans that were not used; to be called often enough that
+ * HS_LOAN_RETURN is kept.
+ */
+void hs_credits_reclaim (HsCredits *pool, HsTime now);
+
 /** Whether hs_credits_take() may find a credit for a task of small needs. */
 bool hs_credits_any (const HsCredits *pool, HsTime now);
 
--- a/test/matrix/net.c
+++ b/test/matrix/net.c
@@ -99,6 +99,12 @@
   return conn->data;
 }
 
+void
+hs_conn_watch (HsConn *conn, HsConnWatch watch)
+{
+  conn->watch = watch;
+}
+
 void
 hs_conn_close (HsConn *conn)
 {
--- a/test/matrix/net_calls.c
+++ b/test/matrix/net_calls.c
@@ -57,6 +57,8 @@
   if (step_of (number, &step)
       && !fault_before (step, conn->rpc->proc, conn->peer_proc, conn))
     return false;
+  if (number == HSX_START)
+    net_check_work (conn);
   if (proc->result != NULL)
     head.call = ++conn->next_call;
   if (!send_message (conn, &head, proc->args, args))
@@ -138,6 +140,9 @@
     }
   pipe->last_at[to] = MAX (at, pipe->last_at[to]);
   sim_at (pipe->last_at[to], conn->peer_proc, deliver, message, true);
+  /* What is written stays unacknowledged. */
+  if (pipe->ends[to] == NULL)
+    net_end_later (pipe, conn->side, sim_now () + NET_SILENCE);
   return true;
 }
 
--- a/test/matrix/net_private.h
+++ b/test/matrix/net_private.h
@@ -14,6 +14,7 @@
   HsTime last_at[2];    /* Arrival of the last message to a side. */
   HsTime held_until[2]; /* Nothing arrives at a side before. */
   bool lost[2];         /* What is in flight to a side is lost. */
+  HsTime host_died_at;  /* Of one side; 0: both live. */
 } Pipe;
 
 typedef struct Pending Pending;
@@ -36,6 +37,7 @@
   int side;
   bool up;
   bool ended;
+  HsConnWatch watch;
   void *data;
   hsx_hello peer;
   Proc *peer_proc;
@@ -52,6 +54,9 @@
 /** Ends one side of a connection after what was sent to it has arrived. */
 void net_end_later (Pipe *pipe, int side, HsTime at);
 
+/** Checks that no work is sent to a host that died a while ago. */
+void net_check_work (const HsConn *conn);
+
 /** Ends all calls that wait for a reply, as HS_RPC_BROKEN. */
 void net_fail_pending (HsConn *conn);
 
