Ask an agent once about adopted tasks

Cause: after a handover the owner's partitions come one record at a time, and hs_owner_own sent SETTLE for all unsettled tasks to every agent with each of them, though the first had no reply yet. Change: while a SETTLE is out, tasks adopted meanwhile are noted and asked for once the reply is there, or once it is lost. Two tests in test_takeover.

--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -172,15 +172,21 @@
   if (agent->settling > 0)
     agent->settling--;
   /* Without an answer the next connection asks again, or the timeout of the
-     tasks decides. */
+     tasks decides; but what was adopted since has not been asked for yet. */
   if (reply == NULL)
-    return;
+    {
+      if (agent->settling == 0 && agent->settle_again && agent->connected)
+        settle_agent (owner, handle);
+      return;
+    }
   for (i = 0; i < reply->results.results_len; i++)
     {
       mark_settled (owner, &reply->results.results_val[i].key);
       take_one (owner, handle, &reply->results.results_val[i], now);
     }
-  if (reply->results.results_len > 0 && owner->agents[handle].settling == 0)
+  agent = &owner->agents[handle];
+  if (agent->settling == 0
+      && (reply->results.results_len > 0 || agent->settle_again))
     settle_agent (owner, handle);
   pump (owner, now);
 }
@@ -266,6 +272,7 @@
   hsx_settle_args args = { { 0, keys } };
   guint i;
 
+  owner->agents[handle].settle_again = false;
   for (i = 0; i < owner->tasks->len; i++)
     {
       const Task *task = owner->tasks->pdata[i];
@@ -287,6 +294,17 @@
     send_settle (owner, handle, &args);
 }
 
+/* Partitions are adopted one after the other: to ask again for all tasks with
+   each of them would bring as many replies for every task. */
+void
+settle_adopted (HsOwner *owner, uint32_t handle)
+{
+  if (owner->agents[handle].settling == 0)
+    settle_agent (owner, handle);
+  else
+    owner->agents[handle].settle_again = true;
+}
+
 static void
 send_settle (HsOwner *owner, uint32_t handle, hsx_settle_args *args)
 {
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -106,6 +106,7 @@
   uint32_t cursor;       /* Of the next page of the reply. */
   bool forgetful;        /* Remembers less than the retention. */
   uint32_t settling;     /* SETTLE calls without reply. */
+  bool settle_again;     /* Tasks became unsettled since they were sent. */
   int64_t lost_ms;       /* Wall time at which it was lost. */
 } Agent;
 
@@ -291,5 +292,6 @@
 /* agents.c */
 Agent *agent_find (HsOwner *owner, uint64_t incarnation, uint32_t *handle);
 void settle_agent (HsOwner *owner, uint32_t handle);
+void settle_adopted (HsOwner *owner, uint32_t handle);
 
 #endif
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -51,7 +51,7 @@
     if (owner->agents[i].connected)
       {
         recover_agent (owner, i);
-        settle_agent (owner, i);
+        settle_adopted (owner, i);
       }
   recovery_check (owner, now);
   pump (owner, now);
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -223,6 +223,71 @@
   world_free (to);
 }
 
+/* A World that has adopted a job of 2 tasks in flight and asked for them. */
+static World *
+adopting_world (void)
+{
+  World *from = world_new ();
+  World *to = world_new ();
+  hsx_handover_args *messages;
+  size_t n;
+
+  world_own (from, EPOCH, 0);
+  world_agent (from, AGENT);
+  world_recovered (from, AGENT, NULL, 0);
+  world_agent (to, AGENT);
+  world_submit (from, world_id (from, 0, 1), 2, 'x');
+  assert_int_equal (from->starts->len, 2);
+  hs_owner_freeze (from->owner, world_part ());
+  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
+  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  world_own_handed (to, EPOCH + 1, EPOCH);
+  assert_int_equal (to->settles->len, 1);
+  world_free (from);
+  return to;
+}
+
+static void
+own_next_part (World *w)
+{
+  HsOwnedPart part = { world_part () + 1, EPOCH + 2, 0, false };
+
+  hs_owner_own (w->owner, 1, &part, w->now);
+}
+
+/* One SETTLE at a time, however many partitions follow meanwhile. */
+static void
+adopted_tasks_are_asked_for_once (void **state)
+{
+  World *w = adopting_world ();
+  hsx_result running[2];
+  hsx_settle_reply reply = { { 2, running } };
+
+  (void) state;
+  own_next_part (w);
+  own_next_part (w);
+  assert_int_equal (w->settles->len, 1);
+  running[0] = world_record (world_id (w, 0, 1), 0, HSX_RUNNING);
+  running[1] = world_record (world_id (w, 0, 1), 1, HSX_RUNNING);
+  hs_owner_settled (w->owner, AGENT, &reply, w->now);
+  assert_int_equal (w->settles->len, 1);
+  world_free (w);
+}
+
+static void
+adopted_tasks_are_asked_for_after_a_lost_reply (void **state)
+{
+  World *w = adopting_world ();
+
+  (void) state;
+  own_next_part (w);
+  hs_owner_settled (w->owner, AGENT, NULL, w->now);
+  assert_int_equal (w->settles->len, 2);
+  hs_owner_settled (w->owner, AGENT, NULL, w->now);
+  assert_int_equal (w->settles->len, 2);
+  world_free (w);
+}
+
 static void
 a_handover_of_another_epoch_is_dropped (void **state)
 {
@@ -311,6 +376,8 @@
         an_agent_lost_before_the_takeover_makes_older_ids_uncertain),
     cmocka_unit_test (a_lost_partition_reroutes_its_callers),
     cmocka_unit_test (a_handover_carries_every_task),
+    cmocka_unit_test (adopted_tasks_are_asked_for_once),
+    cmocka_unit_test (adopted_tasks_are_asked_for_after_a_lost_reply),
     cmocka_unit_test (a_handover_of_another_epoch_is_dropped),
     cmocka_unit_test (a_staged_copy_is_not_adopted_by_a_takeover),
     cmocka_unit_test (a_handover_that_failed_goes_on_here),
