--- a/test/matrix/checks.c
+++ b/test/matrix/checks.c
@@ -20,6 +20,7 @@
   uint32_t life; /* Of the agent's process. */
   HsTime at;
   bool running;
+  bool timed_out;
   bool counted; /* Its owner can still know of it. */
 } Start;
 
@@ -124,6 +125,12 @@
   return n;
 }
 
+void
+checks_timed_out (uint32_t start)
+{
+  g_array_index (starts, Start, start).timed_out = true;
+}
+
 uint32_t
 checks_running (const Proc *agent)
 {
@@ -134,7 +141,8 @@
     {
       const Start *s = &g_array_index (starts, Start, i);
 
-      if (s->running && s->agent == agent && s->life == agent->life)
+      if (s->running && !s->timed_out && s->agent == agent
+          && s->life == agent->life)
         n++;
     }
   return n;
--- a/test/matrix/checks.h
+++ b/test/matrix/checks.h
@@ -23,6 +23,10 @@
 checks_started (Proc *agent, const hsx_task_key *key, const char *body);
 void checks_ended (uint32_t start);
 
+/** The agent's call for a start ended at the task's timeout: its caller is
+ *  answered, and whatever the target still does isn't in flight any more. */
+void checks_timed_out (uint32_t start);
+
 /** The host died with what ran on it. */
 void checks_host_died (const Proc *agent);
 
--- a/test/matrix/targets.c
+++ b/test/matrix/targets.c
@@ -263,6 +263,8 @@
   HsFinish lost = { .outcome = HSX_MAYBE };
 
   call->timeout = NULL;
+  if (call->running != NULL)
+    checks_timed_out (call->running->start);
   end (call, HS_TARGET_TIMEOUT, &lost);
 }
 
