Name the epoch of a START in its refusal

Cause: rule 1 of docs/PROOF.md, open since the model was written (MUT_RESULT_WITHOUT_EPOCH is refuted): a refusal that is late on its way while the partition goes to another entry and comes back could be taken for one of the START sent since, and the task be queued again though it has started. Change: hsx_result carries the epoch of the START refused; an owner that sent the task itself takes only a refusal of that epoch. A task passed by a handover as sent has one START out, whose epoch isn't known there: any is taken. Tests: a_refusal_of_an_earlier_epoch_is_late (owner); the agent's tests ask for the echo on both paths.

--- a/src/agent/peers.c
+++ b/src/agent/peers.c
@@ -298,6 +298,7 @@
   else
     *result = (hsx_result){ .key = outgoing->key,
                             .outcome = HSX_REFUSED,
-                            .refusal = outgoing->refusal };
+                            .refusal = outgoing->refusal,
+                            .epoch = outgoing->epoch };
   result->next = outgoing->has_next ? &outgoing->next : NULL;
 }
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -24,6 +24,7 @@
   HsTaskHandle handle; /**< Its record; 0: a refusal of `key`. */
   hsx_task_key key;    /**< Without record only; copied. */
   hsx_refusal refusal;
+  uint64_t epoch; /**< Of the start refused; 0: none was. */
   bool has_next;
   hsx_credit next; /**< The freed slot, granted again. */
 } HsOutgoing;
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -8,6 +8,7 @@
   HsTaskHandle handle;
   uint32_t part;
   uint32_t slot;
+  uint64_t epoch;
 } Run;
 
 static void
@@ -48,6 +49,7 @@
   run->agent = agent;
   run->part = start->key.part;
   run->slot = start->credit.slot;
+  run->epoch = start->epoch;
   run->handle = hs_memory_start (agent->memory, &start->key, now);
   hs_slots_take (agent->slots, &start->credit, entry, now);
   agent->sinks[run->part] = entry;
@@ -65,7 +67,8 @@
         hsx_refusal refusal,
         HsTime now)
 {
-  HsOutgoing out = { .key = start->key, .refusal = refusal };
+  HsOutgoing out
+      = { .key = start->key, .refusal = refusal, .epoch = start->epoch };
 
   agent->stats.refusals[refusal]++;
   if (refusal == HSX_REFUSAL_DUPLICATE)
@@ -92,7 +95,9 @@
     {
       target_refused (agent);
       hs_memory_result (agent->memory, run->handle, &record);
-      out = (HsOutgoing){ .key = record.key, .refusal = HSX_REFUSAL_TARGET };
+      out = (HsOutgoing){ .key = record.key,
+                          .refusal = HSX_REFUSAL_TARGET,
+                          .epoch = run->epoch };
     }
   else
     hs_memory_finish (agent->memory, run->handle, finish);
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -11,6 +11,7 @@
 static void mark_settled (HsOwner *owner, const hsx_task_key *key);
 static void admit_credits (HsOwner *owner, uint32_t handle);
 static void agent_gone (HsOwner *owner, uint32_t handle, HsNow now);
+static bool answers_start (HsOwner *owner, const hsx_result *result);
 static void
 take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now);
 
@@ -148,7 +149,10 @@
       const hsx_result *result = &args->results.results_val[i];
 
       owner->stats.results++;
-      take_one (owner, handle, result, now);
+      if (answers_start (owner, result))
+        take_one (owner, handle, result, now);
+      else
+        owner->stats.late_results++;
       if (result->next != NULL && owner->agents[handle].state == HSX_MEMBER_UP)
         hs_credits_add (owner->credits, handle, result->next,
                         HS_CREDIT_RETURNED, now.mono);
@@ -330,6 +334,22 @@
     job->tasks[key->index].unsettled = false;
 }
 
+/* A refusal counts for the start that it names only: one of an earlier epoch
+   may arrive after the partition went to another entry and came back, when
+   the task was started anew. */
+static bool
+answers_start (HsOwner *owner, const hsx_result *result)
+{
+  const Job *job = job_find (owner, result->key.customer, result->key.id);
+  const Task *task;
+
+  if (result->outcome != HSX_REFUSED || job == NULL || job->unfinished == 0
+      || result->key.index >= job->n_tasks)
+    return true;
+  task = &job->tasks[result->key.index];
+  return task->sent_epoch == 0 || task->sent_epoch == result->epoch;
+}
+
 static void
 take_one (HsOwner *owner, uint32_t handle, const hsx_result *result, HsNow now)
 {
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -137,6 +137,7 @@
   task->state = TASK_SENT;
   task->agent = agent;
   task->sent_at = now.mono;
+  task->sent_epoch = 0;
   customer->queued--;
   customer->in_flight++;
   set_timer (owner, task, now.mono + owner->config.task_timeout + RESULT_GRACE);
@@ -341,6 +342,7 @@
   job->queue_wait = MAX (job->queue_wait, now.mono - task->queued_at);
   start.key = task_key (task);
   start.epoch = owner->parts[job->part].epoch;
+  task->sent_epoch = start.epoch;
   start.credit = owner->pick.credit;
   start.permit_us = owner->lease_until
                     - hs_credits_stamp_received (owner->credits, task->agent);
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -58,6 +58,7 @@
   HsTime charged;
   HsTime queued_at;
   HsTime sent_at;
+  uint64_t sent_epoch; /* 0: sent by another owner. */
   HsTime deadline;
   hsx_task task;
   hsx_task_answer answer;
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -117,6 +117,7 @@
 	hsx_refusal refusal;
 	u_int http_status;
 	u_int run_us;
+	uint64_t epoch;
 	struct {
 		u_int body_len;
 		char *body_val;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -98,6 +98,7 @@
 	hsx_refusal refusal;
 	unsigned int http_status;
 	unsigned int run_us;
+	uint64_t epoch;		/* of the START refused; else 0 */
 	opaque body<HSX_BODY_MAX>;
 	hsx_credit *next;		/* the freed slot, granted again */
 };
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -150,6 +150,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run_us))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, HSX_BODY_MAX))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->next, sizeof (hsx_credit), (xdrproc_t) xdr_hsx_credit))
--- a/test/owner_world.c
+++ b/test/owner_world.c
@@ -288,6 +288,7 @@
   result.key.index = start->index;
   result.outcome = outcome;
   result.refusal = refusal;
+  result.epoch = outcome == HSX_REFUSED ? start->epoch : 0;
   result.http_status = 200;
   result.run_us = 1000;
   result.body.body_val = (char *) (uintptr_t) body;
--- a/test/standin/fake_entry.c
+++ b/test/standin/fake_entry.c
@@ -152,6 +152,7 @@
 {
   *seen = (FakeResult){ .outcome = result->outcome,
                         .refusal = result->refusal,
+                        .epoch = result->epoch,
                         .index = result->key.index,
                         .http_status = result->http_status,
                         .has_next = result->next != NULL };
--- a/test/standin/fake_entry.h
+++ b/test/standin/fake_entry.h
@@ -23,6 +23,7 @@
 {
   hsx_outcome outcome;
   hsx_refusal refusal;
+  uint64_t epoch;
   uint32_t index;
   uint32_t http_status;
   bool has_next;
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -182,6 +182,7 @@
   start (1, 2, "");
   WAIT_UNTIL (entry->n_seen == 2);
   assert_int_equal (fake_entry_result (entry, 2)->refusal, HSX_REFUSAL_EPOCH);
+  assert_int_equal (fake_entry_result (entry, 2)->epoch, 1);
   WAIT_UNTIL (heir->n_seen == 1);
   assert_int_equal (fake_entry_result (heir, 1)->outcome, HSX_DONE);
   assert_true (fake_entry_recover (entry, 1));
@@ -323,6 +324,7 @@
   WAIT_UNTIL (entry->n_seen == 1);
   assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_REFUSED);
   assert_int_equal (fake_entry_result (entry, 0)->refusal, HSX_REFUSAL_TARGET);
+  assert_int_equal (fake_entry_result (entry, 0)->epoch, 1);
   assert_false (fake_entry_result (entry, 0)->has_next);
   start_target (FAULT_NONE);
   start (1, 0, "");
--- a/test/test_owner_faults.c
+++ b/test/test_owner_faults.c
@@ -66,6 +66,25 @@
   world_free (w);
 }
 
+/* It was sent before the partition went to another entry and came back. */
+static void
+a_refusal_of_an_earlier_epoch_is_late (void **state)
+{
+  World *w = serving_world ();
+  HsWaiter waiter = world_submit (w, world_id (w, 0, 1), 1, 'x');
+  SentStart earlier = *world_start (w, 0);
+
+  (void) state;
+  earlier.epoch--;
+  world_result (w, &earlier, HSX_REFUSED, HSX_REFUSAL_EPOCH, "");
+  world_pass (w, RETRY_SPAN);
+  assert_int_equal (w->starts->len, 1);
+  assert_int_equal (hs_owner_stats (w->owner)->late_results, 1);
+  world_result (w, world_start (w, 0), HSX_DONE, HSX_REFUSAL_NONE, "");
+  assert_int_equal (world_answer (w, waiter)->state, HSX_JOB_COMPLETE);
+  world_free (w);
+}
+
 /* An unfinished job's results were never counted as kept. */
 static void
 a_dropped_job_leaves_the_kept_answers_alone (void **state)
@@ -120,6 +139,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (an_announcement_starts_no_second_recovery),
     cmocka_unit_test (a_frozen_partition_starts_nothing_again),
+    cmocka_unit_test (a_refusal_of_an_earlier_epoch_is_late),
     cmocka_unit_test (a_dropped_job_leaves_the_kept_answers_alone),
     cmocka_unit_test (a_dropped_result_is_not_handed_over_as_done),
   };
