--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -42,6 +42,12 @@
 static void introduce (HsCore *core, HsNow now);
 static void send_to_peer (void *arg, HsConn *conn);
 static void answer_announce (HsCore *core, HsConn *conn, HsRpcCallId call);
+static void call_agent (HsCore *core,
+                        uint64_t agent,
+                        uint32_t proc,
+                        const void *args,
+                        HsTime timeout,
+                        HsRpcDone done);
 static void on_recovered (void *arg, HsRpcStatus status, const void *result);
 static void on_settled (void *arg, HsRpcStatus status, const void *result);
 static void
@@ -161,31 +167,14 @@
 void
 hs_agents_recover (void *arg, uint64_t agent, const hsx_recover_args *args)
 {
-  HsCore *core = arg;
-  HsConn *conn = hs_links_conn (core->links, agent);
-  AgentCall *call = talloc_zero (core, AgentCall);
-
-  call->core = core;
-  call->agent = agent;
-  if (conn == NULL
-      || !hs_conn_call (conn, HSX_RECOVER, args, RECOVER_CALL_TIMEOUT,
-                        on_recovered, call))
-    talloc_free (call);
+  call_agent (arg, agent, HSX_RECOVER, args, RECOVER_CALL_TIMEOUT,
+              on_recovered);
 }
 
 void
 hs_agents_settle (void *arg, uint64_t agent, const hsx_settle_args *args)
 {
-  HsCore *core = arg;
-  HsConn *conn = hs_links_conn (core->links, agent);
-  AgentCall *call = talloc_zero (core, AgentCall);
-
-  call->core = core;
-  call->agent = agent;
-  if (conn == NULL
-      || !hs_conn_call (conn, HSX_SETTLE, args, SETTLE_CALL_TIMEOUT, on_settled,
-                        call))
-    talloc_free (call);
+  call_agent (arg, agent, HSX_SETTLE, args, SETTLE_CALL_TIMEOUT, on_settled);
 }
 
 void
@@ -337,6 +326,24 @@
   hs_conn_reply (conn, call, HSX_ANNOUNCE, &reply);
 }
 
+/* Without a connection nothing is called back: the next one asks anew. */
+static void
+call_agent (HsCore *core,
+            uint64_t agent,
+            uint32_t proc,
+            const void *args,
+            HsTime timeout,
+            HsRpcDone done)
+{
+  HsConn *conn = hs_links_conn (core->links, agent);
+  AgentCall *call = talloc_zero (core, AgentCall);
+
+  call->core = core;
+  call->agent = agent;
+  if (conn == NULL || !hs_conn_call (conn, proc, args, timeout, done, call))
+    talloc_free (call);
+}
+
 static void
 on_recovered (void *arg, HsRpcStatus status, const void *result)
 {
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -223,14 +223,24 @@
   world_free (to);
 }
 
+/* Freezes the partition and passes it; the record isn't written yet. */
+static void
+pass_part (World *from, World *to)
+{
+  hsx_handover_args *messages;
+  size_t n;
+
+  hs_owner_freeze (from->owner, world_part ());
+  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
+  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+}
+
 /* A World that has adopted a job of 2 tasks in flight and asked for them. */
 static World *
 adopting_world (void)
 {
   World *from = world_new ();
   World *to = world_new ();
-  hsx_handover_args *messages;
-  size_t n;
 
   world_own (from, EPOCH, 0);
   world_agent (from, AGENT);
@@ -238,9 +248,7 @@
   world_agent (to, AGENT);
   world_submit (from, world_id (from, 0, 1), 2, 'x');
   assert_int_equal (from->starts->len, 2);
-  hs_owner_freeze (from->owner, world_part ());
-  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
-  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  pass_part (from, to);
   world_own_handed (to, EPOCH + 1, EPOCH);
   assert_int_equal (to->settles->len, 1);
   world_free (from);
@@ -294,15 +302,11 @@
   World *from = world_new ();
   World *to = world_new ();
   char *id = world_id (from, 0, 1);
-  hsx_handover_args *messages;
-  size_t n;
 
   (void) state;
   world_own (from, EPOCH, 0);
   world_submit (from, id, 1, 'x');
-  hs_owner_freeze (from->owner, world_part ());
-  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
-  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  pass_part (from, to);
   world_own_handed (to, EPOCH + 2, EPOCH + 1);
   assert_int_equal (hs_owner_unfinished (to->owner), 0);
   world_free (from);
@@ -317,17 +321,13 @@
   World *to = world_new ();
   char *id = world_id (from, 0, 1);
   hsx_result done = world_record (id, 0, HSX_DONE);
-  hsx_handover_args *messages;
   HsWaiter waiter;
-  size_t n;
 
   (void) state;
   world_agent (from, AGENT);
   world_own (from, EPOCH + 1, EPOCH);
   world_recovered (from, AGENT, &done, 1);
-  hs_owner_freeze (from->owner, world_part ());
-  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
-  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  pass_part (from, to);
   world_agent (to, OTHER_AGENT);
   world_own_handed (to, EPOCH + 2, EPOCH + 1);
   world_recovered (to, OTHER_AGENT, NULL, 0);
@@ -345,16 +345,12 @@
   World *from = world_new ();
   World *to = world_new ();
   char *id = world_id (from, 0, 1);
-  hsx_handover_args *messages;
   HsWaiter waiter;
-  size_t n;
 
   (void) state;
   world_own (from, EPOCH, 0);
   world_submit (from, id, 1, 'x');
-  hs_owner_freeze (from->owner, world_part ());
-  messages = hs_owner_export (from->owner, from, world_part (), from->now, &n);
-  assert_true (hs_owner_import (to->owner, &messages[0], to->now));
+  pass_part (from, to);
   hs_owner_thaw (from->owner, world_part (), from->now);
   world_agent (from, OTHER_AGENT);
   assert_int_equal (from->starts->len, 1);
