--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CFLAGS += -std=gnu11 -g $(OPT) -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -Wvla \
 	-fno-omit-frame-pointer -pthread -D_GNU_SOURCE \
-	-DG_LOG_USE_STRUCTURED -Isrc
+	-DG_LOG_USE_STRUCTURED -Isrc -I.
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
 SAN_FLAGS :=
@@ -26,7 +26,7 @@
 endif
 
 SRCS :=
-include $(sort $(wildcard src/*/part.mk))
+include $(sort $(wildcard src/*/part.mk platform/part.mk))
 LIB_OBJS := $(SRCS:%.c=$(B)/%.o)
 BIN := $(B)/hibiscusspoke
 TESTS := $(patsubst test/%.c,$(B)/test/%,$(sort $(wildcard test/test_*.c)))
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -3,8 +3,10 @@
 
 #include "agent/agent.h"
 #include "base/log.h"
+#include "direct/agent.h"
 
-static bool parse_options (int argc, char **argv, char **file);
+static bool
+parse_options (int argc, char **argv, char **file, char **platform);
 static int run (const HsSettings *settings);
 static void on_signal (struct tevent_context *ev,
                        struct tevent_signal *se,
@@ -17,12 +19,15 @@
 hs_agent_main (int argc, char **argv)
 {
   g_autofree char *file = NULL;
+  g_autofree char *platform = NULL;
   g_autoptr (GError) error = NULL;
   HsSettings *settings;
   int status;
 
-  if (!parse_options (argc, argv, &file))
+  if (!parse_options (argc, argv, &file, &platform))
     return 2;
+  if (platform != NULL)
+    return hs_direct_agent_run (platform);
   settings = hs_settings_load (NULL, file, &error);
   if (settings == NULL)
     {
@@ -45,11 +50,13 @@
 }
 
 static bool
-parse_options (int argc, char **argv, char **file)
+parse_options (int argc, char **argv, char **file, char **platform)
 {
   const GOptionEntry options[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, file,
       "Read the settings from FILE", "FILE" },
+    { "platform", 'p', 0, G_OPTION_ARG_FILENAME, platform,
+      "Run on the users' platform, with the settings it renders", "FILE" },
     G_OPTION_ENTRY_NULL,
   };
   GOptionContext *context = g_option_context_new (NULL);
@@ -63,7 +70,7 @@
   g_option_context_free (context);
   if (!ok)
     fprintf (stderr, "hibiscusspoke agent: %s; see --help\n", error->message);
-  else if (*file == NULL)
+  else if (*file == NULL && *platform == NULL)
     {
       fprintf (stderr, "hibiscusspoke agent: no settings; give --settings\n");
       ok = false;
--- /dev/null
+++ b/src/base/timer.c
@@ -0,0 +1,109 @@
+#include "base/timer.h"
+
+#include <stdbool.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+/** A descriptor set to 0 would be disarmed. */
+#define SPAN_MIN (1 * HS_USEC)
+
+struct HsTimer
+{
+  int fd;
+  struct tevent_fd *event;
+  HsTimerFunc func;
+  void *arg;
+  HsTime due;   /* HS_NEVER: idle. */
+  HsTime armed; /* When the descriptor becomes readable; HS_NEVER: never. */
+};
+
+static int free_timer (HsTimer *timer);
+static void arm (HsTimer *timer, HsTime now);
+static void on_ready (struct tevent_context *ev,
+                      struct tevent_fd *event,
+                      uint16_t flags,
+                      void *arg);
+
+HsTimer *
+hs_timer_new (TALLOC_CTX *ctx,
+              struct tevent_context *ev,
+              HsTimerFunc func,
+              void *arg)
+{
+  HsTimer *timer = talloc_zero (ctx, HsTimer);
+
+  timer->func = func;
+  timer->arg = arg;
+  timer->due = HS_NEVER;
+  timer->armed = HS_NEVER;
+  timer->fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (timer->fd < 0)
+    g_error ("no descriptor for a timer; raise the limit on open files");
+  timer->event
+      = tevent_add_fd (ev, timer, timer->fd, TEVENT_FD_READ, on_ready, timer);
+  talloc_set_destructor (timer, free_timer);
+  return timer;
+}
+
+void
+hs_timer_set (HsTimer *timer, HsTime span, HsTime now)
+{
+  timer->due = now + MAX (span, 0);
+  if (timer->due < timer->armed)
+    arm (timer, now);
+}
+
+void
+hs_timer_clear (HsTimer *timer)
+{
+  timer->due = HS_NEVER;
+}
+
+static int
+free_timer (HsTimer *timer)
+{
+  TALLOC_FREE (timer->event);
+  close (timer->fd);
+  return 0;
+}
+
+static void
+arm (HsTimer *timer, HsTime now)
+{
+  HsTime span = MAX (timer->due - now, SPAN_MIN);
+  struct itimerspec spec = { .it_value = { .tv_sec = span / HS_SEC,
+                                           .tv_nsec = span % HS_SEC * 1000 } };
+
+  timer->armed = timer->due;
+  timerfd_settime (timer->fd, 0, &spec, NULL);
+}
+
+static void
+on_ready (struct tevent_context *ev,
+          struct tevent_fd *event,
+          uint16_t flags,
+          void *arg)
+{
+  HsTimer *timer = arg;
+  uint64_t n;
+  HsTime now;
+
+  (void) ev;
+  (void) event;
+  (void) flags;
+  if (read (timer->fd, &n, sizeof n) < 0)
+    return;
+  timer->armed = HS_NEVER;
+  if (timer->due == HS_NEVER)
+    return;
+  now = hs_now ().mono;
+  if (timer->due > now)
+    {
+      arm (timer, now);
+      return;
+    }
+  timer->due = HS_NEVER;
+  timer->func (timer->arg);
+}
--- /dev/null
+++ b/src/direct/agent_links.c
@@ -0,0 +1,376 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "direct/agent_private.h"
+#include "direct/liveness.h"
+
+/** Reports to an entry that waits for nothing are this far apart at least. */
+#define REPORT_SPAN (20 * HS_MSEC)
+
+/** Ends are told again on a new connection for so long. */
+#define TOLD_KEPT (2 * HS_SEC)
+
+static HsAgentPeer *find_peer (HsDirectAgent *agent, uint64_t incarnation);
+static HsAgentPeer *peer_of (HsDirectAgent *agent, HsConn *conn);
+static void drop_peer (HsDirectAgent *agent, HsAgentPeer *peer, const char *why);
+static void take_orders (HsDirectAgent *agent,
+                         HsAgentPeer *peer,
+                         const hsx_orders_args *orders);
+static void take_entries (HsDirectAgent *agent, const hsx_entries_args *args);
+static void report (HsDirectAgent *agent, HsAgentPeer *peer, HsTime now);
+static void forget_told (HsAgentPeer *peer, HsTime now);
+static bool is_urgent (const HsAgentPeer *peer, const hsx_room *room);
+
+void
+hs_agent_links_up (HsDirectAgent *agent, HsConn *conn)
+{
+  const hsx_hello *hello = hs_conn_peer (conn);
+  HsTime now = hs_now ().mono;
+  HsAgentPeer *peer;
+  uint32_t i;
+
+  hs_dialer_up (agent->dialer, conn);
+  if (hello->role != HSX_ROLE_ENTRY)
+    {
+      hs_conn_close (conn);
+      return;
+    }
+  /* Another life at the same address: the earlier one is over. */
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    if (agent->peers[i].used
+        && agent->peers[i].incarnation != hello->incarnation
+        && strcmp (agent->peers[i].address, hello->address) == 0)
+      drop_peer (agent, &agent->peers[i], "restarted");
+  peer = find_peer (agent, hello->incarnation);
+  if (peer == NULL)
+    {
+      hs_conn_close (conn);
+      return;
+    }
+  if (peer->conn != NULL)
+    {
+      HsConn *older = peer->conn;
+
+      peer->conn = NULL;
+      hs_conn_set_data (older, NULL);
+      hs_conn_close (older);
+    }
+  g_strlcpy (peer->address, hello->address, sizeof peer->address);
+  peer->conn = conn;
+  hs_conn_set_data (conn, peer);
+  peer->heard_at = now;
+  peer->orders_seen = 0;
+  peer->told_info = false;
+  peer->whole_due = true;
+  peer->report_due = true;
+  hs_event ("entry_up", "entry=%016" PRIx64 " address=%s", hello->incarnation,
+            hello->address);
+  hs_agent_schedule (agent);
+}
+
+void
+hs_agent_links_down (HsDirectAgent *agent, HsConn *conn, bool refused)
+{
+  HsAgentPeer *peer = peer_of (agent, conn);
+  HsTime now = hs_now ().mono;
+
+  (void) refused;
+  hs_dialer_down (agent->dialer, conn, now);
+  hs_agent_schedule (agent);
+  if (peer == NULL)
+    return;
+  peer->conn = NULL;
+  peer->heard_at = now;
+  hs_event ("entry_down", "entry=%016" PRIx64 " address=%s", peer->incarnation,
+            peer->address);
+}
+
+void
+hs_agent_links_call (HsDirectAgent *agent,
+                     HsConn *conn,
+                     uint32_t proc,
+                     const void *args)
+{
+  HsAgentPeer *peer = peer_of (agent, conn);
+
+  if (peer == NULL)
+    return;
+  peer->heard_at = hs_now ().mono;
+  switch (proc)
+    {
+    case HSX_ORDERS:
+      take_orders (agent, peer, args);
+      return;
+    case HSX_ENTRIES:
+      take_entries (agent, args);
+      return;
+    default:
+      hs_event ("protocol_error", "entry=%016" PRIx64 " procedure=%u",
+                peer->incarnation, proc);
+      hs_conn_close (conn);
+    }
+}
+
+void
+hs_agent_links_end (HsDirectAgent *agent, uint32_t handle, const hsx_end *end)
+{
+  HsAgentPeer *peer = &agent->peers[handle];
+  HsToldEnd told = { *end, hs_now ().mono };
+
+  g_array_append_val (peer->ends, *end);
+  g_array_append_val (peer->told_ends, told);
+  hs_agent_schedule (agent);
+}
+
+void
+hs_agent_links_changed (HsDirectAgent *agent)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    agent->peers[i].report_due = true;
+  hs_agent_schedule (agent);
+}
+
+HsTime
+hs_agent_links_flush (HsDirectAgent *agent, HsTime now)
+{
+  hsx_target_state state = hs_runs_state (agent->runs);
+  hsx_room room = hs_runs_free (agent->runs);
+  bool state_changed = state != agent->told_state;
+  HsTime due = HS_NEVER;
+  uint32_t i;
+
+  agent->told_state = state;
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    {
+      HsAgentPeer *peer = &agent->peers[i];
+      HsTime next;
+
+      if (!peer->used || peer->conn == NULL)
+        continue;
+      next = peer->reported_at + (peer->report_due ? REPORT_SPAN : HS_PULSE);
+      if (peer->ends->len > 0 || peer->whole_due || state_changed
+          || now >= next || (peer->report_due && is_urgent (peer, &room)))
+        {
+          report (agent, peer, now);
+          next = now + HS_PULSE;
+        }
+      due = MIN (due, next);
+    }
+  return due;
+}
+
+HsTime
+hs_agent_links_check (HsDirectAgent *agent, HsTime now)
+{
+  HsTime due = HS_NEVER;
+  uint32_t i;
+
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    {
+      HsAgentPeer *peer = &agent->peers[i];
+      HsTime until;
+
+      if (!peer->used)
+        continue;
+      until = peer->heard_at
+              + (peer->conn != NULL ? HS_SILENCE_MAX : HS_RECONNECT_MAX);
+      if (now >= until)
+        drop_peer (agent, peer, peer->conn != NULL ? "silent" : "gone");
+      else
+        due = MIN (due, until);
+    }
+  return due;
+}
+
+void
+hs_agent_links_thaw (HsDirectAgent *agent, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    if (agent->peers[i].conn != NULL)
+      agent->peers[i].heard_at = now;
+}
+
+uint32_t
+hs_agent_links_count (const HsDirectAgent *agent)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    n += agent->peers[i].conn != NULL;
+  return n;
+}
+
+static HsAgentPeer *
+find_peer (HsDirectAgent *agent, uint64_t incarnation)
+{
+  HsAgentPeer *peer = NULL;
+  uint32_t i;
+
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    if (agent->peers[i].used && agent->peers[i].incarnation == incarnation)
+      return &agent->peers[i];
+    else if (!agent->peers[i].used && peer == NULL)
+      peer = &agent->peers[i];
+  if (peer == NULL)
+    return NULL;
+  memset (peer, 0, sizeof *peer);
+  peer->used = true;
+  peer->incarnation = incarnation;
+  peer->ends = g_array_new (FALSE, FALSE, sizeof (hsx_end));
+  peer->told_ends = g_array_new (FALSE, FALSE, sizeof (HsToldEnd));
+  return peer;
+}
+
+static HsAgentPeer *
+peer_of (HsDirectAgent *agent, HsConn *conn)
+{
+  HsAgentPeer *peer = hs_conn_data (conn);
+
+  (void) agent;
+  return peer != NULL && peer->used && peer->conn == conn ? peer : NULL;
+}
+
+static void
+drop_peer (HsDirectAgent *agent, HsAgentPeer *peer, const char *why)
+{
+  HsConn *conn = peer->conn;
+
+  hs_event ("entry_lost", "entry=%016" PRIx64 " address=%s why=%s",
+            peer->incarnation, peer->address, why);
+  peer->conn = NULL;
+  hs_runs_peer_lost (agent->runs, (uint32_t) (peer - agent->peers),
+                     hs_now ().mono);
+  g_array_unref (peer->ends);
+  g_array_unref (peer->told_ends);
+  memset (peer, 0, sizeof *peer);
+  if (conn != NULL)
+    {
+      hs_conn_set_data (conn, NULL);
+      hs_conn_close (conn);
+    }
+}
+
+static void
+take_orders (HsDirectAgent *agent,
+             HsAgentPeer *peer,
+             const hsx_orders_args *orders)
+{
+  uint32_t handle = (uint32_t) (peer - agent->peers);
+  HsTime now = hs_now ().mono;
+  HsTime sent = orders->stamp_us + orders->stamp_age_us;
+  uint32_t i;
+  uint32_t k;
+
+  if (orders->agent != agent->incarnation)
+    return;
+  peer->orders_seen = orders->number;
+  if (orders->hungry && !peer->hungry)
+    peer->report_due = true;
+  peer->hungry = orders->hungry;
+  for (i = 0; i < orders->stops.stops_len; i++)
+    hs_runs_stop (agent->runs, handle, orders->stops.stops_val[i], now);
+  for (i = 0; i < orders->launches.launches_len; i++)
+    {
+      const hsx_launch *launch = &orders->launches.launches_val[i];
+
+      for (k = 0; k < launch->tasks.tasks_len; k++)
+        hs_runs_launch (agent->runs, handle, launch,
+                        &launch->tasks.tasks_val[k], sent, now);
+    }
+  hs_agent_schedule (agent);
+}
+
+static void
+take_entries (HsDirectAgent *agent, const hsx_entries_args *args)
+{
+  HsTime now = hs_now ().mono;
+  uint32_t i;
+
+  for (i = 0; i < args->entries.entries_len; i++)
+    hs_dialer_add (agent->dialer, args->entries.entries_val[i].address, false,
+                   now);
+  hs_agent_schedule (agent);
+}
+
+static void
+fill_info (HsDirectAgent *agent, hsx_target_info *info)
+{
+  const HsAnnouncement *target = hs_runs_target (agent->runs);
+
+  info->name = (char *) target->name;
+  info->service = (char *) target->service;
+  info->rack = (char *) target->rack;
+  info->host = agent->settings->host;
+  info->capacity = target->capacity;
+}
+
+static void
+report (HsDirectAgent *agent, HsAgentPeer *peer, HsTime now)
+{
+  uint32_t handle = (uint32_t) (peer - agent->peers);
+  hsx_report_args args = { .agent = agent->incarnation,
+                           .stamp_us = now,
+                           .orders_seen = peer->orders_seen,
+                           .state = hs_runs_state (agent->runs),
+                           .free = hs_runs_free (agent->runs) };
+  uint64_t held[HSX_RECORDS_MAX];
+  hsx_target_info info;
+  GArray *ends = peer->ends;
+  guint i;
+
+  forget_told (peer, now);
+  if (hs_runs_target (agent->runs) != NULL && !peer->told_info)
+    {
+      fill_info (agent, &info);
+      args.info = &info;
+      peer->told_info = true;
+    }
+  if (peer->whole_due)
+    {
+      args.whole = TRUE;
+      args.held.held_val = held;
+      args.held.held_len
+          = hs_runs_held (agent->runs, handle, held, HSX_RECORDS_MAX);
+      g_array_set_size (ends, 0);
+      for (i = 0; i < peer->told_ends->len; i++)
+        g_array_append_val (ends,
+                            g_array_index (peer->told_ends, HsToldEnd, i).end);
+    }
+  args.ends.ends_val = (hsx_end *) (void *) ends->data;
+  args.ends.ends_len = MIN (ends->len, HSX_BATCH_MAX);
+  if (!hs_conn_call (peer->conn, HSX_REPORT, &args, HS_NEVER, NULL, NULL))
+    return;
+  g_array_remove_range (ends, 0, args.ends.ends_len);
+  peer->whole_due = false;
+  peer->report_due = false;
+  peer->reported_at = now;
+  peer->told_room = args.free;
+}
+
+static void
+forget_told (HsAgentPeer *peer, HsTime now)
+{
+  guint n = 0;
+
+  while (n < peer->told_ends->len
+         && now - g_array_index (peer->told_ends, HsToldEnd, n).at > TOLD_KEPT)
+    n++;
+  if (n > 0)
+    g_array_remove_range (peer->told_ends, 0, n);
+}
+
+/* An entry with waiting work hears of room at once. */
+static bool
+is_urgent (const HsAgentPeer *peer, const hsx_room *room)
+{
+  return peer->hungry
+         && (room->cpu_milli > peer->told_room.cpu_milli
+             || room->memory_mb > peer->told_room.memory_mb
+             || room->accelerators > peer->told_room.accelerators);
+}
--- /dev/null
+++ b/src/direct/agent_private.h
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * Shared by the files of the agent of direct jobs.
+ */
+#ifndef HS_DIRECT_AGENT_PRIVATE_H
+#define HS_DIRECT_AGENT_PRIVATE_H
+
+#include "base/timer.h"
+#include "direct/dialer.h"
+#include "direct/runs.h"
+#include "metrics/metrics.h"
+#include "platform/settings.h"
+#include "platform/target_client.h"
+#include "store/store.h"
+
+/** Entries at once; more than the largest deployment has. */
+#define HS_ENTRIES_MAX 128
+
+/** An end that was told, kept in case its message is lost. */
+typedef struct
+{
+  hsx_end end;
+  HsTime at;
+} HsToldEnd;
+
+/** One life of an entry. */
+typedef struct
+{
+  bool used;
+  uint64_t incarnation;
+  char address[HSX_ADDRESS_MAX + 1];
+  HsConn *conn; /**< NULL: lost since `heard_at`. */
+  HsTime heard_at;
+  HsTime reported_at;
+  uint32_t orders_seen;
+  bool hungry;
+  bool told_info;
+  bool report_due; /**< Room or state have changed since the last one. */
+  bool whole_due;
+  GArray *ends;      /**< hsx_end, to be told. */
+  GArray *told_ends; /**< HsToldEnd, oldest first. */
+  hsx_room told_room;
+} HsAgentPeer;
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsPlatformSettings *settings;
+  char *settings_path;
+  uint64_t incarnation;
+  HsRpc *rpc;
+  HsDialer *dialer;
+  HsRuns *runs;
+  HsTargetClient *client;
+  HsStore *store;
+  bool asks_store;
+  HsTime asked_store_at;
+  HsTimer *timer;
+  struct tevent_immediate *turn;
+  bool turn_scheduled;
+  HsTime alive_at; /**< When the loop last turned. */
+  bool leaving;
+  HsTime leave_at;
+  HsTime idle_since; /**< Leaving: no task runs since. */
+  bool done;
+  hsx_target_state told_state;
+  HsAgentPeer peers[HS_ENTRIES_MAX];
+  HsMetrics *metrics;
+  HsCounter *counters[HSX_END_STALLED + 1]; /**< Ends by how. */
+  HsHistogram *run_times;
+} HsDirectAgent;
+
+/** @name agent_links.c: what entries are told and say @{ */
+void hs_agent_links_up (HsDirectAgent *agent, HsConn *conn);
+void hs_agent_links_down (HsDirectAgent *agent, HsConn *conn, bool refused);
+void hs_agent_links_call (HsDirectAgent *agent,
+                          HsConn *conn,
+                          uint32_t proc,
+                          const void *args);
+void hs_agent_links_end (HsDirectAgent *agent, uint32_t peer, const hsx_end *end);
+void hs_agent_links_changed (HsDirectAgent *agent);
+
+/** Sends reports that are due; returns when the next one is. */
+HsTime hs_agent_links_flush (HsDirectAgent *agent, HsTime now);
+
+/** Drops entries that are silent or gone; returns when to look again. */
+HsTime hs_agent_links_check (HsDirectAgent *agent, HsTime now);
+
+/** After a pause of this process: silence counts anew. */
+void hs_agent_links_thaw (HsDirectAgent *agent, HsTime now);
+
+uint32_t hs_agent_links_count (const HsDirectAgent *agent);
+/** @} */
+
+/** Arranges that all that is due is done after this turn of the loop. */
+void hs_agent_schedule (HsDirectAgent *agent);
+
+#endif
--- /dev/null
+++ b/src/direct/dialer.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * Keeps connections to the entries: dials each known address until it is
+ * connected, and again when the connection ends.
+ */
+#ifndef HS_DIRECT_DIALER_H
+#define HS_DIRECT_DIALER_H
+
+#include "base/time.h"
+#include "rpc/conn.h"
+
+typedef struct HsDialer HsDialer;
+
+/** @param self this process's own address, never dialled; or NULL */
+HsDialer *hs_dialer_new (TALLOC_CTX *ctx, HsRpc *rpc, const char *self);
+
+/** Adds an address. @param seed it is kept though nobody ever answers */
+void
+hs_dialer_add (HsDialer *dialer, const char *address, bool seed, HsTime now);
+
+/** A connection came up. */
+void hs_dialer_up (HsDialer *dialer, HsConn *conn);
+
+/** A connection ended; true if it was dialled here. */
+bool hs_dialer_down (HsDialer *dialer, HsConn *conn, HsTime now);
+
+/** Whether an address is connected from here. */
+bool hs_dialer_is_up (const HsDialer *dialer, const char *address);
+
+/** Dials what is due; returns when it has to be called next. */
+HsTime hs_dialer_tick (HsDialer *dialer, HsTime now);
+
+#endif
--- /dev/null
+++ b/src/direct/entry_links.c
@@ -0,0 +1,438 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "direct/entry_private.h"
+#include "direct/liveness.h"
+
+static void agent_up (HsDirectEntry *entry, HsConn *conn);
+static void peer_up (HsDirectEntry *entry, HsConn *conn);
+static HsAgentLink *link_at (HsDirectEntry *entry, uint32_t target);
+static uint32_t target_of (const HsDirectEntry *entry, const HsConn *conn);
+static HsEntryPeer *peer_of (HsDirectEntry *entry, const HsConn *conn);
+static void
+take_report (HsDirectEntry *entry, uint32_t target, const hsx_report_args *args);
+static void succeed (HsDirectEntry *entry, uint32_t target, HsTime now);
+static void
+lose (HsDirectEntry *entry, uint32_t target, bool over, const char *why);
+static void
+send_orders (HsDirectEntry *entry, uint32_t target, bool hungry, HsTime now);
+static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
+static void outbox_clear (HsOutbox *outbox);
+static void send_entries (HsDirectEntry *entry, HsConn *conn);
+static void send_entries_to_all (HsDirectEntry *entry);
+
+void
+hs_entry_links_up (HsDirectEntry *entry, HsConn *conn)
+{
+  const hsx_hello *hello = hs_conn_peer (conn);
+
+  hs_dialer_up (entry->dialer, conn);
+  if (hello->incarnation == entry->incarnation)
+    hs_conn_close (conn);
+  else if (hello->role == HSX_ROLE_AGENT)
+    agent_up (entry, conn);
+  else
+    peer_up (entry, conn);
+}
+
+void
+hs_entry_links_down (HsDirectEntry *entry, HsConn *conn)
+{
+  uint32_t target = target_of (entry, conn);
+  HsEntryPeer *peer = peer_of (entry, conn);
+  HsTime now = hs_now ().mono;
+
+  hs_dialer_down (entry->dialer, conn, now);
+  if (target != HS_TARGET_NONE)
+    {
+      HsAgentLink *link = link_at (entry, target);
+
+      hs_event ("agent_down", "host=%s",
+                hs_targets_get (entry->targets, target)->host);
+      link->conn = NULL;
+      link->lost_at = now;
+      outbox_clear (&link->outbox);
+      hs_targets_disconnect (entry->targets, target);
+    }
+  if (peer != NULL)
+    {
+      hs_event ("entry_down", "address=%s", peer->address);
+      memset (peer, 0, sizeof *peer);
+    }
+  hs_entry_schedule (entry, false);
+}
+
+void
+hs_entry_links_call (HsDirectEntry *entry,
+                     HsConn *conn,
+                     uint32_t proc,
+                     const void *args)
+{
+  uint32_t target = target_of (entry, conn);
+  HsEntryPeer *peer = peer_of (entry, conn);
+  const hsx_entries_args *entries = args;
+  uint32_t i;
+
+  if (proc == HSX_REPORT && target != HS_TARGET_NONE)
+    take_report (entry, target, args);
+  else if (proc == HSX_ENTRIES && peer != NULL)
+    {
+      for (i = 0; i < entries->entries.entries_len; i++)
+        hs_dialer_add (entry->dialer, entries->entries.entries_val[i].address,
+                       false, hs_now ().mono);
+      hs_entry_schedule (entry, false);
+    }
+  else if (proc == HSX_CONFIGURATION && peer != NULL)
+    hs_entry_config_take (entry, peer, args);
+  else if (target != HS_TARGET_NONE || peer != NULL)
+    {
+      hs_event ("protocol_error", "procedure=%u", proc);
+      hs_conn_close (conn);
+    }
+}
+
+uint32_t
+hs_entry_links_launch (HsDirectEntry *entry,
+                       uint32_t target,
+                       const hsx_launch *job,
+                       const hsx_launch_task *task)
+{
+  HsAgentLink *link = link_at (entry, target);
+  HsOutbox *outbox = &link->outbox;
+  hsx_launch *last = NULL;
+  hsx_launch copy;
+
+  if (link->conn == NULL)
+    return 0;
+  outbox_open (entry, outbox);
+  if (outbox->launches->len > 0)
+    last = &g_array_index (outbox->launches, hsx_launch,
+                           outbox->launches->len - 1);
+  if (last == NULL || strcmp (last->job, job->job) != 0
+      || last->tasks.tasks_len == HSX_TASKS_MAX)
+    {
+      copy = *job;
+      copy.job = talloc_strdup (outbox->ctx, job->job);
+      copy.spec.spec_val = talloc_memdup (outbox->ctx, job->spec.spec_val,
+                                          job->spec.spec_len);
+      copy.tasks.tasks_val
+          = talloc_array (outbox->ctx, hsx_launch_task, HSX_TASKS_MAX);
+      copy.tasks.tasks_len = 0;
+      g_array_append_val (outbox->launches, copy);
+      last = &g_array_index (outbox->launches, hsx_launch,
+                             outbox->launches->len - 1);
+    }
+  last->tasks.tasks_val[last->tasks.tasks_len++] = *task;
+  hs_entry_schedule (entry, false);
+  return hs_targets_get (entry->targets, target)->sent + 1;
+}
+
+void
+hs_entry_links_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref)
+{
+  HsAgentLink *link = link_at (entry, target);
+
+  if (link->conn == NULL)
+    return;
+  outbox_open (entry, &link->outbox);
+  g_array_append_val (link->outbox.stops, ref);
+  hs_entry_schedule (entry, false);
+}
+
+HsTime
+hs_entry_links_flush (HsDirectEntry *entry, HsTime now)
+{
+  bool hungry = hs_jobs_hungry (entry->jobs);
+  HsTime due = HS_NEVER;
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    {
+      HsAgentLink *link = &entry->links[i];
+
+      if (link->conn == NULL)
+        continue;
+      if (link->outbox.ctx != NULL || (hungry && !link->told_hungry)
+          || now >= link->ordered_at + HS_PULSE)
+        send_orders (entry, i, hungry, now);
+      due = MIN (due, link->ordered_at + HS_PULSE);
+    }
+  return due;
+}
+
+HsTime
+hs_entry_links_check (HsDirectEntry *entry, HsTime now)
+{
+  HsTime due = HS_NEVER;
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    {
+      HsAgentLink *link = &entry->links[i];
+      HsTarget *target;
+      HsTime until;
+
+      if (i >= hs_targets_bound (entry->targets))
+        break;
+      target = hs_targets_get (entry->targets, i);
+      if (!target->used)
+        continue;
+      until = link->conn != NULL ? target->heard_at + HS_SILENCE_MAX
+                                 : link->lost_at + HS_RECONNECT_MAX;
+      if (now >= until)
+        lose (entry, i, false, link->conn != NULL ? "silent" : "gone");
+      else
+        due = MIN (due, until);
+    }
+  return due;
+}
+
+void
+hs_entry_links_thaw (HsDirectEntry *entry, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    if (entry->links[i].conn != NULL)
+      hs_targets_get (entry->targets, i)->heard_at = now;
+}
+
+bool
+hs_entry_links_any (const HsDirectEntry *entry)
+{
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    if (entry->links[i].conn != NULL
+        && hs_targets_get (entry->targets, i)->state == HSX_TARGET_READY)
+      return true;
+  return false;
+}
+
+static void
+agent_up (HsDirectEntry *entry, HsConn *conn)
+{
+  const hsx_hello *hello = hs_conn_peer (conn);
+  HsTime now = hs_now ().mono;
+  uint32_t target = hs_targets_connect (entry->targets, hello->incarnation,
+                                        hello->data_centre, conn, now);
+  HsAgentLink *link = link_at (entry, target);
+  HsConn *older = link->conn;
+
+  link->conn = conn;
+  link->ordered_at = 0;
+  link->told_hungry = false;
+  outbox_clear (&link->outbox);
+  if (older != NULL)
+    hs_conn_close (older);
+  hs_event ("agent_up", "agent=%016" PRIx64 " data_centre=%s",
+            hello->incarnation, hello->data_centre);
+  send_entries (entry, conn);
+  hs_entry_schedule (entry, false);
+}
+
+static void
+peer_up (HsDirectEntry *entry, HsConn *conn)
+{
+  const hsx_hello *hello = hs_conn_peer (conn);
+  uint32_t i;
+
+  for (i = 0; i < HS_PEERS_MAX && entry->peers[i].used; i++)
+    ;
+  if (i == HS_PEERS_MAX)
+    {
+      hs_event ("entry_refused", "address=%s why=too_many", hello->address);
+      hs_conn_close (conn);
+      return;
+    }
+  entry->peers[i].used = true;
+  entry->peers[i].conn = conn;
+  entry->peers[i].incarnation = hello->incarnation;
+  g_strlcpy (entry->peers[i].address, hello->address,
+             sizeof entry->peers[i].address);
+  hs_dialer_add (entry->dialer, hello->address, false, hs_now ().mono);
+  hs_event ("entry_up", "entry=%016" PRIx64 " address=%s", hello->incarnation,
+            hello->address);
+  send_entries_to_all (entry);
+  hs_entry_config_peer_up (entry, &entry->peers[i]);
+  hs_entry_schedule (entry, false);
+}
+
+static HsAgentLink *
+link_at (HsDirectEntry *entry, uint32_t target)
+{
+  if (target >= entry->n_links)
+    {
+      entry->links
+          = talloc_realloc (entry, entry->links, HsAgentLink, target + 1);
+      memset (&entry->links[entry->n_links], 0,
+              (target + 1 - entry->n_links) * sizeof *entry->links);
+      entry->n_links = target + 1;
+    }
+  return &entry->links[target];
+}
+
+static uint32_t
+target_of (const HsDirectEntry *entry, const HsConn *conn)
+{
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    if (entry->links[i].conn == conn)
+      return i;
+  return HS_TARGET_NONE;
+}
+
+static HsEntryPeer *
+peer_of (HsDirectEntry *entry, const HsConn *conn)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used && entry->peers[i].conn == conn)
+      return &entry->peers[i];
+  return NULL;
+}
+
+static void
+take_report (HsDirectEntry *entry, uint32_t target, const hsx_report_args *args)
+{
+  HsTarget *row = hs_targets_get (entry->targets, target);
+  hsx_target_state before = row->state;
+  HsTime now = hs_now ().mono;
+  uint32_t i;
+
+  hs_targets_report (entry->targets, target, args, now);
+  if (row->state != before)
+    hs_event ("target", "host=%s name=%s state=%d free_milli=%u", row->host,
+              row->name, (int) row->state, row->told.cpu_milli);
+  if (row->state == HSX_TARGET_READY && before != HSX_TARGET_READY)
+    succeed (entry, target, now);
+  for (i = 0; i < args->ends.ends_len; i++)
+    hs_jobs_ended (entry->jobs, target, &args->ends.ends_val[i], now);
+  if (args->whole)
+    hs_jobs_held (entry->jobs, target, args->held.held_val, args->held.held_len,
+                  now);
+  if (args->whole || args->ends.ends_len > 0 || hs_jobs_hungry (entry->jobs))
+    hs_entry_schedule (entry, true);
+}
+
+/* An agent grants room only once all that an earlier life of it ran has
+   ended. */
+static void
+succeed (HsDirectEntry *entry, uint32_t target, HsTime now)
+{
+  const HsTarget *row = hs_targets_get (entry->targets, target);
+  uint32_t i;
+
+  (void) now;
+  for (i = 0; i < entry->n_links; i++)
+    {
+      const HsTarget *other = hs_targets_get (entry->targets, i);
+
+      if (i != target && other->used && !other->connected
+          && strcmp (other->host, row->host) == 0)
+        lose (entry, i, true, "restarted");
+    }
+}
+
+static void
+lose (HsDirectEntry *entry, uint32_t target, bool over, const char *why)
+{
+  HsTarget *row = hs_targets_get (entry->targets, target);
+  HsAgentLink *link = link_at (entry, target);
+  HsConn *conn = link->conn;
+  HsTime now = hs_now ().mono;
+
+  hs_event ("agent_lost", "host=%s agent=%016" PRIx64 " tasks=%u why=%s",
+            row->host, row->agent, row->n_held, why);
+  link->conn = NULL;
+  outbox_clear (&link->outbox);
+  hs_jobs_target_lost (entry->jobs, target, over, now);
+  hs_targets_drop (entry->targets, target);
+  if (conn != NULL)
+    hs_conn_close (conn);
+  hs_entry_schedule (entry, true);
+}
+
+static void
+send_orders (HsDirectEntry *entry, uint32_t handle, bool hungry, HsTime now)
+{
+  HsTarget *target = hs_targets_get (entry->targets, handle);
+  HsAgentLink *link = &entry->links[handle];
+  HsOutbox *outbox = &link->outbox;
+  hsx_orders_args args = { .agent = target->agent,
+                           .number = target->sent + 1,
+                           .stamp_us = target->stamp_us,
+                           .hungry = hungry };
+
+  args.stamp_age_us
+      = (unsigned int) CLAMP (now - target->heard_at, 0, UINT32_MAX);
+  if (outbox->ctx != NULL)
+    {
+      args.launches.launches_val
+          = (hsx_launch *) (void *) outbox->launches->data;
+      args.launches.launches_len = outbox->launches->len;
+      args.stops.stops_val = (uint64_t *) (void *) outbox->stops->data;
+      args.stops.stops_len = outbox->stops->len;
+    }
+  target->sent++;
+  link->ordered_at = now;
+  link->told_hungry = hungry;
+  hs_conn_call (link->conn, HSX_ORDERS, &args, HS_NEVER, NULL, NULL);
+  outbox_clear (outbox);
+}
+
+static void
+outbox_open (HsDirectEntry *entry, HsOutbox *outbox)
+{
+  if (outbox->ctx != NULL)
+    return;
+  outbox->ctx = talloc_new (entry);
+  outbox->launches = g_array_new (FALSE, FALSE, sizeof (hsx_launch));
+  outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+}
+
+static void
+outbox_clear (HsOutbox *outbox)
+{
+  if (outbox->ctx == NULL)
+    return;
+  g_array_unref (outbox->launches);
+  g_array_unref (outbox->stops);
+  TALLOC_FREE (outbox->ctx);
+}
+
+static void
+send_entries (HsDirectEntry *entry, HsConn *conn)
+{
+  hsx_entry_info list[HS_PEERS_MAX + 1];
+  hsx_entries_args args = { .entries.entries_val = list };
+  uint32_t i;
+
+  list[args.entries.entries_len++]
+      = (hsx_entry_info){ .incarnation = entry->incarnation,
+                          .address = entry->settings->control_listen,
+                          .data_centre = entry->settings->data_centre };
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used)
+      list[args.entries.entries_len++]
+          = (hsx_entry_info){ .incarnation = entry->peers[i].incarnation,
+                              .address = entry->peers[i].address,
+                              .data_centre = (char *) "" };
+  hs_conn_call (conn, HSX_ENTRIES, &args, HS_NEVER, NULL, NULL);
+}
+
+static void
+send_entries_to_all (HsDirectEntry *entry)
+{
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    if (entry->links[i].conn != NULL)
+      send_entries (entry, entry->links[i].conn);
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used)
+      send_entries (entry, entry->peers[i].conn);
+}
--- /dev/null
+++ b/src/direct/entry_private.h
@@ -0,0 +1,148 @@
+/**
+ * @file
+ * Shared by the files of the entry of direct jobs.
+ */
+#ifndef HS_DIRECT_ENTRY_PRIVATE_H
+#define HS_DIRECT_ENTRY_PRIVATE_H
+
+#include "base/timer.h"
+#include "direct/dialer.h"
+#include "direct/jobs.h"
+#include "direct/process.h"
+#include "direct/routes.h"
+#include "metrics/metrics.h"
+#include "platform/callers.h"
+#include "platform/settings.h"
+#include "store/store.h"
+
+/** Other entries at once; more than the largest deployment has. */
+#define HS_PEERS_MAX 128
+
+/** Orders that wait for the end of the loop's turn. */
+typedef struct
+{
+  TALLOC_CTX *ctx; /**< Of everything in it; NULL: it is empty. */
+  GArray *launches; /**< hsx_launch. */
+  GArray *stops;    /**< uint64_t. */
+} HsOutbox;
+
+/** An agent by its target's handle. */
+typedef struct
+{
+  HsConn *conn;    /**< NULL: lost since `lost_at`. */
+  HsTime lost_at;
+  HsTime ordered_at; /**< Last orders. */
+  bool told_hungry;
+  HsOutbox outbox;
+} HsAgentLink;
+
+/** Another entry. */
+typedef struct
+{
+  bool used;
+  HsConn *conn;
+  char address[HSX_ADDRESS_MAX + 1];
+  uint64_t incarnation;
+  int64_t revision; /**< Of the configuration that it is known to have. */
+} HsEntryPeer;
+
+typedef enum
+{
+  HS_ENTRY_SERVING,
+  HS_ENTRY_DRAINING /**< Told to stop. */
+} HsEntryStage;
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsPlatformSettings *settings;
+  char *settings_path;
+  HsReload *reload;
+  HsTime reload_at;
+  uint64_t incarnation;
+  HsCallers *callers;
+  HsRpc *rpc;
+  HsDialer *dialer;
+  HsTargets *targets;
+  HsJobs *jobs;
+  HsTimer *timer;
+  struct tevent_immediate *turn;
+  bool turn_scheduled;
+  bool pump_due;
+  HsTime alive_at;   /**< When the loop last turned. */
+  HsTime thaw_until; /**< Requests that come before may be old. */
+  HsEntryStage stage;
+  HsTime term_at;
+  bool done;
+  HsAgentLink *links; /**< By target handle. */
+  uint32_t n_links;
+  HsEntryPeer peers[HS_PEERS_MAX];
+  /** @name The configuration; entry_config.c @{ */
+  HsStore *store;
+  HsStoreWatch *watch;
+  HsRoutes *routes; /**< NULL: none yet. */
+  char *config_text;
+  size_t config_len;
+  int64_t config_revision;
+  HsTime config_at; /**< When it came. */
+  HsTime share_at;  /**< When peers without it are sent it; HS_NEVER. */
+  HsTime read_at;   /**< When it is read; HS_NEVER: not now. */
+  bool reading;
+  /** @} */
+  /** @name The entry's key in the store; entry_key.c @{ */
+  int64_t lease;
+  HsTime key_due;
+  bool key_busy;
+  bool key_there;
+  /** @} */
+  HsMetrics *metrics;
+  HsCounter *answers[HS_ANSWER_CANCELLED + 1];
+  HsHistogram *waits;
+  HsHistogram *latencies;
+} HsDirectEntry;
+
+/** @name entry_config.c: the operators' configuration @{ */
+void hs_entry_config_start (HsDirectEntry *entry);
+HsTime hs_entry_config_tick (HsDirectEntry *entry, HsTime now);
+void hs_entry_config_peer_up (HsDirectEntry *entry, HsEntryPeer *peer);
+void hs_entry_config_take (HsDirectEntry *entry,
+                           HsEntryPeer *peer,
+                           const hsx_configuration_args *args);
+/** @} */
+
+/** @name entry_key.c: this entry's key in the store @{ */
+HsTime hs_entry_key_tick (HsDirectEntry *entry, HsTime now);
+/** Removes it, as a planned stop begins. */
+void hs_entry_key_end (HsDirectEntry *entry);
+/** @} */
+
+/** @name entry_links.c: agents and other entries @{ */
+void hs_entry_links_up (HsDirectEntry *entry, HsConn *conn);
+void hs_entry_links_down (HsDirectEntry *entry, HsConn *conn);
+void hs_entry_links_call (HsDirectEntry *entry,
+                          HsConn *conn,
+                          uint32_t proc,
+                          const void *args);
+uint32_t hs_entry_links_launch (HsDirectEntry *entry,
+                                uint32_t target,
+                                const hsx_launch *job,
+                                const hsx_launch_task *task);
+void hs_entry_links_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref);
+
+/** Sends orders that are due; returns when the next ones are. */
+HsTime hs_entry_links_flush (HsDirectEntry *entry, HsTime now);
+
+/** Gives up agents that are silent or gone; returns when to look again. */
+HsTime hs_entry_links_check (HsDirectEntry *entry, HsTime now);
+
+void hs_entry_links_thaw (HsDirectEntry *entry, HsTime now);
+
+/** Whether any target may be used. */
+bool hs_entry_links_any (const HsDirectEntry *entry);
+/** @} */
+
+/** Arranges that all that is due is done after this turn of the loop.
+ *  @param pump whether jobs may be placed */
+void hs_entry_schedule (HsDirectEntry *entry, bool pump);
+
+#endif
--- /dev/null
+++ b/src/direct/jobs_private.h
@@ -0,0 +1,86 @@
+/**
+ * @file
+ * Shared by the files that keep an entry's direct jobs.
+ */
+#ifndef HS_DIRECT_JOBS_PRIVATE_H
+#define HS_DIRECT_JOBS_PRIVATE_H
+
+#include "direct/jobs.h"
+
+typedef enum
+{
+  HS_TASK_WAITING,
+  HS_TASK_SENT,
+  HS_TASK_DONE
+} HsTaskState;
+
+typedef struct
+{
+  HsTaskState state;
+  uint32_t attempt;
+  uint32_t failures;
+  uint32_t target;     /**< Sent: where. */
+  uint32_t avoid;      /**< Where it failed last, or HS_TARGET_NONE. */
+  uint64_t ref;        /**< Sent: of this start. */
+  HsTime sent_at;
+} HsTask;
+
+typedef struct
+{
+  bool used;
+  uint64_t request;
+  char *id;
+  char *customer_name;
+  char *service;
+  char *spec;
+  size_t spec_len;
+  uint32_t customer;
+  hsx_room needs;
+  HsTime estimate;
+  HsTime expected;
+  HsTime objective;
+  HsTime arrived;
+  HsTime deadline;
+  HsTime wait_until; /**< Refused then, if nothing of it was sent. */
+  HsTime late_at;    /**< Worth nothing after this. */
+  HsTime first_sent; /**< 0: nothing yet. */
+  double work;       /**< Expected core-seconds. */
+  uint32_t max_failures;
+  uint32_t n_tasks;
+  uint32_t n_waiting;
+  uint32_t n_sent;
+  uint32_t n_done;
+  uint32_t n_starts;
+  bool may_have_run; /**< A task has ended after it had started. */
+  HsTask *tasks;
+} HsJob;
+
+struct HsJobs
+{
+  HsTargets *targets;
+  HsDemand *demand;
+  char *data_centre;
+  const HsJobsEffects *effects;
+  void *arg;
+  HsJob *jobs;
+  uint32_t n_jobs;  /**< Size of the table. */
+  uint32_t n_used;
+  uint32_t next_generation;
+  double drain;    /**< Thousandths of a core that come free a second. */
+  HsTime drain_at;
+  uint32_t *order; /**< Handles of waiting jobs, best first. */
+  double *ranks;   /**< By handle. */
+};
+
+/** Whether tasks of a job may be placed, and which goes first. */
+double hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now);
+
+/** How long until a job that arrives now would start. */
+HsTime hs_jobs_predict_wait (const HsJobs *jobs,
+                             const HsJob *job,
+                             HsTime now);
+
+/** Notes room that was given to waiting work. */
+void hs_jobs_note_drain (HsJobs *jobs, uint32_t cpu_milli, HsTime now);
+
+#endif
--- /dev/null
+++ b/src/direct/liveness.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * Spans after which processes take each other for gone. A caller whose
+ * request broke comes back 1.3 s later, maybe to another entry; by then
+ * nothing of its job may run. An agent stops the tasks of an entry that is
+ * silent for HS_SILENCE_MAX, and an entry gives up tasks of an agent that is.
+ */
+#ifndef HS_DIRECT_LIVENESS_H
+#define HS_DIRECT_LIVENESS_H
+
+#include "base/time.h"
+
+/** Each side lets the other hear from it at least this often. */
+#define HS_PULSE (150 * HS_MSEC)
+
+/** Silence after which the other side is taken for gone: four pulses. */
+#define HS_SILENCE_MAX (600 * HS_MSEC)
+
+/** A connection that broke may be replaced for so long. */
+#define HS_RECONNECT_MAX (500 * HS_MSEC)
+
+/** A loop that didn't turn for so long was paused: a process's timers are
+ *  never further apart than HS_PULSE. */
+#define HS_PAUSE_MIN (400 * HS_MSEC)
+
+/** Requests that come this soon after a pause may have waited in a buffer. */
+#define HS_THAW_SPAN (50 * HS_MSEC)
+
+#endif
--- /dev/null
+++ b/src/direct/runs_look.c
@@ -0,0 +1,353 @@
+/* Looks at the target: the list of its runs, the lease, the fence. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "direct/runs_private.h"
+
+/** A look waits so long for an end while tasks run. It bounds how long a lost
+ *  answer hides ends; the shortest usual tasks take 60 ms. */
+#define LOOK_WAIT_MS 60
+
+/** A look is given up so long after its wait. Answers on the same host take
+ *  under 5 ms. */
+#define LOOK_SLACK_MS 40
+
+/** Idle targets are looked at so often, to keep the clock and see strays. */
+#define LOOK_IDLE (1 * HS_SEC)
+
+/** Between looks at a target that doesn't answer. */
+#define LOOK_RETRY (50 * HS_MSEC)
+
+/** At most this many looks are under way: a fence doesn't wait for the
+ *  answer of a look that waits for an end. */
+#define LOOKS_MAX 3
+
+/** So many looks without an answer in a row, and nothing new is granted. */
+#define MUTE_FAILURES 2
+
+/** Steady clocks may differ by this part. */
+#define CLOCK_DRIFT_PERCENT 2
+
+/** Beyond the lease and drift, until what a mute target ran is taken for
+ *  lapsed. */
+#define LAPSE_SLACK (50 * HS_MSEC)
+
+/** A run whose progress stands still for the larger of this and a quarter of
+ *  its expected run time is stopped. Progress is told in hundredths, so that
+ *  ordinary tasks move in a tenth of that even on a target 6 times too slow.
+ */
+#define STALL_MIN (200 * HS_MSEC)
+#define STALL_PARTS 4
+
+static void send_look (HsRuns *runs, uint32_t wait_ms, HsTime now);
+static void take_list (HsRuns *runs,
+                       uint32_t number,
+                       const HsTargetList *list,
+                       HsTime now);
+static void take_ends (HsRuns *runs, const HsTargetList *list, HsTime now);
+static void take_running (HsRuns *runs,
+                          uint32_t number,
+                          const HsTargetList *list,
+                          HsTime now);
+static void note_progress (HsRuns *runs, HsRun *run, int percent, HsTime now);
+static void
+settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now);
+static void check_lapse (HsRuns *runs, HsTime now);
+static bool has_unsettled (const HsRuns *runs);
+
+HsTime
+hs_runs_plan_looks (HsRuns *runs, HsTime now)
+{
+  bool busy = runs->n_runs > 0 || runs->n_unknown > 0;
+
+  if (runs->leaving && !busy)
+    return HS_NEVER;
+  check_lapse (runs, now);
+  if (runs->open_looks > 0
+      && (runs->open_looks >= LOOKS_MAX || runs->open_token >= runs->token))
+    return HS_NEVER;
+  if (now < runs->look_due)
+    return runs->look_due;
+  if (!busy && runs->looked && runs->open_looks == 0
+      && now - runs->heard_at < LOOK_IDLE)
+    return runs->heard_at + LOOK_IDLE;
+  send_look (runs,
+             runs->n_runs > 0 && runs->looked && runs->n_unknown == 0
+                     && !has_unsettled (runs)
+                 ? LOOK_WAIT_MS
+                 : 0,
+             now);
+  return HS_NEVER;
+}
+
+void
+hs_runs_looked (HsRuns *runs,
+                uint32_t number,
+                HsTargetResult result,
+                const HsTargetList *list,
+                HsTime now)
+{
+  uint64_t token = runs->look_tokens[number % HS_LOOKS_KEPT];
+
+  if (runs->open_looks > 0)
+    runs->open_looks--;
+  if (result == HS_TARGET_OK)
+    {
+      runs->heard_at = now;
+      runs->n_failed = 0;
+      runs->look_due = 0;
+      take_list (runs, number, list, now);
+      settle (runs, number, token, now);
+      runs->effects->changed (runs->arg);
+      return;
+    }
+  if (result == HS_TARGET_FENCED && token < runs->token)
+    {
+      runs->look_due = 0;
+      return;
+    }
+  if (result == HS_TARGET_FENCED)
+    {
+      /* An earlier life of this agent had a clock that was ahead. */
+      runs->token += runs->token;
+      runs->look_due = 0;
+      return;
+    }
+  if (result == HS_TARGET_REPLACED)
+    {
+      runs->gone = true;
+      hs_runs_lost_all (runs, now);
+    }
+  runs->n_failed++;
+  runs->look_due = now + LOOK_RETRY;
+  runs->effects->changed (runs->arg);
+}
+
+hsx_target_state
+hs_runs_state (const HsRuns *runs)
+{
+  if (runs->leaving || (runs->announced && runs->target.leaving))
+    return HSX_TARGET_LEAVING;
+  if (!runs->announced || runs->gone || !runs->looked || runs->n_unknown > 0)
+    return HSX_TARGET_UNKNOWN;
+  if (runs->n_failed >= MUTE_FAILURES)
+    return HSX_TARGET_MUTE;
+  return HSX_TARGET_READY;
+}
+
+/* Calls under way may still reach the new life; the fence settles them. */
+void
+hs_runs_lost_all (HsRuns *runs, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_ON || run->state == HS_RUN_STOPPING)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+    }
+  runs->looked = false;
+  runs->n_unknown = 0;
+  runs->acked = 0;
+  runs->newest_list = runs->next_look - 1;
+  runs->token++;
+  runs->look_due = 0;
+}
+
+static void
+send_look (HsRuns *runs, uint32_t wait_ms, HsTime now)
+{
+  HsTargetLook look = { .number = runs->next_look++,
+                        .token = runs->token,
+                        .acked = runs->acked,
+                        .wait_ms = wait_ms,
+                        .timeout_ms = wait_ms + LOOK_SLACK_MS };
+
+  /* A target that may be gone isn't given time: its runs have to lapse. */
+  look.renews = runs->n_runs > 0 && runs->clock_at != 0
+                && runs->n_failed < MUTE_FAILURES;
+  if (look.renews)
+    {
+      look.lease_until_ms
+          = hs_runs_target_clock (runs, now) + runs->options.lease / HS_MSEC;
+      runs->renewed_at = now;
+    }
+  runs->open_looks++;
+  runs->open_token = runs->token;
+  runs->look_tokens[look.number % HS_LOOKS_KEPT] = look.token;
+  runs->effects->look (runs->arg, &look);
+}
+
+static void
+take_list (HsRuns *runs, uint32_t number, const HsTargetList *list, HsTime now)
+{
+  int64_t known = runs->target.born_ms;
+
+  if (list->born_ms != 0 && list->born_ms < known)
+    return;
+  if (list->born_ms > known)
+    {
+      if (known != 0)
+        {
+          hs_runs_lost_all (runs, now);
+          /* What it says of itself is to be heard anew. */
+          runs->announced = false;
+        }
+      runs->target.born_ms = list->born_ms;
+    }
+  else if (number < runs->newest_list)
+    {
+      take_ends (runs, list, now);
+      return;
+    }
+  runs->newest_list = MAX (runs->newest_list, number);
+  runs->clock_ms = list->clock_ms;
+  runs->clock_at = now;
+  take_ends (runs, list, now);
+  take_running (runs, number, list, now);
+  runs->looked = true;
+}
+
+static void
+take_ends (HsRuns *runs, const HsTargetList *list, HsTime now)
+{
+  size_t i;
+
+  for (i = 0; i < list->n_ends; i++)
+    {
+      const HsListedEnd *end = &list->ends[i];
+      HsRun *run;
+      hsx_end_how how = end->how;
+
+      if (end->number <= runs->acked)
+        continue;
+      runs->acked = end->number;
+      run = hs_run_find (runs, &end->key);
+      if (run == NULL)
+        continue;
+      if (run->state == HS_RUN_CALLING)
+        runs->effects->forget (runs->arg, (uint32_t) (run - runs->runs));
+      if (how == HSX_END_STOPPED && run->stop_how != 0)
+        how = run->stop_how;
+      if (run->started_at == 0)
+        run->started_at = run->sent_at;
+      hs_run_end (runs, run, how, HS_REFUSAL_NONE, now);
+    }
+}
+
+static void
+take_running (HsRuns *runs,
+              uint32_t number,
+              const HsTargetList *list,
+              HsTime now)
+{
+  uint32_t unknown = (uint32_t) list->n_unreadable;
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    runs->runs[i].listed = false;
+  for (i = 0; i < list->n_running; i++)
+    {
+      const HsListedRun *row = &list->running[i];
+      HsRun *run = hs_run_find (runs, &row->key);
+
+      if (run == NULL)
+        {
+          unknown++;
+          runs->effects->stop (runs->arg, &row->key, runs->token);
+          continue;
+        }
+      run->listed = true;
+      if (run->state == HS_RUN_UNSETTLED)
+        {
+          run->state = HS_RUN_ON;
+          run->started_at = run->sent_at;
+          run->percent = -1;
+          run->percent_at = now;
+          run->look_after = number;
+          if (run->stop_wanted)
+            hs_run_call_stop (runs, run, now);
+        }
+      note_progress (runs, run, row->percent, now);
+    }
+  /* A run that was there when the look was sent, and is in neither list. */
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if ((run->state == HS_RUN_ON || run->state == HS_RUN_STOPPING)
+          && !run->listed && run->look_after <= number)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+    }
+  runs->n_unknown = unknown;
+}
+
+static void
+note_progress (HsRuns *runs, HsRun *run, int percent, HsTime now)
+{
+  if (run->state != HS_RUN_ON)
+    return;
+  if (percent != run->percent || percent < 0)
+    {
+      run->percent = percent;
+      run->percent_at = now;
+      return;
+    }
+  if (now - run->percent_at < MAX (STALL_MIN, run->expected / STALL_PARTS))
+    return;
+  run->stop_how = HSX_END_STALLED;
+  hs_run_call_stop (runs, run, now);
+}
+
+/* Starts that the look's token fences off, and that it doesn't list, will
+   never happen. */
+static void
+settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now)
+{
+  uint32_t i;
+
+  if (number < runs->newest_list)
+    return;
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_UNSETTLED && run->fence <= token)
+        hs_run_end (runs, run,
+                    run->stop_wanted ? HSX_END_STOPPED : HSX_END_REFUSED,
+                    HS_REFUSAL_LOST, now);
+    }
+}
+
+/* The lease of a target that doesn't answer has run out by its own clock. */
+static void
+check_lapse (HsRuns *runs, HsTime now)
+{
+  HsTime lease = runs->options.lease;
+  HsTime bound = lease + lease * CLOCK_DRIFT_PERCENT / 100 + LAPSE_SLACK;
+  uint32_t i;
+
+  if (runs->n_failed < MUTE_FAILURES || now - runs->renewed_at < bound)
+    return;
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_ON || run->state == HS_RUN_STOPPING)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+    }
+}
+
+static bool
+has_unsettled (const HsRuns *runs)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (runs->runs[i].state == HS_RUN_UNSETTLED)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/direct/targets.c
@@ -0,0 +1,375 @@
+#include "direct/targets.h"
+
+#include <math.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "direct/room.h"
+
+/** Weight of a new run time in a target's slowness. */
+#define SLOWNESS_WEIGHT 0.15
+
+/** A single run counts between these, so that one odd task doesn't decide. */
+#define RATIO_MIN 0.2
+#define RATIO_MAX 8.0
+
+/** A full target counts as so much slower: an idle one is preferred, yet a
+ *  faster one wins. */
+#define LOAD_WEIGHT 0.3
+
+/** A target in another data centre counts as so much slower. */
+#define FAR_WEIGHT 0.04
+
+/** Differences below this are chance, so that entries with the same view
+ *  don't all choose the same target. */
+#define CHANCE_WEIGHT 0.1
+
+typedef struct
+{
+  uint32_t number;
+  hsx_room needs;
+} Unseen;
+
+typedef struct
+{
+  HsTarget target;
+  GArray *unseen; /* Unseen, oldest first. */
+} Row;
+
+struct HsTargets
+{
+  Row *rows;
+  uint32_t n_rows;
+  HsHealth *health;
+  GRand *random;
+};
+
+static int free_targets (HsTargets *targets);
+static uint32_t new_row (HsTargets *targets);
+static void forget_unseen (Row *row, uint32_t seen);
+static double score (const HsTargets *targets,
+                     const HsTarget *target,
+                     const char *data_centre);
+
+HsTargets *
+hs_targets_new (TALLOC_CTX *ctx)
+{
+  HsTargets *targets = talloc_zero (ctx, HsTargets);
+
+  targets->rows = talloc_array (targets, Row, 0);
+  targets->health = hs_health_new (targets);
+  /* Reproducible: a process's choices depend on what it sees only. */
+  targets->random = g_rand_new_with_seed (1);
+  talloc_set_destructor (targets, free_targets);
+  return targets;
+}
+
+uint32_t
+hs_targets_connect (HsTargets *targets,
+                    uint64_t agent,
+                    const char *data_centre,
+                    void *link,
+                    HsTime now)
+{
+  uint32_t i;
+  HsTarget *target;
+
+  for (i = 0; i < targets->n_rows; i++)
+    if (targets->rows[i].target.used && targets->rows[i].target.agent == agent)
+      break;
+  if (i == targets->n_rows)
+    {
+      i = new_row (targets);
+      targets->rows[i].target.agent = agent;
+      targets->rows[i].target.slowness = 1;
+      hs_health_add (targets->health, i);
+    }
+  target = &targets->rows[i].target;
+  target->connected = true;
+  target->link = link;
+  target->heard_at = now;
+  target->sent = 0;
+  target->state = HSX_TARGET_UNKNOWN;
+  g_strlcpy (target->data_centre, data_centre, sizeof target->data_centre);
+  forget_unseen (&targets->rows[i], UINT32_MAX);
+  return i;
+}
+
+void
+hs_targets_disconnect (HsTargets *targets, uint32_t target)
+{
+  Row *row = &targets->rows[target];
+
+  row->target.connected = false;
+  row->target.link = NULL;
+  row->target.state = HSX_TARGET_UNKNOWN;
+  forget_unseen (row, UINT32_MAX);
+}
+
+void
+hs_targets_drop (HsTargets *targets, uint32_t target)
+{
+  Row *row = &targets->rows[target];
+
+  hs_health_drop (targets->health, target);
+  g_array_set_size (row->unseen, 0);
+  memset (&row->target, 0, sizeof row->target);
+}
+
+HsTarget *
+hs_targets_get (HsTargets *targets, uint32_t target)
+{
+  return &targets->rows[target].target;
+}
+
+uint32_t
+hs_targets_bound (const HsTargets *targets)
+{
+  return targets->n_rows;
+}
+
+void
+hs_targets_report (HsTargets *targets,
+                   uint32_t handle,
+                   const hsx_report_args *report,
+                   HsTime now)
+{
+  Row *row = &targets->rows[handle];
+  HsTarget *target = &row->target;
+
+  target->heard_at = now;
+  target->stamp_us = report->stamp_us;
+  target->state = report->state;
+  target->told = report->free;
+  if (report->info != NULL)
+    {
+      const hsx_target_info *info = report->info;
+
+      g_strlcpy (target->name, info->name, sizeof target->name);
+      g_strlcpy (target->service, info->service, sizeof target->service);
+      g_strlcpy (target->rack, info->rack, sizeof target->rack);
+      g_strlcpy (target->host, info->host, sizeof target->host);
+      target->capacity = info->capacity;
+    }
+  forget_unseen (row, report->orders_seen);
+}
+
+void
+hs_targets_sent (HsTargets *targets,
+                 uint32_t target,
+                 const hsx_room *needs,
+                 uint32_t number)
+{
+  Row *row = &targets->rows[target];
+  Unseen unseen = { number, *needs };
+
+  g_array_append_val (row->unseen, unseen);
+  hs_room_add (&row->target.unseen, needs, 1);
+}
+
+void
+hs_targets_ended (HsTargets *targets,
+                  uint32_t handle,
+                  uint32_t customer,
+                  bool failed,
+                  HsTime run,
+                  HsTime expected,
+                  HsTime now)
+{
+  HsTarget *target = &targets->rows[handle].target;
+
+  hs_health_result (targets->health, handle, customer, failed, run, expected,
+                    now);
+  hs_targets_tick (targets, now);
+  if (!failed && expected > 0)
+    {
+      double ratio
+          = CLAMP ((double) run / (double) expected, RATIO_MIN, RATIO_MAX);
+
+      target->slowness
+          = exp (log (target->slowness) * (1 - SLOWNESS_WEIGHT)
+                 + log (ratio) * SLOWNESS_WEIGHT);
+    }
+}
+
+hsx_room
+hs_targets_free (const HsTargets *targets, uint32_t handle)
+{
+  const HsTarget *target = &targets->rows[handle].target;
+  hsx_room room = { 0 };
+
+  if (!target->used || !target->connected
+      || target->state != HSX_TARGET_READY)
+    return room;
+  switch (hs_health_state (targets->health, handle))
+    {
+    case HS_HEALTH_EJECTED:
+      return room;
+    case HS_HEALTH_PROBATION:
+      if (target->n_held > 0)
+        return room;
+      break;
+    case HS_HEALTH_OK:
+      break;
+    }
+  room = target->told;
+  hs_room_take (&room, &target->unseen);
+  return room;
+}
+
+bool
+hs_targets_can_hold (const HsTargets *targets,
+                     const char *service,
+                     const hsx_room *needs)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+
+      if (target->used && strcmp (target->service, service) == 0
+          && hs_room_fits (&target->capacity, needs))
+        return true;
+    }
+  return false;
+}
+
+uint32_t
+hs_targets_place (HsTargets *targets,
+                  const char *service,
+                  const hsx_room *needs,
+                  const char *data_centre,
+                  uint32_t not_on)
+{
+  uint32_t best = HS_TARGET_NONE;
+  bool second_choice = false;
+  double best_score = 0;
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+      hsx_room room = hs_targets_free (targets, i);
+      double s;
+
+      if (!hs_room_fits (&room, needs) || strcmp (target->service, service) != 0
+          || room.cpu_milli == 0)
+        continue;
+      if (i == not_on)
+        {
+          second_choice = true;
+          continue;
+        }
+      s = score (targets, target, data_centre)
+          + CHANCE_WEIGHT * g_rand_double (targets->random);
+      if (best == HS_TARGET_NONE || s < best_score)
+        {
+          best = i;
+          best_score = s;
+        }
+    }
+  return best == HS_TARGET_NONE && second_choice ? not_on : best;
+}
+
+void
+hs_targets_sum (const HsTargets *targets,
+                const char *service,
+                uint64_t *capacity_milli,
+                uint64_t *free_milli)
+{
+  uint32_t i;
+
+  *capacity_milli = 0;
+  *free_milli = 0;
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+
+      if (!target->used || strcmp (target->service, service) != 0)
+        continue;
+      if (target->state == HSX_TARGET_READY)
+        *capacity_milli += target->capacity.cpu_milli;
+      *free_milli += hs_targets_free (targets, i).cpu_milli;
+    }
+}
+
+void
+hs_targets_tick (HsTargets *targets, HsTime now)
+{
+  HsHealthState state;
+  uint32_t target;
+
+  while (hs_health_changed (targets->health, now, &target, &state))
+    ;
+}
+
+HsHealthState
+hs_targets_health (const HsTargets *targets, uint32_t target)
+{
+  return hs_health_state (targets->health, target);
+}
+
+static int
+free_targets (HsTargets *targets)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    g_array_unref (targets->rows[i].unseen);
+  g_rand_free (targets->random);
+  return 0;
+}
+
+static uint32_t
+new_row (HsTargets *targets)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    if (!targets->rows[i].target.used)
+      break;
+  if (i == targets->n_rows)
+    {
+      targets->rows
+          = talloc_realloc (targets, targets->rows, Row, targets->n_rows + 1);
+      memset (&targets->rows[i], 0, sizeof (Row));
+      targets->rows[i].unseen = g_array_new (FALSE, FALSE, sizeof (Unseen));
+      targets->n_rows++;
+    }
+  targets->rows[i].target.used = true;
+  return i;
+}
+
+static void
+forget_unseen (Row *row, uint32_t seen)
+{
+  guint n = 0;
+
+  while (n < row->unseen->len
+         && g_array_index (row->unseen, Unseen, n).number <= seen)
+    {
+      hs_room_take (&row->target.unseen,
+                    &g_array_index (row->unseen, Unseen, n).needs);
+      n++;
+    }
+  if (n > 0)
+    g_array_remove_range (row->unseen, 0, n);
+}
+
+static double
+score (const HsTargets *targets,
+       const HsTarget *target,
+       const char *data_centre)
+{
+  double free = (double) target->told.cpu_milli
+                - (double) target->unseen.cpu_milli;
+  double load = 1 - free / MAX (target->capacity.cpu_milli, 1);
+  double s = target->slowness * (1 + LOAD_WEIGHT * load);
+
+  (void) targets;
+  if (strcmp (target->data_centre, data_centre) != 0)
+    s += FAR_WEIGHT;
+  return s;
+}
--- /dev/null
+++ b/src/direct/targets.h
@@ -0,0 +1,122 @@
+/**
+ * @file
+ * An entry's view of the targets: the room that their agents told of, less
+ * what this entry has sent since, and how fast and sound they are.
+ *
+ * Load pattern: several entries place on the same targets at once, each with
+ * a view some milliseconds old. Each launch counts against the view until a
+ * report of the agent includes it, so that an entry never sends more than it
+ * knows to be free.
+ */
+#ifndef HS_DIRECT_TARGETS_H
+#define HS_DIRECT_TARGETS_H
+
+#include <stdbool.h>
+
+#include <talloc.h>
+
+#include "base/time.h"
+#include "policy/health.h"
+#include "proto/hspoke.h"
+
+#define HS_TARGET_NONE UINT32_MAX
+
+typedef struct HsTargets HsTargets;
+
+/** One target; read only for others. */
+typedef struct
+{
+  bool used;
+  bool connected;
+  uint64_t agent; /**< Incarnation of its agent. */
+  hsx_target_state state;
+  char name[HSX_NAME_MAX + 1];
+  char service[HSX_NAME_MAX + 1];
+  char rack[HSX_NAME_MAX + 1];
+  char host[HSX_NAME_MAX + 1];
+  char data_centre[HSX_NAME_MAX + 1];
+  hsx_room capacity;
+  hsx_room told;    /**< Free, as of the last report. */
+  hsx_room unseen;  /**< Sent since, as the report doesn't show it. */
+  uint32_t sent;    /**< Number of the last orders. */
+  int64_t stamp_us; /**< Of the last report. */
+  HsTime heard_at;
+  uint32_t n_held; /**< Tasks of this entry there. */
+  double slowness; /**< Run time over the expected one; 1: as expected. */
+  void *link;      /**< The caller's. */
+} HsTarget;
+
+HsTargets *hs_targets_new (TALLOC_CTX *ctx);
+
+/** The handle of an agent's target, made if it isn't known. */
+uint32_t hs_targets_connect (HsTargets *targets,
+                             uint64_t agent,
+                             const char *data_centre,
+                             void *link,
+                             HsTime now);
+
+/** The connection is gone; what was sent on it and not seen is gone too. */
+void hs_targets_disconnect (HsTargets *targets, uint32_t target);
+
+/** Forgets it. */
+void hs_targets_drop (HsTargets *targets, uint32_t target);
+
+HsTarget *hs_targets_get (HsTargets *targets, uint32_t target);
+
+/** One above the highest handle. */
+uint32_t hs_targets_bound (const HsTargets *targets);
+
+/** Takes what a report says of room and state. */
+void hs_targets_report (HsTargets *targets,
+                        uint32_t target,
+                        const hsx_report_args *report,
+                        HsTime now);
+
+/** Notes a launch sent in orders of this number. */
+void hs_targets_sent (HsTargets *targets,
+                      uint32_t target,
+                      const hsx_room *needs,
+                      uint32_t number);
+
+/** Notes how a task ended. */
+void hs_targets_ended (HsTargets *targets,
+                       uint32_t target,
+                       uint32_t customer,
+                       bool failed,
+                       HsTime run,
+                       HsTime expected,
+                       HsTime now);
+
+/** Room left by this entry's view; none if it may not be used. */
+hsx_room hs_targets_free (const HsTargets *targets, uint32_t target);
+
+/** Whether anything of a service is up that could ever hold @p needs. */
+bool hs_targets_can_hold (const HsTargets *targets,
+                          const char *service,
+                          const hsx_room *needs);
+
+/**
+ * The target to start a task on, or HS_TARGET_NONE.
+ * @param data_centre of this entry: near targets are preferred
+ * @param not_on the target of an attempt that failed, or HS_TARGET_NONE; used
+ *        only if there is no other
+ */
+uint32_t hs_targets_place (HsTargets *targets,
+                           const char *service,
+                           const hsx_room *needs,
+                           const char *data_centre,
+                           uint32_t not_on);
+
+/** Room of a service: all, and free by this entry's view. */
+void hs_targets_sum (const HsTargets *targets,
+                     const char *service,
+                     uint64_t *capacity_milli,
+                     uint64_t *free_milli);
+
+/** Applies states of health that change by time. */
+void hs_targets_tick (HsTargets *targets, HsTime now);
+
+/** How far a target is trusted. */
+HsHealthState hs_targets_health (const HsTargets *targets, uint32_t target);
+
+#endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 #include <urcu.h>
 
+#include "direct/entry.h"
 #include "entry/core.h"
 
 static void on_stop_signal (struct tevent_context *ev,
@@ -23,10 +24,13 @@
 hs_entry_main (int argc, char **argv)
 {
   g_autofree char *path = NULL;
+  g_autofree char *platform = NULL;
   g_autoptr (GError) error = NULL;
   GOptionEntry options[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
       "Settings of this entry", "FILE" },
+    { "platform", 'p', 0, G_OPTION_ARG_FILENAME, &platform,
+      "Run on the users' platform, with the settings it renders", "FILE" },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
   };
   g_autoptr (GOptionContext) context
@@ -40,6 +44,8 @@
       fprintf (stderr, "hibiscusspoke entry: %s\n", error->message);
       return 2;
     }
+  if (platform != NULL)
+    return hs_direct_entry_run (platform);
   if (path == NULL)
     {
       fprintf (stderr, "hibiscusspoke entry: no settings; give --settings\n");
--- a/src/http/curl_loop.c
+++ b/src/http/curl_loop.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "base/timer.h"
+
 typedef enum
 {
   TRANSFER_ADDING, /* Waits until libcurl may be called. */
@@ -23,7 +25,8 @@
 {
   CURLM *multi;
   struct tevent_context *ev;
-  struct tevent_timer *timer;
+  HsTimer *timer;
+  struct tevent_immediate *at_once;
   GHashTable *transfers; /* CURL * to Transfer *. */
   GQueue deferred;       /* CURL * whose state isn't yet the multi's. */
   bool in_curl;          /* libcurl refuses calls in its callbacks. */
@@ -47,6 +50,7 @@
 static int on_timer_wanted (CURLM *multi, long timeout_ms, void *arg);
 static int
 before_request (void *arg, char *peer, char *local, int peer_port, int port);
+static void on_timer (void *arg);
 static void act (HsCurl *curl, curl_socket_t fd, int events);
 static size_t discard (char *data, size_t size, size_t n, void *arg);
 
@@ -56,6 +60,8 @@
   HsCurl *curl = talloc_zero (ctx, HsCurl);
 
   curl->ev = ev;
+  curl->timer = hs_timer_new (curl, ev, on_timer, curl);
+  curl->at_once = tevent_create_immediate (curl);
   curl->multi = curl_multi_init ();
   if (curl->multi == NULL)
     g_error ("out of memory");
@@ -69,6 +75,12 @@
   return curl;
 }
 
+void
+hs_curl_keep (HsCurl *curl, long n)
+{
+  curl_multi_setopt (curl->multi, CURLMOPT_MAXCONNECTS, n);
+}
+
 void
 hs_curl_add (HsCurl *curl, CURL *easy, HsCurlDone done, void *arg)
 {
@@ -217,33 +229,36 @@
 }
 
 static void
-on_timer (struct tevent_context *ev,
-          struct tevent_timer *te,
-          struct timeval now,
-          void *arg)
+on_timer (void *arg)
 {
-  HsCurl *curl = arg;
+  act (arg, CURL_SOCKET_TIMEOUT, 0);
+}
 
+static void
+on_at_once (struct tevent_context *ev,
+            struct tevent_immediate *immediate,
+            void *arg)
+{
   (void) ev;
-  (void) te;
-  (void) now;
-  TALLOC_FREE (curl->timer);
-  act (curl, CURL_SOCKET_TIMEOUT, 0);
+  (void) immediate;
+  act (arg, CURL_SOCKET_TIMEOUT, 0);
 }
 
 static int
 on_timer_wanted (CURLM *multi, long timeout_ms, void *arg)
 {
   HsCurl *curl = arg;
-  struct timeval when;
 
   (void) multi;
-  TALLOC_FREE (curl->timer);
+  if (timeout_ms == 0)
+    {
+      tevent_schedule_immediate (curl->at_once, curl->ev, on_at_once, curl);
+      return 0;
+    }
   if (timeout_ms < 0)
-    return 0;
-  when = tevent_timeval_current_ofs (timeout_ms / 1000,
-                                     (timeout_ms % 1000) * 1000);
-  curl->timer = tevent_add_timer (curl->ev, curl, when, on_timer, curl);
+    hs_timer_clear (curl->timer);
+  else
+    hs_timer_set (curl->timer, timeout_ms * HS_MSEC, hs_now ().mono);
   return 0;
 }
 
--- a/src/http/curl_loop.h
+++ b/src/http/curl_loop.h
@@ -30,6 +30,9 @@
  */
 HsCurl *hs_curl_new (TALLOC_CTX *ctx, struct tevent_context *ev);
 
+/** Keeps up to @p n idle connections open. */
+void hs_curl_keep (HsCurl *curl, long n);
+
 /**
  * Starts a transfer; `done` follows from the event loop, unless it is removed
  * before. Takes over the handle's CURLOPT_PRIVATE and CURLOPT_PREREQFUNCTION.
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -8,7 +8,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
-#include "base/time.h"
+#include "base/timer.h"
 
 #define LISTEN_BACKLOG 256
 
@@ -23,7 +23,7 @@
   struct MHD_Daemon *daemon;
   struct tevent_context *ev;
   struct tevent_fd *fde;
-  struct tevent_timer *timer;
+  HsTimer *timer;
   struct tevent_immediate *resume;
   uint16_t port;
 };
@@ -31,15 +31,11 @@
 static int free_mhd (HsMhd *mhd);
 static int open_socket (const char *address, uint16_t *port, GError **error);
 static bool start (HsMhd *mhd, const HsMhdOptions *options, int fd);
-static void run (HsMhd *mhd);
+static void run (void *arg);
 static void on_ready (struct tevent_context *ev,
                       struct tevent_fd *fde,
                       uint16_t flags,
                       void *arg);
-static void on_timer (struct tevent_context *ev,
-                      struct tevent_timer *te,
-                      struct timeval now,
-                      void *arg);
 static void on_resume (struct tevent_context *ev,
                        struct tevent_immediate *immediate,
                        void *arg);
@@ -55,6 +51,7 @@
 
   mhd->ev = ev;
   mhd->resume = tevent_create_immediate (mhd);
+  mhd->timer = hs_timer_new (mhd, ev, run, mhd);
   fd = open_socket (options->listen, &mhd->port, error);
   if (fd < 0)
     {
@@ -155,14 +152,14 @@
 }
 
 /* Lets libmicrohttpd work, and asks when it wants to be called at latest.
-   tevent runs timers before sockets: one that is always due would starve the
+   A timer that is always due would starve the
    loop's other sockets. */
 static void
-run (HsMhd *mhd)
+run (void *arg)
 {
+  HsMhd *mhd = arg;
   MHD_UNSIGNED_LONG_LONG ms = 0;
   bool waits = true;
-  HsTime span;
   int i;
 
   for (i = 0; i < RUNS_MAX && waits && ms == 0; i++)
@@ -170,15 +167,11 @@
       MHD_run (mhd->daemon);
       waits = MHD_get_timeout (mhd->daemon, &ms) == MHD_YES;
     }
-  TALLOC_FREE (mhd->timer);
-  if (!waits)
-    return;
-  span = MAX ((HsTime) ms * HS_MSEC, SPAN_MIN);
-  mhd->timer = tevent_add_timer (
-      mhd->ev, mhd,
-      tevent_timeval_current_ofs ((uint32_t) (span / HS_SEC),
-                                  (uint32_t) (span % HS_SEC)),
-      on_timer, mhd);
+  if (waits)
+    hs_timer_set (mhd->timer, MAX ((HsTime) ms * HS_MSEC, SPAN_MIN),
+                  hs_now ().mono);
+  else
+    hs_timer_clear (mhd->timer);
 }
 
 static void
@@ -193,21 +186,6 @@
   run (arg);
 }
 
-static void
-on_timer (struct tevent_context *ev,
-          struct tevent_timer *te,
-          struct timeval now,
-          void *arg)
-{
-  HsMhd *mhd = arg;
-
-  (void) ev;
-  (void) te;
-  (void) now;
-  TALLOC_FREE (mhd->timer);
-  run (mhd);
-}
-
 static void
 on_resume (struct tevent_context *ev,
            struct tevent_immediate *immediate,
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -27,6 +27,9 @@
 #define HSX_CREDITS_MAX 4096
 #define HSX_DIGEST_SIZE 32
 #define HSX_NONCE_SIZE 16
+#define HSX_SPEC_MAX 65536
+#define HSX_ENTRIES_MAX 256
+#define HSX_CONFIGURATION_MAX 4194304
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -396,6 +399,125 @@
 };
 typedef struct hsx_probe_reply hsx_probe_reply;
 
+struct hsx_room {
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+};
+typedef struct hsx_room hsx_room;
+
+struct hsx_launch_task {
+	uint64_t ref;
+	u_int step;
+	u_int index;
+	u_int attempt;
+};
+typedef struct hsx_launch_task hsx_launch_task;
+
+struct hsx_launch {
+	char *job;
+	struct {
+		u_int spec_len;
+		char *spec_val;
+	} spec;
+	hsx_room needs;
+	u_int expected_ms;
+	u_int left_ms;
+	struct {
+		u_int tasks_len;
+		hsx_launch_task *tasks_val;
+	} tasks;
+};
+typedef struct hsx_launch hsx_launch;
+
+struct hsx_orders_args {
+	uint64_t agent;
+	u_int number;
+	int64_t stamp_us;
+	u_int stamp_age_us;
+	bool_t hungry;
+	struct {
+		u_int launches_len;
+		hsx_launch *launches_val;
+	} launches;
+	struct {
+		u_int stops_len;
+		uint64_t *stops_val;
+	} stops;
+};
+typedef struct hsx_orders_args hsx_orders_args;
+
+enum hsx_end_how {
+	HSX_END_DONE = 1,
+	HSX_END_FAILED = 2,
+	HSX_END_STOPPED = 3,
+	HSX_END_LAPSED = 4,
+	HSX_END_REFUSED = 5,
+	HSX_END_STALLED = 6,
+};
+typedef enum hsx_end_how hsx_end_how;
+
+struct hsx_end {
+	uint64_t ref;
+	hsx_end_how how;
+	u_int reason;
+	u_int run_us;
+};
+typedef struct hsx_end hsx_end;
+
+enum hsx_target_state {
+	HSX_TARGET_UNKNOWN = 0,
+	HSX_TARGET_READY = 1,
+	HSX_TARGET_LEAVING = 2,
+	HSX_TARGET_MUTE = 3,
+};
+typedef enum hsx_target_state hsx_target_state;
+
+struct hsx_target_info {
+	char *name;
+	char *service;
+	char *rack;
+	char *host;
+	hsx_room capacity;
+};
+typedef struct hsx_target_info hsx_target_info;
+
+struct hsx_report_args {
+	uint64_t agent;
+	int64_t stamp_us;
+	u_int orders_seen;
+	hsx_target_state state;
+	hsx_room free;
+	hsx_target_info *info;
+	bool_t whole;
+	struct {
+		u_int held_len;
+		uint64_t *held_val;
+	} held;
+	struct {
+		u_int ends_len;
+		hsx_end *ends_val;
+	} ends;
+};
+typedef struct hsx_report_args hsx_report_args;
+
+struct hsx_entries_args {
+	struct {
+		u_int entries_len;
+		hsx_entry_info *entries_val;
+	} entries;
+};
+typedef struct hsx_entries_args hsx_entries_args;
+
+struct hsx_configuration_args {
+	int64_t revision;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct hsx_configuration_args hsx_configuration_args;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -445,6 +567,18 @@
 #define HSX_PROBE 14
 extern  enum clnt_stat hsx_probe_1(hsx_probe_args , hsx_probe_reply *, CLIENT *);
 extern  bool_t hsx_probe_1_svc(hsx_probe_args , hsx_probe_reply *, struct svc_req *);
+#define HSX_ORDERS 15
+extern  enum clnt_stat hsx_orders_1(hsx_orders_args , void *, CLIENT *);
+extern  bool_t hsx_orders_1_svc(hsx_orders_args , void *, struct svc_req *);
+#define HSX_REPORT 16
+extern  enum clnt_stat hsx_report_1(hsx_report_args , void *, CLIENT *);
+extern  bool_t hsx_report_1_svc(hsx_report_args , void *, struct svc_req *);
+#define HSX_ENTRIES 17
+extern  enum clnt_stat hsx_entries_1(hsx_entries_args , void *, CLIENT *);
+extern  bool_t hsx_entries_1_svc(hsx_entries_args , void *, struct svc_req *);
+#define HSX_CONFIGURATION 18
+extern  enum clnt_stat hsx_configuration_1(hsx_configuration_args , void *, CLIENT *);
+extern  bool_t hsx_configuration_1_svc(hsx_configuration_args , void *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -493,6 +627,18 @@
 #define HSX_PROBE 14
 extern  enum clnt_stat hsx_probe_1();
 extern  bool_t hsx_probe_1_svc();
+#define HSX_ORDERS 15
+extern  enum clnt_stat hsx_orders_1();
+extern  bool_t hsx_orders_1_svc();
+#define HSX_REPORT 16
+extern  enum clnt_stat hsx_report_1();
+extern  bool_t hsx_report_1_svc();
+#define HSX_ENTRIES 17
+extern  enum clnt_stat hsx_entries_1();
+extern  bool_t hsx_entries_1_svc();
+#define HSX_CONFIGURATION 18
+extern  enum clnt_stat hsx_configuration_1();
+extern  bool_t hsx_configuration_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -542,6 +688,17 @@
 extern  bool_t xdr_hsx_suspect_args (XDR *, hsx_suspect_args*);
 extern  bool_t xdr_hsx_probe_args (XDR *, hsx_probe_args*);
 extern  bool_t xdr_hsx_probe_reply (XDR *, hsx_probe_reply*);
+extern  bool_t xdr_hsx_room (XDR *, hsx_room*);
+extern  bool_t xdr_hsx_launch_task (XDR *, hsx_launch_task*);
+extern  bool_t xdr_hsx_launch (XDR *, hsx_launch*);
+extern  bool_t xdr_hsx_orders_args (XDR *, hsx_orders_args*);
+extern  bool_t xdr_hsx_end_how (XDR *, hsx_end_how*);
+extern  bool_t xdr_hsx_end (XDR *, hsx_end*);
+extern  bool_t xdr_hsx_target_state (XDR *, hsx_target_state*);
+extern  bool_t xdr_hsx_target_info (XDR *, hsx_target_info*);
+extern  bool_t xdr_hsx_report_args (XDR *, hsx_report_args*);
+extern  bool_t xdr_hsx_entries_args (XDR *, hsx_entries_args*);
+extern  bool_t xdr_hsx_configuration_args (XDR *, hsx_configuration_args*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -587,6 +744,17 @@
 extern bool_t xdr_hsx_suspect_args ();
 extern bool_t xdr_hsx_probe_args ();
 extern bool_t xdr_hsx_probe_reply ();
+extern bool_t xdr_hsx_room ();
+extern bool_t xdr_hsx_launch_task ();
+extern bool_t xdr_hsx_launch ();
+extern bool_t xdr_hsx_orders_args ();
+extern bool_t xdr_hsx_end_how ();
+extern bool_t xdr_hsx_end ();
+extern bool_t xdr_hsx_target_state ();
+extern bool_t xdr_hsx_target_info ();
+extern bool_t xdr_hsx_report_args ();
+extern bool_t xdr_hsx_entries_args ();
+extern bool_t xdr_hsx_configuration_args ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -19,6 +19,9 @@
 const HSX_CREDITS_MAX = 4096;
 const HSX_DIGEST_SIZE = 32;
 const HSX_NONCE_SIZE = 16;
+const HSX_SPEC_MAX = 65536;
+const HSX_ENTRIES_MAX = 256;
+const HSX_CONFIGURATION_MAX = 4194304;
 
 /* Who speaks on a connection. */
 enum hsx_role {
@@ -316,6 +319,102 @@
 	bool alive;
 };
 
+/*
+ * Direct jobs: run by the entry that took them, for as long as their caller
+ * waits. A target's room is granted by its agent alone.
+ */
+struct hsx_room {
+	unsigned int cpu_milli;		/* thousandths of a core */
+	unsigned int memory_mb;
+	unsigned int accelerators;
+};
+
+struct hsx_launch_task {
+	uint64_t ref;			/* the entry's handle of this start */
+	unsigned int step;
+	unsigned int index;		/* within the step */
+	unsigned int attempt;		/* starts of this task, from 1 */
+};
+
+struct hsx_launch {
+	string job<HSX_ID_MAX>;
+	opaque spec<HSX_SPEC_MAX>;
+	hsx_room needs;			/* of each task */
+	unsigned int expected_ms;	/* run time */
+	unsigned int left_ms;		/* until the caller's deadline */
+	hsx_launch_task tasks<HSX_TASKS_MAX>;
+};
+
+/*
+ * ORDERS, one-way, entry to agent; also without orders, as a sign of life.
+ * The age of the report it answers tells the agent how old it is itself.
+ */
+struct hsx_orders_args {
+	uint64_t agent;			/* incarnation it is meant for */
+	unsigned int number;		/* rises by one on each connection */
+	int64_t stamp_us;		/* of the last REPORT received */
+	unsigned int stamp_age_us;	/* since it was received */
+	bool hungry;			/* work waits for room */
+	hsx_launch launches<HSX_BATCH_MAX>;
+	uint64_t stops<HSX_RECORDS_MAX>;	/* refs */
+};
+
+enum hsx_end_how {
+	HSX_END_DONE = 1,
+	HSX_END_FAILED = 2,		/* through its own or the target's fault */
+	HSX_END_STOPPED = 3,
+	HSX_END_LAPSED = 4,		/* the target lost it */
+	HSX_END_REFUSED = 5,		/* never started, and never will */
+	HSX_END_STALLED = 6		/* no progress; it is being stopped */
+};
+
+struct hsx_end {
+	uint64_t ref;
+	hsx_end_how how;
+	unsigned int reason;		/* of a refusal: HsRefusal */
+	unsigned int run_us;		/* from start to end */
+};
+
+enum hsx_target_state {
+	HSX_TARGET_UNKNOWN = 0,		/* not heard of, or not looked at yet */
+	HSX_TARGET_READY = 1,
+	HSX_TARGET_LEAVING = 2,		/* takes nothing new */
+	HSX_TARGET_MUTE = 3		/* its host answers, the target doesn't */
+};
+
+/* What changes rarely. */
+struct hsx_target_info {
+	string name<HSX_NAME_MAX>;
+	string service<HSX_NAME_MAX>;
+	string rack<HSX_NAME_MAX>;
+	string host<HSX_NAME_MAX>;	/* the agent's name */
+	hsx_room capacity;
+};
+
+/* REPORT, one-way, agent to entry. */
+struct hsx_report_args {
+	uint64_t agent;
+	int64_t stamp_us;		/* agent's monotonic clock */
+	unsigned int orders_seen;	/* number of the last ORDERS taken */
+	hsx_target_state state;
+	hsx_room free;
+	hsx_target_info *info;		/* NULL: as before */
+	bool whole;			/* held lists every task of the entry */
+	uint64_t held<HSX_RECORDS_MAX>;
+	hsx_end ends<HSX_BATCH_MAX>;
+};
+
+/* ENTRIES, one-way: addresses of all entries that the sender knows. */
+struct hsx_entries_args {
+	hsx_entry_info entries<HSX_ENTRIES_MAX>;
+};
+
+/* CONFIGURATION, one-way, entry to entry: the operators' configuration. */
+struct hsx_configuration_args {
+	int64_t revision;
+	opaque text<HSX_CONFIGURATION_MAX>;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -333,5 +432,9 @@
 		hsx_promise_reply HSX_PROMISE(hsx_promise_args) = 12;
 		void HSX_SUSPECT(hsx_suspect_args) = 13;
 		hsx_probe_reply HSX_PROBE(hsx_probe_args) = 14;
+		void HSX_ORDERS(hsx_orders_args) = 15;
+		void HSX_REPORT(hsx_report_args) = 16;
+		void HSX_ENTRIES(hsx_entries_args) = 17;
+		void HSX_CONFIGURATION(hsx_configuration_args) = 18;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -639,3 +639,183 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_room (XDR *xdrs, hsx_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_launch_task (XDR *xdrs, hsx_launch_task *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->ref))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_launch (XDR *xdrs, hsx_launch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->job, HSX_ID_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, HSX_SPEC_MAX))
+		 return FALSE;
+	 if (!xdr_hsx_room (xdrs, &objp->needs))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, HSX_TASKS_MAX,
+		sizeof (hsx_launch_task), (xdrproc_t) xdr_hsx_launch_task))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_orders_args (XDR *xdrs, hsx_orders_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->agent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->stamp_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stamp_age_us))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->hungry))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->launches.launches_val, (u_int *) &objp->launches.launches_len, HSX_BATCH_MAX,
+		sizeof (hsx_launch), (xdrproc_t) xdr_hsx_launch))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->stops.stops_val, (u_int *) &objp->stops.stops_len, HSX_RECORDS_MAX,
+		sizeof (uint64_t), (xdrproc_t) xdr_uint64_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_end_how (XDR *xdrs, hsx_end_how *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_end (XDR *xdrs, hsx_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->ref))
+		 return FALSE;
+	 if (!xdr_hsx_end_how (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_target_state (XDR *xdrs, hsx_target_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_target_info (XDR *xdrs, hsx_target_info *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->rack, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_hsx_room (xdrs, &objp->capacity))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_report_args (XDR *xdrs, hsx_report_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->agent))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->stamp_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->orders_seen))
+		 return FALSE;
+	 if (!xdr_hsx_target_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_hsx_room (xdrs, &objp->free))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->info, sizeof (hsx_target_info), (xdrproc_t) xdr_hsx_target_info))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, HSX_RECORDS_MAX,
+		sizeof (uint64_t), (xdrproc_t) xdr_uint64_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, HSX_BATCH_MAX,
+		sizeof (hsx_end), (xdrproc_t) xdr_hsx_end))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_entries_args (XDR *xdrs, hsx_entries_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, HSX_ENTRIES_MAX,
+		sizeof (hsx_entry_info), (xdrproc_t) xdr_hsx_entry_info))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_configuration_args (XDR *xdrs, hsx_configuration_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int64_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, HSX_CONFIGURATION_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -27,6 +27,10 @@
   [HSX_PROMISE] = PROC ("promise", hsx_promise_args, hsx_promise_reply),
   [HSX_SUSPECT] = ONE_WAY ("suspect", hsx_suspect_args),
   [HSX_PROBE] = PROC ("probe", hsx_probe_args, hsx_probe_reply),
+  [HSX_ORDERS] = ONE_WAY ("orders", hsx_orders_args),
+  [HSX_REPORT] = ONE_WAY ("report", hsx_report_args),
+  [HSX_ENTRIES] = ONE_WAY ("entries", hsx_entries_args),
+  [HSX_CONFIGURATION] = ONE_WAY ("configuration", hsx_configuration_args),
 };
 
 const HsProc *
--- a/src/rpc/conn.h
+++ b/src/rpc/conn.h
@@ -16,6 +16,7 @@
 
 #include "base/time.h"
 #include "proto/hspoke.h"
+#include "proto/procs.h"
 
 typedef struct HsRpc HsRpc;
 typedef struct HsConn HsConn;
@@ -66,8 +67,8 @@
 /** Counters of one HsRpc; bytes include headers. */
 typedef struct
 {
-  uint64_t sent_by_proc[16];
-  uint64_t received_by_proc[16];
+  uint64_t sent_by_proc[HS_PROC_COUNT];
+  uint64_t received_by_proc[HS_PROC_COUNT];
   uint64_t bytes_sent;
   uint64_t bytes_received;
   uint64_t refused_records;   /**< Wrong key, replayed, malformed, oversized. */
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -9,6 +9,7 @@
 
 #include "http/curl_loop.h"
 #include "store/store.h"
+#include "store/wire.h"
 
 typedef struct HsStoreCall HsStoreCall;
 
@@ -20,6 +21,7 @@
   size_t n_endpoints;
   size_t endpoint; /* Index of the one in use. */
   HsTime timeout;
+  HsStoreProtocol protocol;
   struct curl_slist *headers;
   HsStoreCall *calls;
   HsStoreWatch *watches;
@@ -36,14 +38,9 @@
   void *arg;
 } HsStoreReceiver;
 
-/**
- * Makes the handle of a POST to the endpoint in use.
- * @param path as "/v3/kv/range"
- * @param body copied
- */
+/** Makes the handle of a request to the endpoint in use. */
 CURL *hs_store_request (HsStore *store,
-                        const char *path,
-                        const char *body,
+                        const HsStoreMessage *message,
                         HsStoreReceiver *receiver);
 
 /** Goes on to the next endpoint, unless that has been done since. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -4,32 +4,11 @@
 
 #include "base/log.h"
 #include "store/client.h"
-#include "store/codec.h"
-
-typedef enum
-{
-  CALL_RANGE,
-  CALL_TXN,
-  CALL_GRANT,
-  CALL_KEEPALIVE,
-  CALL_REVOKE
-} CallKind;
-
-static const char *const PATHS[] = {
-  [CALL_RANGE] = "/v3/kv/range",      [CALL_TXN] = "/v3/kv/txn",
-  [CALL_GRANT] = "/v3/lease/grant",   [CALL_KEEPALIVE] = "/v3/lease/keepalive",
-  [CALL_REVOKE] = "/v3/lease/revoke",
-};
-
-enum
-{
-  HTTP_OK = 200
-};
 
 struct HsStoreCall
 {
   HsStore *store;
-  CallKind kind;
+  HsStoreCallKind kind;
   size_t endpoint;
   CURL *easy;
   HsStoreReceiver receiver;
@@ -43,8 +22,8 @@
 static int free_store (HsStore *store);
 static int free_call (HsStoreCall *call);
 static void start_call (HsStore *store,
-                        CallKind kind,
-                        char *body,
+                        HsStoreCallKind kind,
+                        const HsStoreMessage *message,
                         HsStoreDone done,
                         void *arg);
 static bool append_answer (void *arg, const char *data, size_t len);
@@ -83,9 +62,13 @@
                 HsStoreDone done,
                 void *arg)
 {
+  TALLOC_CTX *ctx = talloc_new (store);
+  HsStoreMessage message
+      = hs_store_wire_range (store->protocol, ctx, prefix, limit);
+
   store->stats.ranges++;
-  start_call (store, CALL_RANGE, hs_store_encode_range (store, prefix, limit),
-              done, arg);
+  start_call (store, HS_STORE_CALL_RANGE, &message, done, arg);
+  talloc_free (ctx);
 }
 
 void
@@ -94,8 +77,12 @@
               HsStoreDone done,
               void *arg)
 {
+  TALLOC_CTX *ctx = talloc_new (store);
+  HsStoreMessage message = hs_store_wire_txn (store->protocol, ctx, txn);
+
   store->stats.txns++;
-  start_call (store, CALL_TXN, hs_store_encode_txn (store, txn), done, arg);
+  start_call (store, HS_STORE_CALL_TXN, &message, done, arg);
+  talloc_free (ctx);
 }
 
 void
@@ -104,9 +91,12 @@
                       HsStoreDone done,
                       void *arg)
 {
+  TALLOC_CTX *ctx = talloc_new (store);
+  HsStoreMessage message = hs_store_wire_grant (store->protocol, ctx, ttl_s);
+
   store->stats.lease_calls++;
-  start_call (store, CALL_GRANT, hs_store_encode_grant (store, ttl_s), done,
-              arg);
+  start_call (store, HS_STORE_CALL_GRANT, &message, done, arg);
+  talloc_free (ctx);
 }
 
 void
@@ -115,9 +105,13 @@
                           HsStoreDone done,
                           void *arg)
 {
+  TALLOC_CTX *ctx = talloc_new (store);
+  HsStoreMessage message
+      = hs_store_wire_keepalive (store->protocol, ctx, lease);
+
   store->stats.lease_calls++;
-  start_call (store, CALL_KEEPALIVE, hs_store_encode_lease (store, lease), done,
-              arg);
+  start_call (store, HS_STORE_CALL_KEEPALIVE, &message, done, arg);
+  talloc_free (ctx);
 }
 
 void
@@ -126,9 +120,19 @@
                        HsStoreDone done,
                        void *arg)
 {
+  TALLOC_CTX *ctx = talloc_new (store);
+  HsStoreMessage message
+      = hs_store_wire_revoke (store->protocol, ctx, lease);
+
   store->stats.lease_calls++;
-  start_call (store, CALL_REVOKE, hs_store_encode_lease (store, lease), done,
-              arg);
+  start_call (store, HS_STORE_CALL_REVOKE, &message, done, arg);
+  talloc_free (ctx);
+}
+
+void
+hs_store_set_protocol (HsStore *store, HsStoreProtocol protocol)
+{
+  store->protocol = protocol;
 }
 
 const HsStoreStats *
@@ -139,13 +143,12 @@
 
 CURL *
 hs_store_request (HsStore *store,
-                  const char *path,
-                  const char *body,
+                  const HsStoreMessage *message,
                   HsStoreReceiver *receiver)
 {
   CURL *easy = curl_easy_init ();
   g_autofree char *url
-      = g_strconcat (store->endpoints[store->endpoint], path, NULL);
+      = g_strconcat (store->endpoints[store->endpoint], message->path, NULL);
 
   if (easy == NULL)
     g_error ("out of memory");
@@ -155,7 +158,10 @@
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, store->headers);
-  curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, body);
+  if (message->body != NULL)
+    curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, message->body);
+  else if (strcmp (message->method, "GET") != 0)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, message->method);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long) (store->timeout / HS_MSEC));
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
@@ -201,8 +207,8 @@
 
 static void
 start_call (HsStore *store,
-            CallKind kind,
-            char *body,
+            HsStoreCallKind kind,
+            const HsStoreMessage *message,
             HsStoreDone done,
             void *arg)
 {
@@ -221,10 +227,9 @@
     call->next->prev = call;
   store->calls = call;
   talloc_set_destructor (call, free_call);
-  call->easy = hs_store_request (store, PATHS[kind], body, &call->receiver);
+  call->easy = hs_store_request (store, message, &call->receiver);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long) (store->timeout / HS_MSEC));
-  talloc_free (body);
   hs_curl_add (store->curl, call->easy, on_call_end, call);
 }
 
@@ -259,49 +264,6 @@
   return true;
 }
 
-static bool
-decode_answer (HsStoreCall *call, HsStoreReply *reply)
-{
-  const char *text = (const char *) call->answer->data;
-  size_t len = call->answer->len;
-
-  switch (call->kind)
-    {
-    case CALL_RANGE:
-      return hs_store_decode_range (call, text, len, reply);
-    case CALL_TXN:
-      return hs_store_decode_txn (call, text, len, reply);
-    case CALL_GRANT:
-      return hs_store_decode_grant (call, text, len, reply);
-    case CALL_KEEPALIVE:
-      return hs_store_decode_keepalive (call, text, len, reply);
-    case CALL_REVOKE:
-      return hs_store_decode_revoke (call, text, len, reply);
-    }
-  return false;
-}
-
-/* Judges an error answer. The store looks a call's lease up before it applies
-   anything, so that only a call that names an absent lease is certain. */
-static HsStoreStatus
-judge_error (const HsStoreCall *call)
-{
-  int code = hs_store_decode_error ((const char *) call->answer->data,
-                                    call->answer->len);
-
-  if (code != HS_STORE_CODE_NOT_FOUND)
-    return HS_STORE_UNKNOWN;
-  switch (call->kind)
-    {
-    case CALL_TXN:
-      return HS_STORE_NOT_APPLIED;
-    case CALL_REVOKE:
-      return HS_STORE_OK;
-    default:
-      return HS_STORE_UNKNOWN;
-    }
-}
-
 static HsStoreStatus
 judge (HsStoreCall *call, CURLcode result, bool sent, HsStoreReply *reply)
 {
@@ -312,14 +274,9 @@
   if (result != CURLE_OK)
     return HS_STORE_UNKNOWN;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http_status);
-  if (http_status != HTTP_OK)
-    return judge_error (call);
-  if (!decode_answer (call, reply))
-    {
-      memset (reply, 0, sizeof *reply);
-      return HS_STORE_UNKNOWN;
-    }
-  return HS_STORE_OK;
+  return hs_store_wire_judge (call->store->protocol, call, call->kind,
+                              http_status, (const char *) call->answer->data,
+                              call->answer->len, reply);
 }
 
 static void
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,9 +1,9 @@
 /**
  * @file
- * Client of the platform's key-value service, over the etcd v3 JSON gateway
- * (HTTP POST of JSON, keys and values in base64). Calls are asynchronous on a
- * tevent loop through libcurl's multi interface; all functions and callbacks
- * belong to the loop's thread.
+ * Client of a key-value service, over the etcd v3 JSON gateway (HTTP POST of
+ * JSON, keys and values in base64) or the protocol of the users' platform.
+ * Calls are asynchronous on a tevent loop through libcurl's multi interface;
+ * all functions and callbacks belong to the loop's thread.
  */
 #ifndef HS_STORE_STORE_H
 #define HS_STORE_STORE_H
@@ -20,6 +20,13 @@
 typedef struct HsStore HsStore;
 typedef struct HsStoreWatch HsStoreWatch;
 
+/** Protocols that the client speaks. */
+typedef enum
+{
+  HS_STORE_GATEWAY, /**< The etcd v3 JSON gateway; watches are streams. */
+  HS_STORE_PLATFORM /**< The users' platform; watches are long polls. */
+} HsStoreProtocol;
+
 /** What is known of a call after it ended. */
 typedef enum
 {
@@ -108,6 +115,9 @@
                        const char *const *endpoints,
                        HsTime timeout);
 
+/** Chooses the protocol, before the first call; HS_STORE_GATEWAY if not. */
+void hs_store_set_protocol (HsStore *store, HsStoreProtocol protocol);
+
 /** All keys that begin with @p prefix, at most @p limit (0: no limit). */
 void hs_store_range (HsStore *store,
                      const char *prefix,
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -1,12 +1,17 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/timer.h"
+#include "platform/store_wire.h"
 #include "store/client.h"
-#include "store/codec.h"
 
 #define REDIAL_MIN (100 * HS_MSEC)
 #define REDIAL_MAX (2 * HS_SEC)
 
+/* A long poll's answer comes after this. Much shorter than the time in which
+   a change has to be known, since a connection may be silent for good. */
+#define POLL_WAIT (5 * HS_SEC)
+
 /* A host that vanished is noticed by TCP's probes; the store itself may be
    silent for minutes. */
 #define PROBE_IDLE_S 5L
@@ -24,7 +29,8 @@
   HsStoreReceiver receiver;
   GByteArray *buffer;
   struct tevent_immediate *deliver;
-  struct tevent_timer *timer; /* To redial, or to cut. */
+  HsTimer *timer; /* To redial, or to cut. */
+  bool redials;   /* What the timer does. */
   HsTime backoff;
   bool ended; /* Compacted: nothing more comes. */
   bool *freed;
@@ -35,6 +41,9 @@
 static int free_watch (HsStoreWatch *watch);
 static void dial (HsStoreWatch *watch);
 static void cut (HsStoreWatch *watch);
+static void on_timer (void *arg);
+static bool handle_line (HsStoreWatch *watch, HsWatchLine *line);
+static void handle_poll (HsStoreWatch *watch, long http_status);
 static void cut_after (HsStoreWatch *watch, HsTime delay);
 static bool append_data (void *arg, const char *data, size_t len);
 static void on_watch_end (void *arg, CURL *easy, CURLcode result, bool sent);
@@ -59,6 +68,7 @@
   watch->receiver.arg = watch;
   watch->buffer = g_byte_array_new ();
   watch->deliver = tevent_create_immediate (watch);
+  watch->timer = hs_timer_new (watch, store->ev, on_timer, watch);
   watch->backoff = REDIAL_MIN;
   watch->next = store->watches;
   if (watch->next != NULL)
@@ -107,58 +117,47 @@
 dial (HsStoreWatch *watch)
 {
   HsStore *store = watch->store;
-  char *body
-      = hs_store_encode_watch (watch, watch->prefix, watch->next_revision);
+  HsStoreMessage message
+      = hs_store_wire_watch (store->protocol, watch, watch->prefix,
+                             watch->next_revision, POLL_WAIT);
 
   store->stats.watches++;
   watch->endpoint = store->endpoint;
-  watch->easy = hs_store_request (store, "/v3/watch", body, &watch->receiver);
+  watch->easy = hs_store_request (store, &message, &watch->receiver);
   curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPIDLE, PROBE_IDLE_S);
   curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPINTVL, PROBE_INTERVAL_S);
-  talloc_free (body);
-  cut_after (watch, store->timeout);
+  talloc_free (message.path);
+  talloc_free (message.body);
+  cut_after (watch, store->protocol == HS_STORE_PLATFORM
+                        ? POLL_WAIT + store->timeout
+                        : store->timeout);
   hs_curl_add (store->curl, watch->easy, on_watch_end, watch);
 }
 
+/* Cuts the watch unless a line comes before. */
 static void
-on_silent (struct tevent_context *ev,
-           struct tevent_timer *te,
-           struct timeval now,
-           void *arg)
+cut_after (HsStoreWatch *watch, HsTime delay)
 {
-  HsStoreWatch *watch = arg;
-
-  (void) ev;
-  (void) te;
-  (void) now;
-  cut (watch);
+  watch->redials = false;
+  hs_timer_set (watch->timer, delay, hs_now ().mono);
 }
 
-/* Cuts the watch unless a line comes before. */
 static void
-cut_after (HsStoreWatch *watch, HsTime delay)
+redial_after (HsStoreWatch *watch, HsTime delay)
 {
-  struct timeval when
-      = tevent_timeval_current_ofs (delay / HS_SEC, delay % HS_SEC);
-
-  TALLOC_FREE (watch->timer);
-  watch->timer
-      = tevent_add_timer (watch->store->ev, watch, when, on_silent, watch);
+  watch->redials = true;
+  hs_timer_set (watch->timer, delay, hs_now ().mono);
 }
 
 static void
-on_redial (struct tevent_context *ev,
-           struct tevent_timer *te,
-           struct timeval now,
-           void *arg)
+on_timer (void *arg)
 {
   HsStoreWatch *watch = arg;
 
-  (void) ev;
-  (void) te;
-  (void) now;
-  TALLOC_FREE (watch->timer);
-  dial (watch);
+  if (watch->redials)
+    dial (watch);
+  else
+    cut (watch);
 }
 
 /* Ends the connection, arranges the next one and tells the caller. */
@@ -166,17 +165,13 @@
 cut (HsStoreWatch *watch)
 {
   HsWatchNote note = { .kind = HS_WATCH_CUT };
-  struct timeval when = tevent_timeval_current_ofs (watch->backoff / HS_SEC,
-                                                    watch->backoff % HS_SEC);
 
   if (watch->easy != NULL)
     hs_curl_remove (watch->store->curl, watch->easy);
   watch->easy = NULL;
   g_byte_array_set_size (watch->buffer, 0);
   hs_store_endpoint_failed (watch->store, watch->endpoint);
-  TALLOC_FREE (watch->timer);
-  watch->timer
-      = tevent_add_timer (watch->store->ev, watch, when, on_redial, watch);
+  redial_after (watch, watch->backoff);
   watch->backoff = MIN (watch->backoff * 2, REDIAL_MAX);
   note.revision = MAX (watch->next_revision - 1, 0);
   watch->func (watch->arg, &note);
@@ -192,6 +187,8 @@
   if (len > HS_STORE_ANSWER_MAX - watch->buffer->len)
     return false;
   g_byte_array_append (watch->buffer, (const guint8 *) data, (guint) len);
+  if (watch->store->protocol == HS_STORE_PLATFORM)
+    return true;
   tevent_schedule_immediate (watch->deliver, watch->store->ev, on_deliver,
                              watch);
   return true;
@@ -225,21 +222,18 @@
 end (HsStoreWatch *watch)
 {
   watch->ended = true;
-  TALLOC_FREE (watch->timer);
+  hs_timer_clear (watch->timer);
   if (watch->easy != NULL)
     hs_curl_remove (watch->store->curl, watch->easy);
   watch->easy = NULL;
   g_byte_array_set_size (watch->buffer, 0);
 }
 
-/* False if the watch is cut, compacted or freed. */
 static bool
-handle_line (HsStoreWatch *watch, const char *text, size_t len)
+handle_text (HsStoreWatch *watch, const char *text, size_t len)
 {
   HsWatchLine line = { 0 };
-  HsWatchNote note = { 0 };
   TALLOC_CTX *ctx = talloc_new (NULL);
-  bool *freed = talloc_zero (ctx, bool);
   bool goes_on;
 
   if (!hs_store_decode_watch (ctx, text, len, &line)
@@ -251,24 +245,37 @@
       talloc_free (ctx);
       return false;
     }
-  if (line.compact_revision > 0)
+  goes_on = handle_line (watch, &line);
+  talloc_free (ctx);
+  return goes_on;
+}
+
+/* False if the watch is cut, compacted or freed. */
+static bool
+handle_line (HsStoreWatch *watch, HsWatchLine *line)
+{
+  HsWatchNote note = { 0 };
+  bool *freed = talloc_zero (NULL, bool);
+  bool goes_on;
+
+  if (line->compact_revision > 0)
     {
       note.kind = HS_WATCH_COMPACTED;
-      note.revision = line.compact_revision;
+      note.revision = line->compact_revision;
       end (watch);
     }
   else
     {
-      note_progress (watch, &line, &note);
+      note_progress (watch, line, &note);
       watch->backoff = REDIAL_MIN;
-      TALLOC_FREE (watch->timer);
+      hs_timer_clear (watch->timer);
     }
   watch->freed = freed;
   watch->func (watch->arg, &note);
   if (!*freed)
     watch->freed = NULL;
   goes_on = !*freed && !watch->ended;
-  talloc_free (ctx);
+  talloc_free (freed);
   return goes_on;
 }
 
@@ -286,7 +293,7 @@
       g_autofree char *text = g_strndup ((char *) watch->buffer->data, len);
 
       g_byte_array_remove_range (watch->buffer, 0, (guint) len + 1);
-      if (!handle_line (watch, text, len))
+      if (!handle_text (watch, text, len))
         return false;
     }
   return true;
@@ -304,11 +311,40 @@
 on_watch_end (void *arg, CURL *easy, CURLcode result, bool sent)
 {
   HsStoreWatch *watch = arg;
+  long http_status = 0;
 
-  (void) result;
   (void) sent;
+  if (result == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_status);
   curl_easy_cleanup (easy);
   watch->easy = NULL;
-  if (handle_lines (watch))
+  if (watch->store->protocol == HS_STORE_PLATFORM)
+    handle_poll (watch, http_status);
+  else if (handle_lines (watch))
     cut (watch);
 }
+
+/* A poll's answer is one line; the next poll follows at once. */
+static void
+handle_poll (HsStoreWatch *watch, long http_status)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  HsWatchLine line = { 0 };
+
+  if (!hs_store_platform_events (ctx, http_status,
+                                 (const char *) watch->buffer->data,
+                                 watch->buffer->len, &line))
+    cut (watch);
+  else
+    {
+      int64_t reached = line.revision;
+
+      g_byte_array_set_size (watch->buffer, 0);
+      if (handle_line (watch, &line))
+        {
+          watch->next_revision = MAX (watch->next_revision, reached + 1);
+          redial_after (watch, 0);
+        }
+    }
+  talloc_free (ctx);
+}
