--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -498,8 +498,17 @@
       refuse (entry, request, HS_REPLY_REFUSED, "stopping", NULL);
       return;
     }
-  out.left = request->left != HS_NEVER ? request->left : LEFT_DEFAULT;
-  out.left = MIN (out.left, route->timeout);
+  /* A caller that says how long it waits knows better than its route. */
+  out.left = request->left;
+  if (out.left == HS_NEVER)
+    out.left = MIN (route->timeout, LEFT_DEFAULT);
+  hs_event ("job", "job=%s customer=%s tasks=%u cpu_milli=%u estimate_ms=%.0f "
+                   "left_ms=%.0f timeout_ms=%.0f config_version=%" PRId64,
+            out.id, out.customer, out.n_tasks, out.needs.cpu_milli,
+            (double) out.estimate / HS_MSEC,
+            request->left == HS_NEVER ? -1 : (double) request->left / HS_MSEC,
+            route->timeout == HS_NEVER ? -1 : (double) route->timeout / HS_MSEC,
+            hs_routes_version (entry->routes));
   hs_jobs_submit (entry->jobs, &out, now);
   hs_entry_schedule (entry, false);
 }
