--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -5,8 +5,7 @@
 #include "base/log.h"
 #include "direct/agent.h"
 
-static bool
-parse_options (int argc, char **argv, char **file, char **platform);
+static bool parse_options (int argc, char **argv, char **file, char **platform);
 static int run (const HsSettings *settings);
 static void on_signal (struct tevent_context *ev,
                        struct tevent_signal *se,
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -18,8 +18,7 @@
  * Writes "time=.. process=.. event=EVENT " and the pairs of @p format.
  * Values that come from outside go through hs_event_text().
  */
-void hs_event (const char *event, const char *format, ...)
-    G_GNUC_PRINTF (2, 3);
+void hs_event (const char *event, const char *format, ...) G_GNUC_PRINTF (2, 3);
 
 /** Bytes of a value made safe, with its terminator. */
 #define HS_EVENT_TEXT_SIZE 68
--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -62,7 +62,8 @@
   HsDirectAgent *agent = arg;
 
   hs_event ("task_start",
-            "job=%s step=%u task=%u attempt=%u token=%" PRIu64 " lease_until=%" PRId64,
+            "job=%s step=%u task=%u attempt=%u token=%" PRIu64
+            " lease_until=%" PRId64,
             order->key.job, order->key.step, order->key.index,
             order->key.attempt, order->token, order->lease_until_ms);
   hs_target_client_start (agent->client, run, order);
@@ -120,10 +121,12 @@
   hs_agent_links_changed (arg);
 }
 
-static const HsRunsEffects RUNS_EFFECTS
-    = { .start = effect_start, .forget = effect_forget,
-        .stop = effect_stop,   .look = effect_look,
-        .ended = effect_ended, .changed = effect_changed };
+static const HsRunsEffects RUNS_EFFECTS = { .start = effect_start,
+                                            .forget = effect_forget,
+                                            .stop = effect_stop,
+                                            .look = effect_look,
+                                            .ended = effect_ended,
+                                            .changed = effect_changed };
 
 /* What the target answers and says. */
 
@@ -180,8 +183,9 @@
   if (!hs_runs_announce (agent->runs, said, hs_now ().mono))
     return;
   if (!same || was_leaving != said->leaving)
-    hs_event ("target", "name=%s born=%" PRId64 " sequence=%" PRIu64
-                        " state=%s cpu_milli=%u",
+    hs_event ("target",
+              "name=%s born=%" PRId64 " sequence=%" PRIu64
+              " state=%s cpu_milli=%u",
               hs_event_text (said->name, name), said->born_ms, said->sequence,
               said->leaving ? "leaving" : "ready", said->capacity.cpu_milli);
   if (!same)
@@ -306,8 +310,8 @@
   self.incarnation = agent->incarnation;
   self.address = agent->settings->control_listen;
   self.data_centre = agent->settings->data_centre;
-  agent->rpc = hs_rpc_new (role, agent->ev, &self,
-                           agent->settings->cluster_key, &handler, agent);
+  agent->rpc = hs_rpc_new (role, agent->ev, &self, agent->settings->cluster_key,
+                           &handler, agent);
   agent->dialer = hs_dialer_new (role, agent->rpc, NULL);
   agent->store = hs_process_store (role, agent->ev, agent->settings);
   agent->turn = tevent_create_immediate (role);
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -13,7 +13,8 @@
 
 static HsAgentPeer *find_peer (HsDirectAgent *agent, uint64_t incarnation);
 static HsAgentPeer *peer_of (HsDirectAgent *agent, HsConn *conn);
-static void drop_peer (HsDirectAgent *agent, HsAgentPeer *peer, const char *why);
+static void
+drop_peer (HsDirectAgent *agent, HsAgentPeer *peer, const char *why);
 static void take_orders (HsDirectAgent *agent,
                          HsAgentPeer *peer,
                          const hsx_orders_args *orders);
@@ -151,8 +152,8 @@
       if (!peer->used || peer->conn == NULL)
         continue;
       next = peer->reported_at + (peer->report_due ? REPORT_SPAN : HS_PULSE);
-      if (peer->ends->len > 0 || peer->whole_due || state_changed
-          || now >= next || (peer->report_due && is_urgent (peer, &room)))
+      if (peer->ends->len > 0 || peer->whole_due || state_changed || now >= next
+          || (peer->report_due && is_urgent (peer, &room)))
         {
           report (agent, peer, now);
           next = now + HS_PULSE;
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -77,7 +77,8 @@
                           HsConn *conn,
                           uint32_t proc,
                           const void *args);
-void hs_agent_links_end (HsDirectAgent *agent, uint32_t peer, const hsx_end *end);
+void
+hs_agent_links_end (HsDirectAgent *agent, uint32_t peer, const hsx_end *end);
 void hs_agent_links_changed (HsDirectAgent *agent);
 
 /** Sends reports that are due; returns when the next one is. */
--- a/src/direct/demand.c
+++ b/src/direct/demand.c
@@ -75,8 +75,8 @@
 
   if (g_hash_table_lookup_extended (demand->handles, name, NULL, &found))
     return GPOINTER_TO_UINT (found);
-  demand->customers = talloc_realloc (demand, demand->customers, Customer,
-                                      demand->n + 1);
+  demand->customers
+      = talloc_realloc (demand, demand->customers, Customer, demand->n + 1);
   demand->customers[handle] = (Customer){ .served = 1, .served_large = 1 };
   demand->n++;
   g_hash_table_insert (demand->handles, g_strdup (name),
@@ -100,10 +100,7 @@
 }
 
 void
-hs_demand_ran (HsDemand *demand,
-               uint32_t customer,
-               HsTime estimate,
-               HsTime run)
+hs_demand_ran (HsDemand *demand, uint32_t customer, HsTime estimate, HsTime run)
 {
   Customer *c = &demand->customers[customer];
   double weight = MAX (RUN_WEIGHT, 1.0 / (c->n_runs + 1));
@@ -114,8 +111,8 @@
   c->log_run += (log_run - c->log_run) * weight;
   if (estimate > 0)
     {
-      double bias = CLAMP (log_run - log ((double) estimate),
-                           -log (RATIO_MAX), log (RATIO_MAX));
+      double bias = CLAMP (log_run - log ((double) estimate), -log (RATIO_MAX),
+                           log (RATIO_MAX));
 
       c->log_bias += (bias - c->log_bias) * weight;
     }
@@ -128,8 +125,8 @@
 
   c->served += ((served ? 1.0 : 0.0) - c->served) * SERVED_WEIGHT;
   if (is_large (c, work))
-    c->served_large += ((served ? 1.0 : 0.0) - c->served_large) * SERVED_WEIGHT
-                       * 2;
+    c->served_large
+        += ((served ? 1.0 : 0.0) - c->served_large) * SERVED_WEIGHT * 2;
 }
 
 HsTime
--- a/src/direct/demand.h
+++ b/src/direct/demand.h
@@ -36,15 +36,12 @@
                     HsTime run);
 
 /** Notes how a job ended. */
-void hs_demand_ended (HsDemand *demand,
-                      uint32_t customer,
-                      double work,
-                      bool served);
+void
+hs_demand_ended (HsDemand *demand, uint32_t customer, double work, bool served);
 
 /** Expected run time of a task. */
-HsTime hs_demand_expect (const HsDemand *demand,
-                         uint32_t customer,
-                         HsTime estimate);
+HsTime
+hs_demand_expect (const HsDemand *demand, uint32_t customer, HsTime estimate);
 
 /** What serving a job in time is worth, against a mean job of a mean
  *  customer. @param work its core-seconds */
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -96,8 +96,7 @@
       address->up = false;
       address->conn = NULL;
       address->due
-          = now
-            + (now - address->since < SOON_SPAN ? RETRY_SOON : RETRY_LATER);
+          = now + (now - address->since < SOON_SPAN ? RETRY_SOON : RETRY_LATER);
       return true;
     }
   return false;
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -227,8 +227,8 @@
   self.data_centre = entry->settings->data_centre;
   entry->rpc = hs_rpc_new (entry, entry->ev, &self,
                            entry->settings->cluster_key, &handler, entry);
-  entry->dialer = hs_dialer_new (entry, entry->rpc,
-                                 entry->settings->control_listen);
+  entry->dialer
+      = hs_dialer_new (entry, entry->rpc, entry->settings->control_listen);
   entry->store = hs_process_store (entry, entry->ev, entry->settings);
   entry->turn = tevent_create_immediate (entry);
   entry->timer = hs_timer_new (entry, entry->ev, on_timer, entry);
@@ -502,8 +502,9 @@
   out.left = request->left;
   if (out.left == HS_NEVER)
     out.left = MIN (route->timeout, LEFT_DEFAULT);
-  hs_event ("job", "job=%s customer=%s tasks=%u cpu_milli=%u estimate_ms=%.0f "
-                   "left_ms=%.0f timeout_ms=%.0f config_version=%" PRId64,
+  hs_event ("job",
+            "job=%s customer=%s tasks=%u cpu_milli=%u estimate_ms=%.0f "
+            "left_ms=%.0f timeout_ms=%.0f config_version=%" PRId64,
             out.id, out.customer, out.n_tasks, out.needs.cpu_milli,
             (double) out.estimate / HS_MSEC,
             request->left == HS_NEVER ? -1 : (double) request->left / HS_MSEC,
--- a/src/direct/entry_config.c
+++ b/src/direct/entry_config.c
@@ -23,8 +23,7 @@
                    size_t len,
                    int64_t revision,
                    const char *from);
-static void
-send_to (HsDirectEntry *entry, HsEntryPeer *peer, bool with_text);
+static void send_to (HsDirectEntry *entry, HsEntryPeer *peer, bool with_text);
 
 void
 hs_entry_config_start (HsDirectEntry *entry)
@@ -89,8 +88,7 @@
   hs_entry_schedule (entry, false);
   if (reply->status != HS_STORE_OK)
     {
-      hs_event ("config_read", "outcome=failed status=%d",
-                (int) reply->status);
+      hs_event ("config_read", "outcome=failed status=%d", (int) reply->status);
       entry->read_at = hs_now ().mono + READ_RETRY;
       return;
     }
--- a/src/direct/entry_key.c
+++ b/src/direct/entry_key.c
@@ -58,8 +58,7 @@
 
   if (reply->status != HS_STORE_OK)
     {
-      hs_event ("entry_key", "outcome=no_lease status=%d",
-                (int) reply->status);
+      hs_event ("entry_key", "outcome=no_lease status=%d", (int) reply->status);
       next (entry, RETRY_SPAN);
       return;
     }
@@ -118,8 +117,7 @@
   if (reply->status != HS_STORE_OK)
     return;
   for (i = 0; i < reply->n_kvs; i++)
-    hs_dialer_add (entry->dialer, reply->kvs[i].value, false,
-                   hs_now ().mono);
+    hs_dialer_add (entry->dialer, reply->kvs[i].value, false, hs_now ().mono);
   hs_entry_schedule (entry, false);
 }
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -10,8 +10,9 @@
 static HsAgentLink *link_at (HsDirectEntry *entry, uint32_t target);
 static uint32_t target_of (const HsDirectEntry *entry, const HsConn *conn);
 static HsEntryPeer *peer_of (HsDirectEntry *entry, const HsConn *conn);
-static void
-take_report (HsDirectEntry *entry, uint32_t target, const hsx_report_args *args);
+static void take_report (HsDirectEntry *entry,
+                         uint32_t target,
+                         const hsx_report_args *args);
 static void succeed (HsDirectEntry *entry, uint32_t target, HsTime now);
 static void
 lose (HsDirectEntry *entry, uint32_t target, bool over, const char *why);
@@ -114,8 +115,8 @@
     {
       copy = *job;
       copy.job = talloc_strdup (outbox->ctx, job->job);
-      copy.spec.spec_val = talloc_memdup (outbox->ctx, job->spec.spec_val,
-                                          job->spec.spec_len);
+      copy.spec.spec_val
+          = talloc_memdup (outbox->ctx, job->spec.spec_val, job->spec.spec_len);
       copy.tasks.tasks_val
           = talloc_array (outbox->ctx, hsx_launch_task, HSX_TASKS_MAX);
       copy.tasks.tasks_len = 0;
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -21,7 +21,7 @@
 /** Orders that wait for the end of the loop's turn. */
 typedef struct
 {
-  TALLOC_CTX *ctx; /**< Of everything in it; NULL: it is empty. */
+  TALLOC_CTX *ctx;  /**< Of everything in it; NULL: it is empty. */
   GArray *launches; /**< hsx_launch. */
   GArray *stops;    /**< uint64_t. */
 } HsOutbox;
@@ -29,7 +29,7 @@
 /** An agent by its target's handle. */
 typedef struct
 {
-  HsConn *conn;    /**< NULL: lost since `lost_at`. */
+  HsConn *conn; /**< NULL: lost since `lost_at`. */
   HsTime lost_at;
   HsTime ordered_at; /**< Last orders. */
   bool told_hungry;
@@ -67,13 +67,13 @@
   HsJobs *jobs;
   HsTimer *timer;
   struct tevent_immediate *turn;
-  bool turn_scheduled;
-  bool pump_due;
   HsTime alive_at;   /**< When the loop last turned. */
   HsTime thaw_until; /**< Requests that come before may be old. */
-  HsEntryStage stage;
   HsTime term_at;
+  HsEntryStage stage;
   bool done;
+  bool turn_scheduled;
+  bool pump_due;
   HsAgentLink *links; /**< By target handle. */
   uint32_t n_links;
   HsEntryPeer peers[HS_PEERS_MAX];
@@ -87,14 +87,14 @@
   HsTime config_at; /**< When it came. */
   HsTime share_at;  /**< When peers without it are sent it; HS_NEVER. */
   HsTime read_at;   /**< When it is read; HS_NEVER: not now. */
-  bool reading;
   /** @} */
   /** @name The entry's key in the store; entry_key.c @{ */
   int64_t lease;
   HsTime key_due;
-  bool key_busy;
-  bool key_there;
   /** @} */
+  bool reading;   /**< The configuration. */
+  bool key_busy;  /**< A call about the key is under way. */
+  bool key_there; /**< The key was written under the lease. */
   HsMetrics *metrics;
   HsCounter *answers[HS_ANSWER_CANCELLED + 1];
   HsHistogram *waits;
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -29,10 +29,8 @@
 
 static int free_jobs (HsJobs *jobs);
 static HsJob *job_new (HsJobs *jobs);
-static void job_fill (HsJobs *jobs,
-                      HsJob *job,
-                      const HsSubmission *from,
-                      HsTime now);
+static void
+job_fill (HsJobs *jobs, HsJob *job, const HsSubmission *from, HsTime now);
 static void admit (HsJobs *jobs, HsJob *job, HsTime now);
 static void job_finish (HsJobs *jobs,
                         HsJob *job,
@@ -58,16 +56,11 @@
 hs_answer_why_word (HsAnswerWhy why)
 {
   static const char *const words[] = {
-    [HS_WHY_DONE] = "done",
-    [HS_WHY_TASK_FAILED] = "task_failed",
-    [HS_WHY_NO_TARGET] = "no_target",
-    [HS_WHY_QUEUE] = "queue",
-    [HS_WHY_WAITED] = "waited",
-    [HS_WHY_DEADLINE] = "deadline",
-    [HS_WHY_TOO_LATE] = "too_late",
-    [HS_WHY_TARGET_LOST] = "target_lost",
-    [HS_WHY_STOPPING] = "stopping",
-    [HS_WHY_CALLER_GONE] = "caller_gone",
+    [HS_WHY_DONE] = "done",           [HS_WHY_TASK_FAILED] = "task_failed",
+    [HS_WHY_NO_TARGET] = "no_target", [HS_WHY_QUEUE] = "queue",
+    [HS_WHY_WAITED] = "waited",       [HS_WHY_DEADLINE] = "deadline",
+    [HS_WHY_TOO_LATE] = "too_late",   [HS_WHY_TARGET_LOST] = "target_lost",
+    [HS_WHY_STOPPING] = "stopping",   [HS_WHY_CALLER_GONE] = "caller_gone",
     [HS_WHY_CANCELLED] = "cancelled",
   };
 
@@ -124,8 +117,8 @@
   for (i = 0; i < jobs->n_jobs; i++)
     if (jobs->jobs[i].used && strcmp (jobs->jobs[i].id, id) == 0)
       {
-        job_finish (jobs, &jobs->jobs[i], HS_ANSWER_CANCELLED,
-                    HS_WHY_CANCELLED, now);
+        job_finish (jobs, &jobs->jobs[i], HS_ANSWER_CANCELLED, HS_WHY_CANCELLED,
+                    now);
         return true;
       }
   return false;
@@ -343,8 +336,8 @@
   job->arrived = now;
   job->deadline = now + from->left;
   job->late_at = MIN (job->deadline, now + LATE_FACTOR * job->objective);
-  job->wait_until
-      = MIN (job->deadline, now + (HsTime) (WAIT_PART * (double) job->objective));
+  job->wait_until = MIN (job->deadline,
+                         now + (HsTime) (WAIT_PART * (double) job->objective));
   job->work = (double) from->n_tasks * from->needs.cpu_milli / 1000
               * (double) job->expected / HS_SEC;
   job->max_failures = from->max_failures;
@@ -373,8 +366,8 @@
   /* Without a target in reach, as after all have restarted, it waits while
      it could still be in time. */
   if (capacity == 0)
-    job->wait_until = MAX (job->wait_until,
-                           job->arrived + job->objective - job->expected);
+    job->wait_until
+        = MAX (job->wait_until, job->arrived + job->objective - job->expected);
   hs_jobs_pump (jobs, now);
   job = &jobs->jobs[handle];
   if (!job->used || job->n_starts > 0 || capacity == 0)
@@ -530,15 +523,15 @@
 launch (HsJobs *jobs, HsJob *job, HsTask *task, uint32_t target, HsTime now)
 {
   uint32_t index = (uint32_t) (task - job->tasks);
-  uint64_t ref = ((uint64_t) jobs->next_generation++
-                  << (REF_JOB_BITS + REF_TASK_BITS))
-                 | ((uint64_t) (job - jobs->jobs) << REF_TASK_BITS) | index;
-  hsx_launch order = { .job = job->id,
-                       .spec = { (u_int) job->spec_len, job->spec },
-                       .needs = job->needs,
-                       .expected_ms = (unsigned int) (job->expected / HS_MSEC),
-                       .left_ms
-                       = (unsigned int) ((job->deadline - now) / HS_MSEC) };
+  uint64_t ref
+      = ((uint64_t) jobs->next_generation++ << (REF_JOB_BITS + REF_TASK_BITS))
+        | ((uint64_t) (job - jobs->jobs) << REF_TASK_BITS) | index;
+  hsx_launch order
+      = { .job = job->id,
+          .spec = { (u_int) job->spec_len, job->spec },
+          .needs = job->needs,
+          .expected_ms = (unsigned int) (job->expected / HS_MSEC),
+          .left_ms = (unsigned int) ((job->deadline - now) / HS_MSEC) };
   hsx_launch_task sent = { .ref = ref, .index = index };
   uint32_t number;
 
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -30,9 +30,9 @@
   const char *spec;
   size_t spec_len;
   uint32_t n_tasks;
-  hsx_room needs;     /**< Of each task. */
-  HsTime estimate;    /**< Run time of a task; 0: not told. */
-  HsTime left;        /**< Until the caller's deadline. */
+  hsx_room needs;        /**< Of each task. */
+  HsTime estimate;       /**< Run time of a task; 0: not told. */
+  HsTime left;           /**< Until the caller's deadline. */
   uint32_t max_failures; /**< Of a task; then the job has failed. */
   double slack_factor;   /**< Objective: this times the run time... */
   HsTime slack;          /**< ...and this. */
@@ -52,11 +52,11 @@
 {
   HS_WHY_DONE,
   HS_WHY_TASK_FAILED,
-  HS_WHY_NO_TARGET,  /**< No target could ever run it. */
-  HS_WHY_QUEUE,      /**< The wait would be too long. */
-  HS_WHY_WAITED,     /**< It has waited as long as it may. */
+  HS_WHY_NO_TARGET, /**< No target could ever run it. */
+  HS_WHY_QUEUE,     /**< The wait would be too long. */
+  HS_WHY_WAITED,    /**< It has waited as long as it may. */
   HS_WHY_DEADLINE,
-  HS_WHY_TOO_LATE,   /**< It can't be done in time any more. */
+  HS_WHY_TOO_LATE, /**< It can't be done in time any more. */
   HS_WHY_TARGET_LOST,
   HS_WHY_STOPPING,
   HS_WHY_CALLER_GONE,
@@ -117,7 +117,8 @@
 bool hs_jobs_cancel (HsJobs *jobs, const char *id, HsTime now);
 
 /** What an agent says of a task. */
-void hs_jobs_ended (HsJobs *jobs, uint32_t target, const hsx_end *end, HsTime now);
+void
+hs_jobs_ended (HsJobs *jobs, uint32_t target, const hsx_end *end, HsTime now);
 
 /** After a new connection to the same agent: tasks sent to it and not in
  *  @p refs never started. */
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -19,9 +19,9 @@
   HsTaskState state;
   uint32_t attempt;
   uint32_t failures;
-  uint32_t target;     /**< Sent: where. */
-  uint32_t avoid;      /**< Where it failed last, or HS_TARGET_NONE. */
-  uint64_t ref;        /**< Sent: of this start. */
+  uint32_t target; /**< Sent: where. */
+  uint32_t avoid;  /**< Where it failed last, or HS_TARGET_NONE. */
+  uint64_t ref;    /**< Sent: of this start. */
   HsTime sent_at;
 } HsTask;
 
@@ -63,10 +63,10 @@
   const HsJobsEffects *effects;
   void *arg;
   HsJob *jobs;
-  uint32_t n_jobs;  /**< Size of the table. */
+  uint32_t n_jobs; /**< Size of the table. */
   uint32_t n_used;
   uint32_t next_generation;
-  double drain;    /**< Thousandths of a core that come free a second. */
+  double drain; /**< Thousandths of a core that come free a second. */
   HsTime drain_at;
   uint32_t *order; /**< Handles of waiting jobs, best first. */
   double *ranks;   /**< By handle. */
@@ -76,9 +76,7 @@
 double hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now);
 
 /** How long until a job that arrives now would start. */
-HsTime hs_jobs_predict_wait (const HsJobs *jobs,
-                             const HsJob *job,
-                             HsTime now);
+HsTime hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now);
 
 /** Notes room that was given to waiting work. */
 void hs_jobs_note_drain (HsJobs *jobs, uint32_t cpu_milli, HsTime now);
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -25,10 +25,8 @@
                         HsTime sent,
                         HsTime now);
 static HsRun *run_new (HsRuns *runs);
-static void refuse (HsRuns *runs,
-                    uint32_t peer,
-                    uint64_t ref,
-                    HsRefusal reason);
+static void
+refuse (HsRuns *runs, uint32_t peer, uint64_t ref, HsRefusal reason);
 static void unsettle (HsRuns *runs, HsRun *run);
 
 const char *
@@ -109,9 +107,8 @@
                 HsTime sent,
                 HsTime now)
 {
-  HsRunKey key = { .step = task->step,
-                   .index = task->index,
-                   .attempt = task->attempt };
+  HsRunKey key
+      = { .step = task->step, .index = task->index, .attempt = task->attempt };
   HsRefusal reason;
   HsRun *run;
 
@@ -128,7 +125,8 @@
   run->peer = peer;
   run->ref = task->ref;
   run->needs = launch->needs;
-  run->spec = talloc_memdup (runs, launch->spec.spec_val, launch->spec.spec_len);
+  run->spec
+      = talloc_memdup (runs, launch->spec.spec_val, launch->spec.spec_len);
   run->spec_len = launch->spec.spec_len;
   run->expected = launch->expected_ms * HS_MSEC;
   run->deadline = sent + launch->left_ms * HS_MSEC;
@@ -190,7 +188,10 @@
 }
 
 void
-hs_runs_started (HsRuns *runs, uint32_t handle, HsTargetResult result, HsTime now)
+hs_runs_started (HsRuns *runs,
+                 uint32_t handle,
+                 HsTargetResult result,
+                 HsTime now)
 {
   HsRun *run = &runs->runs[handle];
 
@@ -233,8 +234,7 @@
       return;
     }
   if (run->stop_wanted || run->n_calls >= CALLS_MAX || now >= run->deadline)
-    hs_run_end (runs, run,
-                run->stop_wanted ? HSX_END_STOPPED : HSX_END_REFUSED,
+    hs_run_end (runs, run, run->stop_wanted ? HSX_END_STOPPED : HSX_END_REFUSED,
                 HS_REFUSAL_TARGET, now);
   else
     hs_run_call (runs, run, now);
@@ -250,8 +250,8 @@
   for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
     {
       HsRun *run = &runs->runs[i];
-      HsTime repeat = run->sent_at + runs->options.stop_timeout
-                      + STOP_REPEAT_SLACK;
+      HsTime repeat
+          = run->sent_at + runs->options.stop_timeout + STOP_REPEAT_SLACK;
 
       if (run->state == HS_RUN_FREE)
         continue;
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -86,8 +86,7 @@
                      HsTime now);
 
 /** An entry stops its task; `ended` follows unless it has ended already. */
-void
-hs_runs_stop (HsRuns *runs, uint32_t peer, uint64_t ref, HsTime now);
+void hs_runs_stop (HsRuns *runs, uint32_t peer, uint64_t ref, HsTime now);
 
 /** An entry is gone: its tasks are stopped, nothing more is told to it. */
 void hs_runs_peer_lost (HsRuns *runs, uint32_t peer, HsTime now);
@@ -99,10 +98,8 @@
 /** Takes nothing new from here on. */
 void hs_runs_leave (HsRuns *runs);
 
-void hs_runs_started (HsRuns *runs,
-                      uint32_t run,
-                      HsTargetResult result,
-                      HsTime now);
+void
+hs_runs_started (HsRuns *runs, uint32_t run, HsTargetResult result, HsTime now);
 
 /** @param list NULL unless the result is HS_TARGET_OK */
 void hs_runs_looked (HsRuns *runs,
--- a/src/direct/runs_look.c
+++ b/src/direct/runs_look.c
@@ -41,18 +41,15 @@
 #define STALL_PARTS 4
 
 static void send_look (HsRuns *runs, uint32_t wait_ms, HsTime now);
-static void take_list (HsRuns *runs,
-                       uint32_t number,
-                       const HsTargetList *list,
-                       HsTime now);
+static void
+take_list (HsRuns *runs, uint32_t number, const HsTargetList *list, HsTime now);
 static void take_ends (HsRuns *runs, const HsTargetList *list, HsTime now);
 static void take_running (HsRuns *runs,
                           uint32_t number,
                           const HsTargetList *list,
                           HsTime now);
 static void note_progress (HsRuns *runs, HsRun *run, int percent, HsTime now);
-static void
-settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now);
+static void settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now);
 static void check_lapse (HsRuns *runs, HsTime now);
 static bool has_unsettled (const HsRuns *runs);
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -35,9 +35,9 @@
   HsTime started_at;
   HsTime deadline;
   HsTime expected;
-  uint64_t fence;     /**< Unsettled: settled by a look with this token. */
+  uint64_t fence;      /**< Unsettled: settled by a look with this token. */
   uint32_t look_after; /**< On: a later look has to list it. */
-  uint32_t n_calls;   /**< Start calls so far. */
+  uint32_t n_calls;    /**< Start calls so far. */
   bool stop_wanted;
   hsx_end_how stop_how; /**< What a listed stop is told as. */
   int percent;
@@ -55,8 +55,8 @@
   bool announced;
   bool leaving; /**< The agent itself. */
   HsAnnouncement target;
-  bool looked; /**< The target's list is known. */
-  bool gone;   /**< It left, or another incarnation listens there. */
+  bool looked;        /**< The target's list is known. */
+  bool gone;          /**< It left, or another incarnation listens there. */
   uint32_t n_unknown; /**< Runs listed that this agent didn't start. */
   uint64_t token;
   uint64_t acked;
@@ -67,10 +67,10 @@
   uint32_t open_looks;  /**< Looks without a result. */
   uint64_t open_token;  /**< The highest token among them. */
   uint64_t look_tokens[HS_LOOKS_KEPT]; /**< By number of the look. */
-  HsTime look_due;      /**< Not sooner, after a failure. */
-  HsTime heard_at;      /**< Last answer of the target. */
-  HsTime renewed_at;    /**< Last look or start that carried a lease. */
-  uint32_t n_failed;    /**< Looks without an answer in a row. */
+  HsTime look_due;                     /**< Not sooner, after a failure. */
+  HsTime heard_at;                     /**< Last answer of the target. */
+  HsTime renewed_at; /**< Last look or start that carried a lease. */
+  uint32_t n_failed; /**< Looks without an answer in a row. */
   uint32_t n_runs;
   HsRun runs[HS_RUNS_MAX];
 };
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -26,15 +26,15 @@
 typedef enum
 {
   HS_TARGET_OK,
-  HS_TARGET_FENCED,     /**< Not done: a higher token was seen. */
-  HS_TARGET_OUTDATED,   /**< Not done: this or a later attempt was there. */
-  HS_TARGET_LATE,       /**< Not done: the lease in it has passed. */
-  HS_TARGET_FULL,       /**< Not done: the target has no room. */
-  HS_TARGET_UNHEALTHY,  /**< Not done: the target refuses work for now. */
-  HS_TARGET_REPLACED,   /**< Not done: another incarnation listens there. */
-  HS_TARGET_INVALID,    /**< Not done: the target rejects the request. */
-  HS_TARGET_UNSENT,     /**< Not done: nothing was sent. */
-  HS_TARGET_UNANSWERED  /**< May have been done, or may be done later. */
+  HS_TARGET_FENCED,    /**< Not done: a higher token was seen. */
+  HS_TARGET_OUTDATED,  /**< Not done: this or a later attempt was there. */
+  HS_TARGET_LATE,      /**< Not done: the lease in it has passed. */
+  HS_TARGET_FULL,      /**< Not done: the target has no room. */
+  HS_TARGET_UNHEALTHY, /**< Not done: the target refuses work for now. */
+  HS_TARGET_REPLACED,  /**< Not done: another incarnation listens there. */
+  HS_TARGET_INVALID,   /**< Not done: the target rejects the request. */
+  HS_TARGET_UNSENT,    /**< Not done: nothing was sent. */
+  HS_TARGET_UNANSWERED /**< May have been done, or may be done later. */
 } HsTargetResult;
 
 /** An order to start a task. */
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -187,9 +187,8 @@
       double ratio
           = CLAMP ((double) run / (double) expected, RATIO_MIN, RATIO_MAX);
 
-      target->slowness
-          = exp (log (target->slowness) * (1 - SLOWNESS_WEIGHT)
-                 + log (ratio) * SLOWNESS_WEIGHT);
+      target->slowness = exp (log (target->slowness) * (1 - SLOWNESS_WEIGHT)
+                              + log (ratio) * SLOWNESS_WEIGHT);
     }
 }
 
@@ -199,8 +198,7 @@
   const HsTarget *target = &targets->rows[handle].target;
   hsx_room room = { 0 };
 
-  if (!target->used || !target->connected
-      || target->state != HSX_TARGET_READY)
+  if (!target->used || !target->connected || target->state != HSX_TARGET_READY)
     return room;
   switch (hs_health_state (targets->health, handle))
     {
@@ -363,8 +361,8 @@
        const HsTarget *target,
        const char *data_centre)
 {
-  double free = (double) target->told.cpu_milli
-                - (double) target->unseen.cpu_milli;
+  double free
+      = (double) target->told.cpu_milli - (double) target->unseen.cpu_milli;
   double load = 1 - free / MAX (target->capacity.cpu_milli, 1);
   double s = target->slowness * (1 + LOAD_WEIGHT * load);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -121,8 +121,7 @@
                        void *arg)
 {
   TALLOC_CTX *ctx = talloc_new (store);
-  HsStoreMessage message
-      = hs_store_wire_revoke (store->protocol, ctx, lease);
+  HsStoreMessage message = hs_store_wire_revoke (store->protocol, ctx, lease);
 
   store->stats.lease_calls++;
   start_call (store, HS_STORE_CALL_REVOKE, &message, done, arg);
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -117,9 +117,8 @@
 dial (HsStoreWatch *watch)
 {
   HsStore *store = watch->store;
-  HsStoreMessage message
-      = hs_store_wire_watch (store->protocol, watch, watch->prefix,
-                             watch->next_revision, POLL_WAIT);
+  HsStoreMessage message = hs_store_wire_watch (
+      store->protocol, watch, watch->prefix, watch->next_revision, POLL_WAIT);
 
   store->stats.watches++;
   watch->endpoint = store->endpoint;
--- a/src/store/wire.h
+++ b/src/store/wire.h
@@ -46,15 +46,13 @@
 HsStoreMessage hs_store_wire_txn (HsStoreProtocol protocol,
                                   TALLOC_CTX *ctx,
                                   const HsStoreTxn *txn);
-HsStoreMessage hs_store_wire_grant (HsStoreProtocol protocol,
-                                    TALLOC_CTX *ctx,
-                                    int64_t ttl_s);
+HsStoreMessage
+hs_store_wire_grant (HsStoreProtocol protocol, TALLOC_CTX *ctx, int64_t ttl_s);
 HsStoreMessage hs_store_wire_keepalive (HsStoreProtocol protocol,
                                         TALLOC_CTX *ctx,
                                         int64_t lease);
-HsStoreMessage hs_store_wire_revoke (HsStoreProtocol protocol,
-                                     TALLOC_CTX *ctx,
-                                     int64_t lease);
+HsStoreMessage
+hs_store_wire_revoke (HsStoreProtocol protocol, TALLOC_CTX *ctx, int64_t lease);
 HsStoreMessage hs_store_wire_watch (HsStoreProtocol protocol,
                                     TALLOC_CTX *ctx,
                                     const char *prefix,
--- a/test/part.mk
+++ b/test/part.mk
@@ -1,2 +1,3 @@
 # Objects that several test programs share.
 $(B)/test/test_owner $(B)/test/test_owner_faults $(B)/test/test_keep $(B)/test/test_takeover $(B)/test/test_hostile: $(B)/test/owner_world.o
+$(B)/test/test_direct_runs $(B)/test/test_direct_walk: $(B)/test/runner_model.o
--- /dev/null
+++ b/test/runner_model.h
@@ -0,0 +1,65 @@
+/**
+ * @file
+ * A target as its interface describes it, in fake time: fencing tokens,
+ * leases, numbered ends, attempts that are refused, and lives. Starts what it
+ * is told to, however little room there is.
+ */
+#ifndef HS_TEST_RUNNER_MODEL_H
+#define HS_TEST_RUNNER_MODEL_H
+
+#include <glib.h>
+
+#include "direct/target.h"
+
+typedef struct
+{
+  HsRunKey key;
+  HsTime started;
+  HsTime run; /**< Until it is done. */
+  bool hangs; /**< Makes no progress. */
+  uint32_t cpu_milli;
+} HsModelRun;
+
+typedef struct
+{
+  int64_t born_ms;
+  HsTime born_at;
+  uint64_t token;
+  HsTime lease_until; /**< All runs end then. */
+  uint64_t n_ends;
+  GArray *runs;       /**< HsModelRun. */
+  GArray *ends;       /**< HsListedEnd that aren't acknowledged. */
+  GArray *past;       /**< HsRunKey stopped or ended, or rejected. */
+  uint32_t cpu_milli; /**< Of what runs. */
+  HsTime drift;       /**< Of its clock against true time: fixed. */
+} HsRunnerModel;
+
+void hs_runner_model_init (HsRunnerModel *model, HsTime now);
+void hs_runner_model_clear (HsRunnerModel *model);
+
+/** Crashes and starts again, with nothing. */
+void hs_runner_model_reborn (HsRunnerModel *model, HsTime now);
+
+/** Ends what is done, and all once the lease has passed. */
+void hs_runner_model_advance (HsRunnerModel *model, HsTime now);
+
+/** @param run true run time, @param cpu_milli what it takes */
+HsTargetResult hs_runner_model_start (HsRunnerModel *model,
+                                      const HsTargetStart *start,
+                                      HsTime run,
+                                      bool hangs,
+                                      uint32_t cpu_milli,
+                                      HsTime now);
+
+HsTargetResult hs_runner_model_stop (HsRunnerModel *model,
+                                     const HsRunKey *key,
+                                     uint64_t token,
+                                     HsTime now);
+
+/** The list's arrays are the caller's to free with g_free(). */
+HsTargetResult hs_runner_model_look (HsRunnerModel *model,
+                                     const HsTargetLook *look,
+                                     HsTargetList *list,
+                                     HsTime now);
+
+#endif
--- /dev/null
+++ b/test/test_direct_jobs.c
@@ -0,0 +1,392 @@
+/* An entry's direct jobs: refusing, placing, retrying, giving up. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "direct/jobs.h"
+#include "direct/runs.h"
+
+#define T0 (1000 * HS_SEC)
+#define CAPACITY 4000
+
+typedef struct
+{
+  uint32_t target;
+  hsx_launch_task task;
+  bool stopped;
+} Launch;
+
+static void *ctx;
+static HsTargets *targets;
+static HsJobs *jobs;
+static Launch launches[512];
+static uint32_t n_launches;
+static HsJobAnswer answers[64];
+static uint32_t n_answers;
+static uint32_t numbers[16];
+
+static uint32_t
+on_launch (void *arg,
+           uint32_t target,
+           const hsx_launch *job,
+           const hsx_launch_task *task)
+{
+  (void) arg;
+  (void) job;
+  launches[n_launches].target = target;
+  launches[n_launches].stopped = false;
+  launches[n_launches++].task = *task;
+  return ++numbers[target];
+}
+
+static void
+on_stop (void *arg, uint32_t target, uint64_t ref)
+{
+  uint32_t i;
+
+  (void) arg;
+  for (i = 0; i < n_launches; i++)
+    if (launches[i].target == target && launches[i].task.ref == ref)
+      launches[i].stopped = true;
+}
+
+static void
+on_answer (void *arg, const HsJobAnswer *answer)
+{
+  (void) arg;
+  answers[n_answers++] = *answer;
+}
+
+static void
+on_task_ended (void *arg,
+               const char *id,
+               uint32_t target,
+               const hsx_launch_task *task,
+               const hsx_end *end)
+{
+  (void) arg;
+  (void) id;
+  (void) target;
+  (void) task;
+  (void) end;
+}
+
+static const HsJobsEffects EFFECTS
+    = { on_launch, on_stop, on_answer, on_task_ended };
+
+static void
+report (uint32_t target, uint32_t free_milli, HsTime now)
+{
+  hsx_target_info info = { (char *) "t",
+                           (char *) "s",
+                           (char *) "r",
+                           (char *) "h",
+                           { CAPACITY, 100000, 0 } };
+  hsx_report_args args = { .state = HSX_TARGET_READY,
+                           .orders_seen = numbers[target],
+                           .free = { free_milli, 100000, 0 },
+                           .info = &info };
+
+  hs_targets_report (targets, target, &args, now);
+}
+
+static void
+add_target (uint64_t agent, uint32_t free_milli)
+{
+  uint32_t target = hs_targets_connect (targets, agent, "dc1", NULL, T0);
+
+  numbers[target] = 0;
+  report (target, free_milli, T0);
+}
+
+static void
+submit (const char *id, uint32_t n_tasks, HsTime now)
+{
+  HsSubmission job = { .request = n_answers + 1000 + now % 1000,
+                       .id = id,
+                       .customer = "c",
+                       .service = "s",
+                       .spec = "x",
+                       .spec_len = 1,
+                       .n_tasks = n_tasks,
+                       .needs = { 1000, 10, 0 },
+                       .estimate = 200 * HS_MSEC,
+                       .left = 1500 * HS_MSEC,
+                       .max_failures = 2,
+                       .slack_factor = 1.6,
+                       .slack = 60 * HS_MSEC };
+
+  hs_jobs_submit (jobs, &job, now);
+}
+
+static void
+end (uint32_t i, hsx_end_how how, HsRefusal reason, HsTime now)
+{
+  hsx_end e = { launches[i].task.ref, how, reason, 200000 };
+
+  hs_jobs_ended (jobs, launches[i].target, &e, now);
+}
+
+static int
+setup (void **state)
+{
+  (void) state;
+  n_launches = n_answers = 0;
+  ctx = talloc_new (NULL);
+  targets = hs_targets_new (ctx);
+  jobs = hs_jobs_new (ctx, targets, "dc1", &EFFECTS, NULL);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (ctx);
+  return 0;
+}
+
+static void
+a_job_is_answered_when_its_last_task_is_done (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 2, T0);
+  assert_int_equal (n_launches, 2);
+  end (0, HSX_END_DONE, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  assert_int_equal (n_answers, 0);
+  end (1, HSX_END_DONE, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_COMPLETED);
+}
+
+static void
+no_more_is_sent_than_is_known_to_be_free (void **state)
+{
+  (void) state;
+  add_target (1, 2500);
+  submit ("a", 4, T0);
+  assert_int_equal (n_launches, 2);
+  /* The report that shows them. */
+  report (0, 500, T0 + HS_MSEC);
+  hs_jobs_pump (jobs, T0 + HS_MSEC);
+  assert_int_equal (n_launches, 2);
+  report (0, 1500, T0 + 2 * HS_MSEC);
+  hs_jobs_pump (jobs, T0 + 2 * HS_MSEC);
+  assert_int_equal (n_launches, 3);
+}
+
+static void
+a_job_that_no_target_can_hold_is_refused_at_once (void **state)
+{
+  HsSubmission job = { .request = 1,
+                       .id = "a",
+                       .customer = "c",
+                       .service = "s",
+                       .spec = "",
+                       .n_tasks = 1,
+                       .needs = { CAPACITY + 1, 0, 0 },
+                       .left = HS_SEC,
+                       .max_failures = 1,
+                       .slack_factor = 1.5 };
+
+  (void) state;
+  add_target (1, CAPACITY);
+  hs_jobs_submit (jobs, &job, T0);
+  assert_int_equal (answers[0].kind, HS_ANSWER_REFUSED);
+  assert_int_equal (answers[0].why, HS_WHY_NO_TARGET);
+  assert_true (answers[0].retry_after_ms > 0);
+}
+
+static void
+a_job_waits_a_quarter_of_its_objective_and_is_refused_unrun (void **state)
+{
+  HsTime due;
+
+  (void) state;
+  add_target (1, 0);
+  submit ("a", 1, T0);
+  assert_int_equal (n_answers, 0);
+  due = hs_jobs_tick (jobs, T0);
+  /* The objective is 1.6 times 200 ms and 60 ms. */
+  assert_in_range (due, T0 + 80 * HS_MSEC, T0 + 95 * HS_MSEC);
+  hs_jobs_tick (jobs, due);
+  assert_int_equal (answers[0].kind, HS_ANSWER_REFUSED);
+  assert_int_equal (n_launches, 0);
+}
+
+static void
+a_job_some_of_which_may_have_run_is_never_called_unrun (void **state)
+{
+  HsTime due;
+
+  (void) state;
+  add_target (1, 1000);
+  submit ("a", 2, T0);
+  assert_int_equal (n_launches, 1);
+  due = hs_jobs_tick (jobs, T0);
+  hs_jobs_tick (jobs, due);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+  assert_true (launches[0].stopped);
+}
+
+static void
+a_job_whose_starts_were_all_refused_has_not_run (void **state)
+{
+  (void) state;
+  add_target (1, 1000);
+  submit ("a", 1, T0);
+  end (0, HSX_END_REFUSED, HS_REFUSAL_ROOM, T0 + HS_MSEC);
+  report (0, 0, T0 + HS_MSEC);
+  hs_jobs_tick (jobs, T0 + 2 * HS_SEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_REFUSED);
+}
+
+static void
+a_task_that_fails_is_tried_elsewhere_then_fails_its_job (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  add_target (2, CAPACITY);
+  submit ("a", 1, T0);
+  end (0, HSX_END_FAILED, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  hs_jobs_pump (jobs, T0 + HS_MSEC);
+  assert_int_equal (n_launches, 2);
+  assert_int_not_equal (launches[0].target, launches[1].target);
+  assert_int_equal (launches[1].task.attempt, 2);
+  end (1, HSX_END_FAILED, HS_REFUSAL_NONE, T0 + 2 * HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_FAILED);
+}
+
+static void
+an_end_of_an_earlier_start_changes_nothing (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  end (0, HSX_END_LAPSED, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  hs_jobs_pump (jobs, T0 + HS_MSEC);
+  end (0, HSX_END_DONE, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  assert_int_equal (n_answers, 0);
+  end (1, HSX_END_DONE, HS_REFUSAL_NONE, T0 + HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_COMPLETED);
+}
+
+static void
+a_caller_that_leaves_stops_its_job (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 2, T0);
+  hs_jobs_abandon (jobs, 1000, T0 + HS_MSEC);
+  assert_true (launches[0].stopped);
+  assert_true (launches[1].stopped);
+  assert_int_equal (hs_jobs_count (jobs), 0);
+  assert_int_equal (answers[0].why, HS_WHY_CALLER_GONE);
+}
+
+static void
+the_deadline_ends_a_job (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  hs_jobs_tick (jobs, T0 + 1500 * HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+  assert_int_equal (answers[0].why, HS_WHY_DEADLINE);
+  assert_true (launches[0].stopped);
+}
+
+static void
+a_lost_agent_ends_the_jobs_it_had (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  hs_jobs_target_lost (jobs, 0, false, T0 + 600 * HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+}
+
+static void
+tasks_known_to_be_over_run_elsewhere (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  add_target (2, CAPACITY);
+  hs_targets_disconnect (targets, 0);
+  hs_jobs_target_lost (jobs, 0, true, T0 + 50 * HS_MSEC);
+  hs_jobs_pump (jobs, T0 + 50 * HS_MSEC);
+  assert_int_equal (n_answers, 0);
+  assert_int_equal (launches[1].target, 1);
+}
+
+static void
+after_a_new_connection_only_tasks_not_held_are_sent_again (void **state)
+{
+  uint64_t held;
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 2, T0);
+  held = launches[1].task.ref;
+  hs_targets_disconnect (targets, 0);
+  add_target (1, CAPACITY - 1000);
+  hs_jobs_held (jobs, 0, &held, 1, T0 + 50 * HS_MSEC);
+  hs_jobs_pump (jobs, T0 + 50 * HS_MSEC);
+  assert_int_equal (n_launches, 3);
+  assert_int_equal (launches[2].task.index, launches[0].task.index);
+}
+
+static void
+without_a_target_a_job_waits_while_it_can_be_in_time (void **state)
+{
+  (void) state;
+  submit ("a", 1, T0);
+  hs_jobs_tick (jobs, T0 + 150 * HS_MSEC);
+  assert_int_equal (n_answers, 0);
+  add_target (1, CAPACITY);
+  hs_jobs_pump (jobs, T0 + 150 * HS_MSEC);
+  assert_int_equal (n_launches, 1);
+}
+
+static void
+a_job_is_cancelled_by_its_id (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("abc", 1, T0);
+  assert_false (hs_jobs_cancel (jobs, "abd", T0));
+  assert_true (hs_jobs_cancel (jobs, "abc", T0));
+  assert_int_equal (answers[0].kind, HS_ANSWER_CANCELLED);
+  assert_true (launches[0].stopped);
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (a_job_is_answered_when_its_last_task_is_done),
+    TEST (no_more_is_sent_than_is_known_to_be_free),
+    TEST (a_job_that_no_target_can_hold_is_refused_at_once),
+    TEST (a_job_waits_a_quarter_of_its_objective_and_is_refused_unrun),
+    TEST (a_job_some_of_which_may_have_run_is_never_called_unrun),
+    TEST (a_job_whose_starts_were_all_refused_has_not_run),
+    TEST (a_task_that_fails_is_tried_elsewhere_then_fails_its_job),
+    TEST (an_end_of_an_earlier_start_changes_nothing),
+    TEST (a_caller_that_leaves_stops_its_job),
+    TEST (the_deadline_ends_a_job),
+    TEST (a_lost_agent_ends_the_jobs_it_had),
+    TEST (tasks_known_to_be_over_run_elsewhere),
+    TEST (after_a_new_connection_only_tasks_not_held_are_sent_again),
+    TEST (without_a_target_a_job_waits_while_it_can_be_in_time),
+    TEST (a_job_is_cancelled_by_its_id),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_direct_routes.c
@@ -0,0 +1,109 @@
+/* Which route a request belongs to, and the configuration that says so. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/configuration.h"
+
+static const char TEXT[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r1\",\"host\":\"a.example\",\"path_prefix\":\"/x/\","
+      "\"service\":\"s1\",\"max_attempts\":2,\"slack_factor\":1.6,"
+      "\"target_latency_ms\":60,\"timeout_ms\":1500},"
+      "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/x/y/\","
+      "\"service\":\"s2\"},"
+      "{\"name\":\"r3\",\"path_prefix\":\"/z/\",\"service\":\"s2\"},"
+      "{\"name\":\"r4\",\"host\":\"b.example\",\"path_prefix\":\"/x/\","
+      "\"service\":\"s2\",\"slack_factor\":\"much\"}],"
+      "\"services\":[],\"limits\":{}}";
+
+static HsRoutes *routes;
+static uint32_t n_bad;
+
+static int
+setup (void **state)
+{
+  (void) state;
+  routes = hs_configuration_decode (NULL, TEXT, strlen (TEXT), &n_bad);
+  assert_non_null (routes);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (routes);
+  return 0;
+}
+
+static void
+a_route_is_read_whole (void **state)
+{
+  const HsRoute *route = hs_routes_find (routes, "a.example", "/x/00ff");
+
+  (void) state;
+  assert_int_equal (hs_routes_version (routes), 7);
+  assert_string_equal (route->customer, "r1");
+  assert_string_equal (route->service, "s1");
+  assert_int_equal (route->max_failures, 2);
+  assert_true (route->slack_factor > 1.59 && route->slack_factor < 1.61);
+  assert_int_equal (route->slack, 60 * HS_MSEC);
+  assert_int_equal (route->timeout, 1500 * HS_MSEC);
+}
+
+static void
+the_longest_prefix_of_the_host_wins (void **state)
+{
+  (void) state;
+  assert_string_equal (hs_routes_find (routes, "a.example", "/x/y/1")->customer,
+                       "r2");
+  assert_string_equal (
+      hs_routes_find (routes, "A.Example:8161", "/x/1")->customer, "r1");
+  assert_null (hs_routes_find (routes, "b.example", "/x/1"));
+  assert_null (hs_routes_find (routes, "a.example", "/w/1"));
+}
+
+static void
+routes_that_lack_something_are_left_out_and_counted (void **state)
+{
+  (void) state;
+  assert_int_equal (hs_routes_count (routes), 2);
+  assert_int_equal (n_bad, 2);
+}
+
+static void
+what_is_no_configuration_is_refused (void **state)
+{
+  static const char *const texts[] = { "",
+                                       "[]",
+                                       "{}",
+                                       "{\"version\":1}",
+                                       "{\"version\":1,\"routes\":3}",
+                                       "{\"version\":\"x\",\"routes\":[]}",
+                                       "{\"version\":1,\"routes\":[]" };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < sizeof texts / sizeof *texts; i++)
+    assert_null (
+        hs_configuration_decode (NULL, texts[i], strlen (texts[i]), &n_bad));
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (a_route_is_read_whole),
+    TEST (the_longest_prefix_of_the_host_wins),
+    TEST (routes_that_lack_something_are_left_out_and_counted),
+    TEST (what_is_no_configuration_is_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_platform_settings.c
@@ -0,0 +1,86 @@
+/* Settings as the platform renders them. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/settings.h"
+
+#define OWN "\"cluster_key\": \"0123456789abcdef\", "
+#define GIVEN                                                                  \
+  "\"node_name\":\"e1\",\"ip\":\"10.1.0.13\",\"zone\":\"z1\","                 \
+  "\"seeds\":[\"10.1.0.13:8166\",\"10.2.0.30:8166\"],"                         \
+  "\"listen_addrs\":{\"frontend_addr\":\"10.1.0.13:8161\","                    \
+  "\"ready\":\"10.1.0.13:8167\",\"control\":\"10.1.0.13:8166\"},"              \
+  "\"bounds\":{\"grace_s\":6.5,\"max_hold_ms\":900},"                          \
+  "\"platform\":{\"address\":\"10.200.1.7:8169\"}"
+
+static HsPlatformSettings *
+parse (const char *text, GError **error)
+{
+  return hs_platform_settings_parse (NULL, "file", text, strlen (text), error);
+}
+
+static void
+rendered_settings_are_read (void **state)
+{
+  g_autoptr (GError) error = NULL;
+  HsPlatformSettings *s = parse (
+      "{ // ours\n" OWN "\"metrics_port\":9100, \"platform\":{" GIVEN "}}",
+      &error);
+
+  (void) state;
+  assert_non_null (s);
+  assert_string_equal (s->host, "e1");
+  assert_string_equal (s->data_centre, "z1");
+  assert_string_equal (s->callers_listen, "10.1.0.13:8161");
+  assert_string_equal (s->metrics_listen, "10.1.0.13:9100");
+  assert_string_equal (s->seeds[1], "10.2.0.30:8166");
+  assert_null (s->seeds[2]);
+  assert_int_equal (s->grace, 6500 * HS_MSEC);
+  assert_int_equal (s->lease, 900 * HS_MSEC);
+  assert_int_equal (s->stop_timeout, 50 * HS_MSEC);
+  talloc_free (s);
+}
+
+static void
+unsound_settings_are_refused_with_the_key (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *key;
+  } cases[] = {
+    { "", "file" },
+    { "{" OWN "\"platform\":3}", "platform" },
+    { "{\"platform\":{" GIVEN "}}", "cluster_key" },
+    { "{\"cluster_key\":\"short\",\"platform\":{" GIVEN "}}", "cluster_key" },
+    { "{" OWN "\"platform\":{\"ip\":\"x\"}}", "node_name" },
+    { "{" OWN "\"metrics_port\":70000,\"platform\":{" GIVEN "}}",
+      "metrics_port" },
+  };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+
+      assert_null (parse (cases[i].text, &error));
+      assert_non_null (strstr (error->message, cases[i].key));
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (rendered_settings_are_read),
+    cmocka_unit_test (unsound_settings_are_refused_with_the_key),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_platform_wire.c
@@ -0,0 +1,373 @@
+/* Messages of the platform: what is written, and what others may write. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/announce.h"
+#include "platform/job_form.h"
+#include "platform/json.h"
+#include "platform/store_wire.h"
+#include "platform/target_wire.h"
+
+static void *ctx;
+
+static int
+setup (void **state)
+{
+  (void) state;
+  ctx = talloc_new (NULL);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (ctx);
+  return 0;
+}
+
+/* Tasks of the target. */
+
+static void
+a_task_name_is_written_and_read (void **state)
+{
+  HsRunKey key = { "5c0e7a21d94b36f8", 1, 17, 2 };
+  HsRunKey read = { .attempt = 0 };
+  char name[HS_TASK_NAME_SIZE];
+
+  (void) state;
+  hs_task_name (&key, name);
+  assert_string_equal (name, "5c0e7a21d94b36f8.0.1.17");
+  assert_true (hs_task_name_parse (name, &read));
+  assert_string_equal (read.job, key.job);
+  assert_int_equal (read.step, 1);
+  assert_int_equal (read.index, 17);
+}
+
+static void
+other_names_are_no_task (void **state)
+{
+  static const char *const names[]
+      = { "",       ".",       "a",        "a.0",
+          "a.0.1",  "a.0.1.",  "a.0.1.x",  "a.0.1.2.3",
+          ".0.1.2", "a.1.1.2", "a.0.-1.2", "a.0.1.99999999999" };
+  HsRunKey key;
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < sizeof names / sizeof *names; i++)
+    assert_false (hs_task_name_parse (names[i], &key));
+}
+
+static void
+a_start_has_its_token_and_lease (void **state)
+{
+  HsTargetStart start = { .key = { "ab", 0, 3, 2 },
+                          .spec = "a\"b",
+                          .spec_len = 3,
+                          .token = 1765000000000,
+                          .lease_until_ms = 486000 };
+
+  (void) state;
+  assert_string_equal (hs_target_encode_start (ctx, &start),
+                       "{\"task\":\"ab.0.0.3\",\"attempt\":2,"
+                       "\"spec\":\"a\\\"b\",\"deadline_ms\":486000,"
+                       "\"fencing_token\":1765000000000}");
+}
+
+static void
+a_look_renews_only_if_it_says_so (void **state)
+{
+  HsTargetLook look = { .token = 7, .acked = 57, .lease_until_ms = 486000 };
+
+  (void) state;
+  assert_string_equal (hs_target_encode_look (ctx, &look),
+                       "{\"fencing_token\":7,\"acked\":57}");
+  look.renews = true;
+  look.wait_ms = 60;
+  assert_string_equal (hs_target_encode_look (ctx, &look),
+                       "{\"fencing_token\":7,\"acked\":57,"
+                       "\"deadline_ms\":486000,\"wait_ms\":60}");
+}
+
+static void
+a_list_is_read (void **state)
+{
+  static const char text[]
+      = "{\"clock_ms\":482113,\"born\":99,\"running\":"
+        "[[\"ab.0.1.17\",2,\"\",41],[\"?\",1,\"\",0]],"
+        "\"finished\":[[58,\"ab.0.1.9\",1,\"done\",\"\"],[59]]}";
+  HsTargetList list;
+
+  (void) state;
+  assert_true (hs_target_decode_list (ctx, text, strlen (text), &list));
+  assert_int_equal (list.clock_ms, 482113);
+  assert_int_equal (list.born_ms, 99);
+  assert_int_equal (list.n_running, 1);
+  assert_int_equal (list.n_unreadable, 1);
+  assert_int_equal (list.running[0].key.attempt, 2);
+  assert_int_equal (list.running[0].percent, 41);
+  assert_int_equal (list.n_ends, 1);
+  assert_int_equal (list.ends[0].number, 58);
+  assert_int_equal (list.ends[0].how, HSX_END_DONE);
+}
+
+static void
+answers_that_are_no_list_are_refused (void **state)
+{
+  static const char *const texts[]
+      = { "",
+          "{}",
+          "[]",
+          "{\"clock_ms\":1,\"running\":[]}",
+          "{\"clock_ms\":\"x\",\"running\":[],\"finished\":[]}",
+          "{\"running\":[],\"finished\":[]}" };
+  HsTargetList list;
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < sizeof texts / sizeof *texts; i++)
+    assert_false (
+        hs_target_decode_list (ctx, texts[i], strlen (texts[i]), &list));
+}
+
+static void
+refusals_tell_their_reason (void **state)
+{
+  static const char fence[] = "{\"clock_ms\":1,\"reason\":\"fence\"}";
+  static const char late[] = "{\"reason\":\"late\"}";
+
+  (void) state;
+  assert_int_equal (hs_target_result (200, "", 0), HS_TARGET_OK);
+  assert_int_equal (hs_target_result (409, fence, strlen (fence)),
+                    HS_TARGET_FENCED);
+  assert_int_equal (hs_target_result (409, late, strlen (late)),
+                    HS_TARGET_LATE);
+  assert_int_equal (hs_target_result (409, "", 0), HS_TARGET_INVALID);
+  assert_int_equal (hs_target_result (421, "", 0), HS_TARGET_REPLACED);
+  assert_int_equal (hs_target_result (503, "", 0), HS_TARGET_UNHEALTHY);
+}
+
+/* What the target says of itself. */
+
+static void
+an_announcement_is_read (void **state)
+{
+  static const char text[]
+      = "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"state\":"
+        "\"draining\",\"sequence\":4,\"born\":77,\"capacity\":{\"cpu\":16000,"
+        "\"mem_mb\":32768,\"gpu\":0},\"labels\":[\"a\",\"r1-3\"]}";
+  HsAnnouncement said;
+
+  (void) state;
+  assert_null (hs_announcement_decode ("i-1", text, strlen (text), &said));
+  assert_string_equal (said.name, "i-1");
+  assert_string_equal (said.rack, "r1-3");
+  assert_true (said.leaving);
+  assert_int_equal (said.born_ms, 77);
+  assert_int_equal (said.capacity.cpu_milli, 16000);
+}
+
+static void
+announcements_by_others_name_no_target (void **state)
+{
+  static const char *const texts[]
+      = { "",
+          "{}",
+          "\xff\xfe",
+          "{\"service\":\"s\",\"address\":\"nowhere\",\"state\":\"ready\","
+          "\"sequence\":1,\"capacity\":{}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"odd\","
+          "\"sequence\":1,\"capacity\":{}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":\"1\",\"capacity\":{}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1,\"capacity\":{\"cpu\":-1}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1}" };
+  HsAnnouncement said;
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < sizeof texts / sizeof *texts; i++)
+    assert_non_null (
+        hs_announcement_decode ("i-1", texts[i], strlen (texts[i]), &said));
+}
+
+/* Jobs. */
+
+static const char *
+decode_job (const char *text, HsCallerJob *job)
+{
+  struct json_object *root = hs_pj_parse (text, strlen (text));
+  const char *problem = hs_job_form_decode (root, job);
+
+  json_object_put (root);
+  return problem;
+}
+
+static void
+a_job_of_one_step_is_read (void **state)
+{
+  HsCallerJob job;
+
+  (void) state;
+  assert_null (decode_job (
+      "{\"spec\":\"x\",\"best_effort\":true,\"steps\":[{\"count\":4,\"cpu\":"
+      "1600,\"mem_mb\":64,\"estimate_ms\":900}]}",
+      &job));
+  assert_true (job.best_effort);
+  assert_null (job.feature);
+  assert_int_equal (job.n_tasks, 4);
+  assert_int_equal (job.needs.cpu_milli, 1600);
+  assert_int_equal (job.estimate, 900 * HS_MSEC);
+}
+
+static void
+features_that_are_not_here_are_told (void **state)
+{
+  HsCallerJob job;
+
+  (void) state;
+  assert_null (decode_job ("{\"steps\":[{\"count\":1},{\"count\":1}]}", &job));
+  assert_non_null (job.feature);
+  assert_null (decode_job ("{\"steps\":[{\"count\":1,\"gang\":true}]}", &job));
+  assert_string_equal (job.feature, "gang");
+  assert_null (decode_job (
+      "{\"iterations\":3,\"steps\":[{\"count\":1,\"gang\":false}]}", &job));
+  assert_string_equal (job.feature, "iterations");
+}
+
+static void
+malformed_jobs_are_told_what_is_wrong (void **state)
+{
+  static const char *const texts[] = { "{}",
+                                       "[]",
+                                       "{\"steps\":[]}",
+                                       "{\"steps\":[3]}",
+                                       "{\"steps\":[{\"count\":0}]}",
+                                       "{\"steps\":[{\"count\":391}]}",
+                                       "{\"steps\":[{\"cpu\":\"many\"}]}",
+                                       "{\"spec\":1,\"steps\":[{}]}" };
+  HsCallerJob job;
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < sizeof texts / sizeof *texts; i++)
+    assert_non_null (decode_job (texts[i], &job));
+}
+
+/* The store. */
+
+static void
+a_conditional_write_is_written (void **state)
+{
+  HsStoreCompare compare = { "my/leader", 0 };
+  HsStoreOp put = { HS_STORE_PUT, "my/leader", "node-1", 77120 };
+  HsStoreTxn txn = { 1, &compare, 1, &put, 0, NULL };
+  HsStoreMessage message = hs_store_platform_txn (ctx, &txn);
+
+  (void) state;
+  assert_string_equal (
+      message.body,
+      "{\"expected_revision\":[{\"key\":\"my\\/leader\",\"revision\":0}],"
+      "\"writes\":[{\"key\":\"my\\/leader\",\"value\":\"bm9kZS0x\","
+      "\"lease\":77120}],\"delete\":[]}");
+}
+
+static void
+items_are_read (void **state)
+{
+  static const char text[]
+      = "{\"items\":[{\"key\":\"k\",\"value\":\"bm9kZS0x\",\"revision\":412,"
+        "\"created\":400,\"lease\":5}],\"has_more\":false,"
+        "\"current_rev\":530}";
+  HsStoreReply reply = { 0 };
+
+  (void) state;
+  assert_int_equal (hs_store_platform_judge (ctx, HS_STORE_CALL_RANGE, 200,
+                                             text, strlen (text), &reply),
+                    HS_STORE_OK);
+  assert_int_equal (reply.revision, 530);
+  assert_int_equal (reply.n_kvs, 1);
+  assert_string_equal (reply.kvs[0].value, "node-1");
+  assert_int_equal (reply.kvs[0].mod_revision, 412);
+}
+
+static void
+answers_tell_what_is_certain (void **state)
+{
+  static const char items[] = "{\"items\":[{\"key\":\"k\",\"revision\":0}]}";
+  HsStoreReply reply = { 0 };
+
+  (void) state;
+  assert_int_equal (
+      hs_store_platform_judge (ctx, HS_STORE_CALL_TXN, 503, "", 0, &reply),
+      HS_STORE_NOT_APPLIED);
+  assert_int_equal (
+      hs_store_platform_judge (ctx, HS_STORE_CALL_TXN, 404, "", 0, &reply),
+      HS_STORE_NOT_APPLIED);
+  assert_int_equal (
+      hs_store_platform_judge (ctx, HS_STORE_CALL_TXN, 500, "", 0, &reply),
+      HS_STORE_UNKNOWN);
+  assert_int_equal (hs_store_platform_judge (ctx, HS_STORE_CALL_TXN, 412, items,
+                                             strlen (items), &reply),
+                    HS_STORE_OK);
+  assert_false (reply.succeeded);
+  assert_int_equal (hs_store_platform_judge (ctx, HS_STORE_CALL_KEEPALIVE, 404,
+                                             "", 0, &reply),
+                    HS_STORE_OK);
+  assert_int_equal (reply.ttl_s, 0);
+}
+
+static void
+events_are_read (void **state)
+{
+  static const char text[]
+      = "{\"events\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\",\"revision\":412,"
+        "\"created\":412,\"lease\":0},{\"key\":\"b\",\"revision\":413,"
+        "\"deleted\":true}],\"current_rev\":420}";
+  HsWatchLine line = { 0 };
+
+  (void) state;
+  assert_true (hs_store_platform_events (ctx, 200, text, strlen (text), &line));
+  assert_int_equal (line.n_events, 2);
+  assert_int_equal (line.revision, 420);
+  assert_string_equal (line.events[0].kv.value, "node-1");
+  assert_true (line.events[1].deleted);
+  assert_true (hs_store_platform_events (ctx, 410, "", 0, &line));
+  assert_true (line.compact_revision > 0);
+  assert_false (hs_store_platform_events (ctx, 503, "", 0, &line));
+  assert_false (hs_store_platform_events (ctx, 200, "{}", 2, &line));
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (a_task_name_is_written_and_read),
+    TEST (other_names_are_no_task),
+    TEST (a_start_has_its_token_and_lease),
+    TEST (a_look_renews_only_if_it_says_so),
+    TEST (a_list_is_read),
+    TEST (answers_that_are_no_list_are_refused),
+    TEST (refusals_tell_their_reason),
+    TEST (an_announcement_is_read),
+    TEST (announcements_by_others_name_no_target),
+    TEST (a_job_of_one_step_is_read),
+    TEST (features_that_are_not_here_are_told),
+    TEST (malformed_jobs_are_told_what_is_wrong),
+    TEST (a_conditional_write_is_written),
+    TEST (items_are_read),
+    TEST (answers_tell_what_is_certain),
+    TEST (events_are_read),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
