Offer room that comes free to the entry whose work ranks highest

Change: entries say what their best waiting work ranks and needs; an agent keeps free room for the highest until it answers (25 ms at most), then for the next. Ranks count worth against all arrivals of an entry, so that they compare.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -121,12 +121,19 @@
   hs_agent_links_changed (arg);
 }
 
+static void
+effect_offered (void *arg, uint32_t peer)
+{
+  hs_agent_links_offer (arg, peer);
+}
+
 static const HsRunsEffects RUNS_EFFECTS = { .start = effect_start,
                                             .forget = effect_forget,
                                             .stop = effect_stop,
                                             .look = effect_look,
                                             .ended = effect_ended,
-                                            .changed = effect_changed };
+                                            .changed = effect_changed,
+                                            .offered = effect_offered };
 
 /* What the target answers and says. */
 
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -21,7 +21,6 @@
 static void take_entries (HsDirectAgent *agent, const hsx_entries_args *args);
 static void report (HsDirectAgent *agent, HsAgentPeer *peer, HsTime now);
 static void forget_told (HsAgentPeer *peer, HsTime now);
-static bool is_urgent (const HsAgentPeer *peer, const hsx_room *room);
 
 void
 hs_agent_links_up (HsDirectAgent *agent, HsConn *conn)
@@ -134,11 +133,16 @@
   hs_agent_schedule (agent);
 }
 
+void
+hs_agent_links_offer (HsDirectAgent *agent, uint32_t peer)
+{
+  agent->peers[peer].offer_due = agent->peers[peer].used;
+}
+
 HsTime
 hs_agent_links_flush (HsDirectAgent *agent, HsTime now)
 {
   hsx_target_state state = hs_runs_state (agent->runs);
-  hsx_room room = hs_runs_free (agent->runs);
   bool state_changed = state != agent->told_state;
   HsTime due = HS_NEVER;
   uint32_t i;
@@ -152,8 +156,8 @@
       if (!peer->used || peer->conn == NULL)
         continue;
       next = peer->reported_at + (peer->report_due ? REPORT_SPAN : HS_PULSE);
-      if (peer->ends->len > 0 || peer->whole_due || state_changed || now >= next
-          || (peer->report_due && is_urgent (peer, &room)))
+      if (peer->ends->len > 0 || peer->whole_due || peer->offer_due
+          || state_changed || now >= next)
         {
           report (agent, peer, now);
           next = now + HS_PULSE;
@@ -271,9 +275,7 @@
   if (orders->agent != agent->incarnation)
     return;
   peer->orders_seen = orders->number;
-  if (orders->hungry && !peer->hungry)
-    peer->report_due = true;
-  peer->hungry = orders->hungry;
+  hs_runs_want (agent->runs, handle, &orders->want, orders->stamp_us);
   for (i = 0; i < orders->stops.stops_len; i++)
     hs_runs_stop (agent->runs, handle, orders->stops.stops_val[i], now);
   for (i = 0; i < orders->launches.launches_len; i++)
@@ -319,7 +321,8 @@
                            .stamp_us = now,
                            .orders_seen = peer->orders_seen,
                            .state = hs_runs_state (agent->runs),
-                           .free = hs_runs_free (agent->runs) };
+                           .free = hs_runs_free (agent->runs, handle, now),
+                           .offer = peer->offer_due };
   uint64_t held[HSX_RECORDS_MAX];
   hsx_target_info info;
   GArray *ends = peer->ends;
@@ -350,8 +353,8 @@
   g_array_remove_range (ends, 0, args.ends.ends_len);
   peer->whole_due = false;
   peer->report_due = false;
+  peer->offer_due = false;
   peer->reported_at = now;
-  peer->told_room = args.free;
 }
 
 static void
@@ -365,13 +368,3 @@
   if (n > 0)
     g_array_remove_range (peer->told_ends, 0, n);
 }
-
-/* An entry with waiting work hears of room at once. */
-static bool
-is_urgent (const HsAgentPeer *peer, const hsx_room *room)
-{
-  return peer->hungry
-         && (room->cpu_milli > peer->told_room.cpu_milli
-             || room->memory_mb > peer->told_room.memory_mb
-             || room->accelerators > peer->told_room.accelerators);
-}
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -33,13 +33,12 @@
   HsTime heard_at;
   HsTime reported_at;
   uint32_t orders_seen;
-  bool hungry;
   bool told_info;
   bool report_due; /**< Room or state have changed since the last one. */
   bool whole_due;
+  bool offer_due;    /**< Room is kept for it until it answers. */
   GArray *ends;      /**< hsx_end, to be told. */
   GArray *told_ends; /**< HsToldEnd, oldest first. */
-  hsx_room told_room;
 } HsAgentPeer;
 
 typedef struct
@@ -80,6 +79,7 @@
 void
 hs_agent_links_end (HsDirectAgent *agent, uint32_t peer, const hsx_end *end);
 void hs_agent_links_changed (HsDirectAgent *agent);
+void hs_agent_links_offer (HsDirectAgent *agent, uint32_t peer);
 
 /** Sends reports that are due; returns when the next one is. */
 HsTime hs_agent_links_flush (HsDirectAgent *agent, HsTime now);
--- a/src/direct/demand.c
+++ b/src/direct/demand.c
@@ -7,6 +7,9 @@
 /** Span over which rates are learnt. */
 #define RATE_SPAN (5 * HS_SEC)
 
+/** A customer that is rarer than this counts as this. */
+#define RATE_MIN 0.01
+
 /** Weight of a new sample of work, run time, and share served. */
 #define WORK_WEIGHT 0.05
 #define RUN_WEIGHT 0.05
@@ -51,6 +54,8 @@
   GHashTable *handles;
   Customer *customers;
   uint32_t n;
+  double rate; /* Jobs a second, of all. */
+  HsTime rate_at;
 };
 
 static int free_demand (HsDemand *demand);
@@ -94,6 +99,9 @@
   /* A count that fades; its sum stands for the last RATE_SPAN. */
   c->rate = c->rate * exp (-past / span) + 1 / span;
   c->rate_at = now;
+  past = (double) (now - demand->rate_at) / HS_SEC;
+  demand->rate = demand->rate * exp (-past / span) + 1 / span;
+  demand->rate_at = now;
   if (c->work <= 0)
     c->work = work;
   c->work += (work - c->work) * WORK_WEIGHT;
@@ -151,7 +159,8 @@
   double size = c->work > 0 ? work / c->work : 1;
   double size_worth = WORTH_FLAT + (1 - WORTH_FLAT) * size;
 
-  return MIN (size_worth, WORTH_MAX) / MAX (c->rate, 0.01);
+  /* Against all that comes here: entries with few callers rank the same. */
+  return MIN (size_worth, WORTH_MAX) * demand->rate / MAX (c->rate, RATE_MIN);
 }
 
 double
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -16,8 +16,10 @@
 static void succeed (HsDirectEntry *entry, uint32_t target, HsTime now);
 static void
 lose (HsDirectEntry *entry, uint32_t target, bool over, const char *why);
-static void
-send_orders (HsDirectEntry *entry, uint32_t target, bool hungry, HsTime now);
+static void send_orders (HsDirectEntry *entry,
+                         uint32_t target,
+                         const hsx_want *want,
+                         HsTime now);
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
 static void outbox_clear (HsOutbox *outbox);
 static void send_entries (HsDirectEntry *entry, HsConn *conn);
@@ -144,7 +146,7 @@
 HsTime
 hs_entry_links_flush (HsDirectEntry *entry, HsTime now)
 {
-  bool hungry = hs_jobs_hungry (entry->jobs);
+  hsx_want want = hs_jobs_want (entry->jobs, now);
   HsTime due = HS_NEVER;
   uint32_t i;
 
@@ -154,9 +156,10 @@
 
       if (link->conn == NULL)
         continue;
-      if (link->outbox.ctx != NULL || (hungry && !link->told_hungry)
+      if (link->outbox.ctx != NULL || link->answer_due
+          || (want.rank > 0 && !link->told_hungry)
           || now >= link->ordered_at + HS_PULSE)
-        send_orders (entry, i, hungry, now);
+        send_orders (entry, i, &want, now);
       due = MIN (due, link->ordered_at + HS_PULSE);
     }
   return due;
@@ -310,12 +313,15 @@
               row->name, (int) row->state, row->told.cpu_milli);
   if (row->state == HSX_TARGET_READY && before != HSX_TARGET_READY)
     succeed (entry, target, now);
+  if (args->offer)
+    entry->links[target].answer_due = true;
   for (i = 0; i < args->ends.ends_len; i++)
     hs_jobs_ended (entry->jobs, target, &args->ends.ends_val[i], now);
   if (args->whole)
     hs_jobs_held (entry->jobs, target, args->held.held_val, args->held.held_len,
                   now);
-  if (args->whole || args->ends.ends_len > 0 || hs_jobs_hungry (entry->jobs))
+  if (args->whole || args->offer || args->ends.ends_len > 0
+      || hs_jobs_hungry (entry->jobs))
     hs_entry_schedule (entry, true);
 }
 
@@ -358,7 +364,10 @@
 }
 
 static void
-send_orders (HsDirectEntry *entry, uint32_t handle, bool hungry, HsTime now)
+send_orders (HsDirectEntry *entry,
+             uint32_t handle,
+             const hsx_want *want,
+             HsTime now)
 {
   HsTarget *target = hs_targets_get (entry->targets, handle);
   HsAgentLink *link = &entry->links[handle];
@@ -366,7 +375,7 @@
   hsx_orders_args args = { .agent = target->agent,
                            .number = target->sent + 1,
                            .stamp_us = target->stamp_us,
-                           .hungry = hungry };
+                           .want = *want };
 
   args.stamp_age_us
       = (unsigned int) CLAMP (now - target->heard_at, 0, UINT32_MAX);
@@ -380,7 +389,8 @@
     }
   target->sent++;
   link->ordered_at = now;
-  link->told_hungry = hungry;
+  link->told_hungry = want->rank > 0;
+  link->answer_due = false;
   hs_conn_call (link->conn, HSX_ORDERS, &args, HS_NEVER, NULL, NULL);
   outbox_clear (outbox);
 }
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -33,6 +33,7 @@
   HsTime lost_at;
   HsTime ordered_at; /**< Last orders. */
   bool told_hungry;
+  bool answer_due; /**< The agent keeps room until it hears. */
   HsOutbox outbox;
 } HsAgentLink;
 
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -140,6 +140,9 @@
 /** Whether tasks wait for room. */
 bool hs_jobs_hungry (const HsJobs *jobs);
 
+/** The best of what waits for room; rank 0 if nothing does. */
+hsx_want hs_jobs_want (const HsJobs *jobs, HsTime now);
+
 /** Jobs without an answer. */
 uint32_t hs_jobs_count (const HsJobs *jobs);
 
--- a/src/direct/rank.c
+++ b/src/direct/rank.c
@@ -12,6 +12,9 @@
  *  rank. Core-seconds. */
 #define WORK_MIN 0.02
 
+/** Ranks are sent as whole numbers of this part. */
+#define RANK_UNIT 1000.0
+
 /** Span over which the rate of room that comes free is learnt. */
 #define DRAIN_SPAN (500 * HS_MSEC)
 
@@ -28,6 +31,31 @@
   return worth / MAX (left, WORK_MIN);
 }
 
+hsx_want
+hs_jobs_want (const HsJobs *jobs, HsTime now)
+{
+  hsx_want want = { 0 };
+  double best = 0;
+  uint32_t i;
+
+  for (i = 0; i < jobs->n_jobs; i++)
+    {
+      const HsJob *job = &jobs->jobs[i];
+      double rank;
+
+      if (!job->used || job->n_waiting == 0)
+        continue;
+      rank = hs_job_rank (jobs, job, now);
+      if (want.rank > 0 && rank <= best)
+        continue;
+      best = rank;
+      want.rank = (uint64_t) (rank * RANK_UNIT) + 1;
+      want.needs = job->needs;
+      want.tasks = job->n_waiting;
+    }
+  return want;
+}
+
 HsTime
 hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -20,10 +20,13 @@
 #define CALLS_MAX 4
 
 static HsRefusal judge (HsRuns *runs,
+                        uint32_t peer,
                         const hsx_launch *launch,
                         const HsRunKey *key,
                         HsTime sent,
                         HsTime now);
+static hsx_room all_free (const HsRuns *runs);
+static HsTime make_offers (HsRuns *runs, HsTime now);
 static HsRun *run_new (HsRuns *runs);
 static void
 refuse (HsRuns *runs, uint32_t peer, uint64_t ref, HsRefusal reason);
@@ -113,7 +116,7 @@
   HsRun *run;
 
   g_strlcpy (key.job, launch->job, sizeof key.job);
-  reason = judge (runs, launch, &key, sent, now);
+  reason = judge (runs, peer, launch, &key, sent, now);
   run = reason == HS_REFUSAL_NONE ? run_new (runs) : NULL;
   if (run == NULL)
     {
@@ -130,6 +133,7 @@
   run->spec_len = launch->spec.spec_len;
   run->expected = launch->expected_ms * HS_MSEC;
   run->deadline = sent + launch->left_ms * HS_MSEC;
+  hs_offers_use (&runs->offers, peer, &run->needs);
   hs_run_call (runs, run, now);
 }
 
@@ -156,6 +160,7 @@
 {
   uint32_t i;
 
+  hs_offers_drop (&runs->offers, peer);
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
       HsRun *run = &runs->runs[i];
@@ -187,6 +192,12 @@
   runs->effects->changed (runs->arg);
 }
 
+void
+hs_runs_want (HsRuns *runs, uint32_t peer, const hsx_want *want, HsTime answers)
+{
+  hs_offers_want (&runs->offers, peer, want, answers);
+}
+
 void
 hs_runs_started (HsRuns *runs,
                  uint32_t handle,
@@ -243,7 +254,7 @@
 HsTime
 hs_runs_tick (HsRuns *runs, HsTime now)
 {
-  HsTime due = hs_runs_plan_looks (runs, now);
+  HsTime due = MIN (hs_runs_plan_looks (runs, now), make_offers (runs, now));
   uint32_t left = runs->n_runs;
   uint32_t i;
 
@@ -273,7 +284,15 @@
 }
 
 hsx_room
-hs_runs_free (const HsRuns *runs)
+hs_runs_free (const HsRuns *runs, uint32_t peer, HsTime now)
+{
+  hsx_room room = all_free (runs);
+
+  return hs_offers_room (&runs->offers, peer, &room, now);
+}
+
+static hsx_room
+all_free (const HsRuns *runs)
 {
   hsx_room room = runs->target.capacity;
   uint32_t left = runs->n_runs;
@@ -372,6 +391,7 @@
 
 static HsRefusal
 judge (HsRuns *runs,
+       uint32_t peer,
        const hsx_launch *launch,
        const HsRunKey *key,
        HsTime sent,
@@ -393,7 +413,7 @@
     }
   if (sent + launch->left_ms * HS_MSEC <= now)
     return HS_REFUSAL_DEADLINE;
-  room = hs_runs_free (runs);
+  room = hs_runs_free (runs, peer, now);
   if (!hs_room_fits (&room, &launch->needs))
     return HS_REFUSAL_ROOM;
   for (i = 0; i < HS_RUNS_MAX; i++)
@@ -405,6 +425,20 @@
   return HS_REFUSAL_NONE;
 }
 
+static HsTime
+make_offers (HsRuns *runs, HsTime now)
+{
+  hsx_room room;
+  uint32_t peer;
+
+  if (hs_runs_state (runs) != HSX_TARGET_READY)
+    return HS_NEVER;
+  room = all_free (runs);
+  while ((peer = hs_offers_next (&runs->offers, &room, now)) < HS_OFFERS_PEERS)
+    runs->effects->offered (runs->arg, peer);
+  return hs_offers_due (&runs->offers, now);
+}
+
 static HsRun *
 run_new (HsRuns *runs)
 {
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -53,6 +53,8 @@
   void (*ended) (void *arg, uint32_t peer, const hsx_end *end);
   /** Room or state have changed. */
   void (*changed) (void *arg);
+  /** Room is kept for an entry until it answers; it is told at once. */
+  void (*offered) (void *arg, uint32_t peer);
 } HsRunsEffects;
 
 /** @param first_token above all tokens of earlier lives of the agent */
@@ -95,6 +97,13 @@
 uint32_t
 hs_runs_held (const HsRuns *runs, uint32_t peer, uint64_t *refs, uint32_t n);
 
+/** What waits at an entry, as its orders say. @param answers the time of the
+ *  last report that the entry had */
+void hs_runs_want (HsRuns *runs,
+                   uint32_t peer,
+                   const hsx_want *want,
+                   HsTime answers);
+
 /** Takes nothing new from here on. */
 void hs_runs_leave (HsRuns *runs);
 
@@ -111,8 +120,8 @@
 /** Does what is due; returns when it has to be called next. */
 HsTime hs_runs_tick (HsRuns *runs, HsTime now);
 
-/** Room that is granted to whoever asks first. */
-hsx_room hs_runs_free (const HsRuns *runs);
+/** Room that is granted to an entry, if it asks now. */
+hsx_room hs_runs_free (const HsRuns *runs, uint32_t peer, HsTime now);
 
 hsx_target_state hs_runs_state (const HsRuns *runs);
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -5,6 +5,7 @@
 #ifndef HS_DIRECT_RUNS_PRIVATE_H
 #define HS_DIRECT_RUNS_PRIVATE_H
 
+#include "direct/offers.h"
 #include "direct/runs.h"
 
 /** At most this many runs, however small they are. */
@@ -71,6 +72,7 @@
   HsTime heard_at;                     /**< Last answer of the target. */
   HsTime renewed_at; /**< Last look or start that carried a lease. */
   uint32_t n_failed; /**< Looks without an answer in a row. */
+  HsOffers offers;
   uint32_t n_runs;
   HsRun runs[HS_RUNS_MAX];
 };
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -430,12 +430,19 @@
 };
 typedef struct hsx_launch hsx_launch;
 
+struct hsx_want {
+	uint64_t rank;
+	hsx_room needs;
+	u_int tasks;
+};
+typedef struct hsx_want hsx_want;
+
 struct hsx_orders_args {
 	uint64_t agent;
 	u_int number;
 	int64_t stamp_us;
 	u_int stamp_age_us;
-	bool_t hungry;
+	hsx_want want;
 	struct {
 		u_int launches_len;
 		hsx_launch *launches_val;
@@ -488,6 +495,7 @@
 	u_int orders_seen;
 	hsx_target_state state;
 	hsx_room free;
+	bool_t offer;
 	hsx_target_info *info;
 	bool_t whole;
 	struct {
@@ -691,6 +699,7 @@
 extern  bool_t xdr_hsx_room (XDR *, hsx_room*);
 extern  bool_t xdr_hsx_launch_task (XDR *, hsx_launch_task*);
 extern  bool_t xdr_hsx_launch (XDR *, hsx_launch*);
+extern  bool_t xdr_hsx_want (XDR *, hsx_want*);
 extern  bool_t xdr_hsx_orders_args (XDR *, hsx_orders_args*);
 extern  bool_t xdr_hsx_end_how (XDR *, hsx_end_how*);
 extern  bool_t xdr_hsx_end (XDR *, hsx_end*);
@@ -747,6 +756,7 @@
 extern bool_t xdr_hsx_room ();
 extern bool_t xdr_hsx_launch_task ();
 extern bool_t xdr_hsx_launch ();
+extern bool_t xdr_hsx_want ();
 extern bool_t xdr_hsx_orders_args ();
 extern bool_t xdr_hsx_end_how ();
 extern bool_t xdr_hsx_end ();
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -345,6 +345,13 @@
 	hsx_launch_task tasks<HSX_TASKS_MAX>;
 };
 
+/* The best of an entry's waiting work. */
+struct hsx_want {
+	uint64_t rank;			/* 0: nothing waits */
+	hsx_room needs;			/* of one task */
+	unsigned int tasks;
+};
+
 /*
  * ORDERS, one-way, entry to agent; also without orders, as a sign of life.
  * The age of the report it answers tells the agent how old it is itself.
@@ -354,7 +361,7 @@
 	unsigned int number;		/* rises by one on each connection */
 	int64_t stamp_us;		/* of the last REPORT received */
 	unsigned int stamp_age_us;	/* since it was received */
-	bool hungry;			/* work waits for room */
+	hsx_want want;
 	hsx_launch launches<HSX_BATCH_MAX>;
 	uint64_t stops<HSX_RECORDS_MAX>;	/* refs */
 };
@@ -397,7 +404,8 @@
 	int64_t stamp_us;		/* agent's monotonic clock */
 	unsigned int orders_seen;	/* number of the last ORDERS taken */
 	hsx_target_state state;
-	hsx_room free;
+	hsx_room free;			/* for this entry */
+	bool offer;			/* an answer is waited for */
 	hsx_target_info *info;		/* NULL: as before */
 	bool whole;			/* held lists every task of the entry */
 	uint64_t held<HSX_RECORDS_MAX>;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -691,6 +691,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hsx_want (XDR *xdrs, hsx_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->rank))
+		 return FALSE;
+	 if (!xdr_hsx_room (xdrs, &objp->needs))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tasks))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hsx_orders_args (XDR *xdrs, hsx_orders_args *objp)
 {
@@ -704,7 +718,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->stamp_age_us))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->hungry))
+	 if (!xdr_hsx_want (xdrs, &objp->want))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->launches.launches_val, (u_int *) &objp->launches.launches_len, HSX_BATCH_MAX,
 		sizeof (hsx_launch), (xdrproc_t) xdr_hsx_launch))
@@ -784,6 +798,8 @@
 		 return FALSE;
 	 if (!xdr_hsx_room (xdrs, &objp->free))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->offer))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->info, sizeof (hsx_target_info), (xdrproc_t) xdr_hsx_target_info))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -83,8 +83,15 @@
   (void) arg;
 }
 
-static const HsRunsEffects EFFECTS
-    = { on_start, on_forget, on_stop, on_look, on_ended, on_changed };
+static void
+on_offered (void *arg, uint32_t peer)
+{
+  (void) arg;
+  (void) peer;
+}
+
+static const HsRunsEffects EFFECTS = { on_start, on_forget,  on_stop,   on_look,
+                                       on_ended, on_changed, on_offered };
 
 /* Answers the oldest look. */
 static void
@@ -211,13 +218,13 @@
   launch ("a", 0, 7);
   answer_start ();
   pass (0);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY - CPU);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY - CPU);
   pass (200 * HS_MSEC);
   answer_look ();
   assert_int_equal (n_ends, 1);
   assert_int_equal (ends[0].ref, 7);
   assert_int_equal (ends[0].how, HSX_END_DONE);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY);
 }
 
 static void
@@ -243,14 +250,14 @@
   launch ("a", 0, 7);
   call = take_start ();
   hs_runs_started (runs, call.run, HS_TARGET_UNANSWERED, now);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY - CPU);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY - CPU);
   pass (0);
   assert_true (looks[0].token > FIRST_TOKEN);
   assert_int_equal (looks[0].wait_ms, 0);
   answer_look ();
   assert_int_equal (ends[0].how, HSX_END_REFUSED);
   assert_int_equal (ends[0].reason, HS_REFUSAL_LOST);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY);
   /* It comes late, and does nothing. */
   assert_int_equal (carry_out (&call), HS_TARGET_FENCED);
 }
@@ -268,7 +275,7 @@
   pass (0);
   answer_look ();
   assert_int_equal (n_ends, 0);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY - CPU);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY - CPU);
   pass (200 * HS_MSEC);
   answer_look ();
   assert_int_equal (ends[0].how, HSX_END_DONE);
@@ -428,7 +435,7 @@
   hs_runs_started (runs, call.run, carry_out (&call), now);
   assert_int_equal (model.runs->len, 0);
   assert_int_equal (ends[0].how, HSX_END_STOPPED);
-  assert_int_equal (hs_runs_free (runs).cpu_milli, CAPACITY);
+  assert_int_equal (hs_runs_free (runs, 0, now).cpu_milli, CAPACITY);
 }
 
 static void
--- a/test/test_direct_walk.c
+++ b/test/test_direct_walk.c
@@ -154,8 +154,15 @@
   (void) arg;
 }
 
-static const HsRunsEffects EFFECTS
-    = { on_start, on_forget, on_stop, on_look, on_ended, on_changed };
+static void
+on_offered (void *arg, uint32_t peer)
+{
+  (void) arg;
+  (void) peer;
+}
+
+static const HsRunsEffects EFFECTS = { on_start, on_forget,  on_stop,   on_look,
+                                       on_ended, on_changed, on_offered };
 
 static void
 announce (void)
