Ask one entry for a late configuration; keep the first requests until it is there

Cause, 1: entries that had a change from the store sent its text to every entry that hadn't confirmed it within 150 ms. Change: entries tell each other their revision; who is behind asks one. Cause, 2: an entry that starts refused what came in the 10 ms until its first read of the configuration was answered: 25 to 40 jobs after each outage.

--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -105,12 +105,12 @@
   hs_event ("job_answer",
             "job=%s customer=%s outcome=%s why=%s tasks=%u done=%u starts=%u "
             "waited_ms=%.1f took_ms=%.1f objective_ms=%.0f expected_ms=%.0f "
-            "retry_after_ms=%u",
+            "free_milli=%" PRIu64 " waiting_jobs=%u retry_after_ms=%u",
             answer->id, answer->customer, words[answer->kind],
             hs_answer_why_word (answer->why), answer->n_tasks, answer->n_done,
             answer->n_starts, answer->waited / 1000.0, answer->took / 1000.0,
             answer->objective / 1000.0, answer->expected / 1000.0,
-            answer->retry_after_ms);
+            answer->free_milli, answer->n_ahead, answer->retry_after_ms);
   hs_counter_add (entry->answers[answer->kind], 0, 1);
   hs_histogram_record (entry->waits, answer->waited);
   if (answer->kind == HS_ANSWER_COMPLETED)
@@ -232,6 +232,7 @@
   entry->store = hs_process_store (entry, entry->ev, entry->settings);
   entry->turn = tevent_create_immediate (entry);
   entry->timer = hs_timer_new (entry, entry->ev, on_timer, entry);
+  entry->early = g_ptr_array_new ();
   if (!listen_all (entry, error))
     return false;
   add_seeds (entry);
@@ -334,6 +335,7 @@
   due = MIN (due, hs_entry_links_flush (entry, now));
   due = MIN (due, hs_entry_config_tick (entry, now));
   due = MIN (due, hs_entry_key_tick (entry, now));
+  due = MIN (due, hs_entry_early_tick (entry, now));
   hs_targets_tick (entry->targets, now);
   if (now >= entry->reload_at)
     {
@@ -400,12 +402,19 @@
 static void
 on_request (void *arg, const HsCallerRequest *request)
 {
-  HsDirectEntry *entry = arg;
+  note_pause (arg);
+  hs_entry_request (arg, request);
+}
+
+void
+hs_entry_request (HsDirectEntry *entry, const HsCallerRequest *request)
+{
   HsTime now = hs_now ().mono;
   const HsRoute *route = NULL;
   const char *id;
 
-  note_pause (entry);
+  if (entry->routes == NULL && hs_entry_early_keep (entry, request, now))
+    return;
   if (entry->routes == NULL)
     {
       refuse (entry, request, HS_REPLY_REFUSED, "no_configuration", NULL);
@@ -443,6 +452,7 @@
 {
   HsDirectEntry *entry = arg;
 
+  hs_entry_early_drop (entry, handle);
   hs_jobs_abandon (entry->jobs, handle, hs_now ().mono);
   hs_entry_schedule (entry, true);
 }
--- a/src/direct/entry_config.c
+++ b/src/direct/entry_config.c
@@ -1,5 +1,8 @@
 /* The configuration comes from the store, or from another entry where the
-   store can't be reached; the store's revision of it decides which is newer. */
+   store can't be reached; the store's revision of it decides which is newer.
+   Entries tell each other which revision they have. One that is behind, and
+   doesn't get the change from the store soon, asks one other entry by telling
+   it of its own; a large configuration thus crosses each link once. */
 #include <inttypes.h>
 #include <string.h>
 
@@ -10,10 +13,11 @@
 /** Until a read that failed is tried again. */
 #define READ_RETRY (200 * HS_MSEC)
 
-/** After a change came, peers that haven't said that they have it are sent
- *  it: time enough for what they say, and a tenth of the time in which a
- *  change has to be in force. */
-#define SHARE_SPAN (150 * HS_MSEC)
+/** An entry that has heard of a change waits so long for the store's word of
+ *  it, then asks an entry; and so long for each answer. A quarter of the time
+ *  in which a change has to be in force; a configuration of 400 KB takes 130 ms
+ *  on the slowest links. */
+#define ASK_SPAN (400 * HS_MSEC)
 
 static void read_now (HsDirectEntry *entry);
 static void on_read (void *arg, const HsStoreReply *reply);
@@ -23,40 +27,32 @@
                    size_t len,
                    int64_t revision,
                    const char *from);
+static void ask (HsDirectEntry *entry, HsTime now);
+static void expect (HsDirectEntry *entry, HsTime now);
 static void send_to (HsDirectEntry *entry, HsEntryPeer *peer, bool with_text);
 
 void
 hs_entry_config_start (HsDirectEntry *entry)
 {
-  entry->share_at = HS_NEVER;
+  entry->ask_at = HS_NEVER;
   read_now (entry);
 }
 
 HsTime
 hs_entry_config_tick (HsDirectEntry *entry, HsTime now)
 {
-  uint32_t i;
-
   if (now >= entry->read_at && !entry->reading)
     read_now (entry);
-  if (now >= entry->share_at)
-    {
-      entry->share_at = HS_NEVER;
-      for (i = 0; i < HS_PEERS_MAX; i++)
-        if (entry->peers[i].used
-            && entry->peers[i].revision < entry->config_revision)
-          send_to (entry, &entry->peers[i], true);
-    }
-  return MIN (entry->share_at, entry->read_at);
+  if (now >= entry->ask_at)
+    ask (entry, now);
+  return MIN (entry->ask_at, entry->read_at);
 }
 
 void
 hs_entry_config_peer_up (HsDirectEntry *entry, HsEntryPeer *peer)
 {
-  if (entry->config_revision == 0)
-    return;
-  send_to (entry, peer, false);
-  entry->share_at = MIN (entry->share_at, hs_now ().mono + SHARE_SPAN);
+  if (entry->config_revision > 0)
+    send_to (entry, peer, false);
 }
 
 void
@@ -64,10 +60,14 @@
                       HsEntryPeer *peer,
                       const hsx_configuration_args *args)
 {
-  peer->revision = MAX (peer->revision, args->revision);
+  peer->revision = args->revision;
   if (args->text.text_len > 0)
     apply (entry, args->text.text_val, args->text.text_len, args->revision,
            "entry");
+  else if (args->revision < entry->config_revision)
+    send_to (entry, peer, true);
+  else
+    expect (entry, hs_now ().mono);
 }
 
 static void
@@ -88,6 +88,7 @@
   hs_entry_schedule (entry, false);
   if (reply->status != HS_STORE_OK)
     {
+      entry->read_failed = true;
       hs_event ("config_read", "outcome=failed status=%d", (int) reply->status);
       entry->read_at = hs_now ().mono + READ_RETRY;
       return;
@@ -162,13 +163,53 @@
             " routes=%u bad=%u outcome=applied",
             from, revision, hs_routes_version (routes),
             hs_routes_count (routes), n_bad);
+  /* Those that are behind know by this that they can ask. */
   for (i = 0; i < HS_PEERS_MAX; i++)
     if (entry->peers[i].used && entry->peers[i].revision < revision)
       send_to (entry, &entry->peers[i], false);
-  entry->share_at = hs_now ().mono + SHARE_SPAN;
   hs_entry_schedule (entry, false);
 }
 
+/* Without any configuration nothing can be served, so that one is asked for
+   at once. */
+static void
+expect (HsDirectEntry *entry, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used
+        && entry->peers[i].revision > entry->config_revision)
+      break;
+  if (i == HS_PEERS_MAX || entry->ask_at != HS_NEVER)
+    return;
+  entry->ask_at = now + (entry->config_revision == 0 ? 0 : ASK_SPAN);
+  hs_entry_schedule (entry, false);
+}
+
+/* Asks by turns, in case one doesn't answer. */
+static void
+ask (HsDirectEntry *entry, HsTime now)
+{
+  uint32_t i;
+
+  entry->ask_at = HS_NEVER;
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    {
+      uint32_t k = (entry->asked_last + 1 + i) % HS_PEERS_MAX;
+      HsEntryPeer *peer = &entry->peers[k];
+
+      if (!peer->used || peer->revision <= entry->config_revision)
+        continue;
+      entry->asked_last = k;
+      hs_event ("config_ask", "address=%s revision=%" PRId64 " have=%" PRId64,
+                peer->address, peer->revision, entry->config_revision);
+      send_to (entry, peer, false);
+      entry->ask_at = now + ASK_SPAN;
+      return;
+    }
+}
+
 static void
 send_to (HsDirectEntry *entry, HsEntryPeer *peer, bool with_text)
 {
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -74,6 +74,7 @@
   HsEntryStage stage;
   bool done;
   bool turn_scheduled;
+  bool handing_on; /**< Requests that were kept are being taken. */
   bool pump_due;
   HsAgentLink *links; /**< By target handle. */
   uint32_t n_links;
@@ -82,12 +83,15 @@
   HsStore *store;
   HsStoreWatch *watch;
   HsRoutes *routes; /**< NULL: none yet. */
+  bool read_failed; /**< The store has failed to tell it. */
+  GPtrArray *early; /**< Requests kept; see entry_early.c. */
   char *config_text;
   size_t config_len;
   int64_t config_revision;
-  HsTime config_at; /**< When it came. */
-  HsTime share_at;  /**< When peers without it are sent it; HS_NEVER. */
-  HsTime read_at;   /**< When it is read; HS_NEVER: not now. */
+  HsTime config_at;    /**< When it came. */
+  HsTime ask_at;       /**< When another entry is asked; HS_NEVER: not. */
+  uint32_t asked_last; /**< Which was asked last. */
+  HsTime read_at;      /**< When it is read; HS_NEVER: not now. */
   /** @} */
   /** @name The entry's key in the store; entry_key.c @{ */
   int64_t lease;
@@ -111,6 +115,25 @@
                            const hsx_configuration_args *args);
 /** @} */
 
+/** @name entry_early.c: requests before the first configuration @{ */
+
+/** Keeps a request until the first configuration is there; false if it isn't
+ *  worth waiting for. */
+bool hs_entry_early_keep (HsDirectEntry *entry,
+                          const HsCallerRequest *request,
+                          HsTime now);
+
+/** Hands what is kept on, once there is a configuration or no hope of one;
+ *  returns when it has to be called next. */
+HsTime hs_entry_early_tick (HsDirectEntry *entry, HsTime now);
+
+/** A caller has gone. */
+void hs_entry_early_drop (HsDirectEntry *entry, uint64_t handle);
+
+/** Takes a request, as it came from its caller. */
+void hs_entry_request (HsDirectEntry *entry, const HsCallerRequest *request);
+/** @} */
+
 /** @name entry_key.c: this entry's key in the store @{ */
 HsTime hs_entry_key_tick (HsDirectEntry *entry, HsTime now);
 /** Removes it, as a planned stop begins. */
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -397,8 +397,12 @@
                          .objective = job->objective,
                          .expected = job->expected };
   char *memory = job->id;
+  uint64_t capacity;
   uint32_t i;
 
+  hs_targets_sum (jobs->targets, job->service, &capacity, &answer.free_milli);
+  for (i = 0; i < jobs->n_jobs; i++)
+    answer.n_ahead += jobs->jobs[i].used && jobs->jobs[i].n_waiting > 0;
   answer.waited = (job->first_sent != 0 ? job->first_sent : now) - job->arrived;
   if (kind == HS_ANSWER_REFUSED)
     answer.retry_after_ms = retry_after (jobs, job, now);
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -81,6 +81,8 @@
   HsTime took;
   HsTime objective;
   HsTime expected;
+  uint64_t free_milli; /**< Of the service, as far as known. */
+  uint32_t n_ahead;    /**< Waiting jobs. */
   /** @} */
 } HsJobAnswer;
 
