Let an agent judge its own target

Change: the agent, which sees all entries' tasks, suspends its target after bad ends of three different jobs in a row, then tries it with one task at a time. A task without progress is stopped after 100 ms, or an eighth of its run time.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -257,10 +257,17 @@
 HsTime
 hs_runs_tick (HsRuns *runs, HsTime now)
 {
-  HsTime due = MIN (hs_runs_plan_looks (runs, now), make_offers (runs, now));
+  HsTime due = hs_runs_plan_looks (runs, now);
   uint32_t left = runs->n_runs;
   uint32_t i;
 
+  if (hs_trust_level (&runs->trust, now) != runs->level)
+    {
+      runs->level = hs_trust_level (&runs->trust, now);
+      runs->effects->changed (runs->arg);
+    }
+  due = MIN (due, hs_trust_due (&runs->trust, now));
+  due = MIN (due, make_offers (runs, now));
   for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
     {
       HsRun *run = &runs->runs[i];
@@ -298,9 +305,12 @@
 all_free (const HsRuns *runs)
 {
   hsx_room room = runs->target.capacity;
+  hsx_room none = { 0 };
   uint32_t left = runs->n_runs;
   uint32_t i;
 
+  if (runs->level != HS_TRUST_FULL && runs->n_runs > 0)
+    return none;
   for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
     if (runs->runs[i].state != HS_RUN_FREE)
       {
@@ -329,6 +339,8 @@
 
   if (run->started_at != 0)
     end.run_us = (unsigned int) MIN (now - run->started_at, UINT32_MAX);
+  hs_trust_end (&runs->trust, how, key.job, now);
+  runs->level = hs_trust_level (&runs->trust, now);
   talloc_free (run->spec);
   memset (run, 0, sizeof *run);
   runs->n_runs--;
--- a/src/direct/runs_look.c
+++ b/src/direct/runs_look.c
@@ -36,12 +36,12 @@
  *  lapsed. */
 #define LAPSE_SLACK (50 * HS_MSEC)
 
-/** A run whose progress stands still for the larger of this and a quarter of
- *  its expected run time is stopped. Progress is told in hundredths, so that
- *  ordinary tasks move in a tenth of that even on a target 6 times too slow.
+/** A run whose progress stands still for the larger of this and an eighth of
+ *  its expected run time is stopped. Progress is told in hundredths: on a
+ *  target 8 times too slow a task still moves within that.
  */
-#define STALL_MIN (200 * HS_MSEC)
-#define STALL_PARTS 4
+#define STALL_MIN (100 * HS_MSEC)
+#define STALL_PARTS 8
 
 static void send_look (HsRuns *runs, uint32_t wait_ms, HsTime now);
 static void
@@ -135,7 +135,7 @@
     return HSX_TARGET_LEAVING;
   if (!runs->announced || runs->gone || !runs->looked || runs->n_unknown > 0)
     return HSX_TARGET_UNKNOWN;
-  if (runs->mute)
+  if (runs->mute || runs->level == HS_TRUST_NONE)
     return HSX_TARGET_MUTE;
   return HSX_TARGET_READY;
 }
@@ -153,6 +153,8 @@
       if (run->state == HS_RUN_ON || run->state == HS_RUN_STOPPING)
         hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
     }
+  hs_trust_reset (&runs->trust);
+  runs->level = HS_TRUST_FULL;
   runs->looked = false;
   runs->n_unknown = 0;
   runs->acked = 0;
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -7,6 +7,7 @@
 
 #include "direct/offers.h"
 #include "direct/runs.h"
+#include "direct/trust.h"
 
 /** At most this many runs, however small they are. */
 #define HS_RUNS_MAX 1024
@@ -74,6 +75,8 @@
   uint32_t n_failed; /**< Looks without an answer in a row. */
   bool mute;         /**< It is taken for silent. */
   HsOffers offers;
+  HsTrust trust;
+  HsTrustLevel level; /**< Of trust, as last told. */
   uint32_t n_runs;
   HsRun runs[HS_RUNS_MAX];
 };
