--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -472,8 +472,7 @@
   launch ("a", 0, 7);
   answer_start ();
   muted = now;
-  while (hs_runs_state (runs) != HSX_TARGET_MUTE
-         && now - muted < 300 * HS_MSEC)
+  while (hs_runs_state (runs) != HSX_TARGET_MUTE && now - muted < 300 * HS_MSEC)
     {
       pass (10 * HS_MSEC);
       if (n_looks > 0)
--- /dev/null
+++ b/test/test_direct_targets.c
@@ -0,0 +1,162 @@
+/* An entry's view of the targets, and which it chooses. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "direct/targets.h"
+
+#define T0 (100 * HS_SEC)
+#define CAPACITY 16000
+
+static void *ctx;
+static HsTargets *targets;
+static const hsx_room NEEDS = { 1600, 64, 0 };
+
+static void
+report (uint32_t target, uint32_t free_milli, uint32_t seen, bool offer)
+{
+  hsx_target_info info = { (char *) "t",
+                           (char *) "s",
+                           (char *) "r",
+                           (char *) "h",
+                           { CAPACITY, 100000, 0 } };
+  hsx_report_args args = { .state = HSX_TARGET_READY,
+                           .orders_seen = seen,
+                           .free = { free_milli, 100000, 0 },
+                           .offer = offer,
+                           .info = &info };
+
+  hs_targets_report (targets, target, &args, T0);
+}
+
+static uint32_t
+place (HsTime now)
+{
+  return hs_targets_place (targets, "s", &NEEDS, "dc1", HS_TARGET_NONE, now);
+}
+
+static int
+setup (void **state)
+{
+  (void) state;
+  ctx = talloc_new (NULL);
+  targets = hs_targets_new (ctx);
+  hs_targets_connect (targets, 1, "dc1", NULL, T0);
+  hs_targets_connect (targets, 2, "dc1", NULL, T0);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (ctx);
+  return 0;
+}
+
+static void
+a_launch_counts_until_a_report_has_seen_it (void **state)
+{
+  (void) state;
+  report (0, 4000, 0, false);
+  hs_targets_sent (targets, 0, &NEEDS, 1);
+  hs_targets_sent (targets, 0, &NEEDS, 2);
+  assert_int_equal (hs_targets_free (targets, 0, T0).cpu_milli, 800);
+  report (0, 2400, 1, false);
+  assert_int_equal (hs_targets_free (targets, 0, T0).cpu_milli, 800);
+  report (0, 800, 2, false);
+  assert_int_equal (hs_targets_free (targets, 0, T0).cpu_milli, 800);
+}
+
+static void
+only_targets_of_the_service_with_room_are_chosen (void **state)
+{
+  (void) state;
+  report (0, 1000, 0, false);
+  report (1, 5000, 0, false);
+  assert_int_equal (place (T0), 1);
+  assert_int_equal (
+      hs_targets_place (targets, "other", &NEEDS, "dc1", HS_TARGET_NONE, T0),
+      HS_TARGET_NONE);
+}
+
+static void
+a_slow_target_is_left_for_a_faster_one (void **state)
+{
+  int i;
+
+  (void) state;
+  report (0, CAPACITY, 0, false);
+  report (1, CAPACITY / 2, 0, false);
+  for (i = 0; i < 30; i++)
+    {
+      hs_targets_ended (targets, 0, 0, false, 600 * HS_MSEC, 200 * HS_MSEC, T0);
+      hs_targets_ended (targets, 1, 0, false, 200 * HS_MSEC, 200 * HS_MSEC, T0);
+    }
+  assert_int_equal (place (T0), 1);
+}
+
+static void
+where_a_task_failed_is_the_last_choice (void **state)
+{
+  (void) state;
+  report (0, CAPACITY, 0, false);
+  report (1, 2000, 0, false);
+  assert_int_equal (hs_targets_place (targets, "s", &NEEDS, "dc1", 0, T0), 1);
+  report (1, 0, 0, false);
+  assert_int_equal (hs_targets_place (targets, "s", &NEEDS, "dc1", 0, T0), 0);
+}
+
+static void
+after_refusals_old_views_count_less_but_offers_count_whole (void **state)
+{
+  HsTime later = T0 + 40 * HS_MSEC;
+  int i;
+
+  (void) state;
+  report (0, 4000, 0, false);
+  for (i = 0; i < 40; i++)
+    hs_targets_refused (targets, T0);
+  assert_int_equal (place (T0), 0);
+  assert_int_equal (place (later), HS_TARGET_NONE);
+  report (0, 4000, 0, true);
+  assert_int_equal (place (T0 + 10 * HS_MSEC), 0);
+  /* Forgotten after some seconds. */
+  assert_int_equal (place (T0 + 5 * HS_SEC), 0);
+}
+
+static void
+a_target_that_leaves_or_is_cut_off_is_not_chosen (void **state)
+{
+  hsx_report_args leaving
+      = { .state = HSX_TARGET_LEAVING, .free = { CAPACITY, 100000, 0 } };
+
+  (void) state;
+  report (0, CAPACITY, 0, false);
+  assert_int_equal (place (T0), 0);
+  hs_targets_report (targets, 0, &leaving, T0);
+  assert_int_equal (place (T0), HS_TARGET_NONE);
+  report (0, CAPACITY, 0, false);
+  hs_targets_disconnect (targets, 0);
+  assert_int_equal (place (T0), HS_TARGET_NONE);
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (a_launch_counts_until_a_report_has_seen_it),
+    TEST (only_targets_of_the_service_with_room_are_chosen),
+    TEST (a_slow_target_is_left_for_a_faster_one),
+    TEST (where_a_task_failed_is_the_last_choice),
+    TEST (after_refusals_old_views_count_less_but_offers_count_whole),
+    TEST (a_target_that_leaves_or_is_cut_off_is_not_chosen),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
