--- /dev/null
+++ b/test/platform_cluster.c
@@ -0,0 +1,404 @@
+#include "platform_cluster.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+extern char **environ;
+
+static const char *const KINDS[CLUSTER_KINDS]
+    = { "store", "entry", "agent", "target" };
+
+static void
+free_address (char out[32])
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  socklen_t len = sizeof in;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *) &in, sizeof in) != 0
+      || getsockname (fd, (struct sockaddr *) &in, &len) != 0)
+    abort ();
+  close (fd);
+  g_snprintf (out, 32, "127.0.0.1:%u", ntohs (in.sin_port));
+}
+
+void
+cluster_init (Cluster *c,
+              const char *build,
+              const char *dir,
+              unsigned int n_entries,
+              unsigned int n_agents,
+              unsigned int cpu_milli)
+{
+  unsigned int i;
+
+  memset (c, 0, sizeof *c);
+  g_strlcpy (c->dir, dir, sizeof c->dir);
+  g_strlcpy (c->build, build, sizeof c->build);
+  g_mkdir_with_parents (dir, 0755);
+  c->n_entries = n_entries;
+  c->n_agents = n_agents;
+  c->cpu_milli = cpu_milli;
+  free_address (c->addresses[CLUSTER_STORE][0]);
+  strcpy (c->store_seen, c->addresses[CLUSTER_STORE][0]);
+  for (i = 0; i < n_entries; i++)
+    {
+      free_address (c->addresses[CLUSTER_ENTRY][i]);
+      free_address (c->ready[i]);
+      free_address (c->control[i]);
+      strcpy (c->control_seen[i], c->control[i]);
+    }
+  for (i = 0; i < n_agents; i++)
+    {
+      free_address (c->addresses[CLUSTER_AGENT][i]);
+      free_address (c->addresses[CLUSTER_TARGET][i]);
+      strcpy (c->app_seen[i], c->addresses[CLUSTER_TARGET][i]);
+    }
+}
+
+static void
+seeds_text (const Cluster *c, char *out, size_t size)
+{
+  unsigned int i;
+
+  out[0] = '\0';
+  for (i = 0; i < c->n_entries && i < 3; i++)
+    {
+      g_strlcat (out, i > 0 ? ",\"" : "\"", size);
+      g_strlcat (out, c->control_seen[i], size);
+      g_strlcat (out, "\"", size);
+    }
+}
+
+static void
+write_settings (const Cluster *c, ClusterKind kind, unsigned int i, char *path)
+{
+  char seeds[256];
+  FILE *f;
+
+  g_snprintf (path, 300, "%s/%s%u.json", c->dir, KINDS[kind], i);
+  seeds_text (c, seeds, sizeof seeds);
+  f = fopen (path, "w");
+  if (f == NULL)
+    abort ();
+  fprintf (f,
+           "{\"cluster_key\":\"0123456789abcdef\",\"platform\":{"
+           "\"node_name\":\"%s%u\",\"ip\":\"127.0.0.1\",\"zone\":\"z%u\","
+           "\"seeds\":[%s],\"bounds\":{\"grace_s\":6,\"max_hold_ms\":1000,"
+           "\"stop_timeout_ms\":50,\"resend_ms\":1300},"
+           "\"platform\":{\"address\":\"%s\"},",
+           KINDS[kind], i, i % 3, seeds, c->store_seen);
+  if (kind == CLUSTER_ENTRY)
+    fprintf (f,
+             "\"listen_addrs\":{\"frontend_addr\":\"%s\",\"ready\":\"%s\","
+             "\"control\":\"%s\"}}}",
+             c->addresses[kind][i], c->ready[i], c->control[i]);
+  else
+    fprintf (f,
+             "\"app\":\"%s\",\"service\":\"s\","
+             "\"listen_addrs\":{\"control\":\"%s\"}}}",
+             c->app_seen[i], c->addresses[kind][i]);
+  fclose (f);
+}
+
+void
+cluster_start (Cluster *c, ClusterKind kind, unsigned int i)
+{
+  posix_spawn_file_actions_t actions;
+  char settings[300];
+  char program[300];
+  char log[300];
+  char name[32];
+  char cpu[16];
+  char *argv[8] = { program };
+  int n = 1;
+
+  g_snprintf (log, sizeof log, "%s/%s%u.log", c->dir, KINDS[kind], i);
+  g_snprintf (name, sizeof name, "i-%u", i);
+  g_snprintf (cpu, sizeof cpu, "%u", c->cpu_milli);
+  switch (kind)
+    {
+    case CLUSTER_STORE:
+      g_snprintf (program, sizeof program, "%s/standin-platform-store",
+                  c->build);
+      argv[n++] = c->addresses[kind][i];
+      break;
+    case CLUSTER_ENTRY:
+    case CLUSTER_AGENT:
+      write_settings (c, kind, i, settings);
+      g_snprintf (program, sizeof program, "%s/hibiscusspoke", c->build);
+      argv[n++] = (char *) KINDS[kind];
+      argv[n++] = (char *) "--platform";
+      argv[n++] = settings;
+      break;
+    default:
+      g_snprintf (program, sizeof program, "%s/standin-platform-target",
+                  c->build);
+      argv[n++] = c->addresses[kind][i];
+      argv[n++] = c->addresses[CLUSTER_AGENT][i];
+      argv[n++] = name;
+      argv[n++] = (char *) "s";
+      argv[n++] = cpu;
+      break;
+    }
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, 1, log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2 (&actions, 1, 2);
+  if (posix_spawn (&c->pids[kind][i], program, &actions, NULL, argv, environ)
+      != 0)
+    {
+      fprintf (stderr, "can't start %s: %s\n", program, strerror (errno));
+      abort ();
+    }
+  posix_spawn_file_actions_destroy (&actions);
+  c->lives[kind][i]++;
+}
+
+void
+cluster_start_all (Cluster *c)
+{
+  unsigned int i;
+
+  if (c->pids[CLUSTER_STORE][0] == 0)
+    cluster_start (c, CLUSTER_STORE, 0);
+  for (i = 0; i < c->n_agents; i++)
+    {
+      if (c->pids[CLUSTER_AGENT][i] == 0)
+        cluster_start (c, CLUSTER_AGENT, i);
+      if (c->pids[CLUSTER_TARGET][i] == 0)
+        cluster_start (c, CLUSTER_TARGET, i);
+    }
+  for (i = 0; i < c->n_entries; i++)
+    if (c->pids[CLUSTER_ENTRY][i] == 0)
+      cluster_start (c, CLUSTER_ENTRY, i);
+}
+
+void
+cluster_signal (Cluster *c, ClusterKind kind, unsigned int i, int n)
+{
+  if (c->pids[kind][i] > 0)
+    kill (c->pids[kind][i], n);
+}
+
+void
+cluster_kill (Cluster *c, ClusterKind kind, unsigned int i)
+{
+  if (c->pids[kind][i] <= 0)
+    return;
+  kill (c->pids[kind][i], SIGKILL);
+  waitpid (c->pids[kind][i], NULL, 0);
+  c->pids[kind][i] = 0;
+}
+
+bool
+cluster_await_end (Cluster *c, ClusterKind kind, unsigned int i, int ms)
+{
+  for (; ms > 0; ms -= 20)
+    {
+      int status;
+
+      if (c->pids[kind][i] <= 0)
+        return true;
+      if (waitpid (c->pids[kind][i], &status, WNOHANG) == c->pids[kind][i])
+        {
+          c->pids[kind][i] = 0;
+          return WIFEXITED (status) && WEXITSTATUS (status) == 0;
+        }
+      cluster_pause (20);
+    }
+  return false;
+}
+
+void
+cluster_end (Cluster *c)
+{
+  unsigned int kind;
+  unsigned int i;
+
+  for (kind = 0; kind < CLUSTER_KINDS; kind++)
+    for (i = 0; i < CLUSTER_MAX; i++)
+      cluster_kill (c, kind, i);
+}
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *arg)
+{
+  ClusterReply *reply = arg;
+  size_t have = strlen (reply->body);
+  size_t take = MIN (size * n, sizeof reply->body - 1 - have);
+
+  memcpy (reply->body + have, data, take);
+  return size * n;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t n, void *arg)
+{
+  ClusterReply *reply = arg;
+  static const char name[] = "retry-after: ";
+
+  if (size * n > sizeof name
+      && g_ascii_strncasecmp (data, name, sizeof name - 1) == 0)
+    g_strlcpy (reply->retry_after, data + sizeof name - 1,
+               MIN (sizeof reply->retry_after, size * n - sizeof name));
+  return size * n;
+}
+
+static ClusterReply
+perform (const char *method,
+         const char *address,
+         const char *path,
+         const char *body,
+         long timeout_ms,
+         struct curl_slist *headers)
+{
+  ClusterReply reply = { 0 };
+  CURL *easy = curl_easy_init ();
+  g_autofree char *url = g_strdup_printf ("http://%s%s", address, path);
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  if (body != NULL)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &reply);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &reply);
+  if (curl_easy_perform (easy) == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &reply.status);
+  curl_easy_getinfo (easy, CURLINFO_TOTAL_TIME, &reply.seconds);
+  curl_easy_cleanup (easy);
+  return reply;
+}
+
+ClusterReply
+cluster_call (const char *method,
+              const char *address,
+              const char *path,
+              const char *body,
+              long timeout_ms)
+{
+  struct curl_slist *headers = curl_slist_append (NULL, "Host: h.example");
+  ClusterReply reply
+      = perform (method, address, path, body, timeout_ms, headers);
+
+  curl_slist_free_all (headers);
+  return reply;
+}
+
+ClusterReply
+cluster_submit (Cluster *c,
+                unsigned int entry,
+                const char *id,
+                const char *spec,
+                unsigned int n_tasks,
+                unsigned int cpu_milli,
+                long left_ms)
+{
+  g_autofree char *path = g_strdup_printf ("/q/%s", id);
+  g_autofree char *body = g_strdup_printf (
+      "{\"spec\":\"%s cpu=%u\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
+      "\"cpu\":%u,\"mem_mb\":64,\"estimate_ms\":100}]}",
+      spec, cpu_milli, n_tasks, cpu_milli);
+  g_autofree char *left
+      = g_strdup_printf ("X-Hibiscusspoke-Deadline-Ms: %ld", left_ms);
+  struct curl_slist *headers = curl_slist_append (NULL, "Host: h.example");
+  ClusterReply reply;
+
+  headers = curl_slist_append (headers, left);
+  reply = perform ("POST", c->addresses[CLUSTER_ENTRY][entry], path, body,
+                   left_ms + 200, headers);
+  curl_slist_free_all (headers);
+  return reply;
+}
+
+void
+cluster_configure (Cluster *c, int version, const char *more_prefix)
+{
+  static const char route[]
+      = "{\"name\":\"r-%s\",\"host\":\"h.example\",\"path_prefix\":\"%s\","
+        "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"target_latency_ms\":60,"
+        "\"service\":\"s\",\"max_attempts\":3,\"slack_factor\":1.6}";
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text, "{\"version\":%d,\"routes\":[", version);
+  g_string_append_printf (text, route, "q", "/q/");
+  if (more_prefix != NULL)
+    {
+      g_string_append_c (text, ',');
+      g_string_append_printf (text, route, "more", more_prefix);
+    }
+  g_string_append (text, "],\"services\":[{\"name\":\"s\"}],\"limits\":{}}");
+  cluster_call ("PUT", c->addresses[CLUSTER_STORE][0], "/op/config", text->str,
+                2000);
+  g_string_free (text, TRUE);
+}
+
+bool
+cluster_await_ready (Cluster *c, unsigned int entry, int ms)
+{
+  for (; ms > 0; ms -= 20)
+    {
+      if (cluster_call ("GET", c->ready[entry], "/-/readyz", NULL, 500).status
+          == 200)
+        return true;
+      cluster_pause (20);
+    }
+  return false;
+}
+
+bool
+cluster_log_has (Cluster *c, ClusterKind kind, const char *text)
+{
+  unsigned int i;
+
+  for (i = 0; i < CLUSTER_MAX; i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("%s/%s%u.log", c->dir, KINDS[kind], i);
+      g_autofree char *log = NULL;
+
+      if (g_file_get_contents (path, &log, NULL, NULL)
+          && strstr (log, text) != NULL)
+        return true;
+    }
+  return false;
+}
+
+long
+cluster_state (Cluster *c, unsigned int target, const char *name)
+{
+  ClusterReply reply = cluster_call (
+      "GET", c->addresses[CLUSTER_TARGET][target], "/state", NULL, 1000);
+  g_autofree char *key = g_strdup_printf ("\"%s\":", name);
+  const char *at = strstr (reply.body, key);
+
+  return at != NULL ? strtol (at + strlen (key), NULL, 10) : -1;
+}
+
+void
+cluster_pause (int ms)
+{
+  g_usleep ((gulong) ms * 1000);
+}
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -16,3 +16,15 @@
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
 $(B)/test/test_agent: $(STANDIN_TARGET_OBJS) $(B)/test/standin/fake_entry.o
+
+STANDINS += $(B)/standin-platform-store $(B)/standin-platform-target
+
+$(B)/test/standin/platform_target.o: CFLAGS += -Itest
+
+$(B)/standin-platform-store: $(addprefix $(B)/test/standin/,platform_store.o \
+		http.o kv.o kv_compare.o) $(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
+
+$(B)/standin-platform-target: $(addprefix $(B)/test/,standin/platform_target.o \
+		standin/http.o runner_model.o) $(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
--- /dev/null
+++ b/test/standin/platform_store.c
@@ -0,0 +1,430 @@
+/**
+ * @file
+ * standin-platform-store: the key-value store of the users' platform, as its
+ * protocol describes it. POST /fault steers it, PUT /op/KEY writes as the
+ * operators do.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "base/timer.h"
+#include "http.h"
+#include "kv.h"
+#include "platform/json.h"
+
+/** Between looks at what watches wait for. */
+#define TICK (5 * HS_MSEC)
+
+/** A watch waits at most so long. */
+#define WAIT_MAX_MS 30000
+
+typedef struct
+{
+  HsStandinRequest *request;
+  char *prefix;
+  int64_t after;
+  HsTime until;
+} Watch;
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsStandinHttp *http;
+  HsKv *kv;
+  HsTimer *timer;
+  GPtrArray *watches;
+  bool down;            /* 503 to all. */
+  bool silent;          /* No answer to anything. */
+  int64_t lose_answers; /* Next writes are done and not answered. */
+  HsTime delay;
+  bool stop;
+} Store;
+
+static struct json_object *
+item (const HsKvRecord *record)
+{
+  struct json_object *o = json_object_new_object ();
+  g_autofree char *value
+      = g_base64_encode ((const guchar *) record->value, record->value_len);
+
+  json_object_object_add (o, "key", json_object_new_string (record->key));
+  json_object_object_add (o, "value", json_object_new_string (value));
+  json_object_object_add (o, "revision",
+                          json_object_new_int64 (record->mod_revision));
+  json_object_object_add (o, "created",
+                          json_object_new_int64 (record->create_revision));
+  json_object_object_add (o, "lease", json_object_new_int64 (record->lease));
+  return o;
+}
+
+static void
+answer (HsStandinRequest *request, unsigned int status, struct json_object *o)
+{
+  char *text = talloc_strdup (NULL, o != NULL ? json_object_to_json_string_ext (
+                                        o, JSON_C_TO_STRING_PLAIN)
+                                              : "{}");
+
+  json_object_put (o);
+  hs_standin_answer (request, status, text);
+}
+
+/* Keys of a prefix end before the prefix with its last byte raised. */
+static HsKvSpan
+span_of (TALLOC_CTX *ctx, const char *prefix)
+{
+  char *end = talloc_strdup (ctx, prefix);
+  HsKvSpan span = { prefix, end };
+
+  if (end[0] != '\0')
+    end[strlen (end) - 1]++;
+  return span;
+}
+
+static void
+range (Store *store, HsStandinRequest *request)
+{
+  const char *prefix = hs_standin_query (request, "path_prefix");
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  HsKvSpan span = span_of (ctx, prefix != NULL ? prefix : "");
+  struct json_object *o = json_object_new_object ();
+  struct json_object *items = json_object_new_array ();
+  HsKvOpResult result = { 0 };
+  guint i;
+
+  hs_kv_range (store->kv, &span, 0, 0, &result);
+  for (i = 0; result.records != NULL && i < result.records->len; i++)
+    json_object_array_add (items, item (g_ptr_array_index (result.records, i)));
+  if (result.records != NULL)
+    g_ptr_array_unref (result.records);
+  json_object_object_add (o, "items", items);
+  json_object_object_add (o, "has_more", json_object_new_boolean (false));
+  json_object_object_add (o, "current_rev",
+                          json_object_new_int64 (hs_kv_revision (store->kv)));
+  answer (request, 200, o);
+  talloc_free (ctx);
+}
+
+/* True if the watch was answered. */
+static bool
+try_watch (Store *store, Watch *watch, HsTime now)
+{
+  HsKvSpan span = span_of (watch, watch->prefix);
+  GPtrArray *events = g_ptr_array_new ();
+  HsKvStatus status
+      = hs_kv_history (store->kv, &span, watch->after + 1, events);
+  struct json_object *o;
+  struct json_object *list;
+  guint i;
+
+  if (status == HS_KV_COMPACTED)
+    answer (watch->request, 410, NULL);
+  else if (events->len > 0 || now >= watch->until)
+    {
+      o = json_object_new_object ();
+      list = json_object_new_array ();
+      for (i = 0; i < events->len; i++)
+        {
+          const HsKvEvent *event = g_ptr_array_index (events, i);
+          struct json_object *row;
+
+          if (event->now != NULL)
+            row = item (event->now);
+          else
+            {
+              row = json_object_new_object ();
+              json_object_object_add (
+                  row, "key", json_object_new_string (event->before->key));
+              json_object_object_add (row, "revision",
+                                      json_object_new_int64 (event->revision));
+              json_object_object_add (row, "deleted",
+                                      json_object_new_boolean (true));
+            }
+          json_object_array_add (list, row);
+        }
+      json_object_object_add (o, "events", list);
+      json_object_object_add (
+          o, "current_rev", json_object_new_int64 (hs_kv_revision (store->kv)));
+      answer (watch->request, 200, o);
+    }
+  else
+    {
+      g_ptr_array_unref (events);
+      return false;
+    }
+  g_ptr_array_unref (events);
+  return true;
+}
+
+static void
+on_timer (void *arg)
+{
+  Store *store = arg;
+  HsTime now = hs_now ().mono;
+  guint i = 0;
+
+  hs_kv_advance (store->kv, now);
+  while (i < store->watches->len)
+    {
+      Watch *watch = g_ptr_array_index (store->watches, i);
+
+      if (!store->silent && try_watch (store, watch, now))
+        {
+          g_ptr_array_remove_index (store->watches, i);
+          talloc_free (watch);
+        }
+      else
+        i++;
+    }
+  hs_timer_set (store->timer, TICK, now);
+}
+
+static void
+begin_watch (Store *store, HsStandinRequest *request)
+{
+  const char *prefix = hs_standin_query (request, "path_prefix");
+  const char *after = hs_standin_query (request, "after");
+  const char *wait = hs_standin_query (request, "wait_ms");
+  Watch *watch = talloc_zero (NULL, Watch);
+  HsTime now = hs_now ().mono;
+
+  watch->request = request;
+  watch->prefix = talloc_strdup (watch, prefix != NULL ? prefix : "");
+  watch->after = after != NULL ? strtoll (after, NULL, 10) : 0;
+  watch->until
+      = now
+        + CLAMP (wait != NULL ? strtol (wait, NULL, 10) : 0, 0, WAIT_MAX_MS)
+              * HS_MSEC;
+  g_ptr_array_add (store->watches, watch);
+}
+
+static void
+txn (Store *store, HsStandinRequest *request)
+{
+  struct json_object *root = hs_pj_parse (request->body, request->len);
+  struct json_object *on = hs_pj_get (root, "expected_revision");
+  struct json_object *writes = hs_pj_get (root, "writes");
+  struct json_object *deletes = hs_pj_get (root, "delete");
+  struct json_object *items = json_object_new_array ();
+  HsKvOp ops[32] = { 0 };
+  HsKvOpResult results[32];
+  struct json_object *o = json_object_new_object ();
+  size_t n = 0;
+  size_t i;
+  bool holds = true;
+  unsigned int status = 200;
+
+  for (i = 0; i < (on != NULL ? json_object_array_length (on) : 0); i++)
+    {
+      struct json_object *row = json_object_array_get_idx (on, i);
+      const HsKvRecord *record = hs_kv_get (store->kv, hs_pj_text (row, "key"));
+      int64_t expected = 0;
+
+      hs_pj_number (row, "revision", &expected);
+      holds = holds && (record != NULL ? record->mod_revision : 0) == expected;
+      if (record != NULL)
+        json_object_array_add (items, item (record));
+    }
+  for (i = 0;
+       i < (writes != NULL ? json_object_array_length (writes) : 0) && n < 32;
+       i++)
+    {
+      struct json_object *row = json_object_array_get_idx (writes, i);
+      gsize len;
+
+      ops[n].kind = HS_KV_PUT;
+      ops[n].span.key = hs_pj_text (row, "key");
+      ops[n].value
+          = (const char *) g_base64_decode (hs_pj_text (row, "value"), &len);
+      ops[n].value_len = len;
+      hs_pj_number (row, "lease", &ops[n].lease);
+      n++;
+    }
+  for (i = 0;
+       i < (deletes != NULL ? json_object_array_length (deletes) : 0) && n < 32;
+       i++)
+    {
+      ops[n].kind = HS_KV_DELETE;
+      ops[n++].span.key
+          = json_object_get_string (json_object_array_get_idx (deletes, i));
+    }
+  if (!holds)
+    {
+      status = 412;
+      json_object_object_add (o, "items", json_object_get (items));
+    }
+  else if (hs_kv_apply (store->kv, ops, n, results) != HS_KV_OK)
+    status = 404;
+  else
+    json_object_object_add (o, "revision",
+                            json_object_new_int64 (hs_kv_revision (store->kv)));
+  for (i = 0; i < n; i++)
+    g_free ((void *) ops[i].value);
+  json_object_put (items);
+  json_object_put (root);
+  if (store->lose_answers > 0 && store->lose_answers--)
+    {
+      json_object_put (o);
+      hs_standin_cut (request);
+      return;
+    }
+  answer (request, status, o);
+}
+
+static void
+lease_answer (HsStandinRequest *request, int64_t lease, int64_t ttl_s)
+{
+  struct json_object *o = json_object_new_object ();
+
+  if (lease != 0)
+    json_object_object_add (o, "lease", json_object_new_int64 (lease));
+  json_object_object_add (o, "ttl_ms", json_object_new_int64 (ttl_s * 1000));
+  answer (request, ttl_s > 0 ? 200 : 404, o);
+}
+
+static void
+grant (Store *store, HsStandinRequest *request)
+{
+  struct json_object *root = hs_pj_parse (request->body, request->len);
+  int64_t ttl_ms = 0;
+
+  hs_pj_number (root, "ttl_ms", &ttl_ms);
+  json_object_put (root);
+  lease_answer (request,
+                hs_kv_lease_grant (store->kv, 0, ttl_ms / 1000, hs_now ().mono),
+                ttl_ms / 1000);
+}
+
+static void
+set_faults (Store *store, HsStandinRequest *request)
+{
+  struct json_object *root = hs_pj_parse (request->body, request->len);
+
+  store->down = hs_pj_true (root, "down");
+  store->silent = hs_pj_true (root, "silent");
+  store->lose_answers = 0;
+  hs_pj_number (root, "lose_answers", &store->lose_answers);
+  if (hs_pj_true (root, "compact"))
+    hs_kv_compact (store->kv, 0);
+  json_object_put (root);
+  answer (request, 200, NULL);
+}
+
+static void
+operator_write (Store *store, HsStandinRequest *request)
+{
+  HsKvOp op = { .kind = HS_KV_PUT,
+                .span = { request->path + 1, NULL },
+                .value = request->body,
+                .value_len = request->len };
+  HsKvOpResult result;
+
+  hs_kv_apply (store->kv, &op, 1, &result);
+  answer (request, 200, NULL);
+}
+
+static void
+on_request (void *arg, HsStandinRequest *request)
+{
+  Store *store = arg;
+  const char *path = request->path;
+
+  hs_kv_advance (store->kv, hs_now ().mono);
+  if (strcmp (path, "/fault") == 0)
+    set_faults (store, request);
+  else if (strcmp (request->method, "PUT") == 0
+           && g_str_has_prefix (path, "/op/"))
+    operator_write (store, request);
+  else if (store->silent)
+    return;
+  else if (store->down)
+    answer (request, 503, NULL);
+  else if (strcmp (path, "/-/kv-range") == 0)
+    range (store, request);
+  else if (strcmp (path, "/-/kv-watch") == 0)
+    begin_watch (store, request);
+  else if (strcmp (path, "/-/kv-txn") == 0)
+    txn (store, request);
+  else if (strcmp (path, "/-/kv-lease") == 0)
+    grant (store, request);
+  else if (g_str_has_prefix (path, "/-/kv-keep/"))
+    lease_answer (request, 0,
+                  hs_kv_lease_keepalive (store->kv,
+                                         strtoll (path + 11, NULL, 10),
+                                         hs_now ().mono));
+  else if (g_str_has_prefix (path, "/-/kv-lease-end/"))
+    {
+      hs_kv_lease_revoke (store->kv, strtoll (path + 16, NULL, 10));
+      answer (request, 200, NULL);
+    }
+  else
+    answer (request, 404, NULL);
+}
+
+static void
+on_gone (void *arg, HsStandinRequest *request)
+{
+  Store *store = arg;
+  guint i;
+
+  for (i = 0; i < store->watches->len; i++)
+    {
+      Watch *watch = g_ptr_array_index (store->watches, i);
+
+      if (watch->request != request)
+        continue;
+      g_ptr_array_remove_index (store->watches, i);
+      talloc_free (watch);
+      return;
+    }
+}
+
+static void
+on_signal (struct tevent_context *ev,
+           struct tevent_signal *se,
+           int signum,
+           int count,
+           void *info,
+           void *arg)
+{
+  (void) ev;
+  (void) se;
+  (void) signum;
+  (void) count;
+  (void) info;
+  *(bool *) arg = true;
+}
+
+int
+main (int argc, char **argv)
+{
+  Store *store = talloc_zero (NULL, Store);
+
+  if (argc != 2)
+    {
+      fprintf (stderr, "usage: standin-platform-store IP:PORT\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  store->ev = tevent_context_init (store);
+  store->kv = hs_kv_new (store);
+  store->watches = g_ptr_array_new ();
+  store->timer = hs_timer_new (store, store->ev, on_timer, store);
+  store->http = hs_standin_http_new (store, store->ev, argv[1], on_request,
+                                     on_gone, store);
+  if (store->http == NULL)
+    {
+      fprintf (stderr, "standin-platform-store: can't listen on %s\n", argv[1]);
+      return 1;
+    }
+  tevent_add_signal (store->ev, store, SIGTERM, 0, on_signal, &store->stop);
+  on_timer (store);
+  while (!store->stop)
+    tevent_loop_once (store->ev);
+  return 0;
+}
--- /dev/null
+++ b/test/standin/platform_target.c
@@ -0,0 +1,514 @@
+/**
+ * @file
+ * standin-platform-target: a runner of the users' platform, as its protocol
+ * describes it, around the model that the tests use. A task's spec says what
+ * it does: "ms=N cpu=N [fail] [hang]". POST /fault sets how many orders in a
+ * hundred get no answer and come late; GET /state tells what runs.
+ *
+ * It starts whatever it is told to, and writes a line when more runs than it
+ * has room for, or when a task that runs is started again.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "base/timer.h"
+#include "http.h"
+#include "http/curl_loop.h"
+#include "platform/json.h"
+#include "platform/target_wire.h"
+#include "runner_model.h"
+
+#define TICK (2 * HS_MSEC)
+#define BEAT_SPAN (500 * HS_MSEC)
+#define LATE_MIN_MS 2000
+#define LATE_SPREAD_MS 4000
+
+typedef struct
+{
+  HsStandinRequest *request; /* NULL: nobody waits for the answer. */
+  HsTargetLook look;
+  HsTime until;
+} Wait;
+
+/* An order that is carried out later. */
+typedef struct
+{
+  char *path;
+  char *body;
+  HsTime due;
+} Late;
+
+typedef struct
+{
+  struct tevent_context *ev;
+  HsStandinHttp *http;
+  HsCurl *curl;
+  HsTimer *timer;
+  HsRunnerModel model;
+  const char *agent;
+  const char *address;
+  const char *name;
+  const char *service;
+  uint32_t cpu_milli;
+  uint64_t sequence;
+  int64_t born_ms;
+  HsTime beat_at;
+  bool draining;
+  int64_t late_percent;
+  int64_t lost_percent;
+  int64_t slow_percent; /* Added to run times. */
+  bool fails;
+  bool hangs;
+  bool mute;
+  uint32_t most; /* Thousandths of a core that ran at once. */
+  uint32_t n_started;
+  GPtrArray *waits;
+  GPtrArray *lates;
+  bool stop;
+} Target;
+
+static int64_t
+spec_number (const char *spec, const char *key, int64_t fallback)
+{
+  const char *at = strstr (spec, key);
+
+  return at != NULL ? strtoll (at + strlen (key), NULL, 10) : fallback;
+}
+
+static char *
+list_text (Target *target, const HsTargetList *list)
+{
+  static const char *const words[] = { [HSX_END_DONE] = "done",
+                                       [HSX_END_FAILED] = "failed",
+                                       [HSX_END_STOPPED] = "stopped",
+                                       [HSX_END_LAPSED] = "lapsed" };
+  GString *text = g_string_new (NULL);
+  char name[HS_TASK_NAME_SIZE];
+  char *copy;
+  size_t i;
+
+  g_string_append_printf (
+      text, "{\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 ",\"running\":[",
+      list->clock_ms, target->born_ms);
+  for (i = 0; i < list->n_running; i++)
+    {
+      hs_task_name (&list->running[i].key, name);
+      g_string_append_printf (text, "%s[\"%s\",%u,\"\",%d]", i > 0 ? "," : "",
+                              name, list->running[i].key.attempt,
+                              list->running[i].percent);
+    }
+  g_string_append (text, "],\"finished\":[");
+  for (i = 0; i < list->n_ends; i++)
+    {
+      hs_task_name (&list->ends[i].key, name);
+      g_string_append_printf (text, "%s[%" PRIu64 ",\"%s\",%u,\"%s\",\"\"]",
+                              i > 0 ? "," : "", list->ends[i].number, name,
+                              list->ends[i].key.attempt,
+                              words[list->ends[i].how]);
+    }
+  g_string_append (text, "]}");
+  copy = talloc_strdup (NULL, text->str);
+  g_string_free (text, TRUE);
+  return copy;
+}
+
+static char *
+result_text (HsTargetResult result, unsigned int *status)
+{
+  static const char *const reasons[] = { [HS_TARGET_FENCED] = "fence",
+                                         [HS_TARGET_OUTDATED] = "old",
+                                         [HS_TARGET_LATE] = "late" };
+
+  if (result == HS_TARGET_OK)
+    {
+      *status = 200;
+      return talloc_strdup (NULL, "{}");
+    }
+  *status = 409;
+  return talloc_asprintf (NULL, "{\"reason\":\"%s\"}", reasons[result]);
+}
+
+static bool
+read_key (struct json_object *root, HsRunKey *key, uint64_t *token)
+{
+  const char *name = hs_pj_text (root, "task");
+  int64_t attempt = 0;
+  int64_t fence = 0;
+
+  if (name == NULL || !hs_task_name_parse (name, key)
+      || !hs_pj_number (root, "attempt", &attempt)
+      || !hs_pj_number (root, "fencing_token", &fence))
+    return false;
+  key->attempt = (uint32_t) attempt;
+  *token = (uint64_t) fence;
+  return true;
+}
+
+static HsTargetResult
+do_start (Target *target, struct json_object *root)
+{
+  HsTargetStart start = { .spec = hs_pj_text (root, "spec") };
+  HsTargetResult result;
+  uint32_t cpu;
+  int64_t ms;
+
+  if (start.spec == NULL || !read_key (root, &start.key, &start.token)
+      || !hs_pj_number (root, "deadline_ms", &start.lease_until_ms))
+    return HS_TARGET_INVALID;
+  ms = spec_number (start.spec, "ms=", 100);
+  ms += ms * target->slow_percent / 100;
+  cpu = (uint32_t) spec_number (start.spec, "cpu=", 1000);
+  result = hs_runner_model_start (&target->model, &start, ms * HS_MSEC,
+                                  target->hangs
+                                      || strstr (start.spec, "hang") != NULL,
+                                  cpu, hs_now ().mono);
+  if (result == HS_TARGET_OK)
+    target->n_started++;
+  if (target->model.cpu_milli > target->most)
+    target->most = target->model.cpu_milli;
+  if (target->model.cpu_milli > target->cpu_milli)
+    {
+      printf ("BROKEN room: %u of %u\n", target->model.cpu_milli,
+              target->cpu_milli);
+      fflush (stdout);
+    }
+  return result;
+}
+
+static HsTargetResult
+do_stop (Target *target, struct json_object *root)
+{
+  HsRunKey key;
+  uint64_t token;
+
+  if (!read_key (root, &key, &token))
+    return HS_TARGET_INVALID;
+  return hs_runner_model_stop (&target->model, &key, token, hs_now ().mono);
+}
+
+static void
+answer_look (Target *target, Wait *wait, HsTime now)
+{
+  HsTargetList list;
+  HsTargetResult result
+      = hs_runner_model_look (&target->model, &wait->look, &list, now);
+  unsigned int status = 200;
+  char *text;
+
+  if (result == HS_TARGET_OK)
+    {
+      text = list_text (target, &list);
+      g_free (list.running);
+      g_free (list.ends);
+    }
+  else
+    text = result_text (result, &status);
+  if (wait->request != NULL)
+    hs_standin_answer (wait->request, status, text);
+  else
+    talloc_free (text);
+}
+
+static void
+do_look (Target *target, HsStandinRequest *request, struct json_object *root)
+{
+  Wait *wait = talloc_zero (NULL, Wait);
+  int64_t token = 0;
+  int64_t acked = 0;
+  int64_t wait_ms = 0;
+  HsTargetList list;
+  HsTime now = hs_now ().mono;
+
+  hs_pj_number (root, "fencing_token", &token);
+  hs_pj_number (root, "acked", &acked);
+  hs_pj_number (root, "wait_ms", &wait_ms);
+  wait->look.token = (uint64_t) token;
+  wait->look.acked = (uint64_t) acked;
+  wait->look.renews = hs_pj_get (root, "deadline_ms") != NULL;
+  hs_pj_number (root, "deadline_ms", &wait->look.lease_until_ms);
+  wait->request = request;
+  wait->until = now + wait_ms * HS_MSEC;
+  if (wait_ms == 0)
+    {
+      answer_look (target, wait, now);
+      talloc_free (wait);
+      return;
+    }
+  /* It acknowledges and renews at once, also if its answer waits. */
+  if (hs_runner_model_look (&target->model, &wait->look, &list, now)
+      == HS_TARGET_OK)
+    {
+      g_free (list.running);
+      g_free (list.ends);
+    }
+  g_ptr_array_add (target->waits, wait);
+}
+
+static void
+carry_out (Target *target,
+           HsStandinRequest *request,
+           const char *path,
+           const char *body)
+{
+  struct json_object *root = hs_pj_parse (body, strlen (body));
+  HsTargetResult result = HS_TARGET_INVALID;
+  unsigned int status = 400;
+  char *text;
+
+  if (strcmp (path, "/-/hold") == 0)
+    {
+      if (request != NULL)
+        do_look (target, request, root);
+      json_object_put (root);
+      return;
+    }
+  if (strcmp (path, "/-/run-start") == 0)
+    result = do_start (target, root);
+  else if (strcmp (path, "/-/run-stop") == 0)
+    result = do_stop (target, root);
+  json_object_put (root);
+  if (request == NULL)
+    return;
+  if (result == HS_TARGET_INVALID)
+    text = talloc_strdup (NULL, "{}");
+  else
+    text = result_text (result, &status);
+  hs_standin_answer (request, status, text);
+}
+
+static void
+keep_for_later (Target *target, const char *path, const char *body)
+{
+  Late *late = talloc_zero (NULL, Late);
+
+  late->path = talloc_strdup (late, path);
+  late->body = talloc_strdup (late, body);
+  late->due
+      = hs_now ().mono
+        + (LATE_MIN_MS + g_random_int_range (0, LATE_SPREAD_MS)) * HS_MSEC;
+  g_ptr_array_add (target->lates, late);
+}
+
+static void
+set_faults (Target *target, HsStandinRequest *request)
+{
+  struct json_object *root = hs_pj_parse (request->body, request->len);
+
+  target->late_percent = 0;
+  target->lost_percent = 0;
+  target->slow_percent = 0;
+  hs_pj_number (root, "late_percent", &target->late_percent);
+  hs_pj_number (root, "lost_percent", &target->lost_percent);
+  hs_pj_number (root, "slow_percent", &target->slow_percent);
+  target->hangs = hs_pj_true (root, "hangs");
+  target->mute = hs_pj_true (root, "mute");
+  target->draining = hs_pj_true (root, "draining");
+  json_object_put (root);
+  target->beat_at = 0;
+  hs_standin_answer (request, 200, talloc_strdup (NULL, "{}"));
+}
+
+static void
+on_request (void *arg, HsStandinRequest *request)
+{
+  Target *target = arg;
+
+  hs_runner_model_advance (&target->model, hs_now ().mono);
+  if (strcmp (request->path, "/fault") == 0)
+    {
+      set_faults (target, request);
+      return;
+    }
+  if (strcmp (request->path, "/state") == 0)
+    {
+      hs_standin_answer (
+          request, 200,
+          talloc_asprintf (NULL,
+                           "{\"running\":%u,\"cpu_milli\":%u,\"most\":%u,"
+                           "\"started\":%u}",
+                           target->model.runs->len, target->model.cpu_milli,
+                           target->most, target->n_started));
+      return;
+    }
+  if (target->mute)
+    return;
+  if (g_random_int_range (0, 100) < target->late_percent)
+    {
+      keep_for_later (target, request->path, request->body);
+      return;
+    }
+  if (g_random_int_range (0, 100) < target->lost_percent)
+    {
+      carry_out (target, NULL, request->path, request->body);
+      return;
+    }
+  carry_out (target, request, request->path, request->body);
+}
+
+static void
+on_gone (void *arg, HsStandinRequest *request)
+{
+  Target *target = arg;
+  guint i;
+
+  for (i = 0; i < target->waits->len; i++)
+    {
+      Wait *wait = g_ptr_array_index (target->waits, i);
+
+      if (wait->request == request)
+        wait->request = NULL;
+    }
+}
+
+static size_t
+discard (char *data, size_t size, size_t n, void *arg)
+{
+  (void) data;
+  (void) arg;
+  return size * n;
+}
+
+static void
+on_beaten (void *arg, CURL *easy, CURLcode result, bool sent)
+{
+  struct curl_slist *headers = arg;
+
+  (void) result;
+  (void) sent;
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (headers);
+}
+
+static void
+beat (Target *target)
+{
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers
+      = curl_slist_append (NULL, "Content-Type: application/json");
+  g_autofree char *url = g_strdup_printf ("http://%s/-/instances/%s",
+                                          target->agent, target->name);
+  g_autofree char *body = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"slots\":8,"
+      "\"state\":\"%s\",\"sequence\":%" PRIu64 ",\"born\":%" PRId64
+      ",\"capacity\":{\"cpu\":%u,\"mem_mb\":32768,\"gpu\":0},"
+      "\"labels\":[\"a\",\"r1\"]}",
+      target->service, target->address, target->draining ? "draining" : "ready",
+      ++target->sequence, target->born_ms, target->cpu_milli);
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, body);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 300L);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard);
+  hs_curl_add (target->curl, easy, on_beaten, headers);
+}
+
+static void
+on_timer (void *arg)
+{
+  Target *target = arg;
+  HsTime now = hs_now ().mono;
+  guint i = 0;
+
+  hs_runner_model_advance (&target->model, now);
+  while (i < target->lates->len)
+    {
+      Late *late = g_ptr_array_index (target->lates, i);
+
+      if (now < late->due)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (target->lates, i);
+      carry_out (target, NULL, late->path, late->body);
+      talloc_free (late);
+    }
+  for (i = 0; i < target->waits->len;)
+    {
+      Wait *wait = g_ptr_array_index (target->waits, i);
+
+      if (target->model.ends->len == 0 && now < wait->until)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (target->waits, i);
+      /* It renewed when it came. */
+      wait->look.renews = false;
+      answer_look (target, wait, now);
+      talloc_free (wait);
+    }
+  if (now >= target->beat_at)
+    {
+      target->beat_at = now + BEAT_SPAN;
+      beat (target);
+    }
+  hs_timer_set (target->timer, TICK, now);
+}
+
+static void
+on_signal (struct tevent_context *ev,
+           struct tevent_signal *se,
+           int signum,
+           int count,
+           void *info,
+           void *arg)
+{
+  (void) ev;
+  (void) se;
+  (void) signum;
+  (void) count;
+  (void) info;
+  *(bool *) arg = true;
+}
+
+int
+main (int argc, char **argv)
+{
+  Target *target = talloc_zero (NULL, Target);
+  HsNow now = hs_now ();
+
+  if (argc != 6)
+    {
+      fprintf (stderr, "usage: standin-platform-target IP:PORT AGENT-IP:PORT "
+                       "NAME SERVICE CPU_MILLI\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  target->address = argv[1];
+  target->agent = argv[2];
+  target->name = argv[3];
+  target->service = argv[4];
+  target->cpu_milli = (uint32_t) strtoul (argv[5], NULL, 10);
+  target->born_ms = now.wall_ms;
+  hs_runner_model_init (&target->model, now.mono);
+  target->waits = g_ptr_array_new ();
+  target->lates = g_ptr_array_new ();
+  target->ev = tevent_context_init (target);
+  target->curl = hs_curl_new (target, target->ev);
+  target->timer = hs_timer_new (target, target->ev, on_timer, target);
+  target->http = hs_standin_http_new (target, target->ev, argv[1], on_request,
+                                      on_gone, target);
+  if (target->http == NULL)
+    {
+      fprintf (stderr, "standin-platform-target: can't listen on %s\n",
+               argv[1]);
+      return 1;
+    }
+  tevent_add_signal (target->ev, target, SIGTERM, 0, on_signal, &target->stop);
+  on_timer (target);
+  while (!target->stop)
+    tevent_loop_once (target->ev);
+  return 0;
+}
