Look seldom at a target that is gone; log losses and returns, not each look

Change: the pause between looks doubles with each second, to 1 s; an announced target is looked at at once. One line tells when a target is lost to use or regained, with the number of tasks. Results are logged as words with the job.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -44,6 +44,7 @@
 static void turn (Role *role);
 static void ask_store (Role *role, HsTime now);
 static void progress_leave (HsDirectAgent *agent, HsTime now);
+static void note_state (HsDirectAgent *agent);
 static void note_pause (HsDirectAgent *agent);
 static void on_term (struct tevent_context *ev,
                      struct tevent_signal *se,
@@ -142,10 +143,13 @@
 on_started (void *arg, uint32_t run, HsTargetResult result)
 {
   HsDirectAgent *agent = arg;
+  const HsRunKey *key = hs_runs_key (agent->runs, run);
 
   note_pause (agent);
-  if (result != HS_TARGET_OK)
-    hs_event ("start_result", "run=%u result=%d", run, (int) result);
+  if (result != HS_TARGET_OK && key != NULL)
+    hs_event ("start_result", "job=%s step=%u task=%u attempt=%u result=%s",
+              key->job, key->step, key->index, key->attempt,
+              hs_target_result_word (result));
   hs_runs_started (agent->runs, run, result, hs_now ().mono);
   hs_agent_schedule (agent);
 }
@@ -159,8 +163,6 @@
   HsDirectAgent *agent = arg;
 
   note_pause (agent);
-  if (result != HS_TARGET_OK)
-    hs_event ("look_result", "look=%u result=%d", number, (int) result);
   hs_runs_looked (agent->runs, number, result, list, hs_now ().mono);
   hs_agent_schedule (agent);
 }
@@ -169,8 +171,8 @@
 on_stopped (void *arg, const HsRunKey *key, HsTargetResult result)
 {
   if (result != HS_TARGET_OK)
-    hs_event ("stop_result", "job=%s task=%u result=%d", key->job, key->index,
-              (int) result);
+    hs_event ("stop_result", "job=%s task=%u result=%s", key->job, key->index,
+              hs_target_result_word (result));
   hs_agent_schedule (arg);
 }
 
@@ -403,6 +405,7 @@
   due = MIN (due, hs_dialer_tick (agent->dialer, now));
   due = MIN (due, hs_agent_links_check (agent, now));
   due = MIN (due, hs_runs_tick (agent->runs, now));
+  note_state (agent);
   due = MIN (due, hs_agent_links_flush (agent, now));
   if (now >= role->reload_at)
     {
@@ -458,6 +461,23 @@
     agent->done = true;
 }
 
+/* Logs when the target is lost to use, or regained. */
+static void
+note_state (HsDirectAgent *agent)
+{
+  static const char *const words[] = { [HSX_TARGET_UNKNOWN] = "unknown",
+                                       [HSX_TARGET_READY] = "ready",
+                                       [HSX_TARGET_LEAVING] = "leaving",
+                                       [HSX_TARGET_MUTE] = "out_of_use" };
+  hsx_target_state state = hs_runs_state (agent->runs);
+
+  if (state == agent->logged_state)
+    return;
+  hs_event ("target_state", "state=%s before=%s tasks=%u", words[state],
+            words[agent->logged_state], hs_runs_count (agent->runs));
+  agent->logged_state = state;
+}
+
 /* A process that stood still takes nobody for silent. */
 static void
 note_pause (HsDirectAgent *agent)
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -63,6 +63,7 @@
   HsTime idle_since; /**< Leaving: no task runs since. */
   bool done;
   hsx_target_state told_state;
+  hsx_target_state logged_state;
   HsAgentPeer peers[HS_ENTRIES_MAX];
   HsMetrics *metrics;
   HsCounter *counters[HSX_END_STALLED + 1]; /**< Ends by how. */
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -317,8 +317,9 @@
 
   hs_targets_report (entry->targets, target, args, now);
   if (row->state != before)
-    hs_event ("target", "host=%s name=%s state=%d free_milli=%u", row->host,
-              row->name, (int) row->state, row->told.cpu_milli);
+    hs_event ("target", "host=%s name=%s state=%d before=%d free_milli=%u",
+              row->host, row->name, (int) row->state, (int) before,
+              row->told.cpu_milli);
   if (row->state == HSX_TARGET_READY && before != HSX_TARGET_READY)
     succeed (entry, target, now);
   if (args->offer)
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -49,6 +49,25 @@
   return refusal < G_N_ELEMENTS (words) ? words[refusal] : "other";
 }
 
+const char *
+hs_target_result_word (HsTargetResult result)
+{
+  static const char *const words[] = {
+    [HS_TARGET_OK] = "ok",
+    [HS_TARGET_FENCED] = "fenced",
+    [HS_TARGET_OUTDATED] = "outdated",
+    [HS_TARGET_LATE] = "late",
+    [HS_TARGET_FULL] = "full",
+    [HS_TARGET_UNHEALTHY] = "unhealthy",
+    [HS_TARGET_REPLACED] = "replaced",
+    [HS_TARGET_INVALID] = "invalid",
+    [HS_TARGET_UNSENT] = "unsent",
+    [HS_TARGET_UNANSWERED] = "unanswered",
+  };
+
+  return words[result];
+}
+
 HsRuns *
 hs_runs_new (TALLOC_CTX *ctx,
              const HsRunsOptions *options,
@@ -84,6 +103,8 @@
   runs->gone = false;
   runs->target = *said;
   runs->announced = true;
+  if (!same)
+    runs->n_failed = 0;
   runs->look_due = MIN (runs->look_due, now);
   runs->effects->changed (runs->arg);
   return true;
@@ -320,6 +341,14 @@
   return room;
 }
 
+const HsRunKey *
+hs_runs_key (const HsRuns *runs, uint32_t run)
+{
+  if (run >= HS_RUNS_MAX || runs->runs[run].state == HS_RUN_FREE)
+    return NULL;
+  return &runs->runs[run].key;
+}
+
 uint32_t
 hs_runs_count (const HsRuns *runs)
 {
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -128,6 +128,9 @@
 
 hsx_target_state hs_runs_state (const HsRuns *runs);
 
+/** Which start a run is, for logs; NULL if it has ended. */
+const HsRunKey *hs_runs_key (const HsRuns *runs, uint32_t run);
+
 /** Tasks that have not ended. */
 uint32_t hs_runs_count (const HsRuns *runs);
 
--- a/src/direct/runs_look.c
+++ b/src/direct/runs_look.c
@@ -17,8 +17,13 @@
 /** Idle targets are looked at so often, to keep the clock and see strays. */
 #define LOOK_IDLE (1 * HS_SEC)
 
-/** Between looks at a target that doesn't answer. */
+/** Between looks at a target that doesn't answer, at first and at most. A
+ *  target that starts again says so by itself, and is looked at then. */
 #define LOOK_RETRY (50 * HS_MSEC)
+#define LOOK_RETRY_MAX (1 * HS_SEC)
+
+/** Failures at LOOK_RETRY in a second. */
+#define FAILURES_A_SECOND 20
 
 /** At most this many looks are under way: a fence doesn't wait for the
  *  answer of a look that waits for an end. */
@@ -55,6 +60,7 @@
 static void settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now);
 static void check_lapse (HsRuns *runs, HsTime now);
 static bool has_unsettled (const HsRuns *runs);
+static HsTime retry_span (const HsRuns *runs);
 
 HsTime
 hs_runs_plan_looks (HsRuns *runs, HsTime now)
@@ -124,7 +130,7 @@
     }
   runs->n_failed++;
   /* One answer that is lost is made up for at once. */
-  runs->look_due = runs->n_failed == 1 ? 0 : now + LOOK_RETRY;
+  runs->look_due = runs->n_failed == 1 ? 0 : now + retry_span (runs);
   runs->effects->changed (runs->arg);
 }
 
@@ -356,3 +362,12 @@
       return true;
   return false;
 }
+
+/* Doubled with each second of failures. */
+static HsTime
+retry_span (const HsRuns *runs)
+{
+  HsTime span = LOOK_RETRY << MIN (runs->n_failed / FAILURES_A_SECOND, 5);
+
+  return MIN (span, LOOK_RETRY_MAX);
+}
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -37,6 +37,9 @@
   HS_TARGET_UNANSWERED /**< May have been done, or may be done later. */
 } HsTargetResult;
 
+/** A word for logs. */
+const char *hs_target_result_word (HsTargetResult result);
+
 /** An order to start a task. */
 typedef struct
 {
