Never take an old word of an agent for a new one; a soak that found it

Found by the new soak. Bytes of a connection that broke may arrive late on any link, so that one address doesn't save it. Now an entry uses a connection from its first report on, and only if the agent's clock in it is later than in all before; a second connection to the same entry is closed before its greeting ends. Now the report says that what was before is forgotten, until the entry has answered; such tasks count as lost. The soak: real programs, stand-ins, TCP proxies that delay, silence, cut one way and reset, signals in two overlapping series; it checks room, double runs, false refusals, completeness and recovery from the targets' own lines.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -50,13 +50,12 @@
       hs_conn_close (conn);
       return;
     }
+  /* Closed before its greeting is complete there, so that both ends go on
+     with the same connection. */
   if (peer->conn != NULL)
     {
-      HsConn *older = peer->conn;
-
-      peer->conn = NULL;
-      hs_conn_set_data (older, NULL);
-      hs_conn_close (older);
+      hs_dialer_alias (agent->dialer, conn, now);
+      return;
     }
   g_strlcpy (peer->address, hello->address, sizeof peer->address);
   peer->conn = conn;
@@ -229,6 +228,7 @@
     return NULL;
   memset (peer, 0, sizeof *peer);
   peer->used = true;
+  peer->fresh = true;
   peer->incarnation = incarnation;
   peer->ends = g_array_new (FALSE, FALSE, sizeof (hsx_end));
   peer->told_ends = g_array_new (FALSE, FALSE, sizeof (HsToldEnd));
@@ -278,6 +278,8 @@
   if (orders->agent != agent->incarnation)
     return;
   peer->orders_seen = orders->number;
+  if (orders->stamp_us >= peer->first_stamp)
+    peer->fresh = false;
   hs_runs_want (agent->runs, handle, &orders->want, orders->stamp_us);
   for (i = 0; i < orders->stops.stops_len; i++)
     hs_runs_stop (agent->runs, handle, orders->stops.stops_val[i], now);
@@ -340,7 +342,9 @@
     }
   if (peer->whole_due)
     {
+      peer->first_stamp = args.stamp_us;
       args.whole = TRUE;
+      args.fresh = peer->fresh;
       args.held.held_val = held;
       args.held.held_len
           = hs_runs_held (agent->runs, handle, held, HSX_RECORDS_MAX);
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -36,9 +36,11 @@
   bool told_info;
   bool report_due; /**< Room or state have changed since the last one. */
   bool whole_due;
-  bool offer_due;    /**< Room is kept for it until it answers. */
-  GArray *ends;      /**< hsx_end, to be told. */
-  GArray *told_ends; /**< HsToldEnd, oldest first. */
+  bool fresh;          /**< The entry doesn't know that this record is new. */
+  int64_t first_stamp; /**< Of the first report on this connection. */
+  bool offer_due;      /**< Room is kept for it until it answers. */
+  GArray *ends;        /**< hsx_end, to be told. */
+  GArray *told_ends;   /**< HsToldEnd, oldest first. */
 } HsAgentPeer;
 
 typedef struct
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -15,6 +15,10 @@
 #define RETRY_LATER (300 * HS_MSEC)
 #define SOON_SPAN (8 * HS_SEC)
 
+/** Until an address that led to a process which was connected already is
+ *  tried again: it may lead to another one by then. */
+#define RETRY_ALIAS (1 * HS_SEC)
+
 /** An address that isn't a seed is forgotten when nobody has answered for so
  *  long: the host was replaced. */
 #define FORGET (20 * HS_SEC)
@@ -80,6 +84,22 @@
       dialer->addresses[i].up = true;
 }
 
+void
+hs_dialer_alias (HsDialer *dialer, HsConn *conn, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < dialer->n; i++)
+    if (dialer->addresses[i].conn == conn)
+      {
+        dialer->addresses[i].up = false;
+        dialer->addresses[i].conn = NULL;
+        dialer->addresses[i].since = now;
+        dialer->addresses[i].due = now + RETRY_ALIAS;
+      }
+  hs_conn_close (conn);
+}
+
 bool
 hs_dialer_down (HsDialer *dialer, HsConn *conn, HsTime now)
 {
--- a/src/direct/dialer.h
+++ b/src/direct/dialer.h
@@ -21,6 +21,10 @@
 /** A connection came up. */
 void hs_dialer_up (HsDialer *dialer, HsConn *conn);
 
+/** A connection leads to a process that is connected already: it is closed,
+ *  and its address isn't dialled again for a while. */
+void hs_dialer_alias (HsDialer *dialer, HsConn *conn, HsTime now);
+
 /** A connection ended; true if it was dialled here. */
 bool hs_dialer_down (HsDialer *dialer, HsConn *conn, HsTime now);
 
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -141,10 +141,22 @@
             (double) task->view_age / HS_MSEC);
 }
 
+static void
+effect_not_held (void *arg, const char *id, uint32_t target, const HsTask *task)
+{
+  HsDirectEntry *entry = arg;
+
+  hs_event ("task_not_held",
+            "job=%s task=%u attempt=%u ref=%016" PRIx64 " host=%s", id,
+            task->index, task->attempt, task->ref,
+            hs_targets_get (entry->targets, target)->host);
+}
+
 static const HsJobsEffects JOBS_EFFECTS = { .launch = effect_launch,
                                             .stop = effect_stop,
                                             .answer = effect_answer,
-                                            .task_ended = effect_task_ended };
+                                            .task_ended = effect_task_ended,
+                                            .not_held = effect_not_held };
 
 /* Connections to agents and entries. */
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -12,6 +12,8 @@
 
 static void agent_up (HsDirectEntry *entry, HsConn *conn);
 static void peer_up (HsDirectEntry *entry, HsConn *conn);
+static uint32_t
+attach (HsDirectEntry *entry, HsConn *conn, const hsx_report_args *report);
 static HsAgentLink *link_at (HsDirectEntry *entry, uint32_t target);
 static uint32_t target_of (const HsDirectEntry *entry, const HsConn *conn);
 static HsEntryPeer *peer_of (HsDirectEntry *entry, const HsConn *conn);
@@ -83,6 +85,8 @@
   const hsx_entries_args *entries = args;
   uint32_t i;
 
+  if (proc == HSX_REPORT && target == HS_TARGET_NONE && peer == NULL)
+    target = attach (entry, conn, args);
   if (proc == HSX_REPORT && target != HS_TARGET_NONE)
     take_report (entry, target, args);
   else if (proc == HSX_ENTRIES && peer != NULL)
@@ -226,22 +230,43 @@
 agent_up (HsDirectEntry *entry, HsConn *conn)
 {
   const hsx_hello *hello = hs_conn_peer (conn);
-  HsTime now = hs_now ().mono;
-  uint32_t target = hs_targets_connect (entry->targets, hello->incarnation,
-                                        hello->data_centre, conn, now);
-  HsAgentLink *link = link_at (entry, target);
-  HsConn *older = link->conn;
 
+  hs_event ("agent_up", "agent=%016" PRIx64 " data_centre=%s",
+            hello->incarnation, hello->data_centre);
+  send_entries (entry, conn);
+}
+
+/* A connection is used from its first report on, if that is news. */
+static uint32_t
+attach (HsDirectEntry *entry, HsConn *conn, const hsx_report_args *report)
+{
+  const hsx_hello *hello = hs_conn_peer (conn);
+  uint32_t target;
+  HsAgentLink *link;
+  HsConn *older;
+
+  if (hello == NULL || hello->role != HSX_ROLE_AGENT)
+    return HS_TARGET_NONE;
+  if (!hs_targets_is_news (entry->targets, hello->incarnation,
+                           report->stamp_us))
+    {
+      hs_event ("agent_stale", "agent=%016" PRIx64 " stamp=%" PRId64,
+                hello->incarnation, report->stamp_us);
+      hs_conn_close (conn);
+      return HS_TARGET_NONE;
+    }
+  target = hs_targets_connect (entry->targets, hello->incarnation,
+                               hello->data_centre, conn, hs_now ().mono);
+  link = link_at (entry, target);
+  older = link->conn;
   link->conn = conn;
   link->ordered_at = 0;
   link->asked = false;
   outbox_clear (&link->outbox);
   if (older != NULL)
     hs_conn_close (older);
-  hs_event ("agent_up", "agent=%016" PRIx64 " data_centre=%s",
-            hello->incarnation, hello->data_centre);
-  send_entries (entry, conn);
   hs_entry_schedule (entry, false);
+  return target;
 }
 
 static void
@@ -326,6 +351,9 @@
     entry->links[target].answer_due = true;
   for (i = 0; i < args->ends.ends_len; i++)
     hs_jobs_ended (entry->jobs, target, &args->ends.ends_val[i], now);
+  /* The agent had taken this entry for lost, and stopped its tasks. */
+  if (args->fresh)
+    hs_jobs_target_lost (entry->jobs, target, false, now);
   if (args->whole)
     hs_jobs_held (entry->jobs, target, args->held.held_val, args->held.held_len,
                   now);
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -192,8 +192,10 @@
           continue;
         for (r = 0; r < n && refs[r] != task->ref; r++)
           ;
-        if (r == n)
-          task_back (jobs, &jobs->jobs[i], task);
+        if (r < n)
+          continue;
+        jobs->effects->not_held (jobs->arg, jobs->jobs[i].id, target, task);
+        task_back (jobs, &jobs->jobs[i], task);
       }
 }
 
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -72,17 +72,17 @@
   HsAnswerWhy why;
   uint32_t retry_after_ms; /**< Refused: when room is likely. */
   /** @name For logs @{ */
-  const char *id;
-  const char *customer;
   uint32_t n_tasks;
   uint32_t n_done;
   uint32_t n_starts;
+  uint32_t n_ahead; /**< Waiting jobs. */
+  const char *id;
+  const char *customer;
   HsTime waited; /**< Until the first start, or the end. */
   HsTime took;
   HsTime objective;
   HsTime expected;
   uint64_t free_milli; /**< Of the service, as far as known. */
-  uint32_t n_ahead;    /**< Waiting jobs. */
   /** @} */
 } HsJobAnswer;
 
@@ -122,6 +122,11 @@
                       uint32_t target,
                       const HsTask *task,
                       const hsx_end *end);
+  /** A task that was sent never started: its agent doesn't hold it. */
+  void (*not_held) (void *arg,
+                    const char *id,
+                    uint32_t target,
+                    const HsTask *task);
 } HsJobsEffects;
 
 HsJobs *hs_jobs_new (TALLOC_CTX *ctx,
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -53,13 +53,13 @@
 /** A request for the list of runs; it also renews the lease of all runs. */
 typedef struct
 {
-  uint32_t number; /**< Of the request; later ones have higher numbers. */
   uint64_t token;
-  uint64_t acked; /**< Ends up to this number may be forgotten. */
-  bool renews;
+  uint64_t acked;         /**< Ends up to this number may be forgotten. */
   int64_t lease_until_ms; /**< On the target's clock, if it renews. */
+  uint32_t number;        /**< Of the request; later ones are higher. */
   uint32_t wait_ms;       /**< The answer may wait so long for an end. */
   uint32_t timeout_ms;    /**< Given up after this. */
+  bool renews;
 } HsTargetLook;
 
 typedef struct
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -113,6 +113,17 @@
   return i;
 }
 
+bool
+hs_targets_is_news (const HsTargets *targets, uint64_t agent, int64_t stamp_us)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    if (targets->rows[i].target.used && targets->rows[i].target.agent == agent)
+      return stamp_us > targets->rows[i].target.stamp_us;
+  return true;
+}
+
 void
 hs_targets_disconnect (HsTargets *targets, uint32_t target)
 {
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -56,6 +56,14 @@
                              void *link,
                              HsTime now);
 
+/**
+ * Whether a report on a connection that isn't in use yet is newer than all
+ * that came from that agent. Bytes of an earlier connection may arrive after
+ * those of a later one; what they say was held is no longer so.
+ */
+bool
+hs_targets_is_news (const HsTargets *targets, uint64_t agent, int64_t stamp_us);
+
 /** The connection is gone; what was sent on it and not seen is gone too. */
 void hs_targets_disconnect (HsTargets *targets, uint32_t target);
 
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -498,6 +498,7 @@
 	bool_t offer;
 	hsx_target_info *info;
 	bool_t whole;
+	bool_t fresh;
 	struct {
 		u_int held_len;
 		uint64_t *held_val;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -408,6 +408,7 @@
 	bool offer;			/* an answer is waited for */
 	hsx_target_info *info;		/* NULL: as before */
 	bool whole;			/* held lists every task of the entry */
+	bool fresh;			/* whole: what was before is forgotten */
 	uint64_t held<HSX_RECORDS_MAX>;
 	hsx_end ends<HSX_BATCH_MAX>;
 };
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -804,6 +804,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fresh))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, HSX_RECORDS_MAX,
 		sizeof (uint64_t), (xdrproc_t) xdr_uint64_t))
 		 return FALSE;
--- a/test/part.mk
+++ b/test/part.mk
@@ -1,6 +1,4 @@
 # Objects that several test programs share.
 $(B)/test/test_owner $(B)/test/test_owner_faults $(B)/test/test_keep $(B)/test/test_takeover $(B)/test/test_hostile: $(B)/test/owner_world.o
 $(B)/test/test_direct_runs $(B)/test/test_direct_walk: $(B)/test/runner_model.o
-# Starts the programs of its own build.
-$(B)/test/test_direct_path.o: CFLAGS += -DBUILD_DIR='"$(CURDIR)/$(B)"'
 $(B)/test/test_direct_path: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -21,6 +21,16 @@
 static const char *const KINDS[CLUSTER_KINDS]
     = { "store", "entry", "agent", "target" };
 
+void
+cluster_build_dir (char out[256])
+{
+  g_autofree char *program = g_file_read_link ("/proc/self/exe", NULL);
+  g_autofree char *tests = g_path_get_dirname (program);
+  g_autofree char *build = g_path_get_dirname (tests);
+
+  g_strlcpy (out, build, 256);
+}
+
 static void
 free_address (char out[32])
 {
@@ -56,19 +66,21 @@
   c->n_agents = n_agents;
   c->cpu_milli = cpu_milli;
   free_address (c->addresses[CLUSTER_STORE][0]);
-  strcpy (c->store_seen, c->addresses[CLUSTER_STORE][0]);
+  g_strlcpy (c->store_seen, c->addresses[CLUSTER_STORE][0],
+             sizeof c->store_seen);
   for (i = 0; i < n_entries; i++)
     {
       free_address (c->addresses[CLUSTER_ENTRY][i]);
       free_address (c->ready[i]);
       free_address (c->control[i]);
-      strcpy (c->control_seen[i], c->control[i]);
+      g_strlcpy (c->control_seen[i], c->control[i], sizeof c->control_seen[i]);
     }
   for (i = 0; i < n_agents; i++)
     {
       free_address (c->addresses[CLUSTER_AGENT][i]);
       free_address (c->addresses[CLUSTER_TARGET][i]);
-      strcpy (c->app_seen[i], c->addresses[CLUSTER_TARGET][i]);
+      g_strlcpy (c->app_seen[i], c->addresses[CLUSTER_TARGET][i],
+                 sizeof c->app_seen[i]);
     }
 }
 
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -50,6 +50,9 @@
   double seconds;
 } ClusterReply;
 
+/** The build folder that holds the running test's own folder. */
+void cluster_build_dir (char out[256]);
+
 /** Chooses addresses; starts nothing. @param dir is made */
 void cluster_init (Cluster *cluster,
                    const char *build,
--- a/test/runner_model.c
+++ b/test/runner_model.c
@@ -6,7 +6,7 @@
 #define HOLD_MAX (1 * HS_SEC)
 
 static bool same_task (const HsRunKey *a, const HsRunKey *b);
-static void end_run (HsRunnerModel *model, guint i, hsx_end_how how);
+static void end_run (HsRunnerModel *model, guint i, hsx_end_how how, HsTime at);
 static int64_t clock_ms (const HsRunnerModel *model, HsTime now);
 static void renew (HsRunnerModel *model, int64_t until_ms, HsTime now);
 static bool was_past (const HsRunnerModel *model, const HsRunKey *key);
@@ -47,9 +47,9 @@
       const HsModelRun *run = &g_array_index (model->runs, HsModelRun, i);
 
       if (!run->hangs && now >= run->started + run->run)
-        end_run (model, i, HSX_END_DONE);
+        end_run (model, i, HSX_END_DONE, run->started + run->run);
       else if (now >= model->lease_until)
-        end_run (model, i, HSX_END_LAPSED);
+        end_run (model, i, HSX_END_LAPSED, model->lease_until);
       else
         i++;
     }
@@ -85,6 +85,8 @@
     return HS_TARGET_OUTDATED;
   g_array_append_val (model->runs, row);
   model->cpu_milli += cpu_milli;
+  if (model->note != NULL)
+    model->note (&row.key, 0, now);
   return HS_TARGET_OK;
 }
 
@@ -106,7 +108,7 @@
 
       if (same_task (other, key) && other->attempt == key->attempt)
         {
-          end_run (model, i, HSX_END_STOPPED);
+          end_run (model, i, HSX_END_STOPPED, now);
           return HS_TARGET_OK;
         }
     }
@@ -174,12 +176,14 @@
 }
 
 static void
-end_run (HsRunnerModel *model, guint i, hsx_end_how how)
+end_run (HsRunnerModel *model, guint i, hsx_end_how how, HsTime at)
 {
   HsModelRun *run = &g_array_index (model->runs, HsModelRun, i);
   HsListedEnd end = { ++model->n_ends, run->key, how };
 
   model->cpu_milli -= run->cpu_milli;
+  if (model->note != NULL)
+    model->note (&run->key, how, at);
   g_array_append_val (model->ends, end);
   g_array_append_val (model->past, run->key);
   g_array_remove_index (model->runs, i);
--- a/test/runner_model.h
+++ b/test/runner_model.h
@@ -31,7 +31,8 @@
   GArray *ends;       /**< HsListedEnd that aren't acknowledged. */
   GArray *past;       /**< HsRunKey stopped or ended, or rejected. */
   uint32_t cpu_milli; /**< Of what runs. */
-  HsTime drift;       /**< Of its clock against true time: fixed. */
+  /** Told of each start (`how` 0) and end, if set. */
+  void (*note) (const HsRunKey *key, hsx_end_how how, HsTime at);
 } HsRunnerModel;
 
 void hs_runner_model_init (HsRunnerModel *model, HsTime now);
--- /dev/null
+++ b/test/soak/main.c
@@ -0,0 +1,373 @@
+/**
+ * @file
+ * soak: runs the real programs on loopback, strikes them from outside by a
+ * seed, and checks the promises from what callers and targets see.
+ *
+ *   soak --seed N [--seconds S] [--entries N] [--agents N]
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "../random_walk.h"
+#include "history.h"
+#include "proxy.h"
+
+#define CPU 6000
+#define CALLERS 8
+#define JOBS_MAX 20000
+
+/** A caller whose request broke sends it again after this. */
+#define RESEND_MS 1300
+
+/** After the last fault everything works again within this. */
+#define RECOVERY_MS 12000
+
+typedef struct
+{
+  RandomWalk random;
+  unsigned int number;
+} Caller;
+
+static Cluster cluster;
+static SoakJob jobs[JOBS_MAX];
+static unsigned int n_jobs;
+static GMutex lock;
+static gint stopping;
+static unsigned int control_proxies[CLUSTER_MAX];
+static unsigned int app_proxies[CLUSTER_MAX];
+static unsigned int store_proxy;
+
+static SoakJob *
+new_job (unsigned int n_tasks)
+{
+  SoakJob *job;
+
+  g_mutex_lock (&lock);
+  job = n_jobs < JOBS_MAX ? &jobs[n_jobs++] : NULL;
+  g_mutex_unlock (&lock);
+  if (job == NULL)
+    return NULL;
+  g_snprintf (job->id, sizeof job->id, "%016x", (unsigned int) (job - jobs));
+  job->n_tasks = n_tasks;
+  job->refused = true;
+  return job;
+}
+
+/* One job: sent again to another entry while its outcome isn't known. */
+static void
+call_once (Caller *caller)
+{
+  static const char *const specs[] = { "ms=20", "ms=60", "ms=200", "ms=900" };
+  SoakJob *job = new_job (1 + random_pick (&caller->random, 6));
+  const char *spec = specs[random_pick (&caller->random, 4)];
+  long left = 500 + random_pick (&caller->random, 2500);
+  int attempt;
+
+  if (job == NULL)
+    return;
+  if (random_pick (&caller->random, 20) == 0)
+    left = 50; /* It gives up early. */
+  for (attempt = 0; attempt < 3 && !g_atomic_int_get (&stopping); attempt++)
+    {
+      unsigned int entry = random_pick (&caller->random, cluster.n_entries);
+      ClusterReply reply = cluster_submit (&cluster, entry, job->id, spec,
+                                           job->n_tasks, 700, left);
+
+      job->completed |= reply.status == 200;
+      if (reply.status == 503)
+        return;
+      job->refused = false;
+      if (reply.status == 200)
+        return;
+      cluster_pause (RESEND_MS);
+    }
+}
+
+static void *
+run_caller (void *arg)
+{
+  Caller *caller = arg;
+
+  while (!g_atomic_int_get (&stopping))
+    {
+      call_once (caller);
+      cluster_pause ((int) random_pick (&caller->random, 30));
+    }
+  return NULL;
+}
+
+static void
+restart (ClusterKind kind, unsigned int i, int down_ms)
+{
+  if (kind == CLUSTER_TARGET && cluster.pids[kind][i] > 0)
+    history_killed (i);
+  cluster_kill (&cluster, kind, i);
+  cluster_pause (down_ms);
+  cluster_start (&cluster, kind, i);
+}
+
+static void
+strike_process (RandomWalk *random)
+{
+  static const ClusterKind kinds[]
+      = { CLUSTER_ENTRY, CLUSTER_AGENT, CLUSTER_TARGET };
+  ClusterKind kind = kinds[random_pick (random, 3)];
+  unsigned int n = kind == CLUSTER_ENTRY ? cluster.n_entries : cluster.n_agents;
+  unsigned int i = random_pick (random, n);
+  int ms = 100 + (int) random_pick (random, 2500);
+
+  switch (random_pick (random, 4))
+    {
+    case 0:
+      printf ("  kill %d %u\n", (int) kind, i);
+      restart (kind, i, ms / 4);
+      return;
+    case 1:
+      if (kind == CLUSTER_TARGET)
+        return;
+      printf ("  stop %d %u\n", (int) kind, i);
+      cluster_signal (&cluster, kind, i, SIGTERM);
+      cluster_await_end (&cluster, kind, i, 7000);
+      restart (kind, i, 0);
+      return;
+    default:
+      /* The model of a target doesn't stand still with its process. */
+      if (kind == CLUSTER_TARGET)
+        return;
+      printf ("  pause %d %u for %d ms\n", (int) kind, i, ms);
+      cluster_signal (&cluster, kind, i, SIGSTOP);
+      cluster_pause (ms);
+      cluster_signal (&cluster, kind, i, SIGCONT);
+      return;
+    }
+}
+
+static void
+strike_link (RandomWalk *random)
+{
+  unsigned int proxy = random_pick (random, proxy_count ());
+  ProxyMode mode = 1 + random_pick (random, PROXY_RESET);
+  int ms = 100 + (int) random_pick (random, 3000);
+
+  printf ("  link %u mode %d for %d ms\n", proxy, (int) mode, ms);
+  proxy_set (proxy, mode, 5 + (int) random_pick (random, 80));
+  cluster_pause (ms);
+  proxy_set (proxy, PROXY_PASS, 0);
+}
+
+static void
+strike_target (RandomWalk *random)
+{
+  static const char *const faults[]
+      = { "{\"late_percent\":15}",  "{\"lost_percent\":15}",
+          "{\"hangs\":true}",       "{\"mute\":true}",
+          "{\"slow_percent\":500}", "{\"draining\":true}" };
+  unsigned int i = random_pick (random, cluster.n_agents);
+  const char *fault = faults[random_pick (random, G_N_ELEMENTS (faults))];
+
+  printf ("  target %u %s\n", i, fault);
+  cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", fault,
+                500);
+  cluster_pause (300 + (int) random_pick (random, 3000));
+  cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", "{}",
+                500);
+}
+
+static void
+strike_store (RandomWalk *random, int *version)
+{
+  static const char *const faults[]
+      = { "{\"down\":true}", "{\"silent\":true}", "{\"compact\":true}",
+          "{\"lose_answers\":3}" };
+  const char *fault = faults[random_pick (random, G_N_ELEMENTS (faults))];
+
+  printf ("  store %s\n", fault);
+  cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", fault,
+                500);
+  *version += 1 + (int) random_pick (random, 3);
+  cluster_configure (&cluster, *version, "/more/");
+  cluster_pause (300 + (int) random_pick (random, 2000));
+  cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", "{}",
+                500);
+}
+
+static void *
+run_strikes (void *arg)
+{
+  RandomWalk *random = arg;
+  int version = 2;
+
+  while (!g_atomic_int_get (&stopping))
+    {
+      switch (random_pick (random, 5))
+        {
+        case 0:
+        case 1:
+          strike_process (random);
+          break;
+        case 2:
+          strike_link (random);
+          break;
+        case 3:
+          strike_target (random);
+          break;
+        default:
+          strike_store (random, &version);
+          break;
+        }
+      cluster_pause ((int) random_pick (random, 800));
+    }
+  return NULL;
+}
+
+static void
+place_proxies (void)
+{
+  unsigned int i;
+
+  proxy_init ();
+  store_proxy
+      = proxy_add (cluster.addresses[CLUSTER_STORE][0], cluster.store_seen);
+  for (i = 0; i < cluster.n_entries; i++)
+    control_proxies[i]
+        = proxy_add (cluster.control[i], cluster.control_seen[i]);
+  for (i = 0; i < cluster.n_agents; i++)
+    app_proxies[i]
+        = proxy_add (cluster.addresses[CLUSTER_TARGET][i], cluster.app_seen[i]);
+}
+
+/* Everything works again: each entry serves. */
+static unsigned int
+check_recovery (void)
+{
+  unsigned int broken = 0;
+  unsigned int i;
+
+  for (i = 0; i < proxy_count (); i++)
+    proxy_set (i, PROXY_PASS, 0);
+  cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", "{}",
+                500);
+  for (i = 0; i < cluster.n_agents; i++)
+    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", "{}",
+                  500);
+  cluster_start_all (&cluster);
+  for (i = 0; i < cluster.n_entries; i++)
+    {
+      int waited;
+      SoakJob *job;
+      long status = 0;
+
+      for (waited = 0; waited < RECOVERY_MS && status != 200; waited += 500)
+        {
+          job = new_job (3);
+          if (job == NULL)
+            return broken;
+          status = cluster_submit (&cluster, i, job->id, "ms=20", 3, 700, 2000)
+                       .status;
+          job->completed = status == 200;
+          job->refused = status == 503;
+          if (status != 200)
+            cluster_pause (500);
+        }
+      if (status != 200)
+        {
+          printf ("entry%u doesn't serve %d ms after the last fault: %ld\n", i,
+                  RECOVERY_MS, status);
+          broken++;
+        }
+    }
+  return broken;
+}
+
+static unsigned int
+run (uint32_t seed, int seconds)
+{
+  GThread *threads[CALLERS + 2];
+  Caller callers[CALLERS];
+  RandomWalk strikes[2]
+      = { random_walk (seed * 2), random_walk (seed * 2 + 1) };
+  unsigned int broken;
+  unsigned int i;
+
+  cluster_start (&cluster, CLUSTER_STORE, 0);
+  cluster_pause (200);
+  cluster_configure (&cluster, 1, NULL);
+  cluster_start_all (&cluster);
+  if (!cluster_await_ready (&cluster, 0, 10000))
+    {
+      printf ("seed %u: entry0 isn't ready after 10 s\n", seed);
+      return 1;
+    }
+  for (i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (Caller){ random_walk (seed * 100 + i + 10), i };
+      threads[i] = g_thread_new ("caller", run_caller, &callers[i]);
+    }
+  /* One by one and overlapping: strikes come in two series. */
+  for (i = 0; i < 2; i++)
+    threads[CALLERS + i] = g_thread_new ("strike", run_strikes, &strikes[i]);
+  cluster_pause (seconds * 1000);
+  g_atomic_int_set (&stopping, 1);
+  for (i = 0; i < CALLERS + 2; i++)
+    g_thread_join (threads[i]);
+  broken = check_recovery ();
+  cluster_pause (500);
+  for (i = 0; i < cluster.n_agents; i++)
+    history_killed (i);
+  cluster_end (&cluster);
+  broken += history_check (&cluster, jobs, n_jobs);
+  return broken;
+}
+
+int
+main (int argc, char **argv)
+{
+  int seed = 1;
+  int seconds = 20;
+  int entries = 3;
+  int agents = 5;
+  const GOptionEntry options[] = {
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "What happens", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "For how long", "S" },
+    { "entries", 0, 0, G_OPTION_ARG_INT, &entries, "How many", "N" },
+    { "agents", 0, 0, G_OPTION_ARG_INT, &agents, "How many", "N" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+  g_autofree char *dir = NULL;
+  char build[256];
+  unsigned int completed = 0;
+  unsigned int broken;
+  unsigned int i;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || entries < 1
+      || entries > CLUSTER_MAX || agents < 1 || agents > CLUSTER_MAX)
+    {
+      fprintf (stderr, "soak: %s\n",
+               error != NULL ? error->message : "at most 16 of a kind");
+      return 2;
+    }
+  g_option_context_free (context);
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_ALL);
+  cluster_build_dir (build);
+  dir = g_strdup_printf ("%s/soak-%d", build, seed);
+  cluster_init (&cluster, build, dir, (unsigned int) entries,
+                (unsigned int) agents, CPU);
+  place_proxies ();
+  broken = run ((uint32_t) seed, seconds);
+  for (i = 0; i < n_jobs; i++)
+    completed += jobs[i].completed;
+  printf ("seed %d: %u jobs, %u completed, %u promises broken\n", seed, n_jobs,
+          completed, broken);
+  return broken > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/test/soak/part.mk
@@ -0,0 +1,6 @@
+STANDINS += $(B)/test/soak-run
+SOAK_OBJS := $(addprefix $(B)/test/,soak/main.o soak/proxy.o soak/history.o \
+	platform_cluster.o)
+
+$(B)/test/soak-run: $(SOAK_OBJS) $(B)/libhspoke.a
+	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
--- /dev/null
+++ b/test/soak/proxy.c
@@ -0,0 +1,261 @@
+#include "proxy.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#define PROXIES_MAX 64
+#define PAIRS_MAX 1024
+#define CHUNK 65536
+#define TURN_MS 2
+
+/* Bytes on their way, not to leave before `due`. */
+typedef struct
+{
+  gint64 due;
+  gsize len;
+  guint8 data[];
+} Parcel;
+
+typedef struct
+{
+  int fds[2]; /* Caller, callee. */
+  unsigned int proxy;
+  GQueue queues[2]; /* Parcels read from each. */
+  gsize offset[2];  /* Of the first parcel, already written. */
+  bool ended[2];
+} Pair;
+
+typedef struct
+{
+  int fd;
+  struct sockaddr_in to;
+  ProxyMode mode;
+  int ms;
+} Proxy;
+
+static Proxy proxies[PROXIES_MAX];
+static unsigned int n_proxies;
+static Pair *pairs[PAIRS_MAX];
+static unsigned int n_pairs;
+static GMutex lock;
+
+static struct sockaddr_in
+parse (const char *text)
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  char ip[32];
+  const char *colon = strchr (text, ':');
+
+  g_strlcpy (ip, text, (gsize) (colon - text) + 1);
+  inet_pton (AF_INET, ip, &in.sin_addr);
+  in.sin_port = htons ((uint16_t) atoi (colon + 1));
+  return in;
+}
+
+static void
+close_pair (unsigned int i, bool reset)
+{
+  Pair *pair = pairs[i];
+  struct linger hard = { 1, 0 };
+  int k;
+
+  for (k = 0; k < 2; k++)
+    {
+      if (reset)
+        setsockopt (pair->fds[k], SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      close (pair->fds[k]);
+      g_queue_clear_full (&pair->queues[k], g_free);
+    }
+  g_free (pair);
+  pairs[i] = pairs[--n_pairs];
+}
+
+static void
+take_connection (unsigned int p)
+{
+  int fd = accept4 (proxies[p].fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  int to;
+  int on = 1;
+  Pair *pair;
+
+  if (fd < 0)
+    return;
+  to = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (n_pairs == PAIRS_MAX || to < 0
+      || (connect (to, (struct sockaddr *) &proxies[p].to, sizeof proxies[p].to)
+              != 0
+          && errno != EINPROGRESS))
+    {
+      close (fd);
+      if (to >= 0)
+        close (to);
+      return;
+    }
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (to, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  pair = g_new0 (Pair, 1);
+  pair->fds[0] = fd;
+  pair->fds[1] = to;
+  pair->proxy = p;
+  pairs[n_pairs++] = pair;
+}
+
+/* False once the connection has failed. */
+static bool
+read_side (Pair *pair, int side, gint64 now)
+{
+  const Proxy *proxy = &proxies[pair->proxy];
+  Parcel *parcel = g_malloc (sizeof *parcel + CHUNK);
+  ssize_t n = read (pair->fds[side], parcel->data, CHUNK);
+  bool lost = proxy->mode == PROXY_SILENT
+              || (proxy->mode == PROXY_ONE_WAY && side == 1);
+
+  if (n <= 0)
+    {
+      g_free (parcel);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return true;
+      pair->ended[side] = true;
+      return n == 0;
+    }
+  if (lost)
+    {
+      g_free (parcel);
+      return true;
+    }
+  parcel->len = (gsize) n;
+  parcel->due = now + (proxy->mode == PROXY_DELAY ? proxy->ms * 1000 : 0);
+  g_queue_push_tail (&pair->queues[side], parcel);
+  return true;
+}
+
+static bool
+write_side (Pair *pair, int side, gint64 now)
+{
+  Parcel *parcel;
+
+  while ((parcel = g_queue_peek_head (&pair->queues[side])) != NULL
+         && parcel->due <= now)
+    {
+      ssize_t n = send (pair->fds[!side], parcel->data + pair->offset[side],
+                        parcel->len - pair->offset[side], MSG_NOSIGNAL);
+
+      if (n < 0)
+        return errno == EAGAIN || errno == EINTR;
+      pair->offset[side] += (gsize) n;
+      if (pair->offset[side] < parcel->len)
+        return true;
+      pair->offset[side] = 0;
+      g_free (g_queue_pop_head (&pair->queues[side]));
+    }
+  return !(pair->ended[side] && parcel == NULL);
+}
+
+static void
+turn (gint64 now)
+{
+  struct pollfd fds[PROXIES_MAX + 2 * PAIRS_MAX];
+  unsigned int n = 0;
+  unsigned int i;
+  unsigned int before = n_pairs;
+  unsigned int listening = n_proxies;
+
+  for (i = 0; i < listening; i++)
+    fds[n++] = (struct pollfd){ proxies[i].fd, POLLIN, 0 };
+  for (i = 0; i < before; i++)
+    {
+      fds[n++] = (struct pollfd){ pairs[i]->fds[0], POLLIN, 0 };
+      fds[n++] = (struct pollfd){ pairs[i]->fds[1], POLLIN, 0 };
+    }
+  g_mutex_unlock (&lock);
+  poll (fds, n, TURN_MS);
+  g_mutex_lock (&lock);
+  for (i = before; i-- > 0;)
+    {
+      Pair *pair = pairs[i];
+      bool ok = true;
+      int k;
+
+      for (k = 0; k < 2 && ok; k++)
+        {
+          short events = fds[listening + 2 * i + (unsigned int) k].revents;
+
+          if (events != 0 && !pair->ended[k])
+            ok = read_side (pair, k, now);
+          ok = ok && write_side (pair, k, now);
+        }
+      if (!ok || proxies[pair->proxy].mode == PROXY_RESET)
+        close_pair (i, proxies[pair->proxy].mode == PROXY_RESET);
+    }
+  for (i = 0; i < listening; i++)
+    {
+      if (proxies[i].mode == PROXY_RESET)
+        proxies[i].mode = PROXY_PASS;
+      if (fds[i].revents != 0)
+        take_connection (i);
+    }
+}
+
+static void *
+run (void *arg)
+{
+  (void) arg;
+  g_mutex_lock (&lock);
+  for (;;)
+    turn (g_get_monotonic_time ());
+  return NULL;
+}
+
+void
+proxy_init (void)
+{
+  g_thread_unref (g_thread_new ("proxy", run, NULL));
+}
+
+unsigned int
+proxy_add (const char *to, char out[32])
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  socklen_t len = sizeof in;
+  unsigned int p;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *) &in, sizeof in) != 0
+      || listen (fd, 128) != 0
+      || getsockname (fd, (struct sockaddr *) &in, &len) != 0)
+    abort ();
+  g_mutex_lock (&lock);
+  p = n_proxies++;
+  g_assert (p < PROXIES_MAX);
+  proxies[p] = (Proxy){ .fd = fd, .to = parse (to) };
+  g_mutex_unlock (&lock);
+  g_snprintf (out, 32, "127.0.0.1:%u", ntohs (in.sin_port));
+  return p;
+}
+
+void
+proxy_set (unsigned int proxy, ProxyMode mode, int ms)
+{
+  g_mutex_lock (&lock);
+  proxies[proxy].mode = mode;
+  proxies[proxy].ms = ms;
+  g_mutex_unlock (&lock);
+}
+
+unsigned int
+proxy_count (void)
+{
+  return n_proxies;
+}
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -19,8 +19,6 @@
 
 STANDINS += $(B)/standin-platform-store $(B)/standin-platform-target
 
-$(B)/test/standin/platform_target.o: CFLAGS += -Itest
-
 $(B)/standin-platform-store: $(addprefix $(B)/test/standin/,platform_store.o \
 		http.o kv.o kv_compare.o) $(B)/libhspoke.a
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -23,7 +23,7 @@
 #include "http/curl_loop.h"
 #include "platform/json.h"
 #include "platform/target_wire.h"
-#include "runner_model.h"
+#include "../runner_model.h"
 
 #define TICK (2 * HS_MSEC)
 #define BEAT_SPAN (500 * HS_MSEC)
@@ -74,6 +74,18 @@
   bool stop;
 } Target;
 
+/* One line a start or end, with microseconds of the boot clock. */
+static void
+note (const HsRunKey *key, hsx_end_how how, HsTime at)
+{
+  char name[HS_TASK_NAME_SIZE];
+
+  hs_task_name (key, name);
+  printf ("%c %s %u %d %" PRId64 "\n", how == 0 ? 'S' : 'E', name, key->attempt,
+          (int) how, at);
+  fflush (stdout);
+}
+
 static int64_t
 spec_number (const char *spec, const char *key, int64_t fallback)
 {
@@ -493,6 +505,9 @@
   target->cpu_milli = (uint32_t) strtoul (argv[5], NULL, 10);
   target->born_ms = now.wall_ms;
   hs_runner_model_init (&target->model, now.mono);
+  target->model.note = note;
+  printf ("B %s 0 0 %" PRId64 "\n", target->name, now.mono);
+  fflush (stdout);
   target->waits = g_ptr_array_new ();
   target->lates = g_ptr_array_new ();
   target->ev = tevent_context_init (target);
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -16,8 +16,8 @@
 
 typedef struct
 {
-  uint32_t target;
   hsx_launch_task task;
+  uint32_t target;
   bool stopped;
 } Launch;
 
@@ -76,8 +76,17 @@
   (void) end;
 }
 
+static void
+on_not_held (void *arg, const char *id, uint32_t target, const HsTask *task)
+{
+  (void) arg;
+  (void) id;
+  (void) target;
+  (void) task;
+}
+
 static const HsJobsEffects EFFECTS
-    = { on_launch, on_stop, on_answer, on_task_ended };
+    = { on_launch, on_stop, on_answer, on_task_ended, on_not_held };
 
 static void
 report (uint32_t target, uint32_t free_milli, HsTime now)
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -35,12 +35,11 @@
 setup (void **state)
 {
   unsigned int i;
-  const char *build = g_getenv ("HS_BUILD");
+  char build[256];
   g_autofree char *dir = NULL;
 
   (void) state;
-  if (build == NULL)
-    build = BUILD_DIR;
+  cluster_build_dir (build);
   dir = g_strdup_printf ("%s/path-%d", build, (int) getpid ());
   cluster_init (&cluster, build, dir, ENTRIES, AGENTS, CPU);
   cluster_start (&cluster, CLUSTER_STORE, 0);
--- a/test/test_direct_targets.c
+++ b/test/test_direct_targets.c
@@ -129,6 +129,21 @@
   assert_int_equal (place (T0 + 5 * HS_SEC), 0);
 }
 
+static void
+a_report_of_an_earlier_connection_is_no_news (void **state)
+{
+  hsx_report_args args = { .state = HSX_TARGET_READY, .stamp_us = 5000 };
+
+  (void) state;
+  assert_true (hs_targets_is_news (targets, 1, 1));
+  hs_targets_report (targets, 0, &args, T0);
+  assert_false (hs_targets_is_news (targets, 1, 4000));
+  assert_true (hs_targets_is_news (targets, 1, 6000));
+  hs_targets_disconnect (targets, 0);
+  assert_false (hs_targets_is_news (targets, 1, 4000));
+  assert_true (hs_targets_is_news (targets, 77, 1));
+}
+
 static void
 a_target_that_leaves_or_is_cut_off_is_not_chosen (void **state)
 {
@@ -155,6 +170,7 @@
     TEST (a_slow_target_is_left_for_a_faster_one),
     TEST (where_a_task_failed_is_the_last_choice),
     TEST (after_refusals_old_views_count_less_but_offers_count_whole),
+    TEST (a_report_of_an_earlier_connection_is_no_news),
     TEST (a_target_that_leaves_or_is_cut_off_is_not_chosen),
   };
 
