--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -16,6 +16,10 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+/** Ports for the processes; Linux gives connections those from 32768 on. */
+#define PORT_MIN 12000
+#define PORT_SPAN 20000
+
 extern char **environ;
 
 static const char *const KINDS[CLUSTER_KINDS]
@@ -31,21 +35,32 @@
   g_strlcpy (out, build, 256);
 }
 
+/* A port that nothing listens on, below those that the kernel gives to
+   connections: a process that starts again has to find it free. */
 static void
 free_address (char out[32])
 {
+  static unsigned int next;
   struct sockaddr_in in = { .sin_family = AF_INET };
-  socklen_t len = sizeof in;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int on = 1;
+  int fd;
+  bool free_port;
 
+  if (next == 0)
+    next = PORT_MIN + (unsigned int) getpid () * 61 % PORT_SPAN;
   in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (fd, (struct sockaddr *) &in, sizeof in) != 0
-      || getsockname (fd, (struct sockaddr *) &in, &len) != 0)
-    abort ();
-  close (fd);
-  g_snprintf (out, 32, "127.0.0.1:%u", ntohs (in.sin_port));
+  do
+    {
+      next = PORT_MIN + (next + 1 - PORT_MIN) % PORT_SPAN;
+      in.sin_port = htons ((uint16_t) next);
+      fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+      free_port = bind (fd, (struct sockaddr *) &in, sizeof in) == 0
+                  && listen (fd, 1) == 0;
+      close (fd);
+    }
+  while (!free_port);
+  g_snprintf (out, 32, "127.0.0.1:%u", next);
 }
 
 void
@@ -110,12 +125,12 @@
   if (f == NULL)
     abort ();
   fprintf (f,
-           "{\"cluster_key\":\"0123456789abcdef\",\"platform\":{"
+           "{\"cluster_key\":\"0123456789-%08d\",\"platform\":{"
            "\"node_name\":\"%s%u\",\"ip\":\"127.0.0.1\",\"zone\":\"z%u\","
            "\"seeds\":[%s],\"bounds\":{\"grace_s\":6,\"max_hold_ms\":1000,"
            "\"stop_timeout_ms\":50,\"resend_ms\":1300},"
            "\"platform\":{\"address\":\"%s\"},",
-           KINDS[kind], i, i % 3, seeds, c->store_seen);
+           (int) getpid (), KINDS[kind], i, i % 3, seeds, c->store_seen);
   if (kind == CLUSTER_ENTRY)
     fprintf (f,
              "\"listen_addrs\":{\"frontend_addr\":\"%s\",\"ready\":\"%s\","
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -302,6 +302,7 @@
   if (!cluster_await_ready (&cluster, 0, 10000))
     {
       printf ("seed %u: entry0 isn't ready after 10 s\n", seed);
+      cluster_end (&cluster);
       return 1;
     }
   for (i = 0; i < CALLERS; i++)
