--- a/mk/fuzz.mk
+++ b/mk/fuzz.mk
@@ -4,7 +4,7 @@
 FUZZ_RUNS ?= 20000
 FUZZ_ARGS ?=
 FUZZ_OBJS := $(addprefix $(B)/test/fuzz/,driver.o mutate.o fuzz.o \
-	json_surfaces.o settings_surface.o store_surfaces.o wire_surfaces.o)
+	json_surfaces.o settings_surface.o store_surfaces.o wire_surfaces.o platform_surface.o)
 FUZZ_MAKE = $(MAKE) --no-print-directory B=build/fuzz SAN=asan build/fuzz/hs-fuzz
 FUZZ_RUN = build/fuzz/hs-fuzz --corpus test/fuzz/corpus \
 	--save build/fuzz/failed --runs $(FUZZ_RUNS) $(FUZZ_ARGS)
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -528,7 +528,7 @@
   if (out.left == HS_NEVER)
     out.left = MIN (route->timeout, LEFT_DEFAULT);
   hs_event ("job",
-            "job=%s customer=%s tasks=%u cpu_milli=%u estimate_ms=%.0f "
+            "job=%s customer=%s tasks=%u cpu_milli=%u estimated_ms=%.0f "
             "left_ms=%.0f timeout_ms=%.0f config_version=%" PRId64,
             out.id, out.customer, out.n_tasks, out.needs.cpu_milli,
             (double) out.estimate / HS_MSEC,
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -23,7 +23,8 @@
   SURFACE (job),          SURFACE (answer),    SURFACE (settings),
   SURFACE (plan),         SURFACE (allowance), SURFACE (lists),
   SURFACE (announcement), SURFACE (record),    SURFACE (xdr),
-  SURFACE (store),        SURFACE (claim),     { NULL, NULL },
+  SURFACE (store),        SURFACE (claim),     SURFACE (platform),
+  { NULL, NULL },
 };
 
 static size_t counted;
--- a/test/fuzz/fuzz.h
+++ b/test/fuzz/fuzz.h
@@ -40,6 +40,7 @@
 int hs_fuzz_xdr (const uint8_t *data, size_t n);
 int hs_fuzz_store (const uint8_t *data, size_t n);
 int hs_fuzz_claim (const uint8_t *data, size_t n);
+int hs_fuzz_platform (const uint8_t *data, size_t n);
 
 /** Aborts unless a property holds. */
 #define HS_FUZZ_REQUIRE(holds)                                                 \
