--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -3,4 +3,5 @@
 SRCS += src/direct/jobs.c src/direct/routes.c src/direct/dialer.c
 SRCS += src/direct/process.c src/direct/agent.c src/direct/agent_links.c
 SRCS += src/direct/entry.c src/direct/entry_links.c src/direct/entry_config.c
-SRCS += src/direct/entry_key.c src/direct/entry_early.c
+SRCS += src/direct/entry_key.c src/direct/entry_early.c \
+	src/direct/entry_requests.c
