--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -524,6 +524,13 @@
   return hs_runs_count (agent->runs);
 }
 
+static double
+read_dropped (void *arg)
+{
+  (void) arg;
+  return (double) hs_event_dropped ();
+}
+
 static void
 make_metrics (HsDirectAgent *agent)
 {
@@ -541,6 +548,9 @@
   agent->run_times
       = hs_metrics_histogram (agent->metrics, "hs_direct_run_seconds",
                               "Run times of tasks that were done.", NULL, NULL);
+  hs_metrics_gauge (agent->metrics, "hs_direct_log_lines_dropped",
+                    "Log lines that were dropped.", NULL, NULL, read_dropped,
+                    NULL);
   hs_metrics_gauge (agent->metrics, "hs_direct_tasks",
                     "Tasks that have not ended.", NULL, NULL, read_tasks,
                     agent);
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -122,18 +122,6 @@
   return false;
 }
 
-bool
-hs_dialer_is_up (const HsDialer *dialer, const char *text)
-{
-  uint32_t i;
-
-  for (i = 0; i < dialer->n; i++)
-    if (dialer->addresses[i].up
-        && strcmp (dialer->addresses[i].text, text) == 0)
-      return true;
-  return false;
-}
-
 HsTime
 hs_dialer_tick (HsDialer *dialer, HsTime now)
 {
--- a/src/direct/dialer.h
+++ b/src/direct/dialer.h
@@ -28,9 +28,6 @@
 /** A connection ended; true if it was dialled here. */
 bool hs_dialer_down (HsDialer *dialer, HsConn *conn, HsTime now);
 
-/** Whether an address is connected from here. */
-bool hs_dialer_is_up (const HsDialer *dialer, const char *address);
-
 /** Dials what is due; returns when it has to be called next. */
 HsTime hs_dialer_tick (HsDialer *dialer, HsTime now);
 
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -440,6 +440,13 @@
   return (double) (hs_now ().mono - entry->config_at) / HS_SEC;
 }
 
+static double
+read_dropped (void *arg)
+{
+  (void) arg;
+  return (double) hs_event_dropped ();
+}
+
 static void
 make_metrics (HsDirectEntry *entry)
 {
@@ -461,6 +468,9 @@
   entry->latencies
       = hs_metrics_histogram (entry->metrics, "hs_direct_latency_seconds",
                               "Of completed jobs.", NULL, NULL);
+  hs_metrics_gauge (entry->metrics, "hs_direct_log_lines_dropped",
+                    "Log lines that were dropped.", NULL, NULL, read_dropped,
+                    NULL);
   hs_metrics_gauge (entry->metrics, "hs_direct_jobs", "Jobs without an answer.",
                     NULL, NULL, read_jobs, entry);
   hs_metrics_gauge (entry->metrics, "hs_direct_config_age_seconds",
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -256,7 +256,7 @@
       return HS_TARGET_NONE;
     }
   target = hs_targets_connect (entry->targets, hello->incarnation,
-                               hello->data_centre, conn, hs_now ().mono);
+                               hello->data_centre, hs_now ().mono);
   link = link_at (entry, target);
   older = link->conn;
   link->conn = conn;
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -56,11 +56,15 @@
 hs_answer_why_word (HsAnswerWhy why)
 {
   static const char *const words[] = {
-    [HS_WHY_DONE] = "done",           [HS_WHY_TASK_FAILED] = "task_failed",
-    [HS_WHY_NO_TARGET] = "no_target", [HS_WHY_QUEUE] = "queue",
-    [HS_WHY_WAITED] = "waited",       [HS_WHY_DEADLINE] = "deadline",
-    [HS_WHY_TOO_LATE] = "too_late",   [HS_WHY_TARGET_LOST] = "target_lost",
-    [HS_WHY_STOPPING] = "stopping",   [HS_WHY_CALLER_GONE] = "caller_gone",
+    [HS_WHY_DONE] = "done",
+    [HS_WHY_TASK_FAILED] = "task_failed",
+    [HS_WHY_NO_TARGET] = "no_target",
+    [HS_WHY_QUEUE] = "queue",
+    [HS_WHY_WAITED] = "waited",
+    [HS_WHY_DEADLINE] = "deadline",
+    [HS_WHY_TOO_LATE] = "too_late",
+    [HS_WHY_TARGET_LOST] = "target_lost",
+    [HS_WHY_CALLER_GONE] = "caller_gone",
     [HS_WHY_CANCELLED] = "cancelled",
   };
 
@@ -275,16 +279,6 @@
   return jobs->n_used;
 }
 
-void
-hs_jobs_refuse_waiting (HsJobs *jobs, HsTime now)
-{
-  uint32_t i;
-
-  for (i = 0; i < jobs->n_jobs; i++)
-    if (jobs->jobs[i].used && jobs->jobs[i].n_starts == 0)
-      give_up (jobs, &jobs->jobs[i], HS_WHY_STOPPING, now);
-}
-
 static int
 free_jobs (HsJobs *jobs)
 {
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -58,7 +58,6 @@
   HS_WHY_DEADLINE,
   HS_WHY_TOO_LATE, /**< It can't be done in time any more. */
   HS_WHY_TARGET_LOST,
-  HS_WHY_STOPPING,
   HS_WHY_CALLER_GONE,
   HS_WHY_CANCELLED
 } HsAnswerWhy;
@@ -174,7 +173,4 @@
 /** Jobs without an answer. */
 uint32_t hs_jobs_count (const HsJobs *jobs);
 
-/** Refuses all jobs of which nothing has started. */
-void hs_jobs_refuse_waiting (HsJobs *jobs, HsTime now);
-
 #endif
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -65,9 +65,7 @@
 static uint32_t new_row (HsTargets *targets);
 static void forget_unseen (Row *row, uint32_t seen);
 static double contention (const HsTargets *targets, HsTime now);
-static double score (const HsTargets *targets,
-                     const HsTarget *target,
-                     const char *data_centre);
+static double score (const HsTarget *target, const char *data_centre);
 
 HsTargets *
 hs_targets_new (TALLOC_CTX *ctx)
@@ -86,7 +84,6 @@
 hs_targets_connect (HsTargets *targets,
                     uint64_t agent,
                     const char *data_centre,
-                    void *link,
                     HsTime now)
 {
   uint32_t i;
@@ -104,7 +101,6 @@
     }
   target = &targets->rows[i].target;
   target->connected = true;
-  target->link = link;
   target->heard_at = now;
   target->sent = 0;
   target->state = HSX_TARGET_UNKNOWN;
@@ -130,7 +126,6 @@
   Row *row = &targets->rows[target];
 
   row->target.connected = false;
-  row->target.link = NULL;
   row->target.state = HSX_TARGET_UNKNOWN;
   forget_unseen (row, UINT32_MAX);
 }
@@ -307,7 +302,7 @@
           second_choice = true;
           continue;
         }
-      s = score (targets, target, data_centre)
+      s = score (target, data_centre)
           + CHANCE_WEIGHT * g_rand_double (targets->random);
       if (best == HS_TARGET_NONE || s < best_score)
         {
@@ -351,12 +346,6 @@
     ;
 }
 
-HsHealthState
-hs_targets_health (const HsTargets *targets, uint32_t target)
-{
-  return hs_health_state (targets->health, target);
-}
-
 static int
 free_targets (HsTargets *targets)
 {
@@ -405,16 +394,13 @@
 }
 
 static double
-score (const HsTargets *targets,
-       const HsTarget *target,
-       const char *data_centre)
+score (const HsTarget *target, const char *data_centre)
 {
   double free
       = (double) target->told.cpu_milli - (double) target->unseen.cpu_milli;
   double load = 1 - free / MAX (target->capacity.cpu_milli, 1);
   double s = target->slowness * (1 + LOAD_WEIGHT * load);
 
-  (void) targets;
   if (strcmp (target->data_centre, data_centre) != 0)
     s += FAR_WEIGHT;
   return s;
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -44,7 +44,6 @@
   HsTime heard_at;
   uint32_t n_held; /**< Tasks of this entry there. */
   double slowness; /**< Run time over the expected one; 1: as expected. */
-  void *link;      /**< The caller's. */
 } HsTarget;
 
 HsTargets *hs_targets_new (TALLOC_CTX *ctx);
@@ -53,7 +52,6 @@
 uint32_t hs_targets_connect (HsTargets *targets,
                              uint64_t agent,
                              const char *data_centre,
-                             void *link,
                              HsTime now);
 
 /**
@@ -136,7 +134,4 @@
 /** Applies states of health that change by time. */
 void hs_targets_tick (HsTargets *targets, HsTime now);
 
-/** How far a target is trusted. */
-HsHealthState hs_targets_health (const HsTargets *targets, uint32_t target);
-
 #endif
--- /dev/null
+++ b/test/load_messages.c
@@ -0,0 +1,210 @@
+/* Messages between the entries and agents of a replayed load. */
+#include "load_private.h"
+
+static void
+send_orders (Entry *entry, unsigned int a, const hsx_want *want)
+{
+  HsTarget *target = hs_targets_get (entry->targets, a);
+  Msg *msg
+      = load_post (MSG_ORDERS, load_world.plan->central ? 0 : MESSAGE_DELAY);
+  GArray *launches = entry->launches[a];
+  GArray *stops = entry->stops[a];
+
+  msg->entry = entry->number;
+  msg->agent = a;
+  msg->sent = load_world.now;
+  msg->orders.number = ++target->sent;
+  msg->orders.stamp_us = target->stamp_us;
+  msg->orders.want = *want;
+  msg->orders.stops.stops_len = stops->len;
+  msg->orders.stops.stops_val = g_memdup2 (stops->data, stops->len * 8);
+  /* Each launch is one task here. */
+  msg->orders.launches.launches_len = launches->len;
+  msg->orders.launches.launches_val = (hsx_launch *) g_memdup2 (
+      launches->data, launches->len * sizeof (Launch));
+  g_array_set_size (launches, 0);
+  g_array_set_size (stops, 0);
+  entry->ordered_at[a] = load_world.now;
+  entry->answer_due[a] = false;
+  entry->asked[a] = want->rank > 0;
+}
+
+static void
+take_orders (Agent *agent, Msg *msg)
+{
+  const Launch *launches
+      = (const Launch *) (const void *) msg->orders.launches.launches_val;
+  u_int i;
+
+  agent->orders_seen[msg->entry] = msg->orders.number;
+  hs_runs_want (agent->runs, msg->entry, &msg->orders.want,
+                msg->orders.stamp_us);
+  for (i = 0; i < msg->orders.stops.stops_len; i++)
+    hs_runs_stop (agent->runs, msg->entry, msg->orders.stops.stops_val[i],
+                  load_world.now);
+  for (i = 0; i < msg->orders.launches.launches_len; i++)
+    {
+      hs_runs_launch (agent->runs, msg->entry, &launches[i].launch,
+                      &launches[i].task, msg->sent, load_world.now);
+      g_free (launches[i].launch.job);
+    }
+  g_free (msg->orders.launches.launches_val);
+  g_free (msg->orders.stops.stops_val);
+}
+
+static void
+send_report (Agent *agent, unsigned int e)
+{
+  Msg *msg
+      = load_post (MSG_REPORT, load_world.plan->central ? 0 : MESSAGE_DELAY);
+  GArray *ends = agent->ends[e];
+
+  msg->entry = e;
+  msg->agent = agent->number;
+  msg->report.agent = agent->number + 1;
+  msg->report.stamp_us = load_world.now;
+  msg->report.orders_seen = agent->orders_seen[e];
+  msg->report.state = hs_runs_state (agent->runs);
+  msg->report.free = hs_runs_free (agent->runs, e, load_world.now);
+  msg->report.offer = agent->offer_due[e];
+  msg->report.ends.ends_len = ends->len;
+  msg->report.ends.ends_val
+      = g_memdup2 (ends->data, ends->len * sizeof (hsx_end));
+  g_array_set_size (ends, 0);
+  agent->offer_due[e] = false;
+  agent->report_due[e] = false;
+  agent->reported_at[e] = load_world.now;
+}
+
+static void
+take_report (Entry *entry, Msg *msg)
+{
+  hsx_target_info info
+      = { (char *) "t", (char *) "s", (char *) "r", (char *) "h", { 0 } };
+  u_int i;
+
+  info.capacity.cpu_milli = load_world.agents[msg->agent].cpu_milli;
+  info.capacity.memory_mb = 1000000;
+  msg->report.info = &info;
+  hs_targets_report (entry->targets, msg->agent, &msg->report, load_world.now);
+  for (i = 0; i < msg->report.ends.ends_len; i++)
+    hs_jobs_ended (entry->jobs, msg->agent, &msg->report.ends.ends_val[i],
+                   load_world.now);
+  g_free (msg->report.ends.ends_val);
+  entry->answer_due[msg->agent] |= msg->report.offer;
+  hs_jobs_pump (entry->jobs, load_world.now);
+}
+
+/* A look is answered at the first end, or when its wait is over. */
+static bool
+try_look (Agent *agent, const Msg *msg)
+{
+  HsTargetList list;
+  HsTargetResult result;
+
+  if (msg->result == HS_TARGET_UNANSWERED)
+    {
+      hs_runs_looked (agent->runs, msg->look.number, msg->result, NULL,
+                      load_world.now);
+      return true;
+    }
+  if (agent->model.ends->len == 0
+      && load_world.now < msg->sent + msg->look.wait_ms * HS_MSEC)
+    return false;
+  result
+      = hs_runner_model_look (&agent->model, &msg->look, &list, load_world.now);
+  hs_runs_looked (agent->runs, msg->look.number, result,
+                  result == HS_TARGET_OK ? &list : NULL, load_world.now);
+  if (result == HS_TARGET_OK)
+    {
+      g_free (list.running);
+      g_free (list.ends);
+    }
+  return true;
+}
+
+void
+load_deliver (void)
+{
+  guint i = 0;
+
+  while (i < load_world.messages->len)
+    {
+      Msg *msg = g_array_index (load_world.messages, Msg *, i);
+      bool taken = true;
+
+      if (msg->due > load_world.now)
+        {
+          i++;
+          continue;
+        }
+      switch (msg->kind)
+        {
+        case MSG_ORDERS:
+          take_orders (&load_world.agents[msg->agent], msg);
+          break;
+        case MSG_REPORT:
+          take_report (&load_world.entries[msg->entry], msg);
+          break;
+        case MSG_STARTED:
+          hs_runs_started (load_world.agents[msg->agent].runs, msg->run,
+                           msg->result, load_world.now);
+          break;
+        case MSG_LOOKED:
+          taken = try_look (&load_world.agents[msg->agent], msg);
+          break;
+        case MSG_STOP:
+          break;
+        }
+      if (!taken)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (load_world.messages, i);
+      g_free (msg);
+    }
+}
+
+/* Turns of the processes. */
+
+void
+load_turn_agent (Agent *agent)
+{
+  HsTime span = MIN (7 * HS_MSEC * load_world.plan->entries, PULSE);
+  unsigned int e;
+
+  hs_runner_model_advance (&agent->model, load_world.now);
+  hs_runs_tick (agent->runs, load_world.now);
+  for (e = 0; e < load_world.plan->entries; e++)
+    if (agent->ends[e]->len > 0 || agent->offer_due[e]
+        || load_world.now - agent->reported_at[e]
+               >= (agent->report_due[e] ? span : PULSE))
+      send_report (agent, e);
+}
+
+void
+load_turn_entry (Entry *entry)
+{
+  hsx_want none = { 0 };
+  hsx_want want;
+  unsigned int asked = 0;
+  unsigned int a;
+
+  hs_jobs_tick (entry->jobs, load_world.now);
+  hs_targets_tick (entry->targets, load_world.now);
+  want = hs_jobs_want (entry->jobs, load_world.now);
+  for (a = 0; a < load_world.plan->agents; a++)
+    asked += entry->asked[a];
+  for (a = 0; a < load_world.plan->agents; a++)
+    {
+      bool ask = want.rank > 0 && !entry->asked[a] && asked < 16;
+
+      if (!ask && entry->launches[a]->len == 0 && entry->stops[a]->len == 0
+          && !entry->answer_due[a]
+          && load_world.now - entry->ordered_at[a] < PULSE)
+        continue;
+      asked += ask;
+      send_orders (entry, a, ask || entry->asked[a] ? &want : &none);
+    }
+}
--- /dev/null
+++ b/test/load_private.h
@@ -0,0 +1,126 @@
+/**
+ * @file
+ * Shared by the files that replay a load.
+ */
+#ifndef HS_TEST_LOAD_PRIVATE_H
+#define HS_TEST_LOAD_PRIVATE_H
+
+#include <glib.h>
+
+#include "direct/jobs.h"
+#include "direct/room.h"
+#include "direct/runs.h"
+#include "load_world.h"
+#include "random_walk.h"
+#include "runner_model.h"
+
+#define ENTRIES_MAX 16
+#define AGENTS_MAX 80
+
+/** A way between two processes of different data centres. */
+#define MESSAGE_DELAY (1 * HS_MSEC)
+
+/** As the real processes have them; see direct/liveness.h and the client of
+ *  the target. */
+#define PULSE (150 * HS_MSEC)
+#define START_TIMEOUT (35 * HS_MSEC)
+
+typedef enum
+{
+  MSG_ORDERS,
+  MSG_REPORT,
+  MSG_STARTED,
+  MSG_LOOKED,
+  MSG_STOP
+} MsgKind;
+
+typedef struct
+{
+  MsgKind kind;
+  HsTime due;
+  unsigned int entry;
+  unsigned int agent;
+  uint32_t run;
+  HsTargetResult result;
+  HsTargetLook look;
+  HsRunKey key;
+  uint64_t token;
+  HsTime sent;
+  hsx_orders_args orders; /* Arrays are g_malloc'ed. */
+  hsx_report_args report;
+} Msg;
+
+typedef struct
+{
+  unsigned int number;
+  HsTargets *targets;
+  HsJobs *jobs;
+  GArray *launches[AGENTS_MAX]; /* Launch. */
+  GArray *stops[AGENTS_MAX];
+  HsTime ordered_at[AGENTS_MAX];
+  bool answer_due[AGENTS_MAX];
+  bool asked[AGENTS_MAX];
+} Entry;
+
+typedef struct
+{
+  hsx_launch launch;
+  hsx_launch_task task;
+} Launch;
+
+typedef struct
+{
+  unsigned int number;
+  HsRuns *runs;
+  HsRunnerModel model;
+  GArray *ends[ENTRIES_MAX];
+  uint32_t orders_seen[ENTRIES_MAX];
+  HsTime reported_at[ENTRIES_MAX];
+  bool report_due[ENTRIES_MAX];
+  bool offer_due[ENTRIES_MAX];
+  uint32_t cpu_milli;
+  HsTime tick_at;
+} Agent;
+
+typedef struct
+{
+  unsigned int kind;
+  HsTime arrived;
+  HsTime objective; /* By true run times. */
+  double worth;
+  hsx_room needs;
+} Job;
+
+typedef struct
+{
+  const LoadPlan *plan;
+  RandomWalk random;
+  HsTime now;
+  Entry entries[ENTRIES_MAX];
+  Agent agents[AGENTS_MAX];
+  GArray *messages;   /* Msg *. */
+  GArray *jobs;       /* Job. */
+  GHashTable *run_us; /* Task's name to its true run time. */
+  LoadResult result;
+  double owed;
+  double earned;
+  void *ctx;
+} World;
+
+extern World load_world;
+
+/** Puts a message on its way. */
+Msg *load_post (MsgKind kind, HsTime delay);
+
+/** @name load_effects.c: what the modules ask for @{ */
+extern const HsRunsEffects LOAD_RUNS_EFFECTS;
+extern const HsJobsEffects LOAD_JOBS_EFFECTS;
+/** @} */
+
+/** @name load_messages.c: messages and the turns of the processes @{ */
+void load_deliver (void);
+void load_turn_agent (Agent *agent);
+void load_turn_entry (Entry *entry);
+/** @} */
+
+#endif
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -107,7 +107,7 @@
 static void
 add_target (uint64_t agent, uint32_t free_milli)
 {
-  uint32_t target = hs_targets_connect (targets, agent, "dc1", NULL, T0);
+  uint32_t target = hs_targets_connect (targets, agent, "dc1", T0);
 
   numbers[target] = 0;
   report (target, free_milli, T0);
--- a/test/test_direct_targets.c
+++ b/test/test_direct_targets.c
@@ -45,8 +45,8 @@
   (void) state;
   ctx = talloc_new (NULL);
   targets = hs_targets_new (ctx);
-  hs_targets_connect (targets, 1, "dc1", NULL, T0);
-  hs_targets_connect (targets, 2, "dc1", NULL, T0);
+  hs_targets_connect (targets, 1, "dc1", T0);
+  hs_targets_connect (targets, 2, "dc1", T0);
   return 0;
 }
 
