--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -16,9 +16,9 @@
 #include <curl/curl.h>
 #include <glib.h>
 
-/** Ports for the processes; Linux gives connections those from 32768 on. */
+/** Ports for the processes: below those of tools/faults, and of connections. */
 #define PORT_MIN 12000
-#define PORT_SPAN 20000
+#define PORT_SPAN 13000
 
 extern char **environ;
 
