Let an agent keep connections with 16 entries, and tell of entries one by one

Every agent kept a connection with every entry, 64 x 236 of them, each with a pulse seven times a second each way: agents used 19.6% and entries 34.9% of their shares. Each entry that came up made every other send the whole list to everyone: 5.2 MB/s at an entry, and the links were full for the first seconds.

Change: an agent ranks the entries it knows of by rendezvous hashing and dials the first 16 that answer; connections beyond, as with the seeds, are ended once nothing of the entry runs there and it has been told to send nothing more. Entries tell others of a new one by its own line; the list goes to the new one alone. Agents read the entries' keys every 300 s, so that what they aren't connected with stays known. With 16 entries or fewer nothing changes.

Ruled out: the entries' mesh among themselves (no pulses, 64 links each) and the store (no change by size).

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -319,10 +319,12 @@
   agent->rpc = hs_rpc_new (role, agent->ev, &self, agent->settings->cluster_key,
                            &handler, agent);
   agent->dialer = hs_dialer_new (role, agent->rpc, NULL);
+  hs_dialer_limit (agent->dialer, agent->settings->host, HS_LINKS_MAX);
   agent->store = hs_process_store (role, agent->ev, agent->settings);
   agent->turn = tevent_create_immediate (role);
   agent->timer = hs_timer_new (role, agent->ev, on_timer, role);
   role->alone_since = now.mono;
+  agent->asked_store_at = now.mono - ASK_SPAN;
   add_seeds (agent);
   if (hs_announce_new (role, agent->ev, agent->settings->control_listen,
                        &ANNOUNCE_HANDLER, agent, error)
@@ -431,7 +433,8 @@
   hs_agent_schedule (agent);
 }
 
-/* Seeds may be stale; entries that are up have a key in the store. */
+/* Seeds may be stale; entries that are up have a key in the store. Entries
+   that this agent has no connection with tell nothing of themselves. */
 static void
 ask_store (Role *role, HsTime now)
 {
@@ -439,8 +442,10 @@
 
   if (hs_agent_links_count (agent) > 0)
     role->alone_since = now;
-  if (now - role->alone_since < ALONE_SPAN || agent->asks_store
-      || now - agent->asked_store_at < ASK_SPAN)
+  if (agent->asks_store || now - agent->asked_store_at < ASK_SPAN)
+    return;
+  if (now - role->alone_since < ALONE_SPAN
+      && now - agent->asked_store_at < HS_ENTRIES_REREAD)
     return;
   agent->asks_store = true;
   agent->asked_store_at = now;
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -10,6 +10,10 @@
  *  and has an eighth of a core. */
 #define REPORT_SPAN (7 * HS_MSEC)
 
+/** An entry that is to send nothing more to this agent has heard so after this;
+ *  longer than the slowest way there and back. */
+#define SURPLUS_SPAN (1 * HS_SEC)
+
 /** Ends are told again on a new connection for so long. */
 #define TOLD_KEPT (2 * HS_SEC)
 
@@ -17,6 +21,7 @@
 static HsAgentPeer *peer_of (HsDirectAgent *agent, HsConn *conn);
 static void
 drop_peer (HsDirectAgent *agent, HsAgentPeer *peer, const char *why);
+static void release_surplus (HsDirectAgent *agent, HsTime now);
 static void take_orders (HsDirectAgent *agent,
                          HsAgentPeer *peer,
                          const hsx_orders_args *orders);
@@ -175,6 +180,7 @@
   HsTime due = HS_NEVER;
   uint32_t i;
 
+  release_surplus (agent, now);
   for (i = 0; i < HS_ENTRIES_MAX; i++)
     {
       HsAgentPeer *peer = &agent->peers[i];
@@ -213,6 +219,42 @@
   return n;
 }
 
+/* Connections beyond those chosen, as with the seeds, are ended once all that
+   are chosen are there, and nothing of the entry runs here. */
+static void
+release_surplus (HsDirectAgent *agent, HsTime now)
+{
+  uint32_t n_wanted = 0;
+  uint32_t i;
+  uint64_t ref;
+
+  if (hs_agent_links_count (agent) <= HS_LINKS_MAX)
+    return;
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    n_wanted += agent->peers[i].conn != NULL
+                && hs_dialer_wants (agent->dialer, agent->peers[i].conn);
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    {
+      HsAgentPeer *peer = &agent->peers[i];
+      bool surplus = n_wanted >= HS_LINKS_MAX && peer->conn != NULL
+                     && !hs_dialer_wants (agent->dialer, peer->conn);
+
+      if (peer->conn == NULL)
+        continue;
+      if (surplus != (peer->surplus_at != 0))
+        {
+          peer->surplus_at = surplus ? now : 0;
+          peer->report_due = true;
+          peer->reported_at = 0;
+        }
+      if (!surplus || now - peer->surplus_at < SURPLUS_SPAN
+          || hs_runs_held (agent->runs, i, &ref, 1) > 0)
+        continue;
+      hs_dialer_release (agent->dialer, peer->conn, now);
+      drop_peer (agent, peer, "surplus");
+    }
+}
+
 static HsAgentPeer *
 find_peer (HsDirectAgent *agent, uint64_t incarnation)
 {
@@ -333,6 +375,12 @@
   GArray *ends = peer->ends;
   guint i;
 
+  if (peer->surplus_at != 0)
+    {
+      args.state = HSX_TARGET_LEAVING;
+      args.free = (hsx_room){ 0 };
+      args.offer = false;
+    }
   forget_told (peer, now);
   if (hs_runs_target (agent->runs) != NULL && !peer->told_info)
     {
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -16,6 +16,10 @@
 /** Entries at once; more than the largest deployment has. */
 #define HS_ENTRIES_MAX 128
 
+/** Entries that an agent keeps connections with. A pulse each way takes 60 us,
+ *  seven times a second: 0.7% of a core for all. */
+#define HS_LINKS_MAX 16
+
 /** An end that was told, kept in case its message is lost. */
 typedef struct
 {
@@ -39,6 +43,7 @@
   bool fresh;          /**< The entry doesn't know that this record is new. */
   int64_t first_stamp; /**< Of the first report on this connection. */
   bool offer_due;      /**< Room is kept for it until it answers. */
+  HsTime surplus_at;   /**< Told to send nothing more then; 0: not. */
   GArray *ends;        /**< hsx_end, to be told. */
   GArray *told_ends;   /**< HsToldEnd, oldest first. */
 } HsAgentPeer;
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "direct/choice.h"
+
 /** Addresses at once; more entries than the largest deployment has. */
 #define ADDRESSES_MAX 256
 
@@ -23,14 +25,20 @@
  *  long: the host was replaced. */
 #define FORGET (20 * HS_SEC)
 
+/** One that was never dialled is forgotten when nobody has told of it for so
+ *  long; several times HS_ENTRIES_REREAD. */
+#define FORGET_UNTRIED (15 * 60 * HS_SEC)
+
 typedef struct
 {
   char text[HSX_ADDRESS_MAX + 1];
   bool seed;
   bool up;
+  bool failing; /* It was dialled, or connected, and isn't any more. */
   HsConn *conn; /* NULL: not dialled. */
   HsTime due;   /* To dial, or to give the dial up. */
   HsTime since; /* Not connected since. */
+  HsTime told_at;
 } Address;
 
 struct HsDialer
@@ -38,9 +46,17 @@
   HsRpc *rpc;
   char *self;
   Address addresses[ADDRESSES_MAX];
+  HsChoice choices[ADDRESSES_MAX]; /* By address. */
   uint32_t n;
+  char *chooser;
+  uint32_t limit;
+  bool changed; /* The choice is to be made anew. */
 };
 
+static Address *find (HsDialer *dialer, const char *text);
+static Address *find_conn (HsDialer *dialer, const HsConn *conn);
+static void choose (HsDialer *dialer);
+static bool is_forgotten (const Address *address, bool chosen, HsTime now);
 static HsTime act (HsDialer *dialer, Address *address, HsTime now);
 
 HsDialer *
@@ -50,76 +66,107 @@
 
   dialer->rpc = rpc;
   dialer->self = self != NULL ? talloc_strdup (dialer, self) : NULL;
+  dialer->chooser = talloc_strdup (dialer, "");
+  dialer->limit = ADDRESSES_MAX;
   return dialer;
 }
 
+void
+hs_dialer_limit (HsDialer *dialer, const char *chooser, uint32_t limit)
+{
+  dialer->chooser = talloc_strdup (dialer, chooser);
+  dialer->limit = limit;
+}
+
+bool
+hs_dialer_wants (HsDialer *dialer, const HsConn *conn)
+{
+  const Address *address = find_conn (dialer, conn);
+
+  choose (dialer);
+  return address == NULL || dialer->choices[address - dialer->addresses].chosen;
+}
+
+void
+hs_dialer_release (HsDialer *dialer, const HsConn *conn, HsTime now)
+{
+  Address *address = find_conn (dialer, conn);
+
+  if (address == NULL)
+    return;
+  address->up = false;
+  address->conn = NULL;
+  address->due = now;
+  address->told_at = now;
+}
+
 void
 hs_dialer_add (HsDialer *dialer, const char *text, bool seed, HsTime now)
 {
-  Address *address;
-  uint32_t i;
+  Address *address = find (dialer, text);
 
   if (dialer->self != NULL && strcmp (dialer->self, text) == 0)
     return;
-  for (i = 0; i < dialer->n; i++)
-    if (strcmp (dialer->addresses[i].text, text) == 0)
-      {
-        dialer->addresses[i].seed |= seed;
-        return;
-      }
+  if (address != NULL)
+    {
+      address->seed |= seed;
+      address->told_at = now;
+      return;
+    }
   if (dialer->n == ADDRESSES_MAX)
     return;
   address = &dialer->addresses[dialer->n++];
-  *address = (Address){ .seed = seed, .due = now, .since = now };
+  *address
+      = (Address){ .seed = seed, .due = now, .since = now, .told_at = now };
   g_strlcpy (address->text, text, sizeof address->text);
+  dialer->changed = true;
 }
 
 void
 hs_dialer_up (HsDialer *dialer, HsConn *conn)
 {
-  uint32_t i;
+  Address *address = find_conn (dialer, conn);
 
-  for (i = 0; i < dialer->n; i++)
-    if (dialer->addresses[i].conn == conn)
-      dialer->addresses[i].up = true;
+  if (address == NULL)
+    return;
+  address->up = true;
+  address->failing = false;
+  dialer->changed = true;
 }
 
 void
 hs_dialer_alias (HsDialer *dialer, HsConn *conn, HsTime now)
 {
-  uint32_t i;
+  Address *address = find_conn (dialer, conn);
 
-  for (i = 0; i < dialer->n; i++)
-    if (dialer->addresses[i].conn == conn)
-      {
-        dialer->addresses[i].up = false;
-        dialer->addresses[i].conn = NULL;
-        dialer->addresses[i].since = now;
-        dialer->addresses[i].due = now + RETRY_ALIAS;
-      }
+  if (address != NULL)
+    {
+      address->up = false;
+      address->failing = true;
+      address->conn = NULL;
+      address->since = now;
+      address->due = now + RETRY_ALIAS;
+      dialer->changed = true;
+    }
   hs_conn_close (conn);
 }
 
 bool
 hs_dialer_down (HsDialer *dialer, HsConn *conn, HsTime now)
 {
-  uint32_t i;
-
-  for (i = 0; i < dialer->n; i++)
-    {
-      Address *address = &dialer->addresses[i];
+  Address *address = find_conn (dialer, conn);
 
-      if (address->conn != conn)
-        continue;
-      if (address->up)
-        address->since = now;
-      address->up = false;
-      address->conn = NULL;
-      address->due
-          = now + (now - address->since < SOON_SPAN ? RETRY_SOON : RETRY_LATER);
-      return true;
-    }
-  return false;
+  if (address == NULL)
+    return false;
+  if (address->up)
+    address->since = now;
+  address->up = false;
+  address->failing = true;
+  address->conn = NULL;
+  address->due
+      = now + (now - address->since < SOON_SPAN ? RETRY_SOON : RETRY_LATER);
+  dialer->changed = true;
+  return true;
 }
 
 HsTime
@@ -128,27 +175,83 @@
   HsTime due = HS_NEVER;
   uint32_t i = 0;
 
+  choose (dialer);
   while (i < dialer->n)
-    {
-      Address *address = &dialer->addresses[i];
-
-      if (address->conn == NULL && !address->seed
-          && now - address->since > FORGET)
-        {
-          *address = dialer->addresses[--dialer->n];
-          continue;
-        }
-      due = MIN (due, act (dialer, address, now));
+    if (is_forgotten (&dialer->addresses[i], dialer->choices[i].chosen, now))
+      {
+        dialer->addresses[i] = dialer->addresses[--dialer->n];
+        dialer->choices[i] = dialer->choices[dialer->n];
+        dialer->changed = true;
+      }
+    else
       i++;
-    }
+  choose (dialer);
+  for (i = 0; i < dialer->n; i++)
+    due = MIN (due, act (dialer, &dialer->addresses[i], now));
   return due;
 }
 
+static Address *
+find (HsDialer *dialer, const char *text)
+{
+  uint32_t i;
+
+  for (i = 0; i < dialer->n; i++)
+    if (strcmp (dialer->addresses[i].text, text) == 0)
+      return &dialer->addresses[i];
+  return NULL;
+}
+
+static Address *
+find_conn (HsDialer *dialer, const HsConn *conn)
+{
+  uint32_t i;
+
+  for (i = 0; i < dialer->n; i++)
+    if (dialer->addresses[i].conn == conn)
+      return &dialer->addresses[i];
+  return NULL;
+}
+
+static void
+choose (HsDialer *dialer)
+{
+  uint32_t i;
+
+  if (!dialer->changed)
+    return;
+  dialer->changed = false;
+  for (i = 0; i < dialer->n; i++)
+    dialer->choices[i] = (HsChoice){
+      .rank = hs_choice_rank (dialer->chooser, dialer->addresses[i].text),
+      .failing = dialer->addresses[i].failing,
+    };
+  hs_choose (dialer->choices, dialer->n, dialer->limit);
+}
+
+static bool
+is_forgotten (const Address *address, bool chosen, HsTime now)
+{
+  if (address->conn != NULL || address->seed)
+    return false;
+  if (!chosen && !address->failing)
+    return now - address->told_at > FORGET_UNTRIED;
+  return now - address->since > FORGET;
+}
+
 static HsTime
 act (HsDialer *dialer, Address *address, HsTime now)
 {
   if (address->up)
     return HS_NEVER;
+  if (address->conn == NULL
+      && !dialer->choices[address - dialer->addresses].chosen)
+    {
+      /* Silence counts from when it is wanted on. */
+      if (!address->failing)
+        address->since = now;
+      return HS_NEVER;
+    }
   if (now < address->due)
     return address->due;
   if (address->conn != NULL)
--- a/src/direct/dialer.h
+++ b/src/direct/dialer.h
@@ -14,7 +14,19 @@
 /** @param self this process's own address, never dialled; or NULL */
 HsDialer *hs_dialer_new (TALLOC_CTX *ctx, HsRpc *rpc, const char *self);
 
-/** Adds an address. @param seed it is kept though nobody ever answers */
+/** Keeps connections with about @p limit of the addresses only.
+ *  @param chooser this process's name, the same in each life */
+void hs_dialer_limit (HsDialer *dialer, const char *chooser, uint32_t limit);
+
+/** Whether a connection is one of those wanted; so is one that wasn't dialled
+ *  here. */
+bool hs_dialer_wants (HsDialer *dialer, const HsConn *conn);
+
+/** A connection that isn't wanted is being closed: its address stays known. */
+void hs_dialer_release (HsDialer *dialer, const HsConn *conn, HsTime now);
+
+/** Adds an address, or notes that it is still told of. @param seed it is kept
+ *  though nobody ever answers */
 void
 hs_dialer_add (HsDialer *dialer, const char *address, bool seed, HsTime now);
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -31,7 +31,8 @@
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
 static void outbox_clear (HsOutbox *outbox);
 static void send_entries (HsDirectEntry *entry, HsConn *conn);
-static void send_entries_to_all (HsDirectEntry *entry);
+static void tell_of_peer (HsDirectEntry *entry, HsEntryPeer *peer);
+static hsx_entry_info info_of (HsEntryPeer *peer);
 
 void
 hs_entry_links_up (HsDirectEntry *entry, HsConn *conn)
@@ -291,7 +292,8 @@
   hs_dialer_add (entry->dialer, hello->address, false, hs_now ().mono);
   hs_event ("entry_up", "entry=%016" PRIx64 " address=%s", hello->incarnation,
             hello->address);
-  send_entries_to_all (entry);
+  send_entries (entry, conn);
+  tell_of_peer (entry, &entry->peers[i]);
   hs_entry_config_peer_up (entry, &entry->peers[i]);
   hs_entry_schedule (entry, false);
 }
@@ -473,6 +475,7 @@
   TALLOC_FREE (outbox->ctx);
 }
 
+/* All that are known here, for one that has just come. */
 static void
 send_entries (HsDirectEntry *entry, HsConn *conn)
 {
@@ -486,22 +489,32 @@
                           .data_centre = entry->settings->data_centre };
   for (i = 0; i < HS_PEERS_MAX; i++)
     if (entry->peers[i].used)
-      list[args.entries.entries_len++]
-          = (hsx_entry_info){ .incarnation = entry->peers[i].incarnation,
-                              .address = entry->peers[i].address,
-                              .data_centre = (char *) "" };
+      list[args.entries.entries_len++] = info_of (&entry->peers[i]);
   hs_conn_call (conn, HSX_ENTRIES, &args, HS_NEVER, NULL, NULL);
 }
 
+/* The one that has just come, for all others. */
 static void
-send_entries_to_all (HsDirectEntry *entry)
+tell_of_peer (HsDirectEntry *entry, HsEntryPeer *peer)
 {
+  hsx_entry_info info = info_of (peer);
+  hsx_entries_args args = { .entries = { 1, &info } };
   uint32_t i;
 
   for (i = 0; i < entry->n_links; i++)
     if (entry->links[i].conn != NULL)
-      send_entries (entry, entry->links[i].conn);
+      hs_conn_call (entry->links[i].conn, HSX_ENTRIES, &args, HS_NEVER, NULL,
+                    NULL);
   for (i = 0; i < HS_PEERS_MAX; i++)
-    if (entry->peers[i].used)
-      send_entries (entry, entry->peers[i].conn);
+    if (entry->peers[i].used && &entry->peers[i] != peer)
+      hs_conn_call (entry->peers[i].conn, HSX_ENTRIES, &args, HS_NEVER, NULL,
+                    NULL);
+}
+
+static hsx_entry_info
+info_of (HsEntryPeer *peer)
+{
+  return (hsx_entry_info){ .incarnation = peer->incarnation,
+                           .address = peer->address,
+                           .data_centre = (char *) "" };
 }
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -16,7 +16,7 @@
 #include "store/store.h"
 
 /** Other entries at once; more than the largest deployment has. */
-#define HS_PEERS_MAX 128
+#define HS_PEERS_MAX 255
 
 /** Orders that wait for the end of the loop's turn. */
 typedef struct
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -19,6 +19,10 @@
 /** A connection that broke may be replaced for so long. */
 #define HS_RECONNECT_MAX (500 * HS_MSEC)
 
+/** An agent reads the entries' keys at least this often: 510 agents make two
+ *  reads a second. */
+#define HS_ENTRIES_REREAD (300 * HS_SEC)
+
 /** A loop that didn't turn for so long was paused: a process's timers are
  *  never further apart than HS_PULSE. */
 #define HS_PAUSE_MIN (400 * HS_MSEC)
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -1,5 +1,6 @@
 /* The whole path with real processes: callers, entries, agents, targets, the
    store. */
+#include <inttypes.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -8,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -202,6 +204,49 @@
     assert_true (cluster_state (&cluster, i, "most") <= CPU);
 }
 
+/* A caller that waits longer than its route's timeout is served. */
+static void
+a_caller_may_wait_longer_than_its_route_says (void **state)
+{
+  (void) state;
+  assert_int_equal (submit (0, "ms=1800", 1, 4000).status, 200);
+}
+
+/* Calls to the earlier place are under way when the next one is told. */
+static void
+an_agent_outlives_changes_of_its_targets_place (void **state)
+{
+  unsigned int i;
+
+  (void) state;
+  cluster_signal (&cluster, CLUSTER_TARGET, 0, SIGSTOP);
+  for (i = 1; i <= 8; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/-/instances/other%u", i);
+      g_autofree char *body = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"slots\":8,"
+          "\"state\":\"ready\",\"sequence\":1,\"born\":%" PRId64
+          ",\"capacity\":{\"cpu\":4000,\"mem_mb\":1000,\"gpu\":0},"
+          "\"labels\":[]}",
+          cluster.addresses[CLUSTER_TARGET][0], g_get_real_time () / 1000);
+
+      cluster_pause (15);
+      assert_int_equal (cluster_call ("PUT",
+                                      cluster.addresses[CLUSTER_AGENT][0], path,
+                                      body, 500)
+                                .status
+                            / 100,
+                        2);
+    }
+  cluster_signal (&cluster, CLUSTER_TARGET, 0, SIGCONT);
+  cluster_pause (300);
+  assert_int_equal (waitpid (cluster.pids[CLUSTER_AGENT][0], NULL, WNOHANG), 0);
+  cluster_kill (&cluster, CLUSTER_TARGET, 0);
+  cluster_start (&cluster, CLUSTER_TARGET, 0);
+  cluster_pause (2000);
+  assert_int_equal (submit (0, "ms=50", 3, 3000).status, 200);
+}
+
 static void
 a_target_that_leaves_gets_nothing_new (void **state)
 {
@@ -229,6 +274,8 @@
     cmocka_unit_test (a_stopping_entry_answers_what_it_has),
     cmocka_unit_test (the_tasks_of_a_caller_that_leaves_are_stopped),
     cmocka_unit_test (lost_and_late_orders_never_overfill_a_target),
+    cmocka_unit_test (a_caller_may_wait_longer_than_its_route_says),
+    cmocka_unit_test (an_agent_outlives_changes_of_its_targets_place),
     cmocka_unit_test (a_target_that_leaves_gets_nothing_new),
   };
 
--- /dev/null
+++ b/test/test_platform_client.c
@@ -0,0 +1,150 @@
+/* Calls to a target, as they arrive there. */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "base/time.h"
+#include "platform/target_client.h"
+
+static struct tevent_context *ev;
+static HsTargetClient *client;
+static int listener;
+static char address[32];
+static unsigned int n_looked;
+
+static void
+on_looked (void *arg,
+           uint32_t number,
+           HsTargetResult result,
+           const HsTargetList *list)
+{
+  (void) arg;
+  (void) number;
+  (void) result;
+  (void) list;
+  n_looked++;
+}
+
+static const HsTargetHandler HANDLER = { .looked = on_looked };
+
+static int
+setup (void **state)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t len = sizeof at;
+
+  (void) state;
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (listener, (struct sockaddr *) &at, sizeof at) != 0
+      || listen (listener, 8) != 0
+      || getsockname (listener, (struct sockaddr *) &at, &len) != 0)
+    return -1;
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            (unsigned int) ntohs (at.sin_port));
+  ev = tevent_context_init (NULL);
+  client = hs_target_client_new (ev, ev, &HANDLER, NULL);
+  n_looked = 0;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (ev);
+  close (listener);
+  return 0;
+}
+
+/* Runs the client until a whole request has come; returns its connection. */
+static int
+read_request (char *text, size_t size)
+{
+  HsTime until = hs_now ().mono + 2 * HS_SEC;
+  struct pollfd ready = { .fd = listener, .events = POLLIN };
+  size_t n = 0;
+  int conn = -1;
+
+  text[0] = '\0';
+  while (hs_now ().mono < until && strstr (text, "\r\n\r\n") == NULL)
+    {
+      ssize_t got;
+
+      tevent_loop_once (ev);
+      if (conn < 0 && poll (&ready, 1, 0) == 1)
+        conn = accept (listener, NULL, NULL);
+      if (conn < 0)
+        continue;
+      got = recv (conn, text + n, size - 1 - n, MSG_DONTWAIT);
+      if (got > 0)
+        n += (size_t) got;
+      text[n] = '\0';
+    }
+  return conn;
+}
+
+/* The target's next life is told of while the call is being made. */
+static void
+a_call_carries_the_headers_of_its_place (void **state)
+{
+  HsTargetLook look
+      = { .number = 1, .token = 5, .wait_ms = 30, .timeout_ms = 500 };
+  char text[4096];
+  int conn;
+
+  (void) state;
+  hs_target_client_set (client, address, "the-earlier-life");
+  hs_target_client_look (client, &look);
+  hs_target_client_set (client, "127.0.0.1:9", "the-later-life");
+  conn = read_request (text, sizeof text);
+  assert_non_null (strstr (text, "POST /-/hold"));
+  assert_non_null (strstr (text, "Content-Type: application/json\r\n"));
+  assert_non_null (strstr (text, ": the-earlier-life\r\n"));
+  close (conn);
+  while (n_looked == 0)
+    tevent_loop_once (ev);
+}
+
+/* A call that is under way ends when its client does. */
+static void
+calls_under_way_end_with_the_client (void **state)
+{
+  HsTargetLook look
+      = { .number = 1, .token = 5, .wait_ms = 30, .timeout_ms = 500 };
+  char text[4096];
+  int conn;
+
+  (void) state;
+  hs_target_client_set (client, address, NULL);
+  hs_target_client_look (client, &look);
+  conn = read_request (text, sizeof text);
+  assert_true (conn >= 0);
+  TALLOC_FREE (client);
+  assert_int_equal (n_looked, 0);
+  close (conn);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (a_call_carries_the_headers_of_its_place,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (calls_under_way_end_with_the_client, setup,
+                                     teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
