Measure preempting and whole starts with the yardstick

Change: two more orders of the one queue, as rows of the yardstick's table; a job's rank counts what its running tasks still take.

Conclusion: neither preempting nor whole starts; the entries stay as they are.

--- a/bench/queue_model.c
+++ b/bench/queue_model.c
@@ -59,6 +59,8 @@
                         unsigned int target);
 static unsigned int
 choose_target (Queue *queue, const LoadJob *job, unsigned int task);
+static double rank (const Queue *queue, unsigned int number);
+static bool preempt (Queue *queue, unsigned int number);
 static bool fits_whole (const Queue *queue, const LoadJob *job);
 static void give_up (Queue *queue);
 static void finish (Queue *queue, unsigned int number);
@@ -180,13 +182,10 @@
     {
       const LoadJob *job = &g_array_index (queue->jobs, LoadJob, handles[i]);
       const Progress *state = &queue->states[handles[i]];
-      double left = 0;
-      unsigned int t;
 
-      for (t = 0; t < job->n_tasks; t++)
-        left += queue->waits[state->first + t] ? (double) job->runs[t] : 0;
-      ranks[i] = job->worth / MAX (left * job->needs.cpu_milli, 1);
-      if (queue->order == QUEUE_IDEAL_STARTED
+      ranks[i] = rank (queue, handles[i]);
+      if ((queue->order == QUEUE_IDEAL_STARTED
+           || queue->order == QUEUE_IDEAL_PREEMPT)
           && state->n_waiting < job->n_tasks)
         ranks[i] += 1;
     }
@@ -230,6 +229,8 @@
       if (!queue->waits[state->first + t])
         continue;
       target = choose_target (queue, job, t);
+      while (target == queue->plan->agents && preempt (queue, number))
+        target = choose_target (queue, job, t);
       if (target == queue->plan->agents)
         return false;
       start_task (queue, number, t, target);
@@ -297,6 +298,55 @@
   return best;
 }
 
+/* What a job is still worth for each core-second that it still takes. */
+static double
+rank (const Queue *queue, unsigned int number)
+{
+  const LoadJob *job = &g_array_index (queue->jobs, LoadJob, number);
+  const Progress *state = &queue->states[number];
+  double left = 0;
+  unsigned int t;
+  guint i;
+
+  for (t = 0; t < job->n_tasks; t++)
+    left += queue->waits[state->first + t] ? (double) job->runs[t] : 0;
+  for (i = 0; state->n_running > 0 && i < queue->runs->len; i++)
+    {
+      const Run *run = &g_array_index (queue->runs, Run, i);
+
+      left += run->job == number ? (double) (run->until - queue->now) : 0;
+    }
+  return job->worth / MAX (left * job->needs.cpu_milli, 1);
+}
+
+/* Ends the running job of the lowest rank, if that is less than half. */
+static bool
+preempt (Queue *queue, unsigned int number)
+{
+  double least = rank (queue, number) / 2;
+  unsigned int victim = number;
+  guint i;
+
+  if (queue->order != QUEUE_IDEAL_PREEMPT)
+    return false;
+  for (i = 0; i < queue->runs->len; i++)
+    {
+      unsigned int other = g_array_index (queue->runs, Run, i).job;
+      double r = other != number ? rank (queue, other) : least;
+
+      if (r >= least)
+        continue;
+      least = r;
+      victim = other;
+    }
+  if (victim == number)
+    return false;
+  queue->result.kinds[g_array_index (queue->jobs, LoadJob, victim).kind].lost++;
+  queue->states[victim].over = true;
+  stop_runs (queue, victim);
+  return true;
+}
+
 static bool
 fits_whole (const Queue *queue, const LoadJob *job)
 {
--- a/bench/queue_model.h
+++ b/bench/queue_model.h
@@ -19,6 +19,9 @@
   QUEUE_IDEAL_STARTED,
   /** The same order; a job starts with all its tasks at one moment. */
   QUEUE_IDEAL_WHOLE,
+  /** As QUEUE_IDEAL_STARTED; a job that waits ends the running one that is
+   *  worth least for each core-second it still takes, if less than half. */
+  QUEUE_IDEAL_PREEMPT,
   /** First come first served, any target with room at random. */
   QUEUE_FIFO
 } QueueOrder;
--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -15,6 +15,8 @@
 typedef enum
 {
   WAY_IDEAL,   /* The best of the orders of one queue. */
+  WAY_WHOLE,   /* One queue that starts whole jobs only. */
+  WAY_PREEMPT, /* One queue that ends what is worth less. */
   WAY_CENTRAL, /* The modules as one entry without message delay. */
   WAY_ENTRIES, /* The modules as they run. */
   WAY_FIFO,
@@ -22,7 +24,8 @@
 } Way;
 
 static const char *const WAYS[N_WAYS]
-    = { "ideal", "one entry", "entries", "first come, random" };
+    = { "ideal",     "whole jobs", "preempting",
+        "one entry", "entries",    "first come, random" };
 
 typedef struct
 {
@@ -174,6 +177,10 @@
             best = one;
         }
       return best;
+    case WAY_WHOLE:
+      return queue_play (plan, QUEUE_IDEAL_WHOLE);
+    case WAY_PREEMPT:
+      return queue_play (plan, QUEUE_IDEAL_PREEMPT);
     case WAY_CENTRAL:
       central.central = true;
       return load_play (&central);
