Give up a dead entry soon after an agent's own pause

Cause, found by working out the bounds for a model of a best-effort run: a caller whose entry died sends its job to another entry 1.3 s later. An agent that was paused meanwhile, for a little less than the lease of what it runs, counted silence and the time to reconnect anew when it woke: 0.95 s of pause and 0.6 s of silence are 1.55 s, during which the task went on and its second run had begun.

Change: after a pause an agent leaves an entry 100 ms to be heard from its buffers, in which at least two pulses of a live one lie; the time to reconnect counts from the entry's last word. 0.95 + 0.1 s and a stop stay under 1.3 s.

Ruled out: the entry's own pause (agents stop its tasks after 0.6 s of silence whatever it does later) and late starts (their lease begins when they are sent).

Shown by test_direct_agent_links: the case of a silent death fails on the code before; a live entry and one that reconnects in time are kept, as before.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -86,8 +86,9 @@
   hs_agent_schedule (agent);
   if (peer == NULL)
     return;
+  /* The time to reconnect counts from the last word: after a pause of this
+     process the connection may have broken long ago. */
   peer->conn = NULL;
-  peer->heard_at = now;
   hs_event ("entry_down", "entry=%016" PRIx64 " address=%s", peer->incarnation,
             peer->address);
 }
@@ -205,7 +206,8 @@
 
   for (i = 0; i < HS_ENTRIES_MAX; i++)
     if (agent->peers[i].conn != NULL)
-      agent->peers[i].heard_at = now;
+      agent->peers[i].heard_at = MAX (agent->peers[i].heard_at,
+                                      now - HS_SILENCE_MAX + HS_THAW_GRACE);
 }
 
 uint32_t
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -33,7 +33,7 @@
   bool used;
   uint64_t incarnation;
   char address[HSX_ADDRESS_MAX + 1];
-  HsConn *conn; /**< NULL: lost since `heard_at`. */
+  HsConn *conn; /**< NULL: lost, at most a pulse after `heard_at`. */
   HsTime heard_at;
   HsTime reported_at;
   uint32_t orders_seen;
@@ -95,7 +95,8 @@
 /** Drops entries that are silent or gone; returns when to look again. */
 HsTime hs_agent_links_check (HsDirectAgent *agent, HsTime now);
 
-/** After a pause of this process: silence counts anew. */
+/** After a pause of this process: entries that were alive meanwhile are heard
+ *  at once, from the buffers; the others are gone. */
 void hs_agent_links_thaw (HsDirectAgent *agent, HsTime now);
 
 uint32_t hs_agent_links_count (const HsDirectAgent *agent);
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -27,6 +27,12 @@
  *  never further apart than HS_PULSE. */
 #define HS_PAUSE_MIN (400 * HS_MSEC)
 
+/** After a pause of its own, an agent has heard what an entry sent meanwhile
+ *  within this: two pulses at least lie in the buffer. What it runs may have
+ *  been started a whole lease before the pause's end, so that no more than
+ *  this is left until the entry's caller comes back. */
+#define HS_THAW_GRACE (100 * HS_MSEC)
+
 /** Requests that come this soon after a pause may have waited in a buffer. */
 #define HS_THAW_SPAN (50 * HS_MSEC)
 
--- /dev/null
+++ b/test/test_direct_agent_links.c
@@ -0,0 +1,302 @@
+/* When an agent takes an entry for gone, also after a pause of its own; its
+   connections are stubs. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/time.h"
+#include "direct/agent_private.h"
+#include "direct/liveness.h"
+
+#define AGENT 77
+#define ENTRY 5
+
+static HsDirectAgent *agent;
+static HsPlatformSettings settings;
+static hsx_hello hello;
+static void *conn_data;
+static uint32_t n_closed;
+static uint32_t n_stops;
+static int conn_place;
+
+static HsConn *
+conn (void)
+{
+  return (HsConn *) (void *) &conn_place;
+}
+
+const hsx_hello *
+hs_conn_peer (const HsConn *which)
+{
+  (void) which;
+  return &hello;
+}
+
+void
+hs_conn_set_data (HsConn *which, void *data)
+{
+  (void) which;
+  conn_data = data;
+}
+
+void *
+hs_conn_data (const HsConn *which)
+{
+  (void) which;
+  return conn_data;
+}
+
+void
+hs_conn_close (HsConn *which)
+{
+  (void) which;
+  n_closed++;
+}
+
+bool
+hs_conn_call (HsConn *which,
+              uint32_t proc,
+              const void *args,
+              HsTime timeout,
+              HsRpcDone done,
+              void *arg)
+{
+  (void) which;
+  (void) proc;
+  (void) args;
+  (void) timeout;
+  (void) done;
+  (void) arg;
+  return true;
+}
+
+HsConn *
+hs_rpc_dial (HsRpc *rpc, const char *address)
+{
+  (void) rpc;
+  (void) address;
+  return NULL;
+}
+
+void
+hs_agent_schedule (HsDirectAgent *which)
+{
+  (void) which;
+}
+
+static void
+on_start (void *arg, uint32_t run, const HsTargetStart *start)
+{
+  (void) arg;
+  (void) start;
+  hs_runs_started (agent->runs, run, HS_TARGET_OK, hs_now ().mono);
+}
+
+static void
+on_forget (void *arg, uint32_t run)
+{
+  (void) arg;
+  (void) run;
+}
+
+static void
+on_stop (void *arg, const HsRunKey *key, uint64_t token)
+{
+  (void) arg;
+  (void) key;
+  (void) token;
+  n_stops++;
+}
+
+static void
+on_look (void *arg, const HsTargetLook *look)
+{
+  (void) arg;
+  (void) look;
+}
+
+static void
+on_ended (void *arg, uint32_t peer, const HsRunKey *key, const hsx_end *end)
+{
+  (void) arg;
+  (void) peer;
+  (void) key;
+  (void) end;
+}
+
+static void
+on_changed (void *arg)
+{
+  (void) arg;
+}
+
+static void
+on_offered (void *arg, uint32_t peer)
+{
+  (void) arg;
+  (void) peer;
+}
+
+static const HsRunsEffects EFFECTS = { on_start, on_forget,  on_stop,   on_look,
+                                       on_ended, on_changed, on_offered };
+
+/* What the target says of itself, and that nothing runs there. */
+static void
+know_target (HsTime now)
+{
+  HsAnnouncement said
+      = { .name = "t", .service = "s", .sequence = 1, .born_ms = 5 };
+  HsTargetList list = { .born_ms = 5 };
+
+  said.capacity = (hsx_room){ 4000, 1000, 0 };
+  hs_runs_announce (agent->runs, &said, now);
+  hs_runs_tick (agent->runs, now);
+  hs_runs_looked (agent->runs, 1, HS_TARGET_OK, &list, now);
+}
+
+/* A task of the entry is started. */
+static void
+order (HsTime now)
+{
+  hsx_launch_task task = { .ref = 9, .attempt = 1 };
+  hsx_launch launch = { .job = (char *) "ab",
+                        .spec = { 1, (char *) "x" },
+                        .needs = { 1000, 10, 0 },
+                        .expected_ms = 5000,
+                        .left_ms = 9000,
+                        .tasks = { 1, &task } };
+  hsx_orders_args orders = {
+    .agent = AGENT, .number = 1, .stamp_us = now, .launches = { 1, &launch }
+  };
+
+  hs_agent_links_call (agent, conn (), HSX_ORDERS, &orders);
+}
+
+static int
+setup (void **state)
+{
+  HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
+  HsTime now = hs_now ().mono;
+
+  (void) state;
+  n_closed = n_stops = 0;
+  conn_data = NULL;
+  agent = talloc_zero (NULL, HsDirectAgent);
+  agent->settings = &settings;
+  settings.host = (char *) "h";
+  agent->incarnation = AGENT;
+  agent->dialer = hs_dialer_new (agent, NULL, NULL);
+  agent->runs = hs_runs_new (agent, &options, 100, &EFFECTS, agent);
+  hello = (hsx_hello){ .role = HSX_ROLE_ENTRY,
+                       .incarnation = ENTRY,
+                       .address = (char *) "10.0.0.1:7000",
+                       .data_centre = (char *) "dc" };
+  know_target (now);
+  hs_agent_links_up (agent, conn ());
+  order (now);
+  assert_int_equal (hs_runs_count (agent->runs), 1);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < HS_ENTRIES_MAX; i++)
+    if (agent->peers[i].used)
+      {
+        g_array_unref (agent->peers[i].ends);
+        g_array_unref (agent->peers[i].told_ends);
+      }
+  talloc_free (agent);
+  return 0;
+}
+
+static void
+the_tasks_of_a_silent_entry_are_stopped (void **state)
+{
+  HsTime now = hs_now ().mono;
+
+  (void) state;
+  hs_agent_links_check (agent, now + HS_SILENCE_MAX - 50 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+  hs_agent_links_check (agent, now + HS_SILENCE_MAX);
+  assert_int_equal (n_stops, 1);
+}
+
+/* The agent was paused for almost a lease, so that the task still runs. Its
+   entry died meanwhile, without a word: its caller comes back 1.3 s after
+   that. */
+static void
+after_a_pause_an_entry_that_died_is_given_up_soon (void **state)
+{
+  HsTime woken = hs_now ().mono + 950 * HS_MSEC;
+
+  (void) state;
+  hs_agent_links_thaw (agent, woken);
+  hs_agent_links_check (agent, woken);
+  assert_int_equal (n_stops, 0);
+  hs_agent_links_check (agent, woken + 150 * HS_MSEC);
+  assert_int_equal (n_stops, 1);
+}
+
+static void
+after_a_pause_a_connection_that_broke_is_given_up_soon (void **state)
+{
+  HsTime woken = hs_now ().mono + 950 * HS_MSEC;
+
+  (void) state;
+  hs_agent_links_thaw (agent, woken);
+  hs_agent_links_down (agent, conn (), false);
+  hs_agent_links_check (agent, woken + 150 * HS_MSEC);
+  assert_int_equal (n_stops, 1);
+}
+
+/* An entry that lived on has left its pulses in the buffer. */
+static void
+after_a_pause_an_entry_that_lives_is_kept (void **state)
+{
+  HsTime now = hs_now ().mono;
+  hsx_orders_args pulse = { .agent = AGENT, .number = 2, .stamp_us = now };
+
+  (void) state;
+  hs_agent_links_thaw (agent, now + 300 * HS_MSEC);
+  hs_agent_links_call (agent, conn (), HSX_ORDERS, &pulse);
+  hs_agent_links_check (agent, now + 500 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+}
+
+/* One that reconnects in time keeps its tasks. */
+static void
+a_broken_connection_may_be_replaced (void **state)
+{
+  HsTime now = hs_now ().mono;
+
+  (void) state;
+  hs_agent_links_down (agent, conn (), false);
+  hs_agent_links_check (agent, now + 300 * HS_MSEC);
+  hs_agent_links_up (agent, conn ());
+  hs_agent_links_check (agent, now + 500 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (the_tasks_of_a_silent_entry_are_stopped),
+    TEST (after_a_pause_an_entry_that_died_is_given_up_soon),
+    TEST (after_a_pause_a_connection_that_broke_is_given_up_soon),
+    TEST (after_a_pause_an_entry_that_lives_is_kept),
+    TEST (a_broken_connection_may_be_replaced),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
