--- a/src/direct/pace.c
+++ b/src/direct/pace.c
@@ -2,8 +2,8 @@
 
 #include <glib.h>
 
-/** A pace is judged over this at least: progress is read off lists whose age
- *  differs by the time of a call. */
+/** A pace is judged over this at least: the clock and the progress are told in
+ *  whole milliseconds and hundredths. */
 #define SPAN_MIN (15 * HS_MSEC)
 
 /** It begins anew after the larger of this and a part of the usual run: a run
--- a/src/direct/pace.h
+++ b/src/direct/pace.h
@@ -20,6 +20,8 @@
   int percent;
 } HsPace;
 
+/* All times are by one clock, of the target that tells the progress. */
+
 /** Notes what a run's target says, after the pace up to it was judged.
  *  @param percent below 0: it didn't say
  *  @param usual the longest that a run like this usually takes; a pace is
--- a/src/direct/runs_look.c
+++ b/src/direct/runs_look.c
@@ -60,8 +60,12 @@
                           uint32_t number,
                           const HsTargetList *list,
                           HsTime now);
-static void note_progress (HsRuns *runs, HsRun *run, int percent, HsTime now);
-static void judge_pace (HsRuns *runs, HsRun *run, HsTime now);
+static void note_progress (HsRuns *runs,
+                           HsRun *run,
+                           int percent,
+                           HsTime listed,
+                           HsTime now);
+static void judge_pace (HsRuns *runs, HsRun *run, HsTime listed, HsTime now);
 static void settle (HsRuns *runs, uint32_t number, uint64_t token, HsTime now);
 static void check_lapse (HsRuns *runs, HsTime now);
 static bool has_unsettled (const HsRuns *runs);
@@ -301,7 +305,7 @@
           if (run->stop_wanted)
             hs_run_call_stop (runs, run, now);
         }
-      note_progress (runs, run, row->percent, now);
+      note_progress (runs, run, row->percent, list->clock_ms * HS_MSEC, now);
     }
   /* A run that was there when the look was sent, and is in neither list. */
   for (i = 0; i < HS_RUNS_MAX; i++)
@@ -316,7 +320,7 @@
 }
 
 static void
-note_progress (HsRuns *runs, HsRun *run, int percent, HsTime now)
+note_progress (HsRuns *runs, HsRun *run, int percent, HsTime listed, HsTime now)
 {
   if (run->state != HS_RUN_ON)
     return;
@@ -325,7 +329,7 @@
       run->percent = percent;
       run->percent_at = now;
     }
-  judge_pace (runs, run, now);
+  judge_pace (runs, run, listed, now);
   if (run->percent_at == now)
     return;
   if (run->stop_wanted
@@ -336,21 +340,24 @@
 }
 
 /* A target that is slow for several jobs is left alone for a while, and what
-   would be done sooner elsewhere is stopped there. */
+   would be done sooner elsewhere is stopped there. The pace is measured by the
+   target's clock, which doesn't count the time that a list takes to come here,
+   as with answers that are late or an agent that gets no processor.
+   @param listed when the list was made, by the target's clock */
 static void
-judge_pace (HsRuns *runs, HsRun *run, HsTime now)
+judge_pace (HsRuns *runs, HsRun *run, HsTime listed, HsTime now)
 {
-  HsTime left = hs_pace_left (&run->pace, run->percent, now);
+  HsTime left = hs_pace_left (&run->pace, run->percent, listed);
 
   if (run->slow_after == 0)
     return;
   if (!run->slow
-      && hs_pace_total (&run->pace, run->percent, now) > run->slow_after)
+      && hs_pace_total (&run->pace, run->percent, listed) > run->slow_after)
     {
       run->slow = true;
       hs_trust_end (&runs->trust, HSX_END_SLOW, run->key.job, now);
     }
-  hs_pace_note (&run->pace, run->percent, run->slow_after, now);
+  hs_pace_note (&run->pace, run->percent, run->slow_after, listed);
   if (!run->slow || hs_trust_level (&runs->trust, now) == HS_TRUST_FULL
       || left < run->expected + MOVE_COST)
     return;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -508,6 +508,53 @@
     assert_int_equal (ends[i].how, HSX_END_SLOW);
 }
 
+/* Lists that come late, as when the agent gets no processor, show no pace. */
+static void
+late_lists_make_nothing_slow (void **state)
+{
+  static const char *const jobs[] = { "a", "b", "c" };
+  HsTargetList list;
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < 3; i++)
+    {
+      hsx_launch_task task = { .ref = i + 1, .attempt = 1, .slow_ms = 180 };
+      hsx_launch order = { .job = (char *) jobs[i],
+                           .spec = { 1, (char *) "x" },
+                           .needs = { 10, 10, 0 },
+                           .expected_ms = 60,
+                           .left_ms = 3000 };
+      StartCall call;
+
+      hs_runs_launch (runs, 0, &order, &task, now, now);
+      call = take_start ();
+      hs_runs_started (runs, call.run,
+                       hs_runner_model_start (&model, &call.start, 90 * HS_MSEC,
+                                              false, 10, now),
+                       now);
+    }
+  pass (10 * HS_MSEC);
+  answer_look ();
+  pass (HS_MSEC);
+  for (i = 0; i < 2; i++)
+    {
+      HsTargetResult result;
+
+      assert_true (n_looks > 0);
+      result = hs_runner_model_look (&model, &looks[0], &list, now);
+      now += 25 * HS_MSEC;
+      hs_runs_looked (runs, looks[0].number, result, &list, now);
+      g_free (list.running);
+      g_free (list.ends);
+      n_looks--;
+      memmove (looks, looks + 1, n_looks * sizeof *looks);
+      hs_runs_tick (runs, now);
+    }
+  assert_int_equal (n_stops, 0);
+  assert_int_equal (hs_runs_state (runs), HSX_TARGET_READY);
+}
+
 /* The same runs, where nothing is known of how long they should take, and
    where only one job is slow. */
 static void
@@ -653,6 +700,7 @@
     TEST (a_run_that_stands_still_is_stopped_and_told),
     TEST (runs_of_a_target_that_is_slow_are_stopped_and_told),
     TEST (runs_that_may_be_long_are_left_alone),
+    TEST (late_lists_make_nothing_slow),
     TEST (a_mute_target_is_granted_nothing_and_its_runs_lapse),
     TEST (one_lost_look_hides_an_end_for_a_short_time),
     TEST (a_token_below_that_of_an_earlier_life_is_raised),
