Ask targets for a lease of 600 ms at most

Cause, found by working out the bounds for a model: an entry dies without a word, and its agent just before it would find out, 0.6 s later. Until then the agent has renewed the lease of what it runs, by 1 s: 1.62 s after the entry's death, while its caller is back with another entry after 1.3 s. The task would run twice at once.

Change: the lease is 600 ms though targets grant 1 s; with the entry's silence 1.21 s. A static assertion holds the three spans together.

Ruled out: a shorter silence, which a throttled entry would lose by mistake; renewing for some tasks only (the lease is the target's).

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -303,7 +303,7 @@
   agent->incarnation = hs_process_incarnation ();
   agent->alive_at = now.mono;
   make_metrics (agent);
-  options.lease = agent->settings->lease;
+  options.lease = MIN (agent->settings->lease, HS_LEASE_MAX);
   options.stop_timeout = agent->settings->stop_timeout;
   /* Wall time is above every token of earlier lives: each raises it by less
      than one a millisecond. */
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -568,7 +568,8 @@
   return true;
 }
 
-/* A task that was too slow twice is what is slow itself. */
+/* A task that was stopped as slow once runs on elsewhere whatever its pace: it
+   may be longer than expected. */
 static uint32_t
 slow_after (const HsJobs *jobs, const HsJob *job, const HsTask *task)
 {
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -8,6 +8,8 @@
 #ifndef HS_DIRECT_LIVENESS_H
 #define HS_DIRECT_LIVENESS_H
 
+#include <glib.h>
+
 #include "base/time.h"
 
 /** Each side lets the other hear from it at least this often. */
@@ -23,6 +25,19 @@
  *  reads a second. */
 #define HS_ENTRIES_REREAD (300 * HS_SEC)
 
+/** A caller whose request broke sends its job again after this; told by the
+ *  users. */
+#define HS_RESEND_SPAN (1300 * HS_MSEC)
+
+/** The longest lease that an agent asks of its target, which may grant more.
+ *  An agent renews it until it takes an entry for gone; if it dies right then,
+ *  what runs for that entry ends with the lease, by a clock that is 2% slow,
+ *  before the entry's caller is back. */
+#define HS_LEASE_MAX (600 * HS_MSEC)
+
+G_STATIC_ASSERT (HS_SILENCE_MAX + HS_LEASE_MAX + HS_LEASE_MAX / 50
+                 < HS_RESEND_SPAN);
+
 /** A loop that didn't turn for so long was paused: a process's timers are
  *  never further apart than HS_PULSE. */
 #define HS_PAUSE_MIN (400 * HS_MSEC)
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -22,6 +22,9 @@
 static uint32_t n_closed;
 static uint32_t n_stops;
 static int conn_place;
+static uint32_t looks_open;
+static uint32_t last_look;
+static int64_t lease_until_ms; /* By the target's clock, from setup(). */
 
 static HsConn *
 conn (void)
@@ -116,7 +119,10 @@
 on_look (void *arg, const HsTargetLook *look)
 {
   (void) arg;
-  (void) look;
+  looks_open++;
+  last_look = look->number;
+  if (look->renews)
+    lease_until_ms = look->lease_until_ms;
 }
 
 static void
@@ -179,11 +185,12 @@
 static int
 setup (void **state)
 {
-  HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
+  HsRunsOptions options
+      = { .lease = HS_LEASE_MAX, .stop_timeout = 50 * HS_MSEC };
   HsTime now = hs_now ().mono;
 
   (void) state;
-  n_closed = n_stops = 0;
+  n_closed = n_stops = looks_open = 0;
   conn_data = NULL;
   agent = talloc_zero (NULL, HsDirectAgent);
   agent->settings = &settings;
@@ -230,6 +237,37 @@
   assert_int_equal (n_stops, 1);
 }
 
+/* The entry dies without a word, and its agent as it finds out. The target ends
+   the run with its lease, by a clock that is 2% slow, before the entry's caller
+   is back. */
+static void
+the_last_lease_ends_before_the_caller_is_back (void **state)
+{
+  HsTime began = hs_now ().mono;
+  HsTime now;
+  HsListedRun run = { .percent = 1 };
+
+  (void) state;
+  g_strlcpy (run.key.job, "ab", sizeof run.key.job);
+  run.key.attempt = 1;
+  for (now = began; n_stops == 0; now += 10 * HS_MSEC)
+    {
+      HsTargetList list = { .born_ms = 5, .running = &run, .n_running = 1 };
+
+      list.clock_ms = (now - began) / HS_MSEC;
+      run.percent = (int) list.clock_ms / 20;
+      hs_agent_links_check (agent, now);
+      hs_runs_tick (agent->runs, now);
+      while (looks_open > 0)
+        {
+          looks_open--;
+          hs_runs_looked (agent->runs, last_look, HS_TARGET_OK, &list, now);
+        }
+      assert_true (now < began + HS_SEC);
+    }
+  assert_in_range (lease_until_ms, 1000, HS_RESEND_SPAN / HS_MSEC * 98 / 100);
+}
+
 /* The agent was paused for almost a lease, so that the task still runs. Its
    entry died meanwhile, without a word: its caller comes back 1.3 s after
    that. */
@@ -292,6 +330,7 @@
 #define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
   const struct CMUnitTest tests[] = {
     TEST (the_tasks_of_a_silent_entry_are_stopped),
+    TEST (the_last_lease_ends_before_the_caller_is_back),
     TEST (after_a_pause_an_entry_that_died_is_given_up_soon),
     TEST (after_a_pause_a_connection_that_broke_is_given_up_soon),
     TEST (after_a_pause_an_entry_that_lives_is_kept),
