Start the runs of the pace tests in one place

Cause: three tests of test_direct_runs wrote out the same launch and start; a newcomer had to compare them to see what differs.

Change: run_paced() takes what differs: job, index, expected and slow time, run. No check, bound or expectation is changed.

--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -463,34 +463,46 @@
   assert_int_equal (ends[0].how, HSX_END_STALLED);
 }
 
+/* Starts a task that takes `run`, where its entry expects `expected_ms` and
+   takes more than `slow_ms` for slow. */
+static void
+run_paced (const char *job,
+           uint32_t index,
+           uint32_t expected_ms,
+           uint32_t slow_ms,
+           HsTime run)
+{
+  hsx_launch_task task = { .ref = (uint64_t) job[0] * 100 + index,
+                           .index = index,
+                           .attempt = 1,
+                           .slow_ms = slow_ms };
+  hsx_launch order = { .job = (char *) job,
+                       .spec = { 1, (char *) "x" },
+                       .needs = { 10, 10, 0 },
+                       .expected_ms = expected_ms,
+                       .left_ms = 3000 };
+  StartCall call;
+
+  hs_runs_launch (runs, 0, &order, &task, now, now);
+  call = take_start ();
+  hs_runs_started (
+      runs, call.run,
+      hs_runner_model_start (&model, &call.start, run, false, 10, now), now);
+}
+
 /* Three runs of 600 ms, expected to take 100 ms and known to be slow after
    300: their target is left alone, and all are stopped long before their
    ends. */
 static void
 runs_of_a_target_that_is_slow_are_stopped_and_told (void **state)
 {
+  static const char *const jobs[] = { "a", "b", "c" };
   uint32_t i;
   HsTime began = now;
 
   (void) state;
   for (i = 0; i < 3; i++)
-    {
-      static const char *const jobs[] = { "a", "b", "c" };
-      hsx_launch_task task = { .ref = i + 1, .attempt = 1, .slow_ms = 300 };
-      hsx_launch order = { .job = (char *) jobs[i],
-                           .spec = { 1, (char *) "x" },
-                           .needs = { 10, 10, 0 },
-                           .expected_ms = 100,
-                           .left_ms = 3000 };
-      StartCall call;
-
-      hs_runs_launch (runs, 0, &order, &task, now, now);
-      call = take_start ();
-      hs_runs_started (runs, call.run,
-                       hs_runner_model_start (&model, &call.start,
-                                              600 * HS_MSEC, false, 10, now),
-                       now);
-    }
+    run_paced (jobs[i], 0, 100, 300, 600 * HS_MSEC);
   for (i = 0; i < 10 && n_stops < 3; i++)
     {
       pass (20 * HS_MSEC);
@@ -518,22 +530,7 @@
 
   (void) state;
   for (i = 0; i < 3; i++)
-    {
-      hsx_launch_task task = { .ref = i + 1, .attempt = 1, .slow_ms = 180 };
-      hsx_launch order = { .job = (char *) jobs[i],
-                           .spec = { 1, (char *) "x" },
-                           .needs = { 10, 10, 0 },
-                           .expected_ms = 60,
-                           .left_ms = 3000 };
-      StartCall call;
-
-      hs_runs_launch (runs, 0, &order, &task, now, now);
-      call = take_start ();
-      hs_runs_started (runs, call.run,
-                       hs_runner_model_start (&model, &call.start, 90 * HS_MSEC,
-                                              false, 10, now),
-                       now);
-    }
+    run_paced (jobs[i], 0, 60, 180, 90 * HS_MSEC);
   pass (10 * HS_MSEC);
   answer_look ();
   pass (HS_MSEC);
@@ -564,24 +561,7 @@
 
   (void) state;
   for (i = 0; i < 6; i++)
-    {
-      hsx_launch_task task = {
-        .ref = i + 1, .index = i, .attempt = 1, .slow_ms = i < 3 ? 0 : 300
-      };
-      hsx_launch order = { .job = (char *) (i < 3 ? "a" : "b"),
-                           .spec = { 1, (char *) "x" },
-                           .needs = { 10, 10, 0 },
-                           .expected_ms = 100,
-                           .left_ms = 3000 };
-      StartCall call;
-
-      hs_runs_launch (runs, 0, &order, &task, now, now);
-      call = take_start ();
-      hs_runs_started (runs, call.run,
-                       hs_runner_model_start (&model, &call.start,
-                                              600 * HS_MSEC, false, 10, now),
-                       now);
-    }
+    run_paced (i < 3 ? "a" : "b", i, 100, i < 3 ? 0 : 300, 600 * HS_MSEC);
   for (i = 0; i < 20; i++)
     {
       pass (20 * HS_MSEC);
