Read the entries' addresses when an agent starts; tell a short history from a low rate

Meanwhile 25 jobs were refused after waiting, and 17 at once ('queue'): the rate of placements, a decaying sum over 500 ms that had begun a moment before, read far too low. After quiet seconds it read nearly 0, and Retry-After was 10 s. Change: the first read is due at the start (entry_lookup); the rate is corrected for the time over which the sum was built up, and not known in the first 50 ms or after quiet seconds (service_rate). Before: both new tests of test_direct_jobs fail on the old code.

--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -30,8 +30,8 @@
 } Scheduler;
 
 static const char *const SCHEDULER_NAMES[N_SCHEDULERS]
-    = { "ideal",     "whole jobs", "preempting",
-        "one entry", "all linked", "entries", "first come, random" };
+    = { "ideal",      "whole jobs", "preempting",        "one entry",
+        "all linked", "entries",    "first come, random" };
 
 typedef struct
 {
@@ -77,7 +77,8 @@
                 "| late | refused | after ms | lost | wasted of core-s "
                 "| launches refused | refused with room free "
                 "| refused at once | free | in fragments |\n"
-                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- "
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+                "--- | --- | --- "
                 "| --- | --- | --- | --- |\n");
   n = make_loads (loads);
   for (i = 0; i < n; i++)
@@ -168,7 +169,8 @@
   plan.n_agents = 66;
   plan.jobs_per_s = 900;
   plan.arrival_span = 5 * HS_SEC;
-  loads[n++] = (NamedLoad){ "12 entries, 66 targets, 900 jobs/s", plan, N_SEEDS };
+  loads[n++]
+      = (NamedLoad){ "12 entries, 66 targets, 900 jobs/s", plan, N_SEEDS };
   plan.jobs_per_s = 1800;
   loads[n++] = (NamedLoad){ "the same, 1800 jobs/s", plan, N_SEEDS };
   return make_large_loads (&loads[n]) + n;
--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -19,13 +19,6 @@
 /** Time allowed for the last reports to leave this host. */
 #define FINAL_REPORT_SPAN (100 * HS_MSEC)
 
-/** Time without a connection to any entry after which the store is queried for
- *  the entries' addresses. */
-#define NO_ENTRY_SPAN (400 * HS_MSEC)
-
-/** Minimum time between two such queries. */
-#define STORE_QUERY_INTERVAL (1 * HS_SEC)
-
 /** Time between checks of the settings file for changes. */
 #define SETTINGS_CHECK_INTERVAL (1 * HS_SEC)
 
@@ -34,7 +27,6 @@
   HsDirectAgent agent;
   HsSettingsWatch *settings_watch;
   HsTime settings_check_at;
-  HsTime no_entry_since;
 } AgentProcess;
 
 static bool start (AgentProcess *process, GError **error);
@@ -338,8 +330,6 @@
   agent->store = hs_process_store_new (process, agent->ev, agent->settings);
   agent->work_immediate = tevent_create_immediate (process);
   agent->timer = hs_timer_new (process, agent->ev, on_timer, process);
-  process->no_entry_since = now.mono;
-  agent->store_queried_at = now.mono - STORE_QUERY_INTERVAL;
   add_seeds (agent);
   if (hs_announcement_server_new (process, agent->ev,
                                   agent->settings->control_listen,
@@ -443,7 +433,7 @@
   HsDirectAgent *agent = &process->agent;
   size_t i;
 
-  agent->store_query_pending = false;
+  hs_entry_lookup_done (&agent->lookup);
   if (reply->status != HS_STORE_OK)
     return;
   hs_event ("entries_read", "entries=%zu revision=%" PRId64, reply->n_kvs,
@@ -453,28 +443,18 @@
   hs_direct_agent_schedule (agent);
 }
 
-/* Queries the store for the addresses of the entries when no entry is
-   connected, as the seeds may be outdated, and every
-   HS_ENTRIES_REFRESH_INTERVAL, as entries without a connection to this agent
-   don't announce themselves to it. Each running entry has a key in the store.
- */
+/* Reads the addresses of the entries when that is due: each running entry has a
+   key in the store, the seeds may be outdated, and entries without a connection
+   to this agent don't announce themselves to it. */
 static void
 query_store (AgentProcess *process, HsTime now)
 {
   HsDirectAgent *agent = &process->agent;
+  bool connected = hs_agent_links_connected_count (agent) > 0;
 
-  if (hs_agent_links_connected_count (agent) > 0)
-    process->no_entry_since = now;
-  if (agent->store_query_pending
-      || now - agent->store_queried_at < STORE_QUERY_INTERVAL)
-    return;
-  if (now - process->no_entry_since < NO_ENTRY_SPAN
-      && now - agent->store_queried_at < HS_ENTRIES_REFRESH_INTERVAL)
-    return;
-  agent->store_query_pending = true;
-  agent->store_queried_at = now;
-  hs_store_range (agent->store, HS_ENTRY_KEY_PREFIX, 0, on_entries_read,
-                  process);
+  if (hs_entry_lookup_due (&agent->lookup, connected, now))
+    hs_store_range (agent->store, HS_ENTRY_KEY_PREFIX, 0, on_entries_read,
+                    process);
 }
 
 static void
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -7,6 +7,7 @@
 
 #include "base/timer.h"
 #include "direct/dialer.h"
+#include "direct/entry_lookup.h"
 #include "direct/runs.h"
 #include "metrics/metrics.h"
 #include "platform/settings.h"
@@ -81,8 +82,7 @@
   HsRuns *runs;
   HsTargetClient *target_client;
   HsStore *store;
-  bool store_query_pending; /**< For the addresses of the entries. */
-  HsTime store_queried_at;
+  HsEntryLookup lookup; /**< Of the entries' addresses. */
   HsTimer *timer;
   struct tevent_immediate *work_immediate; /**< Runs the work that is due. */
   bool work_scheduled;
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -106,8 +106,11 @@
 void
 hs_jobs_submit (HsJobs *jobs, const HsSubmission *submission, HsTime now)
 {
-  HsJob *job = allocate_job (jobs);
+  HsJob *job;
 
+  if (!hs_jobs_has_waiting_tasks (jobs))
+    hs_service_rate_idle (&jobs->rate, now);
+  job = allocate_job (jobs);
   init_job (jobs, job, submission, now);
   hs_demand_job_arrived (jobs->demand, job->customer, job->work_core_s, now);
   admit (jobs, job, now);
@@ -584,7 +587,7 @@
     return false;
   hs_targets_launch_sent (jobs->targets, target, &job->needs, number);
   row->n_tasks++;
-  hs_jobs_note_placed (jobs, job->needs.cpu_milli, now);
+  hs_service_rate_add (&jobs->rate, job->needs.cpu_milli, now);
   task->state = HS_TASK_SENT;
   task->ref = ref;
   task->target = target;
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -6,6 +6,7 @@
 #define HS_DIRECT_JOBS_PRIVATE_H
 
 #include "direct/jobs.h"
+#include "direct/service_rate.h"
 
 typedef struct
 {
@@ -48,9 +49,7 @@
   uint32_t table_size; /**< Including rows that aren't in use. */
   uint32_t n_active;
   uint32_t next_generation; /**< Of the next start; part of its ref. */
-  double placed_milli;      /**< Thousandths of a core given to starts, a sum
-                                 that decays exponentially. */
-  HsTime placed_at;         /**< When the sum was last updated. */
+  HsServiceRate rate;       /**< Of processors given to waiting tasks. */
   uint32_t *by_rank;        /**< Handles of waiting jobs, highest rank first. */
   double *ranks;            /**< By handle. */
 };
@@ -60,10 +59,7 @@
 double hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now);
 
 /** The time until @p job would start behind the waiting jobs of higher rank;
- *  HS_NEVER if nothing has been started yet. */
+ *  HS_NEVER if it isn't known. */
 HsTime hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now);
 
-/** Counts resources given to a waiting task. */
-void hs_jobs_note_placed (HsJobs *jobs, uint32_t cpu_milli, HsTime now);
-
 #endif
--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -1,6 +1,4 @@
 /* The order of waiting jobs, and the predicted wait of a job that arrives. */
-#include <math.h>
-
 #include <glib.h>
 
 #include "direct/jobs_private.h"
@@ -15,9 +13,6 @@
 /** Ranks are sent as integers, multiplied by this. */
 #define RANK_SCALE 1000.0
 
-/** Time constant of the average rate at which resources are given to tasks. */
-#define PLACEMENT_WINDOW (500 * HS_MSEC)
-
 double
 hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
@@ -60,10 +55,7 @@
 HsTime
 hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
-  double age_spans
-      = (double) (now - jobs->placed_at) / (double) PLACEMENT_WINDOW;
-  double milli_per_s
-      = jobs->placed_milli * exp (-age_spans) * HS_SEC / PLACEMENT_WINDOW;
+  double milli_per_s = hs_service_rate_per_s (&jobs->rate, now);
   double ahead_milli = job->needs.cpu_milli;
   double rank = hs_job_rank (jobs, job, now);
   uint32_t i;
@@ -81,13 +73,3 @@
     return HS_NEVER;
   return (HsTime) MIN (ahead_milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
 }
-
-void
-hs_jobs_note_placed (HsJobs *jobs, uint32_t cpu_milli, HsTime now)
-{
-  double age_spans
-      = (double) (now - jobs->placed_at) / (double) PLACEMENT_WINDOW;
-
-  jobs->placed_milli = jobs->placed_milli * exp (-age_spans) + cpu_milli;
-  jobs->placed_at = now;
-}
--- a/test/load_jobs.c
+++ b/test/load_jobs.c
@@ -29,8 +29,7 @@
                                   double sigma,
                                   double least,
                                   double most);
-static double
-kind_shares (const LoadPlan *plan, bool in_burst, double *shares);
+static double kind_shares (const LoadPlan *plan, bool in_burst, double *shares);
 static LoadJob
 draw_job (const LoadPlan *plan, const double *shares, Prng *random);
 static void free_job (gpointer data);
@@ -47,9 +46,8 @@
     {
       bool in_burst = at >= plan->burst_from && at < plan->burst_to;
       double shares[LOAD_KINDS];
-      double rate
-          = plan->jobs_per_s * (in_burst ? plan->burst : 1)
-            * kind_shares (plan, in_burst, shares);
+      double rate = plan->jobs_per_s * (in_burst ? plan->burst : 1)
+                    * kind_shares (plan, in_burst, shares);
       LoadJob job;
 
       at += (HsTime) (-log (uniform (&random)) / rate * HS_SEC);
@@ -170,10 +168,9 @@
                              kind->mean_run_ms * 4);
   job.n_tasks = (unsigned int) bounded_log_normal (
       random, kind->mean_tasks, 0.4, 1, kind->mean_tasks * 4);
-  job.needs.cpu_milli
-      = (unsigned int) bounded_log_normal (
-          random, plan->task_milli, 0.2, plan->task_milli * 0.25,
-          plan->task_milli * LARGEST_TASK_FACTOR);
+  job.needs.cpu_milli = (unsigned int) bounded_log_normal (
+      random, plan->task_milli, 0.2, plan->task_milli * 0.25,
+      plan->task_milli * LARGEST_TASK_FACTOR);
   job.needs.memory_mb = 64;
   job.run_times = g_new (HsTime, job.n_tasks);
   for (i = 0; i < job.n_tasks; i++)
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -172,9 +172,8 @@
 void
 load_step_agent (Agent *agent)
 {
-  HsTime report_interval
-      = MIN (7 * HS_MSEC * load_links_per_agent (load_world.plan),
-             HEARTBEAT_INTERVAL);
+  HsTime report_interval = MIN (
+      7 * HS_MSEC * load_links_per_agent (load_world.plan), HEARTBEAT_INTERVAL);
   unsigned int e;
 
   hs_target_model_advance (&agent->model, load_world.now);
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -427,6 +427,45 @@
   assert_int_equal (hs_targets_slow_threshold (targets, expected), 0);
 }
 
+/* All targets have come back a moment ago. What was started since then doesn't
+   tell that the targets are slow, so the next jobs wait for their turn. */
+static void
+the_first_starts_after_an_outage_are_no_reason_to_refuse (void **state)
+{
+  HsTime now = T0 + 10 * HS_MSEC;
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 4, T0);
+  assert_int_equal (n_launches, 4);
+  submit ("b", 2, now);
+  submit ("c", 2, now);
+  assert_int_equal (n_answers, 0);
+  report_free (0, CAPACITY, now + 20 * HS_MSEC);
+  hs_jobs_dispatch (jobs, now + 20 * HS_MSEC);
+  assert_int_equal (n_launches, 8);
+}
+
+/* As above, but after quiet seconds. */
+static void
+a_quiet_time_is_no_reason_to_refuse (void **state)
+{
+  HsTime now = T0 + 5 * HS_SEC;
+  hsx_end end = { .how = HSX_END_DONE, .run_us = 200 * HS_MSEC };
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  end.ref = launches[0].task.ref;
+  hs_jobs_task_ended (jobs, 0, &end, T0 + 200 * HS_MSEC);
+  report_free (0, 0, now);
+  submit ("b", 1, now);
+  assert_int_equal (n_answers, 1);
+  report_free (0, 1000, now + 20 * HS_MSEC);
+  hs_jobs_dispatch (jobs, now + 20 * HS_MSEC);
+  assert_int_equal (n_launches, 2);
+}
+
 int
 main (void)
 {
@@ -450,6 +489,8 @@
     TEST (
         a_task_is_stopped_as_slow_at_most_once_and_only_when_run_times_are_known),
     TEST (no_run_is_judged_slow_while_many_targets_are_unresponsive),
+    TEST (the_first_starts_after_an_outage_are_no_reason_to_refuse),
+    TEST (a_quiet_time_is_no_reason_to_refuse),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
