Let the yardstick's entries tell agents of their backlog in turn, as the real ones do

Cause: the simulated entries told the first 16 of their agents each time, so that those of low number were asked by all and the others by none; the real ones go round (entry_links.c).

--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -94,7 +94,8 @@
           unsigned int seed;
 
           if (!applies (&loads[i].plan, scheduler)
-              || (argc > 4 && strcmp (SCHEDULER_NAMES[scheduler], argv[4])))
+              || (argc > 4
+                  && strcmp (SCHEDULER_NAMES[scheduler], argv[4]) != 0))
             continue;
           for (seed = 0; seed < loads[i].n_seeds; seed++)
             {
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -192,18 +192,24 @@
 {
   hsx_want none = { 0 };
   hsx_want backlog;
+  unsigned int n_agents = load_world.plan->n_agents;
   unsigned int n_informed = 0;
+  unsigned int first = entry->next_backlog_agent;
   unsigned int a;
+  unsigned int k;
 
   hs_jobs_tick (entry->jobs, load_world.now);
   hs_targets_tick (entry->targets, load_world.now);
   backlog = hs_jobs_backlog (entry->jobs, load_world.now);
-  for (a = 0; a < load_world.plan->n_agents; a++)
+  for (a = 0; a < n_agents; a++)
     n_informed += entry->backlog_sent[a];
-  for (a = 0; a < load_world.plan->n_agents; a++)
+  for (k = 0; k < n_agents; k++)
     {
-      bool announce
-          = backlog.rank > 0 && !entry->backlog_sent[a] && n_informed < 16;
+      bool announce;
+
+      a = (first + k) % n_agents;
+      announce = backlog.rank > 0 && !entry->backlog_sent[a]
+                 && n_informed < BACKLOG_AGENTS_MAX;
 
       if (!entry->linked[a])
         continue;
@@ -212,6 +218,8 @@
           && load_world.now - entry->ordered_at[a] < HEARTBEAT_INTERVAL)
         continue;
       n_informed += announce;
+      if (announce)
+        entry->next_backlog_agent = a + 1;
       send_orders (entry, a,
                    announce || entry->backlog_sent[a] ? &backlog : &none);
     }
--- a/test/load_private.h
+++ b/test/load_private.h
@@ -21,10 +21,11 @@
 /** One-way delay between processes in different data centres. */
 #define MESSAGE_DELAY (1 * HS_MSEC)
 
-/** As in the real processes; see direct/liveness.h and
+/** As in the real processes; see direct/liveness.h, direct/entry_links.c and
  *  platform/target_client.c. */
 #define HEARTBEAT_INTERVAL (150 * HS_MSEC)
 #define START_TIMEOUT (35 * HS_MSEC)
+#define BACKLOG_AGENTS_MAX 16
 
 typedef enum
 {
@@ -61,6 +62,7 @@
   HsTime ordered_at[AGENTS_MAX];
   bool orders_due[AGENTS_MAX];
   bool backlog_sent[AGENTS_MAX];
+  unsigned int next_backlog_agent;
   bool linked[AGENTS_MAX]; /* Connected to this agent. */
 } Entry;
 
