Use a target again that restarts after its host's clock stepped back

Cause: an incarnation was told from the earlier one by its start alone, which is the wall clock of the target's host. After a step back by some seconds and a restart, announcements and lists of the new incarnation counted as late ones of an earlier incarnation until the clock had caught up: the target was out of use, and what had run there was not known to have ended. Change: the order of the polls tells which incarnation answered last, and an incarnation that the target itself reports as replaced isn't the later one. Ruled out: accepting any earlier start, as an announcement may arrive long after its sender has died. Before: two of the three new tests of test_direct_runs fail. After: all 24 pass, as do test_direct_runs_random, _path and _load.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -22,6 +22,7 @@
  *  outdated, or if its lease had expired. */
 #define START_CALLS_MAX 4
 
+static bool is_stale (const HsRuns *runs, const HsAnnouncement *announcement);
 static HsRefusal check_launch (HsRuns *runs,
                                uint32_t entry,
                                const hsx_launch *launch,
@@ -112,7 +113,7 @@
   if (runs->announced)
     same = strcmp (known->name, announcement->name) == 0
            && (same || known->started_ms == 0);
-  if (announcement->started_ms < known->started_ms)
+  if (is_stale (runs, announcement))
     return false;
   if (same && runs->announced && announcement->sequence <= known->sequence)
     return false;
@@ -122,7 +123,11 @@
   runs->target = *announcement;
   runs->announced = true;
   if (!same)
-    runs->n_failed_polls = 0;
+    {
+      runs->n_failed_polls = 0;
+      /* Polls sent before may have been answered by another incarnation. */
+      runs->newest_poll = runs->next_poll - 1;
+    }
   runs->poll_not_before = MIN (runs->poll_not_before, now);
   runs->effects->changed (runs->arg);
   return true;
@@ -465,6 +470,18 @@
   return runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
 }
 
+/* Whether an announcement is of an earlier incarnation. Its start tells, unless
+   the clock of the target's host stepped back: an incarnation that the target
+   itself has reported as replaced isn't the later one. */
+static bool
+is_stale (const HsRuns *runs, const HsAnnouncement *announcement)
+{
+  if (announcement->started_ms >= runs->target.started_ms)
+    return false;
+  return !runs->target_lost
+         || strcmp (runs->target.name, announcement->name) == 0;
+}
+
 static HsRefusal
 check_launch (HsRuns *runs,
               uint32_t entry,
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -236,10 +236,13 @@
               HsTime now)
 {
   int64_t known = runs->target.started_ms;
+  bool other = list->started_ms != 0 && list->started_ms != known;
 
-  if (list->started_ms != 0 && list->started_ms < known)
+  /* If the clock of the target's host stepped back, a later incarnation has an
+     earlier start: the order of the polls tells which one answered last. */
+  if (other && list->started_ms < known && number <= runs->newest_poll)
     return;
-  if (list->started_ms > known)
+  if (other)
     {
       if (known != 0)
         {
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -370,6 +370,75 @@
   assert_false (hs_runs_target (runs)->leaving);
 }
 
+/* The clock of the target's host stepped back by five seconds, and then the
+   target started again, under its name. */
+static void
+a_target_restarted_after_its_clock_stepped_back_is_used_again (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  lose_poll ();
+  now += 100 * HS_MSEC;
+  hs_target_model_restart (&model, now);
+  model.started_ms -= 5000;
+  advance (0);
+  answer_poll ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
+  announcement = make_announcement (1);
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+}
+
+/* As above, but it started under another name and refuses calls that expect the
+   earlier one. */
+static void
+a_target_renamed_after_its_clock_stepped_back_is_used_again (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  advance (HS_SEC);
+  hs_target_model_restart (&model, now);
+  model.started_ms -= 5000;
+  announcement = make_announcement (1);
+  g_strlcpy (announcement.name, "target2", sizeof announcement.name);
+  assert_false (hs_runs_target_announced (runs, &announcement, now));
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_REPLACED, NULL, now);
+  n_polls = 0;
+  announcement.sequence++;
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  advance (0);
+  answer_poll ();
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+}
+
+/* An earlier incarnation answered a poll, and the answer arrives after those of
+   its successor. */
+static void
+a_late_list_of_an_earlier_incarnation_is_ignored (void **state)
+{
+  HsTargetList late = { .started_ms = model.started_ms };
+  HsAnnouncement announcement;
+  uint32_t number;
+
+  (void) state;
+  advance (HS_SEC);
+  number = polls[0].number;
+  now += 10 * HS_MSEC;
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  hs_runs_poll_done (runs, number, HS_TARGET_OK, &late, now);
+  assert_true (hs_runs_target (runs) != NULL);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
+}
+
 static void
 announcements_out_of_order_are_ignored (void **state)
 {
@@ -674,6 +743,9 @@
     TEST (runs_of_an_earlier_agent_incarnation_are_stopped_first),
     TEST (a_restarted_target_has_lost_its_runs),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
+    TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
+    TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
+    TEST (a_late_list_of_an_earlier_incarnation_is_ignored),
     TEST (announcements_out_of_order_are_ignored),
     TEST (a_leaving_target_refuses_launches),
     TEST (a_stale_order_is_refused),
