--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -333,18 +333,27 @@
   assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
 }
 
+/* Starts a task and restarts the target.
+   @param back_ms step of its clock before the restart */
 static void
-a_restarted_target_has_lost_its_runs (void **state)
+restart_target_with_a_run (int64_t back_ms)
 {
-  HsAnnouncement announcement;
-
-  (void) state;
   launch ("a", 0, 7);
   answer_start ();
   advance (0);
   lose_poll ();
   now += 100 * HS_MSEC;
   hs_target_model_restart (&model, now);
+  model.started_ms -= back_ms;
+}
+
+static void
+a_restarted_target_has_lost_its_runs (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  restart_target_with_a_run (0);
   announcement = make_announcement (1);
   assert_true (hs_runs_target_announced (runs, &announcement, now));
   assert_int_equal (ends[0].how, HSX_END_LAPSED);
@@ -378,13 +387,7 @@
   HsAnnouncement announcement;
 
   (void) state;
-  launch ("a", 0, 7);
-  answer_start ();
-  advance (0);
-  lose_poll ();
-  now += 100 * HS_MSEC;
-  hs_target_model_restart (&model, now);
-  model.started_ms -= 5000;
+  restart_target_with_a_run (5000);
   advance (0);
   answer_poll ();
   assert_int_equal (n_ends, 1);
