--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -71,7 +71,8 @@
       perror (argv[2]);
       return 1;
     }
-  fprintf (out, "%d seeds each, commit %s.\n\n", N_SEEDS, argv[1]);
+  fprintf (out, "%d seeds each, %d of the largest site, commit %s.\n\n",
+           N_SEEDS, N_SEEDS_LARGE, argv[1]);
   fprintf (out, "| load | way | cores held | worth | of ideal | in time: wide "
                 "| long | small "
                 "| late | refused | after ms | lost | wasted of core-s "
