--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -21,8 +21,10 @@
 static HsAgentEntry *find_or_add_entry (HsDirectAgent *agent,
                                         uint64_t incarnation);
 static HsAgentEntry *entry_of_conn (HsDirectAgent *agent, HsConn *conn);
-static void
-drop_entry (HsDirectAgent *agent, HsAgentEntry *entry, const char *why);
+static void drop_entry (HsDirectAgent *agent,
+                        HsAgentEntry *entry,
+                        const char *why,
+                        HsTime now);
 static void close_surplus (HsDirectAgent *agent, HsTime now);
 static void apply_orders (HsDirectAgent *agent,
                           HsAgentEntry *entry,
@@ -50,7 +52,7 @@
     if (agent->entries[i].used
         && agent->entries[i].incarnation != hello->incarnation
         && strcmp (agent->entries[i].address, hello->address) == 0)
-      drop_entry (agent, &agent->entries[i], "restarted");
+      drop_entry (agent, &agent->entries[i], "restarted", now);
   entry = find_or_add_entry (agent, hello->incarnation);
   if (entry == NULL)
     {
@@ -201,7 +203,7 @@
           = entry->last_message_at
             + (entry->conn != NULL ? HS_PEER_TIMEOUT : HS_RECONNECT_TIMEOUT);
       if (now >= expires_at)
-        drop_entry (agent, entry, entry->conn != NULL ? "silent" : "gone");
+        drop_entry (agent, entry, entry->conn != NULL ? "silent" : "gone", now);
       else
         due = MIN (due, expires_at);
     }
@@ -264,7 +266,7 @@
           || hs_runs_active_refs (agent->runs, i, &ref, 1) > 0)
         continue;
       hs_dialer_release (agent->dialer, entry->conn, now);
-      drop_entry (agent, entry, "surplus");
+      drop_entry (agent, entry, "surplus", now);
     }
 }
 
@@ -300,15 +302,17 @@
 }
 
 static void
-drop_entry (HsDirectAgent *agent, HsAgentEntry *entry, const char *why)
+drop_entry (HsDirectAgent *agent,
+            HsAgentEntry *entry,
+            const char *why,
+            HsTime now)
 {
   HsConn *conn = entry->conn;
 
   hs_event ("entry_lost", "entry=%016" PRIx64 " address=%s why=%s",
             entry->incarnation, entry->address, why);
   entry->conn = NULL;
-  hs_runs_entry_lost (agent->runs, (uint32_t) (entry - agent->entries),
-                      hs_now ().mono);
+  hs_runs_entry_lost (agent->runs, (uint32_t) (entry - agent->entries), now);
   g_array_unref (entry->unsent_ends);
   g_array_unref (entry->recent_ends);
   memset (entry, 0, sizeof *entry);
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -4,12 +4,7 @@
 #include "base/event.h"
 #include "direct/entry_private.h"
 #include "direct/liveness.h"
-
-/** Maximum number of agents that an entry reports its backlog to at a time. In
- *  the largest deployments each agent frees resources 50 times a second, and
- *  twelve entries compete for them; offers beyond what this entry can use would
- *  withhold those resources from the other entries. */
-#define BACKLOG_AGENTS_MAX 16
+#include "direct/offers.h"
 
 static void agent_up (HsDirectEntry *entry, HsConn *conn);
 static void peer_up (HsDirectEntry *entry, HsConn *conn);
@@ -27,7 +22,8 @@
 static void drop_agent (HsDirectEntry *entry,
                         uint32_t target,
                         bool tasks_ended,
-                        const char *why);
+                        const char *why,
+                        HsTime now);
 static void send_orders (HsDirectEntry *entry,
                          uint32_t target,
                          const hsx_want *backlog,
@@ -205,7 +201,8 @@
       until = link->conn != NULL ? target->last_message_at + HS_PEER_TIMEOUT
                                  : link->disconnected_at + HS_RECONNECT_TIMEOUT;
       if (now >= until)
-        drop_agent (entry, i, false, link->conn != NULL ? "silent" : "gone");
+        drop_agent (entry, i, false, link->conn != NULL ? "silent" : "gone",
+                    now);
       else
         due = MIN (due, until);
     }
@@ -383,14 +380,13 @@
   const HsTarget *row = hs_targets_get (entry->targets, target);
   uint32_t i;
 
-  (void) now;
   for (i = 0; i < entry->n_links; i++)
     {
       const HsTarget *other = hs_targets_get (entry->targets, i);
 
       if (i != target && other->in_use && !other->connected
           && strcmp (other->host, row->host) == 0)
-        drop_agent (entry, i, true, "restarted");
+        drop_agent (entry, i, true, "restarted", now);
     }
 }
 
@@ -398,12 +394,12 @@
 drop_agent (HsDirectEntry *entry,
             uint32_t target,
             bool tasks_ended,
-            const char *why)
+            const char *why,
+            HsTime now)
 {
   HsTarget *row = hs_targets_get (entry->targets, target);
   HsAgentLink *link = link_at (entry, target);
   HsConn *conn = link->conn;
-  HsTime now = hs_now ().mono;
 
   hs_event ("agent_lost", "host=%s agent=%016" PRIx64 " tasks=%u why=%s",
             row->host, row->agent_incarnation, row->n_tasks, why);
@@ -457,7 +453,7 @@
 
   for (i = 0; i < entry->n_links; i++)
     n += entry->links[i].conn != NULL && entry->links[i].backlog_sent;
-  for (i = 0; i < entry->n_links && n < BACKLOG_AGENTS_MAX; i++)
+  for (i = 0; i < entry->n_links && n < HS_BACKLOG_AGENTS_MAX; i++)
     {
       uint32_t k = entry->next_backlog_agent++ % entry->n_links;
 
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -1,4 +1,5 @@
 /* Messages between the entries and agents of a simulated load. */
+#include "direct/offers.h"
 #include "load_private.h"
 
 static void
@@ -209,7 +210,7 @@
 
       a = (first + k) % n_agents;
       announce = backlog.rank > 0 && !entry->backlog_sent[a]
-                 && n_informed < BACKLOG_AGENTS_MAX;
+                 && n_informed < HS_BACKLOG_AGENTS_MAX;
 
       if (!entry->linked[a])
         continue;
--- a/test/load_private.h
+++ b/test/load_private.h
@@ -21,11 +21,10 @@
 /** One-way delay between processes in different data centres. */
 #define MESSAGE_DELAY (1 * HS_MSEC)
 
-/** As in the real processes; see direct/liveness.h, direct/entry_links.c and
+/** As in the real processes; see direct/liveness.h and
  *  platform/target_client.c. */
 #define HEARTBEAT_INTERVAL (150 * HS_MSEC)
 #define START_TIMEOUT (35 * HS_MSEC)
-#define BACKLOG_AGENTS_MAX 16
 
 typedef enum
 {
