Log the crashes of a target, and the tasks that ran on it

The logs could not tell which of the hypotheses holds: a crash showed only as a target that is silent after 150 ms, without customers or ages of its tasks. An agent now finds the crash when connections are refused (a new result of a call, HS_TARGET_NO_LISTENER) or when another incarnation answers, and logs it with the tasks that ran; launches carry the customer. Nothing is decided by it yet.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -123,6 +123,30 @@
   hs_agent_links_mark_offer (arg, entry);
 }
 
+static void
+effect_crashed (void *arg, const HsCrash *crash)
+{
+  HsDirectAgent *agent = arg;
+  const HsAnnouncement *target = hs_runs_target (agent->runs);
+  char name[HS_EVENT_VALUE_SIZE];
+  char customer[HS_EVENT_VALUE_SIZE];
+  uint32_t i;
+
+  hs_event ("target_crashed", "name=%s crash=%u tasks=%u seen_after_ms=%.1f",
+            target != NULL ? hs_event_sanitise (target->name, name) : "-",
+            crash->number, crash->n_tasks,
+            (double) (hs_now ().mono - crash->at) / HS_MSEC);
+  for (i = 0; i < crash->n_tasks; i++)
+    hs_event ("crash_task",
+              "crash=%u job=%s step=%u task=%u attempt=%u customer=%s "
+              "ran_ms=%.1f",
+              crash->number, crash->tasks[i].key.job, crash->tasks[i].key.step,
+              crash->tasks[i].key.index, crash->tasks[i].key.attempt,
+              hs_event_sanitise (crash->tasks[i].customer, customer),
+              (double) crash->tasks[i].age / HS_MSEC);
+  hs_counter_add (agent->crash_counter, 0, 1);
+}
+
 static const HsRunsEffects RUNS_EFFECTS
     = { .start = effect_start,
         .abandon_start = effect_abandon_start,
@@ -130,7 +154,8 @@
         .poll = effect_poll,
         .ended = effect_ended,
         .changed = effect_changed,
-        .offered = effect_offered };
+        .offered = effect_offered,
+        .crashed = effect_crashed };
 
 /* Answers and announcements of the target. */
 
@@ -551,6 +576,9 @@
     agent->end_counters[i] = hs_metrics_counter (
         agent->metrics, "hs_direct_tasks_total", "Tasks by how they ended.",
         "how", hs_end_name (i));
+  agent->crash_counter
+      = hs_metrics_counter (agent->metrics, "hs_direct_target_crashes_total",
+                            "Crashes of the target.", NULL, NULL);
   agent->run_times
       = hs_metrics_histogram (agent->metrics, "hs_direct_run_seconds",
                               "Run times of tasks that were done.", NULL, NULL);
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -97,6 +97,7 @@
   HsAgentEntry entries[HS_ENTRIES_MAX];
   HsMetrics *metrics;
   HsCounter *end_counters[HSX_END_SLOW + 1]; /**< By hsx_end_how. */
+  HsCounter *crash_counter;
   HsHistogram *run_times;
 } HsDirectAgent;
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -130,6 +130,7 @@
     {
       copy = *job;
       copy.job = talloc_strdup (outbox->ctx, job->job);
+      copy.customer = talloc_strdup (outbox->ctx, job->customer);
       copy.spec.spec_val
           = talloc_memdup (outbox->ctx, job->spec.spec_val, job->spec.spec_len);
       copy.tasks.tasks_val
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -345,7 +345,8 @@
 
   job->request = submission->request;
   job->id = talloc_strdup (jobs, submission->id);
-  job->customer_name = talloc_strdup (job->id, submission->customer);
+  job->customer_name
+      = talloc_strndup (job->id, submission->customer, HSX_NAME_MAX);
   job->service = talloc_strdup (job->id, submission->service);
   job->spec = talloc_memdup (job->id, submission->spec, submission->spec_len);
   job->spec_len = submission->spec_len;
@@ -572,6 +573,7 @@
         | ((uint64_t) (job - jobs->table) << REF_TASK_BITS) | index;
   hsx_launch launch
       = { .job = job->id,
+          .customer = job->customer_name,
           .spec = { (u_int) job->spec_len, job->spec },
           .needs = job->needs,
           .expected_ms = (unsigned int) (job->expected_run_time / HS_MSEC),
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -1,4 +1,5 @@
 SRCS += src/direct/resources.c src/direct/runs.c src/direct/runs_poll.c
+SRCS += src/direct/runs_crash.c
 SRCS += src/direct/offers.c src/direct/breaker.c src/direct/progress_rate.c
 SRCS += src/direct/rendezvous.c src/direct/targets.c src/direct/demand.c
 SRCS += src/direct/jobs.c src/direct/jobs_rank.c src/direct/routes.c
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -79,6 +79,7 @@
     [HS_TARGET_REPLACED] = "replaced",
     [HS_TARGET_INVALID] = "invalid",
     [HS_TARGET_UNSENT] = "unsent",
+    [HS_TARGET_NO_LISTENER] = "no_listener",
     [HS_TARGET_UNANSWERED] = "unanswered",
   };
 
@@ -173,6 +174,7 @@
       return;
     }
   run->key = key;
+  g_strlcpy (run->customer, launch->customer, sizeof run->customer);
   run->entry = entry;
   run->ref = task->ref;
   run->needs = launch->needs;
@@ -263,7 +265,9 @@
 
   if (handle >= HS_RUNS_MAX || run->state != HS_RUN_STARTING)
     return;
-  if (result != HS_TARGET_UNANSWERED && result != HS_TARGET_UNSENT)
+  hs_runs_note_call_result (runs, result, now);
+  if (result != HS_TARGET_UNANSWERED && result != HS_TARGET_UNSENT
+      && result != HS_TARGET_NO_LISTENER)
     runs->answered_at = now;
   switch (result)
     {
@@ -296,6 +300,7 @@
     case HS_TARGET_UNHEALTHY:
     case HS_TARGET_INVALID:
     case HS_TARGET_UNSENT:
+    case HS_TARGET_NO_LISTENER:
       hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET, now);
       return;
     }
@@ -320,6 +325,7 @@
       runs->breaker_state = hs_breaker_state (&runs->breaker, now);
       runs->effects->changed (runs->arg);
     }
+  due = MIN (due, hs_runs_check_crash (runs, now));
   due = MIN (due, hs_breaker_next_change (&runs->breaker, now));
   due = MIN (due, make_offers (runs, now));
   for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -45,6 +45,26 @@
   HsTime stop_timeout; /**< How long the target takes for a stop at most. */
 } HsRunsOptions;
 
+/** At most this many tasks are recorded of a crash. */
+#define HS_CRASH_TASKS_MAX 64
+
+/** A task that ran on a target when it crashed. */
+typedef struct
+{
+  HsRunKey key;
+  char customer[HSX_NAME_MAX + 1];
+  HsTime age; /**< Time from its start to the crash. */
+} HsCrashTask;
+
+/** A crash of the target: it ended without having announced that it leaves. */
+typedef struct
+{
+  uint32_t number; /**< Counts the crashes that this agent has seen, from 1. */
+  HsTime at;       /**< First call that failed, or last sign of life. */
+  uint32_t n_tasks;
+  HsCrashTask tasks[HS_CRASH_TASKS_MAX];
+} HsCrash;
+
 /** Calls that the module makes. The results of `start` and `poll` are passed
  *  to hs_runs_start_done() and hs_runs_poll_done(). */
 typedef struct
@@ -63,6 +83,8 @@
   /** Resources are reserved for an entry until it answers; the offer is to be
    *  sent to it at once. */
   void (*offered) (void *arg, uint32_t entry);
+  /** The target has crashed; called once for each incarnation. */
+  void (*crashed) (void *arg, const HsCrash *crash);
 } HsRunsEffects;
 
 /** @param first_token above all tokens of earlier incarnations of the agent */
@@ -152,6 +174,9 @@
 /** The key of a run, for log lines; NULL if the run has ended. */
 const HsRunKey *hs_runs_key (const HsRuns *runs, uint32_t run);
 
+/** The last crash of the target, owned by @p runs; NULL before the first. */
+const HsCrash *hs_runs_last_crash (const HsRuns *runs);
+
 /** Number of runs that haven't ended. */
 uint32_t hs_runs_count (const HsRuns *runs);
 
--- /dev/null
+++ b/src/direct/runs_crash.c
@@ -0,0 +1,113 @@
+/* Crashes of the target: when it crashed, and what ran on it. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "direct/runs_private.h"
+
+/** After the first sign of a crash the results of all calls in flight are
+ *  awaited for this long: they tell which starts had reached the target. */
+#define RESULTS_WAIT (5 * HS_MSEC)
+
+static void take_snapshot (HsRuns *runs);
+static void report_crash (HsRuns *runs);
+
+void
+hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now)
+{
+  switch (result)
+    {
+    case HS_TARGET_UNSENT:
+      return;
+    case HS_TARGET_UNANSWERED:
+    case HS_TARGET_NO_LISTENER:
+      if (runs->failing_since == 0)
+        runs->failing_since = now;
+      if (result == HS_TARGET_NO_LISTENER && runs->no_listener_since == 0)
+        runs->no_listener_since = now;
+      return;
+    default:
+      runs->failing_since = 0;
+      runs->no_listener_since = 0;
+      runs->snapshot_taken = false;
+      return;
+    }
+}
+
+HsTime
+hs_runs_check_crash (HsRuns *runs, HsTime now)
+{
+  HsTime due = runs->no_listener_since + RESULTS_WAIT;
+
+  if (runs->crash_reported || runs->target_lost || runs->target.leaving
+      || !runs->list_known)
+    return HS_NEVER;
+  if (runs->no_listener_since != 0 && now < due)
+    return due;
+  if (runs->unresponsive || runs->no_listener_since != 0)
+    take_snapshot (runs);
+  if (runs->no_listener_since != 0)
+    report_crash (runs);
+  return HS_NEVER;
+}
+
+void
+hs_runs_incarnation_over (HsRuns *runs)
+{
+  bool expected = runs->target_lost || runs->target.leaving;
+
+  if (!runs->crash_reported && !expected
+      && (runs->n_runs > 0 || runs->snapshot_taken))
+    {
+      take_snapshot (runs);
+      report_crash (runs);
+    }
+  runs->crash_reported = false;
+  runs->snapshot_taken = false;
+  runs->failing_since = 0;
+  runs->no_listener_since = 0;
+}
+
+const HsCrash *
+hs_runs_last_crash (const HsRuns *runs)
+{
+  return runs->crash.number > 0 ? &runs->crash : NULL;
+}
+
+/* Records what ran when the target was last known to live. A start whose call
+   is still in flight has probably not reached it. */
+static void
+take_snapshot (HsRuns *runs)
+{
+  HsCrash *crash = &runs->crash;
+  uint32_t i;
+
+  if (runs->snapshot_taken)
+    return;
+  runs->snapshot_taken = true;
+  crash->at
+      = runs->failing_since != 0 ? runs->failing_since : runs->answered_at;
+  crash->n_tasks = 0;
+  for (i = 0; i < HS_RUNS_MAX && crash->n_tasks < HS_CRASH_TASKS_MAX; i++)
+    {
+      const HsRun *run = &runs->runs[i];
+      HsCrashTask *task = &crash->tasks[crash->n_tasks];
+
+      if (run->state == HS_RUN_FREE || run->state == HS_RUN_STARTING)
+        continue;
+      task->key = run->key;
+      g_strlcpy (task->customer, run->customer, sizeof task->customer);
+      task->age = MAX (crash->at - run->called_at, 0);
+      if (run->started_at != 0)
+        task->age = MAX (crash->at - run->started_at, 0);
+      crash->n_tasks++;
+    }
+}
+
+static void
+report_crash (HsRuns *runs)
+{
+  runs->crash_reported = true;
+  runs->crash.number++;
+  runs->effects->crashed (runs->arg, &runs->crash);
+}
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -117,6 +117,7 @@
 
   if (runs->polls_in_flight > 0)
     runs->polls_in_flight--;
+  hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_OK)
     {
       runs->answered_at = now;
@@ -187,6 +188,7 @@
 {
   uint32_t i;
 
+  hs_runs_incarnation_over (runs);
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
       HsRun *run = &runs->runs[i];
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -30,6 +30,7 @@
 {
   HsRunState state;
   HsRunKey key;
+  char customer[HSX_NAME_MAX + 1];
   uint32_t entry; /**< HS_RUNS_NO_ENTRY: its end is reported to no entry. */
   uint64_t ref;
   hsx_room needs;
@@ -79,11 +80,18 @@
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
-  HsTime poll_not_before;  /**< Set after a failed poll; 0: no limit. */
-  HsTime answered_at;      /**< Last answer of the target. */
-  HsTime lease_renewed_at; /**< Last poll or start that carried a lease. */
-  uint32_t n_failed_polls; /**< Consecutive polls without an answer. */
-  bool unresponsive;       /**< Polls have failed for too long. */
+  HsTime poll_not_before;   /**< Set after a failed poll; 0: no limit. */
+  HsTime answered_at;       /**< Last answer of the target. */
+  HsTime lease_renewed_at;  /**< Last poll or start that carried a lease. */
+  uint32_t n_failed_polls;  /**< Consecutive polls without an answer. */
+  bool unresponsive;        /**< Polls have failed for too long. */
+  HsTime failing_since;     /**< First call without an answer since the last
+                                 answer; 0: none. */
+  HsTime no_listener_since; /**< First such call for which nothing listened at
+                                 the target's address; 0: none. */
+  bool snapshot_taken;      /**< `crash` has the tasks of this incarnation. */
+  bool crash_reported;      /**< The crash of this incarnation was reported. */
+  HsCrash crash;
   HsOffers offers;
   HsBreaker breaker;
   HsBreakerState breaker_state; /**< As last reported by `changed`. */
@@ -107,6 +115,18 @@
 /** The run with a key, or NULL. */
 HsRun *hs_run_find (HsRuns *runs, const HsRunKey *key);
 
+/** Records whether the target answered a call: an answer ends the search for a
+ *  crash. */
+void hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now);
+
+/** Reports a crash of the target once it is certain.
+ *  @return when to call it next */
+HsTime hs_runs_check_crash (HsRuns *runs, HsTime now);
+
+/** Another incarnation has replaced the target's, which has crashed unless it
+ *  had announced that it leaves. */
+void hs_runs_incarnation_over (HsRuns *runs);
+
 /** Ends the runs of a target's incarnation that is over. */
 void hs_runs_end_incarnation (HsRuns *runs, HsTime now);
 
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -34,6 +34,7 @@
   HS_TARGET_REPLACED,      /**< Not done: another incarnation listens there. */
   HS_TARGET_INVALID,       /**< Not done: the target rejects the request. */
   HS_TARGET_UNSENT,        /**< Not done: nothing was sent. */
+  HS_TARGET_NO_LISTENER,   /**< Not done: no process listens there. */
   HS_TARGET_UNANSWERED     /**< May have been done, or may be done later. */
 } HsTargetResult;
 
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -417,6 +417,7 @@
 
 struct hsx_launch {
 	char *job;
+	char *customer;
 	struct {
 		u_int spec_len;
 		char *spec_val;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -345,6 +345,7 @@
 
 struct hsx_launch {
 	string job<HSX_ID_MAX>;
+	string customer<HSX_NAME_MAX>;
 	opaque spec<HSX_SPEC_MAX>;
 	hsx_room needs;			/* of each task */
 	unsigned int expected_ms;	/* expected run time */
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -722,6 +722,8 @@
 
 	 if (!xdr_string (xdrs, &objp->job, HSX_ID_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->customer, HSX_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, HSX_SPEC_MAX))
 		 return FALSE;
 	 if (!xdr_hsx_room (xdrs, &objp->needs))
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -138,9 +138,16 @@
   agent->offer_due[peer] = true;
 }
 
-const HsRunsEffects LOAD_RUNS_EFFECTS = { on_start,  on_forget, on_stop,
-                                          on_poll,   on_ended,  on_changed,
-                                          on_offered };
+static void
+on_crashed (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  (void) crash;
+}
+
+const HsRunsEffects LOAD_RUNS_EFFECTS
+    = { on_start, on_forget,  on_stop,    on_poll,
+        on_ended, on_changed, on_offered, on_crashed };
 
 /* Actions of an entry's jobs. */
 
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -148,8 +148,16 @@
   (void) entry;
 }
 
-static const HsRunsEffects EFFECTS = { on_start, on_forget,  on_stop,   on_poll,
-                                       on_ended, on_changed, on_offered };
+static void
+on_crashed (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  (void) crash;
+}
+
+static const HsRunsEffects EFFECTS
+    = { on_start, on_forget,  on_stop,    on_poll,
+        on_ended, on_changed, on_offered, on_crashed };
 
 /* Passes the target's announcement and an empty list of runs to the agent. */
 static void
@@ -171,6 +179,7 @@
 {
   hsx_launch_task task = { .ref = 9, .attempt = 1 };
   hsx_launch launch = { .job = (char *) "ab",
+                        .customer = (char *) "c",
                         .spec = { 1, (char *) "x" },
                         .needs = { 1000, 10, 0 },
                         .expected_ms = 5000,
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -34,6 +34,8 @@
 static uint32_t n_stops;
 static hsx_end ends[64];
 static uint32_t n_ends;
+static HsCrash last_crash;
+static uint32_t n_crashes;
 
 static void
 on_start (void *arg, uint32_t run, const HsTargetStart *start)
@@ -91,9 +93,17 @@
   (void) entry;
 }
 
+static void
+on_crashed (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  last_crash = *crash;
+  n_crashes++;
+}
+
 static const HsRunsEffects EFFECTS
-    = { on_start, on_abandon_start, on_stop,   on_poll,
-        on_ended, on_changed,       on_offered };
+    = { on_start, on_abandon_start, on_stop,    on_poll,
+        on_ended, on_changed,       on_offered, on_crashed };
 
 /* Answers the oldest poll. */
 static void
@@ -177,6 +187,7 @@
 {
   hsx_launch_task task = { .ref = ref, .index = index, .attempt = 1 };
   hsx_launch order = { .job = (char *) job,
+                       .customer = (char *) "c",
                        .spec = { 1, (char *) "x" },
                        .needs = { CPU, 10, 0 },
                        .expected_ms = 200,
@@ -193,7 +204,7 @@
 
   (void) state;
   now = 1000 * HS_SEC;
-  n_starts = n_polls = n_stops = n_ends = 0;
+  n_starts = n_polls = n_stops = n_ends = n_crashes = 0;
   ctx = talloc_new (NULL);
   hs_target_model_init (&model, now);
   runs = hs_runs_new (ctx, &options, FIRST_TOKEN, &EFFECTS, NULL);
@@ -550,6 +561,7 @@
                            .attempt = 1,
                            .slow_ms = slow_ms };
   hsx_launch order = { .job = (char *) job,
+                       .customer = (char *) "c",
                        .spec = { 1, (char *) "x" },
                        .needs = { 10, 10, 0 },
                        .expected_ms = expected_ms,
@@ -733,6 +745,126 @@
   assert_int_equal (model.runs->len, 1);
 }
 
+/* The result of the oldest poll, when nothing listens at the target. */
+static void
+refuse_poll (void)
+{
+  assert_true (n_polls > 0);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_NO_LISTENER, NULL, now);
+  n_polls--;
+  memmove (polls, polls + 1, n_polls * sizeof *polls);
+}
+
+static void
+a_crash_is_reported_with_what_ran (void **state)
+{
+  StartCall in_flight;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (80 * HS_MSEC);
+  answer_poll ();
+  launch ("b", 1, 8);
+  answer_start ();
+  advance (10 * HS_MSEC);
+  launch ("c", 0, 9);
+  in_flight = pop_start ();
+  lose_poll ();
+  advance (0);
+  refuse_poll ();
+  advance (2 * HS_MSEC);
+  hs_runs_start_done (runs, in_flight.run, HS_TARGET_NO_LISTENER, now);
+  assert_int_equal (n_crashes, 0);
+  advance (4 * HS_MSEC);
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.number, 1);
+  assert_int_equal (last_crash.n_tasks, 2);
+  assert_string_equal (last_crash.tasks[0].key.job, "a");
+  assert_string_equal (last_crash.tasks[0].customer, "c");
+  assert_int_equal (last_crash.tasks[0].age, 90 * HS_MSEC);
+  assert_string_equal (last_crash.tasks[1].key.job, "b");
+  assert_int_equal (last_crash.tasks[1].key.index, 1);
+  assert_int_equal (last_crash.tasks[1].age, 10 * HS_MSEC);
+  advance (200 * HS_MSEC);
+  assert_int_equal (n_crashes, 1);
+}
+
+static void
+a_start_that_got_no_answer_belongs_to_the_crash (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.n_tasks, 1);
+}
+
+static void
+a_restart_tells_of_a_crash_that_was_silent (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  while (n_ends == 0)
+    {
+      while (n_polls > 0)
+        lose_poll ();
+      advance (20 * HS_MSEC);
+    }
+  assert_int_equal (n_crashes, 0);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.n_tasks, 1);
+  assert_string_equal (last_crash.tasks[0].key.job, "a");
+}
+
+static void
+a_target_that_answers_again_has_not_crashed (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (HS_MSEC);
+  answer_poll ();
+  advance (50 * HS_MSEC);
+  assert_int_equal (n_crashes, 0);
+}
+
+static void
+the_end_of_a_leaving_target_is_no_crash (void **state)
+{
+  HsAnnouncement announcement = make_announcement (2);
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  announcement.leaving = true;
+  hs_runs_target_announced (runs, &announcement, now);
+  lose_poll ();
+  advance (0);
+  refuse_poll ();
+  advance (10 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  assert_int_equal (n_crashes, 0);
+}
+
 int
 main (void)
 {
@@ -762,6 +894,11 @@
     TEST (a_lost_poll_answer_delays_an_end_by_at_most_60_ms),
     TEST (a_token_below_that_of_an_earlier_incarnation_is_raised),
     TEST (an_outdated_attempt_number_is_raised),
+    TEST (a_crash_is_reported_with_what_ran),
+    TEST (a_start_that_got_no_answer_belongs_to_the_crash),
+    TEST (a_restart_tells_of_a_crash_that_was_silent),
+    TEST (a_target_that_answers_again_has_not_crashed),
+    TEST (the_end_of_a_leaving_target_is_no_crash),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -163,9 +163,16 @@
   (void) entry;
 }
 
+static void
+on_crashed (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  (void) crash;
+}
+
 static const HsRunsEffects EFFECTS
-    = { on_start, on_abandon_start, on_stop,   on_poll,
-        on_ended, on_changed,       on_offered };
+    = { on_start, on_abandon_start, on_stop,    on_poll,
+        on_ended, on_changed,       on_offered, on_crashed };
 
 static void
 announce (void)
@@ -283,7 +290,8 @@
 {
   hsx_launch_task task = { .ref = world.n_refs, .attempt = 1 };
   char job[32];
-  hsx_launch order = { .job = job, .left_ms = 200 + pick (2000) };
+  hsx_launch order
+      = { .job = job, .customer = (char *) "c", .left_ms = 200 + pick (2000) };
 
   if (world.n_refs == REFS_MAX)
     return;
