--- a/bench/part.mk
+++ b/bench/part.mk
@@ -8,5 +8,5 @@
 BENCHES += response
 BENCHES += yardstick
 BENCH_YARDSTICK := bench/yardstick.c bench/queue_model.c test/load_world.c \
-	test/load_jobs.c test/load_effects.c test/load_messages.c \
+	test/load_jobs.c test/load_effects.c test/load_messages.c test/load_crashes.c \
 	test/target_model.c
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -57,11 +57,21 @@
   HsTargetResult result = HS_TARGET_UNANSWERED;
   bool lost = answer_is_lost ();
 
+  if (load_agent_is_down (agent))
+    {
+      msg = load_send_message (MSG_STARTED, HS_MSEC);
+      msg->agent = agent->number;
+      msg->run = run;
+      msg->result = HS_TARGET_NO_LISTENER;
+      return;
+    }
   if (!lost || prng_below (&load_world.random, 2) == 0)
     result = hs_target_model_start (
         &agent->model, start, actual_run_time (agent, &start->key),
         hangs (agent), load_job_by_id (start->key.job)->needs.cpu_milli,
         load_world.now);
+  if (result == HS_TARGET_OK)
+    load_crash_after_start (agent, &start->key);
   if (agent->model.cpu_milli > agent->cpu_milli)
     load_world.result.overcommitted++;
   msg = load_send_message (MSG_STARTED, lost ? START_TIMEOUT : HS_MSEC);
@@ -82,7 +92,7 @@
 {
   Agent *agent = arg;
 
-  if (!answer_is_lost ())
+  if (!load_agent_is_down (agent) && !answer_is_lost ())
     hs_target_model_stop (&agent->model, key, token, load_world.now);
 }
 
@@ -97,7 +107,9 @@
   msg->poll = *poll;
   msg->sent = load_world.now;
   msg->result = lost ? HS_TARGET_UNANSWERED : HS_TARGET_OK;
-  if (lost)
+  if (load_agent_is_down (agent))
+    msg->result = HS_TARGET_NO_LISTENER;
+  else if (lost)
     msg->due = load_world.now + poll->timeout_ms * HS_MSEC;
 }
 
@@ -198,6 +210,8 @@
   LoadKindResult *kind = &load_world.result.kinds[job->kind];
 
   (void) arg;
+  if (job->crashes)
+    return;
   switch (answer->kind)
     {
     case HS_ANSWER_COMPLETED:
--- a/test/load_jobs.h
+++ b/test/load_jobs.h
@@ -25,6 +25,9 @@
   HsTime objective;     /**< For the total time, from the true run times. */
   double value;         /**< If completed within the objective. */
   double held_core_s;   /**< Used by its tasks so far. */
+  bool crashes;         /**< Its task `crash_task` crashes its targets. */
+  unsigned int crash_task;
+  unsigned int n_crashes; /**< Of targets, under that task. */
 } LoadJob;
 
 /** A job that takes longer than its objective has this share of its value, and
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -104,7 +104,14 @@
   HsTargetList list;
   HsTargetResult result;
 
-  if (msg->result == HS_TARGET_UNANSWERED)
+  /* A crash breaks the connections of the polls in progress. */
+  if (msg->result == HS_TARGET_OK && load_agent_is_down (agent))
+    {
+      hs_runs_poll_done (agent->runs, msg->poll.number, HS_TARGET_UNANSWERED,
+                         NULL, load_world.now);
+      return true;
+    }
+  if (msg->result != HS_TARGET_OK)
     {
       hs_runs_poll_done (agent->runs, msg->poll.number, msg->result, NULL,
                          load_world.now);
@@ -177,7 +184,8 @@
       7 * HS_MSEC * load_links_per_agent (load_world.plan), HEARTBEAT_INTERVAL);
   unsigned int e;
 
-  hs_target_model_advance (&agent->model, load_world.now);
+  if (!load_agent_is_down (agent))
+    hs_target_model_advance (&agent->model, load_world.now);
   hs_runs_tick (agent->runs, load_world.now);
   for (e = 0; e < load_world.plan->n_entries; e++)
     if (load_world.entries[e].linked[agent->number]
--- a/test/load_private.h
+++ b/test/load_private.h
@@ -83,6 +83,8 @@
   bool offer_due[ENTRIES_MAX];
   uint32_t cpu_milli;
   HsTime tick_at;
+  HsTime crash_at;   /* A running task crashes the target then; 0: none. */
+  HsTime down_until; /* Of a target that has crashed; 0: it is up. */
 } Agent;
 
 typedef struct
@@ -122,6 +124,17 @@
 extern const HsJobsEffects LOAD_JOBS_EFFECTS;
 /** @} */
 
+/** @name load_crashes.c: crashes of targets @{ */
+/** Draws the jobs that crash their targets. */
+void load_draw_crashing_jobs (const LoadPlan *plan);
+/** A run has started: notes when it crashes the target, if it does. */
+void load_crash_after_start (Agent *agent, const HsRunKey *key);
+/** Whether the target has crashed and not restarted yet. */
+bool load_agent_is_down (Agent *agent);
+/** Crashes or restarts the target if that is due. */
+void load_step_crashes (Agent *agent);
+/** @} */
+
 /** @name load_messages.c: messages, and the steps of the processes @{ */
 void load_deliver_messages (void);
 void load_step_agent (Agent *agent);
--- a/test/load_world.c
+++ b/test/load_world.c
@@ -27,8 +27,13 @@
   char id[20];
 
   g_snprintf (id, sizeof id, "%x", number);
-  load_world.value_offered += job->value;
-  load_world.result.kinds[job->kind].submitted++;
+  if (job->crashes)
+    load_world.result.crashing_jobs++;
+  else
+    {
+      load_world.value_offered += job->value;
+      load_world.result.kinds[job->kind].submitted++;
+    }
   out.request = number;
   out.id = id;
   out.customer = LOAD_KIND_NAMES[job->kind];
@@ -97,6 +102,7 @@
   load_world.ctx = talloc_new (NULL);
   load_world.messages = g_array_new (FALSE, FALSE, sizeof (Msg *));
   load_world.jobs = load_jobs_draw (plan);
+  load_draw_crashing_jobs (plan);
   for (a = 0; a < plan->n_agents; a++)
     {
       Agent *agent = &load_world.agents[a];
@@ -202,6 +208,7 @@
       load_world.now += STEP;
       for (i = 0; i < plan->n_agents; i++)
         {
+          load_step_crashes (&load_world.agents[i]);
           load_step_agent (&load_world.agents[i]);
           account_held_cores (&load_world.agents[i].model);
         }
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -44,6 +44,14 @@
   unsigned int n_slow;    /**< Targets on which tasks take six times as long. */
   double fast_factor; /**< Speed of every third target relative to the others; 0
                           if all are equal. */
+  unsigned int crash_percent; /**< Of the jobs of crash_kind that arrive from
+                                   crash_from to crash_to: one of their tasks
+                                   crashes each target that starts it. */
+  unsigned int crash_kind;
+  HsTime crash_from;
+  HsTime crash_to;
+  HsTime crash_delay; /**< From the start of the task to the crash. */
+  HsTime down_time;   /**< From a crash to the target's restart. */
   bool central;       /**< A single entry, whose messages have no delay. */
 } LoadPlan;
 
@@ -69,11 +77,15 @@
   unsigned int bad_ends; /**< Tasks that failed, stalled or were too slow. */
   double value_share; /**< Value earned, of what all jobs in time would earn. */
   double busy_core_s; /**< Used by tasks. */
-  double capacity_core_s;     /**< Available while jobs arrive. */
-  double wasted_core_s;       /**< Used by jobs that were not completed. */
-  double fragment_core_s;     /**< Free, while a job waits, in pieces smaller
-                                   than a mean task. */
-  double free_core_s;         /**< Free while a job waits. */
+  double capacity_core_s;        /**< Available while jobs arrive. */
+  double wasted_core_s;          /**< Used by jobs that were not completed. */
+  double fragment_core_s;        /**< Free, while a job waits, in pieces smaller
+                                      than a mean task. */
+  double free_core_s;            /**< Free while a job waits. */
+  unsigned int crashing_jobs;    /**< Not counted in `kinds`. */
+  unsigned int crashes;          /**< Of targets. */
+  unsigned int down_max;         /**< Most targets down at once. */
+  unsigned int task_crashes_max; /**< Most crashes under one task. */
   unsigned int overcommitted; /**< Starts that exceeded a target's capacity. */
 } LoadResult;
 
--- a/test/part.mk
+++ b/test/part.mk
@@ -3,4 +3,4 @@
 $(B)/test/test_direct_runs $(B)/test/test_direct_runs_random: $(B)/test/target_model.o
 $(B)/test/test_direct_path: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
 $(B)/test/test_direct_load: $(addprefix $(B)/test/load_,world.o jobs.o \
-	effects.o messages.o) $(B)/test/target_model.o $(B)/bench/queue_model.o
+	effects.o messages.o crashes.o) $(B)/test/target_model.o $(B)/bench/queue_model.o
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -25,6 +25,7 @@
 static uint32_t polls_pending;
 static uint32_t last_poll_number;
 static hsx_target_state last_report_state;
+static uint32_t reported_capacity_milli; /* Last one reported. */
 static int64_t lease_until_ms; /* The target's clock is 0 in setup(). */
 
 static HsConn *
@@ -74,7 +75,13 @@
   (void) done;
   (void) arg;
   if (proc == HSX_REPORT)
-    last_report_state = ((const hsx_report_args *) args)->state;
+    {
+      const hsx_report_args *report = args;
+
+      last_report_state = report->state;
+      if (report->info != NULL)
+        reported_capacity_milli = report->info->capacity.cpu_milli;
+    }
   return true;
 }
 
@@ -376,6 +383,22 @@
   assert_int_equal (last_report_state, HSX_TARGET_READY);
 }
 
+static void
+a_changed_capacity_is_reported_to_the_entries (void **state)
+{
+  HsTime now = hs_now ().mono;
+  HsAnnouncement announcement = *hs_runs_target (agent->runs);
+
+  (void) state;
+  hs_agent_links_send_reports (agent, now);
+  assert_int_equal (reported_capacity_milli, 4000);
+  announcement.sequence++;
+  announcement.capacity.cpu_milli = 1500;
+  hs_runs_target_announced (agent->runs, &announcement, now);
+  hs_agent_links_send_reports (agent, now + HS_HEARTBEAT_INTERVAL);
+  assert_int_equal (reported_capacity_milli, 1500);
+}
+
 int
 main (void)
 {
@@ -389,6 +412,7 @@
     TEST (a_broken_connection_may_be_replaced),
     TEST (a_lease_renewed_after_a_pause_ends_in_time),
     TEST (a_connection_that_is_kept_after_all_is_not_left_unused),
+    TEST (a_changed_capacity_is_reported_to_the_entries),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_load.c
+++ b/test/test_direct_load.c
@@ -271,6 +271,70 @@
     }
 }
 
+/* The users' day of tasks that crash their targets: a tenth of one customer's
+   jobs for 7 s; targets are back after 3 s. */
+static LoadPlan
+plan_of_crashes (uint32_t seed, unsigned int kind)
+{
+  LoadPlan plan = load_plan_default (seed);
+
+  plan.jobs_per_s = 120;
+  plan.crash_kind = kind;
+  plan.crash_percent = 10;
+  plan.crash_from = 3 * HS_SEC;
+  plan.crash_to = 10 * HS_SEC;
+  plan.crash_delay = 10 * HS_MSEC;
+  plan.down_time = 3 * HS_SEC;
+  return plan;
+}
+
+/* A customer may take down a fifth of the targets at once, and two more until
+   it is found out; the others hardly notice. */
+static void
+one_customer_cannot_take_down_all_targets (void **state)
+{
+  uint32_t seed;
+  unsigned int kind;
+  unsigned int k;
+
+  (void) state;
+  for (seed = 0; seed < SEEDS; seed++)
+    for (kind = 0; kind < LOAD_KINDS; kind++)
+      {
+        LoadPlan plan = plan_of_crashes (seed, kind);
+        LoadResult result = load_simulate (&plan);
+
+        printf ("seed %u, %s: %u jobs crashed targets %u times, %u at once\n",
+                seed, LOAD_KIND_NAMES[kind], result.crashing_jobs,
+                result.crashes, result.down_max);
+        for (k = 0; k < LOAD_KINDS; k++)
+          printf ("  %s: %.3f in time\n", LOAD_KIND_NAMES[k],
+                  in_time_share (&result.kinds[k]));
+        assert_true (result.down_max <= plan.n_agents / 5 + 2);
+        for (k = 0; k < LOAD_KINDS; k++)
+          assert_true (k == kind || in_time_share (&result.kinds[k]) > 0.9);
+      }
+}
+
+static void
+a_task_crashes_at_most_two_targets (void **state)
+{
+  uint32_t seed;
+
+  (void) state;
+  for (seed = 0; seed < SEEDS; seed++)
+    {
+      LoadPlan plan = plan_of_crashes (seed, 1);
+      LoadResult result;
+
+      result = load_simulate (&plan);
+      printf ("seed %u: %u jobs, at most %u crashes under one\n", seed,
+              result.crashing_jobs, result.task_crashes_max);
+      assert_true (result.crashing_jobs > 0);
+      assert_true (result.task_crashes_max <= 2);
+    }
+}
+
 int
 main (void)
 {
@@ -285,6 +349,8 @@
     cmocka_unit_test (a_hanging_target_makes_few_jobs_late),
     cmocka_unit_test (a_fast_first_run_makes_no_target_count_as_slow),
     cmocka_unit_test (a_burst_refuses_little_more_than_an_ideal_queue),
+    cmocka_unit_test (one_customer_cannot_take_down_all_targets),
+    cmocka_unit_test (a_task_crashes_at_most_two_targets),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -745,6 +745,57 @@
   assert_int_equal (model.runs->len, 1);
 }
 
+/* The target announces another capacity. */
+static void
+change_capacity (uint64_t sequence, uint32_t cpu_milli)
+{
+  HsAnnouncement announcement = make_announcement (sequence);
+
+  announcement.capacity.cpu_milli = cpu_milli;
+  hs_runs_target_announced (runs, &announcement, now);
+}
+
+static void
+an_offer_made_before_the_capacity_shrank_does_not_exceed_it (void **state)
+{
+  hsx_want backlog = { .rank = 1, .needs = { CPU, 10, 0 }, .tasks = 4 };
+  uint32_t i;
+
+  (void) state;
+  hs_runs_set_backlog (runs, 0, &backlog, now);
+  advance (0);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, CAPACITY);
+  change_capacity (2, 2 * CPU);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, 2 * CPU);
+  for (i = 0; i < 4; i++)
+    launch ("a", i, i);
+  assert_int_equal (n_starts, 2);
+  assert_int_equal (n_ends, 2);
+  assert_int_equal (ends[0].reason, HS_REFUSAL_RESOURCES);
+}
+
+static void
+runs_beyond_a_capacity_that_shrank_keep_out_new_ones (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < 4; i++)
+    {
+      launch ("a", i, i);
+      answer_start ();
+    }
+  change_capacity (2, 2 * CPU);
+  hs_runs_stop (runs, 0, 0, now);
+  advance (0);
+  launch ("b", 0, 9);
+  assert_int_equal (n_starts, 0);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, 0);
+  change_capacity (3, 2 * CAPACITY);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli,
+                    2 * CAPACITY - 4 * CPU);
+}
+
 /* The result of the oldest poll, when nothing listens at the target. */
 static void
 refuse_poll (void)
@@ -894,6 +945,8 @@
     TEST (a_lost_poll_answer_delays_an_end_by_at_most_60_ms),
     TEST (a_token_below_that_of_an_earlier_incarnation_is_raised),
     TEST (an_outdated_attempt_number_is_raised),
+    TEST (an_offer_made_before_the_capacity_shrank_does_not_exceed_it),
+    TEST (runs_beyond_a_capacity_that_shrank_keep_out_new_ones),
     TEST (a_crash_is_reported_with_what_ran),
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
