Bound offers by the free resources of a target whose capacity shrank

Callers saw nothing; a target that starts whatever it is told was given more than its capacity. Cause: resources reserved for an entry's answer (25 ms) were granted as they had been when they were offered, whatever the target had announced since: a decision held against an older state. Evidence: test_direct_runs, an_offer_made_before_the_capacity_shrank_does_not_exceed_it, gave 4 starts on 2 cores before, 2 starts and 2 refusals now. An offer is now the lesser of what was reserved and what is free, so runs in progress, also those being stopped, count. Ruled out: runs beyond a capacity that shrank (test next to it, passed before).

--- a/src/direct/offers.c
+++ b/src/direct/offers.c
@@ -52,9 +52,10 @@
 {
   const HsOffer *offer = &offers->offers[entry];
 
-  /* The launches that an entry sends in answer to its offer aren't refused. */
+  /* The launches that an entry sends in answer to its offer aren't refused,
+     unless the target's capacity has shrunk since. */
   if (is_active (offer, now))
-    return offer->resources;
+    return hs_resources_min (&offer->resources, free);
   return unreserved (offers, entry, free, now);
 }
 
--- a/src/direct/resources.c
+++ b/src/direct/resources.c
@@ -21,6 +21,14 @@
   resources->accelerators += needs->accelerators * n;
 }
 
+hsx_room
+hs_resources_min (const hsx_room *a, const hsx_room *b)
+{
+  return (hsx_room){ .cpu_milli = MIN (a->cpu_milli, b->cpu_milli),
+                     .memory_mb = MIN (a->memory_mb, b->memory_mb),
+                     .accelerators = MIN (a->accelerators, b->accelerators) };
+}
+
 void
 hs_resources_subtract (hsx_room *resources, const hsx_room *needs)
 {
