Report a changed capacity of a target to the entries

Callers were refused jobs that a target could hold by now (no_target), or had them accepted for one that couldn't. Cause: the description of a target was sent once an incarnation, as if its capacity were as constant as its name; entries decide by it whether a job can be held, and by how much is free in all. The agent sends the description again when the capacity differs from the one it sent to that entry, and logs a `target` line.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -9,6 +9,7 @@
 #include "direct/agent_private.h"
 #include "direct/liveness.h"
 #include "direct/process.h"
+#include "direct/resources.h"
 #include "platform/announcement_server.h"
 #include "platform/text_server.h"
 
@@ -206,6 +207,9 @@
   const HsAnnouncement *previous = hs_runs_target (agent->runs);
   char name[HS_EVENT_VALUE_SIZE];
   bool was_leaving = previous != NULL && previous->leaving;
+  bool same_capacity
+      = previous != NULL
+        && hs_resources_equal (&previous->capacity, &announcement->capacity);
   bool same = previous != NULL
               && strcmp (previous->name, announcement->name) == 0
               && previous->started_ms == announcement->started_ms;
@@ -213,7 +217,7 @@
 
   if (!hs_runs_target_announced (agent->runs, announcement, hs_now ().mono))
     return;
-  if (!same || was_leaving != announcement->leaving)
+  if (!same || !same_capacity || was_leaving != announcement->leaving)
     hs_event (
         "target",
         "name=%s born=%" PRId64 " sequence=%" PRIu64 " state=%s cpu_milli=%u",
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -4,6 +4,7 @@
 #include "base/event.h"
 #include "direct/agent_private.h"
 #include "direct/liveness.h"
+#include "direct/resources.h"
 
 /** Minimum interval, per connected entry, between reports to the same entry
  *  that only announce changed resources. It bounds the load on the entries: in
@@ -366,6 +367,16 @@
   hs_direct_agent_schedule (agent);
 }
 
+static bool
+info_is_due (const HsDirectAgent *agent, const HsAgentEntry *entry)
+{
+  const HsAnnouncement *target = hs_runs_target (agent->runs);
+
+  return target != NULL
+         && (!entry->info_sent
+             || !hs_resources_equal (&entry->capacity_sent, &target->capacity));
+}
+
 static void
 fill_info (HsDirectAgent *agent, hsx_target_info *info)
 {
@@ -401,11 +412,12 @@
       args.offer = false;
     }
   prune_recent_ends (entry, now);
-  if (hs_runs_target (agent->runs) != NULL && !entry->info_sent)
+  if (info_is_due (agent, entry))
     {
       fill_info (agent, &info);
       args.info = &info;
       entry->info_sent = true;
+      entry->capacity_sent = info.capacity;
     }
   if (entry->full_report_due)
     {
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -47,8 +47,10 @@
   HsTime reported_at;
   /** Number of the last orders received. */
   uint32_t orders_seen;
-  /** The entry has the description of the current target. */
+  /** The entry has the description of the current target, with this
+   *  capacity. */
   bool info_sent;
+  hsx_room capacity_sent;
   /** Free resources or target state have changed since the last report. */
   bool report_due;
   /** The next report lists all tasks of the entry. */
--- a/src/direct/resources.c
+++ b/src/direct/resources.c
@@ -21,6 +21,13 @@
   resources->accelerators += needs->accelerators * n;
 }
 
+bool
+hs_resources_equal (const hsx_room *a, const hsx_room *b)
+{
+  return a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb
+         && a->accelerators == b->accelerators;
+}
+
 hsx_room
 hs_resources_min (const hsx_room *a, const hsx_room *b)
 {
--- a/src/direct/resources.h
+++ b/src/direct/resources.h
@@ -16,6 +16,8 @@
 /** Adds @p n times @p needs. */
 void hs_resources_add (hsx_room *resources, const hsx_room *needs, uint32_t n);
 
+bool hs_resources_equal (const hsx_room *a, const hsx_room *b);
+
 /** The smaller amount of each resource. */
 hsx_room hs_resources_min (const hsx_room *a, const hsx_room *b);
 
