--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -3,6 +3,7 @@
 
 #include "base/event.h"
 #include "direct/agent_private.h"
+#include "direct/crash_message.h"
 #include "direct/liveness.h"
 #include "direct/resources.h"
 
@@ -16,6 +17,13 @@
  *  the close of its surplus connection; longer than the slowest round trip. */
 #define SURPLUS_DELAY (1 * HS_SEC)
 
+/** How long a crash of the target is reported to entries that connect. */
+#define CRASH_RETENTION (10 * HS_SEC)
+
+/** So many entries pass a crash on to the others, where an agent isn't
+ * connected to all: one of them may be lost. */
+#define CRASH_RELAYS 2
+
 /** How long the end of a task is reported again on new connections. */
 #define RECENT_ENDS_RETENTION (2 * HS_SEC)
 
@@ -32,6 +40,11 @@
                           const hsx_orders_args *orders);
 static void add_entries (HsDirectAgent *agent, const hsx_entries_args *args);
 static void send_report (HsDirectAgent *agent, HsAgentEntry *entry, HsTime now);
+static const HsCrash *unsent_crash (const HsDirectAgent *agent,
+                                    const HsAgentEntry *entry,
+                                    HsTime now);
+static bool passes_crashes_on (const HsDirectAgent *agent,
+                               const HsAgentEntry *entry);
 static void prune_recent_ends (HsAgentEntry *entry, HsTime now);
 
 void
@@ -73,6 +86,7 @@
   entry->last_message_at = now;
   entry->orders_seen = 0;
   entry->info_sent = false;
+  entry->crash_sent = 0;
   entry->full_report_due = true;
   entry->report_due = true;
   hs_event ("entry_up", "entry=%016" PRIx64 " address=%s", hello->incarnation,
@@ -176,7 +190,8 @@
           = entry->reported_at
             + (entry->report_due ? min_interval : HS_HEARTBEAT_INTERVAL);
       if (entry->unsent_ends->len > 0 || entry->full_report_due
-          || entry->offer_due || state_changed || now >= next_report_at)
+          || entry->offer_due || state_changed || now >= next_report_at
+          || unsent_crash (agent, entry, now) != NULL)
         {
           send_report (agent, entry, now);
           next_report_at = now + HS_HEARTBEAT_INTERVAL;
@@ -401,6 +416,8 @@
           .free = hs_runs_available (agent->runs, entry_index, now),
           .offer = entry->offer_due };
   uint64_t held[HSX_RECORDS_MAX];
+  const HsCrash *crash = unsent_crash (agent, entry, now);
+  HsCrashMessage crash_message;
   hsx_target_info info;
   GArray *ends = entry->unsent_ends;
   guint i;
@@ -419,6 +436,17 @@
       entry->info_sent = true;
       entry->capacity_sent = info.capacity;
     }
+  if (crash != NULL)
+    {
+      hs_crash_message_fill (&crash_message, crash, now);
+      crash_message.crash.agent = agent->incarnation;
+      crash_message.crash.host = agent->settings->host;
+      crash_message.crash.service
+          = (char *) hs_runs_target (agent->runs)->service;
+      crash_message.crash.pass_on = passes_crashes_on (agent, entry);
+      args.crash = &crash_message.crash;
+      entry->crash_sent = crash->number;
+    }
   if (entry->full_report_due)
     {
       entry->first_report_stamp = args.stamp_us;
@@ -443,6 +471,32 @@
   entry->reported_at = now;
 }
 
+/* A crash that the entry doesn't know of; NULL if there is none. */
+static const HsCrash *
+unsent_crash (const HsDirectAgent *agent, const HsAgentEntry *entry, HsTime now)
+{
+  const HsCrash *crash = hs_runs_last_crash (agent->runs);
+
+  if (crash == NULL || crash->number == entry->crash_sent
+      || now - crash->at > CRASH_RETENTION
+      || hs_runs_target (agent->runs) == NULL)
+    return NULL;
+  return crash;
+}
+
+static bool
+passes_crashes_on (const HsDirectAgent *agent, const HsAgentEntry *entry)
+{
+  uint32_t n_before = 0;
+  const HsAgentEntry *other;
+
+  if (hs_agent_links_connected_count (agent) < HS_CONNECTIONS_MAX)
+    return false;
+  for (other = agent->entries; other < entry; other++)
+    n_before += other->conn != NULL;
+  return n_before < CRASH_RELAYS;
+}
+
 static void
 prune_recent_ends (HsAgentEntry *entry, HsTime now)
 {
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -51,6 +51,8 @@
    *  capacity. */
   bool info_sent;
   hsx_room capacity_sent;
+  /** Number of the last crash of the target that was reported. */
+  uint32_t crash_sent;
   /** Free resources or target state have changed since the last report. */
   bool report_due;
   /** The next report lists all tasks of the entry. */
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -136,11 +136,23 @@
             hs_targets_get (entry->targets, target)->host);
 }
 
+static void
+effect_contained (void *arg, const HsContainmentChange *change)
+{
+  char customer[HS_EVENT_VALUE_SIZE];
+
+  (void) arg;
+  hs_event ("containment", "customer=%s contained=%d score=%.2f",
+            hs_event_sanitise (change->customer, customer), change->contained,
+            change->score);
+}
+
 static const HsJobsEffects JOBS_EFFECTS = { .launch = effect_launch,
                                             .stop = effect_stop,
                                             .answer = effect_answer,
                                             .task_ended = effect_task_ended,
-                                            .task_not_held = effect_not_held };
+                                            .task_not_held = effect_not_held,
+                                            .contained = effect_contained };
 
 /* Connections to agents and entries. */
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -6,6 +6,13 @@
 #include "direct/liveness.h"
 #include "direct/offers.h"
 
+/** What waits for the common targets, and for the reserve. */
+typedef struct
+{
+  hsx_want common;
+  hsx_want reserve;
+} Backlogs;
+
 static void agent_up (HsDirectEntry *entry, HsConn *conn);
 static void peer_up (HsDirectEntry *entry, HsConn *conn);
 static uint32_t attach_agent (HsDirectEntry *entry,
@@ -28,8 +35,13 @@
                          uint32_t target,
                          const hsx_want *backlog,
                          HsTime now);
-static void
-send_backlog (HsDirectEntry *entry, const hsx_want *backlog, HsTime now);
+static const hsx_want *
+backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target);
+static void send_backlog (HsDirectEntry *entry,
+                          const Backlogs *backlogs,
+                          bool reserve,
+                          HsTime now);
+static void handle_crash (HsDirectEntry *entry, const hsx_crash *crash);
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
 static void outbox_clear (HsOutbox *outbox);
 static void send_entries (HsDirectEntry *entry, HsConn *conn);
@@ -99,6 +111,8 @@
                        false, hs_now ().mono);
       hs_entry_schedule (entry, false);
     }
+  else if (proc == HSX_CRASH && peer != NULL)
+    handle_crash (entry, &((const hsx_crash_args *) args)->crash);
   else if (proc == HSX_CONFIGURATION && peer != NULL)
     hs_entry_config_receive (entry, peer, args);
   else if (target != HS_TARGET_NONE || peer != NULL)
@@ -160,13 +174,14 @@
 HsTime
 hs_entry_links_flush (HsDirectEntry *entry, HsTime now)
 {
-  hsx_want backlog = hs_jobs_backlog (entry->jobs, now);
+  Backlogs backlogs = { hs_jobs_backlog (entry->jobs, false, now),
+                        hs_jobs_backlog (entry->jobs, true, now) };
   hsx_want no_backlog = { 0 };
   HsTime due = HS_NEVER;
   uint32_t i;
 
-  if (backlog.rank > 0)
-    send_backlog (entry, &backlog, now);
+  send_backlog (entry, &backlogs, false, now);
+  send_backlog (entry, &backlogs, true, now);
   for (i = 0; i < entry->n_links; i++)
     {
       HsAgentLink *link = &entry->links[i];
@@ -175,7 +190,9 @@
         continue;
       if (link->outbox.ctx != NULL || link->offer_unanswered
           || now >= link->orders_sent_at + HS_HEARTBEAT_INTERVAL)
-        send_orders (entry, i, link->backlog_sent ? &backlog : &no_backlog,
+        send_orders (entry, i,
+                     link->backlog_sent ? backlog_of (entry, &backlogs, i)
+                                        : &no_backlog,
                      now);
       due = MIN (due, link->orders_sent_at + HS_HEARTBEAT_INTERVAL);
     }
@@ -359,6 +376,8 @@
     drop_predecessors (entry, target, now);
   if (args->offer)
     entry->links[target].offer_unanswered = true;
+  if (args->crash != NULL)
+    handle_crash (entry, args->crash);
   for (i = 0; i < args->ends.ends_len; i++)
     hs_jobs_task_ended (entry->jobs, target, &args->ends.ends_val[i], now);
   /* The agent had given this entry up as lost and stopped its tasks. */
@@ -372,6 +391,25 @@
     hs_entry_schedule (entry, true);
 }
 
+static void
+handle_crash (HsDirectEntry *entry, const hsx_crash *crash)
+{
+  hsx_crash_args args = { *crash };
+  uint32_t i;
+
+  if (!hs_jobs_target_crashed (entry->jobs, crash, hs_now ().mono))
+    return;
+  hs_event ("crash", "host=%s agent=%016" PRIx64 " crash=%u tasks=%u ago_ms=%u",
+            crash->host, crash->agent, crash->number, crash->tasks.tasks_len,
+            crash->ago_us / 1000);
+  hs_entry_schedule (entry, true);
+  args.crash.pass_on = FALSE;
+  for (i = 0; crash->pass_on && i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used)
+      hs_conn_call (entry->peers[i].conn, HSX_CRASH, &args, HS_NEVER, NULL,
+                    NULL);
+}
+
 /* Gives up earlier incarnations of an agent that has become ready. An agent
    grants resources only once everything that its earlier incarnations ran has
    ended, so their tasks are known to be over. */
@@ -445,20 +483,37 @@
   outbox_clear (outbox);
 }
 
-/* Reports the backlog to some agents, in round-robin order. */
+/* The backlog that concerns a target. */
+static const hsx_want *
+backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target)
+{
+  return hs_targets_get (entry->targets, target)->reserve ? &backlogs->reserve
+                                                          : &backlogs->common;
+}
+
+/* Reports the backlog to some agents, in round-robin order.
+   @reserve: to those of the reserve, or to the others */
 static void
-send_backlog (HsDirectEntry *entry, const hsx_want *backlog, HsTime now)
+send_backlog (HsDirectEntry *entry,
+              const Backlogs *backlogs,
+              bool reserve,
+              HsTime now)
 {
+  const hsx_want *backlog = reserve ? &backlogs->reserve : &backlogs->common;
   uint32_t n = 0;
   uint32_t i;
 
+  if (backlog->rank == 0)
+    return;
   for (i = 0; i < entry->n_links; i++)
-    n += entry->links[i].conn != NULL && entry->links[i].backlog_sent;
+    n += entry->links[i].conn != NULL && entry->links[i].backlog_sent
+         && hs_targets_get (entry->targets, i)->reserve == reserve;
   for (i = 0; i < entry->n_links && n < HS_BACKLOG_AGENTS_MAX; i++)
     {
       uint32_t k = entry->next_backlog_agent++ % entry->n_links;
 
-      if (entry->links[k].conn == NULL || entry->links[k].backlog_sent)
+      if (entry->links[k].conn == NULL || entry->links[k].backlog_sent
+          || hs_targets_get (entry->targets, k)->reserve != reserve)
         continue;
       entry->links[k].backlog_sent = true;
       send_orders (entry, k, backlog, now);
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -39,11 +39,6 @@
 static void
 init_job (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now);
 static void admit (HsJobs *jobs, HsJob *job, HsTime now);
-static void finish_job (HsJobs *jobs,
-                        HsJob *job,
-                        HsAnswerKind kind,
-                        HsAnswerReason reason,
-                        HsTime now);
 static void
 give_up (HsJobs *jobs, HsJob *job, HsAnswerReason reason, HsTime now);
 static HsJob *find_task (HsJobs *jobs, uint64_t ref, HsTask **task);
@@ -72,6 +67,8 @@
   static const char *const names[] = {
     [HS_REASON_DONE] = "done",
     [HS_REASON_TASK_FAILED] = "task_failed",
+    [HS_REASON_CRASHES] = "crashes",
+    [HS_REASON_CONTAINED] = "contained",
     [HS_REASON_NO_TARGET] = "no_target",
     [HS_REASON_QUEUE] = "queue",
     [HS_REASON_WAITED] = "waited",
@@ -96,6 +93,8 @@
 
   jobs->targets = targets;
   jobs->demand = hs_demand_new (jobs);
+  jobs->containment = hs_containment_new (jobs);
+  jobs->crash_counts = hs_crash_counts_new (jobs);
   jobs->data_centre = talloc_strdup (jobs, data_centre);
   jobs->effects = effects;
   jobs->arg = arg;
@@ -109,11 +108,17 @@
   HsJob *job;
 
   if (!hs_jobs_has_waiting_tasks (jobs))
-    hs_service_rate_idle (&jobs->rate, now);
+    {
+      hs_service_rate_idle (&jobs->rate, now);
+      hs_service_rate_idle (&jobs->reserve_rate, now);
+    }
   job = allocate_job (jobs);
   init_job (jobs, job, submission, now);
   hs_demand_job_arrived (jobs->demand, job->customer, job->work_core_s, now);
-  admit (jobs, job, now);
+  if (hs_job_may_start (jobs, job))
+    admit (jobs, job, now);
+  else
+    hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
 }
 
 void
@@ -124,8 +129,8 @@
   for (i = 0; i < jobs->table_size; i++)
     if (jobs->table[i].in_use && jobs->table[i].request == request)
       {
-        finish_job (jobs, &jobs->table[i], HS_ANSWER_LOST,
-                    HS_REASON_CALLER_GONE, now);
+        hs_job_finish (jobs, &jobs->table[i], HS_ANSWER_LOST,
+                       HS_REASON_CALLER_GONE, now);
         return;
       }
 }
@@ -138,8 +143,8 @@
   for (i = 0; i < jobs->table_size; i++)
     if (jobs->table[i].in_use && strcmp (jobs->table[i].id, id) == 0)
       {
-        finish_job (jobs, &jobs->table[i], HS_ANSWER_CANCELLED,
-                    HS_REASON_CANCELLED, now);
+        hs_job_finish (jobs, &jobs->table[i], HS_ANSWER_CANCELLED,
+                       HS_REASON_CANCELLED, now);
         return true;
       }
   return false;
@@ -176,7 +181,8 @@
           |= end->how == HSX_END_STALLED || end->how == HSX_END_SLOW;
       if (end->how == HSX_END_FAILED && ++task->failures >= job->max_failures)
         {
-          finish_job (jobs, job, HS_ANSWER_FAILED, HS_REASON_TASK_FAILED, now);
+          hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_TASK_FAILED,
+                         now);
           return;
         }
       break;
@@ -268,7 +274,7 @@
 HsTime
 hs_jobs_tick (HsJobs *jobs, HsTime now)
 {
-  HsTime due = HS_NEVER;
+  HsTime due = hs_jobs_tick_crashes (jobs, now);
   uint32_t i;
 
   for (i = 0; i < jobs->table_size; i++)
@@ -277,7 +283,9 @@
 
       if (!job->in_use)
         continue;
-      if (next_due (job) > now)
+      if (job->n_starts == 0 && hs_job_is_shut_out (jobs, job))
+        give_up (jobs, job, HS_REASON_CONTAINED, now);
+      else if (next_due (job) > now)
         due = MIN (due, next_due (job));
       else if (now >= job->deadline)
         give_up (jobs, job, HS_REASON_DEADLINE, now);
@@ -352,6 +360,8 @@
   job->spec_len = submission->spec_len;
   job->customer
       = hs_demand_customer_handle (jobs->demand, submission->customer);
+  job->containment = hs_containment_customer (
+      jobs->containment, submission->service, submission->customer);
   job->needs = submission->needs;
   job->declared_run_time = submission->declared_run_time;
   job->expected_run_time = hs_demand_expected_run_time (
@@ -395,6 +405,11 @@
       give_up (jobs, job, HS_REASON_NO_TARGET, now);
       return;
     }
+  if (hs_job_is_shut_out (jobs, job))
+    {
+      give_up (jobs, job, HS_REASON_CONTAINED, now);
+      return;
+    }
   /* While no target is ready, as after a restart of all of them, the job waits
      as long as it could still meet its objective. */
   if (capacity_milli == 0)
@@ -411,14 +426,12 @@
     give_up (jobs, job, HS_REASON_QUEUE, now);
 }
 
-/* Ends a job and answers it. Tasks that are still running are stopped, and
-   their results ignored. */
-static void
-finish_job (HsJobs *jobs,
-            HsJob *job,
-            HsAnswerKind kind,
-            HsAnswerReason reason,
-            HsTime now)
+void
+hs_job_finish (HsJobs *jobs,
+               HsJob *job,
+               HsAnswerKind kind,
+               HsAnswerReason reason,
+               HsTime now)
 {
   HsJobAnswer answer = { .request = job->request,
                          .kind = kind,
@@ -451,6 +464,8 @@
         jobs->effects->stop (jobs->arg, job->tasks[i].target,
                              job->tasks[i].ref);
       }
+  if (kind == HS_ANSWER_COMPLETED)
+    hs_containment_job_done (jobs->containment, job->containment);
   if (reason != HS_REASON_CALLER_GONE)
     hs_demand_job_ended (jobs->demand, job->customer, job->work_core_s,
                          kind == HS_ANSWER_COMPLETED
@@ -466,8 +481,8 @@
 {
   bool may_have_run = job->n_sent > 0 || job->n_done > 0 || job->may_have_run;
 
-  finish_job (jobs, job, may_have_run ? HS_ANSWER_LOST : HS_ANSWER_REFUSED,
-              reason, now);
+  hs_job_finish (jobs, job, may_have_run ? HS_ANSWER_LOST : HS_ANSWER_REFUSED,
+                 reason, now);
 }
 
 static HsJob *
@@ -513,7 +528,7 @@
   job->n_sent--;
   job->n_done++;
   if (job->n_done == job->n_tasks)
-    finish_job (jobs, job, HS_ANSWER_COMPLETED, HS_REASON_DONE, now);
+    hs_job_finish (jobs, job, HS_ANSWER_COMPLETED, HS_REASON_DONE, now);
 }
 
 static int
@@ -547,8 +562,11 @@
 static void
 place_tasks (HsJobs *jobs, HsJob *job, HsTime now)
 {
+  HsTargetGroup group = hs_job_target_group (jobs, job);
   uint32_t i;
 
+  if (hs_job_is_shut_out (jobs, job))
+    return;
   for (i = 0; i < job->n_tasks && job->n_waiting > 0; i++)
     {
       HsTask *task = &job->tasks[i];
@@ -556,8 +574,9 @@
 
       if (task->state != HS_TASK_WAITING)
         continue;
-      target = hs_targets_choose (jobs->targets, job->service, &job->needs,
-                                  jobs->data_centre, task->avoid_target, now);
+      target
+          = hs_targets_choose (jobs->targets, job->service, group, &job->needs,
+                               jobs->data_centre, task->avoid_target, now);
       if (target == HS_TARGET_NONE
           || !start_task (jobs, job, task, target, now))
         return;
@@ -589,7 +608,9 @@
     return false;
   hs_targets_launch_sent (jobs->targets, target, &job->needs, number);
   row->n_tasks++;
-  hs_service_rate_add (&jobs->rate, job->needs.cpu_milli, now);
+  hs_service_rate_add (hs_job_is_contained (jobs, job) ? &jobs->reserve_rate
+                                                       : &jobs->rate,
+                       job->needs.cpu_milli, now);
   task->state = HS_TASK_SENT;
   task->ref = ref;
   task->target = target;
@@ -635,6 +656,10 @@
 {
   HsTime predicted_wait = hs_jobs_predict_wait (jobs, job, now);
 
+  if (hs_job_is_shut_out (jobs, job))
+    predicted_wait = MAX (
+        RETRY_DEFAULT_MS * HS_MSEC,
+        hs_containment_time_left (jobs->containment, job->containment, now));
   if (predicted_wait == HS_NEVER)
     return RETRY_DEFAULT_MS;
   return (uint32_t) MIN (predicted_wait / HS_MSEC + 1, RETRY_MAX_MS);
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -20,6 +20,7 @@
 
 #include "direct/demand.h"
 #include "direct/targets.h"
+#include "policy/containment.h"
 
 typedef struct HsJobs HsJobs;
 
@@ -45,7 +46,8 @@
 typedef enum
 {
   HS_ANSWER_COMPLETED,
-  HS_ANSWER_FAILED,  /**< A task has failed max_failures times. */
+  HS_ANSWER_FAILED,  /**< A task has failed max_failures times, or
+                        HS_CRASHES_MAX targets have crashed under it. */
   HS_ANSWER_REFUSED, /**< No task has run, and none will. */
   HS_ANSWER_LOST,    /**< Tasks may have run; those that still run are being
                         stopped. */
@@ -57,6 +59,9 @@
 {
   HS_REASON_DONE,
   HS_REASON_TASK_FAILED,
+  HS_REASON_CRASHES,   /**< Targets have crashed under a task. */
+  HS_REASON_CONTAINED, /**< Its customer's tasks crash targets, and as many as
+                            they may take down are down. */
   HS_REASON_NO_TARGET, /**< No target has the capacity for a task. */
   HS_REASON_QUEUE,     /**< The predicted wait is too long. */
   HS_REASON_WAITED,    /**< It wasn't started within its longest wait. */
@@ -142,6 +147,8 @@
                          const char *id,
                          uint32_t target,
                          const HsTask *task);
+  /** For logs: a customer was contained or released. */
+  void (*contained) (void *arg, const HsContainmentChange *change);
 } HsJobsEffects;
 
 /**
@@ -196,6 +203,12 @@
                           bool tasks_ended,
                           HsTime now);
 
+/**
+ * Handles the crash of a target, as its agent or another entry reports it.
+ * @return false if it is known already
+ */
+bool hs_jobs_target_crashed (HsJobs *jobs, const hsx_crash *crash, HsTime now);
+
 /** Starts the waiting tasks for which resources are free, in order of rank.
  *  Call it once after each batch of events. */
 void hs_jobs_dispatch (HsJobs *jobs, HsTime now);
@@ -208,10 +221,11 @@
 /** Returns whether any task waits to be started. */
 bool hs_jobs_has_waiting_tasks (const HsJobs *jobs);
 
-/** Returns the number of waiting tasks, and the rank and needs of the waiting
+/** Returns, of the jobs that may run on the reserve or on the common targets,
+ *  the number of waiting tasks, and the rank and needs of the waiting
  *  job with the highest rank, which is served first. The rank is 0 if no task
  *  waits, and at least 1 otherwise. */
-hsx_want hs_jobs_backlog (const HsJobs *jobs, HsTime now);
+hsx_want hs_jobs_backlog (const HsJobs *jobs, bool reserve, HsTime now);
 
 /** Number of jobs that haven't been answered. */
 uint32_t hs_jobs_count (const HsJobs *jobs);
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -7,6 +7,7 @@
 
 #include "direct/jobs.h"
 #include "direct/service_rate.h"
+#include "policy/crash_counts.h"
 
 typedef struct
 {
@@ -17,7 +18,9 @@
   char *service;
   char *spec;
   size_t spec_len;
-  uint32_t customer; /**< Handle in HsDemand. */
+  uint32_t customer;    /**< Handle in HsDemand. */
+  uint32_t containment; /**< Handle in HsContainment. */
+  uint32_t n_crashes;   /**< Targets that crashed under one of its tasks. */
   hsx_room needs;
   HsTime declared_run_time;
   HsTime expected_run_time; /**< Of a task. */
@@ -48,12 +51,41 @@
   HsJob *table;        /**< Indexed by the job's handle. */
   uint32_t table_size; /**< Including rows that aren't in use. */
   uint32_t n_active;
-  uint32_t next_generation; /**< Of the next start; part of its ref. */
-  HsServiceRate rate;       /**< Of processors given to waiting tasks. */
-  uint32_t *by_rank;        /**< Handles of waiting jobs, highest rank first. */
-  double *ranks;            /**< By handle. */
+  uint32_t next_generation;   /**< Of the next start; part of its ref. */
+  HsServiceRate rate;         /**< Of processors given to waiting tasks... */
+  HsServiceRate reserve_rate; /**< ...and to those of contained customers. */
+  HsContainment *containment;
+  HsCrashCounts *crash_counts;
+  uint32_t *by_rank; /**< Handles of waiting jobs, highest rank first. */
+  double *ranks;     /**< By handle. */
 };
 
+/** Ends a job and answers it. Tasks that are still running are stopped, and
+ *  their results ignored. */
+void hs_job_finish (HsJobs *jobs,
+                    HsJob *job,
+                    HsAnswerKind kind,
+                    HsAnswerReason reason,
+                    HsTime now);
+
+/** @name jobs_crash.c: tasks that crash their targets @{ */
+/** Releases contained customers that are due.
+ *  @return when to call it next */
+HsTime hs_jobs_tick_crashes (HsJobs *jobs, HsTime now);
+
+/** Whether no task of a new job has crashed HS_CRASHES_MAX targets before. */
+bool hs_job_may_start (HsJobs *jobs, HsJob *job);
+
+/** The targets on which the job's tasks may be started. */
+HsTargetGroup hs_job_target_group (const HsJobs *jobs, const HsJob *job);
+
+/** Whether the job's customer is contained. */
+bool hs_job_is_contained (const HsJobs *jobs, const HsJob *job);
+
+/** Whether the job's customer is contained and may start nothing for now. */
+bool hs_job_is_shut_out (const HsJobs *jobs, const HsJob *job);
+/** @} */
+
 /** The order of waiting jobs: value that can still be earned for each
  *  core-second of work that hasn't been started. */
 double hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now);
--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -6,6 +6,11 @@
 /** Factor on the value of a job that can no longer meet its objective. */
 #define LATE_VALUE_FACTOR 0.2
 
+/** Factor on the value of a contained customer's job under which a target has
+ *  crashed: others that wait for the few targets are less likely to crash them.
+ */
+#define CRASHED_VALUE_FACTOR 0.1
+
 /** Lower bound on the work left, so that the rank of a nearly finished job
  *  stays finite. */
 #define WORK_MIN_CORE_S 0.02
@@ -22,14 +27,17 @@
 
   if (now + job->expected_run_time > job->arrived_at + job->objective)
     value *= LATE_VALUE_FACTOR;
+  if (job->n_crashes > 0 && hs_job_is_contained (jobs, job))
+    value *= CRASHED_VALUE_FACTOR;
   value *= hs_demand_priority_boost (jobs->demand, job->customer,
                                      job->work_core_s);
   return value / MAX (work_left, WORK_MIN_CORE_S);
 }
 
 hsx_want
-hs_jobs_backlog (const HsJobs *jobs, HsTime now)
+hs_jobs_backlog (const HsJobs *jobs, bool reserve, HsTime now)
 {
+  HsTargetGroup other = reserve ? HS_TARGETS_COMMON : HS_TARGETS_RESERVE;
   hsx_want backlog = { 0 };
   double best = 0;
   uint32_t i;
@@ -39,7 +47,8 @@
       const HsJob *job = &jobs->table[i];
       double rank;
 
-      if (!job->in_use || job->n_waiting == 0)
+      if (!job->in_use || job->n_waiting == 0
+          || hs_job_target_group (jobs, job) == other)
         continue;
       backlog.tasks += job->n_waiting;
       rank = hs_job_rank (jobs, job, now);
@@ -55,7 +64,9 @@
 HsTime
 hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
-  double milli_per_s = hs_service_rate_per_s (&jobs->rate, now);
+  bool contained = hs_job_is_contained (jobs, job);
+  double milli_per_s = hs_service_rate_per_s (
+      contained ? &jobs->reserve_rate : &jobs->rate, now);
   double ahead_milli = job->needs.cpu_milli;
   double rank = hs_job_rank (jobs, job, now);
   uint32_t i;
@@ -65,6 +76,7 @@
       const HsJob *other = &jobs->table[i];
 
       if (other == job || !other->in_use || other->n_waiting == 0
+          || hs_job_is_contained (jobs, other) != contained
           || hs_job_rank (jobs, other, now) < rank)
         continue;
       ahead_milli += (double) other->needs.cpu_milli * other->n_waiting;
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -100,6 +100,7 @@
   runs->effects = effects;
   runs->arg = arg;
   runs->next_poll = 1;
+  runs->start_rates = hs_start_rates_new (runs);
   return runs;
 }
 
@@ -277,6 +278,7 @@
       run->first_poll = runs->next_poll;
       run->percent = -1;
       run->progress_at = now;
+      hs_start_rates_add (runs->start_rates, run->customer, run->key.job, now);
       return;
     case HS_TARGET_UNANSWERED:
       fence_start (runs, run);
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -45,24 +45,24 @@
   HsTime stop_timeout; /**< How long the target takes for a stop at most. */
 } HsRunsOptions;
 
-/** At most this many tasks are recorded of a crash. */
-#define HS_CRASH_TASKS_MAX 64
-
 /** A task that ran on a target when it crashed. */
 typedef struct
 {
   HsRunKey key;
   char customer[HSX_NAME_MAX + 1];
-  HsTime age; /**< Time from its start to the crash. */
+  HsTime age;                 /**< Time from its start to the crash. */
+  double customer_jobs_per_s; /**< That usually start on this target. */
 } HsCrashTask;
 
 /** A crash of the target: it ended without having announced that it leaves. */
 typedef struct
 {
   uint32_t number; /**< Counts the crashes that this agent has seen, from 1. */
-  HsTime at;       /**< First call that failed, or last sign of life. */
+  HsTime at;       /**< First call that failed. */
+  bool silent;     /**< Its connections didn't break, so that `at` is known to
+                        the length of a poll only. */
   uint32_t n_tasks;
-  HsCrashTask tasks[HS_CRASH_TASKS_MAX];
+  HsCrashTask tasks[HSX_CRASH_TASKS_MAX]; /**< The youngest ones. */
 } HsCrash;
 
 /** Calls that the module makes. The results of `start` and `poll` are passed
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -10,6 +10,7 @@
 #define RESULTS_WAIT (5 * HS_MSEC)
 
 static void take_snapshot (HsRuns *runs);
+static void add_task (HsRuns *runs, const HsRun *run);
 static void report_crash (HsRuns *runs);
 
 void
@@ -79,7 +80,7 @@
 static void
 take_snapshot (HsRuns *runs)
 {
-  HsCrash *crash = &runs->crash;
+  HsCrash *crash = &runs->snapshot;
   uint32_t i;
 
   if (runs->snapshot_taken)
@@ -87,27 +88,50 @@
   runs->snapshot_taken = true;
   crash->at
       = runs->failing_since != 0 ? runs->failing_since : runs->answered_at;
+  crash->silent = runs->no_listener_since == 0;
+  crash->silent = runs->no_listener_since == 0;
   crash->n_tasks = 0;
-  for (i = 0; i < HS_RUNS_MAX && crash->n_tasks < HS_CRASH_TASKS_MAX; i++)
+  for (i = 0; i < HS_RUNS_MAX; i++)
     {
       const HsRun *run = &runs->runs[i];
-      HsCrashTask *task = &crash->tasks[crash->n_tasks];
-
-      if (run->state == HS_RUN_FREE || run->state == HS_RUN_STARTING)
-        continue;
-      task->key = run->key;
-      g_strlcpy (task->customer, run->customer, sizeof task->customer);
-      task->age = MAX (crash->at - run->called_at, 0);
-      if (run->started_at != 0)
-        task->age = MAX (crash->at - run->started_at, 0);
-      crash->n_tasks++;
+
+      if (run->state != HS_RUN_FREE && run->state != HS_RUN_STARTING)
+        add_task (runs, run);
+    }
+}
+
+/* Keeps the youngest tasks if there are too many. */
+static void
+add_task (HsRuns *runs, const HsRun *run)
+{
+  HsCrash *crash = &runs->snapshot;
+  HsTime since = run->started_at != 0 ? run->started_at : run->called_at;
+  HsTime age = MAX (crash->at - since, 0);
+  HsCrashTask *task = &crash->tasks[0];
+  uint32_t i;
+
+  if (crash->n_tasks < HSX_CRASH_TASKS_MAX)
+    task = &crash->tasks[crash->n_tasks++];
+  else
+    {
+      for (i = 1; i < HSX_CRASH_TASKS_MAX; i++)
+        if (crash->tasks[i].age > task->age)
+          task = &crash->tasks[i];
+      if (task->age <= age)
+        return;
     }
+  task->key = run->key;
+  task->age = age;
+  g_strlcpy (task->customer, run->customer, sizeof task->customer);
+  task->customer_jobs_per_s
+      = hs_start_rates_per_s (runs->start_rates, run->customer, crash->at);
 }
 
 static void
 report_crash (HsRuns *runs)
 {
   runs->crash_reported = true;
-  runs->crash.number++;
+  runs->snapshot.number++;
+  runs->crash = runs->snapshot;
   runs->effects->crashed (runs->arg, &runs->crash);
 }
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -162,7 +162,8 @@
   if (!runs->announced || runs->target_lost || !runs->list_known
       || runs->n_unknown_runs > 0)
     return HSX_TARGET_UNKNOWN;
-  if (runs->unresponsive || runs->breaker_state == HS_BREAKER_OPEN)
+  if (runs->unresponsive || runs->no_listener_since != 0
+      || runs->breaker_state == HS_BREAKER_OPEN)
     return HSX_TARGET_MUTE;
   return HSX_TARGET_READY;
 }
@@ -178,6 +179,8 @@
     return "unknown_runs";
   if (runs->unresponsive)
     return "silent";
+  if (runs->no_listener_since != 0)
+    return "no_listener";
   return runs->breaker_state == HS_BREAKER_OPEN ? "bad_ends" : "none";
 }
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -9,6 +9,7 @@
 #include "direct/offers.h"
 #include "direct/progress_rate.h"
 #include "direct/runs.h"
+#include "policy/start_rates.h"
 
 /** At most this many runs, however small they are. */
 #define HS_RUNS_MAX 1024
@@ -89,9 +90,11 @@
                                  answer; 0: none. */
   HsTime no_listener_since; /**< First such call for which nothing listened at
                                  the target's address; 0: none. */
-  bool snapshot_taken;      /**< `crash` has the tasks of this incarnation. */
+  bool snapshot_taken;      /**< `snapshot` is of this incarnation. */
   bool crash_reported;      /**< The crash of this incarnation was reported. */
-  HsCrash crash;
+  HsCrash snapshot;         /**< What ran when the target stopped answering. */
+  HsCrash crash;            /**< The last one that was reported. */
+  HsStartRates *start_rates;
   HsOffers offers;
   HsBreaker breaker;
   HsBreakerState breaker_state; /**< As last reported by `changed`. */
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "direct/rendezvous.h"
 #include "direct/resources.h"
 
 /** Weight of a new run in a target's average slowdown. */
@@ -49,6 +50,13 @@
  *  reserves it, less the time that a launch takes to get there. */
 #define OFFER_LIFETIME (20 * HS_MSEC)
 
+/** One in so many targets of a service is in the reserve, at least one. */
+#define RESERVE_DIVISOR 5
+
+/** While one in so many targets of a service is down after a crash, contained
+ *  customers start nothing. */
+#define CRASHED_DIVISOR 3
+
 typedef struct
 {
   uint32_t number;
@@ -74,6 +82,7 @@
 static int free_targets (HsTargets *targets);
 static uint32_t allocate_row (HsTargets *targets);
 static void drop_acknowledged (Row *row, uint32_t seen);
+static void choose_reserve (HsTargets *targets, const char *service);
 static double contention (const HsTargets *targets, HsTime now);
 static double placement_score (const HsTarget *target, const char *data_centre);
 
@@ -149,10 +158,13 @@
 hs_targets_remove (HsTargets *targets, uint32_t target)
 {
   Row *row = &targets->rows[target];
+  char service[HSX_NAME_MAX + 1];
 
+  g_strlcpy (service, row->target.service, sizeof service);
   hs_health_remove (targets->health, target);
   g_array_set_size (row->unacknowledged, 0);
   memset (&row->target, 0, sizeof row->target);
+  choose_reserve (targets, service);
 }
 
 HsTarget *
@@ -179,6 +191,7 @@
   target->last_message_at = now;
   target->report_stamp_us = report->stamp_us;
   target->state = report->state;
+  target->crashed = target->crashed && target->state != HSX_TARGET_READY;
   target->reported_free = report->free;
   target->offer_until = report->offer ? now + OFFER_LIFETIME : 0;
   if (report->info != NULL)
@@ -190,6 +203,7 @@
       g_strlcpy (target->rack, info->rack, sizeof target->rack);
       g_strlcpy (target->host, info->host, sizeof target->host);
       target->capacity = info->capacity;
+      choose_reserve (targets, target->service);
     }
   drop_acknowledged (row, report->orders_seen);
 }
@@ -293,9 +307,85 @@
   return false;
 }
 
+bool
+hs_targets_any_ready (const HsTargets *targets,
+                      const char *service,
+                      HsTargetGroup group)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+
+      if (target->in_use && target->connected
+          && target->state == HSX_TARGET_READY
+          && strcmp (target->service, service) == 0
+          && hs_target_in_group (target, group))
+        return true;
+    }
+  return false;
+}
+
+bool
+hs_targets_host_crashed (HsTargets *targets,
+                         const char *service,
+                         const char *host)
+{
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      HsTarget *target = &targets->rows[i].target;
+
+      if (!target->in_use || strcmp (target->service, service) != 0
+          || strcmp (target->host, host) != 0)
+        continue;
+      target->crashed = target->state != HSX_TARGET_READY;
+      return target->reserve;
+    }
+  return false;
+}
+
+bool
+hs_targets_reserve_is_open (const HsTargets *targets, const char *service)
+{
+  uint32_t n = 0;
+  uint32_t n_crashed = 0;
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+
+      if (!target->in_use || strcmp (target->service, service) != 0)
+        continue;
+      n++;
+      n_crashed += target->crashed;
+    }
+  return n_crashed * CRASHED_DIVISOR < n
+         && hs_targets_any_ready (targets, service, HS_TARGETS_RESERVE);
+}
+
+bool
+hs_target_in_group (const HsTarget *target, HsTargetGroup group)
+{
+  switch (group)
+    {
+    case HS_TARGETS_RESERVE:
+      return target->reserve;
+    case HS_TARGETS_COMMON:
+      return !target->reserve;
+    case HS_TARGETS_ALL:
+      break;
+    }
+  return true;
+}
+
 uint32_t
 hs_targets_choose (HsTargets *targets,
                    const char *service,
+                   HsTargetGroup group,
                    const hsx_room *needs,
                    const char *data_centre,
                    uint32_t avoid,
@@ -313,7 +403,8 @@
       double candidate_score;
 
       if (!hs_resources_fit (&free_now, needs)
-          || strcmp (target->service, service) != 0 || free_now.cpu_milli == 0)
+          || strcmp (target->service, service) != 0 || free_now.cpu_milli == 0
+          || !hs_target_in_group (target, group))
         continue;
       if (i == avoid)
         {
@@ -435,6 +526,38 @@
     g_array_remove_range (row->unacknowledged, 0, n);
 }
 
+/* The reserve is made of the targets whose hosts have the lowest hashes, so
+   that entries which know different targets choose nearly the same. */
+static void
+choose_reserve (HsTargets *targets, const char *service)
+{
+  g_autoptr (GArray) candidates
+      = g_array_new (FALSE, FALSE, sizeof (HsCandidate));
+  guint n = 0;
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+      HsCandidate candidate = { 0 };
+
+      if (!target->in_use || strcmp (target->service, service) != 0)
+        continue;
+      candidate.hash = hs_rendezvous_hash (service, target->host);
+      g_array_append_val (candidates, candidate);
+    }
+  hs_rendezvous_choose ((HsCandidate *) (void *) candidates->data,
+                        candidates->len,
+                        MAX (candidates->len / RESERVE_DIVISOR, 1));
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      HsTarget *target = &targets->rows[i].target;
+
+      if (target->in_use && strcmp (target->service, service) == 0)
+        target->reserve = g_array_index (candidates, HsCandidate, n++).chosen;
+    }
+}
+
 static double
 placement_score (const HsTarget *target, const char *data_centre)
 {
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -24,6 +24,16 @@
 
 typedef struct HsTargets HsTargets;
 
+/** The targets of a service on which a task may be started. While a customer is
+ *  contained (see policy/containment.h), its tasks run on the reserve only, and
+ *  those of others on the common targets. */
+typedef enum
+{
+  HS_TARGETS_ALL,
+  HS_TARGETS_RESERVE,
+  HS_TARGETS_COMMON
+} HsTargetGroup;
+
 /** One target. jobs.c updates `n_tasks`; entry_links.c counts `orders_sent` and
  *  sets `last_message_at` after a pause of this process; targets.c sets all
  *  else. */
@@ -49,6 +59,9 @@
                                 clock. */
   HsTime last_message_at;
   uint32_t n_tasks; /**< Tasks of this entry there. */
+  bool reserve;     /**< In HS_TARGETS_RESERVE. Entries that know the same
+                         targets agree on it. */
+  bool crashed;     /**< And isn't ready again. */
   double slowdown;  /**< Mean ratio of run time to expected run time; 1 if as
                         expected. */
 } HsTarget;
@@ -134,8 +147,28 @@
                           const char *service,
                           const hsx_room *needs);
 
+/** Whether a target of a service and a group is ready. */
+bool hs_targets_any_ready (const HsTargets *targets,
+                           const char *service,
+                           HsTargetGroup group);
+
+/** The target of a host has crashed.
+ *  @return whether it is in the reserve; false if it isn't known */
+bool hs_targets_host_crashed (HsTargets *targets,
+                              const char *service,
+                              const char *host);
+
+/** Whether contained customers of a service may start tasks: a target of the
+ *  reserve is ready, and under a third of the service's targets are down after
+ * a crash. */
+bool hs_targets_reserve_is_open (const HsTargets *targets, const char *service);
+
+/** Whether a task that is to run in @p group may be started on a target. */
+bool hs_target_in_group (const HsTarget *target, HsTargetGroup group);
+
 /**
  * Chooses the target for a task.
+ * @param group in which the task may run
  * @param data_centre of this entry; its targets are preferred
  * @param avoid the target of a failed attempt, or HS_TARGET_NONE; used only
  *        if there is no other
@@ -143,6 +176,7 @@
  */
 uint32_t hs_targets_choose (HsTargets *targets,
                             const char *service,
+                            HsTargetGroup group,
                             const hsx_room *needs,
                             const char *data_centre,
                             uint32_t avoid,
--- /dev/null
+++ b/src/policy/crash_counts.c
@@ -0,0 +1,134 @@
+#include "policy/crash_counts.h"
+
+#include <inttypes.h>
+
+#include <glib.h>
+
+/** Callers give up resubmitting a job long before this. */
+#define RETENTION (120 * HS_SEC)
+
+/** Interval between sweeps of what is older. */
+#define SWEEP_INTERVAL (10 * HS_SEC)
+
+/** At most this many tasks and crashes are remembered; more are not counted. At
+ *  64 tasks a crash this is the memory of 256 crashes, 2 MB. */
+#define ROWS_MAX 16384
+
+typedef struct
+{
+  uint32_t n;
+  HsTime last_at;
+} Row;
+
+struct HsCrashCounts
+{
+  GHashTable *rows; /* Text of a task or of a crash to Row. */
+  HsTime sweep_at;
+};
+
+static int free_counts (HsCrashCounts *counts);
+static uint32_t count (HsCrashCounts *counts, char *key, HsTime now);
+static char *task_key (const char *customer, const char *job, uint32_t index);
+static gboolean is_old (gpointer key, gpointer row, gpointer now);
+
+HsCrashCounts *
+hs_crash_counts_new (TALLOC_CTX *ctx)
+{
+  HsCrashCounts *counts = talloc_zero (ctx, HsCrashCounts);
+
+  counts->rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (counts, free_counts);
+  return counts;
+}
+
+bool
+hs_crash_counts_is_new (HsCrashCounts *counts,
+                        uint64_t agent,
+                        uint32_t number,
+                        HsTime now)
+{
+  return count (counts, g_strdup_printf ("%" PRIx64 " %u", agent, number), now)
+         == 1;
+}
+
+uint32_t
+hs_crash_counts_add (HsCrashCounts *counts,
+                     const char *customer,
+                     const char *job,
+                     uint32_t index,
+                     HsTime now)
+{
+  return count (counts, task_key (customer, job, index), now);
+}
+
+uint32_t
+hs_crash_counts_get (const HsCrashCounts *counts,
+                     const char *customer,
+                     const char *job,
+                     uint32_t index)
+{
+  g_autofree char *key = NULL;
+  const Row *row;
+
+  if (g_hash_table_size (counts->rows) == 0)
+    return 0;
+  key = task_key (customer, job, index);
+  row = g_hash_table_lookup (counts->rows, key);
+  return row != NULL ? row->n : 0;
+}
+
+HsTime
+hs_crash_counts_tick (HsCrashCounts *counts, HsTime now)
+{
+  if (g_hash_table_size (counts->rows) == 0)
+    return HS_NEVER;
+  if (now >= counts->sweep_at)
+    {
+      g_hash_table_foreach_remove (counts->rows, is_old, &now);
+      counts->sweep_at = now + SWEEP_INTERVAL;
+    }
+  return counts->sweep_at;
+}
+
+static int
+free_counts (HsCrashCounts *counts)
+{
+  g_hash_table_unref (counts->rows);
+  return 0;
+}
+
+/* Takes ownership of @key. */
+static uint32_t
+count (HsCrashCounts *counts, char *key, HsTime now)
+{
+  Row *row = g_hash_table_lookup (counts->rows, key);
+
+  if (row == NULL && g_hash_table_size (counts->rows) >= ROWS_MAX)
+    {
+      g_free (key);
+      return 1;
+    }
+  if (row == NULL)
+    {
+      row = g_new0 (Row, 1);
+      g_hash_table_insert (counts->rows, key, row);
+    }
+  else
+    g_free (key);
+  row->last_at = now;
+  return ++row->n;
+}
+
+static char *
+task_key (const char *customer, const char *job, uint32_t index)
+{
+  return g_strdup_printf ("%s/%s/%u", customer, job, index);
+}
+
+static gboolean
+is_old (gpointer key, gpointer row, gpointer now)
+{
+  (void) key;
+  return *(const HsTime *) now - ((const Row *) row)->last_at > RETENTION;
+}
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -30,6 +30,7 @@
 #define HSX_SPEC_MAX 65536
 #define HSX_ENTRIES_MAX 256
 #define HSX_CONFIGURATION_MAX 4194304
+#define HSX_CRASH_TASKS_MAX 64
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -492,6 +493,39 @@
 };
 typedef struct hsx_target_info hsx_target_info;
 
+struct hsx_crash_customer {
+	char *name;
+	u_int age_us;
+	u_int jobs_milli;
+};
+typedef struct hsx_crash_customer hsx_crash_customer;
+
+struct hsx_crash_task {
+	char *job;
+	char *customer;
+	u_int index;
+};
+typedef struct hsx_crash_task hsx_crash_task;
+
+struct hsx_crash {
+	uint64_t agent;
+	u_int number;
+	u_int ago_us;
+	bool_t silent;
+	char *service;
+	char *host;
+	bool_t pass_on;
+	struct {
+		u_int customers_len;
+		hsx_crash_customer *customers_val;
+	} customers;
+	struct {
+		u_int tasks_len;
+		hsx_crash_task *tasks_val;
+	} tasks;
+};
+typedef struct hsx_crash hsx_crash;
+
 struct hsx_report_args {
 	uint64_t agent;
 	int64_t stamp_us;
@@ -500,6 +534,7 @@
 	hsx_room free;
 	bool_t offer;
 	hsx_target_info *info;
+	hsx_crash *crash;
 	bool_t whole;
 	bool_t fresh;
 	struct {
@@ -530,6 +565,11 @@
 };
 typedef struct hsx_configuration_args hsx_configuration_args;
 
+struct hsx_crash_args {
+	hsx_crash crash;
+};
+typedef struct hsx_crash_args hsx_crash_args;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -591,6 +631,9 @@
 #define HSX_CONFIGURATION 18
 extern  enum clnt_stat hsx_configuration_1(hsx_configuration_args , void *, CLIENT *);
 extern  bool_t hsx_configuration_1_svc(hsx_configuration_args , void *, struct svc_req *);
+#define HSX_CRASH 19
+extern  enum clnt_stat hsx_crash_1(hsx_crash_args , void *, CLIENT *);
+extern  bool_t hsx_crash_1_svc(hsx_crash_args , void *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -651,6 +694,9 @@
 #define HSX_CONFIGURATION 18
 extern  enum clnt_stat hsx_configuration_1();
 extern  bool_t hsx_configuration_1_svc();
+#define HSX_CRASH 19
+extern  enum clnt_stat hsx_crash_1();
+extern  bool_t hsx_crash_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -709,9 +755,13 @@
 extern  bool_t xdr_hsx_end (XDR *, hsx_end*);
 extern  bool_t xdr_hsx_target_state (XDR *, hsx_target_state*);
 extern  bool_t xdr_hsx_target_info (XDR *, hsx_target_info*);
+extern  bool_t xdr_hsx_crash_customer (XDR *, hsx_crash_customer*);
+extern  bool_t xdr_hsx_crash_task (XDR *, hsx_crash_task*);
+extern  bool_t xdr_hsx_crash (XDR *, hsx_crash*);
 extern  bool_t xdr_hsx_report_args (XDR *, hsx_report_args*);
 extern  bool_t xdr_hsx_entries_args (XDR *, hsx_entries_args*);
 extern  bool_t xdr_hsx_configuration_args (XDR *, hsx_configuration_args*);
+extern  bool_t xdr_hsx_crash_args (XDR *, hsx_crash_args*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -766,9 +816,13 @@
 extern bool_t xdr_hsx_end ();
 extern bool_t xdr_hsx_target_state ();
 extern bool_t xdr_hsx_target_info ();
+extern bool_t xdr_hsx_crash_customer ();
+extern bool_t xdr_hsx_crash_task ();
+extern bool_t xdr_hsx_crash ();
 extern bool_t xdr_hsx_report_args ();
 extern bool_t xdr_hsx_entries_args ();
 extern bool_t xdr_hsx_configuration_args ();
+extern bool_t xdr_hsx_crash_args ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -22,6 +22,7 @@
 const HSX_SPEC_MAX = 65536;
 const HSX_ENTRIES_MAX = 256;
 const HSX_CONFIGURATION_MAX = 4194304;
+const HSX_CRASH_TASKS_MAX = 64;
 
 /* Role of a process on a connection. */
 enum hsx_role {
@@ -409,6 +410,33 @@
 	hsx_room capacity;
 };
 
+/*
+ * A crash of a target: the customers and the tasks that ran there. The agent
+ * reports it to all its entries, and some of them pass it on to the others.
+ */
+struct hsx_crash_customer {
+	string name<HSX_NAME_MAX>;
+	unsigned int age_us;		/* of its youngest task there */
+	unsigned int jobs_milli;	/* thousandths of its jobs usually started
+					   there a second */
+};
+struct hsx_crash_task {
+	string job<HSX_ID_MAX>;
+	string customer<HSX_NAME_MAX>;
+	unsigned int index;
+};
+struct hsx_crash {
+	uint64_t agent;
+	unsigned int number;		/* counts the crashes that the agent saw */
+	unsigned int ago_us;		/* time since the crash */
+	bool silent;			/* the time is inexact */
+	string service<HSX_NAME_MAX>;
+	string host<HSX_NAME_MAX>;	/* the agent's name */
+	bool pass_on;			/* to the receiver's other entries */
+	hsx_crash_customer customers<HSX_CRASH_TASKS_MAX>;
+	hsx_crash_task tasks<HSX_CRASH_TASKS_MAX>;
+};
+
 /* REPORT, one-way, agent to entry. */
 struct hsx_report_args {
 	uint64_t agent;
@@ -418,6 +446,7 @@
 	hsx_room free;			/* resources available to this entry */
 	bool offer;			/* the agent waits for an answer */
 	hsx_target_info *info;		/* NULL: unchanged */
+	hsx_crash *crash;		/* NULL: none that is new to the entry */
 	bool whole;			/* held lists all tasks of the entry */
 	bool fresh;			/* with whole: replaces all earlier reports */
 	uint64_t held<HSX_RECORDS_MAX>;
@@ -435,6 +464,11 @@
 	opaque text<HSX_CONFIGURATION_MAX>;
 };
 
+/* CRASH, one-way, entry to entry: a crash that an agent has reported. */
+struct hsx_crash_args {
+	hsx_crash crash;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -456,5 +490,6 @@
 		void HSX_REPORT(hsx_report_args) = 16;
 		void HSX_ENTRIES(hsx_entries_args) = 17;
 		void HSX_CONFIGURATION(hsx_configuration_args) = 18;
+		void HSX_CRASH(hsx_crash_args) = 19;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -31,6 +31,7 @@
   [HSX_REPORT] = ONE_WAY ("report", hsx_report_args),
   [HSX_ENTRIES] = ONE_WAY ("entries", hsx_entries_args),
   [HSX_CONFIGURATION] = ONE_WAY ("configuration", hsx_configuration_args),
+  [HSX_CRASH] = ONE_WAY ("crash", hsx_crash_args),
 };
 
 const HsProc *
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -1,5 +1,9 @@
 /* The actions of the scheduling modules in a simulated load, and the answers of
+#include <stdio.h>
+#include <stdlib.h>
    the targets. */
+#include <stdio.h>
+#include <stdlib.h>
 #include "load_private.h"
 
 static bool
@@ -153,8 +157,12 @@
 static void
 on_crashed (void *arg, const HsCrash *crash)
 {
-  (void) arg;
+  Agent *agent = arg;
+  unsigned int e;
+
   (void) crash;
+  for (e = 0; e < load_world.plan->n_entries; e++)
+    agent->crash_due[e] = true;
 }
 
 const HsRunsEffects LOAD_RUNS_EFFECTS
@@ -173,6 +181,7 @@
   Launch launch = { *job, *task };
 
   launch.launch.job = g_strdup (job->job);
+  launch.launch.customer = g_strdup (job->customer);
   launch.launch.spec.spec_val = NULL;
   launch.launch.spec.spec_len = 0;
   g_array_append_val (entry->launches[target], launch);
@@ -261,5 +270,13 @@
   (void) task;
 }
 
+static void
+on_contained (void *arg, const HsContainmentChange *change)
+{
+  (void) arg;
+  if (getenv ("HSDBG")) printf ("%.3f %s %d %.2f\n", (double) (load_world.now - load_world.start) / HS_SEC, change->customer, change->contained, change->score);
+}
+
 const HsJobsEffects LOAD_JOBS_EFFECTS
-    = { on_launch, on_job_stop, on_answer, on_task_ended, on_task_not_held };
+    = { on_launch,     on_job_stop,      on_answer,
+        on_task_ended, on_task_not_held, on_contained };
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -48,6 +48,7 @@
       hs_runs_launch (agent->runs, msg->entry, &launches[i].launch,
                       &launches[i].task, msg->sent, load_world.now);
       g_free (launches[i].launch.job);
+      g_free (launches[i].launch.customer);
     }
   g_free (msg->orders.launches.launches_val);
   g_free (msg->orders.stops.stops_val);
@@ -72,6 +73,9 @@
   msg->report.ends.ends_val
       = g_memdup2 (ends->data, ends->len * sizeof (hsx_end));
   g_array_set_size (ends, 0);
+  if (agent->crash_due[e])
+    msg->crash = *hs_runs_last_crash (agent->runs);
+  agent->crash_due[e] = false;
   agent->offer_due[e] = false;
   agent->report_due[e] = false;
   agent->reported_at[e] = load_world.now;
@@ -80,15 +84,27 @@
 static void
 receive_report (Entry *entry, Msg *msg)
 {
+  char host[16];
   hsx_target_info info
-      = { (char *) "t", (char *) "s", (char *) "r", (char *) "h", { 0 } };
+      = { (char *) "t", (char *) "s", (char *) "r", host, { 0 } };
+  HsCrashMessage message;
   u_int i;
 
+  g_snprintf (host, sizeof host, "h%u", msg->agent);
+
   info.capacity.cpu_milli = load_world.agents[msg->agent].cpu_milli;
   info.capacity.memory_mb = 1000000;
   msg->report.info = &info;
   hs_targets_apply_report (entry->targets, msg->agent, &msg->report,
                            load_world.now);
+  if (msg->crash.number > 0)
+    {
+      hs_crash_message_fill (&message, &msg->crash, msg->report.stamp_us);
+      message.crash.agent = msg->report.agent;
+      message.crash.service = info.service;
+      message.crash.host = host;
+      hs_jobs_target_crashed (entry->jobs, &message.crash, load_world.now);
+    }
   for (i = 0; i < msg->report.ends.ends_len; i++)
     hs_jobs_task_ended (entry->jobs, msg->agent, &msg->report.ends.ends_val[i],
                         load_world.now);
@@ -190,6 +206,7 @@
   for (e = 0; e < load_world.plan->n_entries; e++)
     if (load_world.entries[e].linked[agent->number]
         && (agent->ends[e]->len > 0 || agent->offer_due[e]
+            || agent->crash_due[e]
             || load_world.now - agent->reported_at[e]
                    >= (agent->report_due[e] ? report_interval
                                             : HEARTBEAT_INTERVAL)))
@@ -200,25 +217,31 @@
 load_step_entry (Entry *entry)
 {
   hsx_want none = { 0 };
-  hsx_want backlog;
+  hsx_want backlogs[2]; /* For the common targets, for the reserve. */
   unsigned int n_agents = load_world.plan->n_agents;
-  unsigned int n_informed = 0;
+  unsigned int n_informed[2] = { 0 };
   unsigned int first = entry->next_backlog_agent;
   unsigned int a;
   unsigned int k;
 
   hs_jobs_tick (entry->jobs, load_world.now);
   hs_targets_tick (entry->targets, load_world.now);
-  backlog = hs_jobs_backlog (entry->jobs, load_world.now);
+  for (k = 0; k < 2; k++)
+    backlogs[k] = hs_jobs_backlog (entry->jobs, k == 1, load_world.now);
   for (a = 0; a < n_agents; a++)
-    n_informed += entry->backlog_sent[a];
+    n_informed[hs_targets_get (entry->targets, a)->reserve]
+        += entry->backlog_sent[a];
   for (k = 0; k < n_agents; k++)
     {
+      const hsx_want *backlog;
       bool announce;
+      bool reserve;
 
       a = (first + k) % n_agents;
-      announce = backlog.rank > 0 && !entry->backlog_sent[a]
-                 && n_informed < HS_BACKLOG_AGENTS_MAX;
+      reserve = hs_targets_get (entry->targets, a)->reserve;
+      backlog = &backlogs[reserve];
+      announce = backlog->rank > 0 && !entry->backlog_sent[a]
+                 && n_informed[reserve] < HS_BACKLOG_AGENTS_MAX;
 
       if (!entry->linked[a])
         continue;
@@ -226,10 +249,10 @@
           && !entry->orders_due[a]
           && load_world.now - entry->ordered_at[a] < HEARTBEAT_INTERVAL)
         continue;
-      n_informed += announce;
+      n_informed[reserve] += announce;
       if (announce)
         entry->next_backlog_agent = a + 1;
       send_orders (entry, a,
-                   announce || entry->backlog_sent[a] ? &backlog : &none);
+                   announce || entry->backlog_sent[a] ? backlog : &none);
     }
 }
--- a/test/load_private.h
+++ b/test/load_private.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "direct/crash_message.h"
 #include "direct/jobs.h"
 #include "direct/resources.h"
 #include "direct/runs.h"
@@ -49,6 +50,7 @@
   HsTime sent;
   hsx_orders_args orders; /* Its arrays are allocated with g_malloc. */
   hsx_report_args report;
+  HsCrash crash; /* Reported if its number isn't 0. */
 } Msg;
 
 typedef struct
@@ -81,6 +83,7 @@
   HsTime reported_at[ENTRIES_MAX];
   bool report_due[ENTRIES_MAX];
   bool offer_due[ENTRIES_MAX];
+  bool crash_due[ENTRIES_MAX];
   uint32_t cpu_milli;
   HsTime tick_at;
   HsTime crash_at;   /* A running task crashes the target then; 0: none. */
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -88,8 +88,16 @@
   (void) task;
 }
 
+static void
+on_contained (void *arg, const HsContainmentChange *change)
+{
+  (void) arg;
+  (void) change;
+}
+
 static const HsJobsEffects EFFECTS
-    = { on_launch, on_stop, on_answer, on_task_ended, on_task_not_held };
+    = { on_launch,     on_stop,          on_answer,
+        on_task_ended, on_task_not_held, on_contained };
 
 static void
 report_free (uint32_t target, uint32_t free_milli, HsTime now)
--- /dev/null
+++ b/test/test_direct_jobs_crash.c
@@ -0,0 +1,395 @@
+/* Tasks that crash their targets: how often an entry starts one, and where it
+   serves customers whose tasks do so. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "direct/jobs.h"
+
+#define T0 (1000 * HS_SEC)
+#define CAPACITY 4000
+#define N_TARGETS 10
+
+typedef struct
+{
+  hsx_launch_task task;
+  uint32_t target;
+  char customer[8];
+} Launch;
+
+static void *ctx;
+static HsTargets *targets;
+static HsJobs *jobs;
+static Launch launches[512];
+static uint32_t n_launches;
+static HsJobAnswer answers[64];
+static uint32_t n_answers;
+static uint32_t orders_sent[N_TARGETS];
+static uint32_t n_crashes;
+
+static uint32_t
+on_launch (void *arg,
+           uint32_t target,
+           const hsx_launch *job,
+           const hsx_launch_task *task)
+{
+  (void) arg;
+  launches[n_launches].target = target;
+  launches[n_launches].task = *task;
+  snprintf (launches[n_launches].customer, sizeof launches[n_launches].customer,
+            "%s", job->customer);
+  n_launches++;
+  return ++orders_sent[target];
+}
+
+static void
+on_stop (void *arg, uint32_t target, uint64_t ref)
+{
+  (void) arg;
+  (void) target;
+  (void) ref;
+}
+
+static void
+on_answer (void *arg, const HsJobAnswer *answer)
+{
+  (void) arg;
+  answers[n_answers++] = *answer;
+}
+
+static void
+on_task_ended (void *arg,
+               const char *id,
+               uint32_t target,
+               const HsTask *task,
+               const hsx_end *end)
+{
+  (void) arg;
+  (void) id;
+  (void) target;
+  (void) task;
+  (void) end;
+}
+
+static void
+on_task_not_held (void *arg,
+                  const char *id,
+                  uint32_t target,
+                  const HsTask *task)
+{
+  (void) arg;
+  (void) id;
+  (void) target;
+  (void) task;
+}
+
+static void
+on_contained (void *arg, const HsContainmentChange *change)
+{
+  (void) arg;
+  (void) change;
+}
+
+static const HsJobsEffects EFFECTS
+    = { on_launch,     on_stop,          on_answer,
+        on_task_ended, on_task_not_held, on_contained };
+
+static void
+report (uint32_t target,
+        hsx_target_state state,
+        uint32_t free_milli,
+        HsTime now)
+{
+  char host[8];
+  hsx_target_info info = {
+    (char *) "t", (char *) "s", (char *) "r", host, { CAPACITY, 100000, 0 }
+  };
+  hsx_report_args args = { .state = state,
+                           .orders_seen = orders_sent[target],
+                           .free = { free_milli, 100000, 0 },
+                           .info = &info };
+
+  snprintf (host, sizeof host, "h%u", target);
+  hs_targets_apply_report (targets, target, &args, now);
+}
+
+static void
+submit (const char *customer, const char *id, HsTime now)
+{
+  HsSubmission job = { .request = 1,
+                       .id = id,
+                       .customer = customer,
+                       .service = "s",
+                       .spec = "x",
+                       .spec_len = 1,
+                       .n_tasks = 1,
+                       .needs = { 1000, 10, 0 },
+                       .declared_run_time = 200 * HS_MSEC,
+                       .time_left = 3000 * HS_MSEC,
+                       .max_failures = 2,
+                       .slack_factor = 1.6,
+                       .slack = 600 * HS_MSEC };
+
+  hs_jobs_submit (jobs, &job, now);
+}
+
+/* The target crashes 10 ms after the start of a task. */
+static hsx_crash
+crash_of (uint32_t target,
+          const char *customer,
+          const char *job,
+          hsx_crash_customer *suspect,
+          hsx_crash_task *task,
+          char *host)
+{
+  hsx_crash crash = { .agent = target + 1, .service = (char *) "s" };
+
+  *suspect = (hsx_crash_customer){ (char *) customer, 10000, 1000 };
+  *task = (hsx_crash_task){ (char *) job, (char *) customer, 0 };
+  snprintf (host, 8, "h%u", target);
+  crash.number = ++n_crashes;
+  crash.host = host;
+  crash.customers.customers_len = 1;
+  crash.customers.customers_val = suspect;
+  crash.tasks.tasks_len = 1;
+  crash.tasks.tasks_val = task;
+  return crash;
+}
+
+static void
+crash_target (uint32_t target,
+              const char *customer,
+              const char *job,
+              HsTime now)
+{
+  hsx_crash_customer suspect;
+  hsx_crash_task task;
+  char host[8];
+  hsx_crash crash = crash_of (target, customer, job, &suspect, &task, host);
+
+  report (target, HSX_TARGET_MUTE, 0, now);
+  assert_true (hs_jobs_target_crashed (jobs, &crash, now));
+}
+
+static void
+end_as_lapsed (uint32_t launch, HsTime now)
+{
+  hsx_end end = { .ref = launches[launch].task.ref, .how = HSX_END_LAPSED };
+
+  hs_jobs_task_ended (jobs, launches[launch].target, &end, now);
+  hs_jobs_dispatch (jobs, now);
+}
+
+static int
+setup (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  n_launches = n_answers = n_crashes = 0;
+  memset (orders_sent, 0, sizeof orders_sent);
+  ctx = talloc_new (NULL);
+  targets = hs_targets_new (ctx);
+  jobs = hs_jobs_new (ctx, targets, "dc1", &EFFECTS, NULL);
+  for (i = 0; i < N_TARGETS; i++)
+    {
+      hs_targets_connect (targets, i + 1, "dc1", T0);
+      report (i, HSX_TARGET_READY, CAPACITY, T0);
+    }
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void) state;
+  talloc_free (ctx);
+  return 0;
+}
+
+static void
+a_task_under_which_two_targets_crashed_is_given_up (void **state)
+{
+  (void) state;
+  submit ("c", "a", T0);
+  crash_target (launches[0].target, "c", "a", T0 + 10 * HS_MSEC);
+  assert_int_equal (n_answers, 0);
+  end_as_lapsed (0, T0 + 600 * HS_MSEC);
+  assert_int_equal (n_launches, 2);
+  crash_target (launches[1].target, "c", "a", T0 + 620 * HS_MSEC);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].kind, HS_ANSWER_FAILED);
+  assert_int_equal (answers[0].reason, HS_REASON_CRASHES);
+  hs_jobs_dispatch (jobs, T0 + 700 * HS_MSEC);
+  assert_int_equal (n_launches, 2);
+}
+
+static void
+a_task_that_ran_beside_one_crash_is_started_again (void **state)
+{
+  hsx_end end = { .how = HSX_END_DONE, .run_us = 200000 };
+
+  (void) state;
+  submit ("c", "a", T0);
+  crash_target (launches[0].target, "c", "a", T0 + 10 * HS_MSEC);
+  end_as_lapsed (0, T0 + 600 * HS_MSEC);
+  end.ref = launches[1].task.ref;
+  hs_jobs_task_ended (jobs, launches[1].target, &end, T0 + 800 * HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_COMPLETED);
+}
+
+/* The entry that ran the job was killed; this one has its caller's next
+   attempt, and knows of the crashes from the agents and the other entries. */
+static void
+a_resubmitted_task_that_crashed_two_targets_is_not_started (void **state)
+{
+  (void) state;
+  crash_target (3, "c", "a", T0);
+  crash_target (4, "c", "a", T0 + 7 * HS_SEC);
+  submit ("c", "a", T0 + 8 * HS_SEC);
+  assert_int_equal (n_launches, 0);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].kind, HS_ANSWER_FAILED);
+  submit ("c", "b", T0 + 8 * HS_SEC);
+  assert_int_equal (n_launches, 1);
+}
+
+static void
+a_crash_that_two_processes_report_counts_once (void **state)
+{
+  hsx_crash_customer suspect;
+  hsx_crash_task task;
+  char host[8];
+  hsx_crash crash;
+
+  (void) state;
+  submit ("c", "a", T0);
+  crash = crash_of (launches[0].target, "c", "a", &suspect, &task, host);
+  assert_true (hs_jobs_target_crashed (jobs, &crash, T0));
+  assert_false (hs_jobs_target_crashed (jobs, &crash, T0));
+  assert_int_equal (n_answers, 0);
+}
+
+/* Two targets outside the reserve crash under jobs of "c". */
+static void
+contain_c (HsTime now)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < N_TARGETS && n < 2; i++)
+    if (!hs_targets_get (targets, i)->reserve)
+      {
+        crash_target (i, "c", n == 0 ? "p" : "q", now + n * 100 * HS_MSEC);
+        n++;
+      }
+}
+
+static void
+a_contained_customer_is_served_on_the_reserve_only (void **state)
+{
+  HsTime now = T0 + 200 * HS_MSEC;
+  char id[8];
+  uint32_t i;
+
+  (void) state;
+  contain_c (T0);
+  for (i = 0; i < 4; i++)
+    {
+      snprintf (id, sizeof id, "c%u", i);
+      submit ("c", id, now);
+      snprintf (id, sizeof id, "d%u", i);
+      submit ("d", id, now);
+    }
+  assert_int_equal (n_launches, 8);
+  for (i = 0; i < n_launches; i++)
+    assert_int_equal (hs_targets_get (targets, launches[i].target)->reserve,
+                      launches[i].customer[0] == 'c');
+}
+
+static void
+a_contained_customer_is_refused_at_once_while_its_targets_are_down (
+    void **state)
+{
+  HsTime now = T0 + 200 * HS_MSEC;
+  uint32_t i;
+
+  (void) state;
+  contain_c (T0);
+  for (i = 0; i < N_TARGETS; i++)
+    if (hs_targets_get (targets, i)->reserve)
+      report (i, HSX_TARGET_MUTE, 0, now);
+  submit ("c", "c1", now);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].kind, HS_ANSWER_REFUSED);
+  assert_int_equal (answers[0].reason, HS_REASON_CONTAINED);
+  assert_true (answers[0].retry_after_ms >= 900);
+  submit ("d", "d1", now);
+  assert_int_equal (n_launches, 1);
+}
+
+static void
+a_contained_customer_starts_nothing_while_a_third_of_the_targets_is_down (
+    void **state)
+{
+  HsTime now = T0 + 200 * HS_MSEC;
+  uint32_t n = 0;
+  uint32_t i;
+
+  (void) state;
+  contain_c (T0);
+  for (i = N_TARGETS; i > 0 && n < 2; i--)
+    if (!hs_targets_get (targets, i - 1)->reserve)
+      {
+        crash_target (i - 1, "c", n == 0 ? "r" : "s", now);
+        n++;
+      }
+  submit ("c", "c1", now);
+  assert_int_equal (n_launches, 0);
+  assert_int_equal (answers[0].reason, HS_REASON_CONTAINED);
+  for (i = 0; i < N_TARGETS; i++)
+    report (i, HSX_TARGET_READY, CAPACITY, now + HS_SEC);
+  submit ("c", "c2", now + HS_SEC);
+  assert_int_equal (n_launches, 1);
+}
+
+static void
+what_waits_for_the_reserve_is_asked_of_its_agents_only (void **state)
+{
+  HsTime now = T0 + 200 * HS_MSEC;
+  uint32_t i;
+
+  (void) state;
+  contain_c (T0);
+  for (i = 0; i < N_TARGETS; i++)
+    if (hs_targets_get (targets, i)->reserve)
+      report (i, HSX_TARGET_READY, 0, now);
+  submit ("c", "c1", now);
+  assert_int_equal (n_launches, 0);
+  assert_int_equal (hs_jobs_backlog (jobs, true, now).tasks, 1);
+  assert_int_equal (hs_jobs_backlog (jobs, false, now).tasks, 0);
+}
+
+int
+main (void)
+{
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (a_task_under_which_two_targets_crashed_is_given_up),
+    TEST (a_task_that_ran_beside_one_crash_is_started_again),
+    TEST (a_resubmitted_task_that_crashed_two_targets_is_not_started),
+    TEST (a_crash_that_two_processes_report_counts_once),
+    TEST (a_contained_customer_is_served_on_the_reserve_only),
+    TEST (a_contained_customer_is_refused_at_once_while_its_targets_are_down),
+    TEST (
+        a_contained_customer_starts_nothing_while_a_third_of_the_targets_is_down),
+    TEST (what_waits_for_the_reserve_is_asked_of_its_agents_only),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_direct_targets.c
+++ b/test/test_direct_targets.c
@@ -36,7 +36,8 @@
 static uint32_t
 place (HsTime now)
 {
-  return hs_targets_choose (targets, "s", &NEEDS, "dc1", HS_TARGET_NONE, now);
+  return hs_targets_choose (targets, "s", HS_TARGETS_ALL, &NEEDS, "dc1",
+                            HS_TARGET_NONE, now);
 }
 
 static int
@@ -79,9 +80,9 @@
   report (0, 1000, 0, false);
   report (1, 5000, 0, false);
   assert_int_equal (place (T0), 1);
-  assert_int_equal (
-      hs_targets_choose (targets, "other", &NEEDS, "dc1", HS_TARGET_NONE, T0),
-      HS_TARGET_NONE);
+  assert_int_equal (hs_targets_choose (targets, "other", HS_TARGETS_ALL, &NEEDS,
+                                       "dc1", HS_TARGET_NONE, T0),
+                    HS_TARGET_NONE);
 }
 
 static void
@@ -108,9 +109,13 @@
   (void) state;
   report (0, CAPACITY, 0, false);
   report (1, 2000, 0, false);
-  assert_int_equal (hs_targets_choose (targets, "s", &NEEDS, "dc1", 0, T0), 1);
+  assert_int_equal (
+      hs_targets_choose (targets, "s", HS_TARGETS_ALL, &NEEDS, "dc1", 0, T0),
+      1);
   report (1, 0, 0, false);
-  assert_int_equal (hs_targets_choose (targets, "s", &NEEDS, "dc1", 0, T0), 0);
+  assert_int_equal (
+      hs_targets_choose (targets, "s", HS_TARGETS_ALL, &NEEDS, "dc1", 0, T0),
+      0);
 }
 
 static void
