Contain a customer only while crashes are frequent for the number of targets

Cause: crashes counted for 5 s, and one more crash after a release was enough; the threshold was the same for 11 and for 240 targets.

Now crashes count for 2 s, a customer that was released needs three quarters of the level, and the level is a twentieth of the targets where that is more.

--- a/src/direct/jobs_crash.c
+++ b/src/direct/jobs_crash.c
@@ -105,6 +105,7 @@
   HsCrashEvidence evidence
       = { .service = crash->service,
           .at = now - (HsTime) crash->ago_us,
+          .n_targets = hs_targets_count (jobs->targets, crash->service),
           .at_error = crash->silent ? SILENT_CRASH_ERROR : 0,
           .reserved = hs_targets_host_crashed (jobs->targets, crash->service,
                                                crash->host),
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -327,6 +327,18 @@
   return false;
 }
 
+uint32_t
+hs_targets_count (const HsTargets *targets, const char *service)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < targets->n_rows; i++)
+    n += targets->rows[i].target.in_use
+         && strcmp (targets->rows[i].target.service, service) == 0;
+  return n;
+}
+
 bool
 hs_targets_host_crashed (HsTargets *targets,
                          const char *service,
@@ -350,7 +362,6 @@
 bool
 hs_targets_reserve_is_open (const HsTargets *targets, const char *service)
 {
-  uint32_t n = 0;
   uint32_t n_crashed = 0;
   uint32_t i;
 
@@ -358,12 +369,10 @@
     {
       const HsTarget *target = &targets->rows[i].target;
 
-      if (!target->in_use || strcmp (target->service, service) != 0)
-        continue;
-      n++;
-      n_crashed += target->crashed;
+      n_crashed += target->in_use && target->crashed
+                   && strcmp (target->service, service) == 0;
     }
-  return n_crashed * CRASHED_DIVISOR < n
+  return n_crashed * CRASHED_DIVISOR < hs_targets_count (targets, service)
          && hs_targets_any_ready (targets, service, HS_TARGETS_RESERVE);
 }
 
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -152,6 +152,9 @@
                            const char *service,
                            HsTargetGroup group);
 
+/** The number of targets of a service that are known. */
+uint32_t hs_targets_count (const HsTargets *targets, const char *service);
+
 /** The target of a host has crashed.
  *  @return whether it is in the reserve; false if it isn't known */
 bool hs_targets_host_crashed (HsTargets *targets,
--- a/src/policy/containment.c
+++ b/src/policy/containment.c
@@ -7,20 +7,26 @@
 
 #include "proto/hspoke.h"
 
-/** Time constant with which crashes and evidence are forgotten. */
-#define MEMORY (5 * HS_SEC)
+/** Time constants with which evidence and crashes are forgotten. A target is
+ *  down for two to four seconds after a crash. */
+#define EVIDENCE_MEMORY (5 * HS_SEC)
+#define CRASH_MEMORY (2 * HS_SEC)
 
 /** Crashes less than this apart, besides what their times may be off, have one
  *  cause, such as a rack without power: reports take that long. */
 #define COINCIDENCE (5 * HS_MSEC)
 
-/** Decaying number of crashes from which on they aren't failures of hosts: two
- *  within half a second, or three within three seconds. */
-#define LEVEL_MIN 1.9
+/** Decaying number of crashes from which on they do more harm than containing a
+ *  customer: two within half a second, or more than one a second; where there
+ * are many targets, a crash for one in so many of them. This share of it is
+ * enough for a customer that was contained before. */
+#define LEVEL_MIN 1.75
+#define TARGETS_PER_CRASH 20
+#define LEVEL_AGAIN_SHARE 0.75
 
-/** At this number of crashes it is no longer awaited which of several customers
- *  the evidence is against: they are contained together. */
-#define LEVEL_URGENT 4.9
+/** At so many times more crashes it is no longer awaited which of several
+ * customers the evidence is against: they are contained together. */
+#define URGENT_FACTOR 2.8
 
 /** Evidence that contains a customer, in nats; by chance a crash adds nothing
  * in the mean. The evidence is clear if it exceeds that against any other
@@ -99,7 +105,11 @@
                                     HsTime last_age);
 static double
 unlikeliness (const HsCrashSuspect *suspect, HsTime span, double max);
-static void accumulate (double *sum, HsTime *sum_at, HsTime at, double amount);
+static void accumulate (double *sum,
+                        HsTime *sum_at,
+                        HsTime at,
+                        double amount,
+                        HsTime memory);
 static double evidence_of (const HsCrashSuspect *suspect,
                            const HsCrashEvidence *crash);
 static void add_evidence (Customer *customer,
@@ -166,7 +176,8 @@
                              crash->suspects[i].customer);
   if (service->crashed_at != 0 && ABS (since) < COINCIDENCE + crash->at_error)
     return;
-  accumulate (&service->level, &service->crashed_at, crash->at, 1);
+  accumulate (&service->level, &service->crashed_at, crash->at, 1,
+              CRASH_MEMORY);
   judge (containment, crash);
   contain_worst (containment, service, crash, now);
 }
@@ -333,9 +344,13 @@
 /* Adds to a sum that decays with time. Reports of crashes may arrive in another
    order than that of the crashes. */
 static void
-accumulate (double *sum, HsTime *sum_at, HsTime at, double amount)
+accumulate (double *sum,
+            HsTime *sum_at,
+            HsTime at,
+            double amount,
+            HsTime memory)
 {
-  double decay = exp (-(double) ABS (at - *sum_at) / MEMORY);
+  double decay = exp (-(double) ABS (at - *sum_at) / (double) memory);
 
   if (at >= *sum_at)
     {
@@ -359,7 +374,8 @@
       evidence += evidence_of_same_age (suspect, crash, customer->last_age);
       customer->last_age = suspect->age;
     }
-  accumulate (&customer->score, &customer->score_at, crash->at, evidence - 1);
+  accumulate (&customer->score, &customer->score_at, crash->at, evidence - 1,
+              EVIDENCE_MEMORY);
   customer->score = MAX (customer->score, 0);
 }
 
@@ -414,6 +430,8 @@
   Customer *worst = NULL;
   double second = 0;
   bool found = false;
+  double level_min
+      = MAX (LEVEL_MIN, (double) crash->n_targets / TARGETS_PER_CRASH);
   uint32_t i;
 
   for (i = 0; i < containment->customers->len; i++)
@@ -422,7 +440,8 @@
 
       if (strcmp (customer->service, service->name) != 0)
         continue;
-      if (was_released_too_early (customer, crash, now))
+      if (service->level >= LEVEL_AGAIN_SHARE * level_min
+          && was_released_too_early (customer, crash, now))
         contain (containment, customer, now);
       if (worst == NULL || customer->score > worst->score)
         {
@@ -447,9 +466,10 @@
             release (containment, customer, now);
         }
       else if (customer->score >= SCORE_MIN
-               && ((customer == worst && service->level >= LEVEL_MIN
+               && ((customer == worst && service->level >= level_min
                     && customer->score >= second + MARGIN)
-                   || (service->level >= LEVEL_URGENT && behind < MARGIN)))
+                   || (service->level >= level_min * URGENT_FACTOR
+                       && behind < MARGIN)))
         {
           contain (containment, customer, now);
           found = true;
--- a/src/policy/containment.h
+++ b/src/policy/containment.h
@@ -58,9 +58,10 @@
 typedef struct
 {
   const char *service;
-  HsTime at;       /**< When it crashed... */
-  HsTime at_error; /**< ...which is known to this accuracy. */
-  bool reserved;   /**< Contained customers are started there, others not. */
+  HsTime at;          /**< When it crashed... */
+  HsTime at_error;    /**< ...which is known to this accuracy. */
+  uint32_t n_targets; /**< Of the service. */
+  bool reserved;      /**< Contained customers are started there, others not. */
   const HsCrashSuspect *suspects; /**< The customers that had tasks there. */
   uint32_t n_suspects;
 } HsCrashEvidence;
