Don't count calls that reached nobody as renewals of a lease

What callers saw: a task whose target had crashed was known to have ended, and was started elsewhere, 0.70 s after the crash; most of the jobs beside a crashing task were useless by then.

Cause: each poll that carried a lease counted as a renewal when it was sent, also if the connection was refused, until the target was taken for unresponsive 150 ms later. Class: a promise is counted from a call that never arrived. A poll or start that found no listener, or was never sent, is no renewal; one still in flight is.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -267,6 +267,8 @@
   if (handle >= HS_RUNS_MAX || run->state != HS_RUN_STARTING)
     return;
   hs_runs_note_call_result (runs, result, now);
+  if (result != HS_TARGET_UNSENT && result != HS_TARGET_NO_LISTENER)
+    runs->renewed_at = MAX (runs->renewed_at, run->called_at);
   if (result != HS_TARGET_UNANSWERED && result != HS_TARGET_UNSENT
       && result != HS_TARGET_NO_LISTENER)
     runs->answered_at = now;
@@ -435,7 +437,6 @@
   run->state = HS_RUN_STARTING;
   run->called_at = now;
   run->n_start_calls++;
-  runs->lease_renewed_at = now;
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
 }
 
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -74,6 +74,7 @@
                                    uint64_t token,
                                    HsTime now);
 static void check_lease_expiry (HsRuns *runs, HsTime now);
+static HsTime last_renewal (const HsRuns *runs);
 static bool has_unknown_starts (const HsRuns *runs);
 static HsTime retry_delay (const HsRuns *runs);
 
@@ -117,6 +118,8 @@
 
   if (runs->polls_in_flight > 0)
     runs->polls_in_flight--;
+  if (result == HS_TARGET_UNSENT || result == HS_TARGET_NO_LISTENER)
+    runs->poll_renewed_at[number % HS_POLL_TOKENS_MAX] = 0;
   hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_OK)
     {
@@ -217,6 +220,8 @@
                         .acked = runs->acked_end,
                         .wait_ms = wait_ms,
                         .timeout_ms = wait_ms + POLL_TIMEOUT_SLACK_MS };
+  uint32_t place = poll.number % HS_POLL_TOKENS_MAX;
+  HsTime renewal = 0;
 
   /* The lease of an unresponsive target isn't renewed, as its runs have to
      lapse. */
@@ -226,11 +231,14 @@
     {
       poll.lease_until_ms
           = hs_runs_target_clock (runs, now) + runs->options.lease / HS_MSEC;
-      runs->lease_renewed_at = now;
+      renewal = now;
     }
+  /* The poll that had this place before isn't in flight any more. */
+  runs->renewed_at = MAX (runs->renewed_at, runs->poll_renewed_at[place]);
+  runs->poll_renewed_at[place] = renewal;
   runs->polls_in_flight++;
   runs->token_in_flight = runs->token;
-  runs->poll_tokens[poll.number % HS_POLL_TOKENS_MAX] = poll.token;
+  runs->poll_tokens[place] = poll.token;
   runs->effects->poll (runs->arg, &poll);
 }
 
@@ -431,7 +439,7 @@
   HsTime bound = lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
   uint32_t i;
 
-  if (!runs->unresponsive || now - runs->lease_renewed_at < bound)
+  if (!runs->unresponsive || now - last_renewal (runs) < bound)
     return;
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
@@ -442,6 +450,21 @@
     }
 }
 
+/* When the last call was made that may have renewed the lease. */
+static HsTime
+last_renewal (const HsRuns *runs)
+{
+  HsTime last = runs->renewed_at;
+  uint32_t i;
+
+  for (i = 0; i < HS_POLL_TOKENS_MAX; i++)
+    last = MAX (last, runs->poll_renewed_at[i]);
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (runs->runs[i].state == HS_RUN_STARTING)
+      last = MAX (last, runs->runs[i].called_at);
+  return last;
+}
+
 static bool
 has_unknown_starts (const HsRuns *runs)
 {
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -81,9 +81,12 @@
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
-  HsTime poll_not_before;   /**< Set after a failed poll; 0: no limit. */
-  HsTime answered_at;       /**< Last answer of the target. */
-  HsTime lease_renewed_at;  /**< Last poll or start that carried a lease. */
+  HsTime poll_not_before; /**< Set after a failed poll; 0: no limit. */
+  HsTime answered_at;     /**< Last answer of the target. */
+  /** When calls that carried a lease, and may have reached the target, were
+   *  made: each of the last polls by its number, and the last of all others. */
+  HsTime poll_renewed_at[HS_POLL_TOKENS_MAX];
+  HsTime renewed_at;
   uint32_t n_failed_polls;  /**< Consecutive polls without an answer. */
   bool unresponsive;        /**< Polls have failed for too long. */
   HsTime failing_since;     /**< First call without an answer since the last
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -881,6 +881,30 @@
   assert_string_equal (last_crash.tasks[0].key.job, "a");
 }
 
+/* Calls that found nobody don't renew the lease: the runs of a crashed target
+   end at most a lease, its drift and the slack after the last one that may
+   have. */
+static void
+refused_polls_do_not_delay_the_end_of_a_crashed_run (void **state)
+{
+  HsTime crashed_at;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  crashed_at = now;
+  lose_poll ();
+  while (n_ends == 0)
+    {
+      while (n_polls > 0)
+        refuse_poll ();
+      advance (5 * HS_MSEC);
+    }
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+  assert_in_range (now - crashed_at, 1070 * HS_MSEC, 1080 * HS_MSEC);
+}
+
 static void
 a_target_that_answers_again_has_not_crashed (void **state)
 {
@@ -950,6 +974,7 @@
     TEST (a_crash_is_reported_with_what_ran),
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
+    TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
     TEST (a_target_that_answers_again_has_not_crashed),
     TEST (the_end_of_a_leaving_target_is_no_crash),
   };
