Try crashing tasks and changing capacities with real processes and at random

The stand-in of a target takes "crash=N" in a task, and a capacity by POST /fault; a start beyond a capacity counts as broken once its announcement and the starts sent before must have arrived. test_direct_path: a job that crashes its targets, sent again and again to one entry after the other, takes down two targets and is answered as failed (fails on's rules: nothing counted crashes); a capacity that shrinks and grows is kept to, and jobs are refused or served by it. test_direct_runs_ random: the capacity changes and entries get offers; nothing beyond the capacity is granted.

--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -2,19 +2,22 @@
  * @file
  * standin-platform-target: stands in for a target of the users' platform and
  * speaks its protocol, around the target model of the tests. The spec of a task
- * gives its behaviour: "ms=N cpu=N [fail] [hang]". POST /fault sets the
- * percentages of requests that are delayed or get no answer; GET /state reports
- * the running tasks.
+ * * gives its behaviour: "ms=N cpu=N [fail] [hang] [crash=N]"; the last ends
+ * the process N ms after the start. POST /fault sets the percentages of
+ * requests that are delayed or get no answer, and the capacity; GET /state
+ * reports the running tasks.
  *
- * It starts every task that it is ordered to. It prints a line for each start
- * and end, and one that begins with BROKEN when the running tasks exceed its
- * capacity.
+ * * It starts every task that it is ordered to. It prints a line for each start
+ * and end, and one that begins with BROKEN when a start exceeds its capacity.
+ * One that has shrunk counts until its announcement and the starts that were
+ * sent before must have arrived.
  */
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -27,8 +30,10 @@
 #include "platform/target_wire.h"
 #include "../target_model.h"
 
+#define EXIT_CRASH 9
 #define TIMER_INTERVAL (2 * HS_MSEC)
 #define ANNOUNCE_INTERVAL (500 * HS_MSEC)
+#define SHRINK_GRACE (ANNOUNCE_INTERVAL + 1300 * HS_MSEC)
 #define DELAY_MIN_MS 2000
 #define DELAY_SPREAD_MS 4000
 
@@ -58,7 +63,11 @@
   const char *address;
   const char *name;
   const char *service;
+  uint32_t full_cpu_milli; /* As started. */
   uint32_t cpu_milli;
+  uint32_t cpu_milli_before; /* Counts until `shrunk_until`. */
+  HsTime shrunk_until;
+  HsTime crash_at; /* A running task ends the process then; 0: none. */
   uint64_t sequence;
   int64_t started_ms;
   HsTime announce_at;
@@ -166,10 +175,43 @@
   return true;
 }
 
+static void
+note_crash_task (Target *target, const char *spec, HsTime now)
+{
+  int64_t ms = spec_number (spec, "crash=", -1);
+
+  if (ms >= 0
+      && (target->crash_at == 0 || now + ms * HS_MSEC < target->crash_at))
+    target->crash_at = now + ms * HS_MSEC;
+}
+
+static void
+set_capacity (Target *target, uint32_t cpu_milli, HsTime now)
+{
+  if (cpu_milli < target->cpu_milli)
+    {
+      if (now >= target->shrunk_until)
+        target->cpu_milli_before = 0;
+      target->cpu_milli_before
+          = MAX (target->cpu_milli_before, target->cpu_milli);
+      target->shrunk_until = now + SHRINK_GRACE;
+    }
+  target->cpu_milli = cpu_milli;
+}
+
+static uint32_t
+capacity_in_force (const Target *target, HsTime now)
+{
+  return now < target->shrunk_until
+             ? MAX (target->cpu_milli, target->cpu_milli_before)
+             : target->cpu_milli;
+}
+
 static HsTargetResult
 handle_start (Target *target, struct json_object *root)
 {
   HsTargetStart start = { .spec = hs_json_get_string (root, "spec") };
+  HsTime now = hs_now ().mono;
   HsTargetResult result;
   uint32_t cpu;
   int64_t ms;
@@ -180,15 +222,18 @@
   ms = spec_number (start.spec, "ms=", 100);
   ms += ms * target->slow_percent / 100;
   cpu = (uint32_t) spec_number (start.spec, "cpu=", 1000);
-  result = hs_target_model_start (&target->model, &start, ms * HS_MSEC,
-                                  target->hangs
-                                      || strstr (start.spec, "hang") != NULL,
-                                  cpu, hs_now ().mono);
+  result = hs_target_model_start (
+      &target->model, &start, ms * HS_MSEC,
+      target->hangs || strstr (start.spec, "hang") != NULL, cpu, now);
   if (result == HS_TARGET_OK)
-    target->n_started++;
+    {
+      target->n_started++;
+      note_crash_task (target, start.spec, now);
+    }
   if (target->model.cpu_milli > target->peak_cpu_milli)
     target->peak_cpu_milli = target->model.cpu_milli;
-  if (target->model.cpu_milli > target->cpu_milli)
+  if (result == HS_TARGET_OK
+      && target->model.cpu_milli > capacity_in_force (target, now))
     {
       printf ("BROKEN capacity: %u of %u thousandths of a core\n",
               target->model.cpu_milli, target->cpu_milli);
@@ -318,7 +363,10 @@
 set_faults (Target *target, HsStandinRequest *request)
 {
   struct json_object *root = hs_json_parse_value (request->body, request->len);
+  int64_t cpu_milli = target->full_cpu_milli;
 
+  hs_json_get_int (root, "cpu_milli", &cpu_milli);
+  set_capacity (target, (uint32_t) cpu_milli, hs_now ().mono);
   target->late_percent = 0;
   target->lost_percent = 0;
   target->slow_percent = 0;
@@ -439,6 +487,8 @@
   guint i = 0;
 
   hs_target_model_advance (&target->model, now);
+  if (target->crash_at != 0 && now >= target->crash_at)
+    _exit (EXIT_CRASH);
   while (i < target->delayed_orders->len)
     {
       DelayedOrder *order = g_ptr_array_index (target->delayed_orders, i);
@@ -508,7 +558,8 @@
   target->agent = argv[2];
   target->name = argv[3];
   target->service = argv[4];
-  target->cpu_milli = (uint32_t) strtoul (argv[5], NULL, 10);
+  target->full_cpu_milli = (uint32_t) strtoul (argv[5], NULL, 10);
+  target->cpu_milli = target->full_cpu_milli;
   target->started_ms = now.wall_ms;
   hs_target_model_init (&target->model, now.mono);
   target->model.observe = print_event;
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -263,6 +263,80 @@
   assert_int_equal (cluster_target_counter (&cluster, 0, "started"), before);
 }
 
+static void
+set_capacities (const char *fault)
+{
+  unsigned int i;
+
+  for (i = 0; i < N_AGENTS; i++)
+    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", fault,
+                  1000);
+  /* Until they are announced and reported. */
+  cluster_sleep_ms (900);
+}
+
+static void
+capacity_that_shrinks_and_grows_is_followed (void **state)
+{
+  ClusterReply reply;
+  unsigned int done = 0;
+  unsigned int i;
+
+  (void) state;
+  set_capacities ("{\"cpu_milli\":1000}");
+  reply = cluster_submit (&cluster, 0, "00000000000c0001", "ms=20", 1, 2000,
+                          3000);
+  assert_int_equal (reply.status, 503);
+  assert_true (reply.seconds < 0.5);
+  cluster_sleep_ms (1500);
+  for (i = 0; i < 20; i++)
+    done += submit (i % N_ENTRIES, "ms=20", 3, 3000).status == 200;
+  assert_true (done > 0);
+  set_capacities ("{}");
+  reply = cluster_submit (&cluster, 1, "00000000000c0002", "ms=20", 1, 2000,
+                          3000);
+  assert_int_equal (reply.status, 200);
+  assert_false (cluster_logs_contain (&cluster, CLUSTER_TARGET, "BROKEN"));
+}
+
+static unsigned int
+restart_crashed_targets (void)
+{
+  unsigned int n = 0;
+  unsigned int i;
+
+  for (i = 0; i < N_AGENTS; i++)
+    if (waitpid (cluster.pids[CLUSTER_TARGET][i], NULL, WNOHANG) > 0)
+      {
+        cluster.pids[CLUSTER_TARGET][i] = 0;
+        n++;
+      }
+  cluster_start_all (&cluster);
+  cluster_sleep_ms (1000);
+  return n;
+}
+
+/* The caller sends the job again and again, to one entry after the other. */
+static void
+crashing_task_takes_down_two_targets_whoever_is_asked (void **state)
+{
+  ClusterReply reply = { 0 };
+  unsigned int i;
+
+  (void) state;
+  for (i = 0; i < 4; i++)
+    {
+      reply = cluster_submit (&cluster, i % N_ENTRIES, "00000000000d0001",
+                              "ms=900 cpu=1000 crash=30", 1, 1000, 6000);
+      cluster_sleep_ms (1300);
+    }
+  assert_int_equal (reply.status, 200);
+  assert_string_equal (reply.body, "{\"state\":\"failed\"}");
+  assert_true (reply.seconds < 0.5);
+  assert_int_equal (restart_crashed_targets (), 2);
+  assert_int_equal (submit (0, "ms=50", 3, 3000).status, 200);
+}
+
 int
 main (void)
 {
@@ -278,6 +352,8 @@
     cmocka_unit_test (lost_and_late_orders_never_overload_a_target),
     cmocka_unit_test (caller_deadline_overrides_the_route_timeout),
     cmocka_unit_test (agent_survives_changes_of_its_targets_address),
+    cmocka_unit_test (capacity_that_shrinks_and_grows_is_followed),
+    cmocka_unit_test (crashing_task_takes_down_two_targets_whoever_is_asked),
     cmocka_unit_test (draining_target_gets_no_new_tasks),
   };
 
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -1,7 +1,8 @@
 /* Random sequences of events between an agent and the model of a target. Calls
    to the target get lost, arrive seconds late or overtake each other; runs
-   hang, target and agent restart, and entries get lost. The runs must never
-   exceed the capacity, and each launch has to end exactly once. */
+   hang, target and agent restart, the capacity shrinks and grows, and entries
+   get offers and get lost. A start must never exceed the capacity, and each
+   launch has to end exactly once. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -11,13 +12,18 @@
 
 #include <cmocka.h>
 
-#include "direct/runs.h"
+#include "direct/runs_private.h"
 #include "prng.h"
 #include "target_model.h"
 
 #define SEEDS 400
 #define STEPS 1500
 #define CAPACITY 5000
+
+/** A start may reach the target this long after its agent sent it: the length
+ * of its lease. Until then it may exceed a capacity that has shrunk meanwhile.
+ */
+#define START_AGE_MAX (1020 * HS_MSEC)
 #define STEP_TIME (7 * HS_MSEC)
 #define PENDING_MAX 4096
 #define REFS_MAX 8192
@@ -53,11 +59,15 @@
   HsRuns *runs;
   void *ctx;
   HsTime now;
+  uint32_t seed;
   uint32_t agent_incarnation;
   uint64_t sequence;
   Order pending[PENDING_MAX];
   uint32_t n_pending;
-  uint32_t lost_percent; /* Share of calls that get no answer. */
+  uint32_t capacity;
+  uint32_t capacity_before; /* Counts until... */
+  HsTime shrunk_until;      /* ...then, as starts sent before may arrive. */
+  uint32_t lost_percent;    /* Share of calls that get no answer. */
   uint8_t reported[REFS_MAX];
   uint32_t n_refs;
 } World;
@@ -182,7 +192,7 @@
 
   announcement.started_ms = world.model.started_ms;
   announcement.sequence = ++world.sequence;
-  announcement.capacity = (hsx_room){ CAPACITY, 100000, 0 };
+  announcement.capacity = (hsx_room){ world.capacity, 100000, 0 };
   hs_runs_target_announced (world.runs, &announcement, world.now);
 }
 
@@ -201,6 +211,34 @@
   announce ();
 }
 
+static void
+change_capacity (void)
+{
+  uint32_t before = world.capacity;
+
+  world.capacity = CAPACITY / 5 * (1 + pick (5));
+  if (world.capacity < before)
+    {
+      if (world.now >= world.shrunk_until || before > world.capacity_before)
+        world.capacity_before = before;
+      world.shrunk_until = world.now + START_AGE_MAX;
+    }
+  announce ();
+}
+
+static void
+check_capacity (void)
+{
+  uint32_t allowed = world.capacity;
+
+  if (world.now < world.shrunk_until)
+    allowed = MAX (allowed, world.capacity_before);
+  if (world.model.cpu_milli > allowed)
+    fail_msg ("seed %u: a start at %" G_GINT64_FORMAT
+              " us makes it %u of %u thousandths",
+              world.seed, world.now, world.model.cpu_milli, allowed);
+}
+
 static void
 execute_order (Order *order)
 {
@@ -216,6 +254,8 @@
       result = hs_target_model_start (
           &world.model, &order->start, (20 + pick (400)) * HS_MSEC,
           pick (50) == 0, order->cpu_milli, world.now);
+      if (result == HS_TARGET_OK)
+        check_capacity ();
       if (answers)
         hs_runs_start_done (world.runs, order->run, result, world.now);
       return;
@@ -285,11 +325,27 @@
     }
 }
 
+/* What the agent grants never exceeds the capacity that it knows. */
+static void
+check_granted (void)
+{
+  uint32_t granted = 0;
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (world.runs->runs[i].state != HS_RUN_FREE)
+      granted += world.runs->runs[i].needs.cpu_milli;
+  if (granted > world.capacity)
+    fail_msg ("seed %u: %u of %u thousandths granted", world.seed, granted,
+              world.capacity);
+}
+
 static void
 launch (void)
 {
   hsx_launch_task task = { .ref = world.n_refs, .attempt = 1 };
   char job[32];
+  uint32_t n_before;
   hsx_launch order
       = { .job = job, .customer = (char *) "c", .left_ms = 200 + pick (2000) };
 
@@ -300,8 +356,21 @@
   order.needs = (hsx_room){ cpu_of (task.index), 10, 0 };
   order.expected_ms = 200;
   world.reported[world.n_refs++] = 0;
+  n_before = hs_runs_count (world.runs);
   hs_runs_launch (world.runs, pick (3), &order, &task,
                   world.now - pick (20) * HS_MSEC, world.now);
+  if (hs_runs_count (world.runs) > n_before)
+    check_granted ();
+}
+
+static void
+ask_for_offer (void)
+{
+  hsx_want backlog = { .rank = 1 + pick (5),
+                       .needs = { cpu_of (pick (40)), 10, 0 },
+                       .tasks = 1 + pick (6) };
+
+  hs_runs_set_backlog (world.runs, pick (3), &backlog, world.now);
 }
 
 static void
@@ -333,6 +402,15 @@
     case 6:
       announce ();
       return;
+    case 7:
+    case 8:
+      change_capacity ();
+      return;
+    case 9:
+    case 10:
+    case 11:
+      ask_for_offer ();
+      return;
     default:
       return;
     }
@@ -347,6 +425,8 @@
 
   memset (&world, 0, sizeof world);
   world.random = prng_seeded (seed);
+  world.seed = seed;
+  world.capacity = CAPACITY;
   world.now = 100000 * HS_SEC;
   hs_target_model_init (&world.model, world.now);
   start_agent ();
