--- a/test/soak/history.c
+++ b/test/soak/history.c
@@ -8,6 +8,14 @@
 
 #include "base/time.h"
 
+/** Outcome of a task that crashed the target. */
+#define OUTCOME_CRASHED 9
+
+/** After three crashes under a task it may be started twice more, as the users'
+ *  rules say; it is given up after two unless the processes that counted are
+ *  lost. */
+#define CRASHES_MAX 5
+
 /** All processes read one clock, but a target logs an event slightly after it
  *  happens, so two targets' times may differ by this. */
 #define OVERLAP_TOLERANCE (2 * HS_MSEC)
@@ -18,6 +26,7 @@
   HsTime end; /* HS_NEVER: still running. */
   unsigned int target;
   bool done;
+  bool crashed_target;
 } TaskRun;
 
 typedef struct
@@ -76,7 +85,8 @@
 }
 
 /* Parses a line of a target's log: the kind (B: restart, S: start, otherwise
-   an end), the task, its attempt, its outcome (1: done) and the time. */
+   an end), the task, its attempt, its outcome (1: done, 9: it crashed the
+   target) and the time. */
 static void
 parse_line (GHashTable *tasks, unsigned int target, const char *line)
 {
@@ -105,7 +115,7 @@
     }
   if (kind == 'S')
     {
-      TaskRun run = { at, HS_NEVER, target, false };
+      TaskRun run = { at, HS_NEVER, target, false, false };
 
       g_array_append_val (runs, run);
       return;
@@ -118,6 +128,7 @@
         continue;
       run->end = at;
       run->done = outcome == 1;
+      run->crashed_target = outcome == OUTCOME_CRASHED;
       return;
     }
 }
@@ -173,6 +184,20 @@
   return violations;
 }
 
+static unsigned int
+check_crashes (const char *name, const GArray *runs)
+{
+  unsigned int n = 0;
+  guint i;
+
+  for (i = 0; i < runs->len; i++)
+    n += g_array_index (runs, TaskRun, i).crashed_target;
+  if (n <= CRASHES_MAX)
+    return 0;
+  printf ("%s crashed %u targets\n", name, n);
+  return 1;
+}
+
 static unsigned int
 check_job (GHashTable *tasks, const SoakJob *job)
 {
@@ -217,7 +242,7 @@
     violations += read_log (tasks, cluster, i);
   g_hash_table_iter_init (&iter, tasks);
   while (g_hash_table_iter_next (&iter, &name, &runs))
-    violations += check_overlaps (name, runs);
+    violations += check_overlaps (name, runs) + check_crashes (name, runs);
   for (i = 0; i < n_jobs; i++)
     violations += check_job (tasks, &jobs[i]);
   g_hash_table_destroy (tasks);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <curl/curl.h>
@@ -23,6 +24,9 @@
 #define CALLERS 8
 #define JOBS_MAX 20000
 
+/** One in so many jobs crashes the targets that start its task. */
+#define CRASHING_JOB_ODDS 100
+
 /** A caller whose request failed submits it again after this. */
 #define RESUBMIT_DELAY_MS 1300
 
@@ -39,6 +43,7 @@
 static SoakJob jobs[JOBS_MAX];
 static unsigned int n_jobs;
 static GMutex lock;
+static GMutex restart_lock;
 static gint stopping;
 static unsigned int control_proxies[CLUSTER_PROCESSES_MAX];
 static unsigned int app_proxies[CLUSTER_PROCESSES_MAX];
@@ -67,11 +72,17 @@
   static const char *const specs[] = { "ms=20", "ms=60", "ms=200", "ms=900" };
   SoakJob *job = new_job (1 + prng_below (&caller->random, 6));
   const char *spec = specs[prng_below (&caller->random, 4)];
+  bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
   long timeout_ms = 500 + prng_below (&caller->random, 2500);
   int attempt;
 
   if (job == NULL)
     return;
+  if (crashes)
+    {
+      job->n_tasks = 1;
+      spec = "ms=400 crash=20";
+    }
   if (prng_below (&caller->random, 20) == 0)
     timeout_ms = 50; /* This caller gives up early. */
   for (attempt = 0; attempt < 3 && !g_atomic_int_get (&stopping); attempt++)
@@ -80,7 +91,8 @@
       ClusterReply reply = cluster_submit (&cluster, entry, job->id, spec,
                                            job->n_tasks, 700, timeout_ms);
 
-      job->completed |= reply.status == 200;
+      job->completed
+          |= reply.status == 200 && strstr (reply.body, "completed") != NULL;
       if (reply.status == 503)
         return;
       job->refused = false;
@@ -103,14 +115,34 @@
   return NULL;
 }
 
+/* Starts targets again that have crashed. */
+static void
+restart_crashed_targets (void)
+{
+  unsigned int i;
+
+  g_mutex_lock (&restart_lock);
+  for (i = 0; i < cluster.n_agents; i++)
+    if (cluster.pids[CLUSTER_TARGET][i] > 0
+        && waitpid (cluster.pids[CLUSTER_TARGET][i], NULL, WNOHANG) > 0)
+      {
+        printf ("  target %u has crashed\n", i);
+        cluster.pids[CLUSTER_TARGET][i] = 0;
+        cluster_start (&cluster, CLUSTER_TARGET, i);
+      }
+  g_mutex_unlock (&restart_lock);
+}
+
 static void
 restart (ClusterKind kind, unsigned int i, int down_ms)
 {
+  g_mutex_lock (&restart_lock);
   if (kind == CLUSTER_TARGET && cluster.pids[kind][i] > 0)
     history_note_kill (i);
   cluster_kill (&cluster, kind, i);
   cluster_sleep_ms (down_ms);
   cluster_start (&cluster, kind, i);
+  g_mutex_unlock (&restart_lock);
 }
 
 static void
@@ -168,7 +200,8 @@
   static const char *const faults[]
       = { "{\"late_percent\":15}",  "{\"lost_percent\":15}",
           "{\"hangs\":true}",       "{\"mute\":true}",
-          "{\"slow_percent\":500}", "{\"draining\":true}" };
+          "{\"slow_percent\":500}", "{\"draining\":true}",
+          "{\"cpu_milli\":1500}",   "{\"cpu_milli\":3000}" };
   unsigned int i = prng_below (random, cluster.n_agents);
   const char *fault = faults[prng_below (random, G_N_ELEMENTS (faults))];
 
@@ -222,6 +255,7 @@
           inject_store_fault (random, &version);
           break;
         }
+      restart_crashed_targets ();
       cluster_sleep_ms ((int) prng_below (random, 800));
     }
   return NULL;
@@ -257,6 +291,7 @@
   for (i = 0; i < cluster.n_agents; i++)
     cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", "{}",
                   500);
+  restart_crashed_targets ();
   cluster_start_all (&cluster);
   for (i = 0; i < cluster.n_entries; i++)
     {
--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -31,6 +31,9 @@
 #include "../target_model.h"
 
 #define EXIT_CRASH 9
+
+/* Outcome in the line of a task that crashed the target. */
+#define CRASHED_LINE 9
 #define TIMER_INTERVAL (2 * HS_MSEC)
 #define ANNOUNCE_INTERVAL (500 * HS_MSEC)
 #define SHRINK_GRACE (ANNOUNCE_INTERVAL + 1300 * HS_MSEC)
@@ -67,7 +70,8 @@
   uint32_t cpu_milli;
   uint32_t cpu_milli_before; /* Counts until `shrunk_until`. */
   HsTime shrunk_until;
-  HsTime crash_at; /* A running task ends the process then; 0: none. */
+  HsTime crash_at; /* This task ends the process then; 0: none. */
+  HsRunKey crash_key;
   uint64_t sequence;
   int64_t started_ms;
   HsTime announce_at;
@@ -85,19 +89,23 @@
   bool stop;
 } Target;
 
-/* Prints one line for each start and end, with the time on CLOCK_BOOTTIME in
-   microseconds. */
+/* Prints a line with the time on CLOCK_BOOTTIME in microseconds. */
 static void
-print_event (const HsRunKey *key, hsx_end_how how, HsTime at)
+print_line (char kind, const HsRunKey *key, int outcome, HsTime at)
 {
   char name[HS_TASK_NAME_SIZE];
 
   hs_task_name_format (key, name);
-  printf ("%c %s %u %d %" PRId64 "\n", how == 0 ? 'S' : 'E', name, key->attempt,
-          (int) how, at);
+  printf ("%c %s %u %d %" PRId64 "\n", kind, name, key->attempt, outcome, at);
   fflush (stdout);
 }
 
+static void
+print_event (const HsRunKey *key, hsx_end_how how, HsTime at)
+{
+  print_line (how == 0 ? 'S' : 'E', key, (int) how, at);
+}
+
 static int64_t
 spec_number (const char *spec, const char *key, int64_t fallback)
 {
@@ -176,13 +184,34 @@
 }
 
 static void
-note_crash_task (Target *target, const char *spec, HsTime now)
+note_crash_task (Target *target, const HsTargetStart *start, HsTime now)
 {
-  int64_t ms = spec_number (spec, "crash=", -1);
+  int64_t ms = spec_number (start->spec, "crash=", -1);
 
   if (ms >= 0
       && (target->crash_at == 0 || now + ms * HS_MSEC < target->crash_at))
-    target->crash_at = now + ms * HS_MSEC;
+    {
+      target->crash_at = now + ms * HS_MSEC;
+      target->crash_key = start->key;
+    }
+}
+
+/* Ends the process, with a line for the end of each task. */
+static void
+crash (const Target *target, HsTime now)
+{
+  guint i;
+
+  for (i = 0; i < target->model.runs->len; i++)
+    {
+      const HsRunKey *key
+          = &g_array_index (target->model.runs, HsModelRun, i).key;
+      bool caused = strcmp (key->job, target->crash_key.job) == 0
+                    && key->index == target->crash_key.index;
+
+      print_line ('E', key, caused ? CRASHED_LINE : HSX_END_LAPSED, now);
+    }
+  _exit (EXIT_CRASH);
 }
 
 static void
@@ -228,7 +257,7 @@
   if (result == HS_TARGET_OK)
     {
       target->n_started++;
-      note_crash_task (target, start.spec, now);
+      note_crash_task (target, &start, now);
     }
   if (target->model.cpu_milli > target->peak_cpu_milli)
     target->peak_cpu_milli = target->model.cpu_milli;
@@ -488,7 +517,7 @@
 
   hs_target_model_advance (&target->model, now);
   if (target->crash_at != 0 && now >= target->crash_at)
-    _exit (EXIT_CRASH);
+    crash (target, now);
   while (i < target->delayed_orders->len)
     {
       DelayedOrder *order = g_ptr_array_index (target->delayed_orders, i);
