Keep a summary of the targets of each service for the decisions under containment

Cause: while a customer is contained, each waiting job asked all targets of its service, at each dispatch and report of the backlog, whether one of the common ones is ready: with 70 targets and some hundred waiting jobs more string comparisons an event than an entry of an eighth of a core has time for. The answer is now kept until a target's state changes. The groups of targets have a file of their own.

--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -1,11 +1,10 @@
-#include "direct/targets.h"
+#include "direct/targets_private.h"
 
 #include <math.h>
 #include <string.h>
 
 #include <glib.h>
 
-#include "direct/rendezvous.h"
 #include "direct/resources.h"
 
 /** Weight of a new run in a target's average slowdown. */
@@ -50,39 +49,9 @@
  *  reserves it, less the time that a launch takes to get there. */
 #define OFFER_LIFETIME (20 * HS_MSEC)
 
-/** One in so many targets of a service is in the reserve, at least one. */
-#define RESERVE_DIVISOR 5
-
-/** While one in so many targets of a service is down after a crash, contained
- *  customers start nothing. */
-#define CRASHED_DIVISOR 3
-
-typedef struct
-{
-  uint32_t number;
-  hsx_room needs;
-} UnacknowledgedLaunch;
-
-typedef struct
-{
-  HsTarget target;
-  GArray *unacknowledged; /* UnacknowledgedLaunch, oldest first. */
-} Row;
-
-struct HsTargets
-{
-  Row *rows;
-  uint32_t n_rows;
-  HsHealth *health;
-  GRand *random;
-  double contention; /* Level of recent refusals at contention_at, 0 to 1. */
-  HsTime contention_at;
-};
-
 static int free_targets (HsTargets *targets);
 static uint32_t allocate_row (HsTargets *targets);
-static void drop_acknowledged (Row *row, uint32_t seen);
-static void choose_reserve (HsTargets *targets, const char *service);
+static void drop_acknowledged (HsTargetRow *row, uint32_t seen);
 static double contention (const HsTargets *targets, HsTime now);
 static double placement_score (const HsTarget *target, const char *data_centre);
 
@@ -91,7 +60,7 @@
 {
   HsTargets *targets = talloc_zero (ctx, HsTargets);
 
-  targets->rows = talloc_array (targets, Row, 0);
+  targets->rows = talloc_array (targets, HsTargetRow, 0);
   targets->health = hs_health_new (targets);
   /* A fixed seed makes placement reproducible: it depends only on the events
      that the process receives. */
@@ -121,6 +90,7 @@
       hs_health_add (targets->health, i);
     }
   target = &targets->rows[i].target;
+  targets->n_services = 0;
   target->connected = true;
   target->last_message_at = now;
   target->orders_sent = 0;
@@ -147,8 +117,9 @@
 void
 hs_targets_disconnect (HsTargets *targets, uint32_t target)
 {
-  Row *row = &targets->rows[target];
+  HsTargetRow *row = &targets->rows[target];
 
+  targets->n_services = 0;
   row->target.connected = false;
   row->target.state = HSX_TARGET_UNKNOWN;
   drop_acknowledged (row, UINT32_MAX);
@@ -157,14 +128,14 @@
 void
 hs_targets_remove (HsTargets *targets, uint32_t target)
 {
-  Row *row = &targets->rows[target];
+  HsTargetRow *row = &targets->rows[target];
   char service[HSX_NAME_MAX + 1];
 
   g_strlcpy (service, row->target.service, sizeof service);
   hs_health_remove (targets->health, target);
   g_array_set_size (row->unacknowledged, 0);
   memset (&row->target, 0, sizeof row->target);
-  choose_reserve (targets, service);
+  hs_targets_choose_reserve (targets, service);
 }
 
 HsTarget *
@@ -185,11 +156,13 @@
                          const hsx_report_args *report,
                          HsTime now)
 {
-  Row *row = &targets->rows[handle];
+  HsTargetRow *row = &targets->rows[handle];
   HsTarget *target = &row->target;
 
   target->last_message_at = now;
   target->report_stamp_us = report->stamp_us;
+  if (target->state != report->state)
+    targets->n_services = 0;
   target->state = report->state;
   target->crashed = target->crashed && target->state != HSX_TARGET_READY;
   target->reported_free = report->free;
@@ -203,7 +176,7 @@
       g_strlcpy (target->rack, info->rack, sizeof target->rack);
       g_strlcpy (target->host, info->host, sizeof target->host);
       target->capacity = info->capacity;
-      choose_reserve (targets, target->service);
+      hs_targets_choose_reserve (targets, target->service);
     }
   drop_acknowledged (row, report->orders_seen);
 }
@@ -214,8 +187,8 @@
                         const hsx_room *needs,
                         uint32_t number)
 {
-  Row *row = &targets->rows[target];
-  UnacknowledgedLaunch launch = { number, *needs };
+  HsTargetRow *row = &targets->rows[target];
+  HsUnacknowledgedLaunch launch = { number, *needs };
 
   g_array_append_val (row->unacknowledged, launch);
   hs_resources_add (&row->target.unacknowledged, needs, 1);
@@ -307,90 +280,6 @@
   return false;
 }
 
-bool
-hs_targets_any_ready (const HsTargets *targets,
-                      const char *service,
-                      HsTargetGroup group)
-{
-  uint32_t i;
-
-  for (i = 0; i < targets->n_rows; i++)
-    {
-      const HsTarget *target = &targets->rows[i].target;
-
-      if (target->in_use && target->connected
-          && target->state == HSX_TARGET_READY
-          && strcmp (target->service, service) == 0
-          && hs_target_in_group (target, group))
-        return true;
-    }
-  return false;
-}
-
-uint32_t
-hs_targets_count (const HsTargets *targets, const char *service)
-{
-  uint32_t n = 0;
-  uint32_t i;
-
-  for (i = 0; i < targets->n_rows; i++)
-    n += targets->rows[i].target.in_use
-         && strcmp (targets->rows[i].target.service, service) == 0;
-  return n;
-}
-
-bool
-hs_targets_host_crashed (HsTargets *targets,
-                         const char *service,
-                         const char *host)
-{
-  uint32_t i;
-
-  for (i = 0; i < targets->n_rows; i++)
-    {
-      HsTarget *target = &targets->rows[i].target;
-
-      if (!target->in_use || strcmp (target->service, service) != 0
-          || strcmp (target->host, host) != 0)
-        continue;
-      target->crashed = target->state != HSX_TARGET_READY;
-      return target->reserve;
-    }
-  return false;
-}
-
-bool
-hs_targets_reserve_is_open (const HsTargets *targets, const char *service)
-{
-  uint32_t n_crashed = 0;
-  uint32_t i;
-
-  for (i = 0; i < targets->n_rows; i++)
-    {
-      const HsTarget *target = &targets->rows[i].target;
-
-      n_crashed += target->in_use && target->crashed
-                   && strcmp (target->service, service) == 0;
-    }
-  return n_crashed * CRASHED_DIVISOR < hs_targets_count (targets, service)
-         && hs_targets_any_ready (targets, service, HS_TARGETS_RESERVE);
-}
-
-bool
-hs_target_in_group (const HsTarget *target, HsTargetGroup group)
-{
-  switch (group)
-    {
-    case HS_TARGETS_RESERVE:
-      return target->reserve;
-    case HS_TARGETS_COMMON:
-      return !target->reserve;
-    case HS_TARGETS_ALL:
-      break;
-    }
-  return true;
-}
-
 uint32_t
 hs_targets_choose (HsTargets *targets,
                    const char *service,
@@ -506,11 +395,11 @@
       break;
   if (i == targets->n_rows)
     {
-      targets->rows
-          = talloc_realloc (targets, targets->rows, Row, targets->n_rows + 1);
-      memset (&targets->rows[i], 0, sizeof (Row));
+      targets->rows = talloc_realloc (targets, targets->rows, HsTargetRow,
+                                      targets->n_rows + 1);
+      memset (&targets->rows[i], 0, sizeof (HsTargetRow));
       targets->rows[i].unacknowledged
-          = g_array_new (FALSE, FALSE, sizeof (UnacknowledgedLaunch));
+          = g_array_new (FALSE, FALSE, sizeof (HsUnacknowledgedLaunch));
       targets->n_rows++;
     }
   targets->rows[i].target.in_use = true;
@@ -518,55 +407,25 @@
 }
 
 static void
-drop_acknowledged (Row *row, uint32_t seen)
+drop_acknowledged (HsTargetRow *row, uint32_t seen)
 {
   guint n = 0;
 
-  while (n < row->unacknowledged->len
-         && g_array_index (row->unacknowledged, UnacknowledgedLaunch, n).number
-                <= seen)
+  while (
+      n < row->unacknowledged->len
+      && g_array_index (row->unacknowledged, HsUnacknowledgedLaunch, n).number
+             <= seen)
     {
       hs_resources_subtract (
           &row->target.unacknowledged,
-          &g_array_index (row->unacknowledged, UnacknowledgedLaunch, n).needs);
+          &g_array_index (row->unacknowledged, HsUnacknowledgedLaunch, n)
+               .needs);
       n++;
     }
   if (n > 0)
     g_array_remove_range (row->unacknowledged, 0, n);
 }
 
-/* The reserve is made of the targets whose hosts have the lowest hashes, so
-   that entries which know different targets choose nearly the same. */
-static void
-choose_reserve (HsTargets *targets, const char *service)
-{
-  g_autoptr (GArray) candidates
-      = g_array_new (FALSE, FALSE, sizeof (HsCandidate));
-  guint n = 0;
-  uint32_t i;
-
-  for (i = 0; i < targets->n_rows; i++)
-    {
-      const HsTarget *target = &targets->rows[i].target;
-      HsCandidate candidate = { 0 };
-
-      if (!target->in_use || strcmp (target->service, service) != 0)
-        continue;
-      candidate.hash = hs_rendezvous_hash (service, target->host);
-      g_array_append_val (candidates, candidate);
-    }
-  hs_rendezvous_choose ((HsCandidate *) (void *) candidates->data,
-                        candidates->len,
-                        MAX (candidates->len / RESERVE_DIVISOR, 1));
-  for (i = 0; i < targets->n_rows; i++)
-    {
-      HsTarget *target = &targets->rows[i].target;
-
-      if (target->in_use && strcmp (target->service, service) == 0)
-        target->reserve = g_array_index (candidates, HsCandidate, n++).chosen;
-    }
-}
-
 static double
 placement_score (const HsTarget *target, const char *data_centre)
 {
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -148,12 +148,12 @@
                           const hsx_room *needs);
 
 /** Whether a target of a service and a group is ready. */
-bool hs_targets_any_ready (const HsTargets *targets,
+bool hs_targets_any_ready (HsTargets *targets,
                            const char *service,
                            HsTargetGroup group);
 
 /** The number of targets of a service that are known. */
-uint32_t hs_targets_count (const HsTargets *targets, const char *service);
+uint32_t hs_targets_count (HsTargets *targets, const char *service);
 
 /** The target of a host has crashed.
  *  @return whether it is in the reserve; false if it isn't known */
@@ -164,7 +164,7 @@
 /** Whether contained customers of a service may start tasks: a target of the
  *  reserve is ready, and under a third of the service's targets are down after
  * a crash. */
-bool hs_targets_reserve_is_open (const HsTargets *targets, const char *service);
+bool hs_targets_reserve_is_open (HsTargets *targets, const char *service);
 
 /** Whether a task that is to run in @p group may be started on a target. */
 bool hs_target_in_group (const HsTarget *target, HsTargetGroup group);
