Contain customers whose tasks crash targets on the product's own path too

What callers would see: on the product's own path no task is started again after its target crashed, also not after a resubmission or a takeover (test_owner_crashes; that held before). But nothing bounded how many targets one customer's tasks take down one after the other, and each crash answers the tasks beside it as may_have_run.

Cause: the same as on the platform's path, a queue that takes no account of the damage of its work.

Change: an agent whose calls broke off and whose target then refuses a connection reports the crash to its entries (agent/crash_watch); the owner weighs it by the same policy/containment and takes credits of a fifth of the agents for a contained customer, and of the others for all else. Counter hibiscusspoke_containments_total. rendezvous moves to policy/, as the owner uses it too.

Not run: a load with such tasks on this path, end to end.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -59,6 +59,7 @@
   agent->start_log = hs_start_log_new (agent, agent_settings->retention,
                                        agent_settings->memory_bytes);
   agent->slots = hs_slots_new (agent, agent->incarnation);
+  agent->crash_watch = hs_crash_watch_new (agent);
   agent->admission = hs_admission_new (agent, agent->start_log, agent->slots);
   agent->connected_entries
       = hs_connected_entries_new (agent, ev, agent->start_log, &agent->stats);
--- a/src/agent/connected_entries.c
+++ b/src/agent/connected_entries.c
@@ -197,6 +197,18 @@
     flush (entries->entries[i]);
 }
 
+void
+hs_connected_entries_send_crash (const HsConnectedEntries *entries,
+                                 const hsx_crash *crash)
+{
+  hsx_crash_args args = { *crash };
+  uint32_t i;
+
+  for (i = 0; i < entries->n_entries; i++)
+    hs_conn_call (entries->entries[i]->preferred, HSX_CRASH, &args, HS_NEVER,
+                  NULL, NULL);
+}
+
 bool
 hs_connected_entries_all_sent (const HsConnectedEntries *entries)
 {
--- a/src/agent/connected_entries.h
+++ b/src/agent/connected_entries.h
@@ -84,6 +84,10 @@
 /** Sends all queued results now. */
 void hs_connected_entries_flush (HsConnectedEntries *entries);
 
+/** Tells all entries of a crash of the target. */
+void hs_connected_entries_send_crash (const HsConnectedEntries *entries,
+                                      const hsx_crash *crash);
+
 /** Whether every result has been written to its connection. */
 bool hs_connected_entries_all_sent (const HsConnectedEntries *entries);
 
--- a/src/agent/internal.h
+++ b/src/agent/internal.h
@@ -10,6 +10,7 @@
 #include "agent/registration.h"
 #include "agent/start_log.h"
 #include "agent/connected_entries.h"
+#include "agent/crash_watch.h"
 #include "agent/slots.h"
 #include "agent/target_api.h"
 #include "http/curl_loop.h"
@@ -55,6 +56,7 @@
   HsTargetState target_state;
   HsTargetAnnouncement target;
   HsTime target_expires_at;
+  HsCrashWatch *crash_watch;
   bool target_unreachable; /**< Refused a connection since it announced. */
   HsAgentPhase phase;
   HsTime phase_since;
--- a/src/agent/starts.c
+++ b/src/agent/starts.c
@@ -9,6 +9,8 @@
   uint32_t part;
   uint32_t slot;
   uint64_t epoch;
+  char customer[HSX_NAME_MAX + 1];
+  HsTime started_at;
 } RunningTask;
 
 static void start_task (HsAgent *agent,
@@ -23,7 +25,7 @@
 static void on_call_end (void *arg,
                          HsTargetCallEnd end,
                          const HsTaskCompletion *completion);
-static void handle_unreachable_target (HsAgent *agent);
+static void handle_unreachable_target (HsAgent *agent, HsTime now);
 
 void
 hs_agent_on_start (HsAgent *agent,
@@ -58,6 +60,10 @@
   task->part = start->key.part;
   task->slot = start->credit.slot;
   task->epoch = start->epoch;
+  task->started_at = now;
+  g_strlcpy (task->customer, start->key.customer, sizeof task->customer);
+  hs_crash_watch_started (agent->crash_watch, start->key.customer,
+                          start->key.id, now);
   task->handle = hs_start_log_add_start (agent->start_log, &start->key, now);
   hs_slots_occupy (agent->slots, &start->credit, entry, now);
   agent->result_receivers[task->part] = entry;
@@ -100,10 +106,15 @@
   HsPendingResult pending = { .handle = task->handle };
   hsx_result record;
 
+  HsTime now = hs_now ().mono;
+
   agent->stats.call_ends[end]++;
+  if (end == HS_TARGET_CALL_BROKEN)
+    hs_crash_watch_broken (agent->crash_watch, task->customer, task->started_at,
+                           now);
   if (end == HS_TARGET_CALL_UNSENT)
     {
-      handle_unreachable_target (agent);
+      handle_unreachable_target (agent, now);
       hs_start_log_get_result (agent->start_log, task->handle, &record);
       pending = (HsPendingResult){ .key = record.key,
                                    .refusal = HSX_REFUSAL_TARGET,
@@ -111,8 +122,8 @@
     }
   else
     hs_start_log_finish (agent->start_log, task->handle, completion);
-  pending.has_next_credit = hs_slots_release (
-      agent->slots, task->slot, entry, hs_now ().mono, &pending.next_credit);
+  pending.has_next_credit = hs_slots_release (agent->slots, task->slot, entry,
+                                              now, &pending.next_credit);
   if (!pending.has_next_credit)
     hs_agent_schedule_grants (agent);
   if (receiver != NULL)
@@ -128,8 +139,9 @@
 /* Withdraws the credits of a target that cannot be connected to, until its
    next announcement. */
 static void
-handle_unreachable_target (HsAgent *agent)
+handle_unreachable_target (HsAgent *agent, HsTime now)
 {
+  HsCrashReport report;
   agent->stats.refusals[HSX_REFUSAL_TARGET]++;
   if (agent->target_unreachable)
     return;
@@ -138,5 +150,10 @@
            "announces itself again",
            agent->target.address);
   agent->target_unreachable = true;
+  if (hs_crash_watch_refused (agent->crash_watch, &report, now))
+    {
+      report.crash.agent = agent->incarnation;
+      hs_connected_entries_send_crash (agent->connected_entries, &report.crash);
+    }
   hs_agent_apply_target_change (agent);
 }
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "direct/rendezvous.h"
+#include "policy/rendezvous.h"
 
 /** Maximum number of addresses; the largest deployment has fewer entries. */
 #define ADDRESSES_MAX 256
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -1,7 +1,7 @@
 SRCS += src/direct/resources.c src/direct/runs.c src/direct/runs_poll.c
 SRCS += src/direct/runs_crash.c src/direct/crash_message.c
 SRCS += src/direct/offers.c src/direct/breaker.c src/direct/progress_rate.c
-SRCS += src/direct/rendezvous.c src/direct/targets.c src/direct/targets_groups.c src/direct/demand.c
+SRCS += src/direct/targets.c src/direct/targets_groups.c src/direct/demand.c
 SRCS += src/direct/jobs.c src/direct/jobs_crash.c src/direct/jobs_rank.c src/direct/routes.c
 SRCS += src/direct/service_rate.c src/direct/entry_lookup.c
 SRCS += src/direct/dialer.c src/direct/process.c
--- a/src/direct/targets_groups.c
+++ b/src/direct/targets_groups.c
@@ -1,7 +1,7 @@
 /* The reserve and the common targets of a service; see HsTargetGroup. */
 #include <string.h>
 
-#include "direct/rendezvous.h"
+#include "policy/rendezvous.h"
 #include "direct/targets_private.h"
 
 /** One in so many targets of a service is in the reserve, at least one. */
--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -123,6 +123,10 @@
       if (((hsx_grant_args *) args)->agent == agent)
         hs_owner_grant (core->owner, args, now);
       return;
+    case HSX_CRASH:
+      hs_owner_target_crashed (core->owner,
+                               &((const hsx_crash_args *) args)->crash, now);
+      return;
     case HSX_PROBE:
       hs_suspicions_handle_probe (core, conn, call, args);
       return;
--- a/src/entry/report.c
+++ b/src/entry/report.c
@@ -53,6 +53,8 @@
     "Starts sent to agents." },
   { "hibiscusspoke_results_total", NULL, NULL, OWNER_STAT (results),
     "Results received from agents." },
+  { "hibiscusspoke_containments_total", NULL, NULL, OWNER_STAT (contained),
+    "Customers contained, as their tasks crash targets." },
   { "hibiscusspoke_takeovers_total", NULL, NULL, OWNER_STAT (takeovers),
     "Partitions taken from another owner." },
   { "hibiscusspoke_handovers_total", NULL, NULL, OWNER_STAT (handovers),
--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -62,6 +62,7 @@
     {
     case HSX_MEMBER_UP:
       update_credits (owner, handle);
+      choose_reserve (owner);
       break;
     case HSX_MEMBER_LEAVING:
       hs_credits_remove_agent (owner->credits, handle);
@@ -271,6 +272,7 @@
                      NULL, 0, now);
     }
   recovered_jobs_agent_lost (owner, handle);
+  choose_reserve (owner);
   hs_credits_remove_agent (owner->credits, handle);
   hs_health_remove (owner->health, handle);
   finish_due_recoveries (owner, now);
--- a/src/owner/customers.c
+++ b/src/owner/customers.c
@@ -21,6 +21,7 @@
   customer = talloc_zero (owner, Customer);
   g_strlcpy (customer->name, name, sizeof customer->name);
   customer->flow = hs_fair_queue_add_flow (owner->queue, 1);
+  customer->containment = customer_containment (owner, customer->name);
   if (owner->flows->len <= customer->flow)
     g_ptr_array_set_size (owner->flows, (gint) customer->flow + 1);
   owner->flows->pdata[customer->flow] = customer;
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -206,6 +206,8 @@
     case HSX_FAILED:
       break;
     }
+  if (result->outcome == HSX_DONE)
+    hs_containment_job_done (owner->containment, job->customer->containment);
   if (task->holds_credit)
     hs_fair_queue_task_ended (owner->queue, job->customer->flow,
                               task->spec.run_ms * HS_MSEC, task->charged, run);
@@ -316,10 +318,11 @@
   *ready_at = hs_bucket_ready_at (&customer->bucket, now);
   if (*ready_at > now)
     return HS_START_DEFER_FLOW;
-  if (!hs_credits_take_avoiding (owner->credits, &task->spec.needs,
-                                 task->fenced_agents, task->n_fenced_agents,
-                                 now, owner->lease_until - now,
-                                 &owner->picked.agent, &owner->picked.credit))
+  if (!hs_credits_take_avoiding (
+          owner->credits, customer_credit_group (owner, customer),
+          &task->spec.needs, task->fenced_agents, task->n_fenced_agents, now,
+          owner->lease_until - now, &owner->picked.agent,
+          &owner->picked.credit))
     {
       limit_fenced_wait (owner, task, now);
       *ready_at = now + NO_FITTING_CREDIT_RETRY;
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -7,6 +7,7 @@
 
 #include "owner/owner.h"
 #include "policy/bucket.h"
+#include "policy/containment.h"
 #include "policy/credits.h"
 #include "policy/fair_queue.h"
 #include "policy/feasible.h"
@@ -98,8 +99,9 @@
 struct Customer
 {
   char name[HSX_NAME_MAX + 1];
-  uint32_t flow; /* Handle in the fair queue. */
-  bool has_plan; /* The lists give it a plan with an allowance. */
+  uint32_t flow;        /* Handle in the fair queue. */
+  uint32_t containment; /* Handle in HsOwner::containment. */
+  bool has_plan;        /* The lists give it a plan with an allowance. */
   HsAllowance allowance;
   HsBucket bucket;
   uint32_t in_flight;
@@ -116,6 +118,7 @@
   bool connected;
   bool known_to_all_entries; /* Every other entry knows it. */
   bool counted_feasible;     /* Its capacity is in HsOwner::feasible. */
+  bool reserve;              /* Serves contained customers. */
   bool recover_pending;      /* RECOVER was sent and not answered yet. */
   /* HsOwner::recovery_round when the first page of the last RECOVER reply was
      asked for. */
@@ -252,6 +255,9 @@
   HsFairQueue *queue;
   HsCredits *credits;
   HsHealth *health;
+  HsContainment *containment;
+  uint32_t n_up;      /* Agents with a target that accepts tasks... */
+  uint32_t n_reserve; /* ...and those of them that serve contained customers. */
   HsFeasibleCapacities *feasible;
   HsLoans *loans;
   HsRetryBudget retry;
@@ -357,6 +363,15 @@
                              uint64_t previous_epoch,
                              HsNow now);
 
+/* crashes.c */
+uint32_t customer_containment (HsOwner *owner, const char *customer);
+/* The agents that the customer's tasks may be started on. */
+HsCreditGroup customer_credit_group (const HsOwner *owner,
+                                     const Customer *customer);
+/* Chooses the agents that serve contained customers, after a change. */
+void choose_reserve (HsOwner *owner);
+void release_contained (HsOwner *owner, HsTime now);
+
 /* peers.c */
 /* Answers peers that wait for credits and asks peers for credits. */
 void exchange_credits (HsOwner *owner, HsNow now);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -36,6 +36,7 @@
   owner->queue = hs_fair_queue_new (owner, HS_JOBS_EARLIEST_END);
   owner->credits = hs_credits_new (owner, config->seed);
   owner->health = hs_health_new (owner);
+  owner->containment = hs_containment_new (owner);
   owner->feasible = hs_feasible_new (owner);
   owner->loans = hs_loans_new (owner, config->seed);
   owner->random_state = config->seed;
@@ -111,6 +112,7 @@
   if (lease_is_valid (owner, now))
     run_due_timers (owner, now);
   apply_health_changes (owner, now);
+  release_contained (owner, now.mono);
   finish_due_recoveries (owner, now);
   retention_sweep (owner, now);
   recovered_jobs_sweep (owner, now);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -124,6 +124,7 @@
   uint64_t failed;
   uint64_t not_run;
   uint64_t may_have_run;
+  uint64_t contained; /**< Customers contained, as their tasks crash targets. */
   uint64_t takeovers;
   uint64_t handovers;
   uint64_t recovered_records; /**< Start records in RECOVER replies. */
@@ -325,6 +326,11 @@
 
 /** @} */
 
+/** Handles the crash of a target, as its agent reports it: a customer whose
+ * tasks crash targets is served on a few of them only. */
+void
+hs_owner_target_crashed (HsOwner *owner, const hsx_crash *crash, HsNow now);
+
 /**
  * Handles what is due: deadlines, timeouts, rate limits that allow starts
  * again, recoveries and the end of retention.
--- a/src/policy/credits.c
+++ b/src/policy/credits.c
@@ -32,6 +32,7 @@
   uint32_t n_idle_counted; /* Idle credits counted in HsCredits.n_idle. */
   ListId list;
   uint32_t position; /* Index in its list. */
+  bool reserve;
 } Agent;
 
 typedef struct
@@ -46,6 +47,7 @@
   hsx_needs needs;
   const uint32_t *avoided;
   uint32_t n_avoided;
+  HsCreditGroup group;
 } AgentFilter;
 
 struct HsCredits
@@ -73,7 +75,8 @@
 static void
 drop_expired_credits (HsCredits *pool, HsTime now, HsTime lease_left);
 static bool fits (const Agent *a, const hsx_needs *needs);
-static bool is_avoided (const AgentFilter *filter, uint32_t agent);
+static bool
+is_avoided (const HsCredits *pool, const AgentFilter *filter, uint32_t agent);
 static bool is_better (const Agent *a, const Agent *b);
 static uint32_t choose_from_list (HsCredits *pool,
                                   const AgentList *list,
@@ -131,6 +134,15 @@
   *a = (Agent){ .known = false };
 }
 
+void
+hs_credits_set_reserve (HsCredits *pool, uint32_t agent, bool reserve)
+{
+  Agent *a = find_agent (pool, agent);
+
+  if (a != NULL)
+    a->reserve = reserve;
+}
+
 void
 hs_credits_set_health (HsCredits *pool, uint32_t agent, HsHealthState state)
 {
@@ -183,12 +195,13 @@
                  uint32_t *agent,
                  hsx_credit *credit)
 {
-  return hs_credits_take_avoiding (pool, needs, NULL, 0, now, lease_left, agent,
-                                   credit);
+  return hs_credits_take_avoiding (pool, HS_CREDITS_ALL, needs, NULL, 0, now,
+                                   lease_left, agent, credit);
 }
 
 bool
 hs_credits_take_avoiding (HsCredits *pool,
+                          HsCreditGroup group,
                           const hsx_needs *needs,
                           const uint32_t *avoided,
                           uint32_t n_avoided,
@@ -197,7 +210,7 @@
                           uint32_t *agent,
                           hsx_credit *credit)
 {
-  AgentFilter filter = { *needs, avoided, n_avoided };
+  AgentFilter filter = { *needs, avoided, n_avoided, group };
   uint32_t chosen = choose_agent (pool, &filter, now, lease_left);
 
   if (chosen == NO_AGENT)
@@ -436,10 +449,15 @@
 }
 
 static bool
-is_avoided (const AgentFilter *filter, uint32_t agent)
+is_avoided (const HsCredits *pool, const AgentFilter *filter, uint32_t agent)
 {
+  bool reserve = pool->agents[agent].reserve;
   uint32_t i;
 
+  if ((filter->group == HS_CREDITS_RESERVE && !reserve)
+      || (filter->group == HS_CREDITS_COMMON && reserve))
+    return true;
+
   for (i = 0; i < filter->n_avoided; i++)
     if (filter->avoided[i] == agent)
       return true;
@@ -482,7 +500,7 @@
       Agent *a = &pool->agents[agent];
 
       position = position + 1 < list->n ? position + 1 : 0;
-      if (!fits (a, &filter->needs) || is_avoided (filter, agent)
+      if (!fits (a, &filter->needs) || is_avoided (pool, filter, agent)
           || !has_usable_credit (pool, a, now, lease_left))
         continue;
       if (best == NO_AGENT || is_better (a, &pool->agents[best]))
@@ -537,7 +555,7 @@
       const Agent *a = &pool->agents[i];
 
       if (a->known && a->health == HS_HEALTH_OK && fits (a, &filter->needs)
-          && !is_avoided (filter, i))
+          && !is_avoided (pool, filter, i))
         return true;
     }
   return false;
--- a/src/policy/credits.h
+++ b/src/policy/credits.h
@@ -25,6 +25,16 @@
 
 typedef struct HsCredits HsCredits;
 
+/** The agents whose credits may be taken. While a customer is contained (see
+ *  policy/containment.h), its tasks use those of the reserve, others the common
+ *  ones. */
+typedef enum
+{
+  HS_CREDITS_ALL,
+  HS_CREDITS_RESERVE,
+  HS_CREDITS_COMMON
+} HsCreditGroup;
+
 /** @param seed seed of the random generator that spreads tasks over agents */
 HsCredits *hs_credits_new (TALLOC_CTX *ctx, uint64_t seed);
 
@@ -75,8 +85,14 @@
                       uint32_t *agent,
                       hsx_credit *credit);
 
-/** Like hs_credits_take(), but skips the agents in @p avoided. */
+/** Puts an agent into the reserve, or takes it out. Unknown agents are
+ *  ignored. */
+void hs_credits_set_reserve (HsCredits *pool, uint32_t agent, bool reserve);
+
+/** Like hs_credits_take(), but only of agents in @p group, and skips those in
+ *  @p avoided. */
 bool hs_credits_take_avoiding (HsCredits *pool,
+                               HsCreditGroup group,
                                const hsx_needs *needs,
                                const uint32_t *avoided,
                                uint32_t n_avoided,
--- a/src/direct/rendezvous.c
+++ b/src/policy/rendezvous.c
@@ -1,4 +1,4 @@
-#include "direct/rendezvous.h"
+#include "policy/rendezvous.h"
 
 #include <stddef.h>
 
--- a/src/direct/rendezvous.h
+++ b/src/policy/rendezvous.h
@@ -11,8 +11,8 @@
  * agents, and adding or removing one entry changes only the selections that
  * include it.
  */
-#ifndef HS_DIRECT_RENDEZVOUS_H
-#define HS_DIRECT_RENDEZVOUS_H
+#ifndef HS_POLICY_RENDEZVOUS_H
+#define HS_POLICY_RENDEZVOUS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -274,7 +274,10 @@
 on_contained (void *arg, const HsContainmentChange *change)
 {
   (void) arg;
-  if (getenv ("HSDBG")) printf ("%.3f %s %d %.2f\n", (double) (load_world.now - load_world.start) / HS_SEC, change->customer, change->contained, change->score);
+  if (getenv ("HSDBG"))
+    printf ("%.3f %s %d %.2f\n",
+            (double) (load_world.now - load_world.start) / HS_SEC,
+            change->customer, change->contained, change->score);
 }
 
 const HsJobsEffects LOAD_JOBS_EFFECTS
--- a/test/standin/fake_entry.c
+++ b/test/standin/fake_entry.c
@@ -144,6 +144,11 @@
         store_result (entry, &entry->results[entry->n_results++],
                       &results->results.results_val[i]);
       return;
+    case HSX_CRASH:
+      entry->n_crashes++;
+      entry->crash_customers
+          = ((const hsx_crash_args *) args)->crash.customers.customers_len;
+      return;
     case HSX_PROBE:
       entry->n_probes++;
       return;
--- a/test/standin/fake_entry.h
+++ b/test/standin/fake_entry.h
@@ -51,6 +51,8 @@
   uint32_t announced_slots; /* Slots in the agent's last ANNOUNCE. */
   uint32_t revision;        /* Last announced revision of the agent's record. */
   uint32_t n_probes;        /* Probes received; none is answered. */
+  uint32_t n_crashes;       /* Crashes of the target that were reported. */
+  uint32_t crash_customers; /* Customers that had tasks there at the last. */
 } FakeEntry;
 
 /** Creates an entry that listens on a free port of 127.0.0.1; NULL on error. */
--- a/test/test_agent.c
+++ b/test/test_agent.c
@@ -363,6 +363,21 @@
   assert_int_equal (fake_entry_result (entry, 0)->outcome, HSX_MAYBE);
 }
 
+static void
+a_crash_of_the_target_is_reported_to_the_entries (void **state)
+{
+  (void) state;
+  start_target (FAULT_NONE);
+  start (1, 0, "sleep=10000");
+  WAIT_UNTIL (target_running (target) == 1);
+  TALLOC_FREE (target);
+  WAIT_UNTIL (entry->n_results == 1);
+  assert_int_equal (entry->n_crashes, 0);
+  start (1, 1, "sleep=10");
+  WAIT_UNTIL (entry->n_crashes == 1);
+  assert_int_equal (entry->crash_customers, 1);
+}
+
 static void
 a_lost_connection_closes_the_others_of_its_entry (void **state)
 {
@@ -473,6 +488,8 @@
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (an_expired_target_gets_no_tasks, setup,
                                      teardown),
+    cmocka_unit_test_setup_teardown (
+        a_crash_of_the_target_is_reported_to_the_entries, setup, teardown),
     cmocka_unit_test_setup_teardown (tasks_of_a_crashed_target_are_maybe, setup,
                                      teardown),
     cmocka_unit_test_setup_teardown (
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -134,16 +134,50 @@
   (void) state;
   for (i = 0; i < 2; i++)
     {
-      assert_true (hs_credits_take_avoiding (pool, &no_needs, avoided, 2, 1,
-                                             LEASE_LEFT, &agent, &credit));
+      assert_true (hs_credits_take_avoiding (pool, HS_CREDITS_ALL, &no_needs,
+                                             avoided, 2, 1, LEASE_LEFT, &agent,
+                                             &credit));
       assert_int_equal (agent, 1);
     }
-  assert_false (hs_credits_take_avoiding (pool, &no_needs, avoided, 2, 1,
-                                          LEASE_LEFT, &agent, &credit));
+  assert_false (hs_credits_take_avoiding (pool, HS_CREDITS_ALL, &no_needs,
+                                          avoided, 2, 1, LEASE_LEFT, &agent,
+                                          &credit));
   assert_int_equal (hs_credits_idle (pool), 4);
   talloc_free (pool);
 }
 
+static void
+credits_of_the_reserve_and_of_the_others_are_taken_apart (void **state)
+{
+  const hsx_needs capacity = { 1024, 0 };
+  HsCredits *pool = new_pool (3, 2);
+  hsx_credit credit;
+  uint32_t agent;
+  int i;
+
+  (void) state;
+  hs_credits_set_reserve (pool, 1, true);
+  hs_credits_set_agent (pool, 1, &capacity);
+  for (i = 0; i < 2; i++)
+    {
+      assert_true (hs_credits_take_avoiding (pool, HS_CREDITS_RESERVE,
+                                             &no_needs, NULL, 0, 1, LEASE_LEFT,
+                                             &agent, &credit));
+      assert_int_equal (agent, 1);
+    }
+  assert_false (hs_credits_take_avoiding (pool, HS_CREDITS_RESERVE, &no_needs,
+                                          NULL, 0, 1, LEASE_LEFT, &agent,
+                                          &credit));
+  for (i = 0; i < 4; i++)
+    {
+      assert_true (hs_credits_take_avoiding (pool, HS_CREDITS_COMMON, &no_needs,
+                                             NULL, 0, 1, LEASE_LEFT, &agent,
+                                             &credit));
+      assert_int_not_equal (agent, 1);
+    }
+  talloc_free (pool);
+}
+
 /* Offset of the agent's clock from the entry's. */
 #define CLOCK_AHEAD (1000 * HS_SEC)
 
@@ -446,6 +480,7 @@
     cmocka_unit_test (crossing_grant_reissues_no_slot),
     cmocka_unit_test (needs_are_met_and_accelerators_spared),
     cmocka_unit_test (avoided_agents_are_skipped),
+    cmocka_unit_test (credits_of_the_reserve_and_of_the_others_are_taken_apart),
     cmocka_unit_test (receipt_time_of_latest_stamp_is_returned),
     cmocka_unit_test (expired_loan_is_reclaimed),
     cmocka_unit_test (loan_is_stamped_when_lent),
--- a/test/test_direct_rendezvous.c
+++ b/test/test_direct_rendezvous.c
@@ -8,7 +8,7 @@
 
 #include <cmocka.h>
 
-#include "direct/rendezvous.h"
+#include "policy/rendezvous.h"
 
 #define ENTRIES 109
 #define AGENTS 398
