--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -97,7 +97,11 @@
             answer->expected_run_time / 1000.0, answer->free_milli,
             answer->n_waiting_jobs, answer->retry_after_ms);
   hs_counter_add (entry->answer_counters[answer->kind], 0, 1);
-  hs_histogram_record (entry->wait_histogram, answer->wait_time);
+  hs_histogram_record (entry->containment_counter = hs_metrics_counter (
+                           entry->metrics, "hs_direct_containments_total",
+                           "Customers contained, as their tasks crash targets.",
+                           NULL, NULL);
+                       entry->wait_histogram, answer->wait_time);
   if (answer->kind == HS_ANSWER_COMPLETED)
     hs_histogram_record (entry->latency_histogram, answer->total_time);
   if (answer->reason != HS_REASON_CALLER_GONE)
@@ -139,9 +143,10 @@
 static void
 effect_contained (void *arg, const HsContainmentChange *change)
 {
+  HsDirectEntry *entry = arg;
   char customer[HS_EVENT_VALUE_SIZE];
 
-  (void) arg;
+  hs_counter_add (entry->containment_counter, 0, change->contained);
   hs_event ("containment", "customer=%s contained=%d score=%.2f",
             hs_event_sanitise (change->customer, customer), change->contained,
             change->score);
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -111,6 +111,7 @@
   /** @} */
   HsMetrics *metrics;
   HsCounter *answer_counters[HS_ANSWER_CANCELLED + 1];
+  HsCounter *containment_counter;
   HsHistogram *wait_histogram;
   HsHistogram *latency_histogram;
 } HsDirectEntry;
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -9,6 +9,11 @@
 #include "direct/service_rate.h"
 #include "policy/crash_counts.h"
 
+/** A ref holds the task's index in the lowest bits, then the job's handle, then
+ *  the generation of the start. */
+#define REF_TASK_BITS 12
+#define REF_JOB_BITS 20
+
 typedef struct
 {
   bool in_use;
--- a/test/soak/history.h
+++ b/test/soak/history.h
@@ -22,8 +22,9 @@
 
 /**
  * Reads the targets' logs and checks that no target exceeded its capacity, that
- * no task ran twice at once or crashed too many targets, that every task of a completed job was done, and
- * that no task of a refused job started. Prints each violation.
+ * no task ran twice at once or crashed too many targets, that every task of a
+ * completed job was done, and that no task of a refused job started. Prints
+ * each violation.
  * @return number of violations
  */
 unsigned int history_check (const Cluster *cluster,
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -26,6 +26,9 @@
 static uint32_t last_poll_number;
 static hsx_target_state last_report_state;
 static uint32_t reported_capacity_milli; /* Last one reported. */
+static uint32_t n_crash_reports;
+static uint32_t n_to_pass_on; /* Of these. */
+static char crash_customer[16];
 static int64_t lease_until_ms; /* The target's clock is 0 in setup(). */
 
 static HsConn *
@@ -81,6 +84,14 @@
       last_report_state = report->state;
       if (report->info != NULL)
         reported_capacity_milli = report->info->capacity.cpu_milli;
+      if (report->crash != NULL)
+        {
+          n_crash_reports++;
+          n_to_pass_on += report->crash->pass_on;
+          g_strlcpy (crash_customer,
+                     report->crash->customers.customers_val[0].name,
+                     sizeof crash_customer);
+        }
     }
   return true;
 }
@@ -208,6 +219,7 @@
 
   (void) state;
   n_closed = n_stops = polls_pending = 0;
+  n_crash_reports = n_to_pass_on = 0;
   conn_data = NULL;
   agent = talloc_zero (NULL, HsDirectAgent);
   agent->settings = &settings;
@@ -399,6 +411,59 @@
   assert_int_equal (reported_capacity_milli, 1500);
 }
 
+static HsTime
+crash_the_target (HsTime now)
+{
+  hs_runs_tick (agent->runs, now);
+  hs_runs_poll_done (agent->runs, last_poll_number, HS_TARGET_NO_LISTENER, NULL,
+                     now);
+  now += 10 * HS_MSEC;
+  hs_runs_tick (agent->runs, now);
+  return now;
+}
+
+static void
+a_crash_is_reported_once_on_each_connection (void **state)
+{
+  HsTime now = crash_the_target (hs_now ().mono);
+  HsTime later = now + HS_HEARTBEAT_INTERVAL;
+
+  (void) state;
+  hs_agent_links_send_reports (agent, now);
+  assert_int_equal (n_crash_reports, 1);
+  assert_string_equal (crash_customer, "c");
+  hs_agent_links_send_reports (agent, later);
+  assert_int_equal (n_crash_reports, 1);
+  /* The first report may have been lost with the connection. */
+  hs_agent_links_disconnected (agent, conn (), false);
+  hs_agent_links_connected (agent, conn ());
+  hs_agent_links_send_reports (agent, later);
+  assert_int_equal (n_crash_reports, 2);
+  assert_int_equal (n_to_pass_on, 0);
+}
+
+/* Two entries pass a crash on to those that the agent isn't connected to. */
+static void
+a_crash_is_passed_on_where_not_all_entries_are_connected (void **state)
+{
+  HsTime now = crash_the_target (hs_now ().mono);
+  uint32_t i;
+
+  (void) state;
+  for (i = 1; i < HS_CONNECTIONS_MAX; i++)
+    {
+      HsAgentEntry *entry = &agent->entries[i];
+
+      entry->used = true;
+      entry->conn = conn ();
+      entry->unsent_ends = g_array_new (FALSE, FALSE, sizeof (hsx_end));
+      entry->recent_ends = g_array_new (FALSE, FALSE, sizeof (HsRecentEnd));
+    }
+  hs_agent_links_send_reports (agent, now);
+  assert_int_equal (n_crash_reports, HS_CONNECTIONS_MAX);
+  assert_int_equal (n_to_pass_on, 2);
+}
+
 int
 main (void)
 {
@@ -413,6 +478,8 @@
     TEST (a_lease_renewed_after_a_pause_ends_in_time),
     TEST (a_connection_that_is_kept_after_all_is_not_left_unused),
     TEST (a_changed_capacity_is_reported_to_the_entries),
+    TEST (a_crash_is_reported_once_on_each_connection),
+    TEST (a_crash_is_passed_on_where_not_all_entries_are_connected),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
