--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -97,11 +97,7 @@
             answer->expected_run_time / 1000.0, answer->free_milli,
             answer->n_waiting_jobs, answer->retry_after_ms);
   hs_counter_add (entry->answer_counters[answer->kind], 0, 1);
-  hs_histogram_record (entry->containment_counter = hs_metrics_counter (
-                           entry->metrics, "hs_direct_containments_total",
-                           "Customers contained, as their tasks crash targets.",
-                           NULL, NULL);
-                       entry->wait_histogram, answer->wait_time);
+  hs_histogram_record (entry->wait_histogram, answer->wait_time);
   if (answer->kind == HS_ANSWER_COMPLETED)
     hs_histogram_record (entry->latency_histogram, answer->total_time);
   if (answer->reason != HS_REASON_CALLER_GONE)
@@ -491,6 +487,9 @@
     entry->answer_counters[i]
         = hs_metrics_counter (entry->metrics, "hs_direct_jobs_total",
                               "Jobs by outcome.", "outcome", outcome_names[i]);
+  entry->containment_counter = hs_metrics_counter (
+      entry->metrics, "hs_direct_containments_total",
+      "Customers contained, as their tasks crash targets.", NULL, NULL);
   entry->wait_histogram = hs_metrics_histogram (
       entry->metrics, "hs_direct_wait_seconds",
       "From arrival to the first start, or to the refusal.", NULL, NULL);
