Contain a second customer beside one that is contained; keep both contained

Cause: the strongest evidence was searched among all customers, contained ones included, and a contained one was released when it fell behind another. Found by reading the diff, then by tests: two_customers_that_crash_targets_both_stay_contained failed before.

Now only customers that aren't contained are compared; one that was released shortly before needs to be the most suspect, at three quarters of the level; one contained beside another is released when the evidence against it is used up or its own jobs end well.

--- a/src/policy/containment.c
+++ b/src/policy/containment.c
@@ -30,10 +30,9 @@
 
 /** Evidence that contains a customer, in nats; by chance a crash adds nothing
  * in the mean. The evidence is clear if it exceeds that against any other
- * customer by MARGIN, or if it has fallen behind that by RELEASE_MARGIN. */
+ * customer by MARGIN. */
 #define SCORE_MIN 2.5
 #define MARGIN 0.7
-#define RELEASE_MARGIN 1.5
 
 /** Bound on the evidence of one crash, so that one alone contains nobody. */
 #define EVIDENCE_MAX 3.0
@@ -116,6 +115,7 @@
                           const HsCrashSuspect *suspect,
                           const HsCrashEvidence *crash);
 static void judge (HsContainment *containment, const HsCrashEvidence *crash);
+static bool explains (const Customer *customer, const HsCrashEvidence *crash);
 static void contain_worst (HsContainment *containment,
                            Service *service,
                            const HsCrashEvidence *crash,
@@ -385,64 +385,65 @@
 static void
 judge (HsContainment *containment, const HsCrashEvidence *crash)
 {
-  bool explained = false;
+  uint32_t n_explaining = 0;
   uint32_t i;
 
   for (i = 0; i < containment->customers->len; i++)
-    {
-      Customer *customer = get (containment, i);
-
-      const HsCrashSuspect *suspect = find_suspect (customer, crash);
-
-      explained |= customer->contained && suspect != NULL
-                   && strcmp (customer->service, crash->service) == 0
-                   && (crash->reserved || evidence_of (suspect, crash) > 1);
-    }
+    n_explaining += explains (get (containment, i), crash);
   for (i = 0; i < containment->customers->len; i++)
     {
       Customer *customer = get (containment, i);
       const HsCrashSuspect *suspect = find_suspect (customer, crash);
 
       if (strcmp (customer->service, crash->service) != 0
-          || (explained && !(customer->contained && suspect != NULL)))
+          || (n_explaining > 0 && !(customer->contained && suspect != NULL)))
         continue;
       add_evidence (customer, suspect, crash);
       if (!customer->contained)
         continue;
-      if (explained)
+      if (customer->score <= 0)
+        release (containment, customer, crash->at);
+      else if (explains (customer, crash)
+               && (n_explaining == 1 || evidence_of (suspect, crash) > 1))
         {
           customer->crashed_at = MAX (customer->crashed_at, crash->at);
           customer->n_done = 0;
         }
-      else if (customer->score <= 0)
-        release (containment, customer, crash->at);
     }
 }
 
-/* Contains the customer with the strongest evidence against it, and releases
-   those contained with it against whom there is clearly less. */
+static bool
+explains (const Customer *customer, const HsCrashEvidence *crash)
+{
+  const HsCrashSuspect *suspect = find_suspect (customer, crash);
+
+  return customer->contained && suspect != NULL
+         && strcmp (customer->service, crash->service) == 0
+         && (crash->reserved || evidence_of (suspect, crash) > 1);
+}
+
+/* Contains the customer with the strongest evidence against it, of those that
+   aren't contained yet. */
 static void
 contain_worst (HsContainment *containment,
                Service *service,
                const HsCrashEvidence *crash,
                HsTime now)
 {
-  Customer *worst = NULL;
-  double second = 0;
-  bool found = false;
   double level_min
       = MAX (LEVEL_MIN, (double) crash->n_targets / TARGETS_PER_CRASH);
+  bool urgent = service->level >= level_min * URGENT_FACTOR;
+  Customer *worst = NULL;
+  double second = 0;
+  double highest;
   uint32_t i;
 
   for (i = 0; i < containment->customers->len; i++)
     {
       Customer *customer = get (containment, i);
 
-      if (strcmp (customer->service, service->name) != 0)
+      if (customer->contained || strcmp (customer->service, service->name) != 0)
         continue;
-      if (service->level >= LEVEL_AGAIN_SHARE * level_min
-          && was_released_too_early (customer, crash, now))
-        contain (containment, customer, now);
       if (worst == NULL || customer->score > worst->score)
         {
           second = worst != NULL ? worst->score : 0;
@@ -453,30 +454,24 @@
     }
   if (worst == NULL || worst->score < SCORE_MIN)
     return;
+  if (was_released_too_early (worst, crash, now))
+    level_min *= LEVEL_AGAIN_SHARE;
+  else if (!urgent && worst->score < second + MARGIN)
+    return;
+  if (service->level < level_min)
+    return;
+  highest = worst->score;
   for (i = 0; i < containment->customers->len; i++)
     {
       Customer *customer = get (containment, i);
-      double behind = worst->score - customer->score;
 
-      if (strcmp (customer->service, service->name) != 0)
-        continue;
-      if (customer->contained)
-        {
-          if (worst->contained && behind >= RELEASE_MARGIN)
-            release (containment, customer, now);
-        }
-      else if (customer->score >= SCORE_MIN
-               && ((customer == worst && service->level >= level_min
-                    && customer->score >= second + MARGIN)
-                   || (service->level >= level_min * URGENT_FACTOR
-                       && behind < MARGIN)))
-        {
-          contain (containment, customer, now);
-          found = true;
-        }
+      if (!customer->contained && customer->score >= SCORE_MIN
+          && strcmp (customer->service, service->name) == 0
+          && (customer == worst
+              || (urgent && highest - customer->score < MARGIN)))
+        contain (containment, customer, now);
     }
-  if (found)
-    forget_others (containment, service);
+  forget_others (containment, service);
 }
 
 /* A crash soon after the customer's release, with evidence against it. */
@@ -487,9 +482,8 @@
 {
   const HsCrashSuspect *suspect = find_suspect (customer, crash);
 
-  return !customer->contained && customer->released_at != 0
-         && now - customer->released_at < REPEAT_SPAN && suspect != NULL
-         && evidence_of (suspect, crash) > 1;
+  return customer->released_at != 0 && now - customer->released_at < REPEAT_SPAN
+         && suspect != NULL && evidence_of (suspect, crash) > 1;
 }
 
 static void
--- a/test/test_containment.c
+++ b/test/test_containment.c
@@ -315,6 +315,56 @@
   assert_true (hs_containment_is_contained (containment, innocent));
 }
 
+/* A crash on a reserved target that ran tasks of both. */
+static void
+add_crash_of_both (HsTime at, HsTime guilty_age, HsTime innocent_age)
+{
+  HsCrashSuspect suspects[]
+      = { { "guilty", guilty_age, 15 }, { "innocent", innocent_age, 18 } };
+  HsCrashEvidence crash = { .service = "s",
+                            .at = at,
+                            .reserved = true,
+                            .suspects = suspects,
+                            .n_suspects = 2 };
+
+  hs_containment_add_crash (containment, &crash, at);
+}
+
+static void
+two_customers_that_crash_targets_both_stay_contained (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  contain_guilty ();
+  for (i = 1; i < 12; i++)
+    add_crash_of_both (T0 + i * 300 * HS_MSEC, AGE, 400 * HS_MSEC);
+  for (i = 0; i < 3; i++)
+    add_other_crash (T0 + (40 + i) * 100 * HS_MSEC, AGE);
+  assert_true (hs_containment_is_contained (containment, innocent));
+  add_crash_of_both (T0 + 4500 * HS_MSEC, AGE, 200 * HS_MSEC);
+  add_crash_of_both (T0 + 4800 * HS_MSEC, 300 * HS_MSEC, AGE);
+  assert_true (hs_containment_is_contained (containment, guilty));
+  assert_true (hs_containment_is_contained (containment, innocent));
+}
+
+static void
+one_contained_by_mistake_beside_another_is_released (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  contain_guilty ();
+  for (i = 0; i < 3; i++)
+    add_other_crash (T0 + (4 + i) * 100 * HS_MSEC, AGE);
+  assert_true (hs_containment_is_contained (containment, innocent));
+  for (i = 1; i < 12; i++)
+    add_crash_of_both (T0 + (10 + i * 3) * 100 * HS_MSEC, AGE,
+                       (100 + i * 67 % 300) * HS_MSEC);
+  assert_true (hs_containment_is_contained (containment, guilty));
+  assert_false (hs_containment_is_contained (containment, innocent));
+}
+
 int
 main (void)
 {
@@ -334,6 +384,8 @@
     TEST (a_customer_that_has_no_part_in_later_crashes_is_released),
     TEST (a_crash_explained_by_a_contained_customer_is_no_evidence),
     TEST (two_customers_are_contained_one_after_the_other),
+    TEST (two_customers_that_crash_targets_both_stay_contained),
+    TEST (one_contained_by_mistake_beside_another_is_released),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
