Report a silent crash that a poll finds first, and one after refusals that were none

What callers would see: a silent crash whose restart a poll found before the target announced itself was reported to nobody, so its tasks counted for nothing; after refusals that were no crash a later one of the same incarnation wasn't reported; and a start without an outcome could have made each refused poll after a restart a new crash of its task, which would then be given up wrongly.

Cause: an answer reset the record of what ran before its list had told that it came from another incarnation; a report was made once an incarnation whether or not it answered on; an incarnation that had never been read could be reported. Class: state dropped before what replaces it is known. Evidence: three tests of test_direct_runs that failed before each change (lines 925, 949, 946).

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -122,6 +122,7 @@
   if (!same && (runs->announced || known->started_ms != 0))
     hs_runs_end_incarnation (runs, now);
   runs->target_lost = false;
+  runs->target_left = false;
   runs->target = *announcement;
   runs->announced = true;
   if (!same)
@@ -141,6 +142,7 @@
   if (!runs->announced || strcmp (runs->target.name, name) != 0)
     return;
   runs->target_lost = true;
+  runs->target_left = true;
   hs_runs_end_incarnation (runs, now);
   runs->effects->changed (runs->arg);
 }
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -31,6 +31,7 @@
       runs->failing_since = 0;
       runs->no_listener_since = 0;
       runs->snapshot_taken = false;
+      runs->crash_reported = false;
       return;
     }
 }
@@ -40,7 +41,7 @@
 {
   HsTime due = runs->no_listener_since + RESULTS_WAIT;
 
-  if (runs->crash_reported || runs->target_lost || runs->target.leaving
+  if (runs->crash_reported || runs->target_left || runs->target.leaving
       || !runs->list_known)
     return HS_NEVER;
   if (runs->no_listener_since != 0 && now < due)
@@ -55,9 +56,10 @@
 void
 hs_runs_incarnation_over (HsRuns *runs)
 {
-  bool expected = runs->target_lost || runs->target.leaving;
+  bool expected = runs->target_left || runs->target.leaving;
 
-  if (!runs->crash_reported && !expected
+  /* An incarnation whose list was never read ran nothing of this agent. */
+  if (runs->list_known && !runs->crash_reported && !expected
       && (runs->n_runs > 0 || runs->snapshot_taken))
     {
       take_snapshot (runs);
@@ -89,7 +91,6 @@
   crash->at
       = runs->failing_since != 0 ? runs->failing_since : runs->answered_at;
   crash->silent = runs->no_listener_since == 0;
-  crash->silent = runs->no_listener_since == 0;
   crash->n_tasks = 0;
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -120,7 +120,6 @@
     runs->polls_in_flight--;
   if (result == HS_TARGET_UNSENT || result == HS_TARGET_NO_LISTENER)
     runs->poll_renewed_at[number % HS_POLL_TOKENS_MAX] = 0;
-  hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_OK)
     {
       runs->answered_at = now;
@@ -128,10 +127,18 @@
       runs->unresponsive = false;
       runs->poll_not_before = 0;
       process_list (runs, number, list, now);
+      /* After the list, which may be of another incarnation. */
+      hs_runs_note_call_result (runs, result, now);
       resolve_fenced_starts (runs, number, token, now);
       runs->effects->changed (runs->arg);
       return;
     }
+  if (result == HS_TARGET_REPLACED)
+    {
+      runs->target_lost = true;
+      hs_runs_end_incarnation (runs, now);
+    }
+  hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_FENCED && token < runs->token)
     {
       runs->poll_not_before = 0;
@@ -145,11 +152,6 @@
       runs->poll_not_before = 0;
       return;
     }
-  if (result == HS_TARGET_REPLACED)
-    {
-      runs->target_lost = true;
-      hs_runs_end_incarnation (runs, now);
-    }
   runs->n_failed_polls++;
   /* After a single lost answer the target is polled again at once. */
   runs->poll_not_before
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -71,6 +71,7 @@
   HsAnnouncement target;
   bool list_known;         /**< The target's list has been received. */
   bool target_lost;        /**< It left, or another incarnation listens. */
+  bool target_left;        /**< It said that it leaves for good. */
   uint32_t n_unknown_runs; /**< Listed runs that this agent didn't start. */
   uint64_t token;
   uint64_t acked_end;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -905,6 +905,82 @@
   assert_in_range (now - crashed_at, 1070 * HS_MSEC, 1080 * HS_MSEC);
 }
 
+static void
+a_restart_that_a_poll_finds_first_tells_of_a_silent_crash (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  while (n_ends == 0)
+    {
+      while (n_polls > 0)
+        lose_poll ();
+      advance (20 * HS_MSEC);
+    }
+  hs_target_model_restart (&model, now);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.n_tasks, 1);
+  assert_true (last_crash.silent);
+}
+
+static void
+a_restart_under_another_name_tells_of_a_crash (void **state)
+{
+  StartCall call;
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  launch ("b", 0, 8);
+  call = pop_start ();
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_REPLACED, NULL, now);
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+  /* The second start is still unresolved; that is no other crash. */
+  hs_runs_poll_done (runs, polls[0].number + 1, HS_TARGET_REPLACED, NULL, now);
+  assert_int_equal (n_crashes, 1);
+}
+
+static void
+a_target_that_left_has_not_crashed (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  hs_runs_target_left (runs, "target1", now);
+  refuse_poll ();
+  advance (10 * HS_MSEC);
+  assert_int_equal (n_crashes, 0);
+}
+
+/* Nothing listened for a moment, as when the path to the target was cut. */
+static void
+a_crash_after_refusals_that_were_none_is_reported (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  assert_int_equal (n_crashes, 1);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_poll ();
+  advance (0);
+  lose_poll ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  assert_int_equal (n_crashes, 2);
+}
+
 static void
 a_target_that_answers_again_has_not_crashed (void **state)
 {
@@ -975,6 +1051,10 @@
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
     TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
+    TEST (a_restart_that_a_poll_finds_first_tells_of_a_silent_crash),
+    TEST (a_crash_after_refusals_that_were_none_is_reported),
+    TEST (a_restart_under_another_name_tells_of_a_crash),
+    TEST (a_target_that_left_has_not_crashed),
     TEST (a_target_that_answers_again_has_not_crashed),
     TEST (the_end_of_a_leaving_target_is_no_crash),
   };
