Don't call a start not run that a crashed target may have carried out

Cause: a start without an answer is resolved by the answer to a poll with a raised fencing token: what isn't listed by then never started. After a restart that list is of another incarnation, which knows nothing of the one that was called. Class: after a lost answer the caller is told that the work hadn't run.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -437,6 +437,7 @@
   start.lease_until_ms
       = hs_runs_target_clock (runs, now) + runs->options.lease / HS_MSEC;
   run->state = HS_RUN_STARTING;
+  run->may_have_run = false;
   run->called_at = now;
   run->n_start_calls++;
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -203,6 +203,8 @@
 
       if (run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
         hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+      else
+        run->may_have_run = true;
     }
   hs_breaker_reset (&runs->breaker);
   runs->breaker_state = HS_BREAKER_CLOSED;
@@ -410,7 +412,7 @@
 }
 
 /* Starts that are fenced off by the poll's token and aren't in its list will
-   never happen. */
+   never happen, and haven't happened unless another incarnation was called. */
 static void
 resolve_fenced_starts (HsRuns *runs,
                        uint32_t number,
@@ -425,10 +427,14 @@
     {
       HsRun *run = &runs->runs[i];
 
-      if (run->state == HS_RUN_START_UNKNOWN && run->fence_token <= token)
-        hs_run_end (runs, run,
-                    run->stop_requested ? HSX_END_STOPPED : HSX_END_REFUSED,
-                    HS_REFUSAL_UNANSWERED, now);
+      if (run->state != HS_RUN_START_UNKNOWN || run->fence_token > token)
+        continue;
+      if (run->stop_requested)
+        hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED, now);
+      else if (run->may_have_run)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+      else
+        hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_UNANSWERED, now);
     }
 }
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -48,6 +48,8 @@
                                have to list it. */
   uint32_t n_start_calls; /**< So far. */
   bool stop_requested;
+  bool may_have_run; /**< In HS_RUN_START_UNKNOWN: the incarnation that was
+                          called is over, and can't tell any more. */
   hsx_end_how stop_reported_as; /**< Reported to the entry when the target
                                     lists the run as stopped. */
   int percent;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -275,6 +275,30 @@
   assert_int_equal (execute_start (&call), HS_TARGET_FENCED);
 }
 
+/* The target started the task and crashed before it answered. */
+static void
+an_unanswered_start_on_a_target_that_crashed_may_have_run (void **state)
+{
+  HsAnnouncement announcement;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  execute_start (&call);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  announcement.started_ms = ++model.started_ms;
+  hs_runs_target_announced (runs, &announcement, now);
+  advance (0);
+  while (n_polls > 0)
+    answer_poll ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, CAPACITY);
+}
+
 static void
 an_unanswered_start_that_is_listed_is_adopted (void **state)
 {
@@ -1024,6 +1048,7 @@
     TEST (the_end_of_a_task_is_reported),
     TEST (launches_beyond_the_capacity_are_refused),
     TEST (an_unanswered_start_holds_its_resources_until_fenced),
+    TEST (an_unanswered_start_on_a_target_that_crashed_may_have_run),
     TEST (an_unanswered_start_that_is_listed_is_adopted),
     TEST (a_start_fenced_on_behalf_of_another_is_retried),
     TEST (runs_of_an_earlier_agent_incarnation_are_stopped_first),
