Stop the runs that an agent holds and their entry has forgotten

Cause: an entry that ends a job while the connection to an agent is down drops the stop, and one that was written to a broken connection is lost. The agent reports what it holds when it connects again, but the entry compared that only with the tasks that it still had (hs_jobs_reconcile()). So nobody stopped a run whose job was over, wherever the job ended meanwhile.

Change: the entry answers the report with a stop for each start that it doesn't know. The agent counts an entry as back only with the first orders that answer that report; until then 600 ms since the last message before the break bound the runs, also if new connections break again and again. agent_reconciled logs what was held and stopped.

Ruled out: keeping undelivered stops in a queue of the entry. It would have to outlive the agent's record (given up as silent, connected again), and the report says the same without it.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -83,6 +83,10 @@
   g_strlcpy (entry->address, hello->address, sizeof entry->address);
   entry->conn = conn;
   hs_conn_set_data (conn, entry);
+  /* A new record holds no start that the entry may have forgotten. */
+  entry->confirmed = entry->confirmed_at == 0;
+  if (entry->confirmed)
+    entry->confirmed_at = now;
   entry->last_message_at = now;
   entry->orders_seen = 0;
   entry->info_sent = false;
@@ -123,6 +127,8 @@
   if (entry == NULL)
     return;
   entry->last_message_at = hs_now ().mono;
+  if (entry->confirmed)
+    entry->confirmed_at = entry->last_message_at;
   switch (proc)
     {
     case HSX_ORDERS:
@@ -201,6 +207,14 @@
   return due;
 }
 
+static const char *
+drop_reason (const HsAgentEntry *entry)
+{
+  if (entry->conn == NULL)
+    return "gone";
+  return entry->confirmed ? "silent" : "unconfirmed";
+}
+
 HsTime
 hs_agent_links_drop_expired (HsDirectAgent *agent, HsTime now)
 {
@@ -218,8 +232,10 @@
       expires_at
           = entry->last_message_at
             + (entry->conn != NULL ? HS_PEER_TIMEOUT : HS_RECONNECT_TIMEOUT);
+      if (!entry->confirmed)
+        expires_at = MIN (expires_at, entry->confirmed_at + HS_PEER_TIMEOUT);
       if (now >= expires_at)
-        drop_entry (agent, entry, entry->conn != NULL ? "silent" : "gone", now);
+        drop_entry (agent, entry, drop_reason (entry), now);
       else
         due = MIN (due, expires_at);
     }
@@ -354,7 +370,11 @@
     return;
   entry->orders_seen = orders->number;
   if (orders->stamp_us >= entry->first_report_stamp)
-    entry->reset_pending = false;
+    {
+      entry->reset_pending = false;
+      entry->confirmed = true;
+      entry->confirmed_at = now;
+    }
   hs_runs_set_backlog (agent->runs, entry_index, &orders->want,
                        orders->stamp_us);
   for (i = 0; i < orders->stops.stops_len; i++)
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -44,6 +44,12 @@
    *  after `last_message_at`; while connected, HS_PEER_TIMEOUT after it. */
   HsConn *conn;
   HsTime last_message_at;
+  /** On this connection the entry has answered the report of what is held here,
+   *  so that it stops what it doesn't know. */
+  bool confirmed;
+  /** Last message while `confirmed`. If that isn't so again HS_PEER_TIMEOUT
+   *  later, the record is dropped. */
+  HsTime confirmed_at;
   HsTime reported_at;
   /** Number of the last orders received. */
   uint32_t orders_seen;
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -384,8 +384,13 @@
   if (args->fresh)
     hs_jobs_target_lost (entry->jobs, target, false, now);
   if (args->whole)
-    hs_jobs_reconcile (entry->jobs, target, args->held.held_val,
-                       args->held.held_len, now);
+    {
+      uint32_t n_stopped = hs_jobs_reconcile (
+          entry->jobs, target, args->held.held_val, args->held.held_len);
+
+      hs_event ("agent_reconciled", "host=%s held=%u stopped=%u", row->host,
+                args->held.held_len, n_stopped);
+    }
   if (args->whole || args->offer || args->ends.ends_len > 0
       || hs_jobs_has_waiting_tasks (entry->jobs))
     hs_entry_schedule (entry, true);
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -189,18 +189,17 @@
   requeue_task (jobs, job, task);
 }
 
-void
+uint32_t
 hs_jobs_reconcile (HsJobs *jobs,
                    uint32_t target,
                    const uint64_t *refs,
-                   uint32_t n,
-                   HsTime now)
+                   uint32_t n)
 {
+  uint32_t n_stopped = 0;
   uint32_t i;
   uint32_t k;
   uint32_t r;
 
-  (void) now;
   for (i = 0; i < jobs->table_size; i++)
     for (k = 0; jobs->table[i].in_use && k < jobs->table[i].n_tasks; k++)
       {
@@ -216,6 +215,16 @@
                                       task);
         requeue_task (jobs, &jobs->table[i], task);
       }
+  for (r = 0; r < n; r++)
+    {
+      HsTask *task;
+
+      if (find_task (jobs, refs[r], &task) != NULL && task->target == target)
+        continue;
+      jobs->effects->stop (jobs->arg, target, refs[r]);
+      n_stopped++;
+    }
+  return n_stopped;
 }
 
 void
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -182,16 +182,19 @@
                          HsTime now);
 
 /**
- * After a reconnection to the same agent, queues again the tasks that were
- * sent to it and that it doesn't hold: they never started.
+ * Compares the starts that an agent holds for this entry with those known here,
+ * after a reconnection: tasks that were sent to it and that it doesn't hold
+ * have never started and are queued again. Starts that it holds and whose jobs
+ * are over are stopped, as the connection may have broken before their stops
+ * arrived.
  * @param refs the starts that the agent holds
  * @param n their number
+ * @return how many starts were stopped
  */
-void hs_jobs_reconcile (HsJobs *jobs,
-                        uint32_t target,
-                        const uint64_t *refs,
-                        uint32_t n,
-                        HsTime now);
+uint32_t hs_jobs_reconcile (HsJobs *jobs,
+                            uint32_t target,
+                            const uint64_t *refs,
+                            uint32_t n);
 
 /**
  * Handles the loss of an agent.
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -300,6 +300,49 @@
                    HS_CALLER_RETRY_DELAY / HS_MSEC * 98 / 100);
 }
 
+/* Guards against a task that runs twice: each new connection breaks before the
+   entry has stopped what its earlier job left here. */
+static void
+connections_that_break_before_the_first_orders_do_not_keep_tasks (void **state)
+{
+  HsTime began = hs_now ().mono;
+  HsAgentEntry *entry;
+
+  (void) state;
+  entry = conn_data;
+  hs_agent_links_disconnected (agent, conn (), false);
+  hs_agent_links_connected (agent, conn ());
+  hs_agent_links_send_reports (agent, began);
+  entry->last_message_at = began + 400 * HS_MSEC;
+  hs_agent_links_disconnected (agent, conn (), false);
+  hs_agent_links_connected (agent, conn ());
+  hs_agent_links_send_reports (agent, began + 400 * HS_MSEC);
+  entry->last_message_at = began + 550 * HS_MSEC;
+  hs_agent_links_drop_expired (agent, began + 550 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+  hs_agent_links_drop_expired (agent, began + HS_PEER_TIMEOUT + 20 * HS_MSEC);
+  assert_int_equal (n_stops, 1);
+}
+
+static void
+orders_that_answer_the_first_report_keep_the_tasks (void **state)
+{
+  HsTime began = hs_now ().mono;
+  hsx_orders_args orders = { .agent = AGENT, .number = 1 };
+  HsAgentEntry *entry;
+
+  (void) state;
+  entry = conn_data;
+  hs_agent_links_disconnected (agent, conn (), false);
+  hs_agent_links_connected (agent, conn ());
+  hs_agent_links_send_reports (agent, began);
+  orders.stamp_us = began;
+  hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &orders);
+  entry->last_message_at = began + 550 * HS_MSEC;
+  hs_agent_links_drop_expired (agent, began + HS_PEER_TIMEOUT + 20 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+}
+
 /* The agent was paused for almost a lease, so that the task is still running.
    The entry crashed during the pause without closing its connection; its caller
    sends the job again 1.3 s after the crash. */
@@ -471,6 +514,8 @@
   const struct CMUnitTest tests[] = {
     TEST (the_tasks_of_an_unresponsive_entry_are_stopped),
     TEST (the_last_lease_expires_before_the_caller_resends),
+    TEST (connections_that_break_before_the_first_orders_do_not_keep_tasks),
+    TEST (orders_that_answer_the_first_report_keep_the_tasks),
     TEST (after_a_pause_a_dead_entry_is_dropped_soon),
     TEST (after_a_pause_a_broken_connection_is_dropped_soon),
     TEST (after_a_pause_a_live_entry_is_kept),
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -356,12 +356,52 @@
   held = launches[1].task.ref;
   hs_targets_disconnect (targets, 0);
   add_target (1, CAPACITY - 1000);
-  hs_jobs_reconcile (jobs, 0, &held, 1, T0 + 50 * HS_MSEC);
+  hs_jobs_reconcile (jobs, 0, &held, 1);
   hs_jobs_dispatch (jobs, T0 + 50 * HS_MSEC);
   assert_int_equal (n_launches, 3);
   assert_int_equal (launches[2].task.index, launches[0].task.index);
 }
 
+/* Guards against a task that runs twice: its caller had gone, the stop was lost
+   with the connection, and the job that was sent again ran beside it. */
+static void
+a_held_start_whose_job_is_over_is_stopped_after_a_reconnection (void **state)
+{
+  uint64_t held[2];
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  submit ("b", 1, T0);
+  hs_jobs_abandon (jobs, 1000, T0 + 20 * HS_MSEC);
+  held[0] = launches[0].task.ref;
+  held[1] = launches[1].task.ref;
+  /* The stop that was queued for the broken connection is lost. */
+  launches[0].stopped = false;
+  hs_jobs_reconcile (jobs, 0, held, 2);
+  assert_true (launches[0].stopped);
+  assert_false (launches[1].stopped);
+}
+
+/* As above; the agent that was given up as silent connects again. */
+static void
+a_held_start_of_an_agent_that_was_given_up_is_stopped (void **state)
+{
+  uint64_t held;
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  held = launches[0].task.ref;
+  hs_jobs_target_lost (jobs, 0, false, T0 + 600 * HS_MSEC);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+  hs_targets_remove (targets, 0);
+  add_target (1, 3000);
+  launches[0].stopped = false;
+  hs_jobs_reconcile (jobs, 0, &held, 1);
+  assert_true (launches[0].stopped);
+}
+
 static void
 without_a_target_a_job_waits_while_it_can_meet_its_objective (void **state)
 {
@@ -492,6 +532,8 @@
     TEST (losing_an_agent_ends_the_jobs_with_tasks_there),
     TEST (tasks_of_a_lost_agent_known_to_have_ended_run_elsewhere),
     TEST (after_a_reconnection_only_tasks_not_held_are_sent_again),
+    TEST (a_held_start_whose_job_is_over_is_stopped_after_a_reconnection),
+    TEST (a_held_start_of_an_agent_that_was_given_up_is_stopped),
     TEST (without_a_target_a_job_waits_while_it_can_meet_its_objective),
     TEST (a_job_is_cancelled_by_its_id),
     TEST (
