Notice a silent connection to the store before a change is overdue

Cause: a long poll waited 5 s and was given up 1.2 s later, 6.2 s after it began; the bounds leave 5 s (contact_ms and config_apply_ms). All entries poll again when a change answers their polls, so that none was ahead of the others. Beside that, the poll after it could take an idle connection that had gone silent too, and the stream that the product's own path watches by had no time-out at all.

Change: a long poll waits 2 s. Connections older than the last silence aren't used again, by watches or calls. A stream that was silent for 4 s is opened anew from its last revision, since changes have to be known within 6 s.

Ruled out: TCP keep-alive, which a proxy answers for the dead path; polls of the entries at different times, which leaves a single entry with the old bound.

The soak's proxies have the new mode.

--- a/src/store/store.c
+++ b/src/store/store.c
@@ -21,6 +21,8 @@
 
 static int free_store (HsStore *store);
 static int free_call (HsStoreCall *call);
+static void
+leave_silent_connections (const HsStore *store, CURL *easy, HsTime now);
 static void start_call (HsStore *store,
                         HsStoreCallKind kind,
                         const HsStoreHttpRequest *request,
@@ -168,9 +170,16 @@
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, receiver);
+  leave_silent_connections (store, easy, hs_now ().mono);
   return easy;
 }
 
+void
+hs_store_note_silence (HsStore *store, HsTime now)
+{
+  store->silent_at = now;
+}
+
 void
 hs_store_endpoint_failed (HsStore *store, size_t endpoint)
 {
@@ -185,6 +194,22 @@
             store->endpoints[endpoint], store->endpoints[store->endpoint]);
 }
 
+/* libcurl counts the age of connections in whole seconds, so that some that are
+   younger than the silence are left too. */
+static void
+leave_silent_connections (const HsStore *store, CURL *easy, HsTime now)
+{
+  HsTime age = now - store->silent_at;
+
+  if (store->silent_at == 0)
+    return;
+  if (age < 2 * HS_SEC)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  else
+    curl_easy_setopt (easy, CURLOPT_MAXLIFETIME_CONN,
+                      (long) (age / HS_SEC) - 1);
+}
+
 static int
 free_store (HsStore *store)
 {
@@ -289,6 +314,8 @@
   HsStoreCall *call = arg;
   HsStoreReply reply = { 0 };
 
+  if (result == CURLE_OPERATION_TIMEDOUT)
+    hs_store_note_silence (call->store, hs_now ().mono);
   reply.status = read_response (call, result, sent, &reply);
   if (reply.status != HS_STORE_OK)
     hs_store_endpoint_failed (call->store, call->endpoint);
--- a/src/store/store_private.h
+++ b/src/store/store_private.h
@@ -21,6 +21,9 @@
   size_t n_endpoints;
   size_t endpoint; /* Index of the endpoint in use. */
   HsTime timeout;
+  /** When a connection was last given up as silent; 0: never. Connections that
+   *  are older may be silent too, and aren't used again. */
+  HsTime silent_at;
   HsStoreProtocol protocol;
   struct curl_slist *headers;
   HsStoreCall *calls;
@@ -43,6 +46,10 @@
                                    const HsStoreHttpRequest *request,
                                    HsStoreReceiver *receiver);
 
+/** A call got no response, or a watch was silent: its connection and the older
+ *  ones aren't used again. */
+void hs_store_note_silence (HsStore *store, HsTime now);
+
 /**
  * Counts a failure and switches to the next endpoint.
  * @param endpoint the one that failed; if it is not in use any more, there is
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -8,15 +8,23 @@
 #define RECONNECT_DELAY_MIN (100 * HS_MSEC)
 #define RECONNECT_DELAY_MAX (2 * HS_SEC)
 
-/* How long the store may hold a long poll's response back. It is much shorter
-   than the time within which a change has to be known, since a connection may
-   have been lost without notice. */
-#define LONG_POLL_WAIT (5 * HS_SEC)
-
-/* TCP keepalive detects an unreachable host, since the store may send nothing
-   for minutes. */
-#define KEEPALIVE_IDLE_S 5L
-#define KEEPALIVE_INTERVAL_S 2L
+/* How long the store may hold a long poll's response back. Connections may go
+   silent without notice; one is given up this long and the store's time-out
+   after a poll began. A change has to be known 5 s after that, at the latest.
+ */
+#define LONG_POLL_WAIT (2 * HS_SEC)
+
+/* A stream is opened anew after it has been silent for this long, as its
+   connection may have been lost without notice. Changes have to be known within
+   6 s. */
+#define STREAM_SILENCE_MAX (4 * HS_SEC)
+
+typedef enum
+{
+  TIMER_CONNECT,
+  TIMER_DISCONNECT, /* No response came in time. */
+  TIMER_REOPEN      /* The stream has been silent for long. */
+} TimerAction;
 
 struct HsStoreWatch
 {
@@ -30,8 +38,8 @@
   HsStoreReceiver receiver;
   GByteArray *buffer;
   struct tevent_immediate *deliver;
-  HsTimer *timer;        /* To reconnect or to disconnect. */
-  bool timer_reconnects; /* Else it disconnects. */
+  HsTimer *timer;
+  TimerAction timer_action;
   HsTime backoff;
   bool ended;  /* Compacted: no more updates. */
   bool *freed; /* Set to true when the watch is freed in its callback. */
@@ -46,7 +54,7 @@
 static bool handle_response (HsStoreWatch *watch,
                              HsStoreWatchResponse *response);
 static void handle_poll_response (HsStoreWatch *watch, long http_status);
-static void disconnect_after (HsStoreWatch *watch, HsTime delay);
+static void set_timer (HsStoreWatch *watch, TimerAction action, HsTime delay);
 static bool append_data (void *arg, const char *data, size_t len);
 static void on_watch_end (void *arg, CURL *easy, CURLcode result, bool sent);
 static void
@@ -95,7 +103,7 @@
 
   for (watch = store->watches; watch != NULL; watch = watch->next)
     if (watch->easy != NULL && watch->endpoint == endpoint)
-      disconnect_after (watch, 0);
+      set_timer (watch, TIMER_DISCONNECT, 0);
 }
 
 static int
@@ -126,28 +134,19 @@
   store->stats.watches++;
   watch->endpoint = store->endpoint;
   watch->easy = hs_store_new_request_handle (store, &request, &watch->receiver);
-  curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
-  curl_easy_setopt (watch->easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
   talloc_free (request.path);
   talloc_free (request.body);
-  disconnect_after (watch, store->protocol == HS_STORE_PROTOCOL_PLATFORM
-                               ? LONG_POLL_WAIT + store->timeout
-                               : store->timeout);
+  set_timer (watch, TIMER_DISCONNECT,
+             store->protocol == HS_STORE_PROTOCOL_PLATFORM
+                 ? LONG_POLL_WAIT + store->timeout
+                 : store->timeout);
   hs_curl_add (store->curl, watch->easy, on_watch_end, watch);
 }
 
-/* Disconnects the watch unless a response comes before. */
-static void
-disconnect_after (HsStoreWatch *watch, HsTime delay)
-{
-  watch->timer_reconnects = false;
-  hs_timer_set (watch->timer, delay, hs_now ().mono);
-}
-
 static void
-reconnect_after (HsStoreWatch *watch, HsTime delay)
+set_timer (HsStoreWatch *watch, TimerAction action, HsTime delay)
 {
-  watch->timer_reconnects = true;
+  watch->timer_action = action;
   hs_timer_set (watch->timer, delay, hs_now ().mono);
 }
 
@@ -156,10 +155,22 @@
 {
   HsStoreWatch *watch = arg;
 
-  if (watch->timer_reconnects)
-    connect_watch (watch);
-  else
-    disconnect (watch);
+  switch (watch->timer_action)
+    {
+    case TIMER_CONNECT:
+      connect_watch (watch);
+      return;
+    case TIMER_DISCONNECT:
+      hs_store_note_silence (watch->store, hs_now ().mono);
+      disconnect (watch);
+      return;
+    case TIMER_REOPEN:
+      hs_curl_remove (watch->store->curl, watch->easy);
+      watch->easy = NULL;
+      g_byte_array_set_size (watch->buffer, 0);
+      connect_watch (watch);
+      return;
+    }
 }
 
 /* Closes the connection, schedules the next one and notifies the caller. */
@@ -173,7 +184,7 @@
   watch->easy = NULL;
   g_byte_array_set_size (watch->buffer, 0);
   hs_store_endpoint_failed (watch->store, watch->endpoint);
-  reconnect_after (watch, watch->backoff);
+  set_timer (watch, TIMER_CONNECT, watch->backoff);
   watch->backoff = MIN (watch->backoff * 2, RECONNECT_DELAY_MAX);
   update.revision = MAX (watch->next_revision - 1, 0);
   watch->func (watch->arg, &update);
@@ -275,7 +286,10 @@
     {
       update_progress (watch, response, &update);
       watch->backoff = RECONNECT_DELAY_MIN;
-      hs_timer_clear (watch->timer);
+      if (watch->store->protocol == HS_STORE_PROTOCOL_PLATFORM)
+        hs_timer_clear (watch->timer);
+      else
+        set_timer (watch, TIMER_REOPEN, STREAM_SILENCE_MAX);
     }
   watch->freed = freed;
   watch->func (watch->arg, &update);
@@ -351,7 +365,7 @@
       if (handle_response (watch, &response))
         {
           watch->next_revision = MAX (watch->next_revision, reached + 1);
-          reconnect_after (watch, 0);
+          set_timer (watch, TIMER_CONNECT, 0);
         }
     }
   talloc_free (ctx);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -185,7 +185,7 @@
 inject_link_fault (Prng *random)
 {
   unsigned int proxy = prng_below (random, proxy_count ());
-  ProxyMode mode = 1 + prng_below (random, PROXY_RESET);
+  ProxyMode mode = 1 + prng_below (random, PROXY_SILENCE);
   int ms = 100 + (int) prng_below (random, 3000);
 
   printf ("  proxy %u mode %d for %d ms\n", proxy, (int) mode, ms);
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -35,6 +35,7 @@
   GQueue queues[2]; /* Chunks read from each. */
   gsize offset[2];  /* Bytes of the first chunk already written. */
   bool ended[2];
+  bool silent; /* Nothing is passed on, and neither end is told. */
 } Connection;
 
 typedef struct
@@ -113,6 +114,19 @@
   connections[n_connections++] = connection;
 }
 
+/* Reads and drops what a side of a silent connection sends. Returns false once
+   both sides have ended. */
+static bool
+drain_side (Connection *connection, int side)
+{
+  guint8 data[CHUNK_SIZE];
+  ssize_t n = read (connection->fds[side], data, sizeof data);
+
+  if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+    connection->ended[side] = true;
+  return !connection->ended[0] || !connection->ended[1];
+}
+
 /* Reads from one side. Returns false once the connection has failed. */
 static bool
 read_side (Connection *connection, int side, gint64 now)
@@ -167,6 +181,14 @@
   return !(connection->ended[side] && chunk == NULL);
 }
 
+static struct pollfd
+watched_side (const Connection *connection, int side)
+{
+  bool done = connection->silent && connection->ended[side];
+
+  return (struct pollfd){ done ? -1 : connection->fds[side], POLLIN, 0 };
+}
+
 static void
 poll_once (gint64 now)
 {
@@ -180,8 +202,8 @@
     fds[n++] = (struct pollfd){ proxies[i].fd, POLLIN, 0 };
   for (i = 0; i < before; i++)
     {
-      fds[n++] = (struct pollfd){ connections[i]->fds[0], POLLIN, 0 };
-      fds[n++] = (struct pollfd){ connections[i]->fds[1], POLLIN, 0 };
+      fds[n++] = watched_side (connections[i], 0);
+      fds[n++] = watched_side (connections[i], 1);
     }
   g_mutex_unlock (&lock);
   poll (fds, n, POLL_TIMEOUT_MS);
@@ -192,7 +214,11 @@
       bool ok = true;
       int k;
 
-      for (k = 0; k < 2 && ok; k++)
+      connection->silent |= proxies[connection->proxy].mode == PROXY_SILENCE;
+      for (k = 0; k < 2 && connection->silent && ok; k++)
+        if (fds[listening + 2 * i + (unsigned int) k].revents != 0)
+          ok = drain_side (connection, k);
+      for (k = 0; k < 2 && !connection->silent && ok; k++)
         {
           short events = fds[listening + 2 * i + (unsigned int) k].revents;
 
@@ -205,7 +231,7 @@
     }
   for (i = 0; i < listening; i++)
     {
-      if (proxies[i].mode == PROXY_RESET)
+      if (proxies[i].mode == PROXY_RESET || proxies[i].mode == PROXY_SILENCE)
         proxies[i].mode = PROXY_PASS;
       if (fds[i].revents != 0)
         accept_connection (i);
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * TCP proxies on loopback that can delay or drop the data that goes through
- * them, in one or both directions, or reset connections. They run in a thread
- * of their own.
+ * them, in one or both directions, reset connections, or make them silent. They
+ * run in a thread of their own.
  */
 #ifndef HS_SOAK_PROXY_H
 #define HS_SOAK_PROXY_H
@@ -14,7 +14,9 @@
   PROXY_DELAY,        /**< Delays it in each direction. */
   PROXY_DROP,         /**< Drops it; connections stay open. */
   PROXY_DROP_REPLIES, /**< Drops only what the callee sends. */
-  PROXY_RESET         /**< Resets open connections once, then passes. */
+  PROXY_RESET,        /**< Resets open connections once, then passes. */
+  PROXY_SILENCE       /**< Open connections go silent for good and stay open;
+                           then passes. */
 } ProxyMode;
 
 /** Starts the proxies' thread. */
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "soak/proxy.h"
 #include "standin/store_server.h"
 #include "store/store.h"
 
@@ -325,6 +326,36 @@
   talloc_free (second);
 }
 
+/* Guards against an old list in use: the connection of a watch goes silent and
+   stays open. */
+static void
+silent_stream_is_opened_anew_within_the_time_for_a_change (void **state)
+{
+  Fixture *fixture = *state;
+  HsStore *direct = fixture->store;
+  HsStore *proxied;
+  char address[32];
+  const char *endpoints[2] = { NULL, NULL };
+  unsigned int proxy;
+  HsTime put_at;
+
+  proxy_init ();
+  proxy = proxy_add (server_url (fixture) + strlen ("http://"), address);
+  endpoints[0] = talloc_asprintf (fixture->ev, "http://%s", address);
+  fixture->store = hs_store_new (fixture->ev, fixture->ev, endpoints, TIMEOUT);
+  hs_store_watch (fixture->store, "hs/", 0, on_watch_update, fixture);
+  await_updates (fixture, HS_STORE_WATCH_PROGRESS, 1);
+  proxy_set (proxy, PROXY_SILENCE, 0);
+  g_usleep (50000);
+  proxied = fixture->store;
+  fixture->store = direct;
+  put_at = hs_now ().mono;
+  put_if (fixture, "hs/a", 0, 0);
+  await_updates (fixture, HS_STORE_WATCH_EVENTS, 1);
+  assert_true (hs_now ().mono - put_at < 6 * HS_SEC);
+  talloc_free (proxied);
+}
+
 static void
 watch_that_is_not_accepted_is_reconnected (void **state)
 {
@@ -409,6 +440,9 @@
         watch_reports_changes_and_resumes_after_disconnect, setup, teardown),
     cmocka_unit_test_setup_teardown (
         watch_moves_away_from_an_unresponsive_endpoint, setup, teardown),
+    cmocka_unit_test_setup_teardown (
+        silent_stream_is_opened_anew_within_the_time_for_a_change, setup,
+        teardown),
     cmocka_unit_test_setup_teardown (watch_that_is_not_accepted_is_reconnected,
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (compacted_watch_reports_it_and_ends, setup,
