Take a run as ended only on the target's own evidence

Cause: an agent reported runs as over on evidence that doesn't show it: an announcement or a goodbye, which may be a late one of an earlier incarnation; a 421 to a poll that was sent to the incarnation before; a list with a later start time, whose poll was older than what was known; fenced starts resolved by a list that had been ignored, or that had rows that couldn't be read; an HTTP status that no page names, as "not started".

Change: only a list whose poll was sent after the last one that counted, an expired lease, or a 421 to the incarnation that the run was started on ends a run. An announcement or goodbye stops grants and asks for a list.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -120,13 +120,14 @@
   if (same && runs->announced && announcement->sequence <= known->sequence)
     return false;
   if (!same && (runs->announced || known->started_ms != 0))
-    hs_runs_end_incarnation (runs, now);
+    hs_runs_forget_target (runs);
   runs->target_lost = false;
   runs->target_left = false;
   runs->target = *announcement;
   runs->announced = true;
   if (!same)
     {
+      runs->endpoint++;
       runs->n_failed_polls = 0;
       /* Polls sent before may have been answered by another incarnation. */
       runs->newest_poll = runs->next_poll - 1;
@@ -143,7 +144,7 @@
     return;
   runs->target_lost = true;
   runs->target_left = true;
-  hs_runs_end_incarnation (runs, now);
+  runs->poll_not_before = MIN (runs->poll_not_before, now);
   runs->effects->changed (runs->arg);
 }
 
@@ -299,7 +300,8 @@
     case HS_TARGET_LEASE_EXPIRED:
       break;
     case HS_TARGET_REPLACED:
-      runs->target_lost = true;
+      if (run->endpoint == runs->endpoint)
+        runs->target_lost = true;
       hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET, now);
       return;
     case HS_TARGET_FULL:
@@ -311,7 +313,7 @@
       return;
     }
   if (run->stop_requested || run->n_start_calls >= START_CALLS_MAX
-      || now >= run->deadline)
+      || now >= run->deadline || !runs->list_known)
     hs_run_end (runs, run,
                 run->stop_requested ? HSX_END_STOPPED : HSX_END_REFUSED,
                 HS_REFUSAL_TARGET, now);
@@ -434,10 +436,10 @@
                           .spec_len = run->spec_len,
                           .token = runs->token };
 
-  start.lease_until_ms
-      = hs_runs_target_clock (runs, now) + runs->options.lease / HS_MSEC;
+  start.lease_until_ms = hs_runs_next_lease_end (runs, now);
   run->state = HS_RUN_STARTING;
   run->may_have_run = false;
+  run->endpoint = runs->endpoint;
   run->called_at = now;
   run->n_start_calls++;
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
@@ -476,10 +478,21 @@
   return NULL;
 }
 
+bool
+hs_runs_may_renew_lease (const HsRuns *runs)
+{
+  return runs->target_clock_at != 0 && !runs->unresponsive;
+}
+
 int64_t
-hs_runs_target_clock (const HsRuns *runs, HsTime now)
+hs_runs_next_lease_end (HsRuns *runs, HsTime now)
 {
-  return runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
+  int64_t clock_ms
+      = runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
+
+  if (runs->lease_until_ms == 0 || hs_runs_may_renew_lease (runs))
+    runs->lease_until_ms = clock_ms + runs->options.lease / HS_MSEC;
+  return runs->lease_until_ms;
 }
 
 /* Whether an announcement is of an earlier incarnation. Its start tells, unless
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -59,7 +59,7 @@
   bool expected = runs->target_left || runs->target.leaving;
 
   /* An incarnation whose list was never read ran nothing of this agent. */
-  if (runs->list_known && !runs->crash_reported && !expected
+  if (runs->listed_started_ms != 0 && !runs->crash_reported && !expected
       && (runs->n_runs > 0 || runs->snapshot_taken))
     {
       take_snapshot (runs);
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -53,10 +53,11 @@
 #define RESTART_COST (30 * HS_MSEC)
 
 static void send_poll (HsRuns *runs, uint32_t wait_ms, HsTime now);
-static void process_list (HsRuns *runs,
+static bool process_list (HsRuns *runs,
                           uint32_t number,
                           const HsTargetList *list,
                           HsTime now);
+static void end_replaced_runs (HsRuns *runs, HsTime now);
 static void process_ends (HsRuns *runs, const HsTargetList *list, HsTime now);
 static void process_running (HsRuns *runs,
                              uint32_t number,
@@ -69,10 +70,7 @@
                             HsTime now);
 static void
 check_progress_rate (HsRuns *runs, HsRun *run, HsTime listed, HsTime now);
-static void resolve_fenced_starts (HsRuns *runs,
-                                   uint32_t number,
-                                   uint64_t token,
-                                   HsTime now);
+static void resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now);
 static void check_lease_expiry (HsRuns *runs, HsTime now);
 static HsTime last_renewal (const HsRuns *runs);
 static bool has_unknown_starts (const HsRuns *runs);
@@ -115,9 +113,13 @@
                    HsTime now)
 {
   uint64_t token = runs->poll_tokens[number % HS_POLL_TOKENS_MAX];
+  bool complete;
 
   if (runs->polls_in_flight > 0)
     runs->polls_in_flight--;
+  /* It was sent to an earlier target. */
+  if (result == HS_TARGET_REPLACED && number <= runs->newest_poll)
+    return;
   if (result == HS_TARGET_UNSENT || result == HS_TARGET_NO_LISTENER)
     runs->poll_renewed_at[number % HS_POLL_TOKENS_MAX] = 0;
   if (result == HS_TARGET_OK)
@@ -126,17 +128,21 @@
       runs->n_failed_polls = 0;
       runs->unresponsive = false;
       runs->poll_not_before = 0;
-      process_list (runs, number, list, now);
+      complete = process_list (runs, number, list, now);
       /* After the list, which may be of another incarnation. */
       hs_runs_note_call_result (runs, result, now);
-      resolve_fenced_starts (runs, number, token, now);
+      if (complete)
+        resolve_fenced_starts (runs, token, now);
       runs->effects->changed (runs->arg);
       return;
     }
   if (result == HS_TARGET_REPLACED)
     {
       runs->target_lost = true;
-      hs_runs_end_incarnation (runs, now);
+      hs_runs_incarnation_over (runs);
+      hs_runs_forget_target (runs);
+      runs->listed_started_ms = 0;
+      end_replaced_runs (runs, now);
     }
   hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_FENCED && token < runs->token)
@@ -192,30 +198,43 @@
 /* Start calls in flight may still reach the new incarnation; a poll with the
    raised token resolves them. */
 void
-hs_runs_end_incarnation (HsRuns *runs, HsTime now)
+hs_runs_forget_target (HsRuns *runs)
 {
   uint32_t i;
 
-  hs_runs_incarnation_over (runs);
   for (i = 0; i < HS_RUNS_MAX; i++)
-    {
-      HsRun *run = &runs->runs[i];
-
-      if (run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
-      else
-        run->may_have_run = true;
-    }
+    if (runs->runs[i].state == HS_RUN_STARTING
+        || runs->runs[i].state == HS_RUN_START_UNKNOWN)
+      runs->runs[i].may_have_run = true;
   hs_breaker_reset (&runs->breaker);
   runs->breaker_state = HS_BREAKER_CLOSED;
   runs->list_known = false;
   runs->n_unknown_runs = 0;
   runs->acked_end = 0;
+  runs->target_clock_at = 0;
+  runs->lease_until_ms = 0;
   runs->newest_poll = runs->next_poll - 1;
   runs->token++;
   runs->poll_not_before = 0;
 }
 
+/* The target refuses calls to the incarnation that was announced last: its runs
+   are over. Those of other incarnations may go on. */
+static void
+end_replaced_runs (HsRuns *runs, HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if ((run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
+          && run->endpoint == runs->endpoint)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+    }
+}
+
 static void
 send_poll (HsRuns *runs, uint32_t wait_ms, HsTime now)
 {
@@ -227,14 +246,10 @@
   uint32_t place = poll.number % HS_POLL_TOKENS_MAX;
   HsTime renewal = 0;
 
-  /* The lease of an unresponsive target isn't renewed, as its runs have to
-     lapse. */
-  poll.renews_lease
-      = runs->n_runs > 0 && runs->target_clock_at != 0 && !runs->unresponsive;
+  poll.renews_lease = runs->n_runs > 0 && hs_runs_may_renew_lease (runs);
   if (poll.renews_lease)
     {
-      poll.lease_until_ms
-          = hs_runs_target_clock (runs, now) + runs->options.lease / HS_MSEC;
+      poll.lease_until_ms = hs_runs_next_lease_end (runs, now);
       renewal = now;
     }
   /* The poll that had this place before isn't in flight any more. */
@@ -246,33 +261,35 @@
   runs->effects->poll (runs->arg, &poll);
 }
 
-static void
+/* Returns whether the list tells of every run. */
+static bool
 process_list (HsRuns *runs,
               uint32_t number,
               const HsTargetList *list,
               HsTime now)
 {
-  int64_t known = runs->target.started_ms;
-  bool other = list->started_ms != 0 && list->started_ms != known;
+  bool other
+      = list->started_ms != 0 && list->started_ms != runs->listed_started_ms;
 
-  /* If the clock of the target's host stepped back, a later incarnation has an
-     earlier start: the order of the polls tells which one answered last. */
-  if (other && list->started_ms < known && number <= runs->newest_poll)
-    return;
-  if (other)
+  /* A clock that stepped makes the start of an incarnation no sign of its age:
+     the order of the polls tells which incarnation answered last. */
+  if (number <= runs->newest_poll)
     {
-      if (known != 0)
-        {
-          hs_runs_end_incarnation (runs, now);
-          /* The new incarnation has to announce itself. */
-          runs->announced = false;
-        }
-      runs->target.started_ms = list->started_ms;
+      if (!other && list->started_ms == runs->target.started_ms)
+        process_ends (runs, list, now);
+      return false;
     }
-  else if (number < runs->newest_poll)
+  if (other && runs->listed_started_ms != 0)
     {
-      process_ends (runs, list, now);
-      return;
+      hs_runs_incarnation_over (runs);
+      hs_runs_forget_target (runs);
+    }
+  if (list->started_ms != 0)
+    {
+      /* An incarnation that answers has to have announced itself. */
+      runs->announced &= list->started_ms == runs->target.started_ms;
+      runs->target.started_ms = list->started_ms;
+      runs->listed_started_ms = list->started_ms;
     }
   runs->newest_poll = MAX (runs->newest_poll, number);
   runs->target_clock_ms = list->clock_ms;
@@ -280,6 +297,7 @@
   process_ends (runs, list, now);
   process_running (runs, number, list, now);
   runs->list_known = true;
+  return list->n_unreadable == 0;
 }
 
 static void
@@ -332,6 +350,7 @@
           continue;
         }
       run->listed = true;
+      run->endpoint = runs->endpoint;
       if (run->state == HS_RUN_START_UNKNOWN)
         {
           run->state = HS_RUN_RUNNING;
@@ -344,6 +363,9 @@
         }
       check_progress (runs, run, row->percent, list->clock_ms * HS_MSEC, now);
     }
+  runs->n_unknown_runs = unknown;
+  if (list->n_unreadable > 0)
+    return;
   /* Runs that had started when the poll was sent and are in neither list. */
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
@@ -353,7 +375,6 @@
           && !run->listed && run->first_poll <= number)
         hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
     }
-  runs->n_unknown_runs = unknown;
 }
 
 static void
@@ -414,15 +435,10 @@
 /* Starts that are fenced off by the poll's token and aren't in its list will
    never happen, and haven't happened unless another incarnation was called. */
 static void
-resolve_fenced_starts (HsRuns *runs,
-                       uint32_t number,
-                       uint64_t token,
-                       HsTime now)
+resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now)
 {
   uint32_t i;
 
-  if (number < runs->newest_poll)
-    return;
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
       HsRun *run = &runs->runs[i];
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -50,6 +50,7 @@
   bool stop_requested;
   bool may_have_run; /**< In HS_RUN_START_UNKNOWN: the incarnation that was
                           called is over, and can't tell any more. */
+  uint32_t endpoint; /**< HsRuns.endpoint when it was started or listed. */
   hsx_end_how stop_reported_as; /**< Reported to the entry when the target
                                     lists the run as stopped. */
   int percent;
@@ -71,16 +72,23 @@
   bool announced;
   bool draining; /**< The agent itself. */
   HsAnnouncement target;
-  bool list_known;         /**< The target's list has been received. */
-  bool target_lost;        /**< It left, or another incarnation listens. */
-  bool target_left;        /**< It said that it leaves for good. */
-  uint32_t n_unknown_runs; /**< Listed runs that this agent didn't start. */
+  uint32_t endpoint;         /**< Counts the targets that were announced. */
+  int64_t listed_started_ms; /**< Start of the incarnation that sent the last
+                                  list; 0: none. */
+  bool list_known;           /**< The target's list has been received. */
+  bool target_lost;          /**< It left, or another incarnation listens. */
+  bool target_left;          /**< It said that it leaves for good. */
+  uint32_t n_unknown_runs;   /**< Listed runs that this agent didn't start. */
   uint64_t token;
   uint64_t acked_end;
   int64_t target_clock_ms; /**< The target's clock... */
   HsTime target_clock_at;  /**< ...at this time; 0: not known. */
+  int64_t lease_until_ms;  /**< The last lease requested of this target, on its
+                                clock. */
   uint32_t next_poll;
-  uint32_t newest_poll;     /**< Number of the newest poll answered. */
+  uint32_t newest_poll;     /**< Number of the newest poll answered, or of the
+                                 last one sent before another target was
+                                 announced or answered. */
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
@@ -136,11 +144,16 @@
  *  had announced that it leaves. */
 void hs_runs_incarnation_over (HsRuns *runs);
 
-/** Ends the runs of a target's incarnation that is over. */
-void hs_runs_end_incarnation (HsRuns *runs, HsTime now);
+/** Forgets what is known of the target, as another incarnation seems to listen.
+ *  Runs don't end by that; see docs/design/evidence.md. */
+void hs_runs_forget_target (HsRuns *runs);
 
-/** The target's clock in milliseconds, estimated. */
-int64_t hs_runs_target_clock (const HsRuns *runs, HsTime now);
+/** Whether calls may renew the lease of what runs on the target. */
+bool hs_runs_may_renew_lease (const HsRuns *runs);
+
+/** The end of the lease for the next call, on the target's clock in
+ *  milliseconds: the last one, unless it may be renewed. */
+int64_t hs_runs_next_lease_end (HsRuns *runs, HsTime now);
 
 /** Sends polls that are due.
  *  @return when the next one is */
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -125,6 +125,13 @@
   memmove (polls, polls + 1, n_polls * sizeof *polls);
 }
 
+static void
+answer_polls (void)
+{
+  while (n_polls > 0)
+    answer_poll ();
+}
+
 static void
 lose_poll (void)
 {
@@ -196,22 +203,28 @@
   hs_runs_launch (runs, 0, &order, &task, now, now);
 }
 
+static void
+start_agent (HsTime lease, uint64_t token)
+{
+  HsRunsOptions options = { .lease = lease, .stop_timeout = 50 * HS_MSEC };
+  HsAnnouncement announcement = make_announcement (1);
+
+  n_polls = 0;
+  runs = hs_runs_new (ctx, &options, token, &EFFECTS, NULL);
+  hs_runs_target_announced (runs, &announcement, now);
+  advance (0);
+  answer_poll ();
+}
+
 static int
 setup (void **state)
 {
-  HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
-  HsAnnouncement announcement;
-
   (void) state;
   now = 1000 * HS_SEC;
   n_starts = n_polls = n_stops = n_ends = n_crashes = 0;
   ctx = talloc_new (NULL);
   hs_target_model_init (&model, now);
-  runs = hs_runs_new (ctx, &options, FIRST_TOKEN, &EFFECTS, NULL);
-  announcement = make_announcement (1);
-  hs_runs_target_announced (runs, &announcement, now);
-  advance (0);
-  answer_poll ();
+  start_agent (HS_SEC, FIRST_TOKEN);
   return 0;
 }
 
@@ -391,13 +404,128 @@
   restart_target_with_a_run (0);
   announcement = make_announcement (1);
   assert_true (hs_runs_target_announced (runs, &announcement, now));
-  assert_int_equal (ends[0].how, HSX_END_LAPSED);
   assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
+  /* Only its list shows that the run is over. */
+  assert_int_equal (n_ends, 0);
   advance (0);
   answer_poll ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
   assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
 }
 
+/* Guards against a task that runs twice: an earlier incarnation of the target,
+   whose clock was ahead, announces itself late. */
+static void
+a_late_announcement_with_a_later_start_ends_no_run (void **state)
+{
+  HsAnnouncement late = make_announcement (50);
+  HsAnnouncement announcement;
+
+  (void) state;
+  restart_target_with_a_run (5000);
+  advance (0);
+  answer_poll ();
+  announcement = make_announcement (1);
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  n_ends = 0;
+  launch ("b", 0, 8);
+  answer_start ();
+  hs_runs_target_announced (runs, &late, now);
+  assert_int_equal (n_ends, 0);
+  advance (0);
+  answer_polls ();
+  assert_int_equal (n_ends, 0);
+  announcement.sequence++;
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+  advance (300 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_DONE);
+}
+
+/* Guards against a task that runs twice: the target started again under its
+   name, and what it said when it left before arrives now. */
+static void
+a_late_goodbye_ends_no_run (void **state)
+{
+  HsAnnouncement announcement = make_announcement (2);
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  hs_runs_target_left (runs, "target1", now);
+  assert_int_equal (n_ends, 0);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
+  advance (0);
+  answer_polls ();
+  assert_int_equal (n_ends, 0);
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+  advance (200 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_DONE);
+}
+
+/* Guards against a task that runs twice: the refusal of a call to the earlier
+   incarnation arrives when its successor runs a task. */
+static void
+a_late_refusal_by_another_incarnation_ends_no_run (void **state)
+{
+  HsAnnouncement announcement;
+  uint32_t late;
+
+  (void) state;
+  advance (HS_SEC);
+  late = polls[0].number;
+  n_polls = 0;
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  g_strlcpy (announcement.name, "target2", sizeof announcement.name);
+  assert_true (hs_runs_target_announced (runs, &announcement, now));
+  advance (0);
+  answer_polls ();
+  launch ("a", 0, 7);
+  answer_start ();
+  hs_runs_poll_done (runs, late, HS_TARGET_REPLACED, NULL, now);
+  assert_int_equal (n_ends, 0);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+}
+
+/* Guards against a task that runs twice: an entry takes a start as refused
+   because of a list that is of an earlier incarnation or can't be read whole.
+ */
+static void
+a_list_that_may_leave_out_a_run_resolves_no_start (void **state)
+{
+  HsTargetList list = { .started_ms = model.started_ms, .clock_ms = 1 };
+  HsAnnouncement announcement;
+  StartCall call;
+  uint32_t earlier;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (0);
+  earlier = polls[0].number;
+  n_polls = 0;
+  now += 10 * HS_MSEC;
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  hs_runs_poll_done (runs, earlier, HS_TARGET_OK, &list, now);
+  assert_int_equal (n_ends, 0);
+  list.started_ms = model.started_ms;
+  list.n_unreadable = 1;
+  advance (0);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &list, now);
+  assert_int_equal (n_ends, 0);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
+}
+
 static void
 an_announcement_of_an_earlier_incarnation_is_ignored (void **state)
 {
@@ -900,6 +1028,9 @@
   hs_target_model_restart (&model, now);
   announcement = make_announcement (1);
   hs_runs_target_announced (runs, &announcement, now);
+  assert_int_equal (n_crashes, 0);
+  advance (0);
+  answer_polls ();
   assert_int_equal (n_crashes, 1);
   assert_int_equal (last_crash.n_tasks, 1);
   assert_string_equal (last_crash.tasks[0].key.job, "a");
@@ -1053,6 +1184,10 @@
     TEST (a_start_fenced_on_behalf_of_another_is_retried),
     TEST (runs_of_an_earlier_agent_incarnation_are_stopped_first),
     TEST (a_restarted_target_has_lost_its_runs),
+    TEST (a_late_announcement_with_a_later_start_ends_no_run),
+    TEST (a_late_goodbye_ends_no_run),
+    TEST (a_late_refusal_by_another_incarnation_ends_no_run),
+    TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
     TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -152,6 +152,21 @@
   assert_int_equal (hs_target_decode_result (409, "", 0), HS_TARGET_INVALID);
   assert_int_equal (hs_target_decode_result (421, "", 0), HS_TARGET_REPLACED);
   assert_int_equal (hs_target_decode_result (503, "", 0), HS_TARGET_UNHEALTHY);
+  assert_int_equal (hs_target_decode_result (400, "", 0), HS_TARGET_INVALID);
+}
+
+/* Guards against a task that runs twice: an error of the target is taken as a
+   start that didn't happen. */
+static void
+other_statuses_tell_nothing_of_the_call (void **state)
+{
+  static const long statuses[] = { 204, 404, 500, 502, 504 };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (statuses); i++)
+    assert_int_equal (hs_target_decode_result (statuses[i], "", 0),
+                      HS_TARGET_UNANSWERED);
 }
 
 /* Announcements of the target. */
@@ -363,6 +378,7 @@
     TEST (a_run_list_is_read),
     TEST (malformed_run_lists_are_rejected),
     TEST (refusals_are_mapped_to_results),
+    TEST (other_statuses_tell_nothing_of_the_call),
     TEST (an_announcement_is_read),
     TEST (malformed_announcements_are_rejected),
     TEST (a_job_of_one_step_is_read),
