Let the lease run out while a stop is overdue

What callers may see: a job that was answered as lost is sent again 1.3 s later, and a task of it still runs, because its target doesn't carry out the stop.

Cause: a stop is repeated each 110 ms, and the polls in between renew the lease of all that runs, so that nothing bounds the life of a run whose stops are lost or carried out late.

Change: a run whose job is over has 0.56 s to end after the entry's order or the deadline, and none once its entry is lost. After that no call renews the lease, until the run has ended; starts carry the last lease. Then 0.54 s later everything on the target has ended, before a caller sends its job again.

Ruled out: refusing starts meanwhile, as a stop usually takes 5 ms. Cost: what runs beside such a run lapses if its stops are lost for 0.5 s; with half of the calls lost, one stop in 32 of those for lost entries.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "direct/liveness.h"
 #include "direct/resources.h"
 #include "direct/runs_private.h"
 
@@ -17,6 +18,12 @@
  *  answer. */
 #define STOP_RETRY_SLACK (60 * HS_MSEC)
 
+/** A run whose job is over has to end within this time, or the lease isn't
+ *  renewed: the lease and a message to the next entry take the rest of the time
+ *  until a caller sends its job again. */
+#define STOP_PATIENCE                                                          \
+  (HS_CALLER_RETRY_DELAY - HS_LEASE_MAX - HS_LEASE_MAX / 50 - 200 * HS_MSEC)
+
 /** Limit on the start calls of one run. A call is repeated if it was fenced off
  *  because another start had an unknown outcome, if its attempt number was
  *  outdated, or if its lease had expired. */
@@ -204,6 +211,8 @@
       if (run->state == HS_RUN_FREE || run->entry != entry || run->ref != ref)
         continue;
       run->stop_reported_as = HSX_END_STOPPED;
+      if (run->renew_until == 0)
+        run->renew_until = now + STOP_PATIENCE;
       if (!run->stop_requested)
         hs_run_call_stop (runs, run, now);
       return;
@@ -223,6 +232,7 @@
       if (run->state == HS_RUN_FREE || run->entry != entry)
         continue;
       run->entry = HS_RUNS_NO_ENTRY;
+      run->renew_until = now;
       if (!run->stop_requested)
         hs_run_call_stop (runs, run, now);
     }
@@ -353,6 +363,7 @@
       else if (!run->stop_requested && now >= run->deadline)
         {
           run->stop_reported_as = HSX_END_STOPPED;
+          run->renew_until = now + STOP_PATIENCE;
           hs_run_call_stop (runs, run, now);
         }
       else if (!run->stop_requested)
@@ -479,9 +490,24 @@
 }
 
 bool
-hs_runs_may_renew_lease (const HsRuns *runs)
+hs_runs_may_renew_lease (const HsRuns *runs, HsTime now)
 {
-  return runs->target_clock_at != 0 && !runs->unresponsive;
+  uint32_t left = runs->n_runs;
+  uint32_t i;
+
+  if (runs->target_clock_at == 0 || runs->unresponsive)
+    return false;
+  for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
+    {
+      const HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_FREE)
+        continue;
+      left--;
+      if (run->renew_until != 0 && now >= run->renew_until)
+        return false;
+    }
+  return true;
 }
 
 int64_t
@@ -490,7 +516,7 @@
   int64_t clock_ms
       = runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
 
-  if (runs->lease_until_ms == 0 || hs_runs_may_renew_lease (runs))
+  if (runs->lease_until_ms == 0 || hs_runs_may_renew_lease (runs, now))
     runs->lease_until_ms = clock_ms + runs->options.lease / HS_MSEC;
   return runs->lease_until_ms;
 }
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -246,7 +246,7 @@
   uint32_t place = poll.number % HS_POLL_TOKENS_MAX;
   HsTime renewal = 0;
 
-  poll.renews_lease = runs->n_runs > 0 && hs_runs_may_renew_lease (runs);
+  poll.renews_lease = runs->n_runs > 0 && hs_runs_may_renew_lease (runs, now);
   if (poll.renews_lease)
     {
       poll.lease_until_ms = hs_runs_next_lease_end (runs, now);
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -48,9 +48,12 @@
                                have to list it. */
   uint32_t n_start_calls; /**< So far. */
   bool stop_requested;
-  bool may_have_run; /**< In HS_RUN_START_UNKNOWN: the incarnation that was
-                          called is over, and can't tell any more. */
-  uint32_t endpoint; /**< HsRuns.endpoint when it was started or listed. */
+  bool may_have_run;  /**< In HS_RUN_START_UNKNOWN: the incarnation that was
+                           called is over, and can't tell any more. */
+  uint32_t endpoint;  /**< HsRuns.endpoint when it was started or listed. */
+  HsTime renew_until; /**< The lease isn't renewed from then on while the run
+                           hasn't ended, as its job may be sent again; 0: no
+                           limit. */
   hsx_end_how stop_reported_as; /**< Reported to the entry when the target
                                     lists the run as stopped. */
   int percent;
@@ -149,7 +152,7 @@
 void hs_runs_forget_target (HsRuns *runs);
 
 /** Whether calls may renew the lease of what runs on the target. */
-bool hs_runs_may_renew_lease (const HsRuns *runs);
+bool hs_runs_may_renew_lease (const HsRuns *runs, HsTime now);
 
 /** The end of the lease for the next call, on the target's clock in
  *  milliseconds: the last one, unless it may be renewed. */
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "direct/liveness.h"
 #include "direct/runs.h"
 #include "target_model.h"
 
@@ -216,6 +217,13 @@
   answer_poll ();
 }
 
+/* The end of the lease on the target's clock, in milliseconds. */
+static HsTime
+lease_end (void)
+{
+  return (model.lease_until - model.started_at) / HS_MSEC;
+}
+
 static int
 setup (void **state)
 {
@@ -659,6 +667,55 @@
   assert_int_equal (hs_runs_count (runs), 0);
 }
 
+/* Guards against a task that runs twice: no stop reaches the target, and its
+   caller sends the job again. */
+static void
+the_lease_is_not_renewed_while_the_run_of_a_lost_entry_goes_on (void **state)
+{
+  HsTime lease_until_ms;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  lease_until_ms = lease_end ();
+  hs_runs_entry_lost (runs, 0, now);
+  advance (50 * HS_MSEC);
+  answer_polls ();
+  launch ("b", 0, 8);
+  answer_start ();
+  assert_int_equal (model.runs->len, 2);
+  assert_int_equal (lease_end (), lease_until_ms);
+  hs_target_model_stop (&model, &stops[0], stop_tokens[0], now);
+  advance (20 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (hs_runs_count (runs), 1);
+  advance (0);
+  assert_true (polls[0].renews_lease);
+}
+
+/* Guards against a task that runs twice, as above: its job was answered. */
+static void
+a_stop_that_is_not_carried_out_in_time_ends_the_lease (void **state)
+{
+  HsTime stopped_at;
+
+  (void) state;
+  start_agent (HS_LEASE_MAX, FIRST_TOKEN + 100);
+  launch ("a", 0, 7);
+  answer_start ();
+  stopped_at = now;
+  hs_runs_stop (runs, 0, 7, now);
+  g_array_index (model.runs, HsModelRun, 0).hangs = true;
+  while (n_ends == 0 && now - stopped_at < 5 * HS_SEC)
+    {
+      advance (10 * HS_MSEC);
+      answer_polls ();
+    }
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (model.runs->len, 0);
+  assert_true (now - stopped_at < HS_CALLER_RETRY_DELAY);
+}
+
 static void
 a_stop_cancels_a_start_in_flight (void **state)
 {
@@ -1196,6 +1253,8 @@
     TEST (a_leaving_target_refuses_launches),
     TEST (a_stale_order_is_refused),
     TEST (tasks_of_a_lost_entry_are_stopped_without_a_report),
+    TEST (the_lease_is_not_renewed_while_the_run_of_a_lost_entry_goes_on),
+    TEST (a_stop_that_is_not_carried_out_in_time_ends_the_lease),
     TEST (a_stop_cancels_a_start_in_flight),
     TEST (a_run_without_progress_is_stopped_as_stalled),
     TEST (runs_on_a_slow_target_are_stopped_as_slow),
