Leave out odd records of other writers instead of what stands beside them

Other operators report that one odd entry among those of the runners, nested deeply, with a number too large or a port out of range, ended machines or kept them from following the list. No record ended a process here; these held up others:

- a key among the entries' whose value is no address took a place of the dialer's 256, and one more each time if it was longer than an address, until new entries found none;
- one unreadable item failed a whole range of the store, and one unreadable event a watch, which then asked for the same event for ever;
- an end with a negative number counted as the last one that was read, so that all later ends of the target's list were passed over; attempts were cut to 32 bits;
- on the product's own path an unreadable record of an entry removed it, and one of a partition made that ownerless.

Evidence: texts_that_are_no_addresses_are_not_kept (4 dials instead of 1), odd_records_hold_up_no_others (status 2 instead of 0), odd_rows_of_a_list_are_left_out (3 rows instead of 1) and odd_records_end_no_ownership (owner 0 instead of 2) failed before and pass; malformed_announcements_are_rejected has three more texts, which were rejected before too. test_direct_dialer used addresses as 10.0.0.300, which are none any more; its addresses are spread over 10.0.0.0/16, with the same checks.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -460,15 +460,17 @@
 {
   AgentProcess *process = arg;
   HsDirectAgent *agent = &process->agent;
+  size_t n_bad = 0;
   size_t i;
 
   hs_entry_lookup_done (&agent->lookup);
   if (reply->status != HS_STORE_OK)
     return;
-  hs_event ("entries_read", "entries=%zu revision=%" PRId64, reply->n_kvs,
-            reply->revision);
   for (i = 0; i < reply->n_kvs; i++)
-    hs_dialer_add (agent->dialer, reply->kvs[i].value, false, hs_now ().mono);
+    n_bad += !hs_dialer_add (agent->dialer, reply->kvs[i].value, false,
+                             hs_now ().mono);
+  hs_event ("entries_read", "entries=%zu bad=%zu revision=%" PRId64,
+            reply->n_kvs, n_bad + reply->n_unreadable, reply->revision);
   hs_direct_agent_schedule (agent);
 }
 
--- a/src/direct/dialer.c
+++ b/src/direct/dialer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/address.h"
 #include "policy/rendezvous.h"
 
 /** Maximum number of addresses; the largest deployment has fewer entries. */
@@ -105,27 +106,34 @@
   address->last_reported_at = now;
 }
 
-void
+bool
 hs_dialer_add (HsDialer *dialer, const char *text, bool seed, HsTime now)
 {
-  Address *address = find_address (dialer, text);
+  Address *address;
+  struct sockaddr_storage parsed;
+  socklen_t len;
 
+  if (strlen (text) > HSX_ADDRESS_MAX || !hs_address_parse (text, &parsed, &len)
+      || hs_address_port (&parsed) == 0)
+    return false;
   if (dialer->own_address != NULL && strcmp (dialer->own_address, text) == 0)
-    return;
+    return true;
+  address = find_address (dialer, text);
   if (address != NULL)
     {
       address->seed |= seed;
       address->last_reported_at = now;
-      return;
+      return true;
     }
   if (dialer->n == ADDRESSES_MAX)
-    return;
+    return true;
   address = &dialer->addresses[dialer->n++];
   *address = (Address){
     .seed = seed, .due = now, .disconnected_since = now, .last_reported_at = now
   };
   g_strlcpy (address->text, text, sizeof address->text);
   dialer->choice_outdated = true;
+  return true;
 }
 
 void
--- a/src/direct/dialer.h
+++ b/src/direct/dialer.h
@@ -39,8 +39,10 @@
 
 /** Adds an address, or records that it has been reported again.
  *  @param address "IP:port"; copied
- *  @param seed whether the address is kept even if nobody ever answers */
-void
+ *  @param seed whether the address is kept even if nobody ever answers
+ *  @return false if nobody can be dialled there: it isn't an address, or has no
+ *          port */
+bool
 hs_dialer_add (HsDialer *dialer, const char *address, bool seed, HsTime now);
 
 /** Records that a connection was established. */
--- a/src/direct/entry_key.c
+++ b/src/direct/entry_key.c
@@ -117,12 +117,16 @@
 on_entries_read (void *arg, const HsStoreReply *reply)
 {
   HsDirectEntry *entry = arg;
+  size_t n_bad = 0;
   size_t i;
 
   if (reply->status != HS_STORE_OK)
     return;
   for (i = 0; i < reply->n_kvs; i++)
-    hs_dialer_add (entry->dialer, reply->kvs[i].value, false, hs_now ().mono);
+    n_bad += !hs_dialer_add (entry->dialer, reply->kvs[i].value, false,
+                             hs_now ().mono);
+  hs_event ("entries_read", "entries=%zu bad=%zu revision=%" PRId64,
+            reply->n_kvs, n_bad + reply->n_unreadable, reply->revision);
   hs_entry_schedule (entry, false);
 }
 
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -9,6 +9,9 @@
 #define ENTRY_PREFIX "hs/entry/"
 #define PART_PREFIX "hs/part/"
 
+/** Deepest accepted nesting of a record. */
+#define DEPTH_MAX 4
+
 struct HsOwnership
 {
   uint64_t self;
@@ -22,6 +25,7 @@
                                   uint64_t incarnation);
 static void remove_entry (HsOwnership *view, HsEntryRecord *entry);
 static uint64_t rendezvous_weight (uint64_t incarnation, uint32_t part);
+static struct json_object *parse_record (const char *text);
 static uint64_t json_u64 (struct json_object *json, const char *key);
 static void
 json_string (struct json_object *json, const char *key, char *out, size_t size);
@@ -48,13 +52,15 @@
 
   if (entry != NULL && revision < entry->revision)
     return;
-  object = json != NULL ? json_tokener_parse (json) : NULL;
-  if (object == NULL)
+  if (json == NULL)
     {
       if (entry != NULL)
         remove_entry (view, entry);
       return;
     }
+  object = parse_record (json);
+  if (object == NULL)
+    return;
   if (entry == NULL)
     {
       view->entries = talloc_realloc (view, view->entries, HsEntryRecord,
@@ -87,13 +93,16 @@
   record = &view->parts[part];
   if (revision <= record->revision)
     return false;
-  object = json != NULL ? json_tokener_parse (json) : NULL;
+  object = json != NULL ? parse_record (json) : NULL;
   record->previous_revision = record->revision;
   /* This isn't the first record: an unknown earlier one must not be taken for
      none. */
   if (record->previous_revision == 0 && create_revision != revision)
     record->previous_revision = create_revision;
   record->revision = revision;
+  /* A record of another writer doesn't end an ownership. */
+  if (json != NULL && object == NULL)
+    return true;
   record->owner = object != NULL ? json_u64 (object, "owner") : 0;
   record->handed_from
       = json_object_get_int64 (json_object_object_get (object, "handed_from"));
@@ -270,6 +279,21 @@
   return z ^ (z >> 31);
 }
 
+/* NULL if the text isn't a JSON object. */
+static struct json_object *
+parse_record (const char *text)
+{
+  struct json_tokener *tokener = json_tokener_new_ex (DEPTH_MAX);
+  struct json_object *object
+      = json_tokener_parse_ex (tokener, text, (int) strlen (text) + 1);
+
+  json_tokener_free (tokener);
+  if (json_object_is_type (object, json_type_object))
+    return object;
+  json_object_put (object);
+  return NULL;
+}
+
 static uint64_t
 json_u64 (struct json_object *json, const char *key)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -54,6 +54,7 @@
   int64_t ttl_s;        /**< Lease calls: 0 or less if it has expired. */
   size_t n_kvs;         /**< Range, or all range ops of a txn, in order. */
   const HsStoreKv *kvs; /**< Valid during the callback. */
+  size_t n_unreadable;  /**< Range: items that were left out. */
   bool more;            /**< Range: there are more keys than the limit. */
 } HsStoreReply;
 
--- a/test/test_direct_dialer.c
+++ b/test/test_direct_dialer.c
@@ -68,11 +68,41 @@
 
   for (i = from; i < to; i++)
     {
-      snprintf (address, sizeof address, "10.0.0.%u:7000", i);
+      snprintf (address, sizeof address, "10.0.%u.%u:7000", i / 256, i % 256);
       hs_dialer_add (dialer, address, false, now);
     }
 }
 
+/* Guards against a list that is no longer followed: odd addresses of another
+   writer take the places of those of entries. */
+static void
+texts_that_are_no_addresses_are_not_kept (void **state)
+{
+  static const char *const texts[] = { "",
+                                       "nowhere",
+                                       "10.0.0.1",
+                                       "10.0.0.1:0",
+                                       "10.0.0.1:65536",
+                                       "10.0.0.1:-1",
+                                       "10.0.0.1:99999999999999999999",
+                                       "[[[[[[[[[[]:1" };
+  char text[40];
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (texts); i++)
+    assert_false (hs_dialer_add (dialer, texts[i], false, T0));
+  for (i = 0; i < 1000; i++)
+    {
+      g_snprintf (text, sizeof text, "10.0.0.1:%u", 70000 + i);
+      assert_false (hs_dialer_add (dialer, text, false, T0));
+    }
+  add_addresses (1, 2, T0);
+  hs_dialer_tick (dialer, T0);
+  assert_int_equal (n_dials, 1);
+  assert_string_equal (dials[0].address, "10.0.0.1:7000");
+}
+
 static int
 setup (void **state)
 {
@@ -191,9 +221,8 @@
   hs_dialer_tick (dialer, now);
   assert_int_equal (n_dials, LIMIT);
   for (i = 0; i < n_dials; i++)
-    assert_true (strncmp (dials[i].address, "10.0.0.3", 8) == 0
-                 || strncmp (dials[i].address, "10.0.0.4", 8) == 0
-                 || strncmp (dials[i].address, "10.0.0.5", 8) == 0);
+    assert_true (strncmp (dials[i].address, "10.0.1.", 7) == 0
+                 || strncmp (dials[i].address, "10.0.2.", 7) == 0);
 }
 
 int
@@ -201,6 +230,7 @@
 {
 #define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
   const struct CMUnitTest tests[] = {
+    TEST (texts_that_are_no_addresses_are_not_kept),
     TEST (up_to_the_limit_all_addresses_are_dialled),
     TEST (above_the_limit_only_chosen_addresses_are_dialled),
     TEST (a_failing_address_is_replaced_and_retried),
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -143,6 +143,38 @@
   talloc_free (view);
 }
 
+/* Guards against owners that are taken as gone because of an odd record of
+   another writer. */
+static void
+odd_records_end_no_ownership (void **state)
+{
+  static const char *const odd[]
+      = { "",
+          "7",
+          "[]",
+          "{\"owner\":",
+          "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]",
+          "{\"a\":{\"a\":{\"a\":{\"a\":{\"a\":{}}}}}}" };
+  HsOwnership *view = hs_ownership_new (NULL, 1, 4);
+  char *json = hs_ownership_part_json (view, 2, "127.0.0.1:1", 0);
+  uint64_t new_owner;
+  int64_t i;
+
+  (void) state;
+  add_entry (view, 1, false, 1);
+  add_entry (view, 2, false, 1);
+  assert_true (hs_ownership_apply_part (view, 0, json, 5, 5));
+  for (i = 0; i < (int64_t) G_N_ELEMENTS (odd); i++)
+    {
+      hs_ownership_apply_entry (view, 2, odd[i], 10 + i);
+      hs_ownership_apply_part (view, 0, odd[i], 10 + i, 5);
+      assert_int_equal (hs_ownership_part_record (view, 0)->owner, 2);
+      assert_int_equal (hs_ownership_decide (view, 0, &new_owner),
+                        HS_PART_NO_ACTION);
+    }
+  talloc_free (view);
+}
+
 static void
 older_partition_records_are_ignored (void **state)
 {
@@ -195,6 +227,7 @@
     cmocka_unit_test (each_partition_is_taken_by_one_known_entry),
     cmocka_unit_test (live_owner_keeps_or_hands_over),
     cmocka_unit_test (agent_is_visible_when_all_entries_know_it),
+    cmocka_unit_test (odd_records_end_no_ownership),
     cmocka_unit_test (older_partition_records_are_ignored),
   };
 
--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -118,6 +118,27 @@
   assert_int_equal (list.ends[0].how, HSX_END_DONE);
 }
 
+/* Guards against ends that are passed over: an odd number counts as the last
+   one that was read. */
+static void
+odd_rows_of_a_list_are_left_out (void **state)
+{
+  static const char text[]
+      = "{\"clock_ms\":5,\"born\":77,\"running\":[[\"ab.0.0.1\",1,\"\",5],"
+        "[\"ab.0.0.2\",1e300,\"\",5],[[[[]]]],[\"ab.0.0.3\",-1,\"\",5]],"
+        "\"finished\":[[-1,\"ab.0.0.4\",1,\"done\",\"\"],"
+        "[99999999999999999999,\"ab.0.0.5\",1,\"done\",\"\"],"
+        "[8,\"ab.0.0.6\",1,\"done\",\"\"]]}";
+  HsTargetList list;
+
+  (void) state;
+  assert_true (hs_target_decode_list (ctx, text, strlen (text), &list));
+  assert_int_equal (list.n_running, 1);
+  assert_int_equal (list.n_unreadable, 3);
+  assert_int_equal (list.n_ends, 1);
+  assert_int_equal (list.ends[0].number, 8);
+}
+
 static void
 malformed_run_lists_are_rejected (void **state)
 {
@@ -205,6 +226,13 @@
           "\"sequence\":\"1\",\"capacity\":{}}",
           "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"sequence\":1,\"capacity\":{\"cpu\":-1}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:65536\",\"state\":"
+          "\"ready\",\"sequence\":1,\"capacity\":{}}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1e400,\"capacity\":{}}",
+          "{\"a\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]]]]]],"
+          "\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1,\"capacity\":{}}",
           "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
           "\"sequence\":1}" };
   HsAnnouncement announcement;
@@ -317,6 +345,38 @@
   assert_int_equal (reply.kvs[0].mod_revision, 412);
 }
 
+/* Guards against a list that is no longer followed because of one odd record.
+ */
+static void
+odd_records_hold_up_no_others (void **state)
+{
+  static const char items[]
+      = "{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":1e300},"
+        "{\"key\":[[[]]],\"value\":\"eA==\"},7,"
+        "{\"key\":\"b\",\"value\":\"eA==\",\"revision\":5}],"
+        "\"current_rev\":530}";
+  static const char events[]
+      = "{\"events\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":-1},"
+        "{\"key\":\"b\",\"value\":\"eA==\",\"revision\":5}],"
+        "\"current_rev\":530}";
+  HsStoreReply reply = { 0 };
+  HsStoreWatchResponse line = { 0 };
+
+  (void) state;
+  assert_int_equal (hs_store_platform_decode_reply (ctx, HS_STORE_CALL_RANGE,
+                                                    200, items, strlen (items),
+                                                    &reply),
+                    HS_STORE_OK);
+  assert_int_equal (reply.n_kvs, 1);
+  assert_int_equal (reply.n_unreadable, 3);
+  assert_string_equal (reply.kvs[0].key, "b");
+  assert_true (hs_store_platform_decode_events (ctx, 200, events,
+                                                strlen (events), &line));
+  assert_int_equal (line.n_events, 1);
+  assert_string_equal (line.events[0].kv.key, "b");
+  assert_int_equal (line.revision, 530);
+}
+
 static void
 reply_status_tells_whether_a_write_was_applied (void **state)
 {
@@ -376,6 +436,7 @@
     TEST (a_start_carries_its_token_and_lease),
     TEST (a_poll_renews_leases_only_if_asked),
     TEST (a_run_list_is_read),
+    TEST (odd_rows_of_a_list_are_left_out),
     TEST (malformed_run_lists_are_rejected),
     TEST (refusals_are_mapped_to_results),
     TEST (other_statuses_tell_nothing_of_the_call),
@@ -386,6 +447,7 @@
     TEST (malformed_jobs_are_rejected_with_a_reason),
     TEST (a_conditional_write_is_encoded),
     TEST (a_range_reply_is_read),
+    TEST (odd_records_hold_up_no_others),
     TEST (reply_status_tells_whether_a_write_was_applied),
     TEST (watch_events_are_read),
   };
