Let a job that is sent again go on with the runs that it has

What callers may see: a request that broke without a sign at its entry, as behind a silent connection, is sent again 1.3 s later, to the same entry, and its tasks run a second time beside the first; or to another entry, which meets an earlier run on one target and starts the task on another one.

Cause: an entry made a second job for an id that it had in progress.

Change: a request for a job in progress takes it over: the job goes on, the earlier request is answered 504. A different job under that id is refused. A task that was refused as a duplicate waits 50 ms and is started on that target only, until the run there is known to have ended.

Evidence: a_job_sent_again_goes_on_for_the_new_request (4 launches instead of 2) and a_task_that_runs_already_is_started_nowhere_else (a launch at once) failed before and pass.

--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "direct/jobs_private.h"
+#include "direct/liveness.h"
 #include "direct/resources.h"
 #include "direct/runs.h"
 
@@ -24,6 +25,10 @@
  *  its caller. */
 #define USELESS_FACTOR 3
 
+/** A task that still runs somewhere is started there again after this: several
+ *  times what a stop takes. */
+#define DUPLICATE_RETRY_DELAY (50 * HS_MSEC)
+
 /** Retry-After when there is no estimate of when resources become free. */
 #define RETRY_DEFAULT_MS 1000
 #define RETRY_MAX_MS 10000
@@ -32,6 +37,12 @@
 static HsJob *allocate_job (HsJobs *jobs);
 static void
 init_job (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now);
+static HsJob *find_job (HsJobs *jobs, const char *id);
+static bool is_same_job (const HsJob *job, const HsSubmission *submission);
+static void hand_over (HsJobs *jobs,
+                       HsJob *job,
+                       const HsSubmission *submission,
+                       HsTime now);
 static void admit (HsJobs *jobs, HsJob *job, HsTime now);
 static void
 give_up (HsJobs *jobs, HsJob *job, HsAnswerReason reason, HsTime now);
@@ -62,6 +73,8 @@
     [HS_REASON_TARGET_LOST] = "target_lost",
     [HS_REASON_CALLER_GONE] = "caller_gone",
     [HS_REASON_CANCELLED] = "cancelled",
+    [HS_REASON_SENT_AGAIN] = "sent_again",
+    [HS_REASON_ID_IN_USE] = "id_in_use",
   };
 
   return names[reason];
@@ -90,8 +103,14 @@
 void
 hs_jobs_submit (HsJobs *jobs, const HsSubmission *submission, HsTime now)
 {
-  HsJob *job;
+  HsJob *job = find_job (jobs, submission->id);
+  bool id_in_use = job != NULL;
 
+  if (job != NULL && is_same_job (job, submission))
+    {
+      hand_over (jobs, job, submission, now);
+      return;
+    }
   if (!hs_jobs_has_waiting_tasks (jobs))
     {
       hs_service_rate_idle (&jobs->rate, now);
@@ -100,7 +119,9 @@
   job = allocate_job (jobs);
   init_job (jobs, job, submission, now);
   hs_demand_job_arrived (jobs->demand, job->customer, job->work_core_s, now);
-  if (hs_job_may_start (jobs, job))
+  if (id_in_use)
+    give_up (jobs, job, HS_REASON_ID_IN_USE, now);
+  else if (hs_job_may_start (jobs, job))
     admit (jobs, job, now);
   else
     hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
@@ -123,16 +144,12 @@
 bool
 hs_jobs_cancel (HsJobs *jobs, const char *id, HsTime now)
 {
-  uint32_t i;
+  HsJob *job = find_job (jobs, id);
 
-  for (i = 0; i < jobs->table_size; i++)
-    if (jobs->table[i].in_use && strcmp (jobs->table[i].id, id) == 0)
-      {
-        hs_job_finish (jobs, &jobs->table[i], HS_ANSWER_CANCELLED,
-                       HS_REASON_CANCELLED, now);
-        return true;
-      }
-  return false;
+  if (job == NULL)
+    return false;
+  hs_job_finish (jobs, job, HS_ANSWER_CANCELLED, HS_REASON_CANCELLED, now);
+  return true;
 }
 
 void
@@ -184,6 +201,11 @@
         }
       if (end->reason == HS_REFUSAL_UNANSWERED)
         task->avoid_target = target;
+      if (end->reason == HS_REFUSAL_DUPLICATE)
+        {
+          task->only_target = target;
+          task->start_after = now + DUPLICATE_RETRY_DELAY;
+        }
       break;
     }
   requeue_task (jobs, job, task);
@@ -242,6 +264,11 @@
         HsJob *job = &jobs->table[i];
         HsTask *task = &job->tasks[k];
 
+        if (task->only_target == target)
+          {
+            task->only_target = HS_TARGET_NONE;
+            task->start_after = tasks_ended ? 0 : now + HS_CALLER_RETRY_DELAY;
+          }
         if (task->state != HS_TASK_SENT || task->target != target)
           continue;
         if (tasks_ended)
@@ -305,6 +332,52 @@
   return 0;
 }
 
+static HsJob *
+find_job (HsJobs *jobs, const char *id)
+{
+  uint32_t i;
+
+  for (i = 0; i < jobs->table_size; i++)
+    if (jobs->table[i].in_use && strcmp (jobs->table[i].id, id) == 0)
+      return &jobs->table[i];
+  return NULL;
+}
+
+static bool
+is_same_job (const HsJob *job, const HsSubmission *submission)
+{
+  return strcmp (job->customer_name, submission->customer) == 0
+         && strcmp (job->service, submission->service) == 0
+         && job->n_tasks == submission->n_tasks
+         && hs_resources_equal (&job->needs, &submission->needs)
+         && job->spec_len == submission->spec_len
+         && memcmp (job->spec, submission->spec, job->spec_len) == 0;
+}
+
+/* Answers a job's request as lost, and lets the job go on for another one. */
+static void
+hand_over (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now)
+{
+  HsJobAnswer answer = { .request = job->request,
+                         .kind = HS_ANSWER_LOST,
+                         .reason = HS_REASON_SENT_AGAIN,
+                         .id = job->id,
+                         .customer = job->customer_name,
+                         .n_tasks = job->n_tasks,
+                         .n_done = job->n_done,
+                         .n_starts = job->n_starts,
+                         .total_time = now - job->arrived_at,
+                         .objective = job->objective,
+                         .expected_run_time = job->expected_run_time };
+
+  job->request = submission->request;
+  job->deadline = now + submission->time_left;
+  job->useless_after
+      = MIN (job->deadline, now + USELESS_FACTOR * job->objective);
+  job->wait_until = MAX (job->wait_until, now);
+  jobs->effects->answer (jobs->arg, &answer);
+}
+
 static HsJob *
 allocate_job (HsJobs *jobs)
 {
@@ -370,6 +443,7 @@
     {
       job->tasks[i].index = i;
       job->tasks[i].avoid_target = HS_TARGET_NONE;
+      job->tasks[i].only_target = HS_TARGET_NONE;
     }
 }
 
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -69,7 +69,9 @@
   HS_REASON_TOO_LATE,  /**< It can no longer finish in time. */
   HS_REASON_TARGET_LOST,
   HS_REASON_CALLER_GONE,
-  HS_REASON_CANCELLED
+  HS_REASON_CANCELLED,
+  HS_REASON_SENT_AGAIN, /**< The job goes on for a later request. */
+  HS_REASON_ID_IN_USE   /**< Another job has its id. */
 } HsAnswerReason;
 
 /** The name of a reason as log lines show it; a static string. */
@@ -115,10 +117,14 @@
   uint32_t failures;
   uint32_t target;       /**< If sent: where to. */
   uint32_t avoid_target; /**< Where it failed last, or HS_TARGET_NONE. */
-  bool stopped_as_slow;  /**< A target reported it as stalled or too slow. */
-  uint64_t ref;          /**< If sent: identifies this start. */
-  bool used_offer;       /**< If sent: on resources reserved for this entry. */
-  HsTime report_age;     /**< If sent: age of the report that placement used. */
+  /** Where an earlier run of it hasn't ended, or HS_TARGET_NONE: it may be
+   *  started there only, not before `start_after`. */
+  uint32_t only_target;
+  HsTime start_after;
+  bool stopped_as_slow; /**< A target reported it as stalled or too slow. */
+  uint64_t ref;         /**< If sent: identifies this start. */
+  bool used_offer;      /**< If sent: on resources reserved for this entry. */
+  HsTime report_age;    /**< If sent: age of the report that placement used. */
 } HsTask;
 
 /** The actions that the module takes; each gets the argument of
@@ -164,7 +170,9 @@
                      const HsJobsEffects *effects,
                      void *arg);
 
-/** Accepts or refuses a job; `answer` may be called before this returns. */
+/** Accepts or refuses a job; `answer` may be called before this returns. A job
+ *  that is sent again while it is in progress goes on for the new request; the
+ *  earlier one, which is broken for its caller, is answered as lost. */
 void hs_jobs_submit (HsJobs *jobs, const HsSubmission *submission, HsTime now);
 
 /** The caller has disconnected: stops its job, whose answer has the reason
--- a/src/direct/jobs_place.c
+++ b/src/direct/jobs_place.c
@@ -66,11 +66,17 @@
       HsTask *task = &job->tasks[i];
       uint32_t target;
 
-      if (task->state != HS_TASK_WAITING)
+      if (task->state != HS_TASK_WAITING || now < task->start_after)
         continue;
-      target
-          = hs_targets_choose (jobs->targets, job->service, group, &job->needs,
-                               jobs->data_centre, task->avoid_target, now);
+      if (task->only_target != HS_TARGET_NONE
+          && !hs_targets_has_room (jobs->targets, task->only_target,
+                                   &job->needs, now))
+        continue;
+      target = task->only_target;
+      if (target == HS_TARGET_NONE)
+        target = hs_targets_choose (jobs->targets, job->service, group,
+                                    &job->needs, jobs->data_centre,
+                                    task->avoid_target, now);
       if (target == HS_TARGET_NONE
           || !start_task (jobs, job, task, target, now))
         return;
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -280,6 +280,17 @@
   return false;
 }
 
+bool
+hs_targets_has_room (HsTargets *targets,
+                     uint32_t target,
+                     const hsx_room *needs,
+                     HsTime now)
+{
+  hsx_room free_now = hs_targets_free_resources (targets, target, now);
+
+  return free_now.cpu_milli > 0 && hs_resources_fit (&free_now, needs);
+}
+
 uint32_t
 hs_targets_choose (HsTargets *targets,
                    const char *service,
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -169,6 +169,12 @@
 /** Whether a task that is to run in @p group may be started on a target. */
 bool hs_target_in_group (const HsTarget *target, HsTargetGroup group);
 
+/** Whether a task fits into what is free on a target, as far as known. */
+bool hs_targets_has_room (HsTargets *targets,
+                          uint32_t target,
+                          const hsx_room *needs,
+                          HsTime now);
+
 /**
  * Chooses the target for a task.
  * @param group in which the task may run
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -402,6 +402,54 @@
   assert_true (launches[0].stopped);
 }
 
+/* Guards against a task that runs twice: the caller's first request broke
+   without a sign here, and the job was sent to this entry again. */
+static void
+a_job_sent_again_goes_on_for_the_new_request (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 2, T0);
+  submit ("a", 2, T0 + 7 * HS_MSEC + 1);
+  assert_int_equal (n_launches, 2);
+  assert_int_equal (hs_jobs_count (jobs), 1);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].request, 1000);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+  report_end (0, HSX_END_DONE, HS_REFUSAL_NONE, T0 + 200 * HS_MSEC);
+  report_end (1, HSX_END_DONE, HS_REFUSAL_NONE, T0 + 200 * HS_MSEC);
+  assert_int_equal (n_answers, 2);
+  assert_int_equal (answers[1].request, 1001);
+  assert_int_equal (answers[1].kind, HS_ANSWER_COMPLETED);
+}
+
+/* Guards against a task that runs twice: an earlier run of it hasn't ended on a
+   target, so that it may not be started on another. */
+static void
+a_task_that_runs_already_is_started_nowhere_else (void **state)
+{
+  uint32_t target;
+
+  (void) state;
+  add_target (1, CAPACITY);
+  add_target (2, CAPACITY);
+  submit ("a", 1, T0);
+  target = launches[0].target;
+  report_end (0, HSX_END_REFUSED, HS_REFUSAL_DUPLICATE, T0 + 5 * HS_MSEC);
+  hs_jobs_dispatch (jobs, T0 + 5 * HS_MSEC);
+  assert_int_equal (n_launches, 1);
+  hs_jobs_dispatch (jobs, T0 + 60 * HS_MSEC);
+  assert_int_equal (n_launches, 2);
+  assert_int_equal (launches[1].target, target);
+  report_end (1, HSX_END_REFUSED, HS_REFUSAL_DUPLICATE, T0 + 65 * HS_MSEC);
+  /* Its runs are known to have ended. */
+  hs_jobs_target_lost (jobs, target, true, T0 + 70 * HS_MSEC);
+  hs_targets_remove (targets, target);
+  hs_jobs_dispatch (jobs, T0 + 70 * HS_MSEC);
+  assert_int_equal (n_launches, 3);
+  assert_int_not_equal (launches[2].target, target);
+}
+
 static void
 without_a_target_a_job_waits_while_it_can_meet_its_objective (void **state)
 {
@@ -534,6 +582,8 @@
     TEST (after_a_reconnection_only_tasks_not_held_are_sent_again),
     TEST (a_held_start_whose_job_is_over_is_stopped_after_a_reconnection),
     TEST (a_held_start_of_an_agent_that_was_given_up_is_stopped),
+    TEST (a_job_sent_again_goes_on_for_the_new_request),
+    TEST (a_task_that_runs_already_is_started_nowhere_else),
     TEST (without_a_target_a_job_waits_while_it_can_meet_its_objective),
     TEST (a_job_is_cancelled_by_its_id),
     TEST (
