Carry out the stops of a message after its launches

Cause: both orders went into one message, and the agent carried out its stops before its launches, so that the stop found no run.

Change: the agent carries out launches first, since a stop can only be of an earlier launch. An entry takes back a launch that hasn't been sent instead of stopping it.

Evidence: a_stop_in_the_message_of_its_launch_stops_it failed before (no stop instead of one) and passes.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -377,8 +377,6 @@
     }
   hs_runs_set_backlog (agent->runs, entry_index, &orders->want,
                        orders->stamp_us);
-  for (i = 0; i < orders->stops.stops_len; i++)
-    hs_runs_stop (agent->runs, entry_index, orders->stops.stops_val[i], now);
   for (i = 0; i < orders->launches.launches_len; i++)
     {
       const hsx_launch *launch = &orders->launches.launches_val[i];
@@ -387,6 +385,9 @@
         hs_runs_launch (agent->runs, entry_index, launch,
                         &launch->tasks.tasks_val[k], sent, now);
     }
+  /* After the launches, as a stop may be of one of them. */
+  for (i = 0; i < orders->stops.stops_len; i++)
+    hs_runs_stop (agent->runs, entry_index, orders->stops.stops_val[i], now);
   hs_direct_agent_schedule (agent);
 }
 
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -43,6 +43,7 @@
                           HsTime now);
 static void handle_crash (HsDirectEntry *entry, const hsx_crash *crash);
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
+static bool outbox_take_back (HsOutbox *outbox, uint64_t ref);
 static void outbox_clear (HsOutbox *outbox);
 static void send_entries (HsDirectEntry *entry, HsConn *conn);
 static void announce_peer (HsDirectEntry *entry, HsEntryPeer *peer);
@@ -164,7 +165,7 @@
 {
   HsAgentLink *link = link_at (entry, target);
 
-  if (link->conn == NULL)
+  if (link->conn == NULL || outbox_take_back (&link->outbox, ref))
     return;
   outbox_open (entry, &link->outbox);
   g_array_append_val (link->outbox.stops, ref);
@@ -536,6 +537,30 @@
   outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 }
 
+/* Takes back the launch of a start that hasn't been sent. */
+static bool
+outbox_take_back (HsOutbox *outbox, uint64_t ref)
+{
+  guint i;
+  u_int k;
+
+  if (outbox->ctx == NULL)
+    return false;
+  for (i = 0; i < outbox->launches->len; i++)
+    {
+      hsx_launch *launch = &g_array_index (outbox->launches, hsx_launch, i);
+
+      for (k = 0; k < launch->tasks.tasks_len; k++)
+        if (launch->tasks.tasks_val[k].ref == ref)
+          {
+            launch->tasks.tasks_val[k]
+                = launch->tasks.tasks_val[--launch->tasks.tasks_len];
+            return true;
+          }
+    }
+  return false;
+}
+
 static void
 outbox_clear (HsOutbox *outbox)
 {
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -187,8 +187,9 @@
                                 uint32_t target,
                                 const hsx_launch *job,
                                 const hsx_launch_task *task);
-/** Queues the stop of the start @p ref for the next orders; does nothing if
- *  the agent is not connected. */
+/** Queues the stop of the start @p ref for the next orders, or takes back its
+ *  launch if that hasn't been sent; does nothing if the agent is not connected,
+ *  as its first report then shows what is to be stopped. */
 void hs_entry_links_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref);
 
 /** Sends the orders that are due; returns when to call it next. */
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -324,6 +324,32 @@
   assert_int_equal (n_stops, 1);
 }
 
+/* Guards against a task that is started after its job was cancelled: an entry
+   read both at once, and put them into one message. */
+static void
+a_stop_in_the_message_of_its_launch_stops_it (void **state)
+{
+  hsx_launch_task task = { .ref = 10, .attempt = 1 };
+  hsx_launch launch = { .job = (char *) "cd",
+                        .customer = (char *) "c",
+                        .spec = { 1, (char *) "x" },
+                        .needs = { 1000, 10, 0 },
+                        .expected_ms = 5000,
+                        .left_ms = 9000,
+                        .tasks = { 1, &task } };
+  uint64_t ref = 10;
+  hsx_orders_args orders = { .agent = AGENT,
+                             .number = 2,
+                             .stamp_us = hs_now ().mono,
+                             .launches = { 1, &launch },
+                             .stops = { 1, &ref } };
+
+  (void) state;
+  hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &orders);
+  assert_int_equal (hs_runs_count (agent->runs), 2);
+  assert_int_equal (n_stops, 1);
+}
+
 static void
 orders_that_answer_the_first_report_keep_the_tasks (void **state)
 {
@@ -515,6 +541,7 @@
     TEST (the_tasks_of_an_unresponsive_entry_are_stopped),
     TEST (the_last_lease_expires_before_the_caller_resends),
     TEST (connections_that_break_before_the_first_orders_do_not_keep_tasks),
+    TEST (a_stop_in_the_message_of_its_launch_stops_it),
     TEST (orders_that_answer_the_first_report_keep_the_tasks),
     TEST (after_a_pause_a_dead_entry_is_dropped_soon),
     TEST (after_a_pause_a_broken_connection_is_dropped_soon),
