Send all recent ends before the list of what is held

Cause: the first report after a reconnection holds at most 512 recent ends, the oldest first, beside the list of what is held. The entry takes a task that is in neither as never started; a later end was among the rest, which followed.

Change: the ends go first, in as many reports as they need, and the list of what is held with the last one. An entry launches nothing on a connection before it has that list: what it launched in between would be missing there, and be started twice.

Ruled out: larger messages, which move the limit.

Evidence: the_list_of_held_starts_follows_all_recent_ends failed before (512 of 1034 ends were sent with the list) and passes.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -39,7 +39,7 @@
                           HsAgentEntry *entry,
                           const hsx_orders_args *orders);
 static void add_entries (HsDirectAgent *agent, const hsx_entries_args *args);
-static void send_report (HsDirectAgent *agent, HsAgentEntry *entry, HsTime now);
+static bool send_report (HsDirectAgent *agent, HsAgentEntry *entry, HsTime now);
 static const HsCrash *unsent_crash (const HsDirectAgent *agent,
                                     const HsAgentEntry *entry,
                                     HsTime now);
@@ -92,6 +92,7 @@
   entry->info_sent = false;
   entry->crash_sent = 0;
   entry->full_report_due = true;
+  entry->recent_ends_queued = false;
   entry->report_due = true;
   hs_event ("entry_up", "entry=%016" PRIx64 " address=%s", hello->incarnation,
             hello->address);
@@ -199,7 +200,9 @@
           || entry->offer_due || state_changed || now >= next_report_at
           || unsent_crash (agent, entry, now) != NULL)
         {
-          send_report (agent, entry, now);
+          while (send_report (agent, entry, now)
+                 && (entry->unsent_ends->len > 0 || entry->full_report_due))
+            ;
           next_report_at = now + HS_HEARTBEAT_INTERVAL;
         }
       due = MIN (due, next_report_at);
@@ -369,7 +372,7 @@
   if (orders->agent != agent->incarnation)
     return;
   entry->orders_seen = orders->number;
-  if (orders->stamp_us >= entry->first_report_stamp)
+  if (orders->stamp_us >= entry->full_report_stamp)
     {
       entry->reset_pending = false;
       entry->confirmed = true;
@@ -425,7 +428,8 @@
   info->capacity = target->capacity;
 }
 
-static void
+/* Sends one report, with as many ends as fit into it. */
+static bool
 send_report (HsDirectAgent *agent, HsAgentEntry *entry, HsTime now)
 {
   uint32_t entry_index = (uint32_t) (entry - agent->entries);
@@ -468,28 +472,35 @@
       args.crash = &crash_message.crash;
       entry->crash_sent = crash->number;
     }
-  if (entry->full_report_due)
+  if (entry->full_report_due && !entry->recent_ends_queued)
+    {
+      g_array_set_size (ends, 0);
+      for (i = 0; i < entry->recent_ends->len; i++)
+        g_array_append_val (
+            ends, g_array_index (entry->recent_ends, HsRecentEnd, i).end);
+      entry->recent_ends_queued = true;
+    }
+  /* Follows the last end: the entry takes what is neither held nor ended as
+     never started. */
+  if (entry->full_report_due && ends->len <= HSX_BATCH_MAX)
     {
-      entry->first_report_stamp = args.stamp_us;
+      entry->full_report_stamp = args.stamp_us;
       args.whole = TRUE;
       args.fresh = entry->reset_pending;
       args.held.held_val = held;
       args.held.held_len = hs_runs_active_refs (agent->runs, entry_index, held,
                                                 HSX_RECORDS_MAX);
-      g_array_set_size (ends, 0);
-      for (i = 0; i < entry->recent_ends->len; i++)
-        g_array_append_val (
-            ends, g_array_index (entry->recent_ends, HsRecentEnd, i).end);
     }
   args.ends.ends_val = (hsx_end *) (void *) ends->data;
   args.ends.ends_len = MIN (ends->len, HSX_BATCH_MAX);
   if (!hs_conn_call (entry->conn, HSX_REPORT, &args, HS_NEVER, NULL, NULL))
-    return;
+    return false;
   g_array_remove_range (ends, 0, args.ends.ends_len);
-  entry->full_report_due = false;
+  entry->full_report_due &= !args.whole;
   entry->report_due = false;
   entry->offer_due = false;
   entry->reported_at = now;
+  return true;
 }
 
 /* A crash that the entry doesn't know of; NULL if there is none. */
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -61,13 +61,15 @@
   uint32_t crash_sent;
   /** Free resources or target state have changed since the last report. */
   bool report_due;
-  /** The next report lists all tasks of the entry. */
+  /** All recent ends, and then a list of what is held, are to be reported. */
   bool full_report_due;
+  /** `unsent_ends` has all recent ends. */
+  bool recent_ends_queued;
   /** The entry has not yet acknowledged that this record is new: what it
    *  launched before is lost. */
   bool reset_pending;
-  /** `stamp_us` of the first report on this connection, a full one. */
-  int64_t first_report_stamp;
+  /** `stamp_us` of the report on this connection that lists what is held. */
+  int64_t full_report_stamp;
   /** The next report has an offer: resources are reserved for the entry until
    *  it answers. */
   bool offer_due;
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -134,13 +134,15 @@
   hsx_launch *last = NULL;
   hsx_launch copy;
 
-  if (link->conn == NULL)
+  if (link->conn == NULL || !link->reconciled)
     return 0;
   outbox_open (entry, outbox);
   if (outbox->launches->len > 0)
     last = &g_array_index (outbox->launches, hsx_launch,
                            outbox->launches->len - 1);
-  if (last == NULL || strcmp (last->job, job->job) != 0
+  /* One that is empty was taken back; its job is another one. */
+  if (last == NULL || last->tasks.tasks_len == 0
+      || strcmp (last->job, job->job) != 0
       || last->tasks.tasks_len == HSX_TASKS_MAX)
     {
       copy = *job;
@@ -285,6 +287,7 @@
   link = link_at (entry, target);
   previous = link->conn;
   link->conn = conn;
+  link->reconciled = false;
   link->orders_sent_at = 0;
   link->backlog_sent = false;
   outbox_clear (&link->outbox);
@@ -389,6 +392,7 @@
       uint32_t n_stopped = hs_jobs_reconcile (
           entry->jobs, target, args->held.held_val, args->held.held_len);
 
+      entry->links[target].reconciled = true;
       hs_event ("agent_reconciled", "host=%s held=%u stopped=%u", row->host,
                 args->held.held_len, n_stopped);
     }
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -31,6 +31,9 @@
 typedef struct
 {
   HsConn *conn; /**< NULL: disconnected since `disconnected_at`. */
+  /** The agent has listed what it holds. What was launched before that could be
+   *  taken as never started. */
+  bool reconciled;
   HsTime disconnected_at;
   HsTime orders_sent_at; /**< When orders were last sent. */
   bool backlog_sent;     /**< The last orders reported a backlog. */
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -29,6 +29,9 @@
 static uint32_t n_crash_reports;
 static uint32_t n_to_pass_on; /* Of these. */
 static char crash_customer[16];
+static uint32_t n_reports;
+static uint32_t n_ends_reported;
+static uint32_t whole_report;  /* Number of the last one that lists all. */
 static int64_t lease_until_ms; /* The target's clock is 0 in setup(). */
 
 static HsConn *
@@ -82,6 +85,10 @@
       const hsx_report_args *report = args;
 
       last_report_state = report->state;
+      n_reports++;
+      n_ends_reported += report->ends.ends_len;
+      if (report->whole)
+        whole_report = n_reports;
       if (report->info != NULL)
         reported_capacity_milli = report->info->capacity.cpu_milli;
       if (report->crash != NULL)
@@ -220,6 +227,7 @@
   (void) state;
   n_closed = n_stops = polls_pending = 0;
   n_crash_reports = n_to_pass_on = 0;
+  n_reports = n_ends_reported = whole_report = 0;
   conn_data = NULL;
   agent = talloc_zero (NULL, HsDirectAgent);
   agent->settings = &settings;
@@ -324,6 +332,33 @@
   assert_int_equal (n_stops, 1);
 }
 
+/* Guards against "not run" said of jobs that have run: ends that don't fit into
+   the first message after a reconnection were taken as starts that never
+   happened. */
+static void
+the_list_of_held_starts_follows_all_recent_ends (void **state)
+{
+  const uint32_t n_ends = 2 * HSX_BATCH_MAX + 10;
+  HsTime now = hs_now ().mono;
+  hsx_end end = { .how = HSX_END_DONE };
+  uint32_t i;
+
+  (void) state;
+  hs_agent_links_send_reports (agent, now);
+  for (i = 0; i < n_ends; i++)
+    {
+      end.ref = 100 + i;
+      hs_agent_links_add_end (agent, 0, &end);
+    }
+  hs_agent_links_disconnected (agent, conn (), false);
+  hs_agent_links_connected (agent, conn ());
+  n_reports = n_ends_reported = whole_report = 0;
+  hs_agent_links_send_reports (agent, now);
+  assert_int_equal (n_ends_reported, n_ends);
+  assert_int_equal (n_reports, 3);
+  assert_int_equal (whole_report, 3);
+}
+
 /* Guards against a task that is started after its job was cancelled: an entry
    read both at once, and put them into one message. */
 static void
@@ -541,6 +576,7 @@
     TEST (the_tasks_of_an_unresponsive_entry_are_stopped),
     TEST (the_last_lease_expires_before_the_caller_resends),
     TEST (connections_that_break_before_the_first_orders_do_not_keep_tasks),
+    TEST (the_list_of_held_starts_follows_all_recent_ends),
     TEST (a_stop_in_the_message_of_its_launch_stops_it),
     TEST (orders_that_answer_the_first_report_keep_the_tasks),
     TEST (after_a_pause_a_dead_entry_is_dropped_soon),
