Notice a pause of the process before any event that came meanwhile is handled

Cause: the pause was looked for in the handlers of timers, requests and messages of peers, and the time that it is measured from was set after each turn of the event loop. If another socket was served first, as that of a new connection, the turn ended without a look, and the pause was forgotten.

Change: the length of a pause is taken where the loop begins and ends to wait, before any handler runs, in entries and agents. What has to be done for it there only sets fields; overdue jobs end before the next handler, as before.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -41,7 +41,7 @@
 static void query_store (AgentProcess *process, HsTime now);
 static void exit_when_idle (HsDirectAgent *agent, HsTime now);
 static void log_target_state (HsDirectAgent *agent);
-static void detect_pause (HsDirectAgent *agent);
+static void on_pause (void *arg, HsTime length, HsTime now);
 static void on_term (struct tevent_context *ev,
                      struct tevent_signal *se,
                      int number,
@@ -166,7 +166,6 @@
   HsDirectAgent *agent = arg;
   const HsRunKey *key = hs_runs_key (agent->runs, run);
 
-  detect_pause (agent);
   if (result != HS_TARGET_OK && key != NULL)
     hs_event ("start_result", "job=%s step=%u task=%u attempt=%u result=%s",
               key->job, key->step, key->index, key->attempt,
@@ -183,7 +182,6 @@
 {
   HsDirectAgent *agent = arg;
 
-  detect_pause (agent);
   hs_runs_poll_done (agent->runs, number, result, list, hs_now ().mono);
   hs_direct_agent_schedule (agent);
 }
@@ -278,7 +276,6 @@
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
 {
   (void) call;
-  detect_pause (arg);
   hs_agent_links_handle_call (arg, conn, proc, args);
 }
 
@@ -300,7 +297,7 @@
     }
   do_due_work (process);
   while (!agent->done && tevent_loop_once (agent->ev) == 0)
-    agent->last_iteration_at = hs_now ().mono;
+    ;
   hs_event ("stop", "tasks=%u", hs_runs_count (agent->runs));
   talloc_free (agent->target_client);
   talloc_free (agent->rpc);
@@ -334,7 +331,7 @@
     return false;
   hs_event_init (agent->settings->host);
   agent->incarnation = hs_process_new_incarnation ();
-  agent->last_iteration_at = now.mono;
+  hs_process_watch_pauses (process, agent->ev, on_pause, agent);
   create_metrics (agent);
   options.lease = MIN (agent->settings->max_lease, HS_LEASE_MAX);
   options.stop_timeout = agent->settings->stop_timeout;
@@ -415,7 +412,6 @@
 {
   AgentProcess *process = arg;
 
-  detect_pause (&process->agent);
   do_due_work (process);
 }
 
@@ -520,16 +516,10 @@
 /* After a pause of this process, no entry counts as unresponsive before the
    messages that it sent during the pause have been read. */
 static void
-detect_pause (HsDirectAgent *agent)
+on_pause (void *arg, HsTime length, HsTime now)
 {
-  HsTime now = hs_now ().mono;
-
-  if (now - agent->last_iteration_at < HS_PAUSE_MIN)
-    return;
-  hs_event ("pause", "ms=%.0f",
-            (double) (now - agent->last_iteration_at) / HS_MSEC);
-  agent->last_iteration_at = now;
-  hs_agent_links_resume (agent, now);
+  hs_event ("pause", "ms=%.0f", (double) length / HS_MSEC);
+  hs_agent_links_resume (arg, now);
 }
 
 static void
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -98,9 +98,7 @@
   HsTimer *timer;
   struct tevent_immediate *work_immediate; /**< Runs the work that is due. */
   bool work_scheduled;
-  HsTime last_iteration_at; /**< When the event loop last completed an
-                               iteration. */
-  bool leaving;             /**< Stopping: accepts no new tasks. */
+  bool leaving; /**< Stopping: accepts no new tasks. */
   HsTime leaving_since;
   HsTime idle_since; /**< While leaving: last time a task was running. */
   bool done;         /**< The event loop may end. */
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -34,7 +34,8 @@
                                void *arg);
 static void run_due_work (HsDirectEntry *entry);
 static void check_drain (HsDirectEntry *entry, HsTime now);
-static void detect_pause (HsDirectEntry *entry);
+static void on_pause (void *arg, HsTime length, HsTime now);
+static void end_overdue_jobs (HsDirectEntry *entry);
 static void on_stop_signal (struct tevent_context *ev,
                             struct tevent_signal *se,
                             int number,
@@ -174,7 +175,7 @@
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
 {
   (void) call;
-  detect_pause (arg);
+  end_overdue_jobs (arg);
   hs_entry_links_handle_call (arg, conn, proc, args);
 }
 
@@ -195,7 +196,7 @@
     }
   run_due_work (entry);
   while (!entry->done && tevent_loop_once (entry->ev) == 0)
-    entry->last_iteration_at = hs_now ().mono;
+    ;
   hs_event ("stop", "jobs=%u requests=%u", hs_jobs_count (entry->jobs),
             hs_caller_server_count_unanswered (entry->callers));
   TALLOC_FREE (entry->callers);
@@ -230,7 +231,7 @@
     return false;
   hs_event_init (entry->settings->host);
   entry->incarnation = hs_process_new_incarnation ();
-  entry->last_iteration_at = hs_now ().mono;
+  hs_process_watch_pauses (entry, entry->ev, on_pause, entry);
   register_metrics (entry);
   entry->targets = hs_targets_new (entry);
   entry->jobs
@@ -319,7 +320,7 @@
 static void
 on_timer (void *arg)
 {
-  detect_pause (arg);
+  end_overdue_jobs (arg);
   run_due_work (arg);
 }
 
@@ -374,22 +375,28 @@
     entry->done = true;
 }
 
-/* Detects that this process itself was paused. After a pause, missing messages
-   of peers don't count as timeouts, and requests that waited in socket buffers
-   don't count as new. */
+/* After a pause, missing messages of peers don't count as timeouts, and
+   requests that waited in socket buffers don't count as new. */
 static void
-detect_pause (HsDirectEntry *entry)
+on_pause (void *arg, HsTime length, HsTime now)
 {
-  HsTime now = hs_now ().mono;
+  HsDirectEntry *entry = arg;
 
-  if (now - entry->last_iteration_at < HS_PAUSE_MIN)
-    return;
-  hs_event ("pause", "ms=%.0f",
-            (double) (now - entry->last_iteration_at) / HS_MSEC);
-  entry->last_iteration_at = now;
+  hs_event ("pause", "ms=%.0f", (double) length / HS_MSEC);
   entry->resume_until = now + HS_RESUME_WINDOW;
+  entry->paused = true;
   hs_entry_links_resume (entry, now);
-  hs_jobs_tick (entry->jobs, now);
+}
+
+/* After a pause, jobs that are overdue end before anything else is done for
+   them. */
+static void
+end_overdue_jobs (HsDirectEntry *entry)
+{
+  if (!entry->paused)
+    return;
+  entry->paused = false;
+  hs_jobs_tick (entry->jobs, hs_now ().mono);
 }
 
 static void
@@ -421,7 +428,7 @@
 static void
 on_request (void *arg, const HsCallerRequest *request)
 {
-  detect_pause (arg);
+  end_overdue_jobs (arg);
   hs_entry_handle_request (arg, request);
 }
 
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -74,13 +74,13 @@
   HsJobs *jobs;
   HsTimer *timer;
   struct tevent_immediate *work_immediate;
-  HsTime last_iteration_at; /**< When the event loop last iterated. */
   /** After a pause of the process: jobs submitted until then may have waited in
    *  a socket buffer and are refused. */
   HsTime resume_until;
   HsTime stop_requested_at;
   HsEntryStage stage;
   bool done;            /**< The event loop may end. */
+  bool paused;          /**< Jobs may be overdue because of a pause. */
   bool work_scheduled;  /**< `work_immediate` is pending. */
   bool processing_held; /**< Held requests are being processed. */
   bool dispatch_due;    /**< Waiting tasks may have become startable. */
--- a/src/direct/process.h
+++ b/src/direct/process.h
@@ -20,6 +20,16 @@
  *  kernel provides no random bytes */
 uint64_t hs_process_new_incarnation (void);
 
+/** Called with the length of a pause of this process, before the events that
+ *  came meanwhile are handled. It may not free watched sockets. */
+typedef void (*HsPauseFunc) (void *arg, HsTime length, HsTime now);
+
+/** Detects that the process was paused, for HS_PAUSE_MIN or longer. */
+void hs_process_watch_pauses (TALLOC_CTX *ctx,
+                              struct tevent_context *ev,
+                              HsPauseFunc paused,
+                              void *arg);
+
 /** Creates a client of the platform's store.
  *  @param settings have the address of the store */
 HsStore *hs_process_store_new (TALLOC_CTX *ctx,
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -213,6 +213,36 @@
   assert_int_equal (submit (0, "ms=1800", 1, 4000).status, 200);
 }
 
+static void *
+submit_to_paused_entry (void *reply)
+{
+  *(ClusterReply *) reply = submit (0, "ms=50", 1, 4000);
+  return NULL;
+}
+
+/* Guards against a job that starts after its caller has sent it again: an entry
+   that was paused takes what waited for it as new. */
+static void
+requests_that_waited_for_a_paused_entry_are_refused (void **state)
+{
+  unsigned int i;
+
+  (void) state;
+  for (i = 0; i < 8; i++)
+    {
+      ClusterReply reply;
+      GThread *caller;
+
+      cluster_signal (&cluster, CLUSTER_ENTRY, 0, SIGSTOP);
+      caller = g_thread_new ("caller", submit_to_paused_entry, &reply);
+      cluster_sleep_ms (700);
+      cluster_signal (&cluster, CLUSTER_ENTRY, 0, SIGCONT);
+      g_thread_join (caller);
+      assert_int_equal (reply.status, 503);
+      cluster_sleep_ms (600);
+    }
+}
+
 /* Calls to the previous address are in flight when the next one is announced.
  */
 static void
@@ -351,6 +381,7 @@
     cmocka_unit_test (tasks_of_a_disconnected_caller_are_stopped),
     cmocka_unit_test (lost_and_late_orders_never_overload_a_target),
     cmocka_unit_test (caller_deadline_overrides_the_route_timeout),
+    cmocka_unit_test (requests_that_waited_for_a_paused_entry_are_refused),
     cmocka_unit_test (agent_survives_changes_of_its_targets_address),
     cmocka_unit_test (capacity_that_shrinks_and_grows_is_followed),
     cmocka_unit_test (crashing_task_takes_down_two_targets_whoever_is_asked),
