Answer a job as failed only for crashes under which its task certainly ran

What callers saw: sound jobs answered `failed`.

Cause: an agent counted every start whose answer was missing, and every run whose end it hadn't read, as one that ran when its target crashed. Two such crashes answered the job as failed, though no target had said that it ran the task.

Change: a crash tells for each task whether it certainly ran: its start was answered, no stop was on its way, and it was younger than half of its expected run time at the latest time of the crash, which is the first refused connection, or for a silent one the start of the next incarnation. Two certain crashes answer `failed`. Two of which one is only possible end the job as lost, and refuse it if it is sent again, so that no task takes down more targets than before.

hsx_crash_task has a new member; agents and entries have to be of one version.

Ruled out: waiting for the next incarnation as proof of every crash. It takes seconds, so that no lethal job would be answered in its time.

Not done: a suspected task alone on a target, and a path that refuses connections while its target works on, which still counts as a crash.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -140,11 +140,11 @@
   for (i = 0; i < crash->n_tasks; i++)
     hs_event ("crash_task",
               "crash=%u job=%s step=%u task=%u attempt=%u customer=%s "
-              "ran_ms=%.1f",
+              "ran_ms=%.1f certain=%d",
               crash->number, crash->tasks[i].key.job, crash->tasks[i].key.step,
               crash->tasks[i].key.index, crash->tasks[i].key.attempt,
               hs_event_sanitise (crash->tasks[i].customer, customer),
-              (double) crash->tasks[i].age / HS_MSEC);
+              (double) crash->tasks[i].age / HS_MSEC, crash->tasks[i].certain);
   hs_counter_add (agent->crash_counter, 0, 1);
 }
 
--- a/src/direct/crash_message.c
+++ b/src/direct/crash_message.c
@@ -29,7 +29,8 @@
           = (unsigned int) MIN ((HsTime) customer->age_us, task->age);
       message->tasks[i] = (hsx_crash_task){ .job = (char *) task->key.job,
                                             .customer = customer->name,
-                                            .index = task->key.index };
+                                            .index = task->key.index,
+                                            .certain = task->certain };
     }
   crash->tasks.tasks_len = record->n_tasks;
 }
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -121,10 +121,8 @@
   hs_demand_job_arrived (jobs->demand, job->customer, job->work_core_s, now);
   if (id_in_use)
     give_up (jobs, job, HS_REASON_ID_IN_USE, now);
-  else if (hs_job_may_start (jobs, job))
+  else if (hs_job_check_crashes (jobs, job, now))
     admit (jobs, job, now);
-  else
-    hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
 }
 
 void
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -59,7 +59,8 @@
 {
   HS_REASON_DONE,
   HS_REASON_TASK_FAILED,
-  HS_REASON_CRASHES,   /**< Targets have crashed under a task. */
+  HS_REASON_CRASHES,   /**< Targets have crashed under a task; if the job isn't
+                            answered as failed, not all of them for certain. */
   HS_REASON_CONTAINED, /**< Its customer's tasks crash targets, and as many as
                             they may take down are down. */
   HS_REASON_NO_TARGET, /**< No target has the capacity for a task. */
--- a/src/direct/jobs_crash.c
+++ b/src/direct/jobs_crash.c
@@ -37,15 +37,26 @@
 }
 
 bool
-hs_job_may_start (HsJobs *jobs, HsJob *job)
+hs_job_check_crashes (HsJobs *jobs, HsJob *job, HsTime now)
 {
+  uint32_t n_certain = 0;
   uint32_t i;
 
   for (i = 0; i < job->n_tasks; i++)
-    job->n_crashes = MAX (job->n_crashes,
-                          hs_crash_counts_get (jobs->crash_counts,
-                                               job->customer_name, job->id, i));
-  return job->n_crashes < HS_CRASHES_MAX;
+    {
+      HsCrashCount count = hs_crash_counts_get (jobs->crash_counts,
+                                                job->customer_name, job->id, i);
+
+      job->n_crashes = MAX (job->n_crashes, count.all);
+      n_certain = MAX (n_certain, count.certain);
+    }
+  if (n_certain >= HS_CRASHES_MAX)
+    hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
+  else if (job->n_crashes >= HS_CRASHES_MAX)
+    hs_job_finish (jobs, job, HS_ANSWER_REFUSED, HS_REASON_CRASHES, now);
+  else
+    return true;
+  return false;
 }
 
 bool
@@ -81,8 +92,9 @@
   for (i = 0; i < crash->tasks.tasks_len; i++)
     {
       const hsx_crash_task *task = &crash->tasks.tasks_val[i];
-      uint32_t n = hs_crash_counts_add (jobs->crash_counts, task->customer,
-                                        task->job, task->index, now);
+      HsCrashCount count
+          = hs_crash_counts_add (jobs->crash_counts, task->customer, task->job,
+                                 task->index, task->certain, now);
 
       for (k = 0; k < jobs->table_size; k++)
         {
@@ -91,9 +103,12 @@
           if (!job->in_use || strcmp (job->id, task->job) != 0
               || strcmp (job->customer_name, task->customer) != 0)
             continue;
-          job->n_crashes = MAX (job->n_crashes, n);
-          if (job->n_crashes >= HS_CRASHES_MAX)
-            hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
+          job->n_crashes = MAX (job->n_crashes, count.all);
+          if (count.all >= HS_CRASHES_MAX)
+            hs_job_finish (jobs, job,
+                           count.certain >= HS_CRASHES_MAX ? HS_ANSWER_FAILED
+                                                           : HS_ANSWER_LOST,
+                           HS_REASON_CRASHES, now);
         }
     }
 }
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -78,8 +78,9 @@
  *  @return when to call it next */
 HsTime hs_jobs_tick_crashes (HsJobs *jobs, HsTime now);
 
-/** Whether no task of a new job has crashed HS_CRASHES_MAX targets before. */
-bool hs_job_may_start (HsJobs *jobs, HsJob *job);
+/** Ends a new job whose tasks have crashed too many targets before.
+ *  @return whether it goes on */
+bool hs_job_check_crashes (HsJobs *jobs, HsJob *job, HsTime now);
 
 /** The targets on which the job's tasks may be started. */
 HsTargetGroup hs_job_target_group (const HsJobs *jobs, const HsJob *job);
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -45,12 +45,15 @@
   HsTime stop_timeout; /**< How long the target takes for a stop at most. */
 } HsRunsOptions;
 
-/** A task that ran on a target when it crashed. */
+/** A task that ran, or may have run, on a target when it crashed. */
 typedef struct
 {
   HsRunKey key;
+  bool certain; /**< The target had answered its start, and it
+                     can't have ended before the crash. */
   char customer[HSX_NAME_MAX + 1];
   HsTime age;                 /**< Time from its start to the crash. */
+  HsTime young_until;         /**< It can't have ended before. */
   double customer_jobs_per_s; /**< That usually start on this target. */
 } HsCrashTask;
 
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -9,9 +9,13 @@
  *  awaited for this long: they tell which starts had reached the target. */
 #define RESULTS_WAIT (5 * HS_MSEC)
 
+/** A task of usual run time that is younger than its expected run time divided
+ *  by this hasn't ended. */
+#define YOUNG_DIVISOR 2
+
 static void take_snapshot (HsRuns *runs);
 static void add_task (HsRuns *runs, const HsRun *run);
-static void report_crash (HsRuns *runs);
+static void report_crash (HsRuns *runs, HsTime crashed_before);
 
 void
 hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now)
@@ -49,12 +53,12 @@
   if (runs->unresponsive || runs->no_listener_since != 0)
     take_snapshot (runs);
   if (runs->no_listener_since != 0)
-    report_crash (runs);
+    report_crash (runs, runs->no_listener_since);
   return HS_NEVER;
 }
 
 void
-hs_runs_incarnation_over (HsRuns *runs)
+hs_runs_incarnation_over (HsRuns *runs, HsTime restarted_at)
 {
   bool expected = runs->target_left || runs->target.leaving;
 
@@ -63,7 +67,8 @@
       && (runs->n_runs > 0 || runs->snapshot_taken))
     {
       take_snapshot (runs);
-      report_crash (runs);
+      report_crash (runs, runs->no_listener_since != 0 ? runs->no_listener_since
+                                                       : restarted_at);
     }
   runs->crash_reported = false;
   runs->snapshot_taken = false;
@@ -123,14 +128,22 @@
     }
   task->key = run->key;
   task->age = age;
+  task->certain = run->state == HS_RUN_RUNNING && !run->stop_requested;
+  task->young_until = since + run->expected_time / YOUNG_DIVISOR;
   g_strlcpy (task->customer, run->customer, sizeof task->customer);
   task->customer_jobs_per_s
       = hs_start_rates_per_s (runs->start_rates, run->customer, crash->at);
 }
 
+/* @crashed_before: the latest time at which the target can have crashed */
 static void
-report_crash (HsRuns *runs)
+report_crash (HsRuns *runs, HsTime crashed_before)
 {
+  uint32_t i;
+
+  for (i = 0; i < runs->snapshot.n_tasks; i++)
+    runs->snapshot.tasks[i].certain
+        &= crashed_before < runs->snapshot.tasks[i].young_until;
   runs->crash_reported = true;
   runs->snapshot.number++;
   runs->crash = runs->snapshot;
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -144,8 +144,9 @@
 HsTime hs_runs_check_crash (HsRuns *runs, HsTime now);
 
 /** Another incarnation has replaced the target's, which has crashed unless it
- *  had announced that it leaves. */
-void hs_runs_incarnation_over (HsRuns *runs);
+ *  had announced that it leaves.
+ *  @param restarted_at when the other one started; HS_NEVER: not known */
+void hs_runs_incarnation_over (HsRuns *runs, HsTime restarted_at);
 
 /** Forgets what is known of the target, as another incarnation seems to listen.
  *  Runs don't end by that; see docs/design/evidence.md. */
--- a/src/policy/crash_counts.c
+++ b/src/policy/crash_counts.c
@@ -16,7 +16,7 @@
 
 typedef struct
 {
-  uint32_t n;
+  HsCrashCount count;
   HsTime last_at;
 } Row;
 
@@ -27,7 +27,8 @@
 };
 
 static int free_counts (HsCrashCounts *counts);
-static uint32_t count (HsCrashCounts *counts, char *key, HsTime now);
+static HsCrashCount
+count (HsCrashCounts *counts, char *key, bool certain, HsTime now);
 static char *task_key (const char *customer, const char *job, uint32_t index);
 static gboolean is_old (gpointer key, gpointer row, gpointer now);
 
@@ -48,34 +49,38 @@
                         uint32_t number,
                         HsTime now)
 {
-  return count (counts, g_strdup_printf ("%" PRIx64 " %u", agent, number), now)
+  return count (counts, g_strdup_printf ("%" PRIx64 " %u", agent, number), true,
+                now)
+             .all
          == 1;
 }
 
-uint32_t
+HsCrashCount
 hs_crash_counts_add (HsCrashCounts *counts,
                      const char *customer,
                      const char *job,
                      uint32_t index,
+                     bool certain,
                      HsTime now)
 {
-  return count (counts, task_key (customer, job, index), now);
+  return count (counts, task_key (customer, job, index), certain, now);
 }
 
-uint32_t
+HsCrashCount
 hs_crash_counts_get (const HsCrashCounts *counts,
                      const char *customer,
                      const char *job,
                      uint32_t index)
 {
   g_autofree char *key = NULL;
+  HsCrashCount none = { 0, 0 };
   const Row *row;
 
   if (g_hash_table_size (counts->rows) == 0)
-    return 0;
+    return none;
   key = task_key (customer, job, index);
   row = g_hash_table_lookup (counts->rows, key);
-  return row != NULL ? row->n : 0;
+  return row != NULL ? row->count : none;
 }
 
 HsTime
@@ -99,15 +104,15 @@
 }
 
 /* Takes ownership of @key. */
-static uint32_t
-count (HsCrashCounts *counts, char *key, HsTime now)
+static HsCrashCount
+count (HsCrashCounts *counts, char *key, bool certain, HsTime now)
 {
   Row *row = g_hash_table_lookup (counts->rows, key);
 
   if (row == NULL && g_hash_table_size (counts->rows) >= ROWS_MAX)
     {
       g_free (key);
-      return 1;
+      return (HsCrashCount){ 1, certain };
     }
   if (row == NULL)
     {
@@ -117,7 +122,9 @@
   else
     g_free (key);
   row->last_at = now;
-  return ++row->n;
+  row->count.all++;
+  row->count.certain += certain;
+  return row->count;
 }
 
 static char *
--- a/src/policy/crash_counts.h
+++ b/src/policy/crash_counts.h
@@ -1,8 +1,7 @@
 /**
  * @file
  * How many targets have crashed under each task, across entries and
- * resubmissions of its job. A task under which HS_CRASHES_MAX targets have
- * crashed is given up.
+ * resubmissions of its job, and how many of them certainly ran it then.
  */
 #ifndef HS_POLICY_CRASH_COUNTS_H
 #define HS_POLICY_CRASH_COUNTS_H
@@ -14,9 +13,17 @@
 
 #include "base/time.h"
 
-/** Targets that may crash under one task; one crash may be the target's own. */
+/** A task is given up once so many targets have crashed under it, as one crash
+ *  may be the target's own: its job has failed if they certainly ran it;
+ *  otherwise it is lost, and isn't started again. */
 #define HS_CRASHES_MAX 2
 
+typedef struct
+{
+  uint32_t all;     /**< Crashes under which the task ran or may have run. */
+  uint32_t certain; /**< Those of them under which it ran. */
+} HsCrashCount;
+
 typedef struct HsCrashCounts HsCrashCounts;
 
 HsCrashCounts *hs_crash_counts_new (TALLOC_CTX *ctx);
@@ -32,18 +39,21 @@
                              uint32_t number,
                              HsTime now);
 
-/** Counts a crash under a task. @return the number of crashes so far */
-uint32_t hs_crash_counts_add (HsCrashCounts *counts,
-                              const char *customer,
-                              const char *job,
-                              uint32_t index,
-                              HsTime now);
-
-/** The number of crashes under a task. */
-uint32_t hs_crash_counts_get (const HsCrashCounts *counts,
-                              const char *customer,
-                              const char *job,
-                              uint32_t index);
+/** Counts a crash under a task.
+ *  @param certain whether the task ran when the target crashed
+ *  @return the crashes so far */
+HsCrashCount hs_crash_counts_add (HsCrashCounts *counts,
+                                  const char *customer,
+                                  const char *job,
+                                  uint32_t index,
+                                  bool certain,
+                                  HsTime now);
+
+/** The crashes under a task. */
+HsCrashCount hs_crash_counts_get (const HsCrashCounts *counts,
+                                  const char *customer,
+                                  const char *job,
+                                  uint32_t index);
 
 /** Forgets what is older than the time in which jobs are resubmitted.
  *  @return when to call it next */
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -504,6 +504,7 @@
 	char *job;
 	char *customer;
 	u_int index;
+	bool_t certain;
 };
 typedef struct hsx_crash_task hsx_crash_task;
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -424,6 +424,8 @@
 	string job<HSX_ID_MAX>;
 	string customer<HSX_NAME_MAX>;
 	unsigned int index;
+	bool certain;			/* it ran when the target crashed; else it
+					   may have run */
 };
 struct hsx_crash {
 	uint64_t agent;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -855,6 +855,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->certain))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -192,6 +192,8 @@
   posix_spawn_file_actions_addopen (&actions, 1, log,
                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2 (&actions, 1, 2);
+  /* A process that kept a caller's socket open would hide that it has gone. */
+  posix_spawn_file_actions_addclosefrom_np (&actions, 3);
   if (posix_spawn (&c->pids[kind][i], program, &actions, NULL, argv, environ)
       != 0)
     {
--- a/test/test_direct_jobs_crash.c
+++ b/test/test_direct_jobs_crash.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "direct/jobs.h"
+#include "policy/crash_counts.h"
 
 #define T0 (1000 * HS_SEC)
 #define CAPACITY 4000
@@ -150,7 +151,7 @@
   hsx_crash crash = { .agent = target + 1, .service = (char *) "s" };
 
   *suspect = (hsx_crash_customer){ (char *) customer, 10000, 1000 };
-  *task = (hsx_crash_task){ (char *) job, (char *) customer, 0 };
+  *task = (hsx_crash_task){ (char *) job, (char *) customer, 0, TRUE };
   snprintf (host, 8, "h%u", target);
   crash.number = ++n_crashes;
   crash.host = host;
@@ -162,20 +163,31 @@
 }
 
 static void
-crash_target (uint32_t target,
-              const char *customer,
-              const char *job,
-              HsTime now)
+crash_target_under (uint32_t target,
+                    const char *customer,
+                    const char *job,
+                    bool certain,
+                    HsTime now)
 {
   hsx_crash_customer suspect;
   hsx_crash_task task;
   char host[8];
   hsx_crash crash = crash_of (target, customer, job, &suspect, &task, host);
 
+  task.certain = certain;
   report (target, HSX_TARGET_MUTE, 0, now);
   assert_true (hs_jobs_target_crashed (jobs, &crash, now));
 }
 
+static void
+crash_target (uint32_t target,
+              const char *customer,
+              const char *job,
+              HsTime now)
+{
+  crash_target_under (target, customer, job, true, now);
+}
+
 static void
 end_as_lapsed (uint32_t launch, HsTime now)
 {
@@ -259,6 +271,47 @@
   assert_int_equal (n_launches, 1);
 }
 
+/* Guards against sound jobs that are answered as failed: no target has said
+   that it ran the task, whose starts had no answer. */
+static void
+a_job_fails_only_by_crashes_under_which_its_task_ran (void **state)
+{
+  (void) state;
+  submit ("c", "a", T0);
+  crash_target_under (launches[0].target, "c", "a", true, T0 + 10 * HS_MSEC);
+  end_as_lapsed (0, T0 + 600 * HS_MSEC);
+  crash_target_under (launches[1].target, "c", "a", false, T0 + 620 * HS_MSEC);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+  assert_int_equal (answers[0].reason, HS_REASON_CRASHES);
+  hs_jobs_dispatch (jobs, T0 + 700 * HS_MSEC);
+  assert_int_equal (n_launches, 2);
+}
+
+/* A task that crashes its targets before they answer its start takes down no
+   more of them, however often its job is sent again. */
+static void
+a_task_that_may_have_crashed_two_targets_is_not_started (void **state)
+{
+  HsTime now = T0;
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < 10; i++)
+    {
+      uint32_t before = n_launches;
+
+      submit ("c", "a", now);
+      if (n_launches > before)
+        crash_target_under (launches[before].target, "c", "a", false, now);
+      now += 100 * HS_MSEC;
+      hs_jobs_abandon (jobs, 1, now);
+      now += 5 * HS_SEC;
+    }
+  assert_int_equal (n_launches, HS_CRASHES_MAX);
+  assert_int_equal (answers[n_answers - 1].kind, HS_ANSWER_REFUSED);
+}
+
 static void
 a_crash_that_two_processes_report_counts_once (void **state)
 {
@@ -383,6 +436,8 @@
     TEST (a_task_under_which_two_targets_crashed_is_given_up),
     TEST (a_task_that_ran_beside_one_crash_is_started_again),
     TEST (a_resubmitted_task_that_crashed_two_targets_is_not_started),
+    TEST (a_job_fails_only_by_crashes_under_which_its_task_ran),
+    TEST (a_task_that_may_have_crashed_two_targets_is_not_started),
     TEST (a_crash_that_two_processes_report_counts_once),
     TEST (a_contained_customer_is_served_on_the_reserve_only),
     TEST (a_contained_customer_is_refused_at_once_while_its_targets_are_down),
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1046,6 +1046,8 @@
   assert_string_equal (last_crash.tasks[1].key.job, "b");
   assert_int_equal (last_crash.tasks[1].key.index, 1);
   assert_int_equal (last_crash.tasks[1].age, 10 * HS_MSEC);
+  /* Both are younger than half of what they take. */
+  assert_true (last_crash.tasks[0].certain && last_crash.tasks[1].certain);
   advance (200 * HS_MSEC);
   assert_int_equal (n_crashes, 1);
 }
@@ -1064,6 +1066,7 @@
   advance (6 * HS_MSEC);
   assert_int_equal (n_crashes, 1);
   assert_int_equal (last_crash.n_tasks, 1);
+  assert_false (last_crash.tasks[0].certain);
 }
 
 static void
@@ -1091,6 +1094,8 @@
   assert_int_equal (n_crashes, 1);
   assert_int_equal (last_crash.n_tasks, 1);
   assert_string_equal (last_crash.tasks[0].key.job, "a");
+  /* Its lease had expired long before. */
+  assert_false (last_crash.tasks[0].certain);
 }
 
 /* Calls that found nobody don't renew the lease: the runs of a crashed target
