Write an entry's key again each minute

Cause: the key was written once for a lease. If a first write got no answer and was carried out after the second one, under the earlier lease, or if another writer took the key away, the entry went on renewing a lease without a key.

Change: the key is written again after 60 s; a write a minute and entry.

Evidence: the_key_is_written_again_while_its_lease_lives failed before (1 write instead of 2 after 61 s) and passes.

--- a/src/direct/entry_key.c
+++ b/src/direct/entry_key.c
@@ -12,6 +12,11 @@
 /** Interval of lease renewals: twice within KEY_LEASE_TTL_S. */
 #define RENEW_INTERVAL (4 * HS_SEC)
 
+/** Interval of writes of the key: one that was written under an earlier lease
+ * may have been carried out late and end with that lease, or another writer may
+ * have taken the key away. */
+#define WRITE_INTERVAL (60 * HS_SEC)
+
 /** Delay before a failed call is retried. Expired keys have to be written again
  *  within two seconds after the store has recovered. */
 #define RETRY_DELAY (700 * HS_MSEC)
@@ -30,7 +35,7 @@
   if (now < entry->key_call_at)
     return entry->key_call_at;
   entry->key_call_pending = true;
-  if (entry->key_lease != 0 && entry->key_written)
+  if (entry->key_lease != 0 && entry->key_written && now < entry->key_write_at)
     hs_store_lease_keepalive (entry->store, entry->key_lease, on_lease_renewed,
                               entry);
   else if (entry->key_lease != 0)
@@ -86,6 +91,7 @@
     }
   hs_event ("entry_key", "outcome=written lease=%" PRId64, entry->key_lease);
   entry->key_written = true;
+  entry->key_write_at = hs_now ().mono + WRITE_INTERVAL;
   finish_call (entry, RENEW_INTERVAL);
   /* Finds the entries that published their keys before this one did; those that
      publish later read this key and dial. */
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -104,8 +104,9 @@
   HsTime config_read_at;      /**< When to read the store, or HS_NEVER. */
   /** @} */
   /** @name The entry's key in the store; entry_key.c @{ */
-  int64_t key_lease;  /**< The store's lease of the key. */
-  HsTime key_call_at; /**< When the store is next called about the key. */
+  int64_t key_lease;   /**< The store's lease of the key. */
+  HsTime key_call_at;  /**< When the store is next called about the key. */
+  HsTime key_write_at; /**< When the key is written again. */
   /** @} */
   /** @name Flags of entry_config.c and entry_key.c @{ */
   bool config_read_pending; /**< A read of the configuration is in flight. */
