Let tests with proxies and crashes pass under the thread sanitizer

The thread sanitizer doesn't see the locks of GLib, and reported three races between the proxies' thread and the tests that now use it; the proxies lock with pthreads.

The tests of crashing tasks in test_direct_path depended on an expected run time of 29 ms, learnt from the jobs before: under the sanitizer the crash was seen 57 ms after the start, when the task may have ended, so that it was rightly suspected only. They use a route without earlier run times, and an estimate of 2 s: a crash after 30 ms, as the test had first, is certain, and one after 1.2 s isn't.

Evidence: test_store_client, test_direct_silence and test_direct_path pass without sanitizer and with the thread sanitizer; before, the first two ended with 3 warnings each, and two tests of the third failed.

--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -350,10 +350,25 @@
                 long deadline_ms)
 {
   g_autofree char *path = g_strdup_printf ("/q/%s", id);
+
+  return cluster_submit_to (c, entry, path, spec, n_tasks, cpu_milli, 100,
+                            deadline_ms);
+}
+
+ClusterReply
+cluster_submit_to (Cluster *c,
+                   unsigned int entry,
+                   const char *path,
+                   const char *spec,
+                   unsigned int n_tasks,
+                   unsigned int cpu_milli,
+                   unsigned int estimate_ms,
+                   long deadline_ms)
+{
   g_autofree char *body = g_strdup_printf (
       "{\"spec\":\"%s cpu=%u\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
-      "\"cpu\":%u,\"mem_mb\":64,\"estimate_ms\":100}]}",
-      spec, cpu_milli, n_tasks, cpu_milli);
+      "\"cpu\":%u,\"mem_mb\":64,\"estimate_ms\":%u}]}",
+      spec, cpu_milli, n_tasks, cpu_milli, estimate_ms);
   g_autofree char *left
       = g_strdup_printf ("X-Hibiscusspoke-Deadline-Ms: %ld", deadline_ms);
   struct curl_slist *headers = curl_slist_append (NULL, "Host: h.example");
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -106,6 +106,18 @@
                              unsigned int cpu_milli,
                              long deadline_ms);
 
+/** As cluster_submit(), on any route.
+ *  @param path of the route, with the job's id
+ *  @param estimate_ms run time that the job declares */
+ClusterReply cluster_submit_to (Cluster *cluster,
+                                unsigned int entry,
+                                const char *path,
+                                const char *spec,
+                                unsigned int n_tasks,
+                                unsigned int cpu_milli,
+                                unsigned int estimate_ms,
+                                long deadline_ms);
+
 /** Writes the operators' configuration to the store, with the route "/q/".
  *  @param extra_prefix path prefix of a second route, or NULL */
 void
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -50,7 +51,7 @@
 static unsigned int n_proxies;
 static Connection *connections[CONNECTIONS_MAX];
 static unsigned int n_connections;
-static GMutex lock;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static struct sockaddr_in
 parse_address (const char *text)
@@ -205,9 +206,9 @@
       fds[n++] = watched_side (connections[i], 0);
       fds[n++] = watched_side (connections[i], 1);
     }
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   poll (fds, n, POLL_TIMEOUT_MS);
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   for (i = before; i-- > 0;)
     {
       Connection *connection = connections[i];
@@ -242,7 +243,7 @@
 run (void *arg)
 {
   (void) arg;
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   for (;;)
     poll_once (g_get_monotonic_time ());
   return NULL;
@@ -267,11 +268,11 @@
       || listen (fd, 128) != 0
       || getsockname (fd, (struct sockaddr *) &in, &len) != 0)
     abort ();
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   p = n_proxies++;
   g_assert (p < PROXIES_MAX);
   proxies[p] = (Proxy){ .fd = fd, .to = parse_address (to) };
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   g_snprintf (out, 32, "127.0.0.1:%u", ntohs (in.sin_port));
   return p;
 }
@@ -279,10 +280,10 @@
 void
 proxy_set (unsigned int proxy, ProxyMode mode, int ms)
 {
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   proxies[proxy].mode = mode;
   proxies[proxy].ms = ms;
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
 }
 
 unsigned int
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -346,16 +346,19 @@
   return n;
 }
 
-/* The caller sends the job again and again, to one entry after the other. */
+/* A route whose jobs have no earlier run times, so that a job's own estimate of
+   2 s counts. The caller sends the job again and again, to one entry after the
+   other. */
 static ClusterReply
-submit_crashing_job (const char *id, const char *spec)
+submit_crashing_job (const char *path, const char *spec)
 {
   ClusterReply reply = { 0 };
   unsigned int i;
 
   for (i = 0; i < 4; i++)
     {
-      reply = cluster_submit (&cluster, i % N_ENTRIES, id, spec, 1, 1000, 6000);
+      reply = cluster_submit_to (&cluster, i % N_ENTRIES, path, spec, 1, 1000,
+                                 2000, 6000);
       cluster_sleep_ms (1300);
     }
   return reply;
@@ -364,10 +367,13 @@
 static void
 crashing_task_takes_down_two_targets_whoever_is_asked (void **state)
 {
-  ClusterReply reply
-      = submit_crashing_job ("00000000000d0001", "ms=900 cpu=1000 crash=5");
+  ClusterReply reply;
 
   (void) state;
+  cluster_configure (&cluster, 7, "/more/");
+  cluster_sleep_ms (1000);
+  reply = submit_crashing_job ("/more/00000000000d0001",
+                               "ms=1900 cpu=1000 crash=30");
   assert_int_equal (reply.status, 200);
   assert_string_equal (reply.body, "{\"state\":\"failed\"}");
   assert_true (reply.seconds < 0.5);
@@ -379,8 +385,8 @@
 static void
 suspected_task_takes_down_two_targets_and_has_not_failed (void **state)
 {
-  ClusterReply reply
-      = submit_crashing_job ("00000000000d0002", "ms=900 cpu=1000 crash=400");
+  ClusterReply reply = submit_crashing_job ("/more/00000000000d0002",
+                                            "ms=1900 cpu=1000 crash=1200");
 
   (void) state;
   assert_int_equal (reply.status, 503);
