--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -456,7 +456,7 @@
 /* Guards against a task that runs twice: the target started again under its
    name, and what it said when it left before arrives now. */
 static void
-a_late_goodbye_ends_no_run (void **state)
+a_late_departure_ends_no_run (void **state)
 {
   HsAnnouncement announcement = make_announcement (2);
 
@@ -1247,7 +1247,7 @@
     TEST (runs_of_an_earlier_agent_incarnation_are_stopped_first),
     TEST (a_restarted_target_has_lost_its_runs),
     TEST (a_late_announcement_with_a_later_start_ends_no_run),
-    TEST (a_late_goodbye_ends_no_run),
+    TEST (a_late_departure_ends_no_run),
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -50,9 +50,9 @@
 typedef struct
 {
   OrderKind kind;
-  uint32_t agent_incarnation; /* That sent it. */
-  uint32_t target_life;       /* At that time. */
-  uint32_t expected_name;     /* Of the target. */
+  uint32_t agent_incarnation;  /* That sent it. */
+  uint32_t target_incarnation; /* At that time. */
+  uint32_t expected_name;      /* Of the target. */
   HsTime sent_at;
   uint32_t run;
   HsTargetStart start;
@@ -70,7 +70,7 @@
 typedef struct
 {
   HsAnnouncement announcement;
-  bool goodbye;
+  bool departure;
   HsTime due;
 } LateMessage;
 
@@ -92,13 +92,13 @@
   uint32_t lost_percent;    /* Share of calls that get no answer. */
   uint8_t reported[REFS_MAX];
   uint32_t n_refs;
-  uint8_t over[REFS_MAX]; /* Reported as ended, and not running. */
-  uint32_t target_life;   /* Counts the target's incarnations. */
-  uint32_t target_name;   /* Number in its name. */
-  uint32_t endpoint_name; /* Of the target that the agent calls. */
+  uint8_t over[REFS_MAX];      /* Reported as ended, and not running. */
+  uint32_t target_incarnation; /* Counts the target's incarnations. */
+  uint32_t target_name;        /* Number in its name. */
+  uint32_t endpoint_name;      /* Of the target that the agent calls. */
   /* Messages of earlier incarnations arrive late, their clocks step, and they
      change their names. */
-  bool mixed_lives;
+  bool mixed_incarnations;
   LateMessage late[MESSAGES_MAX];
   uint32_t n_late;
   bool crashes;      /* The target is down for a while when it crashes. */
@@ -121,7 +121,7 @@
   uint32_t timeout_ms = order.kind == ORDER_POLL ? order.poll.timeout_ms : 35;
 
   order.agent_incarnation = world.agent_incarnation;
-  order.target_life = world.target_life;
+  order.target_incarnation = world.target_incarnation;
   order.expected_name = world.endpoint_name;
   order.sent_at = world.now;
   order.unanswered = pick (100) < world.lost_percent;
@@ -267,12 +267,12 @@
 }
 
 static void
-send_late (const HsAnnouncement *announcement, bool goodbye)
+send_late (const HsAnnouncement *announcement, bool departure)
 {
   if (world.n_late == MESSAGES_MAX)
     return;
   world.late[world.n_late++]
-      = (LateMessage){ *announcement, goodbye,
+      = (LateMessage){ *announcement, departure,
                        world.now + (10 + pick (6000)) * HS_MSEC };
 }
 
@@ -291,7 +291,7 @@
           continue;
         }
       world.late[i] = world.late[--world.n_late];
-      if (message.goodbye)
+      if (message.departure)
         hs_runs_target_left (world.runs, message.announcement.name, world.now);
       else
         deliver_announcement (&message.announcement);
@@ -310,9 +310,9 @@
   announcement.started_ms = world.model.started_ms;
   announcement.sequence = ++world.sequence;
   announcement.capacity = (hsx_room){ world.capacity, 100000, 0 };
-  if (world.mixed_lives && pick (3) == 0)
+  if (world.mixed_incarnations && pick (3) == 0)
     send_late (&announcement, pick (3) == 0);
-  if (!world.mixed_lives || pick (4) != 0)
+  if (!world.mixed_incarnations || pick (4) != 0)
     deliver_announcement (&announcement);
 }
 
@@ -320,14 +320,14 @@
 restart_target (void)
 {
   hs_target_model_restart (&world.model, world.now);
-  world.target_life++;
+  world.target_incarnation++;
   world.sequence = 0;
-  if (world.mixed_lives)
+  if (world.mixed_incarnations)
     {
       world.target_name += pick (2);
       /* No two incarnations start in the same millisecond. */
       world.model.started_ms
-          += ((int64_t) pick (5) - 2) * 1000 + world.target_life % 100;
+          += ((int64_t) pick (5) - 2) * 1000 + world.target_incarnation % 100;
     }
   announce ();
 }
@@ -389,7 +389,7 @@
 static bool
 died_with_its_target (const Order *order)
 {
-  return order->target_life != world.target_life
+  return order->target_incarnation != world.target_incarnation
          && order->due - order->sent_at >= TRANSIT_MAX;
 }
 
@@ -461,7 +461,7 @@
         &g_array_index (world.model.runs, HsModelRun, i).key)]
         = 1;
   hs_target_model_restart (&world.model, world.now);
-  world.target_life++;
+  world.target_incarnation++;
   world.down_until = world.now + (20 + pick (1500)) * HS_MSEC;
 }
 
@@ -620,7 +620,7 @@
     case 8:
       /* A late announcement would tell an earlier capacity, and a target that
          is down tells none. */
-      if (!world.mixed_lives && world.down_until == 0)
+      if (!world.mixed_incarnations && world.down_until == 0)
         change_capacity ();
       return;
     case 9:
@@ -645,12 +645,12 @@
 /* Ends aren't reported to lost entries; for their launches the count of runs
    shows that none of them still holds resources. */
 static void
-run_seed (uint32_t seed, bool mixed_lives, bool crashes)
+run_seed (uint32_t seed, bool mixed_incarnations, bool crashes)
 {
   int step;
 
   memset (&world, 0, sizeof world);
-  world.mixed_lives = mixed_lives;
+  world.mixed_incarnations = mixed_incarnations;
   world.crashes = crashes;
   world.random = prng_seeded (seed);
   world.seed = seed;
@@ -674,7 +674,7 @@
                   world.model.cpu_milli, CAPACITY);
     }
   world.lost_percent = 0;
-  world.mixed_lives = false;
+  world.mixed_incarnations = false;
   for (step = 0; step < 3000; step++)
     {
       world.now += STEP_TIME;
