Order the fields of an agent's entry record without padding

The flags stand together now; no field has changed. clang-tidy is clean on the three files that failed; test_direct_agent_links passes.

--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -37,28 +37,37 @@
  *  HsDirectAgent.entries identifies the entry in calls to HsRuns. */
 typedef struct
 {
-  bool used;
   uint64_t incarnation;
-  char address[HSX_ADDRESS_MAX + 1];
   /** NULL while disconnected. The record is then dropped HS_RECONNECT_TIMEOUT
    *  after `last_message_at`; while connected, HS_PEER_TIMEOUT after it. */
   HsConn *conn;
   HsTime last_message_at;
-  /** On this connection the entry has answered the report of what is held here,
-   *  so that it stops what it doesn't know. */
-  bool confirmed;
   /** Last message while `confirmed`. If that isn't so again HS_PEER_TIMEOUT
    *  later, the record is dropped. */
   HsTime confirmed_at;
   HsTime reported_at;
+  /** `stamp_us` of the report on this connection that lists what is held. */
+  int64_t full_report_stamp;
+  /** Since when the connection is surplus, 0 if it isn't. Reports on it say
+   * that the target is leaving, so that the entry launches nothing more. */
+  HsTime surplus_since;
+  /** hsx_end, to be reported. */
+  GArray *unsent_ends;
+  /** HsRecentEnd, oldest first. */
+  GArray *recent_ends;
   /** Number of the last orders received. */
   uint32_t orders_seen;
-  /** The entry has the description of the current target, with this
-   *  capacity. */
-  bool info_sent;
-  hsx_room capacity_sent;
   /** Number of the last crash of the target that was reported. */
   uint32_t crash_sent;
+  hsx_room capacity_sent;
+  char address[HSX_ADDRESS_MAX + 1];
+  bool used;
+  /** On this connection the entry has answered the report of what is held here,
+   *  so that it stops what it doesn't know. */
+  bool confirmed;
+  /** The entry has the description of the current target, with
+   *  `capacity_sent`. */
+  bool info_sent;
   /** Free resources or target state have changed since the last report. */
   bool report_due;
   /** All recent ends, and then a list of what is held, are to be reported. */
@@ -68,18 +77,9 @@
   /** The entry has not yet acknowledged that this record is new: what it
    *  launched before is lost. */
   bool reset_pending;
-  /** `stamp_us` of the report on this connection that lists what is held. */
-  int64_t full_report_stamp;
   /** The next report has an offer: resources are reserved for the entry until
    *  it answers. */
   bool offer_due;
-  /** Since when the connection is surplus, 0 if it isn't. Reports on it say
-   * that the target is leaving, so that the entry launches nothing more. */
-  HsTime surplus_since;
-  /** hsx_end, to be reported. */
-  GArray *unsent_ends;
-  /** HsRecentEnd, oldest first. */
-  GArray *recent_ends;
 } HsAgentEntry;
 
 /** State of the agent. All times are monotonic. */
