--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -59,13 +59,13 @@
                const hsx_launch *job,
                const hsx_launch_task *task)
 {
-  return hs_entry_links_launch (arg, target, job, task);
+  return hs_entry_orders_launch (arg, target, job, task);
 }
 
 static void
 effect_stop (void *arg, uint32_t target, uint64_t ref)
 {
-  hs_entry_links_stop (arg, target, ref);
+  hs_entry_orders_stop (arg, target, ref);
 }
 
 static void
@@ -349,7 +349,7 @@
   if (entry->dispatch_due)
     hs_jobs_dispatch (entry->jobs, now);
   entry->dispatch_due = false;
-  due = MIN (due, hs_entry_links_flush (entry, now));
+  due = MIN (due, hs_entry_orders_flush (entry, now));
   due = MIN (due, hs_entry_config_tick (entry, now));
   due = MIN (due, hs_entry_key_tick (entry, now));
   due = MIN (due, hs_entry_held_requests_tick (entry, now));
--- /dev/null
+++ b/src/direct/entry_orders.c
@@ -0,0 +1,220 @@
+/* Orders to agents: launches and stops, collected until the end of the loop
+   iteration, and what is reported of the backlog. */
+#include <string.h>
+
+#include "direct/entry_private.h"
+#include "direct/liveness.h"
+#include "direct/offers.h"
+
+/** What waits for the common targets, and for the reserve. */
+typedef struct
+{
+  hsx_want common;
+  hsx_want reserve;
+} Backlogs;
+
+static void send_orders (HsDirectEntry *entry,
+                         uint32_t target,
+                         const hsx_want *backlog,
+                         HsTime now);
+static const hsx_want *
+backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target);
+static void send_backlog (HsDirectEntry *entry,
+                          const Backlogs *backlogs,
+                          bool reserve,
+                          HsTime now);
+static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
+static bool outbox_take_back (HsOutbox *outbox, uint64_t ref);
+
+uint32_t
+hs_entry_orders_launch (HsDirectEntry *entry,
+                        uint32_t target,
+                        const hsx_launch *job,
+                        const hsx_launch_task *task)
+{
+  HsAgentLink *link = hs_entry_links_at (entry, target);
+  HsOutbox *outbox = &link->outbox;
+  hsx_launch *last = NULL;
+  hsx_launch copy;
+
+  if (link->conn == NULL || !link->reconciled)
+    return 0;
+  outbox_open (entry, outbox);
+  if (outbox->launches->len > 0)
+    last = &g_array_index (outbox->launches, hsx_launch,
+                           outbox->launches->len - 1);
+  /* One that is empty was taken back; its job is another one. */
+  if (last == NULL || last->tasks.tasks_len == 0
+      || strcmp (last->job, job->job) != 0
+      || last->tasks.tasks_len == HSX_TASKS_MAX)
+    {
+      copy = *job;
+      copy.job = talloc_strdup (outbox->ctx, job->job);
+      copy.customer = talloc_strdup (outbox->ctx, job->customer);
+      copy.spec.spec_val
+          = talloc_memdup (outbox->ctx, job->spec.spec_val, job->spec.spec_len);
+      copy.tasks.tasks_val
+          = talloc_array (outbox->ctx, hsx_launch_task, HSX_TASKS_MAX);
+      copy.tasks.tasks_len = 0;
+      g_array_append_val (outbox->launches, copy);
+      last = &g_array_index (outbox->launches, hsx_launch,
+                             outbox->launches->len - 1);
+    }
+  last->tasks.tasks_val[last->tasks.tasks_len++] = *task;
+  hs_entry_schedule (entry, false);
+  return hs_targets_get (entry->targets, target)->orders_sent + 1;
+}
+
+void
+hs_entry_orders_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref)
+{
+  HsAgentLink *link = hs_entry_links_at (entry, target);
+
+  if (link->conn == NULL || outbox_take_back (&link->outbox, ref))
+    return;
+  outbox_open (entry, &link->outbox);
+  g_array_append_val (link->outbox.stops, ref);
+  hs_entry_schedule (entry, false);
+}
+
+HsTime
+hs_entry_orders_flush (HsDirectEntry *entry, HsTime now)
+{
+  Backlogs backlogs = { hs_jobs_backlog (entry->jobs, false, now),
+                        hs_jobs_backlog (entry->jobs, true, now) };
+  hsx_want no_backlog = { 0 };
+  HsTime due = HS_NEVER;
+  uint32_t i;
+
+  send_backlog (entry, &backlogs, false, now);
+  send_backlog (entry, &backlogs, true, now);
+  for (i = 0; i < entry->n_links; i++)
+    {
+      HsAgentLink *link = &entry->links[i];
+
+      if (link->conn == NULL)
+        continue;
+      if (link->outbox.ctx != NULL || link->offer_unanswered
+          || now >= link->orders_sent_at + HS_HEARTBEAT_INTERVAL)
+        send_orders (entry, i,
+                     link->backlog_sent ? backlog_of (entry, &backlogs, i)
+                                        : &no_backlog,
+                     now);
+      due = MIN (due, link->orders_sent_at + HS_HEARTBEAT_INTERVAL);
+    }
+  return due;
+}
+
+void
+hs_entry_orders_clear (HsOutbox *outbox)
+{
+  if (outbox->ctx == NULL)
+    return;
+  g_array_unref (outbox->launches);
+  g_array_unref (outbox->stops);
+  TALLOC_FREE (outbox->ctx);
+}
+
+static void
+send_orders (HsDirectEntry *entry,
+             uint32_t handle,
+             const hsx_want *backlog,
+             HsTime now)
+{
+  HsTarget *target = hs_targets_get (entry->targets, handle);
+  HsAgentLink *link = &entry->links[handle];
+  HsOutbox *outbox = &link->outbox;
+  hsx_orders_args args = { .agent = target->agent_incarnation,
+                           .number = target->orders_sent + 1,
+                           .stamp_us = target->report_stamp_us,
+                           .want = *backlog };
+
+  args.stamp_age_us
+      = (unsigned int) CLAMP (now - target->last_message_at, 0, UINT32_MAX);
+  if (outbox->ctx != NULL)
+    {
+      args.launches.launches_val
+          = (hsx_launch *) (void *) outbox->launches->data;
+      args.launches.launches_len = outbox->launches->len;
+      args.stops.stops_val = (uint64_t *) (void *) outbox->stops->data;
+      args.stops.stops_len = outbox->stops->len;
+    }
+  target->orders_sent++;
+  link->orders_sent_at = now;
+  link->backlog_sent = backlog->rank > 0;
+  link->offer_unanswered = false;
+  hs_conn_call (link->conn, HSX_ORDERS, &args, HS_NEVER, NULL, NULL);
+  hs_entry_orders_clear (outbox);
+}
+
+/* The backlog that concerns a target. */
+static const hsx_want *
+backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target)
+{
+  return hs_targets_get (entry->targets, target)->reserve ? &backlogs->reserve
+                                                          : &backlogs->common;
+}
+
+/* Reports the backlog to some agents, in round-robin order.
+   @reserve: to those of the reserve, or to the others */
+static void
+send_backlog (HsDirectEntry *entry,
+              const Backlogs *backlogs,
+              bool reserve,
+              HsTime now)
+{
+  const hsx_want *backlog = reserve ? &backlogs->reserve : &backlogs->common;
+  uint32_t n = 0;
+  uint32_t i;
+
+  if (backlog->rank == 0)
+    return;
+  for (i = 0; i < entry->n_links; i++)
+    n += entry->links[i].conn != NULL && entry->links[i].backlog_sent
+         && hs_targets_get (entry->targets, i)->reserve == reserve;
+  for (i = 0; i < entry->n_links && n < HS_BACKLOG_AGENTS_MAX; i++)
+    {
+      uint32_t k = entry->next_backlog_agent++ % entry->n_links;
+
+      if (entry->links[k].conn == NULL || entry->links[k].backlog_sent
+          || hs_targets_get (entry->targets, k)->reserve != reserve)
+        continue;
+      entry->links[k].backlog_sent = true;
+      send_orders (entry, k, backlog, now);
+      n++;
+    }
+}
+
+static void
+outbox_open (HsDirectEntry *entry, HsOutbox *outbox)
+{
+  if (outbox->ctx != NULL)
+    return;
+  outbox->ctx = talloc_new (entry);
+  outbox->launches = g_array_new (FALSE, FALSE, sizeof (hsx_launch));
+  outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+}
+
+/* Takes back the launch of a start that hasn't been sent. */
+static bool
+outbox_take_back (HsOutbox *outbox, uint64_t ref)
+{
+  guint i;
+  u_int k;
+
+  if (outbox->ctx == NULL)
+    return false;
+  for (i = 0; i < outbox->launches->len; i++)
+    {
+      hsx_launch *launch = &g_array_index (outbox->launches, hsx_launch, i);
+
+      for (k = 0; k < launch->tasks.tasks_len; k++)
+        if (launch->tasks.tasks_val[k].ref == ref)
+          {
+            launch->tasks.tasks_val[k]
+                = launch->tasks.tasks_val[--launch->tasks.tasks_len];
+            return true;
+          }
+    }
+  return false;
+}
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -173,6 +173,25 @@
 void hs_entry_key_remove (HsDirectEntry *entry);
 /** @} */
 
+/** @name entry_orders.c: orders to agents @{ */
+/** Queues the start of a task for the next orders to the target's agent.
+ *  @return the number of those orders, or 0 if the agent is not connected */
+uint32_t hs_entry_orders_launch (HsDirectEntry *entry,
+                                 uint32_t target,
+                                 const hsx_launch *job,
+                                 const hsx_launch_task *task);
+/** Queues the stop of the start @p ref for the next orders, or takes back its
+ *  launch if that hasn't been sent; does nothing if the agent is not connected,
+ *  as its first report then shows what is to be stopped. */
+void hs_entry_orders_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref);
+
+/** Sends the orders that are due; returns when to call it next. */
+HsTime hs_entry_orders_flush (HsDirectEntry *entry, HsTime now);
+
+/** Drops the orders that are queued. */
+void hs_entry_orders_clear (HsOutbox *outbox);
+/** @} */
+
 /** @name entry_links.c: agents and other entries @{ */
 /** Handles a connection whose HELLO exchange is complete. */
 void hs_entry_links_connected (HsDirectEntry *entry, HsConn *conn);
@@ -185,19 +204,8 @@
                                  HsConn *conn,
                                  uint32_t proc,
                                  const void *args);
-/** Queues the start of a task for the next orders to the target's agent.
- *  @return the number of those orders, or 0 if the agent is not connected */
-uint32_t hs_entry_links_launch (HsDirectEntry *entry,
-                                uint32_t target,
-                                const hsx_launch *job,
-                                const hsx_launch_task *task);
-/** Queues the stop of the start @p ref for the next orders, or takes back its
- *  launch if that hasn't been sent; does nothing if the agent is not connected,
- *  as its first report then shows what is to be stopped. */
-void hs_entry_links_stop (HsDirectEntry *entry, uint32_t target, uint64_t ref);
-
-/** Sends the orders that are due; returns when to call it next. */
-HsTime hs_entry_links_flush (HsDirectEntry *entry, HsTime now);
+/** The link of a target's agent; valid until the next target is added. */
+HsAgentLink *hs_entry_links_at (HsDirectEntry *entry, uint32_t target);
 
 /** Gives up agents that have timed out or have not reconnected; returns when
  *  to call it next. */
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -21,31 +21,17 @@
 /** Run time of the longest task of a job as a multiple of the mean. */
 #define LONGEST_TASK_FACTOR 1.1
 
-/** After this multiple of its objective, the result of a job is of no use to
- *  its caller. */
-#define USELESS_FACTOR 3
-
 /** A task that still runs somewhere is started there again after this: several
  *  times what a stop takes. */
 #define DUPLICATE_RETRY_DELAY (50 * HS_MSEC)
 
-/** Retry-After when there is no estimate of when resources become free. */
-#define RETRY_DEFAULT_MS 1000
-#define RETRY_MAX_MS 10000
-
 static int free_jobs (HsJobs *jobs);
 static HsJob *allocate_job (HsJobs *jobs);
 static void
 init_job (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now);
 static HsJob *find_job (HsJobs *jobs, const char *id);
 static bool is_same_job (const HsJob *job, const HsSubmission *submission);
-static void hand_over (HsJobs *jobs,
-                       HsJob *job,
-                       const HsSubmission *submission,
-                       HsTime now);
 static void admit (HsJobs *jobs, HsJob *job, HsTime now);
-static void
-give_up (HsJobs *jobs, HsJob *job, HsAnswerReason reason, HsTime now);
 static HsJob *find_task (HsJobs *jobs, uint64_t ref, HsTask **task);
 static void requeue_task (HsJobs *jobs, HsJob *job, HsTask *task);
 static void complete_task (HsJobs *jobs,
@@ -54,31 +40,6 @@
                            const hsx_end *end,
                            HsTime now);
 static HsTime next_due (const HsJob *job);
-static uint32_t
-retry_delay_ms (const HsJobs *jobs, const HsJob *job, HsTime now);
-
-const char *
-hs_answer_reason_name (HsAnswerReason reason)
-{
-  static const char *const names[] = {
-    [HS_REASON_DONE] = "done",
-    [HS_REASON_TASK_FAILED] = "task_failed",
-    [HS_REASON_CRASHES] = "crashes",
-    [HS_REASON_CONTAINED] = "contained",
-    [HS_REASON_NO_TARGET] = "no_target",
-    [HS_REASON_QUEUE] = "queue",
-    [HS_REASON_WAITED] = "waited",
-    [HS_REASON_DEADLINE] = "deadline",
-    [HS_REASON_TOO_LATE] = "too_late",
-    [HS_REASON_TARGET_LOST] = "target_lost",
-    [HS_REASON_CALLER_GONE] = "caller_gone",
-    [HS_REASON_CANCELLED] = "cancelled",
-    [HS_REASON_SENT_AGAIN] = "sent_again",
-    [HS_REASON_ID_IN_USE] = "id_in_use",
-  };
-
-  return names[reason];
-}
 
 HsJobs *
 hs_jobs_new (TALLOC_CTX *ctx,
@@ -108,7 +69,7 @@
 
   if (job != NULL && is_same_job (job, submission))
     {
-      hand_over (jobs, job, submission, now);
+      hs_job_hand_over (jobs, job, submission, now);
       return;
     }
   if (!hs_jobs_has_waiting_tasks (jobs))
@@ -120,7 +81,7 @@
   init_job (jobs, job, submission, now);
   hs_demand_job_arrived (jobs->demand, job->customer, job->work_core_s, now);
   if (id_in_use)
-    give_up (jobs, job, HS_REASON_ID_IN_USE, now);
+    hs_job_give_up (jobs, job, HS_REASON_ID_IN_USE, now);
   else if (hs_job_check_crashes (jobs, job, now))
     admit (jobs, job, now);
 }
@@ -275,7 +236,7 @@
             requeue_task (jobs, job, task);
             continue;
           }
-        give_up (jobs, job, HS_REASON_TARGET_LOST, now);
+        hs_job_give_up (jobs, job, HS_REASON_TARGET_LOST, now);
         break;
       }
 }
@@ -293,15 +254,15 @@
       if (!job->in_use)
         continue;
       if (job->n_starts == 0 && hs_job_is_shut_out (jobs, job))
-        give_up (jobs, job, HS_REASON_CONTAINED, now);
+        hs_job_give_up (jobs, job, HS_REASON_CONTAINED, now);
       else if (next_due (job) > now)
         due = MIN (due, next_due (job));
       else if (now >= job->deadline)
-        give_up (jobs, job, HS_REASON_DEADLINE, now);
+        hs_job_give_up (jobs, job, HS_REASON_DEADLINE, now);
       else if (job->n_starts == 0)
-        give_up (jobs, job, HS_REASON_WAITED, now);
+        hs_job_give_up (jobs, job, HS_REASON_WAITED, now);
       else
-        give_up (jobs, job, HS_REASON_TOO_LATE, now);
+        hs_job_give_up (jobs, job, HS_REASON_TOO_LATE, now);
     }
   return due;
 }
@@ -352,30 +313,6 @@
          && memcmp (job->spec, submission->spec, job->spec_len) == 0;
 }
 
-/* Answers a job's request as lost, and lets the job go on for another one. */
-static void
-hand_over (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now)
-{
-  HsJobAnswer answer = { .request = job->request,
-                         .kind = HS_ANSWER_LOST,
-                         .reason = HS_REASON_SENT_AGAIN,
-                         .id = job->id,
-                         .customer = job->customer_name,
-                         .n_tasks = job->n_tasks,
-                         .n_done = job->n_done,
-                         .n_starts = job->n_starts,
-                         .total_time = now - job->arrived_at,
-                         .objective = job->objective,
-                         .expected_run_time = job->expected_run_time };
-
-  job->request = submission->request;
-  job->deadline = now + submission->time_left;
-  job->useless_after
-      = MIN (job->deadline, now + USELESS_FACTOR * job->objective);
-  job->wait_until = MAX (job->wait_until, now);
-  jobs->effects->answer (jobs->arg, &answer);
-}
-
 static HsJob *
 allocate_job (HsJobs *jobs)
 {
@@ -428,7 +365,7 @@
   job->arrived_at = now;
   job->deadline = now + submission->time_left;
   job->useless_after
-      = MIN (job->deadline, now + USELESS_FACTOR * job->objective);
+      = MIN (job->deadline, now + HS_USELESS_FACTOR * job->objective);
   job->wait_until = MIN (job->deadline,
                          now + (HsTime) (WAIT_SHARE * (double) job->objective));
   job->work_core_s = (double) submission->n_tasks * submission->needs.cpu_milli
@@ -458,12 +395,12 @@
   if (capacity_milli > 0
       && !hs_targets_can_hold (jobs->targets, job->service, &job->needs))
     {
-      give_up (jobs, job, HS_REASON_NO_TARGET, now);
+      hs_job_give_up (jobs, job, HS_REASON_NO_TARGET, now);
       return;
     }
   if (hs_job_is_shut_out (jobs, job))
     {
-      give_up (jobs, job, HS_REASON_CONTAINED, now);
+      hs_job_give_up (jobs, job, HS_REASON_CONTAINED, now);
       return;
     }
   /* While no target is ready, as after a restart of all of them, the job waits
@@ -479,66 +416,7 @@
   if (predicted_wait != HS_NEVER
       && (double) predicted_wait
              > WAIT_PREDICTION_ERROR * (double) (job->wait_until - now))
-    give_up (jobs, job, HS_REASON_QUEUE, now);
-}
-
-void
-hs_job_finish (HsJobs *jobs,
-               HsJob *job,
-               HsAnswerKind kind,
-               HsAnswerReason reason,
-               HsTime now)
-{
-  HsJobAnswer answer = { .request = job->request,
-                         .kind = kind,
-                         .reason = reason,
-                         .id = job->id,
-                         .customer = job->customer_name,
-                         .n_tasks = job->n_tasks,
-                         .n_done = job->n_done,
-                         .n_starts = job->n_starts,
-                         .total_time = now - job->arrived_at,
-                         .objective = job->objective,
-                         .expected_run_time = job->expected_run_time };
-  char *id_ctx = job->id;
-  uint64_t capacity_milli;
-  uint32_t i;
-
-  hs_targets_sum_capacity (jobs->targets, job->service, &capacity_milli,
-                           &answer.free_milli, now);
-  for (i = 0; i < jobs->table_size; i++)
-    answer.n_waiting_jobs
-        += jobs->table[i].in_use && jobs->table[i].n_waiting > 0;
-  answer.wait_time
-      = (job->first_sent_at != 0 ? job->first_sent_at : now) - job->arrived_at;
-  if (kind == HS_ANSWER_REFUSED)
-    answer.retry_after_ms = retry_delay_ms (jobs, job, now);
-  for (i = 0; i < job->n_tasks; i++)
-    if (job->tasks[i].state == HS_TASK_SENT)
-      {
-        hs_targets_get (jobs->targets, job->tasks[i].target)->n_tasks--;
-        jobs->effects->stop (jobs->arg, job->tasks[i].target,
-                             job->tasks[i].ref);
-      }
-  if (kind == HS_ANSWER_COMPLETED)
-    hs_containment_job_done (jobs->containment, job->containment);
-  if (reason != HS_REASON_CALLER_GONE)
-    hs_demand_job_ended (jobs->demand, job->customer, job->work_core_s,
-                         kind == HS_ANSWER_COMPLETED
-                             && answer.total_time <= job->objective);
-  job->in_use = false;
-  jobs->n_active--;
-  jobs->effects->answer (jobs->arg, &answer);
-  talloc_free (id_ctx);
-}
-
-static void
-give_up (HsJobs *jobs, HsJob *job, HsAnswerReason reason, HsTime now)
-{
-  bool may_have_run = job->n_sent > 0 || job->n_done > 0 || job->may_have_run;
-
-  hs_job_finish (jobs, job, may_have_run ? HS_ANSWER_LOST : HS_ANSWER_REFUSED,
-                 reason, now);
+    hs_job_give_up (jobs, job, HS_REASON_QUEUE, now);
 }
 
 static HsJob *
@@ -599,17 +477,3 @@
                          job->wait_until));
   return due;
 }
-
-static uint32_t
-retry_delay_ms (const HsJobs *jobs, const HsJob *job, HsTime now)
-{
-  HsTime predicted_wait = hs_jobs_predict_wait (jobs, job, now);
-
-  if (hs_job_is_shut_out (jobs, job))
-    predicted_wait = MAX (
-        RETRY_DEFAULT_MS * HS_MSEC,
-        hs_containment_time_left (jobs->containment, job->containment, now));
-  if (predicted_wait == HS_NEVER)
-    return RETRY_DEFAULT_MS;
-  return (uint32_t) MIN (predicted_wait / HS_MSEC + 1, RETRY_MAX_MS);
-}
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Internals of an entry's direct jobs, shared by jobs.c and jobs_rank.c.
+ * Internals of an entry's direct jobs, shared by its source files.
  */
 #ifndef HS_DIRECT_JOBS_PRIVATE_H
 #define HS_DIRECT_JOBS_PRIVATE_H
@@ -14,6 +14,10 @@
 #define REF_TASK_BITS 12
 #define REF_JOB_BITS 20
 
+/** After this multiple of its objective, the result of a job is of no use to
+ *  its caller. */
+#define HS_USELESS_FACTOR 3
+
 typedef struct
 {
   bool in_use;
@@ -65,6 +69,7 @@
   double *ranks;     /**< By handle. */
 };
 
+/** @name jobs_answer.c: how jobs end @{ */
 /** Ends a job and answers it. Tasks that are still running are stopped, and
  *  their results ignored. */
 void hs_job_finish (HsJobs *jobs,
@@ -73,6 +78,18 @@
                     HsAnswerReason reason,
                     HsTime now);
 
+/** Ends a job that isn't completed: as refused, if nothing of it has run, and
+ * as lost otherwise. */
+void
+hs_job_give_up (HsJobs *jobs, HsJob *job, HsAnswerReason reason, HsTime now);
+
+/** Answers a job's request as lost, and lets the job go on for another one. */
+void hs_job_hand_over (HsJobs *jobs,
+                       HsJob *job,
+                       const HsSubmission *submission,
+                       HsTime now);
+/** @} */
+
 /** @name jobs_crash.c: tasks that crash their targets @{ */
 /** Releases contained customers that are due.
  *  @return when to call it next */
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -424,6 +424,9 @@
   HsRunKey key = run->key;
   uint32_t entry = run->entry;
 
+  /* Its start call may have renewed the lease without having been answered. */
+  if (run->state == HS_RUN_STARTING)
+    runs->renewed_at = MAX (runs->renewed_at, run->called_at);
   if (run->started_at != 0)
     end.run_us = (unsigned int) MIN (now - run->started_at, UINT32_MAX);
   /* A slow run was recorded when it was found slow; its success doesn't count
@@ -489,38 +492,6 @@
   return NULL;
 }
 
-bool
-hs_runs_may_renew_lease (const HsRuns *runs, HsTime now)
-{
-  uint32_t left = runs->n_runs;
-  uint32_t i;
-
-  if (runs->target_clock_at == 0 || runs->unresponsive)
-    return false;
-  for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
-    {
-      const HsRun *run = &runs->runs[i];
-
-      if (run->state == HS_RUN_FREE)
-        continue;
-      left--;
-      if (run->renew_until != 0 && now >= run->renew_until)
-        return false;
-    }
-  return true;
-}
-
-int64_t
-hs_runs_next_lease_end (HsRuns *runs, HsTime now)
-{
-  int64_t clock_ms
-      = runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
-
-  if (runs->lease_until_ms == 0 || hs_runs_may_renew_lease (runs, now))
-    runs->lease_until_ms = clock_ms + runs->options.lease / HS_MSEC;
-  return runs->lease_until_ms;
-}
-
 /* Whether an announcement is of an earlier incarnation. Its start tells, unless
    the clock of the target's host stepped back: an incarnation that the target
    itself has reported as replaced isn't the later one. */
--- /dev/null
+++ b/src/direct/runs_lease.c
@@ -0,0 +1,79 @@
+/* The lease of what runs on the target: when calls may renew it, and when it
+   has expired. */
+#include <glib.h>
+
+#include "direct/runs_private.h"
+
+/** Steady clocks may drift apart by this much. */
+#define CLOCK_DRIFT_PERCENT 2
+
+/** Added to the lease and the drift before the runs of an unresponsive target
+ *  are considered lapsed. */
+#define LEASE_EXPIRY_SLACK (50 * HS_MSEC)
+
+static HsTime last_renewal (const HsRuns *runs);
+
+bool
+hs_runs_may_renew_lease (const HsRuns *runs, HsTime now)
+{
+  uint32_t left = runs->n_runs;
+  uint32_t i;
+
+  if (runs->target_clock_at == 0 || runs->unresponsive)
+    return false;
+  for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
+    {
+      const HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_FREE)
+        continue;
+      left--;
+      if (run->renew_until != 0 && now >= run->renew_until)
+        return false;
+    }
+  return true;
+}
+
+int64_t
+hs_runs_next_lease_end (HsRuns *runs, HsTime now)
+{
+  int64_t clock_ms
+      = runs->target_clock_ms + (now - runs->target_clock_at) / HS_MSEC;
+
+  if (runs->lease_until_ms == 0 || hs_runs_may_renew_lease (runs, now))
+    runs->lease_until_ms = clock_ms + runs->options.lease / HS_MSEC;
+  return runs->lease_until_ms;
+}
+
+void
+hs_runs_check_lease (HsRuns *runs, HsTime now)
+{
+  HsTime lease = runs->options.lease;
+  HsTime bound = lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
+  uint32_t i;
+
+  if (!runs->unresponsive || now - last_renewal (runs) < bound)
+    return;
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    {
+      HsRun *run = &runs->runs[i];
+
+      if (run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+    }
+}
+
+/* When the last call was made that may have renewed the lease. */
+static HsTime
+last_renewal (const HsRuns *runs)
+{
+  HsTime last = runs->renewed_at;
+  uint32_t i;
+
+  for (i = 0; i < HS_POLL_TOKENS_MAX; i++)
+    last = MAX (last, runs->poll_renewed_at[i]);
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (runs->runs[i].state == HS_RUN_STARTING)
+      last = MAX (last, runs->runs[i].called_at);
+  return last;
+}
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -35,13 +35,6 @@
 #define UNRESPONSIVE_FAILURES 3
 #define UNRESPONSIVE_TIMEOUT (150 * HS_MSEC)
 
-/** Steady clocks may drift apart by this much. */
-#define CLOCK_DRIFT_PERCENT 2
-
-/** Added to the lease and the drift before the runs of an unresponsive target
- *  are considered lapsed. */
-#define LEASE_EXPIRY_SLACK (50 * HS_MSEC)
-
 /** A run that makes no progress for the larger of this and an eighth of its
  *  expected run time is stopped. Progress is reported in hundredths, so even on
  *  a target that is 8 times too slow it changes within that time. */
@@ -71,8 +64,6 @@
 static void
 check_progress_rate (HsRuns *runs, HsRun *run, HsTime listed, HsTime now);
 static void resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now);
-static void check_lease_expiry (HsRuns *runs, HsTime now);
-static HsTime last_renewal (const HsRuns *runs);
 static bool has_unknown_starts (const HsRuns *runs);
 static HsTime retry_delay (const HsRuns *runs);
 
@@ -86,7 +77,7 @@
   if (runs->n_failed_polls >= UNRESPONSIVE_FAILURES
       && now - runs->answered_at >= UNRESPONSIVE_TIMEOUT)
     runs->unresponsive = true;
-  check_lease_expiry (runs, now);
+  hs_runs_check_lease (runs, now);
   if (runs->polls_in_flight > 0
       && (runs->polls_in_flight >= POLLS_IN_FLIGHT_MAX
           || runs->token_in_flight >= runs->token))
@@ -454,41 +445,6 @@
     }
 }
 
-/* Ends the runs of an unresponsive target once their lease has expired on the
-   target's own clock. */
-static void
-check_lease_expiry (HsRuns *runs, HsTime now)
-{
-  HsTime lease = runs->options.lease;
-  HsTime bound = lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
-  uint32_t i;
-
-  if (!runs->unresponsive || now - last_renewal (runs) < bound)
-    return;
-  for (i = 0; i < HS_RUNS_MAX; i++)
-    {
-      HsRun *run = &runs->runs[i];
-
-      if (run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
-    }
-}
-
-/* When the last call was made that may have renewed the lease. */
-static HsTime
-last_renewal (const HsRuns *runs)
-{
-  HsTime last = runs->renewed_at;
-  uint32_t i;
-
-  for (i = 0; i < HS_POLL_TOKENS_MAX; i++)
-    last = MAX (last, runs->poll_renewed_at[i]);
-  for (i = 0; i < HS_RUNS_MAX; i++)
-    if (runs->runs[i].state == HS_RUN_STARTING)
-      last = MAX (last, runs->runs[i].called_at);
-  return last;
-}
-
 static bool
 has_unknown_starts (const HsRuns *runs)
 {
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -159,6 +159,10 @@
  *  milliseconds: the last one, unless it may be renewed. */
 int64_t hs_runs_next_lease_end (HsRuns *runs, HsTime now);
 
+/** Ends the runs of an unresponsive target once their lease has expired on the
+ *  target's own clock. */
+void hs_runs_check_lease (HsRuns *runs, HsTime now);
+
 /** Sends polls that are due.
  *  @return when the next one is */
 HsTime hs_runs_send_due_polls (HsRuns *runs, HsTime now);
