Look for a pause before each event too, not only where the loop waits

The entry's log has the line of the job before that of the pause.

Cause: the entry was stopped while it handled events, not while it waited. When it went on, the same turn of the loop accepted and read the request, before the loop came to wait again, where the pause was looked for.

Change: handlers of requests, messages, timers and calls compare the clock too, as they did before, with the time at which the loop last waited or looked.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -42,6 +42,7 @@
 static void exit_when_idle (HsDirectAgent *agent, HsTime now);
 static void log_target_state (HsDirectAgent *agent);
 static void on_pause (void *arg, HsTime length, HsTime now);
+static void handle_pause (HsDirectAgent *agent);
 static void on_term (struct tevent_context *ev,
                      struct tevent_signal *se,
                      int number,
@@ -166,6 +167,7 @@
   HsDirectAgent *agent = arg;
   const HsRunKey *key = hs_runs_key (agent->runs, run);
 
+  handle_pause (agent);
   if (result != HS_TARGET_OK && key != NULL)
     hs_event ("start_result", "job=%s step=%u task=%u attempt=%u result=%s",
               key->job, key->step, key->index, key->attempt,
@@ -182,6 +184,7 @@
 {
   HsDirectAgent *agent = arg;
 
+  handle_pause (agent);
   hs_runs_poll_done (agent->runs, number, result, list, hs_now ().mono);
   hs_direct_agent_schedule (agent);
 }
@@ -276,6 +279,7 @@
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
 {
   (void) call;
+  handle_pause (arg);
   hs_agent_links_handle_call (arg, conn, proc, args);
 }
 
@@ -331,7 +335,7 @@
     return false;
   hs_event_init (agent->settings->host);
   agent->incarnation = hs_process_new_incarnation ();
-  hs_process_watch_pauses (process, agent->ev, on_pause, agent);
+  agent->pause_watch = hs_pause_watch_new (process, agent->ev, on_pause, agent);
   create_metrics (agent);
   options.lease = MIN (agent->settings->max_lease, HS_LEASE_MAX);
   options.stop_timeout = agent->settings->stop_timeout;
@@ -412,6 +416,7 @@
 {
   AgentProcess *process = arg;
 
+  handle_pause (&process->agent);
   do_due_work (process);
 }
 
@@ -522,6 +527,13 @@
   hs_agent_links_resume (arg, now);
 }
 
+/* To be called before an event is handled that may have waited. */
+static void
+handle_pause (HsDirectAgent *agent)
+{
+  hs_pause_watch_check (agent->pause_watch, hs_now ().mono);
+}
+
 static void
 on_term (struct tevent_context *ev,
          struct tevent_signal *se,
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -8,6 +8,7 @@
 #include "base/timer.h"
 #include "direct/dialer.h"
 #include "direct/entry_lookup.h"
+#include "direct/process.h"
 #include "direct/runs.h"
 #include "metrics/metrics.h"
 #include "platform/settings.h"
@@ -96,6 +97,7 @@
   HsStore *store;
   HsEntryLookup lookup; /**< Of the entries' addresses. */
   HsTimer *timer;
+  HsPauseWatch *pause_watch;
   struct tevent_immediate *work_immediate; /**< Runs the work that is due. */
   bool work_scheduled;
   bool leaving; /**< Stopping: accepts no new tasks. */
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -35,7 +35,7 @@
 static void run_due_work (HsDirectEntry *entry);
 static void check_drain (HsDirectEntry *entry, HsTime now);
 static void on_pause (void *arg, HsTime length, HsTime now);
-static void end_overdue_jobs (HsDirectEntry *entry);
+static void handle_pause (HsDirectEntry *entry);
 static void on_stop_signal (struct tevent_context *ev,
                             struct tevent_signal *se,
                             int number,
@@ -175,7 +175,7 @@
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
 {
   (void) call;
-  end_overdue_jobs (arg);
+  handle_pause (arg);
   hs_entry_links_handle_call (arg, conn, proc, args);
 }
 
@@ -231,7 +231,7 @@
     return false;
   hs_event_init (entry->settings->host);
   entry->incarnation = hs_process_new_incarnation ();
-  hs_process_watch_pauses (entry, entry->ev, on_pause, entry);
+  entry->pause_watch = hs_pause_watch_new (entry, entry->ev, on_pause, entry);
   register_metrics (entry);
   entry->targets = hs_targets_new (entry);
   entry->jobs
@@ -320,7 +320,7 @@
 static void
 on_timer (void *arg)
 {
-  end_overdue_jobs (arg);
+  handle_pause (arg);
   run_due_work (arg);
 }
 
@@ -388,15 +388,18 @@
   hs_entry_links_resume (entry, now);
 }
 
-/* After a pause, jobs that are overdue end before anything else is done for
-   them. */
+/* To be called before an event is handled: after a pause, jobs that are overdue
+   end before anything else is done for them. */
 static void
-end_overdue_jobs (HsDirectEntry *entry)
+handle_pause (HsDirectEntry *entry)
 {
+  HsTime now = hs_now ().mono;
+
+  hs_pause_watch_check (entry->pause_watch, now);
   if (!entry->paused)
     return;
   entry->paused = false;
-  hs_jobs_tick (entry->jobs, hs_now ().mono);
+  hs_jobs_tick (entry->jobs, now);
 }
 
 static void
@@ -428,7 +431,7 @@
 static void
 on_request (void *arg, const HsCallerRequest *request)
 {
-  end_overdue_jobs (arg);
+  handle_pause (arg);
   hs_entry_handle_request (arg, request);
 }
 
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -73,6 +73,7 @@
   HsTargets *targets;
   HsJobs *jobs;
   HsTimer *timer;
+  HsPauseWatch *pause_watch;
   struct tevent_immediate *work_immediate;
   /** After a pause of the process: jobs submitted until then may have waited in
    *  a socket buffer and are refused. */
--- a/src/direct/process.c
+++ b/src/direct/process.c
@@ -11,12 +11,12 @@
 /** The store answers in 4 ms, and in 50 times that when it is slow. */
 #define STORE_TIMEOUT (1200 * HS_MSEC)
 
-typedef struct
+struct HsPauseWatch
 {
   HsPauseFunc paused;
   void *arg;
   HsTime seen_at; /* When the event loop last waited or stopped waiting. */
-} PauseWatch;
+};
 
 struct HsSettingsWatch
 {
@@ -46,32 +46,37 @@
   return n;
 }
 
-/* The loop never waits or works for HS_PAUSE_MIN on end. */
 static void
 on_loop_step (enum tevent_trace_point point, void *arg)
 {
-  PauseWatch *watch = arg;
-  HsTime now = hs_now ().mono;
-  HsTime length = now - watch->seen_at;
-
   (void) point;
-  watch->seen_at = now;
-  if (length >= HS_PAUSE_MIN)
-    watch->paused (watch->arg, length, now);
+  hs_pause_watch_check (arg, hs_now ().mono);
 }
 
-void
-hs_process_watch_pauses (TALLOC_CTX *ctx,
-                         struct tevent_context *ev,
-                         HsPauseFunc paused,
-                         void *arg)
+HsPauseWatch *
+hs_pause_watch_new (TALLOC_CTX *ctx,
+                    struct tevent_context *ev,
+                    HsPauseFunc paused,
+                    void *arg)
 {
-  PauseWatch *watch = talloc_zero (ctx, PauseWatch);
+  HsPauseWatch *watch = talloc_zero (ctx, HsPauseWatch);
 
   watch->paused = paused;
   watch->arg = arg;
   watch->seen_at = hs_now ().mono;
   tevent_set_trace_callback (ev, on_loop_step, watch);
+  return watch;
+}
+
+/* The loop never waits or works for HS_PAUSE_MIN on end. */
+void
+hs_pause_watch_check (HsPauseWatch *watch, HsTime now)
+{
+  HsTime length = now - watch->seen_at;
+
+  watch->seen_at = now;
+  if (length >= HS_PAUSE_MIN)
+    watch->paused (watch->arg, length, now);
 }
 
 HsStore *
--- a/src/direct/process.h
+++ b/src/direct/process.h
@@ -24,11 +24,18 @@
  *  came meanwhile are handled. It may not free watched sockets. */
 typedef void (*HsPauseFunc) (void *arg, HsTime length, HsTime now);
 
-/** Detects that the process was paused, for HS_PAUSE_MIN or longer. */
-void hs_process_watch_pauses (TALLOC_CTX *ctx,
-                              struct tevent_context *ev,
-                              HsPauseFunc paused,
-                              void *arg);
+typedef struct HsPauseWatch HsPauseWatch;
+
+/** Detects that the process was paused, for HS_PAUSE_MIN or longer, when the
+ * event loop begins and ends to wait. */
+HsPauseWatch *hs_pause_watch_new (TALLOC_CTX *ctx,
+                                  struct tevent_context *ev,
+                                  HsPauseFunc paused,
+                                  void *arg);
+
+/** Detects a pause since then; to be called before what may have waited
+ *  meanwhile is handled. */
+void hs_pause_watch_check (HsPauseWatch *watch, HsTime now);
 
 /** Creates a client of the platform's store.
  *  @param settings have the address of the store */
