Log what ended a run, and lists that overtake each other

A run that was ended wrongly showed in the log only as how=lapsed: whether a list, a lease, another incarnation or a fence had ended it, and which poll's, could not be told. task_end now has the evidence, the number of the last poll answered with the target's clock, the first poll sent after the start, and the first poll that had to list the run; list_overtaken tells lists that arrive in another order than their polls or than the target's clock.

No decision changes.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -100,13 +100,19 @@
               const hsx_end *end)
 {
   HsDirectAgent *agent = arg;
+  const HsEvidence *evidence = hs_runs_last_evidence (agent->runs);
 
   hs_event ("task_end",
             "job=%s step=%u task=%u attempt=%u ref=%016" PRIx64
-            " entry=%016" PRIx64 " how=%s reason=%s run_ms=%.1f",
+            " entry=%016" PRIx64 " how=%s reason=%s run_ms=%.1f evidence=%s"
+            " poll=%u list_clock=%" PRId64 " start_poll=%u first_poll=%u"
+            " shown_clock=%" PRId64,
             key->job, key->step, key->index, key->attempt, end->ref,
             agent->entries[entry].incarnation, hs_end_name (end->how),
-            hs_refusal_name (end->reason), end->run_us / 1000.0);
+            hs_refusal_name (end->reason), end->run_us / 1000.0,
+            hs_evidence_name (evidence->kind), evidence->poll,
+            evidence->list_clock_ms, evidence->start_poll, evidence->first_poll,
+            evidence->shown_clock_ms);
   hs_counter_add (agent->end_counters[end->how], 0, 1);
   if (end->how == HSX_END_DONE)
     hs_histogram_record (agent->run_times, end->run_us);
@@ -176,6 +182,28 @@
   hs_direct_agent_schedule (agent);
 }
 
+/* Logs lists that arrive in another order than that of their polls or of the
+   target's clock. */
+static void
+note_list_order (HsDirectAgent *agent,
+                 uint32_t number,
+                 const HsTargetList *list)
+{
+  bool same = list->started_ms == agent->last_list_started_ms;
+
+  if (same
+      && (number < agent->last_list_poll
+          || list->clock_ms < agent->last_list_clock_ms))
+    hs_event ("list_overtaken",
+              "poll=%u clock=%" PRId64 " running=%zu after_poll=%u"
+              " after_clock=%" PRId64,
+              number, list->clock_ms, list->n_running, agent->last_list_poll,
+              agent->last_list_clock_ms);
+  agent->last_list_poll = number;
+  agent->last_list_started_ms = list->started_ms;
+  agent->last_list_clock_ms = list->clock_ms;
+}
+
 static void
 on_polled (void *arg,
            uint32_t number,
@@ -185,6 +213,8 @@
   HsDirectAgent *agent = arg;
 
   handle_pause (agent);
+  if (result == HS_TARGET_OK)
+    note_list_order (agent, number, list);
   hs_runs_poll_done (agent->runs, number, result, list, hs_now ().mono);
   hs_direct_agent_schedule (agent);
 }
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -106,6 +106,11 @@
   bool done;         /**< The event loop may end. */
   hsx_target_state reported_state; /**< In the last reports to the entries. */
   hsx_target_state logged_state;   /**< In the last `target_state` line. */
+  /** Poll, target's incarnation and target's clock of the last list, for log
+   *  lines. */
+  uint32_t last_list_poll;
+  int64_t last_list_started_ms;
+  int64_t last_list_clock_ms;
   HsAgentEntry entries[HS_ENTRIES_MAX];
   HsMetrics *metrics;
   HsCounter *end_counters[HSX_END_SLOW + 1]; /**< By hsx_end_how. */
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -73,6 +73,19 @@
   return how >= HSX_END_DONE && how <= HSX_END_SLOW ? names[how] : "other";
 }
 
+const char *
+hs_evidence_name (HsEvidenceKind kind)
+{
+  static const char *const names[] = {
+    [HS_EVIDENCE_NONE] = "none",     [HS_EVIDENCE_ANSWER] = "answer",
+    [HS_EVIDENCE_LISTED] = "listed", [HS_EVIDENCE_MISSING] = "missing",
+    [HS_EVIDENCE_FENCED] = "fenced", [HS_EVIDENCE_REPLACED] = "replaced",
+    [HS_EVIDENCE_LEASE] = "lease",
+  };
+
+  return names[kind];
+}
+
 const char *
 hs_target_result_name (HsTargetResult result)
 {
@@ -301,7 +314,8 @@
     case HS_TARGET_OUTDATED:
       if (run->stop_requested)
         {
-          hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_NONE, now);
+          hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_NONE,
+                      HS_EVIDENCE_ANSWER, now);
           return;
         }
       run->key.attempt++;
@@ -312,21 +326,23 @@
     case HS_TARGET_REPLACED:
       if (run->endpoint == runs->endpoint)
         runs->target_lost = true;
-      hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET, now);
+      hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET,
+                  HS_EVIDENCE_ANSWER, now);
       return;
     case HS_TARGET_FULL:
     case HS_TARGET_UNHEALTHY:
     case HS_TARGET_INVALID:
     case HS_TARGET_UNSENT:
     case HS_TARGET_NO_LISTENER:
-      hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET, now);
+      hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET,
+                  HS_EVIDENCE_ANSWER, now);
       return;
     }
   if (run->stop_requested || run->n_start_calls >= START_CALLS_MAX
       || now >= run->deadline || !runs->list_known)
     hs_run_end (runs, run,
                 run->stop_requested ? HSX_END_STOPPED : HSX_END_REFUSED,
-                HS_REFUSAL_TARGET, now);
+                HS_REFUSAL_TARGET, HS_EVIDENCE_ANSWER, now);
   else
     hs_run_call_start (runs, run, now);
 }
@@ -407,6 +423,12 @@
   return &runs->runs[run].key;
 }
 
+const HsEvidence *
+hs_runs_last_evidence (const HsRuns *runs)
+{
+  return &runs->evidence;
+}
+
 uint32_t
 hs_runs_count (const HsRuns *runs)
 {
@@ -418,12 +440,17 @@
             HsRun *run,
             hsx_end_how how,
             HsRefusal reason,
+            HsEvidenceKind evidence,
             HsTime now)
 {
   hsx_end end = { .ref = run->ref, .how = how, .reason = reason };
   HsRunKey key = run->key;
   uint32_t entry = run->entry;
 
+  runs->evidence.kind = evidence;
+  runs->evidence.start_poll = run->start_poll;
+  runs->evidence.first_poll = run->first_poll;
+  runs->evidence.shown_clock_ms = run->shown_clock_ms;
   /* Its start call may have renewed the lease without having been answered. */
   if (run->state == HS_RUN_STARTING)
     runs->renewed_at = MAX (runs->renewed_at, run->called_at);
@@ -455,6 +482,7 @@
   run->may_have_run = false;
   run->endpoint = runs->endpoint;
   run->called_at = now;
+  run->start_poll = runs->next_poll;
   run->n_start_calls++;
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
 }
@@ -578,6 +606,7 @@
 {
   hsx_end end = { .ref = ref, .how = HSX_END_REFUSED, .reason = reason };
 
+  runs->evidence = (HsEvidence){ .kind = HS_EVIDENCE_NONE };
   runs->effects->ended (runs->arg, entry, key, &end);
 }
 
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -34,9 +34,35 @@
   HS_REFUSAL_DEADLINE    /**< The job's deadline has passed. */
 } HsRefusal;
 
+/** What showed that a run is over. */
+typedef enum
+{
+  HS_EVIDENCE_NONE,     /**< It was refused before it was started. */
+  HS_EVIDENCE_ANSWER,   /**< The answer to its start. */
+  HS_EVIDENCE_LISTED,   /**< A list has its end. */
+  HS_EVIDENCE_MISSING,  /**< It was running, and a list doesn't have it. */
+  HS_EVIDENCE_FENCED,   /**< Its start had no answer, and the list of a poll
+                             with a raised token doesn't have it. */
+  HS_EVIDENCE_REPLACED, /**< Another incarnation answered a poll. */
+  HS_EVIDENCE_LEASE     /**< The lease has expired. */
+} HsEvidenceKind;
+
+typedef struct
+{
+  HsEvidenceKind kind;
+  uint32_t poll;          /**< The last poll answered. */
+  int64_t list_clock_ms;  /**< The target's clock in that answer; 0: none. */
+  uint32_t start_poll;    /**< The first poll sent after the start. */
+  uint32_t first_poll;    /**< The first poll that had to list the run; 0: it
+                               wasn't known to run. */
+  int64_t shown_clock_ms; /**< The target's clock in the list that showed the
+                               run first; 0: its start was answered. */
+} HsEvidence;
+
 /** Names for log lines. */
 const char *hs_refusal_name (HsRefusal refusal);
 const char *hs_end_name (hsx_end_how how);
+const char *hs_evidence_name (HsEvidenceKind kind);
 
 typedef struct
 {
@@ -177,6 +203,9 @@
 /** The key of a run, for log lines; NULL if the run has ended. */
 const HsRunKey *hs_runs_key (const HsRuns *runs, uint32_t run);
 
+/** What ended the last run that ended, for log lines; valid during `ended`. */
+const HsEvidence *hs_runs_last_evidence (const HsRuns *runs);
+
 /** The last crash of the target, owned by @p runs; NULL before the first. */
 const HsCrash *hs_runs_last_crash (const HsRuns *runs);
 
--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -59,7 +59,8 @@
       HsRun *run = &runs->runs[i];
 
       if (run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
+                    HS_EVIDENCE_LEASE, now);
     }
 }
 
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -108,6 +108,8 @@
 
   if (runs->polls_in_flight > 0)
     runs->polls_in_flight--;
+  runs->evidence.poll = number;
+  runs->evidence.list_clock_ms = list != NULL ? list->clock_ms : 0;
   /* It was sent to an earlier target. */
   if (result == HS_TARGET_REPLACED && number <= runs->newest_poll)
     return;
@@ -222,7 +224,8 @@
 
       if ((run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
           && run->endpoint == runs->endpoint)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
+                    HS_EVIDENCE_REPLACED, now);
     }
 }
 
@@ -314,7 +317,7 @@
         how = run->stop_reported_as;
       if (run->started_at == 0)
         run->started_at = run->called_at;
-      hs_run_end (runs, run, how, HS_REFUSAL_NONE, now);
+      hs_run_end (runs, run, how, HS_REFUSAL_NONE, HS_EVIDENCE_LISTED, now);
     }
 }
 
@@ -349,6 +352,7 @@
           run->percent = -1;
           run->progress_at = now;
           run->first_poll = number;
+          run->shown_clock_ms = list->clock_ms;
           if (run->stop_requested)
             hs_run_call_stop (runs, run, now);
         }
@@ -364,7 +368,8 @@
 
       if ((run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
           && !run->listed && run->first_poll <= number)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
+                    HS_EVIDENCE_MISSING, now);
     }
 }
 
@@ -437,11 +442,14 @@
       if (run->state != HS_RUN_START_UNKNOWN || run->fence_token > token)
         continue;
       if (run->stop_requested)
-        hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED, now);
+        hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED,
+                    HS_EVIDENCE_FENCED, now);
       else if (run->may_have_run)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE, now);
+        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
+                    HS_EVIDENCE_FENCED, now);
       else
-        hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_UNANSWERED, now);
+        hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_UNANSWERED,
+                    HS_EVIDENCE_FENCED, now);
     }
 }
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -46,6 +46,9 @@
                                poll with this token resolves it. */
   uint32_t first_poll;    /**< In HS_RUN_RUNNING: this poll and later ones
                                have to list it. */
+  uint32_t start_poll;    /**< The first poll after the last start call. */
+  int64_t shown_clock_ms; /**< Of the list that ended HS_RUN_START_UNKNOWN; 0:
+                               none. */
   uint32_t n_start_calls; /**< So far. */
   bool stop_requested;
   bool may_have_run;  /**< In HS_RUN_START_UNKNOWN: the incarnation that was
@@ -111,6 +114,7 @@
   bool crash_reported;      /**< The crash of this incarnation was reported. */
   HsCrash snapshot;         /**< What ran when the target stopped answering. */
   HsCrash crash;            /**< The last one that was reported. */
+  HsEvidence evidence;      /**< Of the last end. */
   HsStartRates *start_rates;
   HsOffers offers;
   HsBreaker breaker;
@@ -124,6 +128,7 @@
                  HsRun *run,
                  hsx_end_how how,
                  HsRefusal reason,
+                 HsEvidenceKind evidence,
                  HsTime now);
 
 /** Calls the target to start a run. */
