Reproduce two runs of one task: lists that overtake each other

The model of the target takes a poll and writes its list in two steps, and the random test plays calls and answers that are under way on connections of their own: lists and answers arrive in another order than they were written, connections break after a call was carried out, polls wait at the target.

Why the random test missed it: it delivered each list at the moment at which the target wrote it, and a call without an answer was carried out 40 ms after it was sent or never.

--- a/test/target_model.c
+++ b/test/target_model.c
@@ -123,9 +123,19 @@
                       HsTargetList *list,
                       HsTime now)
 {
-  guint i;
+  HsTargetResult result = hs_target_model_receive_poll (model, poll, now);
 
   memset (list, 0, sizeof *list);
+  if (result == HS_TARGET_OK)
+    hs_target_model_write_list (model, list, now);
+  return result;
+}
+
+HsTargetResult
+hs_target_model_receive_poll (HsTargetModel *model,
+                              const HsTargetPoll *poll,
+                              HsTime now)
+{
   hs_target_model_advance (model, now);
   if (poll->token < model->token)
     return HS_TARGET_FENCED;
@@ -135,6 +145,18 @@
   while (model->ends->len > 0
          && g_array_index (model->ends, HsListedEnd, 0).number <= poll->acked)
     g_array_remove_index (model->ends, 0);
+  return HS_TARGET_OK;
+}
+
+void
+hs_target_model_write_list (HsTargetModel *model,
+                            HsTargetList *list,
+                            HsTime now)
+{
+  guint i;
+
+  memset (list, 0, sizeof *list);
+  hs_target_model_advance (model, now);
   list->clock_ms = clock_ms (model, now);
   list->started_ms = model->started_ms;
   list->n_running = model->runs->len;
@@ -151,7 +173,6 @@
   list->ends = g_new0 (HsListedEnd, model->ends->len + 1);
   for (i = 0; i < model->ends->len; i++)
     list->ends[i] = g_array_index (model->ends, HsListedEnd, i);
-  return HS_TARGET_OK;
 }
 
 static bool
--- a/test/target_model.h
+++ b/test/target_model.h
@@ -64,4 +64,13 @@
                                      HsTargetList *list,
                                      HsTime now);
 
+/** The two parts of hs_target_model_poll(): what the target does when a poll
+ *  arrives, and the list that it writes once the wait is over. */
+HsTargetResult hs_target_model_receive_poll (HsTargetModel *model,
+                                             const HsTargetPoll *poll,
+                                             HsTime now);
+void hs_target_model_write_list (HsTargetModel *model,
+                                 HsTargetList *list,
+                                 HsTime now);
+
 #endif
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -106,6 +106,13 @@
     = { on_start, on_abandon_start, on_stop,    on_poll,
         on_ended, on_changed,       on_offered, on_crashed };
 
+static void
+free_list (HsTargetList *list)
+{
+  g_free (list->running);
+  g_free (list->ends);
+}
+
 /* Answers the oldest poll. */
 static void
 answer_poll (void)
@@ -118,10 +125,7 @@
   hs_runs_poll_done (runs, polls[0].number, result,
                      result == HS_TARGET_OK ? &list : NULL, now);
   if (result == HS_TARGET_OK)
-    {
-      g_free (list.running);
-      g_free (list.ends);
-    }
+    free_list (&list);
   n_polls--;
   memmove (polls, polls + 1, n_polls * sizeof *polls);
 }
@@ -534,6 +538,45 @@
   assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_UNKNOWN);
 }
 
+/* Guards against a task that runs twice at a time: the list of a later poll may
+   have been written before a start that the list of an earlier poll shows. */
+static void
+lists_that_overtake_each_other_end_no_run (void **state)
+{
+  HsTargetList earlier;
+  HsTargetList later;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  advance (0);
+  call = pop_start ();
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (0);
+  assert_int_equal (n_polls, 2);
+  hs_target_model_receive_poll (&model, &polls[0], now);
+  hs_target_model_receive_poll (&model, &polls[1], now);
+  hs_target_model_write_list (&model, &later, now);
+  launch ("b", 0, 8);
+  call = pop_start ();
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  hs_target_model_write_list (&model, &earlier, now);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &earlier, now);
+  hs_runs_poll_done (runs, polls[1].number, HS_TARGET_OK, &later, now);
+  free_list (&earlier);
+  free_list (&later);
+  n_polls = 0;
+  /* The start that had been fenced off, and not the run. */
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].ref, 7);
+  advance (200 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 2);
+  assert_int_equal (ends[1].ref, 8);
+  assert_int_equal (ends[1].how, HSX_END_DONE);
+}
+
 static void
 an_announcement_of_an_earlier_incarnation_is_ignored (void **state)
 {
@@ -1250,6 +1293,7 @@
     TEST (a_late_departure_ends_no_run),
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
+    TEST (lists_that_overtake_each_other_end_no_run),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
     TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -3,7 +3,9 @@
    hang, target and agent restart, the capacity shrinks and grows, and entries
    get offers and get lost. A start must never exceed the capacity, each launch
    has to end exactly once, and none may be reported as over while it runs or
-   before it starts. */
+   before it starts. With `crossing`, calls and answers are under way on
+   connections of their own: a list may arrive after one that was written later,
+   and a connection may break after the call was carried out. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -29,6 +31,11 @@
 #define PENDING_MAX 4096
 #define REFS_MAX 8192
 
+/** With `crossing`: time between events, so that several calls and answers are
+ *  under way at once, and how long an answer takes. */
+#define CROSSING_STEP_TIME (500 * HS_USEC)
+#define ANSWER_TRANSIT_MAX (6 * HS_MSEC)
+
 /** Calls that take longer are carried out late. */
 #define TRANSIT_MAX (3 * HS_MSEC)
 #define MESSAGES_MAX 256
@@ -46,6 +53,14 @@
   ORDER_POLL
 } OrderKind;
 
+/* Where a call is, with `crossing`. */
+typedef enum
+{
+  PHASE_REQUEST, /* On its way to the target. */
+  PHASE_WAITING, /* A poll that waits there for a run to end. */
+  PHASE_ANSWER   /* Its answer is on its way. */
+} Phase;
+
 /* A call to the target in flight. */
 typedef struct
 {
@@ -64,6 +79,9 @@
   bool abandoned;
   HsTime due;
   HsTime timeout_at;
+  Phase phase;
+  HsTargetResult result; /* In PHASE_ANSWER. */
+  HsTargetList list;     /* In PHASE_ANSWER, of a poll. */
 } Order;
 
 /* A message of the target to its agent that is under way for long. */
@@ -101,6 +119,7 @@
   bool mixed_incarnations;
   LateMessage late[MESSAGES_MAX];
   uint32_t n_late;
+  bool crossing;
   bool crashes;      /* The target is down for a while when it crashes. */
   HsTime down_until; /* 0: it is up. */
   uint8_t ran_at_crash[REFS_MAX];
@@ -115,6 +134,29 @@
   return prng_below (&world.random, n);
 }
 
+/* A call that gets no answer is lost, is carried out late, or its connection
+   breaks at any time after it was sent. */
+static void
+send_crossing_order (Order order, uint32_t timeout_ms)
+{
+  order.due = world.now + pick (3000) * HS_USEC;
+  order.timeout_at = world.now + timeout_ms * HS_MSEC;
+  if (order.unanswered)
+    switch (pick (3))
+      {
+      case 0:
+        order.timeout_at = world.now + pick (6000) * HS_USEC;
+        break;
+      case 1:
+        order.due = world.now + (40 + pick (900)) * HS_MSEC;
+        break;
+      default:
+        order.due = HS_NEVER;
+      }
+  assert_true (world.n_pending < PENDING_MAX);
+  world.pending[world.n_pending++] = order;
+}
+
 static void
 send_order (Order order)
 {
@@ -126,6 +168,11 @@
   order.sent_at = world.now;
   order.unanswered = pick (100) < world.lost_percent;
   order.due = world.now + pick (3) * HS_MSEC;
+  if (world.crossing)
+    {
+      send_crossing_order (order, timeout_ms);
+      return;
+    }
   if (order.kind == ORDER_POLL && !order.unanswered)
     order.due += pick (order.poll.wait_ms + 1) * HS_MSEC;
   if (order.unanswered && pick (2) == 0)
@@ -447,6 +494,127 @@
     }
 }
 
+static void
+report_result (Order *order)
+{
+  if (order->kind == ORDER_START)
+    hs_runs_start_done (world.runs, order->run, order->result, world.now);
+  else if (order->kind == ORDER_POLL)
+    hs_runs_poll_done (world.runs, order->poll.number, order->result,
+                       order->result == HS_TARGET_OK ? &order->list : NULL,
+                       world.now);
+}
+
+static void
+free_list (Order *order)
+{
+  g_free (order->list.running);
+  g_free (order->list.ends);
+  memset (&order->list, 0, sizeof order->list);
+}
+
+/* Takes a call one phase further.
+   @return false if nothing is left to do */
+static bool
+advance_order (Order *order)
+{
+  HsTime run_time;
+
+  switch (order->phase)
+    {
+    case PHASE_REQUEST:
+      if (order->expected_name != world.target_name)
+        order->result = HS_TARGET_REPLACED;
+      else if (order->kind == ORDER_STOP)
+        order->result = hs_target_model_stop (&world.model, &order->key,
+                                              order->token, world.now);
+      else if (order->kind == ORDER_START)
+        {
+          run_time = (5 + pick (80)) * HS_MSEC;
+          order->result
+              = hs_target_model_start (&world.model, &order->start, run_time,
+                                       false, order->cpu_milli, world.now);
+          if (order->result == HS_TARGET_OK)
+            {
+              check_capacity ();
+              check_start_allowed (&order->start.key);
+            }
+        }
+      else
+        {
+          order->result = hs_target_model_receive_poll (
+              &world.model, &order->poll, world.now);
+          if (order->result == HS_TARGET_OK)
+            {
+              order->phase = PHASE_WAITING;
+              order->due = world.now + pick (order->poll.wait_ms + 1) * HS_MSEC;
+              return true;
+            }
+        }
+      break;
+    case PHASE_WAITING:
+      hs_target_model_write_list (&world.model, &order->list, world.now);
+      break;
+    case PHASE_ANSWER:
+      if (!order->abandoned
+          && order->agent_incarnation == world.agent_incarnation)
+        report_result (order);
+      free_list (order);
+      return false;
+    }
+  order->phase = PHASE_ANSWER;
+  order->due = order->unanswered || order->kind == ORDER_STOP
+                   ? HS_NEVER
+                   : world.now + pick (ANSWER_TRANSIT_MAX);
+  return true;
+}
+
+/* Connections of calls whose target has ended break. */
+static void
+deliver_crossing_orders (void)
+{
+  uint32_t i = 0;
+
+  while (i < world.n_pending)
+    {
+      Order *order = &world.pending[i];
+      Order reported = *order;
+      bool over = false;
+
+      if (order->target_incarnation != world.target_incarnation
+          && order->phase == PHASE_WAITING)
+        order->timeout_at = order->due = MIN (order->due, world.now);
+      if (!order->abandoned && world.now >= order->timeout_at)
+        {
+          order->abandoned = true;
+          reported.result = HS_TARGET_UNANSWERED;
+          if (order->agent_incarnation == world.agent_incarnation)
+            report_result (&reported);
+        }
+      order = &world.pending[i];
+      if (world.now >= order->due)
+        {
+          if (order->target_incarnation != world.target_incarnation
+              && (order->phase == PHASE_WAITING
+                  || order->due - order->sent_at >= TRANSIT_MAX)
+              && order->phase != PHASE_ANSWER)
+            over = true;
+          else
+            over = !advance_order (order);
+        }
+      order = &world.pending[i];
+      over |= order->due == HS_NEVER
+              && (order->abandoned || order->kind == ORDER_STOP);
+      if (!over)
+        {
+          i++;
+          continue;
+        }
+      free_list (order);
+      world.pending[i] = world.pending[--world.n_pending];
+    }
+}
+
 /* The target crashes, and starts again up to 1.5 s later. */
 static void
 crash_target (void)
@@ -642,16 +810,33 @@
   restart_target ();
 }
 
+static void
+pass_time (HsTime span)
+{
+  HsTime end = world.now + span;
+
+  while (world.now < end)
+    {
+      world.now += world.crossing ? CROSSING_STEP_TIME : span;
+      hs_target_model_advance (&world.model, world.now);
+      if (world.crossing)
+        deliver_crossing_orders ();
+      else
+        deliver_orders ();
+    }
+}
+
 /* Ends aren't reported to lost entries; for their launches the count of runs
    shows that none of them still holds resources. */
 static void
-run_seed (uint32_t seed, bool mixed_incarnations, bool crashes)
+run_seed (uint32_t seed, bool mixed_incarnations, bool crashes, bool crossing)
 {
   int step;
 
   memset (&world, 0, sizeof world);
   world.mixed_incarnations = mixed_incarnations;
   world.crashes = crashes;
+  world.crossing = crossing;
   world.random = prng_seeded (seed);
   world.seed = seed;
   world.capacity = CAPACITY;
@@ -660,9 +845,7 @@
   start_agent ();
   for (step = 0; step < STEPS; step++)
     {
-      world.now += STEP_TIME;
-      hs_target_model_advance (&world.model, world.now);
-      deliver_orders ();
+      pass_time (crossing ? CROSSING_STEP_TIME : STEP_TIME);
       deliver_late_messages ();
       end_downtime ();
       if (pick (3) != 0)
@@ -677,9 +860,7 @@
   world.mixed_incarnations = false;
   for (step = 0; step < 3000; step++)
     {
-      world.now += STEP_TIME;
-      hs_target_model_advance (&world.model, world.now);
-      deliver_orders ();
+      pass_time (STEP_TIME);
       deliver_late_messages ();
       end_downtime ();
       if (step % ANNOUNCE_STEPS == 0)
@@ -692,6 +873,8 @@
   if (hs_runs_target_state (world.runs) != HSX_TARGET_READY)
     fail_msg ("seed %u: target state is %d at the end", seed,
               (int) hs_runs_target_state (world.runs));
+  while (world.n_pending > 0)
+    free_list (&world.pending[--world.n_pending]);
   talloc_free (world.ctx);
   world.ctx = NULL;
   hs_target_model_clear (&world.model);
@@ -704,7 +887,7 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, false, false);
+    run_seed (seed, false, false, false);
 }
 
 /* Guards against a task that runs twice at a time: what an earlier incarnation
@@ -716,7 +899,7 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, true, false);
+    run_seed (seed, true, false, false);
 }
 
 /* Guards against sound jobs that are answered as failed: a task is counted as
@@ -729,17 +912,31 @@
   (void) state;
   n_certain = 0;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, false, true);
+    run_seed (seed, false, true, false);
   assert_true (n_certain > SEEDS);
 }
 
+/* Guards against a task that runs twice at a time: a list that was written
+   before a run started ended it, as it arrived after one that showed the run.
+ */
+static void
+lists_that_overtake_each_other_end_no_run (void **state)
+{
+  uint32_t seed;
+
+  (void) state;
+  for (seed = 0; seed < SEEDS; seed++)
+    run_seed (seed, false, false, true);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (capacity_is_never_exceeded_and_every_launch_ends),
     cmocka_unit_test (messages_of_earlier_incarnations_end_no_run),
-    cmocka_unit_test (only_tasks_that_ran_are_named_as_certain_with_a_crash)
+    cmocka_unit_test (only_tasks_that_ran_are_named_as_certain_with_a_crash),
+    cmocka_unit_test (lists_that_overtake_each_other_end_no_run)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
