End a run by its absence only from a list asked for after it was known to run

Callers saw one task running twice at the same time.

Cause: an agent has up to three polls in flight on different connections, and took their numbers for the order in which the target wrote its lists. A run whose start had got no answer, and which a list then showed, was taken as running "from this poll on". The list of a later poll that the target had written before it carried out the start then ended the run 1 to 2 ms later (how=lapsed), and its entry started the task elsewhere while it went on.

Fix: a list shows the target at one moment between the sending of its poll and the arrival of its answer, nothing narrower. A run has to be in the lists of polls that were sent after the agent knew that it runs. A list is no longer ignored because a later poll was answered first, as every conclusion drawn from it holds by itself; only the rows of runs that the agent doesn't know need an order, which the target's clock in the list gives. Lists of polls sent before another incarnation was known are still ignored (foreign_poll).

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -149,8 +149,7 @@
     {
       runs->endpoint++;
       runs->n_failed_polls = 0;
-      /* Polls sent before may have been answered by another incarnation. */
-      runs->newest_poll = runs->next_poll - 1;
+      hs_runs_distrust_sent_polls (runs);
     }
   runs->poll_not_before = MIN (runs->poll_not_before, now);
   runs->effects->changed (runs->arg);
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -55,6 +55,7 @@
 static void process_running (HsRuns *runs,
                              uint32_t number,
                              const HsTargetList *list,
+                             bool outdated,
                              HsTime now);
 static void check_progress (HsRuns *runs,
                             HsRun *run,
@@ -206,11 +207,18 @@
   runs->acked_end = 0;
   runs->target_clock_at = 0;
   runs->lease_until_ms = 0;
-  runs->newest_poll = runs->next_poll - 1;
+  hs_runs_distrust_sent_polls (runs);
   runs->token++;
   runs->poll_not_before = 0;
 }
 
+void
+hs_runs_distrust_sent_polls (HsRuns *runs)
+{
+  runs->foreign_poll = runs->next_poll - 1;
+  runs->newest_poll = runs->foreign_poll;
+}
+
 /* The target refuses calls to the incarnation that was announced last: its runs
    are over. Those of other incarnations may go on. */
 static void
@@ -255,7 +263,9 @@
   runs->effects->poll (runs->arg, &poll);
 }
 
-/* Returns whether the list tells of every run. */
+/* Lists arrive in any order, and poll numbers don't tell in which order they
+   were written: a poll may wait at the target while a later one is answered.
+   Returns whether the list tells of every run. */
 static bool
 process_list (HsRuns *runs,
               uint32_t number,
@@ -264,10 +274,11 @@
 {
   bool other
       = list->started_ms != 0 && list->started_ms != runs->listed_started_ms;
+  bool outdated;
 
   /* A clock that stepped makes the start of an incarnation no sign of its age:
      the order of the polls tells which incarnation answered last. */
-  if (number <= runs->newest_poll)
+  if (number <= runs->foreign_poll)
     {
       if (!other && list->started_ms == runs->target.started_ms)
         process_ends (runs, list, now);
@@ -286,10 +297,15 @@
       runs->listed_started_ms = list->started_ms;
     }
   runs->newest_poll = MAX (runs->newest_poll, number);
-  runs->target_clock_ms = list->clock_ms;
-  runs->target_clock_at = now;
+  outdated
+      = runs->target_clock_at != 0 && list->clock_ms < runs->target_clock_ms;
+  if (!outdated)
+    {
+      runs->target_clock_ms = list->clock_ms;
+      runs->target_clock_at = now;
+    }
   process_ends (runs, list, now);
-  process_running (runs, number, list, now);
+  process_running (runs, number, list, outdated, now);
   runs->list_known = true;
   return list->n_unreadable == 0;
 }
@@ -321,10 +337,13 @@
     }
 }
 
+/* @outdated: a later list has been processed, so that rows without a run are of
+   runs that have ended since */
 static void
 process_running (HsRuns *runs,
                  uint32_t number,
                  const HsTargetList *list,
+                 bool outdated,
                  HsTime now)
 {
   uint32_t unknown = (uint32_t) list->n_unreadable;
@@ -339,6 +358,8 @@
 
       if (run == NULL)
         {
+          if (outdated)
+            continue;
           unknown++;
           runs->effects->stop (runs->arg, &row->key, runs->token);
           continue;
@@ -351,17 +372,20 @@
           run->started_at = run->called_at;
           run->percent = -1;
           run->progress_at = now;
-          run->first_poll = number;
+          run->first_poll = runs->next_poll;
           run->shown_clock_ms = list->clock_ms;
           if (run->stop_requested)
             hs_run_call_stop (runs, run, now);
         }
-      check_progress (runs, run, row->percent, list->clock_ms * HS_MSEC, now);
+      if (!outdated)
+        check_progress (runs, run, row->percent, list->clock_ms * HS_MSEC, now);
     }
-  runs->n_unknown_runs = unknown;
+  if (!outdated)
+    runs->n_unknown_runs = unknown;
   if (list->n_unreadable > 0)
     return;
-  /* Runs that had started when the poll was sent and are in neither list. */
+  /* Runs that were known to have started when the poll was sent, and are in
+     neither list. */
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
       HsRun *run = &runs->runs[i];
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -44,7 +44,8 @@
   HsTime expected_time;
   uint64_t fence_token;   /**< In HS_RUN_START_UNKNOWN: the answer to a
                                poll with this token resolves it. */
-  uint32_t first_poll;    /**< In HS_RUN_RUNNING: this poll and later ones
+  uint32_t first_poll;    /**< In HS_RUN_RUNNING: the first poll sent after
+                               it was known to run. This one and later ones
                                have to list it. */
   uint32_t start_poll;    /**< The first poll after the last start call. */
   int64_t shown_clock_ms; /**< Of the list that ended HS_RUN_START_UNKNOWN; 0:
@@ -92,9 +93,10 @@
   int64_t lease_until_ms;  /**< The last lease requested of this target, on its
                                 clock. */
   uint32_t next_poll;
-  uint32_t newest_poll;     /**< Number of the newest poll answered, or of the
-                                 last one sent before another target was
-                                 announced or answered. */
+  uint32_t newest_poll;     /**< Number of the newest poll answered, at least
+                                 `foreign_poll`. */
+  uint32_t foreign_poll;    /**< Polls up to this one may have been answered by
+                                 another incarnation. */
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
@@ -157,6 +159,9 @@
  *  Runs don't end by that; see docs/design/evidence.md. */
 void hs_runs_forget_target (HsRuns *runs);
 
+/** Polls sent so far may have been answered by another incarnation. */
+void hs_runs_distrust_sent_polls (HsRuns *runs);
+
 /** Whether calls may renew the lease of what runs on the target. */
 bool hs_runs_may_renew_lease (const HsRuns *runs, HsTime now);
 
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -523,7 +523,9 @@
   switch (order->phase)
     {
     case PHASE_REQUEST:
-      if (order->expected_name != world.target_name)
+      if (world.down_until != 0)
+        order->result = HS_TARGET_NO_LISTENER;
+      else if (order->expected_name != world.target_name)
         order->result = HS_TARGET_REPLACED;
       else if (order->kind == ORDER_STOP)
         order->result = hs_target_model_stop (&world.model, &order->key,
@@ -531,6 +533,8 @@
       else if (order->kind == ORDER_START)
         {
           run_time = (5 + pick (80)) * HS_MSEC;
+          if (world.crashes)
+            run_time = MAX (run_time, EXPECTED_MS / 2 * HS_MSEC);
           order->result
               = hs_target_model_start (&world.model, &order->start, run_time,
                                        false, order->cpu_milli, world.now);
@@ -569,7 +573,8 @@
   return true;
 }
 
-/* Connections of calls whose target has ended break. */
+/* A call that the target hasn't carried out when it ends breaks off: its
+   connection isn't one to the next incarnation. */
 static void
 deliver_crossing_orders (void)
 {
@@ -582,8 +587,11 @@
       bool over = false;
 
       if (order->target_incarnation != world.target_incarnation
-          && order->phase == PHASE_WAITING)
-        order->timeout_at = order->due = MIN (order->due, world.now);
+          && order->phase != PHASE_ANSWER)
+        {
+          order->timeout_at = MIN (order->timeout_at, world.now);
+          order->due = HS_NEVER;
+        }
       if (!order->abandoned && world.now >= order->timeout_at)
         {
           order->abandoned = true;
@@ -593,15 +601,7 @@
         }
       order = &world.pending[i];
       if (world.now >= order->due)
-        {
-          if (order->target_incarnation != world.target_incarnation
-              && (order->phase == PHASE_WAITING
-                  || order->due - order->sent_at >= TRANSIT_MAX)
-              && order->phase != PHASE_ANSWER)
-            over = true;
-          else
-            over = !advance_order (order);
-        }
+        over = !advance_order (order);
       order = &world.pending[i];
       over |= order->due == HS_NEVER
               && (order->abandoned || order->kind == ORDER_STOP);
@@ -929,6 +929,18 @@
     run_seed (seed, false, false, true);
 }
 
+/* The same, with targets that crash, restart under other names, and whose
+   messages are late. */
+static void
+crossing_answers_of_several_incarnations_end_no_run (void **state)
+{
+  uint32_t seed;
+
+  (void) state;
+  for (seed = 0; seed < SEEDS; seed++)
+    run_seed (seed, true, seed % 2 == 0, true);
+}
+
 int
 main (void)
 {
@@ -936,7 +948,8 @@
     cmocka_unit_test (capacity_is_never_exceeded_and_every_launch_ends),
     cmocka_unit_test (messages_of_earlier_incarnations_end_no_run),
     cmocka_unit_test (only_tasks_that_ran_are_named_as_certain_with_a_crash),
-    cmocka_unit_test (lists_that_overtake_each_other_end_no_run)
+    cmocka_unit_test (lists_that_overtake_each_other_end_no_run),
+    cmocka_unit_test (crossing_answers_of_several_incarnations_end_no_run)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
