Don't say that a task never ran when a list leaves out ends

A start without an answer that the list of a poll with a raised token doesn't have was reported as never carried out. The list may leave out its end: a target lists 500 ends at a time, and rows that can't be read are passed over. Its job could then be answered 503, "has not run", though the task had run. It is reported as lapsed now, as after a crash: it may have run, and doesn't any more.

Test: a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran (test_direct_runs; with the condition switched off it fails, refused instead of lapsed), a_full_list_of_ends_may_leave_others_out (test_platform_wire).

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -64,7 +64,10 @@
                             HsTime now);
 static void
 check_progress_rate (HsRuns *runs, HsRun *run, HsTime listed, HsTime now);
-static void resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now);
+static void resolve_fenced_starts (HsRuns *runs,
+                                   uint64_t token,
+                                   const HsTargetList *list,
+                                   HsTime now);
 static bool has_unknown_starts (const HsRuns *runs);
 static HsTime retry_delay (const HsRuns *runs);
 
@@ -126,7 +129,7 @@
       /* After the list, which may be of another incarnation. */
       hs_runs_note_call_result (runs, result, now);
       if (complete)
-        resolve_fenced_starts (runs, token, now);
+        resolve_fenced_starts (runs, token, list, now);
       runs->effects->changed (runs->arg);
       return;
     }
@@ -453,9 +456,13 @@
 }
 
 /* Starts that are fenced off by the poll's token and aren't in its list will
-   never happen, and haven't happened unless another incarnation was called. */
+   never happen. They haven't happened either unless another incarnation was
+   called, or the list leaves out ends. */
 static void
-resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now)
+resolve_fenced_starts (HsRuns *runs,
+                       uint64_t token,
+                       const HsTargetList *list,
+                       HsTime now)
 {
   uint32_t i;
 
@@ -468,7 +475,7 @@
       if (run->stop_requested)
         hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED,
                     HS_EVIDENCE_FENCED, now);
-      else if (run->may_have_run)
+      else if (run->may_have_run || list->ends_incomplete)
         hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
                     HS_EVIDENCE_FENCED, now);
       else
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -86,6 +86,7 @@
   size_t n_unreadable; /**< Rows of `running` that identify no run. */
   HsListedEnd *ends;
   size_t n_ends;
+  bool ends_incomplete; /**< Ends may be missing from `ends`. */
 } HsTargetList;
 
 /** A target's announcement of itself. */
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -577,6 +577,31 @@
   assert_int_equal (ends[1].how, HSX_END_DONE);
 }
 
+/* Guards against "has not run" being said of a task that ran: its end may be
+   among those that a list leaves out. */
+static void
+a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran (void **state)
+{
+  HsTargetList list;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (200 * HS_MSEC);
+  hs_target_model_poll (&model, &polls[0], &list, now);
+  assert_int_equal (list.n_ends, 1);
+  list.n_ends = 0;
+  list.ends_incomplete = true;
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &list, now);
+  free_list (&list);
+  n_polls = 0;
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+}
+
 static void
 an_announcement_of_an_earlier_incarnation_is_ignored (void **state)
 {
@@ -1294,6 +1319,7 @@
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (lists_that_overtake_each_other_end_no_run),
+    TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
     TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -137,6 +137,37 @@
   assert_int_equal (list.n_unreadable, 3);
   assert_int_equal (list.n_ends, 1);
   assert_int_equal (list.ends[0].number, 8);
+  assert_true (list.ends_incomplete);
+}
+
+/* A target lists 500 ends at a time; there may be more. */
+static void
+a_full_list_of_ends_may_leave_others_out (void **state)
+{
+  GString *text
+      = g_string_new ("{\"clock_ms\":5,\"born\":77,\"running\":[],"
+                      "\"finished\":[[1,\"ab.0.0.0\",1,\"done\",\"\"]");
+  HsTargetList list;
+  uint32_t i;
+
+  (void) state;
+  for (i = 2; i <= 500; i++)
+    {
+      g_autofree char *whole = g_strconcat (text->str, "]}", NULL);
+
+      if (i == 2 || i == 500)
+        {
+          assert_true (
+              hs_target_decode_list (ctx, whole, strlen (whole), &list));
+          assert_int_equal (list.n_ends, i - 1);
+          assert_false (list.ends_incomplete);
+        }
+      g_string_append_printf (text, ",[%u,\"ab.0.0.0\",1,\"done\",\"\"]", i);
+    }
+  g_string_append (text, "]}");
+  assert_true (hs_target_decode_list (ctx, text->str, text->len, &list));
+  assert_true (list.ends_incomplete);
+  g_string_free (text, TRUE);
 }
 
 static void
@@ -437,6 +468,7 @@
     TEST (a_poll_renews_leases_only_if_asked),
     TEST (a_run_list_is_read),
     TEST (odd_rows_of_a_list_are_left_out),
+    TEST (a_full_list_of_ends_may_leave_others_out),
     TEST (malformed_run_lists_are_rejected),
     TEST (refusals_are_mapped_to_results),
     TEST (other_statuses_tell_nothing_of_the_call),
