Send no poll while the one that its token would replace is in flight

Tokens are remembered for 16 polls by number, and a comment said that none of them is in flight longer. Each start without an answer raises the token and sends another poll while an older one waits at the target, so that 16 lost starts within one wait gave the old poll the token of the newest. Its list, written long before, then resolved the newest start as fenced off ("has not run", to be started elsewhere), and the target could still carry it out.

Test: a_poll_in_flight_keeps_its_token_while_others_follow (test_direct_runs) failed before: the start is reported as ended (0x10 != 0xf) and is carried out after that.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -84,7 +84,8 @@
   hs_runs_check_lease (runs, now);
   if (runs->polls_in_flight > 0
       && (runs->polls_in_flight >= POLLS_IN_FLIGHT_MAX
-          || runs->token_in_flight >= runs->token))
+          || runs->token_in_flight >= runs->token
+          || runs->poll_in_flight[runs->next_poll % HS_POLL_TOKENS_MAX]))
     return HS_NEVER;
   if (now < runs->poll_not_before)
     return runs->poll_not_before;
@@ -107,18 +108,20 @@
                    const HsTargetList *list,
                    HsTime now)
 {
-  uint64_t token = runs->poll_tokens[number % HS_POLL_TOKENS_MAX];
+  uint32_t place = number % HS_POLL_TOKENS_MAX;
+  uint64_t token = runs->poll_tokens[place];
   bool complete;
 
   if (runs->polls_in_flight > 0)
     runs->polls_in_flight--;
+  runs->poll_in_flight[place] = false;
   runs->evidence.poll = number;
   runs->evidence.list_clock_ms = list != NULL ? list->clock_ms : 0;
   /* It was sent to an earlier target. */
   if (result == HS_TARGET_REPLACED && number <= runs->newest_poll)
     return;
   if (result == HS_TARGET_UNSENT || result == HS_TARGET_NO_LISTENER)
-    runs->poll_renewed_at[number % HS_POLL_TOKENS_MAX] = 0;
+    runs->poll_renewed_at[place] = 0;
   if (result == HS_TARGET_OK)
     {
       runs->answered_at = now;
@@ -257,12 +260,12 @@
       poll.lease_until_ms = hs_runs_next_lease_end (runs, now);
       renewal = now;
     }
-  /* The poll that had this place before isn't in flight any more. */
   runs->renewed_at = MAX (runs->renewed_at, runs->poll_renewed_at[place]);
   runs->poll_renewed_at[place] = renewal;
   runs->polls_in_flight++;
   runs->token_in_flight = runs->token;
   runs->poll_tokens[place] = poll.token;
+  runs->poll_in_flight[place] = true;
   runs->effects->poll (runs->arg, &poll);
 }
 
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -14,7 +14,8 @@
 /** At most this many runs, however small they are. */
 #define HS_RUNS_MAX 1024
 
-/** Polls whose token is remembered; more than are ever in flight. */
+/** Polls whose token is remembered. None is sent while the one that many before
+ *  it is in flight. */
 #define HS_POLL_TOKENS_MAX 16
 
 typedef enum
@@ -100,6 +101,7 @@
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
+  bool poll_in_flight[HS_POLL_TOKENS_MAX];  /**< The same. */
   HsTime poll_not_before; /**< Set after a failed poll; 0: no limit. */
   HsTime answered_at;     /**< Last answer of the target. */
   /** When calls that carried a lease, and may have reached the target, were
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -14,6 +14,7 @@
 #define CAPACITY 4000
 #define CPU 1000
 #define FIRST_TOKEN 1000
+#define POLLS_REMEMBERED 16
 
 /* A start call that the module has made and the test has yet to carry out. */
 typedef struct
@@ -577,6 +578,46 @@
   assert_int_equal (ends[1].how, HSX_END_DONE);
 }
 
+/* Guards against a task that runs twice: an old poll that was still in flight
+   was taken for one with the token of a later poll, and resolved its start. */
+static void
+a_poll_in_flight_keeps_its_token_while_others_follow (void **state)
+{
+  HsTargetPoll held;
+  HsTargetList list;
+  StartCall call;
+  uint32_t i;
+
+  (void) state;
+  launch ("a", 0, 0);
+  answer_start ();
+  advance (0);
+  assert_int_equal (n_polls, 1);
+  held = polls[0];
+  n_polls = 0;
+  hs_target_model_receive_poll (&model, &held, now);
+  hs_target_model_write_list (&model, &list, now);
+  for (i = 1; i <= 40; i++)
+    {
+      uint32_t n_before = n_ends;
+
+      launch ("b", i, i);
+      call = pop_start ();
+      hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+      advance (0);
+      if (n_polls == 0 || polls[0].number == held.number + POLLS_REMEMBERED)
+        break;
+      answer_polls ();
+      assert_int_equal (n_ends, n_before + 1);
+    }
+  i = n_ends;
+  hs_runs_poll_done (runs, held.number, HS_TARGET_OK, &list, now);
+  free_list (&list);
+  /* Its start is carried out now. */
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  assert_int_equal (n_ends, i);
+}
+
 /* Guards against "has not run" being said of a task that ran: its end may be
    among those that a list leaves out. */
 static void
@@ -1319,6 +1360,7 @@
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (lists_that_overtake_each_other_end_no_run),
+    TEST (a_poll_in_flight_keeps_its_token_while_others_follow),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
