Count an entry's silence from when it sent its last message

An agent counted the 600 ms after which it gives up an entry from when it read the entry's last message. A message that waits in the buffer of an agent that is paused, or is retransmitted, was taken as a sign of life at the moment at which it was read. An agent paused for 500 ms that found one message of an entry that had died during the pause kept renewing the leases of its runs until 500 + 600 ms after the death; they lapsed up to 0.54 s later, 1.64 s after the entry's callers lost their connections. These send their jobs again after 1.3 s, and a task could run twice.

Orders tell how old they are at least (stamp_us, stamp_age_us); launches were checked by that already. An entry is lost 700 ms after it sent its last orders, and as before 600 ms after they were read. 0.7 s + 0.54 s + 0.05 s is less than 1.3 s, which is asserted. The limit is above 600 ms as the stamp is older than the message by the time that the report took to the entry.

Test: test_direct_agent_links, a_message_that_waited_does_not_keep_the_tasks_of_a_dead_entry; before the fix "0 != 0x1 ... test_direct_agent_links.c:470" (the task isn't stopped). The grace after a pause of the agent is as before: the messages that wait are read before an entry is given up.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -128,8 +128,6 @@
   if (entry == NULL)
     return;
   entry->last_message_at = hs_now ().mono;
-  if (entry->confirmed)
-    entry->confirmed_at = entry->last_message_at;
   switch (proc)
     {
     case HSX_ORDERS:
@@ -235,8 +233,10 @@
       expires_at
           = entry->last_message_at
             + (entry->conn != NULL ? HS_PEER_TIMEOUT : HS_RECONNECT_TIMEOUT);
-      if (!entry->confirmed)
-        expires_at = MIN (expires_at, entry->confirmed_at + HS_PEER_TIMEOUT);
+      expires_at
+          = MIN (expires_at, entry->confirmed_at
+                                 + (entry->confirmed ? HS_ENTRY_SILENCE_MAX
+                                                     : HS_PEER_TIMEOUT));
       if (now >= expires_at)
         drop_entry (agent, entry, drop_reason (entry), now);
       else
@@ -251,10 +251,16 @@
   uint32_t i;
 
   for (i = 0; i < HS_ENTRIES_MAX; i++)
-    if (agent->entries[i].conn != NULL)
-      agent->entries[i].last_message_at
-          = MAX (agent->entries[i].last_message_at,
-                 now - HS_PEER_TIMEOUT + HS_RESUME_GRACE);
+    {
+      HsAgentEntry *entry = &agent->entries[i];
+
+      if (entry->conn == NULL)
+        continue;
+      entry->last_message_at = MAX (entry->last_message_at,
+                                    now - HS_PEER_TIMEOUT + HS_RESUME_GRACE);
+      entry->confirmed_at = MAX (entry->confirmed_at,
+                                 now - HS_ENTRY_SILENCE_MAX + HS_RESUME_GRACE);
+    }
 }
 
 uint32_t
@@ -376,8 +382,9 @@
     {
       entry->reset_pending = false;
       entry->confirmed = true;
-      entry->confirmed_at = now;
     }
+  if (entry->confirmed)
+    entry->confirmed_at = MAX (entry->confirmed_at, MIN (sent, now));
   hs_runs_set_backlog (agent->runs, entry_index, &orders->want,
                        orders->stamp_us);
   for (i = 0; i < orders->launches.launches_len; i++)
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -43,8 +43,9 @@
    *  after `last_message_at`; while connected, HS_PEER_TIMEOUT after it. */
   HsConn *conn;
   HsTime last_message_at;
-  /** Last message while `confirmed`. If that isn't so again HS_PEER_TIMEOUT
-   *  later, the record is dropped. */
+  /** When the entry sent its last orders while `confirmed`. The record is
+   *  dropped HS_ENTRY_SILENCE_MAX later, and HS_PEER_TIMEOUT later if
+   *  `confirmed` isn't set again. */
   HsTime confirmed_at;
   HsTime reported_at;
   /** `stamp_us` of the report on this connection that lists what is held. */
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -20,6 +20,11 @@
  *  intervals. */
 #define HS_PEER_TIMEOUT (600 * HS_MSEC)
 
+/** An agent considers an entry lost this long after the entry sent its last
+ *  message, however late that message was read: it may have been retransmitted,
+ *  or have waited in the buffer of a paused agent. */
+#define HS_ENTRY_SILENCE_MAX (700 * HS_MSEC)
+
 /** How long a peer whose connection broke may take to connect again. */
 #define HS_RECONNECT_TIMEOUT (500 * HS_MSEC)
 
@@ -57,6 +62,11 @@
                      + HS_RESUME_GRACE + HS_STOP_MAX
                  < HS_CALLER_RETRY_DELAY);
 
+/** The agent renews the leases until it considers the entry lost. */
+G_STATIC_ASSERT (HS_ENTRY_SILENCE_MAX + HS_LEASE_MAX + HS_LEASE_MAX / 50
+                     + HS_STOP_MAX
+                 < HS_CALLER_RETRY_DELAY);
+
 /** Requests that arrive this soon after a pause may have waited in a socket
  *  buffer. */
 #define HS_RESUME_WINDOW (50 * HS_MSEC)
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -446,6 +446,30 @@
   assert_int_equal (n_stops, 0);
 }
 
+/* Guards against a task that runs twice: the entry died after it had sent
+   this, and its caller sends the job again 1.3 s after that, however long the
+   message waited for the paused agent. */
+static void
+a_message_that_waited_does_not_keep_the_tasks_of_a_dead_entry (void **state)
+{
+  HsTime now = hs_now ().mono;
+  HsTime sent = now - 500 * HS_MSEC;
+  hsx_orders_args heartbeat = { .agent = AGENT, .number = 2, .stamp_us = sent };
+  HsAgentEntry *entry;
+
+  (void) state;
+  entry = conn_data;
+  entry->last_message_at = entry->confirmed_at = sent - 100 * HS_MSEC;
+  hs_agent_links_resume (agent, now);
+  hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &heartbeat);
+  hs_agent_links_drop_expired (agent, now + 50 * HS_MSEC);
+  assert_int_equal (n_stops, 0);
+  hs_agent_links_drop_expired (agent, sent + HS_CALLER_RETRY_DELAY
+                                          - HS_LEASE_MAX * 102 / 100
+                                          - HS_STOP_MAX);
+  assert_int_equal (n_stops, 1);
+}
+
 /* An entry that reconnects in time keeps its tasks. */
 static void
 a_broken_connection_may_be_replaced (void **state)
@@ -582,6 +606,7 @@
     TEST (after_a_pause_a_dead_entry_is_dropped_soon),
     TEST (after_a_pause_a_broken_connection_is_dropped_soon),
     TEST (after_a_pause_a_live_entry_is_kept),
+    TEST (a_message_that_waited_does_not_keep_the_tasks_of_a_dead_entry),
     TEST (a_broken_connection_may_be_replaced),
     TEST (a_lease_renewed_after_a_pause_ends_in_time),
     TEST (a_connection_that_is_kept_after_all_is_not_left_unused),
