Count the time for a stop from when it was sent

A run whose job is over has 0.56 s to end, then the lease isn't renewed any more (STOP_PATIENCE), so that everything has ended before callers send the job again 1.3 s after they lost it. An agent counted the 0.56 s from when it read the order, or noticed the job's deadline: after a pause of 500 ms, with stops that the target didn't carry out, the run could go on until 0.5 + 0.56 + 0.54 s. Both count from when they were due now: the order's stamp, and the deadline.

Tests: a_stop_that_is_read_late_ends_the_lease_in_time and a_deadline_that_is_noticed_late_ends_the_lease_in_time (test_direct_runs); with the time counted from now as before both fail, "now - job_over_at < HS_CALLER_RETRY_DELAY".

Ruled out as part of this: the poll that an agent sends after a pause before it has read the stop renews the lease once, which HS_RESUME_GRACE's assertion allows for. Open: an entry that was paused itself sends its stops late, and can't know for how long its caller has been gone.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -212,7 +212,11 @@
 }
 
 void
-hs_runs_stop (HsRuns *runs, uint32_t entry, uint64_t ref, HsTime now)
+hs_runs_stop (HsRuns *runs,
+              uint32_t entry,
+              uint64_t ref,
+              HsTime sent,
+              HsTime now)
 {
   uint32_t i;
 
@@ -224,7 +228,7 @@
         continue;
       run->stop_reported_as = HSX_END_STOPPED;
       if (run->renew_until == 0)
-        run->renew_until = now + STOP_PATIENCE;
+        run->renew_until = MIN (sent, now) + STOP_PATIENCE;
       if (!run->stop_requested)
         hs_run_call_stop (runs, run, now);
       return;
@@ -378,7 +382,7 @@
       else if (!run->stop_requested && now >= run->deadline)
         {
           run->stop_reported_as = HSX_END_STOPPED;
-          run->renew_until = now + STOP_PATIENCE;
+          run->renew_until = run->deadline + STOP_PATIENCE;
           hs_run_call_stop (runs, run, now);
         }
       else if (!run->stop_requested)
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -149,8 +149,13 @@
                      HsTime sent,
                      HsTime now);
 
-/** An entry stops its task; `ended` follows unless it has ended already. */
-void hs_runs_stop (HsRuns *runs, uint32_t entry, uint64_t ref, HsTime now);
+/** An entry stops its task; `ended` follows unless it has ended already.
+ *  @param sent when the entry sent the order, on this host's clock */
+void hs_runs_stop (HsRuns *runs,
+                   uint32_t entry,
+                   uint64_t ref,
+                   HsTime sent,
+                   HsTime now);
 
 /** An entry is lost: its tasks are stopped, and their ends aren't reported. */
 void hs_runs_entry_lost (HsRuns *runs, uint32_t entry, HsTime now);
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -42,7 +42,7 @@
                        msg->orders.stamp_us);
   for (i = 0; i < msg->orders.stops.stops_len; i++)
     hs_runs_stop (agent->runs, msg->entry, msg->orders.stops.stops_val[i],
-                  load_world.now);
+                  msg->sent, load_world.now);
   for (i = 0; i < msg->orders.launches.launches_len; i++)
     {
       hs_runs_launch (agent->runs, msg->entry, &launches[i].launch,
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -761,27 +761,71 @@
   assert_true (polls[0].renews_lease);
 }
 
-/* Guards against a task that runs twice, as above: its job was answered. */
+/* Starts a task of 10 s, of which no stop is carried out. */
 static void
-a_stop_that_is_not_carried_out_in_time_ends_the_lease (void **state)
+start_long_run (void)
 {
-  HsTime stopped_at;
-
-  (void) state;
   start_agent (HS_LEASE_MAX, FIRST_TOKEN + 100);
   launch ("a", 0, 7);
   answer_start ();
-  stopped_at = now;
-  hs_runs_stop (runs, 0, 7, now);
-  g_array_index (model.runs, HsModelRun, 0).hangs = true;
-  while (n_ends == 0 && now - stopped_at < 5 * HS_SEC)
+  g_array_index (model.runs, HsModelRun, 0).run_time = 10 * HS_SEC;
+}
+
+static void
+expect_end_before_caller_resends (HsTime job_over_at)
+{
+  while (n_ends == 0 && now - job_over_at < 5 * HS_SEC)
     {
       advance (10 * HS_MSEC);
       answer_polls ();
     }
   assert_int_equal (n_ends, 1);
   assert_int_equal (model.runs->len, 0);
-  assert_true (now - stopped_at < HS_CALLER_RETRY_DELAY);
+  assert_true (now - job_over_at < HS_CALLER_RETRY_DELAY);
+}
+
+/* Guards against a task that runs twice, as above: its job was answered. */
+static void
+a_stop_that_is_not_carried_out_in_time_ends_the_lease (void **state)
+{
+  (void) state;
+  start_long_run ();
+  hs_runs_stop (runs, 0, 7, now, now);
+  expect_end_before_caller_resends (now);
+}
+
+/* As above; the stop waited for the agent, which was paused. */
+static void
+a_stop_that_is_read_late_ends_the_lease_in_time (void **state)
+{
+  HsTime sent;
+
+  (void) state;
+  start_long_run ();
+  advance (10 * HS_MSEC);
+  answer_polls ();
+  sent = now;
+  advance (500 * HS_MSEC);
+  answer_polls ();
+  hs_runs_stop (runs, 0, 7, sent, now);
+  expect_end_before_caller_resends (sent);
+}
+
+/* As above; the job's deadline passed while the agent was paused. */
+static void
+a_deadline_that_is_noticed_late_ends_the_lease_in_time (void **state)
+{
+  HsTime deadline = now + 3 * HS_SEC;
+
+  (void) state;
+  start_long_run ();
+  while (now < deadline - 10 * HS_MSEC)
+    {
+      advance (10 * HS_MSEC);
+      answer_polls ();
+    }
+  advance (500 * HS_MSEC);
+  expect_end_before_caller_resends (deadline);
 }
 
 static void
@@ -792,7 +836,7 @@
   (void) state;
   launch ("a", 0, 7);
   call = pop_start ();
-  hs_runs_stop (runs, 0, 7, now);
+  hs_runs_stop (runs, 0, 7, now, now);
   hs_target_model_stop (&model, &stops[0], stop_tokens[0], now);
   hs_runs_start_done (runs, call.run, execute_start (&call), now);
   assert_int_equal (model.runs->len, 0);
@@ -1063,7 +1107,7 @@
       answer_start ();
     }
   change_capacity (2, 2 * CPU);
-  hs_runs_stop (runs, 0, 0, now);
+  hs_runs_stop (runs, 0, 0, now, now);
   advance (0);
   launch ("b", 0, 9);
   assert_int_equal (n_starts, 0);
@@ -1330,6 +1374,8 @@
     TEST (tasks_of_a_lost_entry_are_stopped_without_a_report),
     TEST (the_lease_is_not_renewed_while_the_run_of_a_lost_entry_goes_on),
     TEST (a_stop_that_is_not_carried_out_in_time_ends_the_lease),
+    TEST (a_stop_that_is_read_late_ends_the_lease_in_time),
+    TEST (a_deadline_that_is_noticed_late_ends_the_lease_in_time),
     TEST (a_stop_cancels_a_start_in_flight),
     TEST (a_run_without_progress_is_stopped_as_stalled),
     TEST (runs_on_a_slow_target_are_stopped_as_slow),
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -779,7 +779,8 @@
       return;
     case 5:
       if (world.n_refs > 0)
-        hs_runs_stop (world.runs, pick (3), world.n_refs - 1, world.now);
+        hs_runs_stop (world.runs, pick (3), world.n_refs - 1, world.now,
+                      world.now);
       return;
     case 6:
       announce ();
