Close the port of the stand-in target when it crashes

Seen: `make SAN=asan check` at, beside other load, failed crashing_task_takes_down_two_targets_whoever_is_asked (503 instead of 200, "failed"), and after it, with its targets still down, suspected_task_takes_down_two_targets_and_has_not_failed (3 instead of 2).

Trace of that run: each target was told to crash 30 ms after the start and wrote the end of its task at 30.2 to 31.0 ms. The agents got no refused connection: they saw silence ("target_state ... why=silent" after 202 ms), let the runs lapse with the lease after 750 ms, and found no listener only 1241, 2079 and 2817 ms after the last answer, all three within 90 ms of each other. The crash could then have come after the task's expected end ("certain=0"), the entry had started the task on the third target, and answered the job as lost, then 503. So neither the start's answer was missing nor was a refusal noticed too late: there was none to notice, most likely as the process that was ending kept its port open. What held up three ends at once isn't known; of 12 ends of stand-ins under asan sampled since, beside load, one took 69 ms to exit, ten 5 to 14 ms, and one wasn't seen exiting.

Callers aren't wronged: a target that is silent for longer than its lease may have ended the task itself, so the evidence doesn't do for "failed". The test asked more of a target that falls silent than of one that crashes. Its assertions stay; the stand-in closes its sockets before it writes its lines and exits, so that it crashes as the test means it. What it did before is now a test of its own: with "silent=1200" a target answers nothing for 1.2 s before it ends.

--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -2,17 +2,19 @@
  * @file
  * standin-platform-target: stands in for a target of the users' platform and
  * speaks its protocol, around the target model of the tests. The spec of a task
- * * gives its behaviour: "ms=N cpu=N [fail] [hang] [crash=N]"; the last ends
- * the process N ms after the start. POST /fault sets the percentages of
- * requests that are delayed or get no answer, and the capacity; GET /state
- * reports the running tasks.
+ * gives its behaviour: "ms=N cpu=N [fail] [hang] [crash=N [silent=N]]";
+ * the last ends the process N ms after the start, and N ms more in which it
+ * answers nothing. POST /fault sets the percentages of requests that are
+ * delayed or get no answer, and the capacity; GET /state reports the running
+ * tasks.
  *
- * * It starts every task that it is ordered to. It prints a line for each start
+ * It starts every task that it is ordered to. It prints a line for each start
  * and end, and one that begins with BROKEN when a start exceeds its capacity.
  * One that has shrunk counts until its announcement and the starts that were
  * sent before must have arrived.
  */
 #include <inttypes.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -72,6 +74,7 @@
   HsTime shrunk_until;
   HsTime crash_at; /* This task ends the process then; 0: none. */
   HsRunKey crash_key;
+  HsTime crash_silence; /* It answers nothing for this long before it ends. */
   uint64_t sequence;
   int64_t started_ms;
   HsTime announce_at;
@@ -193,15 +196,20 @@
     {
       target->crash_at = now + ms * HS_MSEC;
       target->crash_key = start->key;
+      target->crash_silence = spec_number (start->spec, "silent=", 0) * HS_MSEC;
     }
 }
 
-/* Ends the process, with a line for the end of each task. */
+/* Ends the process, with a line for the end of each task. Its port is closed
+   first: the kernel does so last, on a busy machine seconds later, and the
+   target would be silent until then instead of crashed. */
 static void
 crash (const Target *target, HsTime now)
 {
   guint i;
 
+  g_usleep ((gulong) target->crash_silence);
+  close_range (STDERR_FILENO + 1, UINT_MAX, 0);
   for (i = 0; i < target->model.runs->len; i++)
     {
       const HsRunKey *key
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -381,6 +381,22 @@
   assert_int_equal (submit (0, "ms=50", 3, 3000).status, 200);
 }
 
+/* Its target answers nothing for longer than its lease before its port is
+   closed, so that the task may have been ended before the crash. */
+static void
+crashes_of_silent_targets_fail_no_job (void **state)
+{
+  ClusterReply reply = submit_crashing_job ("/more/00000000000d0003",
+                                            "ms=1900 cpu=1000 crash=30 "
+                                            "silent=1200");
+
+  (void) state;
+  assert_int_equal (reply.status, 503);
+  assert_true (reply.seconds < 0.5);
+  assert_in_range (restart_crashed_targets (), 2, N_AGENTS);
+  assert_int_equal (submit (0, "ms=50", 3, 3000).status, 200);
+}
+
 /* By its estimate the task may have ended before it crashes its target. */
 static void
 suspected_task_takes_down_two_targets_and_has_not_failed (void **state)
@@ -414,6 +430,7 @@
     cmocka_unit_test (capacity_that_shrinks_and_grows_is_followed),
     cmocka_unit_test (crashing_task_takes_down_two_targets_whoever_is_asked),
     cmocka_unit_test (suspected_task_takes_down_two_targets_and_has_not_failed),
+    cmocka_unit_test (crashes_of_silent_targets_fail_no_job),
     cmocka_unit_test (draining_target_gets_no_new_tasks),
   };
 
