Read bodies in chunks

With another coding, as gzip, or with Content-Length beside chunked, the connection was held until its idle timeout of 15 s, as such a body has no end that the server could wait for.

Cause: bodies were bounded by their Content-Length only, so that one without it was refused, after it had been read.

Change: a chunked body is bounded by the largest accepted size, on all HTTP servers; one that is longer is answered as too large at its end, as one with such a Content-Length. If the headers don't tell where the body ends, the answer is sent at once and the connection closed.

Announcements are read by the same functions; they have no test of their own for chunks.

--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -181,9 +181,9 @@
     }
   if (*upload_len > 0)
     {
-      if (request->error == NULL
-          && !hs_mhd_body_add (request, &request->body, upload, *upload_len))
-        return MHD_NO;
+      if (request->error == NULL)
+        hs_mhd_body_add (request, &request->body, upload, *upload_len,
+                         &request->error);
       *upload_len = 0;
       return MHD_YES;
     }
--- a/src/entry/frontend_http.c
+++ b/src/entry/frontend_http.c
@@ -208,8 +208,8 @@
   bool wanted
       = request->state == HS_REQUEST_RECEIVING && request->error == NULL;
 
-  if (wanted && !hs_mhd_body_add (request, &request->body, data, *len))
-    return MHD_NO;
+  if (wanted)
+    hs_mhd_body_add (request, &request->body, data, *len, &request->error);
   *len = 0;
   return MHD_YES;
 }
--- a/src/http/mhd_request.c
+++ b/src/http/mhd_request.c
@@ -9,6 +9,10 @@
 
 static const char *get_header (struct MHD_Connection *connection,
                                const char *name);
+static unsigned int count_headers (struct MHD_Connection *connection,
+                                   const char *name);
+static bool is_chunked (struct MHD_Connection *connection);
+static void set_too_large (GError **error, size_t max_bytes);
 static void free_text (void *text);
 
 bool
@@ -18,37 +22,51 @@
                    GError **error)
 {
   const char *length = get_header (connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
-  bool chunked
-      = get_header (connection, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
-  guint64 expected = chunked ? 1 : 0;
-  bool is_valid = length == NULL
-                  || g_ascii_string_to_unsigned (length, 10, 0, G_MAXUINT64,
-                                                 &expected, NULL);
+  guint64 expected = 0;
 
-  body->expected = expected;
-  if (chunked || !is_valid)
+  if (count_headers (connection, MHD_HTTP_HEADER_TRANSFER_ENCODING) > 0)
     {
+      body->expected = max_bytes;
+      if (is_chunked (connection))
+        return true;
       g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
-                   "the body has no valid Content-Length; send one");
+                   "the body's length isn't clear; send Content-Length or "
+                   "Transfer-Encoding: chunked");
       return false;
     }
+  if (length != NULL
+      && !g_ascii_string_to_unsigned (length, 10, 0, G_MAXUINT64, &expected,
+                                      NULL))
+    {
+      body->expected = max_bytes;
+      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
+                   "Content-Length isn't a number; correct it");
+      return false;
+    }
+  body->expected = expected;
   if (expected > max_bytes)
     {
-      g_set_error (error, HS_ERROR, HS_ERROR_TOO_LARGE,
-                   "the body is over %zu bytes; split it", max_bytes);
+      set_too_large (error, max_bytes);
       return false;
     }
   return true;
 }
 
 bool
-hs_mhd_body_add (TALLOC_CTX *ctx, HsMhdBody *body, const char *data, size_t len)
+hs_mhd_body_add (TALLOC_CTX *ctx,
+                 HsMhdBody *body,
+                 const char *data,
+                 size_t len,
+                 GError **error)
 {
   size_t total = body->len + len;
   size_t size = talloc_get_size (body->data);
 
   if (total > body->expected)
-    return false;
+    {
+      set_too_large (error, body->expected);
+      return false;
+    }
   if (total > size)
     {
       size = MAX (MAX (2 * size, total), INITIAL_SIZE);
@@ -90,6 +108,56 @@
   return MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
 }
 
+typedef struct
+{
+  const char *name;
+  unsigned int n;
+} HeaderCount;
+
+static enum MHD_Result
+count_if_named (void *cls,
+                enum MHD_ValueKind kind,
+                const char *name,
+                const char *value)
+{
+  HeaderCount *count = cls;
+
+  (void) kind;
+  (void) value;
+  count->n += g_ascii_strcasecmp (name, count->name) == 0;
+  return MHD_YES;
+}
+
+static unsigned int
+count_headers (struct MHD_Connection *connection, const char *name)
+{
+  HeaderCount count = { name, 0 };
+
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, count_if_named,
+                             &count);
+  return count.n;
+}
+
+/* A Content-Length beside the coding may be another one's idea of the length
+   (RFC 9112, 6.1). */
+static bool
+is_chunked (struct MHD_Connection *connection)
+{
+  return count_headers (connection, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 1
+         && g_ascii_strcasecmp (
+                get_header (connection, MHD_HTTP_HEADER_TRANSFER_ENCODING),
+                "chunked")
+                == 0
+         && get_header (connection, MHD_HTTP_HEADER_CONTENT_LENGTH) == NULL;
+}
+
+static void
+set_too_large (GError **error, size_t max_bytes)
+{
+  g_set_error (error, HS_ERROR, HS_ERROR_TOO_LARGE,
+               "the body is over %zu bytes; split it", max_bytes);
+}
+
 static void
 free_text (void *text)
 {
--- a/src/http/mhd_request.h
+++ b/src/http/mhd_request.h
@@ -17,14 +17,16 @@
 {
   char *data; /**< NULL while empty. */
   size_t len;
-  size_t expected; /**< Content-Length, or 0 without one; 1 for a chunked body,
-                        which is refused, so that it counts as not empty. */
+  size_t expected; /**< Content-Length; 0 without a body; for a chunked body the
+                        largest accepted size. */
 } HsMhdBody;
 
 /**
- * Prepares for a body of the length in the request's headers; chunked bodies
- * are refused.
- * Errors: HS_ERROR_INVALID, HS_ERROR_TOO_LARGE; `expected` is set in any case.
+ * Prepares for a body of the length in the request's headers, or for a chunked
+ * one.
+ * Errors: HS_ERROR_INVALID: the headers don't tell where the body ends, so that
+ * the connection has to be closed; HS_ERROR_TOO_LARGE. `expected` is set in any
+ * case, to more than 0 if a body may follow.
  * @param max_bytes largest accepted body
  */
 bool hs_mhd_body_begin (HsMhdBody *body,
@@ -34,13 +36,14 @@
 
 /**
  * Appends received data.
+ * Errors: HS_ERROR_TOO_LARGE if the body exceeds what is expected.
  * @param ctx parent of the body's data
- * @return false if the body exceeds its Content-Length
  */
 bool hs_mhd_body_add (TALLOC_CTX *ctx,
                       HsMhdBody *body,
                       const char *data,
-                      size_t len);
+                      size_t len,
+                      GError **error);
 
 /** TOKEN of "Authorization: Bearer TOKEN", or NULL. */
 const char *hs_mhd_bearer_token (struct MHD_Connection *connection);
--- a/test/standin/http.c
+++ b/test/standin/http.c
@@ -109,7 +109,7 @@
     return MHD_YES;
   if (*len == 0)
     return dispatch (request);
-  if (!hs_mhd_body_add (request, &request->body, data, *len))
+  if (!hs_mhd_body_add (request, &request->body, data, *len, NULL))
     return MHD_NO;
   *len = 0;
   return MHD_YES;
--- a/test/test_hostile_front.c
+++ b/test/test_hostile_front.c
@@ -208,6 +208,27 @@
   wait_until_idle (f);
 }
 
+/* Guards against 400 for a job whose body has no Content-Length. */
+static void
+a_job_in_chunks_is_served_unless_it_is_too_long (void **state)
+{
+  Fixture *f = *state;
+  g_autofree char *filler = g_strnfill (BODY_MAX_BYTES, ' ');
+  g_autofree char *job
+      = g_strdup_printf (HEAD "Transfer-Encoding: chunked\r\n\r\n"
+                              "%zx\r\n" JOB "\r\n0\r\n\r\n",
+                         strlen (JOB));
+  g_autofree char *long_job
+      = g_strdup_printf (HEAD "Transfer-Encoding: chunked\r\n\r\n"
+                              "%x\r\n%s\r\n%zx\r\n" JOB "\r\n0\r\n\r\n",
+                         BODY_MAX_BYTES, filler, strlen (JOB));
+
+  assert_int_equal (exchange (f, job, strlen (job)), 200);
+  assert_int_equal (exchange (f, long_job, strlen (long_job)), 413);
+  expect_served (f);
+  wait_until_idle (f);
+}
+
 static void
 truncated_requests_are_discarded (void **state)
 {
@@ -299,6 +320,7 @@
   const struct CMUnitTest tests[] = {
     FRONT_TEST (malformed_requests_are_refused),
     FRONT_TEST (oversized_parts_are_refused),
+    FRONT_TEST (a_job_in_chunks_is_served_unless_it_is_too_long),
     FRONT_TEST (truncated_requests_are_discarded),
     FRONT_TEST (half_closed_connections_are_closed_at_the_limit),
     FRONT_TEST (a_slow_request_does_not_delay_others),
