Let a task start anywhere once no earlier run of it is left

What callers may see: a job that was sent again while an old run of it ended is started again and again on the one target that fails it, until its deadline.

Cause: a refusal as a duplicate binds the task to that target. Only the loss of the target released it, not the acceptance of a later start there, which the agent gives only if no other run of the task is left.

Change: any end but a refusal by the agent itself releases the task.

Evidence: a_task_that_was_started_beside_no_other_run_may_be_started_anywhere failed before ("case 0: 2 launches" instead of 3) and passes.

--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -111,6 +111,15 @@
   return true;
 }
 
+/* Whether the agent accepted the start, which it does only if no other run of
+   the task is left on its target. */
+static bool
+agent_took (const hsx_end *end)
+{
+  return end->how != HSX_END_REFUSED || end->reason == HS_REFUSAL_TARGET
+         || end->reason == HS_REFUSAL_UNANSWERED;
+}
+
 void
 hs_jobs_task_ended (HsJobs *jobs,
                     uint32_t target,
@@ -124,6 +133,8 @@
     return;
   if (end->how != HSX_END_REFUSED)
     job->may_have_run = true;
+  if (agent_took (end))
+    task->only_target = HS_TARGET_NONE;
   if (end->how != HSX_END_DONE)
     jobs->effects->task_ended (jobs->arg, job->id, target, task, end);
   switch (end->how)
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "direct/jobs.h"
 #include "direct/runs.h"
@@ -450,6 +451,50 @@
   assert_int_not_equal (launches[2].target, target);
 }
 
+/* Guards against a task that is started again and again on a target that fails
+   it: an earlier run had held it there, and has ended. */
+static void
+a_task_that_was_started_beside_no_other_run_may_be_started_anywhere (
+    void **state)
+{
+  static const struct
+  {
+    hsx_end_how how;
+    HsRefusal reason;
+    bool elsewhere;
+  } CASES[] = {
+    { HSX_END_FAILED, HS_REFUSAL_NONE, true },
+    { HSX_END_SLOW, HS_REFUSAL_NONE, true },
+    { HSX_END_STOPPED, HS_REFUSAL_NONE, true },
+    { HSX_END_REFUSED, HS_REFUSAL_TARGET, true },
+    { HSX_END_REFUSED, HS_REFUSAL_UNANSWERED, true },
+    { HSX_END_REFUSED, HS_REFUSAL_RESOURCES, false },
+    { HSX_END_REFUSED, HS_REFUSAL_STALE, false },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (CASES); i++)
+    {
+      uint32_t target;
+
+      teardown (state);
+      setup (state);
+      add_target (1, CAPACITY);
+      submit ("a", 1, T0);
+      target = launches[0].target;
+      report_end (0, HSX_END_REFUSED, HS_REFUSAL_DUPLICATE, T0 + 5 * HS_MSEC);
+      hs_jobs_dispatch (jobs, T0 + 60 * HS_MSEC);
+      assert_int_equal (n_launches, 2);
+      assert_int_equal (launches[1].target, target);
+      report_free (target, 0, T0 + 65 * HS_MSEC);
+      add_target (2, CAPACITY);
+      report_end (1, CASES[i].how, CASES[i].reason, T0 + 70 * HS_MSEC);
+      hs_jobs_dispatch (jobs, T0 + 70 * HS_MSEC);
+      if (n_launches != (CASES[i].elsewhere ? 3 : 2))
+        fail_msg ("case %zu: %u launches", i, n_launches);
+    }
+}
+
 static void
 without_a_target_a_job_waits_while_it_can_meet_its_objective (void **state)
 {
@@ -584,6 +629,7 @@
     TEST (a_held_start_of_an_agent_that_was_given_up_is_stopped),
     TEST (a_job_sent_again_goes_on_for_the_new_request),
     TEST (a_task_that_runs_already_is_started_nowhere_else),
+    TEST (a_task_that_was_started_beside_no_other_run_may_be_started_anywhere),
     TEST (without_a_target_a_job_waits_while_it_can_meet_its_objective),
     TEST (a_job_is_cancelled_by_its_id),
     TEST (
