Refuse a start beside a run of its task as a duplicate before anything else

What callers may see: a task runs twice at a time. A job that is sent again while an old run of it is left on a target is launched there; if the agent refuses it for resources that the old run holds, or as stale, the entry starts it on another target beside the old run.

Cause: check_launch() looked for a run of the task last, and only a refusal as a duplicate keeps the task off other targets.

Change: it looks for it first. A job whose task is left on a target that is leaving then waits until that run is over or the target has left, where it was started elsewhere.

Evidence: test_direct_runs, a_start_beside_a_run_of_the_task_is_refused_as_ duplicate_first failed before ("0x3 != 0x7", resources instead of duplicate) and passes.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -542,6 +542,13 @@
   hsx_room available;
   uint32_t i;
 
+  /* First, as after another refusal the task may be started elsewhere. */
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (runs->runs[i].state != HS_RUN_FREE
+        && runs->runs[i].key.index == key->index
+        && runs->runs[i].key.step == key->step
+        && strcmp (runs->runs[i].key.job, key->job) == 0)
+      return HS_REFUSAL_DUPLICATE;
   if (now - sent > ORDER_AGE_MAX)
     return HS_REFUSAL_STALE;
   switch (hs_runs_target_state (runs))
@@ -558,12 +565,6 @@
   available = hs_runs_available (runs, entry, now);
   if (!hs_resources_fit (&available, &launch->needs))
     return HS_REFUSAL_RESOURCES;
-  for (i = 0; i < HS_RUNS_MAX; i++)
-    if (runs->runs[i].state != HS_RUN_FREE
-        && runs->runs[i].key.index == key->index
-        && runs->runs[i].key.step == key->step
-        && strcmp (runs->runs[i].key.job, key->job) == 0)
-      return HS_REFUSAL_DUPLICATE;
   return HS_REFUSAL_NONE;
 }
 
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -279,6 +279,31 @@
   assert_int_equal (ends[0].reason, HS_REFUSAL_RESOURCES);
 }
 
+/* Guards against a task that runs twice: any other refusal lets it be started
+   on another target, while its run here goes on. */
+static void
+a_start_beside_a_run_of_the_task_is_refused_as_duplicate_first (void **state)
+{
+  hsx_launch_task task = { .ref = 9, .attempt = 2 };
+  hsx_launch order = { .job = (char *) "a",
+                       .customer = (char *) "c",
+                       .spec = { 1, (char *) "x" },
+                       .needs = { CPU, 10, 0 },
+                       .left_ms = 3000 };
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < 4; i++)
+    launch ("a", i, i);
+  hs_runs_launch (runs, 0, &order, &task, now, now);
+  hs_runs_launch (runs, 0, &order, &task, now - 5 * HS_SEC, now);
+  order.left_ms = 0;
+  hs_runs_launch (runs, 0, &order, &task, now, now);
+  assert_int_equal (n_ends, 3);
+  for (i = 0; i < n_ends; i++)
+    assert_int_equal (ends[i].reason, HS_REFUSAL_DUPLICATE);
+}
+
 static void
 an_unanswered_start_holds_its_resources_until_fenced (void **state)
 {
@@ -1308,6 +1333,7 @@
   const struct CMUnitTest tests[] = {
     TEST (the_end_of_a_task_is_reported),
     TEST (launches_beyond_the_capacity_are_refused),
+    TEST (a_start_beside_a_run_of_the_task_is_refused_as_duplicate_first),
     TEST (an_unanswered_start_holds_its_resources_until_fenced),
     TEST (an_unanswered_start_on_a_target_that_crashed_may_have_run),
     TEST (an_unanswered_start_that_is_listed_is_adopted),
