Cancel a job only by its own queue

Cause: hs_jobs_cancel() looked for the id alone.

An id still names one job at a time at an entry, since tasks are named by the job's id alone where they run.

Evidence: a_job_is_cancelled_by_its_id has a check for it, which failed before ("hs_jobs_cancel (jobs, "d", "abc", T0)") and passes; its other checks are the same.

--- a/src/direct/entry_requests.c
+++ b/src/direct/entry_requests.c
@@ -64,7 +64,7 @@
       return;
     case HS_CALLER_CANCEL:
       reply_without_job (entry, request,
-                         hs_jobs_cancel (entry->jobs, id, now)
+                         hs_jobs_cancel (entry->jobs, route->customer, id, now)
                              ? HS_REPLY_CANCEL_APPLIED
                              : HS_REPLY_NO_JOB,
                          "cancel", NULL);
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -101,11 +101,11 @@
 }
 
 bool
-hs_jobs_cancel (HsJobs *jobs, const char *id, HsTime now)
+hs_jobs_cancel (HsJobs *jobs, const char *customer, const char *id, HsTime now)
 {
   HsJob *job = find_job (jobs, id);
 
-  if (job == NULL)
+  if (job == NULL || strncmp (job->customer_name, customer, HSX_NAME_MAX) != 0)
     return false;
   hs_job_finish (jobs, job, HS_ANSWER_CANCELLED, HS_REASON_CANCELLED, now);
   return true;
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -180,8 +180,9 @@
  *  HS_REASON_CALLER_GONE. */
 void hs_jobs_abandon (HsJobs *jobs, uint64_t request, HsTime now);
 
-/** Cancels the job with this id. @return false if there is none */
-bool hs_jobs_cancel (HsJobs *jobs, const char *id, HsTime now);
+/** Cancels the customer's job with this id. @return false if there is none */
+bool
+hs_jobs_cancel (HsJobs *jobs, const char *customer, const char *id, HsTime now);
 
 /** Handles the end of a task as its agent reports it. Ends of earlier starts
  *  are ignored. */
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -513,8 +513,10 @@
   (void) state;
   add_target (1, CAPACITY);
   submit ("abc", 1, T0);
-  assert_false (hs_jobs_cancel (jobs, "abd", T0));
-  assert_true (hs_jobs_cancel (jobs, "abc", T0));
+  assert_false (hs_jobs_cancel (jobs, "c", "abd", T0));
+  /* Guards against a job of another queue that is cancelled instead. */
+  assert_false (hs_jobs_cancel (jobs, "d", "abc", T0));
+  assert_true (hs_jobs_cancel (jobs, "c", "abc", T0));
   assert_int_equal (answers[0].kind, HS_ANSWER_CANCELLED);
   assert_true (launches[0].stopped);
 }
