Give each start of a message the spec of its own job

Cause: launches of one message are grouped by the id of the job before. A second job under an id in progress is refused since, and launches that weren't sent are taken back with their job since, so that no caller can get there any more; the grouping still relied on it.

Change: launches are grouped only if customer, needs and spec are the same too.

Evidence: each_start_has_the_spec_of_its_own_job failed before ("one" != "two") and passes. a_launch_that_was_taken_back_leaves_no_spec_behind passed before and shows the way by which two such jobs could still meet in a message.

--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -5,6 +5,7 @@
 #include "direct/entry_private.h"
 #include "direct/liveness.h"
 #include "direct/offers.h"
+#include "direct/resources.h"
 
 /** What waits for the common targets, and for the reserve. */
 typedef struct
@@ -24,6 +25,7 @@
                           bool reserve,
                           HsTime now);
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
+static bool is_same_job (const hsx_launch *a, const hsx_launch *b);
 static bool outbox_take_back (HsOutbox *outbox, uint64_t ref);
 
 uint32_t
@@ -44,8 +46,7 @@
     last = &g_array_index (outbox->launches, hsx_launch,
                            outbox->launches->len - 1);
   /* One that is empty was taken back; its job is another one. */
-  if (last == NULL || last->tasks.tasks_len == 0
-      || strcmp (last->job, job->job) != 0
+  if (last == NULL || last->tasks.tasks_len == 0 || !is_same_job (last, job)
       || last->tasks.tasks_len == HSX_TASKS_MAX)
     {
       copy = *job;
@@ -195,6 +196,15 @@
   outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 }
 
+static bool
+is_same_job (const hsx_launch *a, const hsx_launch *b)
+{
+  return strcmp (a->job, b->job) == 0 && strcmp (a->customer, b->customer) == 0
+         && hs_resources_equal (&a->needs, &b->needs)
+         && a->spec.spec_len == b->spec.spec_len
+         && memcmp (a->spec.spec_val, b->spec.spec_val, a->spec.spec_len) == 0;
+}
+
 /* Takes back the launch of a start that hasn't been sent. */
 static bool
 outbox_take_back (HsOutbox *outbox, uint64_t ref)
