Repeat a start without an answer at its target

While targets carry out half of their calls late and don't answer them, callers were refused as their jobs had waited too long, or told 504 as their tasks had been started too late.

A target runs an attempt once however often its start is called, so the agent now repeats the call there, up to START_CALLS_MAX calls in all, with a raised token, so that earlier calls have no effect once the repetition has been answered. Any other answer to a repetition says nothing of the earlier calls: the run is then fenced off as before. It isn't repeated on another incarnation, nor where the target isn't in use. Its age counts from the first call.

Seven tests of unanswered starts now lose the repetitions as well (lose_start()); what they check is the same.

Ruled out: refusing these starts sooner, which spares the callers nothing, as every target loses half its calls.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -24,9 +24,9 @@
 #define STOP_PATIENCE                                                          \
   (HS_CALLER_RETRY_DELAY - HS_LEASE_MAX - HS_LEASE_MAX / 50 - 200 * HS_MSEC)
 
-/** Limit on the start calls of one run. A call is repeated if it was fenced off
- *  because another start had an unknown outcome, if its attempt number was
- *  outdated, or if its lease had expired. */
+/** Limit on the start calls of one run. A call is repeated if it got no answer,
+ *  if it was fenced off because another start had an unknown outcome, if its
+ *  attempt number was outdated, or if its lease had expired. */
 #define START_CALLS_MAX 4
 
 static bool is_stale (const HsRuns *runs, const HsAnnouncement *announcement);
@@ -44,6 +44,8 @@
                             const HsRunKey *key,
                             uint64_t ref,
                             HsRefusal reason);
+static bool may_repeat_start (const HsRuns *runs, const HsRun *run, HsTime now);
+static void repeat_start (HsRuns *runs, HsRun *run, HsTime now);
 static void fence_start (HsRuns *runs, HsRun *run);
 
 const char *
@@ -117,6 +119,7 @@
 
   runs->options = *options;
   runs->token = first_token;
+  runs->min_poll_token = first_token;
   runs->effects = effects;
   runs->arg = arg;
   runs->next_poll = 1;
@@ -289,7 +292,7 @@
 {
   HsRun *run = &runs->runs[handle];
 
-  if (handle >= HS_RUNS_MAX || run->state != HS_RUN_STARTING)
+  if (handle >= HS_RUNS_MAX || !hs_run_is_starting (run))
     return;
   hs_runs_note_call_result (runs, result, now);
   if (result != HS_TARGET_UNSENT && result != HS_TARGET_NO_LISTENER)
@@ -297,6 +300,20 @@
   if (result != HS_TARGET_UNANSWERED && result != HS_TARGET_UNSENT
       && result != HS_TARGET_NO_LISTENER)
     runs->answered_at = now;
+  if (result == HS_TARGET_REPLACED && run->endpoint == runs->endpoint)
+    runs->target_lost = true;
+  if (result == HS_TARGET_UNANSWERED && may_repeat_start (runs, run, now))
+    {
+      repeat_start (runs, run, now);
+      return;
+    }
+  /* A refusal says nothing of the earlier calls. */
+  if (result == HS_TARGET_UNANSWERED
+      || (result != HS_TARGET_OK && run->state == HS_RUN_REPEATING))
+    {
+      fence_start (runs, run);
+      return;
+    }
   switch (result)
     {
     case HS_TARGET_OK:
@@ -307,9 +324,6 @@
       run->progress_at = now;
       hs_start_rates_add (runs->start_rates, run->customer, run->key.job, now);
       return;
-    case HS_TARGET_UNANSWERED:
-      fence_start (runs, run);
-      return;
     case HS_TARGET_OUTDATED:
       if (run->stop_requested)
         {
@@ -322,12 +336,9 @@
     case HS_TARGET_FENCED:
     case HS_TARGET_LEASE_EXPIRED:
       break;
-    case HS_TARGET_REPLACED:
-      if (run->endpoint == runs->endpoint)
-        runs->target_lost = true;
-      hs_run_end (runs, run, HSX_END_REFUSED, HS_REFUSAL_TARGET,
-                  HS_EVIDENCE_ANSWER, now);
+    case HS_TARGET_UNANSWERED:
       return;
+    case HS_TARGET_REPLACED:
     case HS_TARGET_FULL:
     case HS_TARGET_UNHEALTHY:
     case HS_TARGET_INVALID:
@@ -451,9 +462,9 @@
   runs->evidence.first_poll = run->first_poll;
   runs->evidence.shown_clock_ms = run->shown_clock_ms;
   /* Its start call may have renewed the lease without having been answered. */
-  if (run->state == HS_RUN_STARTING)
+  if (hs_run_is_starting (run))
     runs->renewed_at = MAX (runs->renewed_at, run->called_at);
-  if (run->started_at != 0)
+  if (run->started_at != 0 && how != HSX_END_REFUSED)
     end.run_us = (unsigned int) MIN (now - run->started_at, UINT32_MAX);
   /* A slow run was recorded when it was found slow; its success doesn't count
      in the target's favour. */
@@ -477,7 +488,8 @@
                           .token = runs->token };
 
   start.lease_until_ms = hs_runs_next_lease_end (runs, now);
-  run->state = HS_RUN_STARTING;
+  if (run->state != HS_RUN_REPEATING)
+    run->state = HS_RUN_STARTING;
   run->may_have_run = false;
   run->endpoint = runs->endpoint;
   run->called_at = now;
@@ -609,6 +621,29 @@
   runs->effects->ended (runs->arg, entry, key, &end);
 }
 
+/* Only on the incarnation that got the earlier calls: there, a task starts once
+   however often its start is called. */
+static bool
+may_repeat_start (const HsRuns *runs, const HsRun *run, HsTime now)
+{
+  return !run->stop_requested && run->n_start_calls < START_CALLS_MAX
+         && now < run->deadline && run->endpoint == runs->endpoint
+         && !run->may_have_run
+         && hs_runs_target_state (runs) == HSX_TARGET_READY;
+}
+
+/* With the raised token the earlier calls have no effect once this one has been
+   answered. */
+static void
+repeat_start (HsRuns *runs, HsRun *run, HsTime now)
+{
+  if (run->started_at == 0)
+    run->started_at = run->called_at;
+  run->state = HS_RUN_REPEATING;
+  runs->token++;
+  hs_run_call_start (runs, run, now);
+}
+
 /* Once the target has seen the raised token it refuses starts with a lower one;
    the answer to the poll that carries it lists what had started by then. */
 static void
@@ -616,5 +651,6 @@
 {
   run->state = HS_RUN_START_UNKNOWN;
   run->fence_token = ++runs->token;
+  runs->min_poll_token = runs->token;
   runs->poll_not_before = 0;
 }
--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -74,7 +74,7 @@
   for (i = 0; i < HS_POLL_TOKENS_MAX; i++)
     last = MAX (last, runs->poll_renewed_at[i]);
   for (i = 0; i < HS_RUNS_MAX; i++)
-    if (runs->runs[i].state == HS_RUN_STARTING)
+    if (hs_run_is_starting (&runs->runs[i]))
       last = MAX (last, runs->runs[i].called_at);
   return last;
 }
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -84,7 +84,7 @@
   hs_runs_check_lease (runs, now);
   if (runs->polls_in_flight > 0
       && (runs->polls_in_flight >= POLLS_IN_FLIGHT_MAX
-          || runs->token_in_flight >= runs->token))
+          || runs->token_in_flight >= runs->min_poll_token))
     return HS_NEVER;
   if (now < runs->poll_not_before)
     return runs->poll_not_before;
@@ -152,6 +152,7 @@
       /* An earlier incarnation of this agent took its first token from a clock
          that was ahead. */
       runs->token += runs->token;
+      runs->min_poll_token = runs->token;
       runs->poll_not_before = 0;
       return;
     }
@@ -200,7 +201,7 @@
   uint32_t i;
 
   for (i = 0; i < HS_RUNS_MAX; i++)
-    if (runs->runs[i].state == HS_RUN_STARTING
+    if (hs_run_is_starting (&runs->runs[i])
         || runs->runs[i].state == HS_RUN_START_UNKNOWN)
       runs->runs[i].may_have_run = true;
   hs_breaker_reset (&runs->breaker);
@@ -211,7 +212,7 @@
   runs->target_clock_at = 0;
   runs->lease_until_ms = 0;
   hs_runs_distrust_sent_polls (runs);
-  runs->token++;
+  runs->min_poll_token = ++runs->token;
   runs->poll_not_before = 0;
 }
 
@@ -330,7 +331,7 @@
       run = hs_run_find (runs, &end->key);
       if (run == NULL)
         continue;
-      if (run->state == HS_RUN_STARTING)
+      if (hs_run_is_starting (run))
         runs->effects->abandon_start (runs->arg, (uint32_t) (run - runs->runs));
       if (how == HSX_END_STOPPED && run->stop_reported_as != 0)
         how = run->stop_reported_as;
@@ -372,7 +373,8 @@
       if (run->state == HS_RUN_START_UNKNOWN)
         {
           run->state = HS_RUN_RUNNING;
-          run->started_at = run->called_at;
+          if (run->started_at == 0)
+            run->started_at = run->called_at;
           run->percent = -1;
           run->progress_at = now;
           run->first_poll = runs->next_poll;
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -21,7 +21,9 @@
 {
   HS_RUN_FREE,
   HS_RUN_STARTING,      /**< The start call has no result yet. */
-  HS_RUN_START_UNKNOWN, /**< The start call got no answer; waits for a poll
+  HS_RUN_REPEATING,     /**< The same after earlier ones got no answer, of
+                             which one may have been carried out. */
+  HS_RUN_START_UNKNOWN, /**< No start call got an answer; waits for a poll
                              with `fence_token`. */
   HS_RUN_RUNNING,
   HS_RUN_STOPPING
@@ -37,9 +39,10 @@
   hsx_room needs;
   char *spec;
   size_t spec_len;
-  HsTime called_at; /**< When the start call, or the last stop call, was
-                         made. */
-  HsTime started_at;
+  HsTime called_at;  /**< When the start call, or the last stop call, was
+                          made. */
+  HsTime started_at; /**< At the earliest; 0: the first start call has no
+                          result yet. */
   HsTime deadline;
   HsTime expected_time;
   uint64_t fence_token;   /**< In HS_RUN_START_UNKNOWN: the answer to a
@@ -99,6 +102,8 @@
                                  another incarnation. */
   uint32_t polls_in_flight; /**< Polls without a result. */
   uint64_t token_in_flight; /**< The highest token among them. */
+  uint64_t min_poll_token;  /**< A poll with this token, or a higher one, has to
+                                 be sent although others are in flight. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
   HsTime poll_not_before; /**< Set after a failed poll; 0: no limit. */
   HsTime answered_at;     /**< Last answer of the target. */
@@ -136,6 +141,13 @@
 /** Calls the target to start a run. */
 void hs_run_call_start (HsRuns *runs, HsRun *run, HsTime now);
 
+/** Whether a start call of the run is in progress. */
+static inline bool
+hs_run_is_starting (const HsRun *run)
+{
+  return run->state == HS_RUN_STARTING || run->state == HS_RUN_REPEATING;
+}
+
 /** Calls the target to stop a run. */
 void hs_run_call_stop (HsRuns *runs, HsRun *run, HsTime now);
 
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -165,6 +165,20 @@
   return call;
 }
 
+/* No answer arrives to a start call, nor to its repetitions, which are lost. */
+static void
+lose_start (const StartCall *call)
+{
+  uint32_t others = n_starts;
+
+  hs_runs_start_done (runs, call->run, HS_TARGET_UNANSWERED, now);
+  while (n_starts > others)
+    {
+      n_starts--;
+      hs_runs_start_done (runs, call->run, HS_TARGET_UNANSWERED, now);
+    }
+}
+
 static void
 answer_start (void)
 {
@@ -287,7 +301,7 @@
   (void) state;
   launch ("a", 0, 7);
   call = pop_start ();
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, CAPACITY - CPU);
   advance (0);
   assert_true (polls[0].token > FIRST_TOKEN);
@@ -311,7 +325,7 @@
   launch ("a", 0, 7);
   call = pop_start ();
   execute_start (&call);
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   hs_target_model_restart (&model, now);
   announcement = make_announcement (1);
   announcement.started_ms = ++model.started_ms;
@@ -324,16 +338,127 @@
   assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, CAPACITY);
 }
 
+/* Guards against starts that are given back to their entry, which waits for
+   another offer, while every second call to a target gets no answer. */
 static void
-an_unanswered_start_that_is_listed_is_adopted (void **state)
+a_start_without_an_answer_is_repeated (void **state)
+{
+  StartCall lost;
+
+  (void) state;
+  launch ("a", 0, 7);
+  lost = pop_start ();
+  hs_runs_start_done (runs, lost.run, HS_TARGET_UNANSWERED, now);
+  assert_int_equal (n_starts, 1);
+  assert_int_equal (starts[0].start.key.attempt, lost.start.key.attempt);
+  answer_start ();
+  /* It arrives late and has no effect. */
+  assert_int_equal (execute_start (&lost), HS_TARGET_FENCED);
+  advance (200 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_DONE);
+}
+
+static void
+a_repeated_start_runs_once (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  execute_start (&call);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  answer_start ();
+  assert_int_equal (model.cpu_milli, CPU);
+  advance (200 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_DONE);
+}
+
+/* Guards against a task that runs twice at a time: a target that carried out a
+   start without answering refuses the repetition. */
+static void
+a_refused_repetition_does_not_end_the_run (void **state)
+{
+  static const HsTargetResult refusals[]
+      = { HS_TARGET_FENCED,    HS_TARGET_OUTDATED,  HS_TARGET_LEASE_EXPIRED,
+          HS_TARGET_FULL,      HS_TARGET_UNHEALTHY, HS_TARGET_INVALID,
+          HS_TARGET_REPLACED,  HS_TARGET_UNSENT,    HS_TARGET_NO_LISTENER,
+          HS_TARGET_UNANSWERED };
+  StartCall call;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (refusals); i++)
+    {
+      teardown (state);
+      setup (state);
+      launch ("a", 0, 7);
+      call = pop_start ();
+      execute_start (&call);
+      hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+      call = pop_start ();
+      hs_runs_start_done (runs, call.run, refusals[i], now);
+      assert_int_equal (n_ends, 0);
+      assert_int_equal (hs_runs_count (runs), 1);
+      advance (200 * HS_MSEC);
+      answer_polls ();
+      assert_int_equal (n_ends, 1);
+      assert_int_equal (ends[0].how, HSX_END_DONE);
+    }
+}
+
+/* Guards against a task that crashes one incarnation of a target after the
+   other, without an order of its entry. */
+static void
+a_start_is_not_repeated_on_another_incarnation (void **state)
 {
+  HsAnnouncement announcement;
   StartCall call;
 
   (void) state;
   launch ("a", 0, 7);
   call = pop_start ();
   execute_start (&call);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  announcement.started_ms = ++model.started_ms;
+  hs_runs_target_announced (runs, &announcement, now);
+  advance (0);
+  answer_polls ();
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  assert_int_equal (n_starts, 0);
+  advance (0);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_LAPSED);
+}
+
+static void
+a_start_to_be_stopped_is_not_repeated (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_runs_stop (runs, 0, 7, now);
   hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  assert_int_equal (n_starts, 0);
+}
+
+static void
+an_unanswered_start_that_is_listed_is_adopted (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  execute_start (&call);
+  lose_start (&call);
   advance (0);
   answer_poll ();
   assert_int_equal (n_ends, 0);
@@ -354,7 +479,7 @@
   launch ("a", 1, 8);
   lost = pop_start ();
   slow = pop_start ();
-  hs_runs_start_done (runs, lost.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&lost);
   advance (0);
   answer_poll ();
   assert_int_equal (execute_start (&slow), HS_TARGET_FENCED);
@@ -520,7 +645,7 @@
   (void) state;
   launch ("a", 0, 7);
   call = pop_start ();
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   advance (0);
   earlier = polls[0].number;
   n_polls = 0;
@@ -551,7 +676,7 @@
   launch ("a", 0, 7);
   advance (0);
   call = pop_start ();
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   advance (0);
   assert_int_equal (n_polls, 2);
   hs_target_model_receive_poll (&model, &polls[0], now);
@@ -560,7 +685,7 @@
   launch ("b", 0, 8);
   call = pop_start ();
   assert_int_equal (execute_start (&call), HS_TARGET_OK);
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   hs_target_model_write_list (&model, &earlier, now);
   hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &earlier, now);
   hs_runs_poll_done (runs, polls[1].number, HS_TARGET_OK, &later, now);
@@ -589,7 +714,7 @@
   launch ("a", 0, 7);
   call = pop_start ();
   assert_int_equal (execute_start (&call), HS_TARGET_OK);
-  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  lose_start (&call);
   advance (200 * HS_MSEC);
   hs_target_model_poll (&model, &polls[0], &list, now);
   assert_int_equal (list.n_ends, 1);
@@ -1310,6 +1435,11 @@
     TEST (launches_beyond_the_capacity_are_refused),
     TEST (an_unanswered_start_holds_its_resources_until_fenced),
     TEST (an_unanswered_start_on_a_target_that_crashed_may_have_run),
+    TEST (a_start_without_an_answer_is_repeated),
+    TEST (a_repeated_start_runs_once),
+    TEST (a_refused_repetition_does_not_end_the_run),
+    TEST (a_start_is_not_repeated_on_another_incarnation),
+    TEST (a_start_to_be_stopped_is_not_repeated),
     TEST (an_unanswered_start_that_is_listed_is_adopted),
     TEST (a_start_fenced_on_behalf_of_another_is_retried),
     TEST (runs_of_an_earlier_agent_incarnation_are_stopped_first),
