Merge the repetition of starts without an answer

A run whose start was repeated isn't certain to have run under a crash: the target may have crashed and come back between the calls, so that the crash that is then noticed isn't one under it.

--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -128,7 +128,8 @@
     }
   task->key = run->key;
   task->age = age;
-  task->certain = run->state == HS_RUN_RUNNING && !run->stop_requested;
+  task->certain
+      = run->state == HS_RUN_RUNNING && !run->stop_requested && !run->repeated;
   task->young_until = since + run->expected_time / YOUNG_DIVISOR;
   g_strlcpy (task->customer, run->customer, sizeof task->customer);
   task->customer_jobs_per_s
