Name no task as certain with a crash that may not have run then

When a list shows that another incarnation has replaced the target's, the crash was dated by the clock in that list, as if a target's clock started at zero. The crash was thus dated to long ago, and each task that had been running counted as "certain", i.e. too young to have ended before, even if its lease had run out since. It is dated to the arrival of the list now, the latest time that is possible.

Such a list also named runs as certain that the other incarnation itself had been sent: a target that restarts under its name is told by its announcement or by a list, and until then answers starts. What its list has, or needn't have yet (first_poll), isn't certain.

Tests: test_direct_runs, a_task_that_may_have_ended_before_a_silent_crash_is_not_certain and a_task_that_ran_on_the_next_incarnation_is_not_certain, both failed before ("last_crash.tasks[0].certain"). Models of targets may have clocks that start anywhere (clock_start_ms).

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -515,14 +515,19 @@
       if (run->state == HS_RUN_FREE)
         continue;
       left--;
-      if (run->key.index == key->index && run->key.step == key->step
-          && run->key.attempt == key->attempt
-          && strcmp (run->key.job, key->job) == 0)
+      if (hs_run_key_equal (&run->key, key))
         return run;
     }
   return NULL;
 }
 
+bool
+hs_run_key_equal (const HsRunKey *a, const HsRunKey *b)
+{
+  return a->index == b->index && a->step == b->step && a->attempt == b->attempt
+         && strcmp (a->job, b->job) == 0;
+}
+
 /* Whether an announcement is of an earlier incarnation. Its start tells, unless
    the clock of the target's host stepped back: an incarnation that the target
    itself has reported as replaced isn't the later one. */
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -15,6 +15,9 @@
 
 static void take_snapshot (HsRuns *runs);
 static void add_task (HsRuns *runs, const HsRun *run);
+static void
+doubt_runs_of_other (HsRuns *runs, const HsTargetList *list, uint32_t number);
+static bool has_row (const HsTargetList *list, const HsRunKey *key);
 static void report_crash (HsRuns *runs, HsTime crashed_before);
 
 void
@@ -58,7 +61,10 @@
 }
 
 void
-hs_runs_incarnation_over (HsRuns *runs, HsTime restarted_at)
+hs_runs_incarnation_over (HsRuns *runs,
+                          const HsTargetList *list,
+                          uint32_t number,
+                          HsTime over_before)
 {
   bool expected = runs->target_left || runs->target.leaving;
 
@@ -67,8 +73,10 @@
       && (runs->n_runs > 0 || runs->snapshot_taken))
     {
       take_snapshot (runs);
+      if (list != NULL)
+        doubt_runs_of_other (runs, list, number);
       report_crash (runs, runs->no_listener_since != 0 ? runs->no_listener_since
-                                                       : restarted_at);
+                                                       : over_before);
     }
   runs->crash_reported = false;
   runs->snapshot_taken = false;
@@ -135,6 +143,38 @@
       = hs_start_rates_per_s (runs->start_rates, run->customer, crash->at);
 }
 
+/* A start that was answered may have been answered by the other incarnation,
+   unless that one's list should have the run and doesn't. */
+static void
+doubt_runs_of_other (HsRuns *runs, const HsTargetList *list, uint32_t number)
+{
+  uint32_t i;
+
+  for (i = 0; i < runs->snapshot.n_tasks; i++)
+    {
+      HsCrashTask *task = &runs->snapshot.tasks[i];
+      const HsRun *run = hs_run_find (runs, &task->key);
+
+      if (run != NULL
+          && (run->first_poll > number || has_row (list, &task->key)))
+        task->certain = false;
+    }
+}
+
+static bool
+has_row (const HsTargetList *list, const HsRunKey *key)
+{
+  size_t i;
+
+  for (i = 0; i < list->n_running; i++)
+    if (hs_run_key_equal (&list->running[i].key, key))
+      return true;
+  for (i = 0; i < list->n_ends; i++)
+    if (hs_run_key_equal (&list->ends[i].key, key))
+      return true;
+  return false;
+}
+
 /* @crashed_before: the latest time at which the target can have crashed */
 static void
 report_crash (HsRuns *runs, HsTime crashed_before)
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -136,7 +136,7 @@
   if (result == HS_TARGET_REPLACED)
     {
       runs->target_lost = true;
-      hs_runs_incarnation_over (runs, HS_NEVER);
+      hs_runs_incarnation_over (runs, NULL, number, HS_NEVER);
       hs_runs_forget_target (runs);
       runs->listed_started_ms = 0;
       end_replaced_runs (runs, now);
@@ -289,7 +289,7 @@
     }
   if (other && runs->listed_started_ms != 0)
     {
-      hs_runs_incarnation_over (runs, now - list->clock_ms * HS_MSEC);
+      hs_runs_incarnation_over (runs, list, number, now);
       hs_runs_forget_target (runs);
     }
   if (list->started_ms != 0)
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -142,6 +142,8 @@
 /** The run with a key, or NULL. */
 HsRun *hs_run_find (HsRuns *runs, const HsRunKey *key);
 
+bool hs_run_key_equal (const HsRunKey *a, const HsRunKey *b);
+
 /** Records whether the target answered a call: an answer ends the search for a
  *  crash. */
 void hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now);
@@ -152,8 +154,13 @@
 
 /** Another incarnation has replaced the target's, which has crashed unless it
  *  had announced that it leaves.
- *  @param restarted_at when the other one started; HS_NEVER: not known */
-void hs_runs_incarnation_over (HsRuns *runs, HsTime restarted_at);
+ *  @param list of the other one, NULL if none was read
+ *  @param number of the poll that it answers
+ *  @param over_before when it was over at the latest; HS_NEVER: not known */
+void hs_runs_incarnation_over (HsRuns *runs,
+                               const HsTargetList *list,
+                               uint32_t number,
+                               HsTime over_before);
 
 /** Forgets what is known of the target, as another incarnation seems to listen.
  *  Runs don't end by that; see docs/design/evidence.md. */
--- a/test/target_model.c
+++ b/test/target_model.c
@@ -211,11 +211,11 @@
   g_array_remove_index (model->runs, i);
 }
 
-/* Runs two per cent slow and starts at zero with the incarnation. */
+/* Runs two per cent slow. */
 static int64_t
 clock_ms (const HsTargetModel *model, HsTime now)
 {
-  return (now - model->started_at) * 98 / 100 / HS_MSEC;
+  return model->clock_start_ms + (now - model->started_at) * 98 / 100 / HS_MSEC;
 }
 
 static void
--- a/test/target_model.h
+++ b/test/target_model.h
@@ -24,6 +24,7 @@
 {
   int64_t started_ms;
   HsTime started_at;
+  int64_t clock_start_ms; /**< Its clock when it starts. */
   uint64_t token;
   HsTime lease_until; /**< All runs end at this time. */
   uint64_t n_ends;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1210,6 +1210,43 @@
   assert_false (last_crash.tasks[0].certain);
 }
 
+/* Guards against sound jobs that are answered as failed: the clock of a target
+   doesn't tell when it started, as it may start anywhere. */
+static void
+a_task_that_may_have_ended_before_a_silent_crash_is_not_certain (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  while (n_polls > 0)
+    lose_poll ();
+  advance (150 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  model.clock_start_ms = 4300000;
+  advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.n_tasks, 1);
+  assert_false (last_crash.tasks[0].certain);
+}
+
+/* Guards against sound jobs that are answered as failed: the target restarted
+   under its name before it was sent the start, and nobody has told so yet. */
+static void
+a_task_that_ran_on_the_next_incarnation_is_not_certain (void **state)
+{
+  (void) state;
+  advance (10 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (5 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_false (last_crash.tasks[0].certain);
+  assert_int_equal (n_ends, 0);
+}
+
 /* Calls that found nobody don't renew the lease: the runs of a crashed target
    end at most a lease, its drift and the slack after the last one that may
    have. */
@@ -1390,6 +1427,8 @@
     TEST (a_crash_is_reported_with_what_ran),
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
+    TEST (a_task_that_may_have_ended_before_a_silent_crash_is_not_certain),
+    TEST (a_task_that_ran_on_the_next_incarnation_is_not_certain),
     TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
     TEST (a_restart_that_a_poll_finds_first_tells_of_a_silent_crash),
     TEST (a_crash_after_refusals_that_were_none_is_reported),
