Trust no poll sent before the first list of an incarnation

That wasn't noted while none was known (listed_started_ms 0: a new agent, or after a 421). Two polls may be in flight then, as a start without an answer raises the token. If the later one was answered by the next incarnation and its list arrived first, the earlier one's list put the agent back to the incarnation that was over, and the next list told of a crash of the one that lives. No run ended wrongly by it, as the runs in question had started later.

Test: a_list_that_another_incarnation_overtook_is_ignored (test_direct_runs), failed before: "0 != 0x1" at the target's state.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -292,6 +292,8 @@
       hs_runs_incarnation_over (runs, list, number, now);
       hs_runs_forget_target (runs);
     }
+  else if (other)
+    hs_runs_distrust_sent_polls (runs);
   if (list->started_ms != 0)
     {
       /* An incarnation that answers has to have announced itself. */
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -577,6 +577,46 @@
   assert_int_equal (ends[1].how, HSX_END_DONE);
 }
 
+/* Guards against a false crash: two polls were under way while no incarnation
+   was known, and the answer of the earlier incarnation arrives last. */
+static void
+a_list_that_another_incarnation_overtook_is_ignored (void **state)
+{
+  HsTargetList earlier;
+  HsTargetList later;
+  HsAnnouncement announcement;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  advance (0);
+  call = pop_start ();
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_REPLACED, NULL, now);
+  n_polls = 0;
+  advance (0);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (0);
+  assert_int_equal (n_polls, 2);
+  hs_target_model_poll (&model, &polls[0], &earlier, now);
+  now += 5 * HS_MSEC;
+  hs_target_model_restart (&model, now);
+  hs_target_model_poll (&model, &polls[1], &later, now);
+  hs_runs_poll_done (runs, polls[1].number, HS_TARGET_OK, &later, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  launch ("b", 0, 8);
+  answer_start ();
+  n_crashes = 0;
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &earlier, now);
+  free_list (&earlier);
+  free_list (&later);
+  n_polls = 0;
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+  advance (5 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_crashes, 0);
+}
+
 /* Guards against "has not run" being said of a task that ran: its end may be
    among those that a list leaves out. */
 static void
@@ -1400,6 +1440,7 @@
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (lists_that_overtake_each_other_end_no_run),
+    TEST (a_list_that_another_incarnation_overtook_is_ignored),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
