--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -768,6 +768,46 @@
   assert_int_equal (n_ends, i);
 }
 
+/* Guards against a false crash: two polls were under way while no incarnation
+   was known, and the answer of the earlier incarnation arrives last. */
+static void
+a_list_that_another_incarnation_overtook_is_ignored (void **state)
+{
+  HsTargetList earlier;
+  HsTargetList later;
+  HsAnnouncement announcement;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  advance (0);
+  call = pop_start ();
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_REPLACED, NULL, now);
+  n_polls = 0;
+  advance (0);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  advance (0);
+  assert_int_equal (n_polls, 2);
+  hs_target_model_poll (&model, &polls[0], &earlier, now);
+  now += 5 * HS_MSEC;
+  hs_target_model_restart (&model, now);
+  hs_target_model_poll (&model, &polls[1], &later, now);
+  hs_runs_poll_done (runs, polls[1].number, HS_TARGET_OK, &later, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  launch ("b", 0, 8);
+  answer_start ();
+  n_crashes = 0;
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &earlier, now);
+  free_list (&earlier);
+  free_list (&later);
+  n_polls = 0;
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+  advance (5 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_crashes, 0);
+}
+
 /* Guards against "has not run" being said of a task that ran: its end may be
    among those that a list leaves out. */
 static void
@@ -1401,6 +1441,43 @@
   assert_false (last_crash.tasks[0].certain);
 }
 
+/* Guards against sound jobs that are answered as failed: the clock of a target
+   doesn't tell when it started, as it may start anywhere. */
+static void
+a_task_that_may_have_ended_before_a_silent_crash_is_not_certain (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  while (n_polls > 0)
+    lose_poll ();
+  advance (150 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  model.clock_start_ms = 4300000;
+  advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.n_tasks, 1);
+  assert_false (last_crash.tasks[0].certain);
+}
+
+/* Guards against sound jobs that are answered as failed: the target restarted
+   under its name before it was sent the start, and nobody has told so yet. */
+static void
+a_task_that_ran_on_the_next_incarnation_is_not_certain (void **state)
+{
+  (void) state;
+  advance (10 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (5 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_false (last_crash.tasks[0].certain);
+  assert_int_equal (n_ends, 0);
+}
+
 /* Calls that found nobody don't renew the lease: the runs of a crashed target
    end at most a lease, its drift and the slack after the last one that may
    have. */
@@ -1561,6 +1638,7 @@
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (lists_that_overtake_each_other_end_no_run),
     TEST (a_poll_in_flight_keeps_its_token_while_others_follow),
+    TEST (a_list_that_another_incarnation_overtook_is_ignored),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
@@ -1588,6 +1666,8 @@
     TEST (a_crash_is_reported_with_what_ran),
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
+    TEST (a_task_that_may_have_ended_before_a_silent_crash_is_not_certain),
+    TEST (a_task_that_ran_on_the_next_incarnation_is_not_certain),
     TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
     TEST (a_restart_that_a_poll_finds_first_tells_of_a_silent_crash),
     TEST (a_crash_after_refusals_that_were_none_is_reported),
