Cancel a job at any entry

Cause: DELETE was answered from the table of the entry asked alone.

Change: an entry that doesn't have the job asks the others by a call with an answer (CANCEL_JOB): 200 if one had it, 410 if all say no, 504 if one is silent. Entries have to be of one version.

Weighed: a one-way message with 410 at once, a key in the store, asking the agents (docs/design/platform.md).

--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -101,6 +101,8 @@
   hs_histogram_record (entry->wait_histogram, answer->wait_time);
   if (answer->kind == HS_ANSWER_COMPLETED)
     hs_histogram_record (entry->latency_histogram, answer->total_time);
+  if (answer->kind != HS_ANSWER_REFUSED && answer->kind != HS_ANSWER_LOST)
+    hs_entry_cancel_note_end (entry, answer->customer, answer->id);
   if (answer->reason != HS_REASON_CALLER_GONE)
     hs_caller_server_reply (entry->callers, answer->request, &reply);
   hs_entry_schedule (entry, true);
@@ -174,9 +176,8 @@
 static void
 on_call (void *arg, HsConn *conn, uint32_t proc, HsRpcCallId call, void *args)
 {
-  (void) call;
   handle_pause (arg);
-  hs_entry_links_handle_call (arg, conn, proc, args);
+  hs_entry_links_handle_call (arg, conn, proc, call, args);
 }
 
 int
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -72,6 +72,7 @@
 hs_entry_links_handle_call (HsDirectEntry *entry,
                             HsConn *conn,
                             uint32_t proc,
+                            HsRpcCallId call,
                             const void *args)
 {
   uint32_t target = target_of (entry, conn);
@@ -92,6 +93,8 @@
     }
   else if (proc == HSX_CRASH && peer != NULL)
     handle_crash (entry, &((const hsx_crash_args *) args)->crash);
+  else if (proc == HSX_CANCEL_JOB && peer != NULL)
+    hs_entry_cancel_answer (entry, conn, call, args, hs_now ().mono);
   else if (proc == HSX_CONFIGURATION && peer != NULL)
     hs_entry_config_receive (entry, peer, args);
   else if (target != HS_TARGET_NONE || peer != NULL)
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -53,6 +53,9 @@
   int64_t config_revision;
 } HsEntryPeer;
 
+/** Number of ended jobs whose cancelling asks no other entry. */
+#define HS_ENDED_JOBS_MAX 4096
+
 typedef enum
 {
   HS_ENTRY_SERVING,
@@ -90,6 +93,11 @@
   /** Round-robin position of the next agent to send the backlog to. */
   uint32_t next_backlog_agent;
   HsEntryPeer peers[HS_PEERS_MAX];
+  /** @name Cancelling; entry_cancel.c @{ */
+  uint64_t ended_jobs[HS_ENDED_JOBS_MAX]; /**< Hashes; a ring. */
+  uint32_t next_ended_job;
+  uint32_t n_cancels; /**< Requests that wait for other entries. */
+  /** @} */
   /** @name The operators' configuration; entry_config.c @{ */
   HsStore *store;
   HsStoreWatch *config_watch; /**< Of the configuration's key. */
@@ -165,6 +173,29 @@
                               const HsCallerRequest *request);
 /** @} */
 
+/** @name entry_cancel.c: cancelling of jobs that this entry doesn't have @{ */
+/** Asks the other entries to cancel a job, and answers the request: cancelled
+ * by one; no such job, as all of them say so; not known, as one doesn't answer.
+ *  @return false if too many requests wait for such answers */
+bool hs_entry_cancel_ask (HsDirectEntry *entry,
+                          uint64_t request,
+                          const char *customer,
+                          const char *id);
+
+/** Notes a job that was answered for good, so that its cancelling asks nobody.
+ */
+void hs_entry_cancel_note_end (HsDirectEntry *entry,
+                               const char *customer,
+                               const char *id);
+
+/** Answers another entry's CANCEL_JOB. */
+void hs_entry_cancel_answer (HsDirectEntry *entry,
+                             HsConn *conn,
+                             HsRpcCallId call,
+                             const hsx_cancel_job_args *args,
+                             HsTime now);
+/** @} */
+
 /** @name entry_key.c: this entry's key in the store @{ */
 /** Writes the key, or renews its lease, when that is due; returns when to call
  *  it next. */
@@ -204,6 +235,7 @@
 void hs_entry_links_handle_call (HsDirectEntry *entry,
                                  HsConn *conn,
                                  uint32_t proc,
+                                 HsRpcCallId call,
                                  const void *args);
 /** The link of a target's agent; valid until the next target is added. */
 HsAgentLink *hs_entry_links_at (HsDirectEntry *entry, uint32_t target);
--- a/src/direct/entry_requests.c
+++ b/src/direct/entry_requests.c
@@ -21,6 +21,11 @@
                     const HsCallerRequest *request,
                     const HsRoute *route,
                     HsTime now);
+static void cancel (HsDirectEntry *entry,
+                    const HsCallerRequest *request,
+                    const char *customer,
+                    const char *id,
+                    HsTime now);
 static void reply_without_job (HsDirectEntry *entry,
                                const HsCallerRequest *request,
                                HsReplyKind kind,
@@ -63,11 +68,7 @@
                          "fetch", NULL);
       return;
     case HS_CALLER_CANCEL:
-      reply_without_job (entry, request,
-                         hs_jobs_cancel (entry->jobs, route->customer, id, now)
-                             ? HS_REPLY_CANCEL_APPLIED
-                             : HS_REPLY_NO_JOB,
-                         "cancel", NULL);
+      cancel (entry, request, route->customer, id, now);
       return;
     }
 }
@@ -79,6 +80,22 @@
          && strspn (id, "0123456789abcdefABCDEF") == strlen (id);
 }
 
+static void
+cancel (HsDirectEntry *entry,
+        const HsCallerRequest *request,
+        const char *customer,
+        const char *id,
+        HsTime now)
+{
+  if (hs_jobs_cancel (entry->jobs, customer, id, now))
+    reply_without_job (entry, request, HS_REPLY_CANCEL_APPLIED, "cancel", NULL);
+  else if (!is_job_id (id))
+    reply_without_job (entry, request, HS_REPLY_NO_JOB, "cancel", NULL);
+  else if (!hs_entry_cancel_ask (entry, request->handle, customer, id))
+    reply_without_job (entry, request, HS_REPLY_REFUSED, "too_many_cancels",
+                       NULL);
+}
+
 static void
 submit (HsDirectEntry *entry,
         const HsCallerRequest *request,
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -571,6 +571,17 @@
 };
 typedef struct hsx_crash_args hsx_crash_args;
 
+struct hsx_cancel_job_args {
+	char *customer;
+	char *id;
+};
+typedef struct hsx_cancel_job_args hsx_cancel_job_args;
+
+struct hsx_cancel_job_reply {
+	bool_t cancelled;
+};
+typedef struct hsx_cancel_job_reply hsx_cancel_job_reply;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -635,6 +646,9 @@
 #define HSX_CRASH 19
 extern  enum clnt_stat hsx_crash_1(hsx_crash_args , void *, CLIENT *);
 extern  bool_t hsx_crash_1_svc(hsx_crash_args , void *, struct svc_req *);
+#define HSX_CANCEL_JOB 20
+extern  enum clnt_stat hsx_cancel_job_1(hsx_cancel_job_args , hsx_cancel_job_reply *, CLIENT *);
+extern  bool_t hsx_cancel_job_1_svc(hsx_cancel_job_args , hsx_cancel_job_reply *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -698,6 +712,9 @@
 #define HSX_CRASH 19
 extern  enum clnt_stat hsx_crash_1();
 extern  bool_t hsx_crash_1_svc();
+#define HSX_CANCEL_JOB 20
+extern  enum clnt_stat hsx_cancel_job_1();
+extern  bool_t hsx_cancel_job_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -763,6 +780,8 @@
 extern  bool_t xdr_hsx_entries_args (XDR *, hsx_entries_args*);
 extern  bool_t xdr_hsx_configuration_args (XDR *, hsx_configuration_args*);
 extern  bool_t xdr_hsx_crash_args (XDR *, hsx_crash_args*);
+extern  bool_t xdr_hsx_cancel_job_args (XDR *, hsx_cancel_job_args*);
+extern  bool_t xdr_hsx_cancel_job_reply (XDR *, hsx_cancel_job_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -824,6 +843,8 @@
 extern bool_t xdr_hsx_entries_args ();
 extern bool_t xdr_hsx_configuration_args ();
 extern bool_t xdr_hsx_crash_args ();
+extern bool_t xdr_hsx_cancel_job_args ();
+extern bool_t xdr_hsx_cancel_job_reply ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -471,6 +471,15 @@
 	hsx_crash crash;
 };
 
+/* CANCEL_JOB, entry to entry: cancels a direct job, if the receiver has it. */
+struct hsx_cancel_job_args {
+	string customer<HSX_NAME_MAX>;
+	string id<HSX_ID_MAX>;
+};
+struct hsx_cancel_job_reply {
+	bool cancelled;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -493,5 +502,6 @@
 		void HSX_ENTRIES(hsx_entries_args) = 17;
 		void HSX_CONFIGURATION(hsx_configuration_args) = 18;
 		void HSX_CRASH(hsx_crash_args) = 19;
+		hsx_cancel_job_reply HSX_CANCEL_JOB(hsx_cancel_job_args) = 20;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -1017,3 +1017,25 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_cancel_job_args (XDR *xdrs, hsx_cancel_job_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->customer, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, HSX_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_cancel_job_reply (XDR *xdrs, hsx_cancel_job_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->cancelled))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -32,6 +32,8 @@
   [HSX_ENTRIES] = ONE_WAY ("entries", hsx_entries_args),
   [HSX_CONFIGURATION] = ONE_WAY ("configuration", hsx_configuration_args),
   [HSX_CRASH] = ONE_WAY ("crash", hsx_crash_args),
+  [HSX_CANCEL_JOB]
+  = PROC ("cancel_job", hsx_cancel_job_args, hsx_cancel_job_reply),
 };
 
 const HsProc *
--- /dev/null
+++ b/test/test_direct_entry_cancel.c
@@ -0,0 +1,272 @@
+/* Cancelling of jobs that an entry doesn't have; connections and callers are
+   stubs. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "direct/entry_private.h"
+
+#define N_PEERS 3
+#define REQUEST 77
+#define CALLS_MAX 256
+
+typedef struct
+{
+  HsRpcReplyFunc done;
+  void *arg;
+} Call;
+
+static HsDirectEntry *entry;
+static Call calls[CALLS_MAX];
+static uint32_t n_calls;
+static bool peers_accept_calls;
+static uint32_t n_replies;
+static HsReplyKind reply_kind;
+static bool cancelled_here;
+
+bool
+hs_conn_call (HsConn *conn,
+              uint32_t proc,
+              const void *args,
+              HsTime timeout,
+              HsRpcReplyFunc done,
+              void *arg)
+{
+  const hsx_cancel_job_args *cancel = args;
+
+  (void) conn;
+  (void) timeout;
+  assert_int_equal (proc, HSX_CANCEL_JOB);
+  assert_string_equal (cancel->customer, "c");
+  assert_string_equal (cancel->id, "00ff");
+  if (!peers_accept_calls)
+    return false;
+  calls[n_calls++] = (Call){ done, arg };
+  return true;
+}
+
+bool
+hs_conn_reply (HsConn *conn,
+               HsRpcCallId call,
+               uint32_t proc,
+               const void *result)
+{
+  const hsx_cancel_job_reply *answer = result;
+
+  (void) conn;
+  assert_int_equal (call, 5);
+  assert_int_equal (proc, HSX_CANCEL_JOB);
+  cancelled_here = answer->cancelled;
+  return true;
+}
+
+void
+hs_caller_server_reply (HsCallerServer *server,
+                        uint64_t handle,
+                        const HsReply *reply)
+{
+  (void) server;
+  assert_int_equal (handle, REQUEST);
+  n_replies++;
+  reply_kind = reply->kind;
+}
+
+static void
+on_answer (void *arg, const HsJobAnswer *answer)
+{
+  (void) arg;
+  (void) answer;
+}
+
+static const HsJobsEffects EFFECTS = { .answer = on_answer };
+
+static int
+set_up (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  n_calls = n_replies = 0;
+  peers_accept_calls = true;
+  entry = talloc_zero (NULL, HsDirectEntry);
+  entry->callers = (HsCallerServer *) entry;
+  entry->jobs
+      = hs_jobs_new (entry, hs_targets_new (entry), "dc1", &EFFECTS, NULL);
+  for (i = 0; i < N_PEERS; i++)
+    entry->peers[2 * i].used = true;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void) state;
+  talloc_free (entry);
+  return 0;
+}
+
+static void
+ask (void)
+{
+  assert_true (hs_entry_cancel_ask (entry, REQUEST, "c", "00ff"));
+}
+
+static void
+answer (uint32_t call, bool cancelled)
+{
+  hsx_cancel_job_reply result = { cancelled };
+
+  calls[call].done (calls[call].arg, HS_RPC_OK, &result);
+}
+
+static void
+a_job_that_another_entry_has_is_cancelled (void **state)
+{
+  (void) state;
+  ask ();
+  assert_int_equal (n_calls, N_PEERS);
+  answer (0, false);
+  assert_int_equal (n_replies, 0);
+  answer (1, true);
+  assert_int_equal (n_replies, 1);
+  assert_int_equal (reply_kind, HS_REPLY_CANCEL_APPLIED);
+  answer (2, false);
+  assert_int_equal (n_replies, 1);
+  assert_int_equal (entry->n_cancels, 0);
+}
+
+static void
+a_job_that_no_entry_has_does_not_exist (void **state)
+{
+  (void) state;
+  ask ();
+  answer (0, false);
+  answer (1, false);
+  assert_int_equal (n_replies, 0);
+  answer (2, false);
+  assert_int_equal (n_replies, 1);
+  assert_int_equal (reply_kind, HS_REPLY_NO_JOB);
+}
+
+/* Guards against 410 for a job that goes on at an entry that is silent. */
+static void
+a_missing_answer_does_not_tell_that_there_is_no_job (void **state)
+{
+  (void) state;
+  ask ();
+  answer (0, false);
+  calls[1].done (calls[1].arg, HS_RPC_TIMEOUT, NULL);
+  answer (2, false);
+  assert_int_equal (n_replies, 1);
+  assert_int_equal (reply_kind, HS_REPLY_INCOMPLETE);
+  peers_accept_calls = false;
+  ask ();
+  assert_int_equal (n_replies, 2);
+  assert_int_equal (reply_kind, HS_REPLY_INCOMPLETE);
+}
+
+static void
+the_only_entry_answers_at_once (void **state)
+{
+  (void) state;
+  memset (entry->peers, 0, sizeof entry->peers);
+  ask ();
+  assert_int_equal (n_calls, 0);
+  assert_int_equal (reply_kind, HS_REPLY_NO_JOB);
+}
+
+static void
+a_job_that_has_ended_here_asks_nobody (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  hs_entry_cancel_note_end (entry, "c", "00ff");
+  ask ();
+  assert_int_equal (n_calls, 0);
+  assert_int_equal (reply_kind, HS_REPLY_NO_JOB);
+  for (i = 0; i < HS_ENDED_JOBS_MAX; i++)
+    hs_entry_cancel_note_end (entry, "d", "00ff");
+  ask ();
+  assert_int_equal (n_calls, N_PEERS);
+}
+
+static void
+requests_that_wait_are_bounded (void **state)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  (void) state;
+  while (n < CALLS_MAX / N_PEERS
+         && hs_entry_cancel_ask (entry, REQUEST, "c", "00ff"))
+    n++;
+  assert_in_range (n, 1, CALLS_MAX / N_PEERS - 1);
+  for (i = 0; i < n_calls; i++)
+    answer (i, false);
+  assert_int_equal (n_replies, n);
+  n_calls = 0;
+  ask ();
+  assert_int_equal (n_calls, N_PEERS);
+}
+
+/* Connections are closed after the server for callers. */
+static void
+a_stopping_entry_answers_nobody (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  ask ();
+  entry->callers = NULL;
+  for (i = 0; i < N_PEERS; i++)
+    calls[i].done (calls[i].arg, HS_RPC_DISCONNECTED, NULL);
+  assert_int_equal (n_replies, 0);
+}
+
+static void
+an_entry_that_is_asked_cancels_its_own_job (void **state)
+{
+  hsx_cancel_job_args args = { (char *) "c", (char *) "00ff" };
+  HsSubmission job = { .id = "00ff",
+                       .customer = "c",
+                       .service = "s",
+                       .spec = "x",
+                       .spec_len = 1,
+                       .n_tasks = 1,
+                       .needs = { 1000, 10, 0 },
+                       .time_left = HS_SEC,
+                       .max_failures = 1,
+                       .slack_factor = 1 };
+
+  (void) state;
+  hs_jobs_submit (entry->jobs, &job, HS_SEC);
+  hs_entry_cancel_answer (entry, NULL, 5, &args, HS_SEC);
+  assert_true (cancelled_here);
+  assert_int_equal (hs_jobs_count (entry->jobs), 0);
+  hs_entry_cancel_answer (entry, NULL, 5, &args, HS_SEC);
+  assert_false (cancelled_here);
+}
+
+#define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    TEST (a_job_that_another_entry_has_is_cancelled),
+    TEST (a_job_that_no_entry_has_does_not_exist),
+    TEST (a_missing_answer_does_not_tell_that_there_is_no_job),
+    TEST (the_only_entry_answers_at_once),
+    TEST (a_job_that_has_ended_here_asks_nobody),
+    TEST (requests_that_wait_are_bounded),
+    TEST (a_stopping_entry_answers_nobody),
+    TEST (an_entry_that_is_asked_cancels_its_own_job),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_direct_path.c
+++ b/test/test_direct_path.c
@@ -213,6 +213,37 @@
   assert_int_equal (submit (0, "ms=1800", 1, 4000).status, 200);
 }
 
+static void *
+submit_long_job (void *reply)
+{
+  *(ClusterReply *) reply = cluster_submit (&cluster, 0, "00000000000e0001",
+                                            "ms=4000", 3, 1000, 8000);
+  return NULL;
+}
+
+/* Guards against tasks that are started and run on although their job was
+   cancelled: the DELETE reached another entry than the job. */
+static void
+a_job_is_cancelled_at_any_entry (void **state)
+{
+  static ClusterReply reply; /* The caller may outlive a failed check. */
+  const char *other = cluster.addresses[CLUSTER_ENTRY][1];
+  GThread *caller = g_thread_new ("caller", submit_long_job, &reply);
+
+  (void) state;
+  cluster_sleep_ms (500);
+  assert_int_equal (
+      cluster_call ("DELETE", other, "/q/00000000000e0001", NULL, 2000).status,
+      200);
+  g_thread_join (caller);
+  assert_int_equal (reply.status, 200);
+  assert_string_equal (reply.body, "{\"state\":\"cancelled\"}");
+  assert_true (reply.seconds < 3);
+  assert_int_equal (
+      cluster_call ("DELETE", other, "/q/00000000000e0001", NULL, 2000).status,
+      410);
+}
+
 static void *
 submit_to_paused_entry (void *reply)
 {
@@ -409,6 +440,7 @@
     cmocka_unit_test (tasks_of_a_disconnected_caller_are_stopped),
     cmocka_unit_test (lost_and_late_orders_never_overload_a_target),
     cmocka_unit_test (caller_deadline_overrides_the_route_timeout),
+    cmocka_unit_test (a_job_is_cancelled_at_any_entry),
     cmocka_unit_test (requests_that_waited_for_a_paused_entry_are_refused),
     cmocka_unit_test (agent_survives_changes_of_its_targets_address),
     cmocka_unit_test (capacity_that_shrinks_and_grows_is_followed),
