Poll a target again soon that loses some answers

Cause: a poll without an answer waited 50 ms for the next one from the second failure on, and the next one for 30 ms of ends again, so that three lost answers, one in eight, made a target unresponsive.

Until it is unresponsive a target is now polled each 20 ms, the time-out of a poll, and for an immediate answer: six or more lost answers instead of three. Intervals of an unresponsive target are as they were.

a_restart_tells_of_a_crash_that_was_silent loses the polls in flight before the restart; it relied on there being none.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -18,14 +18,18 @@
  *  current and detects runs that the agent didn't start. */
 #define POLL_IDLE_INTERVAL (1 * HS_SEC)
 
-/** Delay between polls of a target that doesn't answer, at first and at most.
- *  A target that restarts announces itself and is polled then. */
+/** Delay between polls of an unresponsive target, at first and at most. A
+ * target that restarts announces itself and is polled then. */
 #define POLL_RETRY_MIN (50 * HS_MSEC)
 #define POLL_RETRY_MAX (1 * HS_SEC)
 
 /** Failed polls in a second at POLL_RETRY_MIN. */
 #define FAILURES_PER_SECOND 20
 
+/** Time from one poll without an answer to the next one before the target is
+ *  unresponsive. */
+#define POLL_REPEAT_INTERVAL (POLL_TIMEOUT_SLACK_MS * HS_MSEC)
+
 /** Limit on the polls in flight. More than one is allowed, so that a poll with
  *  a raised token is sent while another still waits for a run to end. */
 #define POLLS_IN_FLIGHT_MAX 3
@@ -93,7 +97,7 @@
     return runs->answered_at + POLL_IDLE_INTERVAL;
   send_poll (runs,
              runs->n_runs > 0 && runs->list_known && runs->n_unknown_runs == 0
-                     && !has_unknown_starts (runs)
+                     && runs->n_failed_polls == 0 && !has_unknown_starts (runs)
                  ? POLL_WAIT_MS
                  : 0,
              now);
@@ -158,8 +162,12 @@
     }
   runs->n_failed_polls++;
   /* After a single lost answer the target is polled again at once. */
-  runs->poll_not_before
-      = runs->n_failed_polls == 1 ? 0 : now + retry_delay (runs);
+  if (runs->n_failed_polls == 1)
+    runs->poll_not_before = 0;
+  else if (result == HS_TARGET_UNANSWERED && !runs->unresponsive)
+    runs->poll_not_before = runs->polled_at + POLL_REPEAT_INTERVAL;
+  else
+    runs->poll_not_before = now + retry_delay (runs);
   runs->effects->changed (runs->arg);
 }
 
@@ -262,6 +270,7 @@
   runs->renewed_at = MAX (runs->renewed_at, runs->poll_renewed_at[place]);
   runs->poll_renewed_at[place] = renewal;
   runs->polls_in_flight++;
+  runs->polled_at = now;
   runs->token_in_flight = runs->token;
   runs->poll_tokens[place] = poll.token;
   runs->effects->poll (runs->arg, &poll);
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -105,6 +105,7 @@
   uint64_t min_poll_token;  /**< A poll with this token, or a higher one, has to
                                  be sent although others are in flight. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
+  HsTime polled_at;                         /**< When the last poll was sent. */
   HsTime poll_not_before; /**< Set after a failed poll; 0: no limit. */
   HsTime answered_at;     /**< Last answer of the target. */
   /** When calls that carried a lease, and may have reached the target, were
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1262,6 +1262,49 @@
   assert_false (last_crash.tasks[0].certain);
 }
 
+/* Polls without an answer until the target is unresponsive.
+   @param fails_after how long a poll takes; 0: its time-out */
+static uint32_t
+count_polls_until_unresponsive (HsTime fails_after)
+{
+  uint32_t n = 0;
+  HsTime step;
+
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  while (hs_runs_target_state (runs) == HSX_TARGET_READY)
+    {
+      step = HS_MSEC;
+      if (n_polls > 0)
+        {
+          n++;
+          step = fails_after != 0 ? fails_after : polls[0].timeout_ms * HS_MSEC;
+          now += step;
+          lose_poll ();
+          step = 0;
+        }
+      advance (step);
+    }
+  return n;
+}
+
+/* Guards against targets that are out of use, and ends that are seen late,
+   because some of their answers are lost. */
+static void
+a_target_is_asked_often_before_it_counts_as_unresponsive (void **state)
+{
+  (void) state;
+  assert_in_range (count_polls_until_unresponsive (0), 6, 8);
+}
+
+static void
+connections_that_break_at_once_are_not_repeated_without_a_pause (void **state)
+{
+  (void) state;
+  assert_in_range (count_polls_until_unresponsive (HS_MSEC), 6, 10);
+}
+
 static void
 a_restart_tells_of_a_crash_that_was_silent (void **state)
 {
@@ -1277,6 +1320,8 @@
         lose_poll ();
       advance (20 * HS_MSEC);
     }
+  while (n_polls > 0)
+    lose_poll ();
   assert_int_equal (n_crashes, 0);
   hs_target_model_restart (&model, now);
   announcement = make_announcement (1);
@@ -1473,6 +1518,8 @@
     TEST (runs_beyond_a_capacity_that_shrank_keep_out_new_ones),
     TEST (a_crash_is_reported_with_what_ran),
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
+    TEST (a_target_is_asked_often_before_it_counts_as_unresponsive),
+    TEST (connections_that_break_at_once_are_not_repeated_without_a_pause),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
     TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
     TEST (a_restart_that_a_poll_finds_first_tells_of_a_silent_crash),
