--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -110,6 +110,7 @@
                                  be sent although others are in flight. */
   uint64_t poll_tokens[HS_POLL_TOKENS_MAX]; /**< By number of the poll. */
   bool poll_in_flight[HS_POLL_TOKENS_MAX];  /**< The same. */
+  HsTime polled_at;                         /**< When the last poll was sent. */
   HsTime poll_not_before; /**< Set after a failed poll; 0: no limit. */
   HsTime answered_at;     /**< Last answer of the target. */
   /** When calls that carried a lease, and may have reached the target, were
