Take a new epoch before a partition goes on after a handover given up

Not seen by a caller; two starts of one task.

Cause: an owner that gave a handover up went on under the same epoch. Two things of the attempt could still arrive, and both name that epoch. The write of the new owner's record, whose outcome was unknown: a read that doesn't show it doesn't prove that it won't be carried out, and after it the new owner adopted jobs whose tasks the old one had started since. And the HANDOVER messages, since a connection that was closed may still deliver: a late one replaced the jobs of the next attempt, and those of an attempt that was cut short stayed in front of them. If an agent that ran such a task doesn't answer RECOVER within 2 s, the copy is believed and the task is started again.

Fix: the old owner writes the record with itself as owner, comparing the same revision, before it uses the partition again. At most one of the writes takes effect, and jobs handed over under the old epoch are not adopted. An import of an older epoch is refused. RECOVER under the new epoch may overtake a start of the same owner; that refusal (EPOCH) sends the task again. Claims are read again under the new epoch, and requests of opaque ids wait for it. While the store is out of reach the partition stays frozen, as it did before when the write's outcome was unknown.

Ruled out: repeating the handover's write until it is answered settles the write but not the messages; a number of the attempt in HANDOVER would change the message.

--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -364,8 +364,8 @@
 void hs_handovers_start (HsHandovers *handovers, HsNow now);
 
 /**
- * The partition records were read again: aborts the moves whose write had an
- * unknown outcome. A partition that did move isn't owned here any more.
+ * The partition records were read again: takes the partitions back whose move
+ * was given up and whose records are unchanged.
  */
 void hs_handovers_parts_reread (HsHandovers *handovers, HsNow now);
 
--- a/src/owner/dispatch.c
+++ b/src/owner/dispatch.c
@@ -391,8 +391,12 @@
       apply_fence (owner, task, now);
       return;
     case HSX_REFUSAL_EPOCH:
-      /* Another entry owns the partition. This entry will soon learn it from
-         the store and must not send the task again. */
+      /* Another entry owns the partition, and this entry will soon learn it
+         from the store; it must not send the task again. Unless the newer epoch
+         is its own, after a handover that was given up. */
+      if (task->sent_epoch != 0
+          && task->sent_epoch < owner->partitions[task->job->part].epoch)
+        task_retry_later (owner, task, false, now);
       return;
     case HSX_REFUSAL_NONE:
     case HSX_REFUSAL_PERMIT:
--- a/src/owner/handover.c
+++ b/src/owner/handover.c
@@ -119,7 +119,9 @@
   if (args->part >= owner->config.partitions)
     return false;
   partition = &owner->partitions[args->part];
-  if (partition->state != PARTITION_NOT_OWNED)
+  /* A late message of an earlier epoch, which the sender has given up. */
+  if (partition->state != PARTITION_NOT_OWNED
+      || args->epoch < partition->staged_epoch)
     return false;
   if (partition->staged_epoch != args->epoch || partition->staged_complete)
     {
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -42,7 +42,11 @@
 
       partition->epoch = acquired->epoch;
       if (partition->state != PARTITION_NOT_OWNED)
-        continue;
+        {
+          /* Its claims are read again under the new epoch. */
+          partition->claims_loaded = false;
+          continue;
+        }
       partition->state = PARTITION_RECOVERING;
       partition->recover_deadline = now.mono + RECOVER_TIMEOUT;
       partition->recovery_round = owner->recovery_round;
