Ask the agent instead of believing a refusal for another owner's start

Not seen by a caller; two starts of one task.

Cause: a refusal was matched by the epoch of the start that the entry had sent itself, and any refusal matched a task that another owner had started. A start of this entry is refused, and the refusal is delayed; the entry loses the partition with its lease, another owner starts the task on the same agent and hands it back: the late refusal then sent the task to be started again while it ran. For a run that only an agent's reply to RECOVER had reported, a refusal from any agent ended it in the same way.

Fix: only the epoch of an own start matches. If another owner has started the task, the entry calls SETTLE, whose answer holds whatever is on the way: a record, or the task never starts there. A refusal says nothing of a recovered run.

--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -16,7 +16,8 @@
 static void update_credits (HsOwner *owner, uint32_t handle);
 static void
 end_tasks_of_lost_agent (HsOwner *owner, uint32_t handle, HsNow now);
-static bool matches_sent_start (HsOwner *owner, const hsx_result *result);
+static bool
+matches_sent_start (HsOwner *owner, uint32_t handle, const hsx_result *result);
 static void apply_result (HsOwner *owner,
                           uint32_t handle,
                           const hsx_result *result,
@@ -157,7 +158,7 @@
       const hsx_result *result = &args->results.results_val[i];
 
       owner->stats.results++;
-      if (matches_sent_start (owner, result))
+      if (matches_sent_start (owner, handle, result))
         apply_result (owner, handle, result, now);
       else
         owner->stats.late_results++;
@@ -304,8 +305,8 @@
     send_settle (owner, handle, &args);
 }
 
-/* Calls SETTLE for adopted tasks, those that came by a handover, or later if a
-   call is pending. Partitions are adopted one after the other, and a call for
+/* Calls SETTLE for adopted tasks, those that another owner started, or later if
+   a call is pending. Partitions are adopted one after the other, and a call for
    each of them would ask for all earlier tasks again and bring as many replies
    for every task. */
 void
@@ -348,20 +349,26 @@
     job->tasks[key->index].outcome_unknown = false;
 }
 
-/* False for a refusal of an earlier start. It may arrive after the partition
-   was handed over and back, when the task has been started again under a newer
-   epoch. */
+/* False for a refusal that may be of an earlier start than the one that the
+   task waits for. It may arrive after the partition has gone to another owner
+   and back. If that owner has started the task, the agent is asked. */
 static bool
-matches_sent_start (HsOwner *owner, const hsx_result *result)
+matches_sent_start (HsOwner *owner, uint32_t handle, const hsx_result *result)
 {
   const Job *job = job_find (owner, result->key.customer, result->key.id);
-  const Task *task;
+  Task *task;
 
   if (result->outcome != HSX_REFUSED || job == NULL || job->n_unfinished == 0
       || result->key.index >= job->n_tasks)
     return true;
   task = &job->tasks[result->key.index];
-  return task->sent_epoch == 0 || task->sent_epoch == result->epoch;
+  if (task->sent_epoch == 0 && task->state == TASK_SENT
+      && task->agent == handle)
+    {
+      task->outcome_unknown = true;
+      settle_adopted_tasks (owner, handle);
+    }
+  return task->sent_epoch == result->epoch;
 }
 
 static void
@@ -375,7 +382,7 @@
 
   if (job == NULL)
     {
-      if (!recovered_job_apply_result (owner, result))
+      if (!recovered_job_apply_result (owner, handle, result))
         owner->stats.late_results++;
       return;
     }
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -342,9 +342,11 @@
 /* takeover.c */
 RecoveredJob *recovered_job_find (HsOwner *owner, const char *key);
 void recovered_job_drop (HsOwner *owner, RecoveredJob *recovered);
-/* Stores a result that arrived for a running recovered task.
+/* Stores an agent's result that arrived for a running recovered task.
    Returns false if there is none. */
-bool recovered_job_apply_result (HsOwner *owner, const hsx_result *result);
+bool recovered_job_apply_result (HsOwner *owner,
+                                 uint32_t agent,
+                                 const hsx_result *result);
 void recovered_jobs_sweep (HsOwner *owner, HsNow now);
 void recovered_jobs_agent_lost (HsOwner *owner, uint32_t agent);
 /* Calls RECOVER for all owned partitions, unless a call is pending. */
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -165,20 +165,25 @@
 }
 
 bool
-recovered_job_apply_result (HsOwner *owner, const hsx_result *result)
+recovered_job_apply_result (HsOwner *owner,
+                            uint32_t handle,
+                            const hsx_result *result)
 {
   char key[JOB_KEY_SIZE];
   RecoveredJob *recovered;
   guint i;
 
+  /* A refusal may be of another start than the one that the agent reported. */
+  if (result->outcome == HSX_REFUSED)
+    return false;
   job_key (key, result->key.customer, result->key.id);
   recovered = recovered_job_find (owner, key);
   for (i = 0; recovered != NULL && i < recovered->tasks->len; i++)
     {
       RecoveredTask *task = recovered->tasks->pdata[i];
 
-      if (task->index != result->key.index || task->outcome != HSX_RUNNING
-          || result->outcome == HSX_RUNNING)
+      if (task->index != result->key.index || task->agent != handle
+          || task->outcome != HSX_RUNNING || result->outcome == HSX_RUNNING)
         continue;
       adjust_in_flight (owner, recovered, task, -1);
       task->outcome = result->outcome;
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -402,6 +402,88 @@
   fixture_free (f);
 }
 
+/* Passes one result message to the owner. */
+static void
+send_record (OwnerFixture *f, uint64_t agent, hsx_result *result)
+{
+  hsx_result_args results = { { 1, result } };
+
+  hs_owner_results (f->owner, agent, &results, f->now);
+}
+
+static hsx_result
+refusal_record (char *id, hsx_refusal refusal, uint64_t epoch)
+{
+  hsx_result result = fixture_record (id, 0, HSX_REFUSED);
+
+  result.refusal = refusal;
+  result.epoch = epoch;
+  return result;
+}
+
+/* The refusal of a start of this owner comes after another owner has started
+   the task and handed it back. */
+static void
+a_refusal_from_before_a_handover_back_starts_no_task_twice (void **state)
+{
+  OwnerFixture *f = fixture_new ();
+  OwnerFixture *other = fixture_new ();
+  char *id = fixture_new_id (f, 0, 1);
+  hsx_result refused = refusal_record (id, HSX_REFUSAL_CREDIT, EPOCH);
+  hsx_result fenced = refusal_record (id, HSX_REFUSAL_FENCED, 0);
+  hsx_settle_reply reply = { { 1, &fenced } };
+
+  (void) state;
+  fixture_acquire (f, EPOCH, 0);
+  fixture_add_agent (f, AGENT);
+  fixture_recover_reply (f, AGENT, NULL, 0);
+  fixture_submit (f, id, 1, 'x');
+  assert_int_equal (f->starts->len, 1);
+  hs_owner_release (f->owner, fixture_partition (), f->now);
+  fixture_add_agent (other, AGENT);
+  fixture_acquire (other, EPOCH + 1, EPOCH);
+  fixture_recover_reply (other, AGENT, NULL, 0);
+  fixture_submit (other, id, 1, 'x');
+  assert_int_equal (other->starts->len, 1);
+  hand_over_partition (other, f);
+  fixture_acquire_by_handover (f, EPOCH + 2, EPOCH + 1);
+  fixture_recover_reply (f, AGENT, NULL, 0);
+  send_record (f, AGENT, &refused);
+  fixture_grant (f, AGENT, 2);
+  fixture_advance (f, 100 * HS_MSEC);
+  assert_int_equal (f->starts->len, 1);
+  /* The agent is asked, and only its answer counts. */
+  hs_owner_settle_reply (f->owner, AGENT, NULL, f->now);
+  hs_owner_settle_reply (f->owner, AGENT, &reply, f->now);
+  fixture_add_agent (f, OTHER_AGENT);
+  fixture_advance (f, 100 * HS_MSEC);
+  assert_int_equal (f->starts->len, 2);
+  fixture_free (f);
+  fixture_free (other);
+}
+
+/* The same for a task that only the agent has reported. */
+static void
+a_late_refusal_does_not_end_a_recovered_run (void **state)
+{
+  OwnerFixture *f = fixture_new ();
+  char *id = fixture_new_id (f, 0, 1);
+  hsx_result running = fixture_record (id, 0, HSX_RUNNING);
+  hsx_result refused = refusal_record (id, HSX_REFUSAL_CREDIT, EPOCH);
+
+  (void) state;
+  fixture_add_agent (f, AGENT);
+  fixture_add_agent (f, OTHER_AGENT);
+  fixture_acquire (f, EPOCH + 2, EPOCH + 1);
+  fixture_recover_reply (f, AGENT, &running, 1);
+  fixture_recover_reply (f, OTHER_AGENT, NULL, 0);
+  send_record (f, AGENT, &refused);
+  fixture_submit (f, id, 1, 'x');
+  fixture_advance (f, 100 * HS_MSEC);
+  assert_int_equal (f->starts->len, 0);
+  fixture_free (f);
+}
+
 int
 main (void)
 {
@@ -423,6 +505,9 @@
         a_handover_after_a_takeover_makes_recovered_ids_uncertain),
     cmocka_unit_test (a_staged_copy_is_not_adopted_by_a_takeover),
     cmocka_unit_test (a_failed_handover_resumes_the_partition),
+    cmocka_unit_test (
+        a_refusal_from_before_a_handover_back_starts_no_task_twice),
+    cmocka_unit_test (a_late_refusal_does_not_end_a_recovered_run),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
