Keep results that overtake the reply to RECOVER

Not seen by a caller; a task that is done is answered "may have run", after its time-out.

Cause: an agent answers RECOVER on the connection of the call and sends results on the one that the entry used last, or that came up last. The two may differ, so a result or refusal sent after the reply may arrive before it. The new owner knew no such task then and dropped it; the reply said that the task runs, and nothing ended that run any more. The same happened to a result that was lost with its connection: the reply to the next RECOVER was ignored for a run that was known.

Fix: a result of an unknown task is taken as a record, which is what it is. A later record ends a known run. When a caller submits a job of which an agent has reported a run, or a record turns a waiting task into a sent one, the entry calls SETTLE: it was sent after the report, so its answer isn't older. SETTLE isn't counted as pending without a connection, on which no reply would come.

Evidence: test_takeover, a_result_that_overtakes_the_recover_reply_is_kept, a_second_recover_reply_ends_a_recovered_run (no answer) and a_refusal_that_overtakes_the_recover_reply_leaves_no_run_behind ("0 != 0x1" calls of SETTLE) failed before.

Ruled out: sending results on the connection of the last RECOVER only narrows it, since a new connection may come up while the reply is on its way.

--- a/src/owner/agents.c
+++ b/src/owner/agents.c
@@ -312,6 +312,8 @@
 void
 settle_adopted_tasks (HsOwner *owner, uint32_t handle)
 {
+  if (!owner->agents[handle].connected)
+    return;
   if (owner->agents[handle].settles_pending == 0)
     settle_agent_tasks (owner, handle);
   else
@@ -382,8 +384,12 @@
 
   if (job == NULL)
     {
-      if (!recovered_job_apply_result (owner, handle, result))
-        owner->stats.late_results++;
+      if (recovered_job_apply_result (owner, handle, result))
+        return;
+      owner->stats.late_results++;
+      /* It may have overtaken the agent's reply to RECOVER, which says that the
+         task runs. */
+      apply_record (owner, handle, result, now);
       return;
     }
   if (result->key.index >= job->n_tasks)
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -340,6 +340,12 @@
 void job_reroute (HsOwner *owner, Job *job);
 
 /* takeover.c */
+/* Applies what an agent reports of a task, in a reply to RECOVER or as a result
+   that has overtaken the reply. */
+void apply_record (HsOwner *owner,
+                   uint32_t agent,
+                   const hsx_result *record,
+                   HsNow now);
 RecoveredJob *recovered_job_find (HsOwner *owner, const char *key);
 void recovered_job_drop (HsOwner *owner, RecoveredJob *recovered);
 /* Stores an agent's result that arrived for a running recovered task.
@@ -382,8 +388,8 @@
 Agent *agent_find (HsOwner *owner, uint64_t incarnation, uint32_t *handle);
 /* Calls SETTLE for the agent's tasks with unknown outcome. */
 void settle_agent_tasks (HsOwner *owner, uint32_t handle);
-/* Same for tasks that came by a handover; if SETTLE calls are pending, it waits
-   for their replies. */
+/* Same for tasks that another owner started; if SETTLE calls are pending, it
+   waits for their replies, and without a connection for the next one. */
 void settle_adopted_tasks (HsOwner *owner, uint32_t handle);
 
 #endif
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -550,12 +550,17 @@
       if (task->state != TASK_DEFERRED)
         continue;
       task_mark_sent (owner, task, r->agent, now);
+      task->outcome_unknown = r->outcome == HSX_RUNNING;
       result.outcome = r->outcome;
       result.http_status = r->http_status;
       result.body.body_val = r->body;
       result.body.body_len = r->body_len;
       task_apply_result (owner, task, &result, now);
     }
+  /* What ended a run may have been lost, or have overtaken the report of it. */
+  for (i = 0; i < job->n_tasks && job->n_unfinished > 0; i++)
+    if (job->tasks[i].state == TASK_SENT && job->tasks[i].outcome_unknown)
+      settle_adopted_tasks (owner, job->tasks[i].agent);
 }
 
 static void
--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -12,10 +12,6 @@
                                                 const char *id,
                                                 uint32_t part,
                                                 HsNow now);
-static void apply_record (HsOwner *owner,
-                          uint32_t handle,
-                          const hsx_result *record,
-                          HsNow now);
 static void adjust_in_flight (HsOwner *owner,
                               const RecoveredJob *recovered,
                               const RecoveredTask *task,
@@ -127,6 +123,7 @@
     }
   for (i = 0; i < reply->records.records_len; i++)
     apply_record (owner, handle, &reply->records.records_val[i], now);
+  settle_adopted_tasks (owner, handle);
   agent = &owner->agents[handle];
   owner->stats.recovered_records += reply->records.records_len;
   agent->recover_pending = false;
@@ -336,7 +333,7 @@
   return recovered;
 }
 
-static void
+void
 apply_record (HsOwner *owner,
               uint32_t handle,
               const hsx_result *record,
@@ -359,7 +356,10 @@
         return;
       own = &job->tasks[key->index];
       if (own->state == TASK_DEFERRED)
-        task_mark_sent (owner, own, handle, now);
+        {
+          task_mark_sent (owner, own, handle, now);
+          own->outcome_unknown = true;
+        }
       if (own->state == TASK_SENT && own->agent == handle)
         task_apply_result (owner, own, record, now);
       return;
@@ -368,7 +368,10 @@
                                          key->part, now);
   for (i = 0; i < recovered->tasks->len; i++)
     if (((RecoveredTask *) recovered->tasks->pdata[i])->index == key->index)
-      return;
+      {
+        recovered_job_apply_result (owner, handle, record);
+        return;
+      }
   task = talloc_zero (recovered, RecoveredTask);
   task->index = key->index;
   task->digest_prefix = key->content;
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -484,6 +484,80 @@
   fixture_free (f);
 }
 
+/* The result was sent after the reply to RECOVER, on another connection. */
+static void
+a_result_that_overtakes_the_recover_reply_is_kept (void **state)
+{
+  OwnerFixture *f = fixture_new ();
+  char *id = fixture_new_id (f, 0, 1);
+  hsx_result running = fixture_record (id, 0, HSX_RUNNING);
+  hsx_result done = fixture_record (id, 0, HSX_DONE);
+  HsWaiter waiter;
+
+  (void) state;
+  fixture_add_agent (f, AGENT);
+  fixture_acquire (f, EPOCH + 1, EPOCH);
+  send_record (f, AGENT, &done);
+  fixture_recover_reply (f, AGENT, &running, 1);
+  waiter = fixture_submit (f, id, 1, 'x');
+  assert_non_null (fixture_answer (f, waiter));
+  assert_int_equal (fixture_answer (f, waiter)->tasks[0], HSX_TASK_DONE);
+  assert_string_equal (fixture_answer (f, waiter)->first_body, "kept");
+  fixture_free (f);
+}
+
+/* The result was lost with its connection. */
+static void
+a_second_recover_reply_ends_a_recovered_run (void **state)
+{
+  OwnerFixture *f = fixture_new ();
+  char *id = fixture_new_id (f, 0, 1);
+  hsx_result record = fixture_record (id, 0, HSX_RUNNING);
+  HsWaiter waiter;
+
+  (void) state;
+  fixture_add_agent (f, AGENT);
+  fixture_acquire (f, EPOCH + 1, EPOCH);
+  fixture_recover_reply (f, AGENT, &record, 1);
+  hs_owner_agent_disconnected (f->owner, AGENT, f->now);
+  hs_owner_agent_connected (f->owner, AGENT, f->now);
+  record = fixture_record (id, 0, HSX_DONE);
+  fixture_recover_reply (f, AGENT, &record, 1);
+  waiter = fixture_submit (f, id, 1, 'x');
+  assert_non_null (fixture_answer (f, waiter));
+  assert_int_equal (fixture_answer (f, waiter)->tasks[0], HSX_TASK_DONE);
+  fixture_free (f);
+}
+
+/* The target could not be reached, so the agent has no record any more; its
+   refusal was sent after the reply to RECOVER, on another connection. */
+static void
+a_refusal_that_overtakes_the_recover_reply_leaves_no_run_behind (void **state)
+{
+  OwnerFixture *f = fixture_new ();
+  char *id = fixture_new_id (f, 0, 1);
+  hsx_result running = fixture_record (id, 0, HSX_RUNNING);
+  hsx_result refused = refusal_record (id, HSX_REFUSAL_TARGET, EPOCH);
+  hsx_result fenced = refusal_record (id, HSX_REFUSAL_FENCED, 0);
+  hsx_settle_reply reply = { { 1, &fenced } };
+
+  (void) state;
+  fixture_add_agent (f, AGENT);
+  fixture_add_agent (f, OTHER_AGENT);
+  fixture_acquire (f, EPOCH + 1, EPOCH);
+  send_record (f, AGENT, &refused);
+  fixture_recover_reply (f, OTHER_AGENT, NULL, 0);
+  fixture_recover_reply (f, AGENT, &running, 1);
+  fixture_submit (f, id, 1, 'x');
+  assert_int_equal (f->starts->len, 0);
+  assert_int_equal (f->settle_calls->len, 1);
+  hs_owner_settle_reply (f->owner, AGENT, &reply, f->now);
+  fixture_advance (f, 100 * HS_MSEC);
+  assert_int_equal (f->starts->len, 1);
+  assert_int_equal (fixture_sent_start (f, 0)->agent, OTHER_AGENT);
+  fixture_free (f);
+}
+
 int
 main (void)
 {
@@ -508,6 +582,10 @@
     cmocka_unit_test (
         a_refusal_from_before_a_handover_back_starts_no_task_twice),
     cmocka_unit_test (a_late_refusal_does_not_end_a_recovered_run),
+    cmocka_unit_test (a_result_that_overtakes_the_recover_reply_is_kept),
+    cmocka_unit_test (a_second_recover_reply_ends_a_recovered_run),
+    cmocka_unit_test (
+        a_refusal_that_overtakes_the_recover_reply_leaves_no_run_behind),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
