Don't withdraw credits by a list that was overtaken

Not seen by a caller; slots stay unused.

Cause: a GRANT replaced all idle credits and ended the loans that it doesn't list, as if it had been written after all that came before. An agent may send it on another connection than a result or a later GRANT. The credits were lost until the agent refreshed them, 4 to 120 s later; a loan that was ended so and not used was lost for good, as the agent went on to grant a credit that counted as used up.

Fix: all stamps of a list are of the time at which it was written. If a message of the agent with a later stamp has arrived, the list only adds credits; the agent refuses those that it has withdrawn. An empty list has no stamp, so a loan that a list has ended may be granted again once it must have expired, by a later stamp.

Evidence: test_credits, a_list_that_was_overtaken_withdraws_no_credit ("0x1 != 0x2" idle credits) and a_loan_that_an_overtaken_list_ended_is_granted_again ("0 != 0x1") failed before.

Ruled out: a permit can't become longer by a list that arrives late, since only a newer stamp counts as received.

--- a/src/policy/agent_credits.c
+++ b/src/policy/agent_credits.c
@@ -15,6 +15,9 @@
  * drift does not accumulate. */
 #define CLOCK_OFFSET_WINDOW (30 * HS_SEC)
 
+static bool
+is_overtaken (const HsAgentCredits *a, uint32_t n, const hsx_credit *credits);
+static void drop_granted (HsAgentCredits *a);
 static void reserve_slot (TALLOC_CTX *ctx, HsAgentCredits *a, uint32_t slot);
 static bool is_used_up (const HsCreditSlot *slot,
                         const hsx_credit *credit,
@@ -44,16 +47,15 @@
                         const hsx_credit *credits,
                         HsTime now)
 {
-  uint32_t n_loans = 0;
+  bool overtaken = is_overtaken (a, n, credits);
   uint32_t i;
 
-  for (i = 0; i < a->n_idle; i++)
-    if (a->idle[i].is_loan)
-      a->idle[n_loans++] = a->idle[i];
-  a->n_idle = n_loans;
+  if (!overtaken)
+    drop_granted (a);
   for (i = 0; i < n; i++)
     hs_agent_credits_add (ctx, a, &credits[i], HS_CREDIT_GRANTED, now);
-  end_used_loans (a, n, credits);
+  if (!overtaken)
+    end_used_loans (a, n, credits);
 }
 
 bool
@@ -68,15 +70,17 @@
   if (credit->slot >= SLOTS_MAX || credit->generation == UINT32_MAX)
     return false;
   update_clock_offset (a, credit->stamp_us, now);
+  if (source != HS_CREDIT_BORROWED && credit->stamp_us > a->written_stamp)
+    a->written_stamp = credit->stamp_us;
   reserve_slot (ctx, a, credit->slot);
   slot = &a->slots[credit->slot];
   if (is_used_up (slot, credit, source))
     return false;
   if (slot->is_lent)
-    {
-      slot->next_generation = credit->generation;
-      end_loan (a, slot);
-    }
+    end_loan (a, slot);
+  if (slot->was_lent)
+    slot->next_generation = credit->generation;
+  slot->was_lent = false;
   return store_idle (a, credit, source);
 }
 
@@ -128,6 +132,7 @@
                     - (age * HS_CLOCK_DRIFT_PPM + HS_SEC - 1) / HS_SEC;
   slot->lent_stamp = credit.stamp_us;
   slot->lent_at = now;
+  slot->was_lent = true;
   slot->is_lent = true;
   slot->was_granted = !is_loan;
   a->n_lent++;
@@ -151,11 +156,37 @@
       if (!slot->was_granted)
         continue;
       slot->next_generation = slot->lent_credit.generation;
+      slot->was_lent = false;
       any |= store_idle (a, &slot->lent_credit, HS_CREDIT_GRANTED);
     }
   return any;
 }
 
+/* Whether a message that the agent has written after this list has arrived. All
+ * stamps of a list are of the time at which it was written. */
+static bool
+is_overtaken (const HsAgentCredits *a, uint32_t n, const hsx_credit *credits)
+{
+  uint32_t i;
+
+  for (i = 0; i < n; i++)
+    if (credits[i].stamp_us >= a->written_stamp)
+      return false;
+  return n > 0;
+}
+
+static void
+drop_granted (HsAgentCredits *a)
+{
+  uint32_t n_loans = 0;
+  uint32_t i;
+
+  for (i = 0; i < a->n_idle; i++)
+    if (a->idle[i].is_loan)
+      a->idle[n_loans++] = a->idle[i];
+  a->n_idle = n_loans;
+}
+
 static void
 reserve_slot (TALLOC_CTX *ctx, HsAgentCredits *a, uint32_t slot)
 {
@@ -172,7 +203,8 @@
 
 /* A credit of the generation used last is accepted again only if it was lent,
  * and if the borrower lends it back or the agent grants it again after the loan
- * has expired. */
+ * has expired. The latter holds also if an empty list, whose age can't be told,
+ * has ended the loan. */
 static bool
 is_used_up (const HsCreditSlot *slot,
             const hsx_credit *credit,
@@ -180,7 +212,7 @@
 {
   if (credit->generation >= slot->next_generation)
     return false;
-  if (credit->generation + 1 < slot->next_generation || !slot->is_lent)
+  if (credit->generation + 1 < slot->next_generation || !slot->was_lent)
     return true;
   switch (source)
     {
@@ -188,7 +220,7 @@
       return credit->stamp_us
              < slot->lent_stamp + HS_LOAN_LIFETIME + PERMIT_MARGIN;
     case HS_CREDIT_BORROWED:
-      return false;
+      return !slot->is_lent;
     case HS_CREDIT_RETURNED:
       break;
     }
@@ -243,6 +275,7 @@
   hsx_credit credit = a->idle[--a->n_idle].credit;
 
   a->slots[credit.slot].next_generation = credit.generation + 1;
+  a->slots[credit.slot].was_lent = false;
   return credit;
 }
 
--- a/src/policy/agent_credits.h
+++ b/src/policy/agent_credits.h
@@ -59,11 +59,12 @@
 typedef struct
 {
   uint32_t next_generation; /**< Earlier generations are used up. */
-  bool is_lent;
-  bool was_granted;       /**< The lent credit was not itself a loan. */
-  int64_t lent_stamp;     /**< Stamp with which it was lent. */
-  HsTime lent_at;         /**< When it was lent. */
-  hsx_credit lent_credit; /**< The credit to restore on reclaim. */
+  bool was_lent;            /**< It left by a loan, not for a task. */
+  bool is_lent;             /**< Not known to be used or reclaimed. */
+  bool was_granted;         /**< The lent credit was not itself a loan. */
+  int64_t lent_stamp;       /**< Stamp with which it was lent. */
+  HsTime lent_at;           /**< When it was lent. */
+  hsx_credit lent_credit;   /**< The credit to restore on reclaim. */
 } HsCreditSlot;
 
 /**
@@ -76,6 +77,7 @@
   uint32_t n_lent;    /**< Slots whose loan has an unknown outcome. */
   HsIdleCredit *idle; /**< Newest last. */
   HsCreditSlot *slots;
+  int64_t written_stamp;    /**< Latest one in a message of the agent. */
   int64_t latest_stamp;     /**< Latest time of the agent's clock received. */
   HsTime stamp_received_at; /**< Local time at which the stamp arrived. */
   int64_t clock_offset; /**< Highest agent minus local clock, this window. */
@@ -87,7 +89,8 @@
 void hs_agent_credits_free (HsAgentCredits *a);
 
 /**
- * Replaces all idle credits except borrowed ones.
+ * Replaces all idle credits except borrowed ones. If a message that the agent
+ * has written later arrived before, the credits are only added.
  * @param ctx owner of the arrays of @p a
  */
 void hs_agent_credits_grant (TALLOC_CTX *ctx,
--- a/test/test_credits.c
+++ b/test/test_credits.c
@@ -70,6 +70,58 @@
   talloc_free (pool);
 }
 
+/* A list that was written before a credit was granted arrives after it, on
+   another connection. */
+static void
+a_list_that_was_overtaken_withdraws_no_credit (void **state)
+{
+  HsCredits *pool = new_pool (1, 1);
+  hsx_credit older[1] = { make_credit (0, 1, 5 * HS_SEC) };
+  hsx_credit newer[2]
+      = { make_credit (0, 1, 6 * HS_SEC), make_credit (1, 1, 6 * HS_SEC) };
+  hsx_credit next = make_credit (2, 1, 7 * HS_SEC);
+
+  (void) state;
+  hs_credits_grant (pool, 0, 2, newer, 8 * HS_SEC);
+  hs_credits_grant (pool, 0, 1, older, 8 * HS_SEC);
+  assert_int_equal (hs_credits_idle (pool), 2);
+  assert_true (hs_credits_add (pool, 0, &next, HS_CREDIT_RETURNED, 8 * HS_SEC));
+  hs_credits_grant (pool, 0, 2, newer, 9 * HS_SEC);
+  assert_int_equal (hs_credits_idle (pool), 3);
+  /* One that was written later does. */
+  newer[0].stamp_us = newer[1].stamp_us = 8 * HS_SEC;
+  hs_credits_grant (pool, 0, 2, newer, 9 * HS_SEC);
+  assert_int_equal (hs_credits_idle (pool), 2);
+  talloc_free (pool);
+}
+
+/* A list without the slot of a loan arrives late, so the loan counted as used.
+   The agent goes on to grant the credit, which nobody has used. */
+static void
+a_loan_that_an_overtaken_list_ended_is_granted_again (void **state)
+{
+  HsCredits *pool = new_pool (1, 1);
+  hsx_credit listed = make_credit (0, 1, HS_SEC + 2 * HS_LOAN_LIFETIME);
+  hsx_credit lent;
+  uint32_t agent;
+
+  (void) state;
+  assert_int_equal (hs_credits_lend (pool, 1, HS_SEC, LEASE_LEFT, &lent), 1);
+  hs_credits_grant (pool, 0, 0, NULL, 2 * HS_SEC);
+  listed.stamp_us = HS_SEC;
+  hs_credits_grant (pool, 0, 1, &listed, 2 * HS_SEC);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  listed.stamp_us = HS_SEC + 2 * HS_LOAN_LIFETIME;
+  hs_credits_grant (pool, 0, 1, &listed, HS_SEC + 2 * HS_LOAN_LIFETIME);
+  assert_int_equal (hs_credits_idle (pool), 1);
+  /* Once it is used here, a list that was written before doesn't return it. */
+  assert_true (take (pool, HS_SEC + 2 * HS_LOAN_LIFETIME, &agent, &lent));
+  listed.stamp_us += 2 * HS_LOAN_LIFETIME;
+  hs_credits_grant (pool, 0, 1, &listed, HS_SEC + 4 * HS_LOAN_LIFETIME);
+  assert_int_equal (hs_credits_idle (pool), 0);
+  talloc_free (pool);
+}
+
 static void
 crossing_grant_reissues_no_slot (void **state)
 {
@@ -477,6 +529,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (tasks_are_spread_over_agents),
+    cmocka_unit_test (a_list_that_was_overtaken_withdraws_no_credit),
+    cmocka_unit_test (a_loan_that_an_overtaken_list_ended_is_granted_again),
     cmocka_unit_test (crossing_grant_reissues_no_slot),
     cmocka_unit_test (needs_are_met_and_accelerators_spared),
     cmocka_unit_test (avoided_agents_are_skipped),
