--- a/src/owner/takeover.c
+++ b/src/owner/takeover.c
@@ -12,10 +12,6 @@
                                                 const char *id,
                                                 uint32_t part,
                                                 HsNow now);
-static void apply_record (HsOwner *owner,
-                          uint32_t handle,
-                          const hsx_result *record,
-                          HsNow now);
 static void adjust_in_flight (HsOwner *owner,
                               const RecoveredJob *recovered,
                               const RecoveredTask *task,
@@ -42,7 +38,11 @@
 
       partition->epoch = acquired->epoch;
       if (partition->state != PARTITION_NOT_OWNED)
-        continue;
+        {
+          /* Its claims are read again under the new epoch. */
+          partition->claims_loaded = false;
+          continue;
+        }
       partition->state = PARTITION_RECOVERING;
       partition->recover_deadline = now.mono + RECOVER_TIMEOUT;
       partition->recovery_round = owner->recovery_round;
@@ -123,6 +123,7 @@
     }
   for (i = 0; i < reply->records.records_len; i++)
     apply_record (owner, handle, &reply->records.records_val[i], now);
+  settle_adopted_tasks (owner, handle);
   agent = &owner->agents[handle];
   owner->stats.recovered_records += reply->records.records_len;
   agent->recover_pending = false;
@@ -161,20 +162,25 @@
 }
 
 bool
-recovered_job_apply_result (HsOwner *owner, const hsx_result *result)
+recovered_job_apply_result (HsOwner *owner,
+                            uint32_t handle,
+                            const hsx_result *result)
 {
   char key[JOB_KEY_SIZE];
   RecoveredJob *recovered;
   guint i;
 
+  /* A refusal may be of another start than the one that the agent reported. */
+  if (result->outcome == HSX_REFUSED)
+    return false;
   job_key (key, result->key.customer, result->key.id);
   recovered = recovered_job_find (owner, key);
   for (i = 0; recovered != NULL && i < recovered->tasks->len; i++)
     {
       RecoveredTask *task = recovered->tasks->pdata[i];
 
-      if (task->index != result->key.index || task->outcome != HSX_RUNNING
-          || result->outcome == HSX_RUNNING)
+      if (task->index != result->key.index || task->agent != handle
+          || task->outcome != HSX_RUNNING || result->outcome == HSX_RUNNING)
         continue;
       adjust_in_flight (owner, recovered, task, -1);
       task->outcome = result->outcome;
@@ -327,7 +333,7 @@
   return recovered;
 }
 
-static void
+void
 apply_record (HsOwner *owner,
               uint32_t handle,
               const hsx_result *record,
@@ -350,7 +356,10 @@
         return;
       own = &job->tasks[key->index];
       if (own->state == TASK_DEFERRED)
-        task_mark_sent (owner, own, handle, now);
+        {
+          task_mark_sent (owner, own, handle, now);
+          own->outcome_unknown = true;
+        }
       if (own->state == TASK_SENT && own->agent == handle)
         task_apply_result (owner, own, record, now);
       return;
@@ -359,7 +368,10 @@
                                          key->part, now);
   for (i = 0; i < recovered->tasks->len; i++)
     if (((RecoveredTask *) recovered->tasks->pdata[i])->index == key->index)
-      return;
+      {
+        recovered_job_apply_result (owner, handle, record);
+        return;
+      }
   task = talloc_zero (recovered, RecoveredTask);
   task->index = key->index;
   task->digest_prefix = key->content;
