Play leases that run out between an agent and its target

With crossing answers a seed played 0.75 s with runs of up to 85 ms, so that no lease ran out: ending runs 150 ms too early by the lease, or not counting unanswered polls as renewals (hs_runs_check_lease()), went unnoticed. The new test plays 4 s a seed with runs of up to 4 s, calls carried out 2 to 12 s late, answers later than calls wait for, spans of up to 1.2 s without any answer, and agents that are paused for up to 0.9 s and read what has arrived first. The other tests of the file draw the same random numbers as before.

--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -5,7 +5,8 @@
    has to end exactly once, and none may be reported as over while it runs or
    before it starts. With `crossing`, calls and answers are under way on
    connections of their own: a list may arrive after one that was written later,
-   and a connection may break after the call was carried out. */
+   and a connection may break after the call was carried out. With `rough`,
+   leases run out besides. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -36,6 +37,12 @@
 #define CROSSING_STEP_TIME (500 * HS_USEC)
 #define ANSWER_TRANSIT_MAX (6 * HS_MSEC)
 
+/** With `rough`: as many steps as several leases take, and the longest time
+ * that an answer takes, longer than calls wait for it. */
+#define ROUGH_SEEDS 60
+#define ROUGH_STEPS 8000
+#define ROUGH_TRANSIT_MAX (40 * HS_MSEC)
+
 /** Calls that take longer are carried out late. */
 #define TRANSIT_MAX (3 * HS_MSEC)
 #define MESSAGES_MAX 256
@@ -120,6 +127,11 @@
   LateMessage late[MESSAGES_MAX];
   uint32_t n_late;
   bool crossing;
+  /* With `crossing`: leases run out, as nothing is answered for up to 1.2 s,
+     and the agent is paused for up to 0.9 s. */
+  bool rough;
+  HsTime mute_until;
+  HsTime paused_until;
   bool crashes;      /* The target is down for a while when it crashes. */
   HsTime down_until; /* 0: it is up. */
   uint8_t ran_at_crash[REFS_MAX];
@@ -149,6 +161,8 @@
         break;
       case 1:
         order.due = world.now + (40 + pick (900)) * HS_MSEC;
+        if (world.rough && pick (2) == 0)
+          order.due += (2000 + pick (10000)) * HS_MSEC;
         break;
       default:
         order.due = HS_NEVER;
@@ -166,7 +180,8 @@
   order.target_incarnation = world.target_incarnation;
   order.expected_name = world.endpoint_name;
   order.sent_at = world.now;
-  order.unanswered = pick (100) < world.lost_percent;
+  order.unanswered
+      = pick (100) < world.lost_percent || world.now < world.mute_until;
   order.due = world.now + pick (3) * HS_MSEC;
   if (world.crossing)
     {
@@ -533,6 +548,8 @@
       else if (order->kind == ORDER_START)
         {
           run_time = (5 + pick (80)) * HS_MSEC;
+          if (world.rough && pick (3) == 0)
+            run_time = (200 + pick (4000)) * HS_MSEC;
           if (world.crashes)
             run_time = MAX (run_time, EXPECTED_MS / 2 * HS_MSEC);
           order->result
@@ -567,12 +584,22 @@
       return false;
     }
   order->phase = PHASE_ANSWER;
-  order->due = order->unanswered || order->kind == ORDER_STOP
-                   ? HS_NEVER
-                   : world.now + pick (ANSWER_TRANSIT_MAX);
+  order->due
+      = order->unanswered || order->kind == ORDER_STOP
+            ? HS_NEVER
+            : world.now
+                  + pick (world.rough ? ROUGH_TRANSIT_MAX : ANSWER_TRANSIT_MAX);
   return true;
 }
 
+/* After a pause the agent reads what has arrived before it looks at the time.
+ */
+static bool
+is_answered (const Order *order)
+{
+  return world.rough && order->phase == PHASE_ANSWER && world.now >= order->due;
+}
+
 /* A call that the target hasn't carried out when it ends breaks off: its
    connection isn't one to the next incarnation. */
 static void
@@ -592,7 +619,13 @@
           order->timeout_at = MIN (order->timeout_at, world.now);
           order->due = HS_NEVER;
         }
-      if (!order->abandoned && world.now >= order->timeout_at)
+      if (world.now < world.paused_until && order->phase == PHASE_ANSWER)
+        {
+          i++;
+          continue;
+        }
+      if (!order->abandoned && world.now >= order->timeout_at
+          && world.now >= world.paused_until && !is_answered (order))
         {
           order->abandoned = true;
           reported.result = HS_TARGET_UNANSWERED;
@@ -802,6 +835,18 @@
     }
 }
 
+/* The pauses of a rough day. */
+static void
+pause_something (void)
+{
+  if (!world.rough)
+    return;
+  if (pick (1500) == 0)
+    world.mute_until = world.now + pick (1200) * HS_MSEC;
+  if (pick (1500) == 0)
+    world.paused_until = world.now + pick (pick (2) == 0 ? 60 : 900) * HS_MSEC;
+}
+
 static void
 end_downtime (void)
 {
@@ -830,28 +875,38 @@
 /* Ends aren't reported to lost entries; for their launches the count of runs
    shows that none of them still holds resources. */
 static void
-run_seed (uint32_t seed, bool mixed_incarnations, bool crashes, bool crossing)
+run_seed (uint32_t seed,
+          bool mixed_incarnations,
+          bool crashes,
+          bool crossing,
+          bool rough)
 {
+  int steps = rough ? ROUGH_STEPS : STEPS;
   int step;
 
   memset (&world, 0, sizeof world);
   world.mixed_incarnations = mixed_incarnations;
   world.crashes = crashes;
   world.crossing = crossing;
+  world.rough = rough;
   world.random = prng_seeded (seed);
   world.seed = seed;
   world.capacity = CAPACITY;
   world.now = 100000 * HS_SEC;
   hs_target_model_init (&world.model, world.now);
   start_agent ();
-  for (step = 0; step < STEPS; step++)
+  for (step = 0; step < steps; step++)
     {
       pass_time (crossing ? CROSSING_STEP_TIME : STEP_TIME);
       deliver_late_messages ();
       end_downtime ();
-      if (pick (3) != 0)
+      pause_something ();
+      if (world.now < world.paused_until)
+        continue;
+      if (rough ? pick (8) == 0 : pick (3) != 0)
         launch ();
-      inject_fault ();
+      if (!rough || pick (4) == 0)
+        inject_fault ();
       hs_runs_tick (world.runs, world.now);
       if (world.model.cpu_milli > CAPACITY)
         fail_msg ("seed %u step %d: %u of %u thousandths in use", seed, step,
@@ -859,6 +914,8 @@
     }
   world.lost_percent = 0;
   world.mixed_incarnations = false;
+  world.rough = false;
+  world.mute_until = world.paused_until = 0;
   for (step = 0; step < 3000; step++)
     {
       pass_time (STEP_TIME);
@@ -888,7 +945,7 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, false, false, false);
+    run_seed (seed, false, false, false, false);
 }
 
 /* Guards against a task that runs twice at a time: what an earlier incarnation
@@ -900,7 +957,7 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, true, false, false);
+    run_seed (seed, true, false, false, false);
 }
 
 /* Guards against sound jobs that are answered as failed: a task is counted as
@@ -913,7 +970,7 @@
   (void) state;
   n_certain = 0;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, false, true, false);
+    run_seed (seed, false, true, false, false);
   assert_true (n_certain > SEEDS);
 }
 
@@ -927,7 +984,7 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, false, false, true);
+    run_seed (seed, false, false, true, false);
 }
 
 /* The same, with targets that crash, restart under other names, and whose
@@ -939,7 +996,19 @@
 
   (void) state;
   for (seed = 0; seed < SEEDS; seed++)
-    run_seed (seed, true, seed % 2 == 0, true);
+    run_seed (seed, true, seed % 2 == 0, true, false);
+}
+
+/* The same, with calls that are carried out seconds late, and pauses in which
+   leases run out. */
+static void
+rough_days_end_no_run (void **state)
+{
+  uint32_t seed;
+
+  (void) state;
+  for (seed = 0; seed < ROUGH_SEEDS; seed++)
+    run_seed (seed, seed % 2 == 0, seed % 4 == 0, true, true);
 }
 
 int
@@ -950,7 +1019,8 @@
     cmocka_unit_test (messages_of_earlier_incarnations_end_no_run),
     cmocka_unit_test (only_tasks_that_ran_are_named_as_certain_with_a_crash),
     cmocka_unit_test (lists_that_overtake_each_other_end_no_run),
-    cmocka_unit_test (crossing_answers_of_several_incarnations_end_no_run)
+    cmocka_unit_test (crossing_answers_of_several_incarnations_end_no_run),
+    cmocka_unit_test (rough_days_end_no_run)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
