--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -383,6 +383,8 @@
       left--;
       if (run->state == HS_RUN_STOPPING && now >= repeat)
         hs_run_call_stop (runs, run, now);
+      if (run->state == HS_RUN_STOPPING && runs->no_listener_since != 0)
+        continue;
       if (run->state == HS_RUN_STOPPING)
         due = MIN (due, run->called_at + runs->options.stop_timeout
                             + STOP_RETRY_SLACK);
@@ -498,13 +500,21 @@
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
 }
 
-/* A stop also makes the target reject a start that is still in flight. */
+/* A stop also makes the target reject a start that is still in flight. While
+   nothing listens it isn't sent, but at the first answer of the target: by
+   hs_runs_tick(), or when a list shows the run. */
 void
 hs_run_call_stop (HsRuns *runs, HsRun *run, HsTime now)
 {
   run->stop_requested = true;
   if (run->state == HS_RUN_RUNNING)
     run->state = HS_RUN_STOPPING;
+  if (runs->no_listener_since != 0)
+    {
+      if (run->state == HS_RUN_STOPPING)
+        run->called_at = 0;
+      return;
+    }
   if (run->state == HS_RUN_STOPPING)
     run->called_at = now;
   runs->effects->stop (runs->arg, &run->key, runs->token);
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1305,6 +1305,60 @@
   assert_in_range (count_polls_until_unresponsive (HS_MSEC), 6, 10);
 }
 
+/* Guards against a new connection for each run to be stopped and 110 ms while a
+   target is down. */
+static void
+a_stop_waits_for_a_listener (void **state)
+{
+  uint32_t i;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  launch ("b", 0, 8);
+  answer_start ();
+  advance (0);
+  hs_runs_stop (runs, 0, 8, now);
+  assert_int_equal (n_stops, 1);
+  refuse_poll ();
+  hs_runs_stop (runs, 0, 7, now);
+  for (i = 0; i < 12; i++)
+    {
+      advance (10 * HS_MSEC);
+      while (n_polls > 0)
+        refuse_poll ();
+    }
+  assert_int_equal (n_stops, 1);
+  while (n_polls == 0)
+    advance (10 * HS_MSEC);
+  answer_poll ();
+  advance (0);
+  assert_int_equal (n_stops, 3);
+}
+
+/* The target answers the start of a task that is to be stopped only in a list,
+   as the first sign that it listens again. */
+static void
+a_stop_is_sent_when_a_list_shows_its_run (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  execute_start (&call);
+  advance (0);
+  refuse_poll ();
+  hs_runs_stop (runs, 0, 7, now);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  assert_int_equal (n_stops, 0);
+  while (n_polls == 0)
+    advance (10 * HS_MSEC);
+  answer_poll ();
+  advance (0);
+  assert_int_equal (n_stops, 1);
+}
+
 static void
 a_restart_tells_of_a_crash_that_was_silent (void **state)
 {
@@ -1520,6 +1574,8 @@
     TEST (a_start_that_got_no_answer_belongs_to_the_crash),
     TEST (a_target_is_asked_often_before_it_counts_as_unresponsive),
     TEST (connections_that_break_at_once_are_not_repeated_without_a_pause),
+    TEST (a_stop_waits_for_a_listener),
+    TEST (a_stop_is_sent_when_a_list_shows_its_run),
     TEST (a_restart_tells_of_a_crash_that_was_silent),
     TEST (refused_polls_do_not_delay_the_end_of_a_crashed_run),
     TEST (a_restart_that_a_poll_finds_first_tells_of_a_silent_crash),
