--- a/test/load_private.h
+++ b/test/load_private.h
@@ -25,7 +25,7 @@
 /** As in the real processes; see direct/liveness.h and
  *  platform/target_client.c. */
 #define HEARTBEAT_INTERVAL (150 * HS_MSEC)
-#define START_TIMEOUT (35 * HS_MSEC)
+#define START_TIMEOUT (20 * HS_MSEC)
 
 typedef enum
 {
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -160,7 +160,7 @@
 static void
 send_order (Order order)
 {
-  uint32_t timeout_ms = order.kind == ORDER_POLL ? order.poll.timeout_ms : 35;
+  uint32_t timeout_ms = order.kind == ORDER_POLL ? order.poll.timeout_ms : 20;
 
   order.agent_incarnation = world.agent_incarnation;
   order.target_incarnation = world.target_incarnation;
--- a/test/test_platform_client.c
+++ b/test/test_platform_client.c
@@ -22,6 +22,8 @@
 static int listener;
 static char address[32];
 static unsigned int n_polled;
+static unsigned int n_started;
+static HsTargetResult start_result;
 
 static void
 on_polled (void *arg,
@@ -36,7 +38,17 @@
   n_polled++;
 }
 
-static const HsTargetClientHandler HANDLER = { .polled = on_polled };
+static void
+on_started (void *arg, uint32_t run, HsTargetResult result)
+{
+  (void) arg;
+  (void) run;
+  start_result = result;
+  n_started++;
+}
+
+static const HsTargetClientHandler HANDLER
+    = { .started = on_started, .polled = on_polled };
 
 static int
 setup (void **state)
@@ -56,6 +68,7 @@
   ev = tevent_context_init (NULL);
   client = hs_target_client_new (ev, ev, &HANDLER, NULL);
   n_polled = 0;
+  n_started = 0;
   return 0;
 }
 
@@ -138,6 +151,30 @@
   close (conn);
 }
 
+/* Guards against tasks that are started late, as a start without an answer
+   holds its resources for longer than a poll without one takes. */
+static void
+a_start_without_an_answer_is_given_up_before_a_poll_with_a_wait (void **state)
+{
+  HsTargetPoll request
+      = { .number = 1, .token = 5, .wait_ms = 10, .timeout_ms = 30 };
+  HsTargetStart start = { .key = { "a", 0, 0, 1 },
+                          .spec = "x",
+                          .spec_len = 1,
+                          .token = 5,
+                          .lease_until_ms = 1 };
+
+  (void) state;
+  hs_target_client_set_endpoint (client, address, NULL);
+  hs_target_client_poll (client, &request);
+  hs_target_client_start (client, 1, &start);
+  while (n_started == 0 && n_polled == 0)
+    tevent_loop_once (ev);
+  assert_int_equal (n_started, 1);
+  assert_int_equal (n_polled, 0);
+  assert_int_equal (start_result, HS_TARGET_UNANSWERED);
+}
+
 int
 main (void)
 {
@@ -146,6 +183,9 @@
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (pending_calls_end_with_the_client, setup,
                                      teardown),
+    cmocka_unit_test_setup_teardown (
+        a_start_without_an_answer_is_given_up_before_a_poll_with_a_wait, setup,
+        teardown),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
