Write an entry's own record only in place of a known revision

Not seen by a caller; an owner that renews its lease may be deposed, or an entry that leaves gets partitions.

Cause: the own record was written without a compare. A write that was given up may be carried out after the next one. If that happened while a lease was requested, it attaches the record to a lease that isn't renewed: the record is deleted with that lease, other entries take over, and the entry goes on under its own lease until it hears of it. If it was written before a stop was planned, the record no longer says that the entry leaves. And the answer to a write under the last lease, arriving after the next was granted, counted as a record under that one.

Fix: a write compares the revision that the last answer told, and reads it if the compare fails. While a write is in flight a new lease waits for its answer before the record is written under it.

Evidence: test_own_record, new. Failed before: a_record_written_late_doesnt_go_with_an_earlier_lease ("0 == 0", no record), a_record_written_late_doesnt_undo_leaving, and with the compare alone a_record_of_the_last_lease_doesnt_hold_the_next_one ("0x2 != 0x1", held).

Ruled out: noticing the late record by the watch, since the deletion that follows may be seen by other entries first.

--- a/src/entry/lease_manager_private.h
+++ b/src/entry/lease_manager_private.h
@@ -37,6 +37,7 @@
   HsTime read_started_at;         /* Of the read in flight. */
   HsTime entries_read_started_at; /* Of the last complete read of entries. */
   int64_t own_record_revision;
+  int64_t expected_record_revision; /* Compared by the next write of it. */
   bool entries_read;
   /* Read the entry records again: that of an unconnected entry may have been
      deleted, or the last read failed. */
@@ -47,6 +48,8 @@
                           flight. */
   bool own_record_rewrite_due; /* The last write may have failed. */
   bool writing_own_record;
+  bool
+      writing_outdated_record; /* The write in flight is of an earlier lease. */
   HsStoreWatch *entry_watch;
   HsStoreWatch *part_watch;
   bool takeover_in_flight;
--- a/src/entry/lease_manager_renewal.c
+++ b/src/entry/lease_manager_renewal.c
@@ -68,14 +68,17 @@
   HsCore *core = manager->core;
   TALLOC_CTX *memory = talloc_new (manager);
   HsEntryRecord record = { 0 };
+  HsStoreCompare compare = { NULL, manager->expected_record_revision };
   HsStoreOp put = { HS_STORE_PUT, NULL, NULL, manager->lease_id };
-  HsStoreTxn txn = { 0, NULL, 1, &put, 0, NULL };
+  HsStoreOp read = { HS_STORE_RANGE, NULL, NULL, 0 };
+  HsStoreTxn txn = { 1, &compare, 1, &put, 1, &read };
 
   record.leaving = core->leaving;
   g_strlcpy (record.address, core->entry->rpc_address, sizeof record.address);
   g_strlcpy (record.data_centre, core->settings->data_centre,
              sizeof record.data_centre);
-  put.key = hs_ownership_entry_key (memory, core->incarnation);
+  compare.key = hs_ownership_entry_key (memory, core->incarnation);
+  put.key = read.key = compare.key;
   put.value = hs_ownership_entry_json (memory, &record);
   manager->writing_own_record = true;
   hs_store_txn (core->store, &txn, on_own_record_written, manager);
@@ -105,9 +108,14 @@
   manager->lease_id = reply->lease;
   manager->view_confirmed = false;
   extend_lease (manager, manager->lease_call_sent_at, reply->ttl_s);
-  hs_lease_manager_write_own_record (manager);
+  if (manager->writing_own_record)
+    manager->writing_outdated_record = true;
+  else
+    hs_lease_manager_write_own_record (manager);
 }
 
+/* Each write replaces a known revision. An earlier one of unknown outcome,
+ * which may name a lease that isn't renewed, can't be carried out after it. */
 static void
 on_own_record_written (void *arg, const HsStoreReply *reply)
 {
@@ -115,6 +123,18 @@
   HsNow now = hs_now ();
 
   manager->writing_own_record = false;
+  if (reply->status == HS_STORE_OK && reply->succeeded)
+    manager->expected_record_revision = reply->revision;
+  else if (reply->status == HS_STORE_OK)
+    manager->expected_record_revision
+        = reply->n_kvs > 0 ? reply->kvs[0].mod_revision : 0;
+  if (manager->writing_outdated_record
+      || (reply->status == HS_STORE_OK && !reply->succeeded))
+    {
+      manager->writing_outdated_record = false;
+      hs_lease_manager_write_own_record (manager);
+      return;
+    }
   if (reply->status != HS_STORE_OK)
     {
       /* It may have been written or not: write it again. */
