Confirm ownership only by a read of after the own record

Not seen by a caller; two entries may serve one partition.

Cause: an entry whose lease has lapsed keeps its partitions while promises hold, and goes on under a new lease once it has read the records again. A read that was under way when the own record was written counted as that read, though it may have been carried out before. Another entry that took a partition over in between wasn't in it, and both served the partition until the watch told. The epoch stops the old one only at agents that the new owner reaches.

Fix: a read counts if its revision isn't below that of the own record. From that write on no takeover can succeed, as it compares the record's absence.

Ruled out: asking only that the read was sent after the write. The revision says the same, and holds for a replica that lags, too.

--- a/src/entry/lease_manager_view.c
+++ b/src/entry/lease_manager_view.c
@@ -1,5 +1,7 @@
 #include "entry/lease_manager_private.h"
 
+static bool is_current (const HsLeaseManager *manager,
+                        const HsStoreReply *reply);
 static void on_entries_read (void *arg, const HsStoreReply *reply);
 static void on_parts_read (void *arg, const HsStoreReply *reply);
 static void on_entry_watch (void *arg, const HsStoreWatchUpdate *note);
@@ -61,6 +63,16 @@
   hs_core_schedule_tick (manager->core, now);
 }
 
+/* Whether the read shows all that was written before this entry's own record.
+   Only since then no other entry can take over a partition of this one, so an
+   earlier read may not show a takeover. */
+static bool
+is_current (const HsLeaseManager *manager, const HsStoreReply *reply)
+{
+  return reply->status == HS_STORE_OK
+         && reply->revision >= manager->own_record_revision;
+}
+
 static void
 on_entries_read (void *arg, const HsStoreReply *reply)
 {
@@ -68,7 +80,7 @@
   uint64_t *seen;
   size_t i;
 
-  if (reply->status != HS_STORE_OK)
+  if (!is_current (manager, reply))
     {
       manager->reading = false;
       manager->entries_reread_due = true;
@@ -102,7 +114,7 @@
   size_t i;
 
   manager->reading = false;
-  if (reply->status != HS_STORE_OK)
+  if (!is_current (manager, reply))
     {
       manager->entries_read = false;
       hs_lease_manager_retry_later (manager);
