--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -120,7 +120,7 @@
     runs->polls_in_flight--;
   runs->poll_in_flight[place] = false;
   runs->evidence.poll = number;
-  runs->evidence.list_clock_ms = list != NULL ? list->clock_ms : 0;
+  runs->evidence.list_clock_ms = result == HS_TARGET_OK ? list->clock_ms : 0;
   /* It was sent to an earlier target. */
   if (result == HS_TARGET_REPLACED && number <= runs->newest_poll)
     return;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1468,10 +1468,10 @@
   launch ("b", 0, 8);
   answer_start ();
   advance (0);
-  hs_runs_stop (runs, 0, 8, now);
+  hs_runs_stop (runs, 0, 8, now, now);
   assert_int_equal (n_stops, 1);
   refuse_poll ();
-  hs_runs_stop (runs, 0, 7, now);
+  hs_runs_stop (runs, 0, 7, now, now);
   for (i = 0; i < 12; i++)
     {
       advance (10 * HS_MSEC);
@@ -1499,7 +1499,7 @@
   execute_start (&call);
   advance (0);
   refuse_poll ();
-  hs_runs_stop (runs, 0, 7, now);
+  hs_runs_stop (runs, 0, 7, now, now);
   hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
   assert_int_equal (n_stops, 0);
   while (n_polls == 0)
