Take no later agent's tasks as ended by a late report of an earlier one

When an agent of a host reported that it is ready, the entry took the tasks of all other agents of that host that weren't connected as ended, and started them elsewhere. The report may be one of an agent that has ended since, and arrive, after retransmissions, when the connection to its successor is broken; the successor's tasks go on.

Only agents that reported first before the one that is ready are its predecessors.

--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -321,7 +321,8 @@
 
 /* Gives up earlier incarnations of an agent that has become ready. An agent
    grants resources only once everything that its earlier incarnations ran has
-   ended, so their tasks are known to be over. */
+   ended, so their tasks are known to be over. Its report may be late, and tells
+   nothing of those that came after it. */
 static void
 drop_predecessors (HsDirectEntry *entry, uint32_t target, HsTime now)
 {
@@ -332,7 +333,7 @@
     {
       const HsTarget *other = hs_targets_get (entry->targets, i);
 
-      if (i != target && other->in_use && !other->connected
+      if (other->in_use && !other->connected && other->serial < row->serial
           && strcmp (other->host, row->host) == 0)
         drop_agent (entry, i, true, "restarted", now);
     }
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -86,6 +86,7 @@
     {
       i = allocate_row (targets);
       targets->rows[i].target.agent_incarnation = agent;
+      targets->rows[i].target.serial = ++targets->last_serial;
       targets->rows[i].target.slowdown = 1;
       hs_health_add (targets->health, i);
     }
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -42,6 +42,7 @@
   bool in_use;
   bool connected;
   uint64_t agent_incarnation; /**< Incarnation of its agent. */
+  uint64_t serial;            /**< Counts the agents by their first reports. */
   hsx_target_state state;
   char name[HSX_NAME_MAX + 1];
   char service[HSX_NAME_MAX + 1];
--- a/src/direct/targets_private.h
+++ b/src/direct/targets_private.h
@@ -39,6 +39,7 @@
 {
   HsTargetRow *rows;
   uint32_t n_rows;
+  uint64_t last_serial;
   HsHealth *health;
   GRand *random;
   double contention; /* Level of recent refusals at contention_at, 0 to 1. */
