Call no start again after a pause of its agent

By then its entry may have given the run up, and its caller have sent the job to another entry: the task could run twice at a time, with a new lease.

A start is now called again only within 100 ms of its first call, more than four calls take without an answer. After that a refusal ends the run, and one without an answer is fenced off.

--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -29,6 +29,11 @@
  *  attempt number was outdated, or if its lease had expired. */
 #define START_CALLS_MAX 4
 
+/** Time from the first start call of a run in which it may be called again. An
+ *  agent that learns of a result later was paused: the run's entry may have
+ *  given it up, and its caller may have sent the job to another one. */
+#define START_CALLS_SPAN (100 * HS_MSEC)
+
 static bool is_stale (const HsRuns *runs, const HsAnnouncement *announcement);
 static HsRefusal check_launch (HsRuns *runs,
                                uint32_t entry,
@@ -44,6 +49,7 @@
                             const HsRunKey *key,
                             uint64_t ref,
                             HsRefusal reason);
+static bool may_call_again (const HsRuns *runs, const HsRun *run, HsTime now);
 static bool may_repeat_start (const HsRuns *runs, const HsRun *run, HsTime now);
 static void repeat_start (HsRuns *runs, HsRun *run, HsTime now);
 static void fence_start (HsRuns *runs, HsRun *run);
@@ -352,8 +358,7 @@
                   HS_EVIDENCE_ANSWER, now);
       return;
     }
-  if (run->stop_requested || run->n_start_calls >= START_CALLS_MAX
-      || now >= run->deadline || !runs->list_known)
+  if (!may_call_again (runs, run, now))
     hs_run_end (runs, run,
                 run->stop_requested ? HSX_END_STOPPED : HSX_END_REFUSED,
                 HS_REFUSAL_TARGET, HS_EVIDENCE_ANSWER, now);
@@ -499,6 +504,8 @@
   run->may_have_run = false;
   run->endpoint = runs->endpoint;
   run->called_at = now;
+  if (run->n_start_calls == 0)
+    run->first_called_at = now;
   run->start_poll = runs->next_poll;
   run->n_start_calls++;
   runs->effects->start (runs->arg, (uint32_t) (run - runs->runs), &start);
@@ -641,13 +648,20 @@
   runs->effects->ended (runs->arg, entry, key, &end);
 }
 
+static bool
+may_call_again (const HsRuns *runs, const HsRun *run, HsTime now)
+{
+  return !run->stop_requested && run->n_start_calls < START_CALLS_MAX
+         && now < run->first_called_at + START_CALLS_SPAN && now < run->deadline
+         && runs->list_known;
+}
+
 /* Only on the incarnation that got the earlier calls: there, a task starts once
    however often its start is called. */
 static bool
 may_repeat_start (const HsRuns *runs, const HsRun *run, HsTime now)
 {
-  return !run->stop_requested && run->n_start_calls < START_CALLS_MAX
-         && now < run->deadline && run->endpoint == runs->endpoint
+  return may_call_again (runs, run, now) && run->endpoint == runs->endpoint
          && !run->may_have_run
          && hs_runs_target_state (runs) == HSX_TARGET_READY;
 }
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -40,10 +40,11 @@
   hsx_room needs;
   char *spec;
   size_t spec_len;
-  HsTime called_at;  /**< When the start call, or the last stop call, was
-                          made. */
-  HsTime started_at; /**< At the earliest; 0: the first start call has no
-                          result yet. */
+  HsTime called_at;       /**< When the start call, or the last stop call, was
+                               made. */
+  HsTime first_called_at; /**< When its first start call was made. */
+  HsTime started_at;      /**< At the earliest; 0: the first start call has no
+                               result yet. */
   HsTime deadline;
   HsTime expected_time;
   uint64_t fence_token;   /**< In HS_RUN_START_UNKNOWN: the answer to a
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -462,6 +462,33 @@
   assert_int_equal (ends[0].how, HSX_END_LAPSED);
 }
 
+/* Guards against a task that runs twice at a time: an agent that was paused
+   starts it after the caller has sent its job to another entry. */
+static void
+a_paused_agent_calls_no_start_again (void **state)
+{
+  static const HsTargetResult results[]
+      = { HS_TARGET_UNANSWERED, HS_TARGET_FENCED, HS_TARGET_OUTDATED,
+          HS_TARGET_LEASE_EXPIRED };
+  StartCall call;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (results); i++)
+    {
+      teardown (state);
+      setup (state);
+      launch ("a", 0, 7);
+      call = pop_start ();
+      now += 700 * HS_MSEC;
+      hs_runs_start_done (runs, call.run, results[i], now);
+      assert_int_equal (n_starts, 0);
+      advance (0);
+      answer_polls ();
+      assert_int_equal (n_ends, 1);
+      assert_int_equal (ends[0].how, HSX_END_REFUSED);
+    }
+}
+
 static void
 a_start_to_be_stopped_is_not_repeated (void **state)
 {
@@ -1726,6 +1753,7 @@
     TEST (a_repeated_start_runs_once),
     TEST (a_refused_repetition_does_not_end_the_run),
     TEST (a_start_is_not_repeated_on_another_incarnation),
+    TEST (a_paused_agent_calls_no_start_again),
     TEST (a_start_to_be_stopped_is_not_repeated),
     TEST (an_unanswered_start_that_is_listed_is_adopted),
     TEST (a_start_fenced_on_behalf_of_another_is_retried),
