--- a/test/test_direct_entry_links.c
+++ b/test/test_direct_entry_links.c
@@ -106,7 +106,7 @@
                            .info = &info,
                            .whole = TRUE };
 
-  hs_entry_links_handle_call (entry, conn (link), HSX_REPORT, &args);
+  hs_entry_links_handle_call (entry, conn (link), HSX_REPORT, 0, &args);
 }
 
 static bool
