Count a crash as certain only when another incarnation answers

Cause: refused connections were taken as proof that the target's process is over. They aren't; another incarnation that answers is.

A crash now has a stage, which the agent tells again under the same number when it changes: suspected by refused connections, possible if the target announced itself since, certain once another incarnation answers, withdrawn once the same one does. Containment of the customer works on the first report as before, so it is no slower. Under a task, suspected crashes count towards starting it no more, but not towards `failed`: a job whose second crash is suspected is held, and answered when that is settled, or as lost when its result is of no use to its caller.

Ruled out: the restart as the latest time of every crash, as targets are down longer than tasks take; an announcement that follows the refusals as proof of life, as it may be late: it only makes the crash possible.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -140,9 +140,10 @@
   char customer[HS_EVENT_VALUE_SIZE];
   uint32_t i;
 
-  hs_event ("target_crashed", "name=%s crash=%u tasks=%u seen_after_ms=%.1f",
+  hs_event ("target_crashed",
+            "name=%s crash=%u stage=%s tasks=%u seen_after_ms=%.1f",
             target != NULL ? hs_event_sanitise (target->name, name) : "-",
-            crash->number, crash->n_tasks,
+            crash->number, hs_crash_stage_name (crash->stage), crash->n_tasks,
             (double) (hs_now ().mono - crash->at) / HS_MSEC);
   for (i = 0; i < crash->n_tasks; i++)
     hs_event ("crash_task",
@@ -155,6 +156,15 @@
   hs_counter_add (agent->crash_counter, 0, 1);
 }
 
+static void
+effect_crash_settled (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  hs_event ("crash_settled", "crash=%u stage=%s after_ms=%.1f", crash->number,
+            hs_crash_stage_name (crash->stage),
+            (double) (hs_now ().mono - crash->at) / HS_MSEC);
+}
+
 static const HsRunsEffects RUNS_EFFECTS
     = { .start = effect_start,
         .abandon_start = effect_abandon_start,
@@ -163,7 +173,8 @@
         .ended = effect_ended,
         .changed = effect_changed,
         .offered = effect_offered,
-        .crashed = effect_crashed };
+        .crashed = effect_crashed,
+        .crash_settled = effect_crash_settled };
 
 /* Answers and announcements of the target. */
 
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -91,6 +91,7 @@
   entry->orders_seen = 0;
   entry->info_sent = false;
   entry->crash_sent = 0;
+  entry->crash_stage_sent = 0;
   entry->full_report_due = true;
   entry->recent_ends_queued = false;
   entry->report_due = true;
@@ -471,6 +472,7 @@
       crash_message.crash.pass_on = passes_crashes_on (agent, entry);
       args.crash = &crash_message.crash;
       entry->crash_sent = crash->number;
+      entry->crash_stage_sent = crash->stage;
     }
   if (entry->full_report_due && !entry->recent_ends_queued)
     {
@@ -509,7 +511,9 @@
 {
   const HsCrash *crash = hs_runs_last_crash (agent->runs);
 
-  if (crash == NULL || crash->number == entry->crash_sent
+  if (crash == NULL
+      || (crash->number == entry->crash_sent
+          && crash->stage == entry->crash_stage_sent)
       || now - crash->at > CRASH_RETENTION
       || hs_runs_target (agent->runs) == NULL)
     return NULL;
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -58,8 +58,10 @@
   GArray *recent_ends;
   /** Number of the last orders received. */
   uint32_t orders_seen;
-  /** Number of the last crash of the target that was reported. */
+  /** Number of the last crash of the target that was reported, and the stage
+   *  in which it was. */
   uint32_t crash_sent;
+  hsx_crash_stage crash_stage_sent;
   hsx_room capacity_sent;
   char address[HSX_ADDRESS_MAX + 1];
   bool used;
--- a/src/direct/crash_message.c
+++ b/src/direct/crash_message.c
@@ -15,7 +15,7 @@
   hsx_crash *crash = &message->crash;
   uint32_t i;
 
-  *crash = (hsx_crash){ .number = record->number };
+  *crash = (hsx_crash){ .number = record->number, .stage = record->stage };
   crash->ago_us = (unsigned int) CLAMP (now - record->at, 0, UINT32_MAX);
   crash->silent = record->silent;
   crash->customers.customers_val = message->customers;
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -4,6 +4,7 @@
 #include "base/event.h"
 #include "direct/entry_private.h"
 #include "direct/liveness.h"
+#include "direct/runs.h"
 
 static void agent_up (HsDirectEntry *entry, HsConn *conn);
 static void peer_up (HsDirectEntry *entry, HsConn *conn);
@@ -308,8 +309,10 @@
 
   if (!hs_jobs_target_crashed (entry->jobs, crash, hs_now ().mono))
     return;
-  hs_event ("crash", "host=%s agent=%016" PRIx64 " crash=%u tasks=%u ago_ms=%u",
-            crash->host, crash->agent, crash->number, crash->tasks.tasks_len,
+  hs_event ("crash",
+            "host=%s agent=%016" PRIx64 " crash=%u stage=%s tasks=%u ago_ms=%u",
+            crash->host, crash->agent, crash->number,
+            hs_crash_stage_name (crash->stage), crash->tasks.tasks_len,
             crash->ago_us / 1000);
   hs_entry_schedule (entry, true);
   args.crash.pass_on = FALSE;
--- a/src/direct/jobs_crash.c
+++ b/src/direct/jobs_crash.c
@@ -10,18 +10,36 @@
  *  time-out of a poll. */
 #define SILENT_CRASH_ERROR (50 * HS_MSEC)
 
-static void count_crashes (HsJobs *jobs, const hsx_crash *crash, HsTime now);
+/** The crashes under one of a job's tasks, each the most of them. */
+typedef struct
+{
+  uint32_t all;
+  uint32_t certain;
+  uint32_t suspected; /**< Certain ones included. */
+} MostCrashes;
+
+static MostCrashes most_crashes (const HsJobs *jobs, const HsJob *job);
+static void count_crashes (HsJobs *jobs,
+                           const hsx_crash *crash,
+                           HsCrashStage before,
+                           HsTime now);
+static void weigh_crashes (HsJobs *jobs, HsJob *job, HsTime now);
 static void add_evidence (HsJobs *jobs, const hsx_crash *crash, HsTime now);
 static void report_changes (HsJobs *jobs);
 
 bool
 hs_jobs_target_crashed (HsJobs *jobs, const hsx_crash *crash, HsTime now)
 {
-  if (!hs_crash_counts_is_new (jobs->crash_counts, crash->agent, crash->number,
-                               now))
+  HsCrashStage before;
+
+  if (crash->stage < HSX_CRASH_SUSPECTED || crash->stage > HSX_CRASH_WITHDRAWN
+      || !hs_crash_counts_is_new (jobs->crash_counts, crash->agent,
+                                  crash->number, (HsCrashStage) crash->stage,
+                                  &before, now))
     return false;
-  count_crashes (jobs, crash, now);
-  add_evidence (jobs, crash, now);
+  count_crashes (jobs, crash, before, now);
+  if (before == HS_CRASH_UNKNOWN && crash->stage != HSX_CRASH_WITHDRAWN)
+    add_evidence (jobs, crash, now);
   report_changes (jobs);
   return true;
 }
@@ -39,26 +57,24 @@
 bool
 hs_job_check_crashes (HsJobs *jobs, HsJob *job, HsTime now)
 {
-  uint32_t n_certain = 0;
-  uint32_t i;
-
-  for (i = 0; i < job->n_tasks; i++)
-    {
-      HsCrashCount count = hs_crash_counts_get (jobs->crash_counts,
-                                                job->customer_name, job->id, i);
+  MostCrashes most = most_crashes (jobs, job);
 
-      job->n_crashes = MAX (job->n_crashes, count.all);
-      n_certain = MAX (n_certain, count.certain);
-    }
-  if (n_certain >= HS_CRASHES_MAX)
+  job->n_crashes = most.all;
+  if (most.certain >= HS_CRASHES_MAX)
     hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
-  else if (job->n_crashes >= HS_CRASHES_MAX)
+  else if (most.all >= HS_CRASHES_MAX)
     hs_job_finish (jobs, job, HS_ANSWER_REFUSED, HS_REASON_CRASHES, now);
   else
     return true;
   return false;
 }
 
+bool
+hs_job_is_held (const HsJob *job)
+{
+  return job->n_crashes >= HS_CRASHES_MAX;
+}
+
 bool
 hs_job_is_contained (const HsJobs *jobs, const HsJob *job)
 {
@@ -83,8 +99,43 @@
          && !hs_targets_reserve_is_open (jobs->targets, job->service);
 }
 
+static MostCrashes
+most_crashes (const HsJobs *jobs, const HsJob *job)
+{
+  MostCrashes most = { 0 };
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks; i++)
+    {
+      HsCrashCount count = hs_crash_counts_get (jobs->crash_counts,
+                                                job->customer_name, job->id, i);
+
+      most.all = MAX (most.all, count.all);
+      most.certain = MAX (most.certain, count.certain);
+      most.suspected = MAX (most.suspected, count.certain + count.suspected);
+    }
+  return most;
+}
+
+/* A job that has failed if a suspected crash turns out to be certain waits for
+   that until it is too late for its caller. */
+static void
+weigh_crashes (HsJobs *jobs, HsJob *job, HsTime now)
+{
+  MostCrashes most = most_crashes (jobs, job);
+
+  job->n_crashes = most.all;
+  if (most.certain >= HS_CRASHES_MAX)
+    hs_job_finish (jobs, job, HS_ANSWER_FAILED, HS_REASON_CRASHES, now);
+  else if (most.all >= HS_CRASHES_MAX && most.suspected < HS_CRASHES_MAX)
+    hs_job_finish (jobs, job, HS_ANSWER_LOST, HS_REASON_CRASHES, now);
+}
+
 static void
-count_crashes (HsJobs *jobs, const hsx_crash *crash, HsTime now)
+count_crashes (HsJobs *jobs,
+               const hsx_crash *crash,
+               HsCrashStage before,
+               HsTime now)
 {
   u_int i;
   uint32_t k;
@@ -92,23 +143,17 @@
   for (i = 0; i < crash->tasks.tasks_len; i++)
     {
       const hsx_crash_task *task = &crash->tasks.tasks_val[i];
-      HsCrashCount count
-          = hs_crash_counts_add (jobs->crash_counts, task->customer, task->job,
-                                 task->index, task->certain, now);
 
+      hs_crash_counts_add (jobs->crash_counts, task->customer, task->job,
+                           task->index, task->certain, before,
+                           (HsCrashStage) crash->stage, now);
       for (k = 0; k < jobs->table_size; k++)
         {
           HsJob *job = &jobs->table[k];
 
-          if (!job->in_use || strcmp (job->id, task->job) != 0
-              || strcmp (job->customer_name, task->customer) != 0)
-            continue;
-          job->n_crashes = MAX (job->n_crashes, count.all);
-          if (count.all >= HS_CRASHES_MAX)
-            hs_job_finish (jobs, job,
-                           count.certain >= HS_CRASHES_MAX ? HS_ANSWER_FAILED
-                                                           : HS_ANSWER_LOST,
-                           HS_REASON_CRASHES, now);
+          if (job->in_use && strcmp (job->id, task->job) == 0
+              && strcmp (job->customer_name, task->customer) == 0)
+            weigh_crashes (jobs, job, now);
         }
     }
 }
--- a/src/direct/jobs_place.c
+++ b/src/direct/jobs_place.c
@@ -59,7 +59,7 @@
   HsTargetGroup group = hs_job_target_group (jobs, job);
   uint32_t i;
 
-  if (hs_job_is_shut_out (jobs, job))
+  if (hs_job_is_shut_out (jobs, job) || hs_job_is_held (job))
     return;
   for (i = 0; i < job->n_tasks && job->n_waiting > 0; i++)
     {
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -99,6 +99,10 @@
  *  @return whether it goes on */
 bool hs_job_check_crashes (HsJobs *jobs, HsJob *job, HsTime now);
 
+/** Whether no task of the job is started for now: it will have failed if the
+ *  crashes under one of them are found certain. */
+bool hs_job_is_held (const HsJob *job);
+
 /** The targets on which the job's tasks may be started. */
 HsTargetGroup hs_job_target_group (const HsJobs *jobs, const HsJob *job);
 
--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -47,7 +47,7 @@
       const HsJob *job = &jobs->table[i];
       double rank;
 
-      if (!job->in_use || job->n_waiting == 0
+      if (!job->in_use || job->n_waiting == 0 || hs_job_is_held (job)
           || hs_job_target_group (jobs, job) == other)
         continue;
       backlog.tasks += job->n_waiting;
@@ -76,6 +76,7 @@
       const HsJob *other = &jobs->table[i];
 
       if (other == job || !other->in_use || other->n_waiting == 0
+          || hs_job_is_held (other)
           || hs_job_is_contained (jobs, other) != contained
           || hs_job_rank (jobs, other, now) < rank)
         continue;
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -86,6 +86,21 @@
   return names[kind];
 }
 
+const char *
+hs_crash_stage_name (hsx_crash_stage stage)
+{
+  static const char *const names[] = {
+    [HSX_CRASH_SUSPECTED] = "suspected",
+    [HSX_CRASH_POSSIBLE] = "possible",
+    [HSX_CRASH_CERTAIN] = "certain",
+    [HSX_CRASH_WITHDRAWN] = "withdrawn",
+  };
+
+  return stage >= HSX_CRASH_SUSPECTED && stage <= HSX_CRASH_WITHDRAWN
+             ? names[stage]
+             : "other";
+}
+
 const char *
 hs_target_result_name (HsTargetResult result)
 {
@@ -139,7 +154,9 @@
     return false;
   if (same && runs->announced && announcement->sequence <= known->sequence)
     return false;
-  if (!same && (runs->announced || known->started_ms != 0))
+  if (same)
+    hs_runs_note_announcement (runs);
+  else if (runs->announced || known->started_ms != 0)
     hs_runs_forget_target (runs);
   runs->target_lost = false;
   runs->target_left = false;
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -63,6 +63,7 @@
 const char *hs_refusal_name (HsRefusal refusal);
 const char *hs_end_name (hsx_end_how how);
 const char *hs_evidence_name (HsEvidenceKind kind);
+const char *hs_crash_stage_name (hsx_crash_stage stage);
 
 typedef struct
 {
@@ -75,8 +76,8 @@
 typedef struct
 {
   HsRunKey key;
-  bool certain; /**< The target had answered its start, and it
-                     can't have ended before the crash. */
+  bool certain; /**< If the target crashed, it ran then: the target had answered
+                     its start, and it can't have ended before. */
   char customer[HSX_NAME_MAX + 1];
   HsTime age;                 /**< Time from its start to the crash. */
   HsTime young_until;         /**< It can't have ended before. */
@@ -87,9 +88,10 @@
 typedef struct
 {
   uint32_t number; /**< Counts the crashes that this agent has seen, from 1. */
-  HsTime at;       /**< First call that failed. */
-  bool silent;     /**< Its connections didn't break, so that `at` is known to
-                        the length of a poll only. */
+  hsx_crash_stage stage;
+  HsTime at;   /**< First call that failed. */
+  bool silent; /**< Its connections didn't break, so that `at` is known to
+                    the length of a poll only. */
   uint32_t n_tasks;
   HsCrashTask tasks[HSX_CRASH_TASKS_MAX]; /**< The youngest ones. */
 } HsCrash;
@@ -112,8 +114,10 @@
   /** Resources are reserved for an entry until it answers; the offer is to be
    *  sent to it at once. */
   void (*offered) (void *arg, uint32_t entry);
-  /** The target has crashed; called once for each incarnation. */
+  /** The target seems to have crashed; called once for each crash. */
   void (*crashed) (void *arg, const HsCrash *crash);
+  /** The stage of the last crash has changed. */
+  void (*crash_settled) (void *arg, const HsCrash *crash);
 } HsRunsEffects;
 
 /** @param first_token above all tokens of earlier incarnations of the agent */
--- a/src/direct/runs_crash.c
+++ b/src/direct/runs_crash.c
@@ -15,7 +15,10 @@
 
 static void take_snapshot (HsRuns *runs);
 static void add_task (HsRuns *runs, const HsRun *run);
-static void report_crash (HsRuns *runs, HsTime crashed_before);
+static void
+report_crash (HsRuns *runs, HsTime crashed_before, hsx_crash_stage stage);
+static void settle_crash (HsRuns *runs, hsx_crash_stage stage);
+static void forget_signs (HsRuns *runs);
 
 void
 hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now)
@@ -31,15 +34,24 @@
       if (result == HS_TARGET_NO_LISTENER && runs->no_listener_since == 0)
         runs->no_listener_since = now;
       return;
+    case HS_TARGET_REPLACED:
+      return;
     default:
-      runs->failing_since = 0;
-      runs->no_listener_since = 0;
-      runs->snapshot_taken = false;
-      runs->crash_reported = false;
+      settle_crash (runs, HSX_CRASH_WITHDRAWN);
+      forget_signs (runs);
       return;
     }
 }
 
+void
+hs_runs_note_announcement (HsRuns *runs)
+{
+  if (runs->no_listener_since == 0)
+    return;
+  runs->announced_since = true;
+  settle_crash (runs, HSX_CRASH_POSSIBLE);
+}
+
 HsTime
 hs_runs_check_crash (HsRuns *runs, HsTime now)
 {
@@ -53,7 +65,9 @@
   if (runs->unresponsive || runs->no_listener_since != 0)
     take_snapshot (runs);
   if (runs->no_listener_since != 0)
-    report_crash (runs, runs->no_listener_since);
+    report_crash (runs, runs->no_listener_since,
+                  runs->announced_since ? HSX_CRASH_POSSIBLE
+                                        : HSX_CRASH_SUSPECTED);
   return HS_NEVER;
 }
 
@@ -67,13 +81,16 @@
       && (runs->n_runs > 0 || runs->snapshot_taken))
     {
       take_snapshot (runs);
-      report_crash (runs, runs->no_listener_since != 0 ? runs->no_listener_since
-                                                       : restarted_at);
+      report_crash (
+          runs,
+          runs->no_listener_since != 0 ? runs->no_listener_since : restarted_at,
+          runs->announced_since ? HSX_CRASH_POSSIBLE : HSX_CRASH_CERTAIN);
     }
-  runs->crash_reported = false;
-  runs->snapshot_taken = false;
-  runs->failing_since = 0;
-  runs->no_listener_since = 0;
+  else if (expected)
+    settle_crash (runs, HSX_CRASH_WITHDRAWN);
+  else
+    settle_crash (runs, HSX_CRASH_CERTAIN);
+  forget_signs (runs);
 }
 
 const HsCrash *
@@ -137,7 +154,7 @@
 
 /* @crashed_before: the latest time at which the target can have crashed */
 static void
-report_crash (HsRuns *runs, HsTime crashed_before)
+report_crash (HsRuns *runs, HsTime crashed_before, hsx_crash_stage stage)
 {
   uint32_t i;
 
@@ -146,6 +163,32 @@
         &= crashed_before < runs->snapshot.tasks[i].young_until;
   runs->crash_reported = true;
   runs->snapshot.number++;
+  runs->snapshot.stage = stage;
   runs->crash = runs->snapshot;
   runs->effects->crashed (runs->arg, &runs->crash);
 }
+
+/* Changes the stage of the crash that was reported of this incarnation, if any.
+   One after which the target announced itself may have come later, when the
+   tasks had ended, and stays possible. */
+static void
+settle_crash (HsRuns *runs, hsx_crash_stage stage)
+{
+  hsx_crash_stage before = runs->crash.stage;
+
+  if (!runs->crash_reported || stage <= before
+      || (before == HSX_CRASH_POSSIBLE && stage == HSX_CRASH_CERTAIN))
+    return;
+  runs->crash.stage = stage;
+  runs->effects->crash_settled (runs->arg, &runs->crash);
+}
+
+static void
+forget_signs (HsRuns *runs)
+{
+  runs->failing_since = 0;
+  runs->no_listener_since = 0;
+  runs->announced_since = false;
+  runs->snapshot_taken = false;
+  runs->crash_reported = false;
+}
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -112,6 +112,7 @@
                                  answer; 0: none. */
   HsTime no_listener_since; /**< First such call for which nothing listened at
                                  the target's address; 0: none. */
+  bool announced_since;     /**< It announced itself after that. */
   bool snapshot_taken;      /**< `snapshot` is of this incarnation. */
   bool crash_reported;      /**< The crash of this incarnation was reported. */
   HsCrash snapshot;         /**< What ran when the target stopped answering. */
@@ -146,7 +147,11 @@
  *  crash. */
 void hs_runs_note_call_result (HsRuns *runs, HsTargetResult result, HsTime now);
 
-/** Reports a crash of the target once it is certain.
+/** The target announced itself, in the incarnation that is known: refused
+ *  connections before that are no sign of its end. */
+void hs_runs_note_announcement (HsRuns *runs);
+
+/** Reports a crash of the target when nobody listens at its port.
  *  @return when to call it next */
 HsTime hs_runs_check_crash (HsRuns *runs, HsTime now);
 
--- a/src/policy/crash_counts.c
+++ b/src/policy/crash_counts.c
@@ -16,7 +16,8 @@
 
 typedef struct
 {
-  HsCrashCount count;
+  HsCrashCount count; /* Of a task. */
+  HsCrashStage stage; /* Of a crash. */
   HsTime last_at;
 } Row;
 
@@ -27,8 +28,9 @@
 };
 
 static int free_counts (HsCrashCounts *counts);
-static HsCrashCount
-count (HsCrashCounts *counts, char *key, bool certain, HsTime now);
+static Row *find_or_add (HsCrashCounts *counts, char *key, HsTime now);
+static uint32_t changed (uint32_t n, uint32_t added, uint32_t counted);
+static HsCrashCount contribution (HsCrashStage stage, bool certain);
 static char *task_key (const char *customer, const char *job, uint32_t index);
 static gboolean is_old (gpointer key, gpointer row, gpointer now);
 
@@ -47,12 +49,19 @@
 hs_crash_counts_is_new (HsCrashCounts *counts,
                         uint64_t agent,
                         uint32_t number,
+                        HsCrashStage stage,
+                        HsCrashStage *before,
                         HsTime now)
 {
-  return count (counts, g_strdup_printf ("%" PRIx64 " %u", agent, number), true,
-                now)
-             .all
-         == 1;
+  Row *row = find_or_add (
+      counts, g_strdup_printf ("%" PRIx64 " %u", agent, number), now);
+
+  *before = row != NULL ? row->stage : HS_CRASH_UNKNOWN;
+  if (stage <= *before)
+    return false;
+  if (row != NULL)
+    row->stage = stage;
+  return true;
 }
 
 HsCrashCount
@@ -61,9 +70,22 @@
                      const char *job,
                      uint32_t index,
                      bool certain,
+                     HsCrashStage before,
+                     HsCrashStage stage,
                      HsTime now)
 {
-  return count (counts, task_key (customer, job, index), certain, now);
+  HsCrashCount added = contribution (stage, certain);
+  HsCrashCount counted = contribution (before, certain);
+  Row *row = find_or_add (counts, task_key (customer, job, index), now);
+
+  if (row == NULL)
+    return added;
+  row->count.all = changed (row->count.all, added.all, counted.all);
+  row->count.certain
+      = changed (row->count.certain, added.certain, counted.certain);
+  row->count.suspected
+      = changed (row->count.suspected, added.suspected, counted.suspected);
+  return row->count;
 }
 
 HsCrashCount
@@ -73,7 +95,7 @@
                      uint32_t index)
 {
   g_autofree char *key = NULL;
-  HsCrashCount none = { 0, 0 };
+  HsCrashCount none = { 0 };
   const Row *row;
 
   if (g_hash_table_size (counts->rows) == 0)
@@ -103,16 +125,16 @@
   return 0;
 }
 
-/* Takes ownership of @key. */
-static HsCrashCount
-count (HsCrashCounts *counts, char *key, bool certain, HsTime now)
+/* Takes ownership of @key. Returns NULL if there are too many rows. */
+static Row *
+find_or_add (HsCrashCounts *counts, char *key, HsTime now)
 {
   Row *row = g_hash_table_lookup (counts->rows, key);
 
   if (row == NULL && g_hash_table_size (counts->rows) >= ROWS_MAX)
     {
       g_free (key);
-      return (HsCrashCount){ 1, certain };
+      return NULL;
     }
   if (row == NULL)
     {
@@ -122,9 +144,26 @@
   else
     g_free (key);
   row->last_at = now;
-  row->count.all++;
-  row->count.certain += certain;
-  return row->count;
+  return row;
+}
+
+/* It wasn't counted if there were too many rows then. */
+static uint32_t
+changed (uint32_t n, uint32_t added, uint32_t counted)
+{
+  return n + added - MIN (counted, n);
+}
+
+/* What a crash in this stage counts under a task. */
+static HsCrashCount
+contribution (HsCrashStage stage, bool certain)
+{
+  HsCrashCount count = { 0 };
+
+  count.all = stage != HS_CRASH_UNKNOWN && stage != HS_CRASH_WITHDRAWN;
+  count.certain = stage == HS_CRASH_CERTAIN && certain;
+  count.suspected = stage == HS_CRASH_SUSPECTED && certain;
+  return count;
 }
 
 static char *
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -493,6 +493,14 @@
 };
 typedef struct hsx_target_info hsx_target_info;
 
+enum hsx_crash_stage {
+	HSX_CRASH_SUSPECTED = 1,
+	HSX_CRASH_POSSIBLE = 2,
+	HSX_CRASH_CERTAIN = 3,
+	HSX_CRASH_WITHDRAWN = 4,
+};
+typedef enum hsx_crash_stage hsx_crash_stage;
+
 struct hsx_crash_customer {
 	char *name;
 	u_int age_us;
@@ -511,6 +519,7 @@
 struct hsx_crash {
 	uint64_t agent;
 	u_int number;
+	hsx_crash_stage stage;
 	u_int ago_us;
 	bool_t silent;
 	char *service;
@@ -756,6 +765,7 @@
 extern  bool_t xdr_hsx_end (XDR *, hsx_end*);
 extern  bool_t xdr_hsx_target_state (XDR *, hsx_target_state*);
 extern  bool_t xdr_hsx_target_info (XDR *, hsx_target_info*);
+extern  bool_t xdr_hsx_crash_stage (XDR *, hsx_crash_stage*);
 extern  bool_t xdr_hsx_crash_customer (XDR *, hsx_crash_customer*);
 extern  bool_t xdr_hsx_crash_task (XDR *, hsx_crash_task*);
 extern  bool_t xdr_hsx_crash (XDR *, hsx_crash*);
@@ -817,6 +827,7 @@
 extern bool_t xdr_hsx_end ();
 extern bool_t xdr_hsx_target_state ();
 extern bool_t xdr_hsx_target_info ();
+extern bool_t xdr_hsx_crash_stage ();
 extern bool_t xdr_hsx_crash_customer ();
 extern bool_t xdr_hsx_crash_task ();
 extern bool_t xdr_hsx_crash ();
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -410,6 +410,13 @@
 	hsx_room capacity;
 };
 
+/* What is known of a crash; a later value follows an earlier one. */
+enum hsx_crash_stage {
+	HSX_CRASH_SUSPECTED = 1,	/* nobody listens at the target's port */
+	HSX_CRASH_POSSIBLE = 2,		/* and it announced itself since */
+	HSX_CRASH_CERTAIN = 3,		/* another incarnation has answered */
+	HSX_CRASH_WITHDRAWN = 4		/* the same incarnation has answered */
+};
 /*
  * A crash of a target: the customers and the tasks that ran there. The agent
  * reports it to all its entries, and some of them pass it on to the others.
@@ -424,12 +431,13 @@
 	string job<HSX_ID_MAX>;
 	string customer<HSX_NAME_MAX>;
 	unsigned int index;
-	bool certain;			/* it ran when the target crashed; else it
-					   may have run */
+	bool certain;			/* if the target crashed, it ran then; else
+					   it may have run */
 };
 struct hsx_crash {
 	uint64_t agent;
 	unsigned int number;		/* counts the crashes that the agent saw */
+	hsx_crash_stage stage;
 	unsigned int ago_us;		/* time since the crash */
 	bool silent;			/* the time is inexact */
 	string service<HSX_NAME_MAX>;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -830,6 +830,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hsx_crash_stage (XDR *xdrs, hsx_crash_stage *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hsx_crash_customer (XDR *xdrs, hsx_crash_customer *objp)
 {
@@ -865,73 +875,12 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_uint64_t (xdrs, &objp->agent))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->ago_us))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->silent))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->number);
-		IXDR_PUT_U_LONG(buf, objp->ago_us);
-		IXDR_PUT_BOOL(buf, objp->silent);
-		}
-		 if (!xdr_string (xdrs, &objp->service, HSX_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, HSX_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->pass_on))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->customers.customers_val, (u_int *) &objp->customers.customers_len, HSX_CRASH_TASKS_MAX,
-			sizeof (hsx_crash_customer), (xdrproc_t) xdr_hsx_crash_customer))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, HSX_CRASH_TASKS_MAX,
-			sizeof (hsx_crash_task), (xdrproc_t) xdr_hsx_crash_task))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_uint64_t (xdrs, &objp->agent))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->ago_us))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->silent))
-				 return FALSE;
-
-		} else {
-		objp->number = IXDR_GET_U_LONG(buf);
-		objp->ago_us = IXDR_GET_U_LONG(buf);
-		objp->silent = IXDR_GET_BOOL(buf);
-		}
-		 if (!xdr_string (xdrs, &objp->service, HSX_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->host, HSX_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->pass_on))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->customers.customers_val, (u_int *) &objp->customers.customers_len, HSX_CRASH_TASKS_MAX,
-			sizeof (hsx_crash_customer), (xdrproc_t) xdr_hsx_crash_customer))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, HSX_CRASH_TASKS_MAX,
-			sizeof (hsx_crash_task), (xdrproc_t) xdr_hsx_crash_task))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_uint64_t (xdrs, &objp->agent))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_hsx_crash_stage (xdrs, &objp->stage))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ago_us))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->silent))
