--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -127,7 +127,8 @@
   bool refusals;
   HsTime refused_until; /* 0: the path is sound. */
   bool announcements_lost;
-  bool out_of_touch; /* The target has answered nothing since. */
+  bool out_of_touch;  /* The target has answered no call sent since... */
+  HsTime sound_since; /* ...this, when the path last became sound. */
   uint8_t ran_at_crash[REFS_MAX];
 } World;
 
@@ -453,6 +454,13 @@
          && order->due - order->sent_at >= TRANSIT_MAX;
 }
 
+static void
+note_answer (const Order *order)
+{
+  world.out_of_touch
+      &= world.refused_until != 0 || order->sent_at < world.sound_since;
+}
+
 static void
 execute_order (Order *order)
 {
@@ -484,7 +492,7 @@
         }
       if (answers)
         {
-          world.out_of_touch = false;
+          note_answer (order);
           hs_runs_start_done (world.runs, order->run, result, world.now);
         }
       return;
@@ -500,7 +508,7 @@
                                            world.now);
       if (answers)
         {
-          world.out_of_touch = false;
+          note_answer (order);
           hs_runs_poll_done (world.runs, order->poll.number, result,
                              result == HS_TARGET_OK ? &list : NULL, world.now);
         }
@@ -516,8 +524,9 @@
 static void
 report_result (Order *order)
 {
-  world.out_of_touch &= order->result == HS_TARGET_NO_LISTENER
-                        || order->result == HS_TARGET_UNANSWERED;
+  if (order->result != HS_TARGET_NO_LISTENER
+      && order->result != HS_TARGET_UNANSWERED)
+    note_answer (order);
   if (order->kind == ORDER_START)
     hs_runs_start_done (world.runs, order->run, order->result, world.now);
   else if (order->kind == ORDER_POLL)
@@ -844,8 +853,11 @@
 static void
 end_downtime (void)
 {
-  if (world.now >= world.refused_until)
-    world.refused_until = 0;
+  if (world.refused_until != 0 && world.now >= world.refused_until)
+    {
+      world.refused_until = 0;
+      world.sound_since = world.now;
+    }
   if (world.down_until == 0 || world.now < world.down_until)
     return;
   world.down_until = 0;
