Don't take a crash back by a poll that the next incarnation answered

Seen: of three runs of test_direct_path under asan beside four busy processes, two failed: suspected_task_takes_down_two_targets_and_has_not_failed (504 instead of 503) and crashes_of_silent_targets_fail_no_job (the same). A task that had taken down two targets, and had been refused twice, was started again and took down a third.

Cause, by the logs: "target ... born=", 1 ms later "crash_settled crash=2 stage=withdrawn". The poll had been sent before the new incarnation announced itself and was answered by it. Its list isn't taken, as polls sent before are distrusted, but its result counted as an answer of the incarnation that had been suspected to have crashed. (Before the same mistake reset what was known of the crash.)

Fix: answers to distrusted polls, fenced ones too, say nothing of a crash. The next poll settles it.

Evidence: a_poll_that_waited_for_the_next_incarnation_takes_no_crash_back failed before with "0x4 != 0x1" (withdrawn instead of suspected). After it test_direct_path passes under asan (one run, load 21 to 25): eight crashes settled as certain, none withdrawn.

The third run failed otherwise, at crashing_task_takes_down_two_targets_ whoever_is_asked (503 instead of 200): entry 1 had been paused for 805 ms and refused the last request (why=paused), after two answers "failed". That is the machine's load; the test is left as it is.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -127,7 +127,8 @@
       runs->poll_not_before = 0;
       complete = process_list (runs, number, list, now);
       /* After the list, which may be of another incarnation. */
-      hs_runs_note_call_result (runs, result, now);
+      if (number > runs->foreign_poll)
+        hs_runs_note_call_result (runs, result, now);
       if (complete)
         resolve_fenced_starts (runs, token, list, now);
       runs->effects->changed (runs->arg);
@@ -141,7 +142,9 @@
       runs->listed_started_ms = 0;
       end_replaced_runs (runs, now);
     }
-  hs_runs_note_call_result (runs, result, now);
+  /* One that was fenced may have been so by another incarnation. */
+  if (result != HS_TARGET_FENCED || number > runs->foreign_poll)
+    hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_FENCED && token < runs->token)
     {
       runs->poll_not_before = 0;
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -1327,6 +1327,34 @@
   assert_true (last_crash.tasks[0].certain);
 }
 
+/* Guards against a task that takes down more targets than two: the poll that
+   the next incarnation answered first had been sent before it announced itself,
+   and took the crash back. */
+static void
+a_poll_that_waited_for_the_next_incarnation_takes_no_crash_back (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  answer_poll ();
+  assert_int_equal (last_crash.stage, HSX_CRASH_SUSPECTED);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_CERTAIN);
+}
+
 /* It may have crashed long after that. */
 static void
 a_target_that_announced_itself_after_refusals_lived_then (void **state)
@@ -1421,6 +1449,7 @@
     TEST (a_target_that_answers_again_has_not_crashed),
     TEST (a_target_that_answers_after_refusals_takes_back_its_crash),
     TEST (a_crash_is_certain_once_another_incarnation_answers),
+    TEST (a_poll_that_waited_for_the_next_incarnation_takes_no_crash_back),
     TEST (a_target_that_announced_itself_after_refusals_lived_then),
     TEST (the_end_of_a_leaving_target_is_no_crash),
   };
