--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -95,6 +95,13 @@
   (void) entry;
 }
 
+static void
+on_crash_settled (void *arg, const HsCrash *crash)
+{
+  (void) arg;
+  last_crash = *crash;
+}
+
 static void
 on_crashed (void *arg, const HsCrash *crash)
 {
@@ -104,8 +111,8 @@
 }
 
 static const HsRunsEffects EFFECTS
-    = { on_start, on_abandon_start, on_stop,    on_poll,
-        on_ended, on_changed,       on_offered, on_crashed };
+    = { on_start,   on_abandon_start, on_stop,    on_poll,         on_ended,
+        on_changed, on_offered,       on_crashed, on_crash_settled };
 
 static void
 free_list (HsTargetList *list)
@@ -1718,6 +1725,96 @@
   assert_int_equal (n_crashes, 0);
 }
 
+/* Guards against sound jobs that are answered as failed: a path that refused
+   connections while its target worked on counted as a crash. */
+static void
+a_target_that_answers_after_refusals_takes_back_its_crash (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_SUSPECTED);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (last_crash.number, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_WITHDRAWN);
+}
+
+static void
+a_crash_is_certain_once_another_incarnation_answers (void **state)
+{
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  assert_int_equal (last_crash.stage, HSX_CRASH_SUSPECTED);
+  hs_target_model_restart (&model, now);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.number, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_CERTAIN);
+  assert_true (last_crash.tasks[0].certain);
+}
+
+/* Guards against a task that takes down more targets than two: the poll that
+   the next incarnation answered first had been sent before it announced itself,
+   and took the crash back. */
+static void
+a_poll_that_waited_for_the_next_incarnation_takes_no_crash_back (void **state)
+{
+  HsAnnouncement announcement;
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  hs_target_model_restart (&model, now);
+  announcement = make_announcement (1);
+  hs_runs_target_announced (runs, &announcement, now);
+  answer_poll ();
+  assert_int_equal (last_crash.stage, HSX_CRASH_SUSPECTED);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_CERTAIN);
+}
+
+/* It may have crashed long after that. */
+static void
+a_target_that_announced_itself_after_refusals_lived_then (void **state)
+{
+  HsAnnouncement announcement = make_announcement (2);
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  advance (0);
+  refuse_poll ();
+  advance (6 * HS_MSEC);
+  hs_runs_target_announced (runs, &announcement, now);
+  assert_int_equal (last_crash.stage, HSX_CRASH_POSSIBLE);
+  hs_target_model_restart (&model, now);
+  while (n_polls == 0)
+    advance (20 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (n_crashes, 1);
+  assert_int_equal (last_crash.stage, HSX_CRASH_POSSIBLE);
+}
+
 static void
 the_end_of_a_leaving_target_is_no_crash (void **state)
 {
@@ -1805,6 +1902,10 @@
     TEST (a_restart_under_another_name_tells_of_a_crash),
     TEST (a_target_that_left_has_not_crashed),
     TEST (a_target_that_answers_again_has_not_crashed),
+    TEST (a_target_that_answers_after_refusals_takes_back_its_crash),
+    TEST (a_crash_is_certain_once_another_incarnation_answers),
+    TEST (a_poll_that_waited_for_the_next_incarnation_takes_no_crash_back),
+    TEST (a_target_that_announced_itself_after_refusals_lived_then),
     TEST (the_end_of_a_leaving_target_is_no_crash),
   };
 
