Take the first list of an incarnation as an answer again

An agent that started before its target, with calls refused, so left the target out of use until the next poll, up to a second.

The comparison is made before the list is processed. Test: test_direct_runs, the_first_list_after_refused_connections_makes_the_target_ready, failed before (0x3 != 0x1, out of use instead of ready).

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -114,6 +114,7 @@
 {
   uint32_t place = number % HS_POLL_TOKENS_MAX;
   uint64_t token = runs->poll_tokens[place];
+  bool may_be_foreign = number <= runs->foreign_poll;
   bool complete;
 
   if (runs->polls_in_flight > 0)
@@ -134,7 +135,7 @@
       runs->poll_not_before = 0;
       complete = process_list (runs, number, list, now);
       /* After the list, which may be of another incarnation. */
-      if (number > runs->foreign_poll)
+      if (!may_be_foreign)
         hs_runs_note_call_result (runs, result, now);
       if (complete)
         resolve_fenced_starts (runs, token, list, now);
@@ -150,7 +151,7 @@
       end_replaced_runs (runs, now);
     }
   /* One that was fenced may have been so by another incarnation. */
-  if (result != HS_TARGET_FENCED || number > runs->foreign_poll)
+  if (result != HS_TARGET_FENCED || !may_be_foreign)
     hs_runs_note_call_result (runs, result, now);
   if (result == HS_TARGET_FENCED && token < runs->token)
     {
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -842,6 +842,26 @@
   assert_int_equal (n_crashes, 0);
 }
 
+/* Guards against a target that stays out of use for a second: its first list
+   after refused connections wasn't taken as an answer. */
+static void
+the_first_list_after_refused_connections_makes_the_target_ready (void **state)
+{
+  HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
+  HsAnnouncement announcement = make_announcement (1);
+
+  (void) state;
+  n_polls = 0;
+  runs = hs_runs_new (ctx, &options, FIRST_TOKEN + 100, &EFFECTS, NULL);
+  advance (0);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_NO_LISTENER, NULL, now);
+  n_polls = 0;
+  hs_runs_target_announced (runs, &announcement, now);
+  advance (50 * HS_MSEC);
+  answer_poll ();
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+}
+
 /* Guards against "has not run" being said of a task that ran: its end may be
    among those that a list leaves out. */
 static void
@@ -1863,6 +1883,7 @@
     TEST (lists_that_overtake_each_other_end_no_run),
     TEST (a_poll_in_flight_keeps_its_token_while_others_follow),
     TEST (a_list_that_another_incarnation_overtook_is_ignored),
+    TEST (the_first_list_after_refused_connections_makes_the_target_ready),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
