--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -1,4 +1,4 @@
-SRCS += src/direct/resources.c src/direct/runs.c src/direct/runs_poll.c
+SRCS += src/direct/resources.c src/direct/runs.c src/direct/runs_start.c src/direct/runs_poll.c
 SRCS += src/direct/runs_crash.c src/direct/runs_lease.c src/direct/crash_message.c
 SRCS += src/direct/offers.c src/direct/breaker.c src/direct/progress_rate.c
 SRCS += src/direct/targets.c src/direct/targets_groups.c src/direct/demand.c
