Move the agent's side of its target into a file of its own

Functions are moved as they were; the three tables of callbacks and the check for a pause are shared through agent_private.h.

--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -11,6 +11,7 @@
 #include "direct/process.h"
 #include "direct/runs.h"
 #include "metrics/metrics.h"
+#include "platform/announcement_server.h"
 #include "platform/settings.h"
 #include "platform/target_client.h"
 #include "store/store.h"
@@ -169,6 +170,16 @@
 uint32_t hs_agent_links_connected_count (const HsDirectAgent *agent);
 /** @} */
 
+/** @name agent_target.c: the target; their argument is an HsDirectAgent @{ */
+extern const HsRunsEffects hs_direct_agent_effects;
+extern const HsTargetClientHandler hs_direct_agent_target_handler;
+extern const HsAnnouncementHandler hs_direct_agent_announcement_handler;
+/** @} */
+
+/** To be called before an event is handled that may have waited while the
+ *  process was paused. */
+void hs_direct_agent_handle_pause (HsDirectAgent *agent);
+
 /** Schedules the work that is due (time-outs, reports, dials) for the end of
  *  the current iteration of the event loop. */
 void hs_direct_agent_schedule (HsDirectAgent *agent);
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -6,8 +6,9 @@
 SRCS += src/direct/jobs_crash.c src/direct/jobs_rank.c src/direct/routes.c
 SRCS += src/direct/service_rate.c src/direct/entry_lookup.c
 SRCS += src/direct/dialer.c src/direct/process.c
-SRCS += src/direct/agent.c src/direct/agent_links.c
-SRCS += src/direct/entry.c src/direct/entry_links.c src/direct/entry_config.c src/direct/entry_cancel.c
+SRCS += src/direct/agent.c src/direct/agent_target.c src/direct/agent_links.c
+SRCS += src/direct/entry.c src/direct/entry_links.c src/direct/entry_config.c
+SRCS += src/direct/entry_cancel.c
 SRCS += src/direct/entry_orders.c
 SRCS += src/direct/entry_key.c src/direct/entry_held_requests.c \
 	src/direct/entry_requests.c
