Move the bodies that the stand-in target speaks into a file of their own

Change: reading of a call's run and writing of lists and results are in platform_target_wire.c; the list carries the target's start. Nothing that it answers changes.

--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -31,6 +31,7 @@
 #include "platform/json.h"
 #include "platform/target_wire.h"
 #include "../target_model.h"
+#include "platform_target_wire.h"
 
 #define EXIT_CRASH 9
 
@@ -117,75 +118,6 @@
   return at != NULL ? strtoll (at + strlen (key), NULL, 10) : fallback;
 }
 
-static char *
-format_list (Target *target, const HsTargetList *list)
-{
-  static const char *const names[] = { [HSX_END_DONE] = "done",
-                                       [HSX_END_FAILED] = "failed",
-                                       [HSX_END_STOPPED] = "stopped",
-                                       [HSX_END_LAPSED] = "lapsed" };
-  GString *text = g_string_new (NULL);
-  char name[HS_TASK_NAME_SIZE];
-  char *copy;
-  size_t i;
-
-  g_string_append_printf (
-      text, "{\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 ",\"running\":[",
-      list->clock_ms, target->started_ms);
-  for (i = 0; i < list->n_running; i++)
-    {
-      hs_task_name_format (&list->running[i].key, name);
-      g_string_append_printf (text, "%s[\"%s\",%u,\"\",%d]", i > 0 ? "," : "",
-                              name, list->running[i].key.attempt,
-                              list->running[i].percent);
-    }
-  g_string_append (text, "],\"finished\":[");
-  for (i = 0; i < list->n_ends; i++)
-    {
-      hs_task_name_format (&list->ends[i].key, name);
-      g_string_append_printf (text, "%s[%" PRIu64 ",\"%s\",%u,\"%s\",\"\"]",
-                              i > 0 ? "," : "", list->ends[i].number, name,
-                              list->ends[i].key.attempt,
-                              names[list->ends[i].how]);
-    }
-  g_string_append (text, "]}");
-  copy = talloc_strdup (NULL, text->str);
-  g_string_free (text, TRUE);
-  return copy;
-}
-
-static char *
-format_result (HsTargetResult result, unsigned int *status)
-{
-  static const char *const reasons[] = { [HS_TARGET_FENCED] = "fence",
-                                         [HS_TARGET_OUTDATED] = "old",
-                                         [HS_TARGET_LEASE_EXPIRED] = "late" };
-
-  if (result == HS_TARGET_OK)
-    {
-      *status = 200;
-      return talloc_strdup (NULL, "{}");
-    }
-  *status = 409;
-  return talloc_asprintf (NULL, "{\"reason\":\"%s\"}", reasons[result]);
-}
-
-static bool
-parse_run_key (struct json_object *root, HsRunKey *key, uint64_t *token)
-{
-  const char *name = hs_json_get_string (root, "task");
-  int64_t attempt = 0;
-  int64_t fence = 0;
-
-  if (name == NULL || !hs_task_name_parse (name, key)
-      || !hs_json_get_int (root, "attempt", &attempt)
-      || !hs_json_get_int (root, "fencing_token", &fence))
-    return false;
-  key->attempt = (uint32_t) attempt;
-  *token = (uint64_t) fence;
-  return true;
-}
-
 static void
 note_crash_task (Target *target, const HsTargetStart *start, HsTime now)
 {
@@ -253,7 +185,8 @@
   uint32_t cpu;
   int64_t ms;
 
-  if (start.spec == NULL || !parse_run_key (root, &start.key, &start.token)
+  if (start.spec == NULL
+      || !hs_standin_parse_run_key (root, &start.key, &start.token)
       || !hs_json_get_int (root, "deadline_ms", &start.lease_until_ms))
     return HS_TARGET_INVALID;
   ms = spec_number (start.spec, "ms=", 100);
@@ -285,7 +218,7 @@
   HsRunKey key;
   uint64_t token;
 
-  if (!parse_run_key (root, &key, &token))
+  if (!hs_standin_parse_run_key (root, &key, &token))
     return HS_TARGET_INVALID;
   return hs_target_model_stop (&target->model, &key, token, hs_now ().mono);
 }
@@ -301,12 +234,13 @@
 
   if (result == HS_TARGET_OK)
     {
-      text = format_list (target, &list);
+      list.started_ms = target->started_ms;
+      text = hs_standin_format_list (&list);
       g_free (list.running);
       g_free (list.ends);
     }
   else
-    text = format_result (result, &status);
+    text = hs_standin_format_result (result, &status);
   if (pending->request != NULL)
     hs_standin_respond (pending->request, status, text);
   else
@@ -379,7 +313,7 @@
   if (result == HS_TARGET_INVALID)
     text = talloc_strdup (NULL, "{}");
   else
-    text = format_result (result, &status);
+    text = hs_standin_format_result (result, &status);
   hs_standin_respond (request, status, text);
 }
 
