Log runs and ends in a target's list that the agent doesn't know

Neither was logged: an unknown end was passed over, an unknown row only seen by its task_stop, as for runs of an earlier agent. `unmatched` tells both.

test_direct_runs (67), test_direct_runs_random and test_direct_agent_links pass.

--- a/src/direct/agent_target.c
+++ b/src/direct/agent_target.c
@@ -120,6 +120,21 @@
             (double) (hs_now ().mono - crash->at) / HS_MSEC);
 }
 
+static void
+effect_unmatched (void *arg,
+                  const HsRunKey *key,
+                  bool ended,
+                  uint32_t poll,
+                  int64_t list_clock_ms)
+{
+  (void) arg;
+  hs_event ("unmatched",
+            "job=%s step=%u task=%u attempt=%u state=%s poll=%u"
+            " list_clock=%" PRId64,
+            key->job, key->step, key->index, key->attempt,
+            ended ? "ended" : "running", poll, list_clock_ms);
+}
+
 const HsRunsEffects hs_direct_agent_effects
     = { .start = effect_start,
         .abandon_start = effect_abandon_start,
@@ -129,7 +144,8 @@
         .changed = effect_changed,
         .offered = effect_offered,
         .crashed = effect_crashed,
-        .crash_settled = effect_crash_settled };
+        .crash_settled = effect_crash_settled,
+        .unmatched = effect_unmatched };
 
 /* Answers and announcements of the target. */
 
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -118,6 +118,14 @@
   void (*crashed) (void *arg, const HsCrash *crash);
   /** The stage of the last crash has changed. */
   void (*crash_settled) (void *arg, const HsCrash *crash);
+  /** A list shows a run, or an end, that this agent doesn't know, or knows as
+   *  over; for log lines. May be NULL.
+   *  @param list_clock_ms the target's clock in the list */
+  void (*unmatched) (void *arg,
+                     const HsRunKey *key,
+                     bool ended,
+                     uint32_t poll,
+                     int64_t list_clock_ms);
 } HsRunsEffects;
 
 /** @param first_token above all tokens of earlier incarnations of the agent */
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -55,7 +55,15 @@
                           const HsTargetList *list,
                           HsTime now);
 static void end_replaced_runs (HsRuns *runs, HsTime now);
-static void process_ends (HsRuns *runs, const HsTargetList *list, HsTime now);
+static void process_ends (HsRuns *runs,
+                          uint32_t number,
+                          const HsTargetList *list,
+                          HsTime now);
+static void note_unmatched (HsRuns *runs,
+                            const HsRunKey *key,
+                            bool ended,
+                            uint32_t number,
+                            const HsTargetList *list);
 static void process_running (HsRuns *runs,
                              uint32_t number,
                              const HsTargetList *list,
@@ -301,7 +309,7 @@
   if (number <= runs->foreign_poll)
     {
       if (!other && list->started_ms == runs->target.started_ms)
-        process_ends (runs, list, now);
+        process_ends (runs, number, list, now);
       return false;
     }
   if (other && runs->listed_started_ms != 0)
@@ -326,14 +334,17 @@
       runs->target_clock_ms = list->clock_ms;
       runs->target_clock_at = now;
     }
-  process_ends (runs, list, now);
+  process_ends (runs, number, list, now);
   process_running (runs, number, list, outdated, now);
   runs->list_known = true;
   return list->n_unreadable == 0;
 }
 
 static void
-process_ends (HsRuns *runs, const HsTargetList *list, HsTime now)
+process_ends (HsRuns *runs,
+              uint32_t number,
+              const HsTargetList *list,
+              HsTime now)
 {
   size_t i;
 
@@ -348,7 +359,10 @@
       runs->acked_end = end->number;
       run = hs_run_find (runs, &end->key);
       if (run == NULL)
-        continue;
+        {
+          note_unmatched (runs, &end->key, true, number, list);
+          continue;
+        }
       if (hs_run_is_starting (run))
         runs->effects->abandon_start (runs->arg, (uint32_t) (run - runs->runs));
       if (how == HSX_END_STOPPED && run->stop_reported_as != 0)
@@ -359,6 +373,17 @@
     }
 }
 
+static void
+note_unmatched (HsRuns *runs,
+                const HsRunKey *key,
+                bool ended,
+                uint32_t number,
+                const HsTargetList *list)
+{
+  if (runs->effects->unmatched != NULL)
+    runs->effects->unmatched (runs->arg, key, ended, number, list->clock_ms);
+}
+
 /* @outdated: a later list has been processed, so that rows without a run are of
    runs that have ended since */
 static void
@@ -383,6 +408,7 @@
           if (outdated)
             continue;
           unknown++;
+          note_unmatched (runs, &row->key, false, number, list);
           runs->effects->stop (runs->arg, &row->key, runs->token);
           continue;
         }
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -166,8 +166,8 @@
 }
 
 const HsRunsEffects LOAD_RUNS_EFFECTS
-    = { on_start,   on_forget,  on_stop,    on_poll,   on_ended,
-        on_changed, on_offered, on_crashed, on_crashed };
+    = { on_start,   on_forget,  on_stop,    on_poll,    on_ended,
+        on_changed, on_offered, on_crashed, on_crashed, NULL };
 
 /* Actions of an entry's jobs. */
 
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -181,8 +181,8 @@
 }
 
 static const HsRunsEffects EFFECTS
-    = { on_start,   on_forget,  on_stop,    on_poll,   on_ended,
-        on_changed, on_offered, on_crashed, on_crashed };
+    = { on_start,   on_forget,  on_stop,    on_poll,    on_ended,
+        on_changed, on_offered, on_crashed, on_crashed, NULL };
 
 /* Passes the target's announcement and an empty list of runs to the agent. */
 static void
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -111,8 +111,8 @@
 }
 
 static const HsRunsEffects EFFECTS
-    = { on_start,   on_abandon_start, on_stop,    on_poll,         on_ended,
-        on_changed, on_offered,       on_crashed, on_crash_settled };
+    = { on_start,   on_abandon_start, on_stop,    on_poll,          on_ended,
+        on_changed, on_offered,       on_crashed, on_crash_settled, NULL };
 
 static void
 free_list (HsTargetList *list)
--- a/test/test_direct_runs_random.c
+++ b/test/test_direct_runs_random.c
@@ -338,8 +338,8 @@
 }
 
 static const HsRunsEffects EFFECTS
-    = { on_start,   on_abandon_start, on_stop,    on_poll,   on_ended,
-        on_changed, on_offered,       on_crashed, on_crashed };
+    = { on_start,   on_abandon_start, on_stop,    on_poll,    on_ended,
+        on_changed, on_offered,       on_crashed, on_crashed, NULL };
 
 /* Passes an announcement to the agent, which from then on calls the target of
    that name. */
