Read the ends of a list in whatever order it has them

An agent passed over each end with a lower number than one that it had just read in the same list. PROTOCOL.md says that the numbers rise, not in which order a list has its rows. With a higher number first, a start without an answer that had run and ended was reported as "refused lost", which an entry takes for "has not run"; the end was acknowledged by the next poll.

ends_are_read_in_whatever_order_a_list_has_them (test_direct_runs) failed before (how 5 instead of 1) and passes; the other 67 tests pass.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -346,6 +346,7 @@
               const HsTargetList *list,
               HsTime now)
 {
+  uint64_t read_before = runs->acked_end;
   size_t i;
 
   for (i = 0; i < list->n_ends; i++)
@@ -354,9 +355,9 @@
       HsRun *run;
       hsx_end_how how = end->how;
 
-      if (end->number <= runs->acked_end)
+      if (end->number <= read_before)
         continue;
-      runs->acked_end = end->number;
+      runs->acked_end = MAX (runs->acked_end, end->number);
       run = hs_run_find (runs, &end->key);
       if (run == NULL)
         {
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -887,6 +887,36 @@
   assert_int_equal (ends[0].how, HSX_END_LAPSED);
 }
 
+/* Guards against "has not run" being said of a task that ran: nobody says in
+   which order a list has its ends. */
+static void
+ends_are_read_in_whatever_order_a_list_has_them (void **state)
+{
+  HsTargetList list;
+  HsListedEnd first;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  lose_start (&call);
+  launch ("a", 1, 8);
+  answer_start ();
+  advance (200 * HS_MSEC);
+  hs_target_model_poll (&model, &polls[0], &list, now);
+  assert_int_equal (list.n_ends, 2);
+  first = list.ends[0];
+  list.ends[0] = list.ends[1];
+  list.ends[1] = first;
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &list, now);
+  free_list (&list);
+  n_polls = 0;
+  assert_int_equal (n_ends, 2);
+  assert_int_equal (ends[0].how, HSX_END_DONE);
+  assert_int_equal (ends[1].how, HSX_END_DONE);
+}
+
 static void
 an_announcement_of_an_earlier_incarnation_is_ignored (void **state)
 {
@@ -1885,6 +1915,7 @@
     TEST (a_list_that_another_incarnation_overtook_is_ignored),
     TEST (the_first_list_after_refused_connections_makes_the_target_ready),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
+    TEST (ends_are_read_in_whatever_order_a_list_has_them),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
     TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
