Keep a start in doubt after ends were left out of any list

A list that may leave out ends (500 of them, or rows that can't be read) didn't show that a start without an answer never ran, but only that one list: the next poll acknowledges the end that was not read, the next list is complete without it, and the start was reported as "refused lost", which an entry takes for "has not run". Now all starts without an answer by then are in doubt, and end as lapsed if nothing shows them.

an_end_that_was_not_read_leaves_earlier_starts_in_doubt (test_direct_runs) failed before (how 5 instead of 4) and passes; test_direct_runs (69), test_direct_runs_random (7) and test_direct_agent_links (16) pass.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -59,6 +59,7 @@
                           uint32_t number,
                           const HsTargetList *list,
                           HsTime now);
+static void doubt_unanswered_starts (HsRuns *runs);
 static void note_unmatched (HsRuns *runs,
                             const HsRunKey *key,
                             bool ended,
@@ -76,10 +77,7 @@
                             HsTime now);
 static void
 check_progress_rate (HsRuns *runs, HsRun *run, HsTime listed, HsTime now);
-static void resolve_fenced_starts (HsRuns *runs,
-                                   uint64_t token,
-                                   const HsTargetList *list,
-                                   HsTime now);
+static void resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now);
 static bool has_unknown_starts (const HsRuns *runs);
 static HsTime retry_delay (const HsRuns *runs);
 
@@ -146,7 +144,7 @@
       if (!may_be_foreign)
         hs_runs_note_call_result (runs, result, now);
       if (complete)
-        resolve_fenced_starts (runs, token, list, now);
+        resolve_fenced_starts (runs, token, now);
       runs->effects->changed (runs->arg);
       return;
     }
@@ -221,12 +219,7 @@
 void
 hs_runs_forget_target (HsRuns *runs)
 {
-  uint32_t i;
-
-  for (i = 0; i < HS_RUNS_MAX; i++)
-    if (hs_run_is_starting (&runs->runs[i])
-        || runs->runs[i].state == HS_RUN_START_UNKNOWN)
-      runs->runs[i].may_have_run = true;
+  doubt_unanswered_starts (runs);
   hs_breaker_reset (&runs->breaker);
   runs->breaker_state = HS_BREAKER_CLOSED;
   runs->list_known = false;
@@ -246,6 +239,19 @@
   runs->newest_poll = runs->foreign_poll;
 }
 
+/* Starts without an answer so far may have been carried out, and the ends of
+   their runs not be read any more. */
+static void
+doubt_unanswered_starts (HsRuns *runs)
+{
+  uint32_t i;
+
+  for (i = 0; i < HS_RUNS_MAX; i++)
+    if (hs_run_is_starting (&runs->runs[i])
+        || runs->runs[i].state == HS_RUN_START_UNKNOWN)
+      runs->runs[i].may_have_run = true;
+}
+
 /* The target refuses calls to the incarnation that was announced last: its runs
    are over. Those of other incarnations may go on. */
 static void
@@ -372,6 +378,8 @@
         run->started_at = run->called_at;
       hs_run_end (runs, run, how, HS_REFUSAL_NONE, HS_EVIDENCE_LISTED, now);
     }
+  if (list->ends_incomplete)
+    doubt_unanswered_starts (runs);
 }
 
 static void
@@ -504,12 +512,9 @@
 
 /* Starts that are fenced off by the poll's token and aren't in its list will
    never happen. They haven't happened either unless another incarnation was
-   called, or the list leaves out ends. */
+   called, or ends were left out of a list. */
 static void
-resolve_fenced_starts (HsRuns *runs,
-                       uint64_t token,
-                       const HsTargetList *list,
-                       HsTime now)
+resolve_fenced_starts (HsRuns *runs, uint64_t token, HsTime now)
 {
   uint32_t i;
 
@@ -522,7 +527,7 @@
       if (run->stop_requested)
         hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED,
                     HS_EVIDENCE_FENCED, now);
-      else if (run->may_have_run || list->ends_incomplete)
+      else if (run->may_have_run)
         hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
                     HS_EVIDENCE_FENCED, now);
       else
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -60,8 +60,9 @@
   bool repeated;      /**< Its start got no answer and was called again. The
                            incarnation that runs it may not be the one that got
                            the first call. */
-  bool may_have_run;  /**< In HS_RUN_START_UNKNOWN: the incarnation that was
-                           called is over, and can't tell any more. */
+  bool may_have_run;  /**< Before its start is answered: it may have run, and
+                           no list will tell: the incarnation that was called
+                           is over, or its end wasn't read. */
   uint32_t endpoint;  /**< HsRuns.endpoint when it was started or listed. */
   HsTime renew_until; /**< The lease isn't renewed from then on while the run
                            hasn't ended, as its job may be sent again; 0: no
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -917,6 +917,38 @@
   assert_int_equal (ends[1].how, HSX_END_DONE);
 }
 
+/* Guards against "has not run" being said of a task that ran: an end that could
+   not be read is acknowledged with those after it, and in no later list. */
+static void
+an_end_that_was_not_read_leaves_earlier_starts_in_doubt (void **state)
+{
+  HsTargetList list;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  launch ("a", 1, 8);
+  answer_start ();
+  advance (200 * HS_MSEC);
+  hs_target_model_poll (&model, &polls[0], &list, now);
+  assert_int_equal (list.n_ends, 2);
+  list.ends[0] = list.ends[1];
+  list.n_ends = 1;
+  list.ends_incomplete = true;
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &list, now);
+  free_list (&list);
+  n_polls = 0;
+  assert_int_equal (n_ends, 1);
+  lose_start (&call);
+  advance (0);
+  answer_polls ();
+  assert_int_equal (n_ends, 2);
+  assert_int_equal (ends[1].ref, 7);
+  assert_int_equal (ends[1].how, HSX_END_LAPSED);
+}
+
 static void
 an_announcement_of_an_earlier_incarnation_is_ignored (void **state)
 {
@@ -1916,6 +1948,7 @@
     TEST (the_first_list_after_refused_connections_makes_the_target_ready),
     TEST (a_list_that_leaves_out_ends_does_not_show_that_a_task_never_ran),
     TEST (ends_are_read_in_whatever_order_a_list_has_them),
+    TEST (an_end_that_was_not_read_leaves_earlier_starts_in_doubt),
     TEST (an_announcement_of_an_earlier_incarnation_is_ignored),
     TEST (a_target_restarted_after_its_clock_stepped_back_is_used_again),
     TEST (a_target_renamed_after_its_clock_stepped_back_is_used_again),
