--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -17,9 +17,10 @@
 #include <glib.h>
 
 /** Listen ports of the processes; below those of tools/faults and below the
- *  kernel's ephemeral ports. */
+ *  kernel's ephemeral ports. A test takes them in blocks. */
 #define PORT_MIN 12000
-#define PORT_SPAN 13000
+#define PORT_BLOCK_SIZE 100
+#define PORT_BLOCKS 130
 
 extern char **environ;
 
@@ -36,32 +37,64 @@
   g_strlcpy (out, build, 256);
 }
 
+/* A socket that listens on a port of loopback, or -1. */
+static int
+listen_at (unsigned int port)
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  in.sin_port = htons ((uint16_t) port);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *) &in, sizeof in) == 0 && listen (fd, 1) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Takes a block of ports that no other test uses: the one that listens on its
+   first port, until the process ends. */
+static unsigned int
+take_port_block (void)
+{
+  static unsigned int block;
+  unsigned int i;
+
+  if (block == 0)
+    block = (unsigned int) getpid ();
+  for (i = 0; i < PORT_BLOCKS; i++)
+    {
+      unsigned int first = PORT_MIN + block++ % PORT_BLOCKS * PORT_BLOCK_SIZE;
+
+      if (listen_at (first) >= 0)
+        return first;
+    }
+  g_error ("no free block of ports from %d on", PORT_MIN);
+}
+
 /* Chooses a port that nothing listens on. It is not an ephemeral port, because
    a process that is restarted has to find it free. */
 static void
 choose_address (char out[32])
 {
   static unsigned int next;
-  struct sockaddr_in in = { .sin_family = AF_INET };
-  int on = 1;
+  static unsigned int end;
   int fd;
-  bool port_is_free;
 
-  if (next == 0)
-    next = PORT_MIN + (unsigned int) getpid () * 61 % PORT_SPAN;
-  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   do
     {
-      next = PORT_MIN + (next + 1 - PORT_MIN) % PORT_SPAN;
-      in.sin_port = htons ((uint16_t) next);
-      fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-      port_is_free = bind (fd, (struct sockaddr *) &in, sizeof in) == 0
-                     && listen (fd, 1) == 0;
-      close (fd);
+      if (next == end)
+        {
+          next = take_port_block () + 1;
+          end = next + PORT_BLOCK_SIZE - 1;
+        }
+      fd = listen_at (next++);
     }
-  while (!port_is_free);
-  g_snprintf (out, 32, "127.0.0.1:%u", next);
+  while (fd < 0);
+  close (fd);
+  g_snprintf (out, 32, "127.0.0.1:%u", next - 1);
 }
 
 void
