Reproduce a job that is refused as never run while a run of it goes on

An agent refuses a start as duplicate if a run of the task is left on its target: one of the entry that had the job before. hs_jobs_task_ended() sets may_have_run for ends other than refusals only, so that hs_job_give_up() answers a job that gets no further as refused: "No task has run, and none will". The caller, told 429 or 503, may send the job again at once, to an entry that starts it beside that run, where 504 would have kept it from that for 1.3 s.

The test fails: answer 2 (refused) instead of 3 (lost).

--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -495,6 +495,20 @@
     }
 }
 
+/* Guards against a caller that is told that its job never runs, and may send it
+   again at once, while a run of it goes on: one that another entry started. */
+static void
+a_job_of_which_a_run_is_left_is_not_refused_as_never_run (void **state)
+{
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 1, T0);
+  report_end (0, HSX_END_REFUSED, HS_REFUSAL_DUPLICATE, T0 + 5 * HS_MSEC);
+  hs_jobs_tick (jobs, T0 + 1500 * HS_MSEC);
+  assert_int_equal (n_answers, 1);
+  assert_int_equal (answers[0].kind, HS_ANSWER_LOST);
+}
+
 static void
 without_a_target_a_job_waits_while_it_can_meet_its_objective (void **state)
 {
@@ -632,6 +646,7 @@
     TEST (a_job_sent_again_goes_on_for_the_new_request),
     TEST (a_task_that_runs_already_is_started_nowhere_else),
     TEST (a_task_that_was_started_beside_no_other_run_may_be_started_anywhere),
+    TEST (a_job_of_which_a_run_is_left_is_not_refused_as_never_run),
     TEST (without_a_target_a_job_waits_while_it_can_meet_its_objective),
     TEST (a_job_is_cancelled_by_its_id),
     TEST (
