Reproduce runs that outlast 1.3 s: a late message, then a pause of the agent

docs/design/platform.md counts 0.60 + 0.54 + 0.10 + 0.05 = 1.29 s from an entry's last message to the end of its runs, if the agent is paused from just before it would give the entry up until just before the lease ends, as a_lease_renewed_after_a_pause_ends_in_time does. The 0.60 s hold for a message that is read when it is sent. One that is retransmitted, or that waits, keeps the entry for HS_ENTRY_SILENCE_MAX (0.70 s) after it was sent (hs_agent_links_drop_expired()), and hs_agent_links_resume() adds the 0.10 s to that as well: 1.39 s. The assertion in liveness.h for HS_ENTRY_SILENCE_MAX leaves the pause out.

--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -505,6 +505,34 @@
   assert_true (at + HS_STOP_MAX < HS_CALLER_RETRY_DELAY);
 }
 
+/* Guards against a task that runs twice: as above, but the entry's last message
+   was retransmitted, so that its life was counted from when it was sent, and
+   ended later after that. */
+static void
+a_lease_renewed_after_a_pause_and_a_late_message_ends_in_time (void **state)
+{
+  HsTime now = hs_now ().mono;
+  HsTime sent = now - 200 * HS_MSEC;
+  HsTime lease_begins = sent + HS_ENTRY_SILENCE_MAX - HS_MSEC;
+  HsTime resumed_at = lease_begins + HS_LEASE_MAX * 102 / 100 - HS_MSEC;
+  hsx_orders_args heartbeat = { .agent = AGENT, .number = 2, .stamp_us = sent };
+  HsAgentEntry *entry = conn_data;
+  HsTime at;
+
+  (void) state;
+  entry->last_message_at = entry->confirmed_at = sent - 100 * HS_MSEC;
+  hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &heartbeat);
+  hs_agent_links_drop_expired (agent, lease_begins);
+  assert_int_equal (n_stops, 0);
+  hs_agent_links_resume (agent, resumed_at);
+  for (at = resumed_at; n_stops == 0; at += HS_MSEC)
+    {
+      hs_agent_links_drop_expired (agent, at);
+      assert_true (at < sent + 2 * HS_SEC);
+    }
+  assert_true (at + HS_STOP_MAX < sent + HS_CALLER_RETRY_DELAY);
+}
+
 /* Another entry is lost after a connection was found surplus: it is kept, and
    its entry is told again what is free here. */
 static void
@@ -609,6 +637,7 @@
     TEST (a_message_that_waited_does_not_keep_the_tasks_of_a_dead_entry),
     TEST (a_broken_connection_may_be_replaced),
     TEST (a_lease_renewed_after_a_pause_ends_in_time),
+    TEST (a_lease_renewed_after_a_pause_and_a_late_message_ends_in_time),
     TEST (a_connection_that_is_kept_after_all_is_not_left_unused),
     TEST (a_changed_capacity_is_reported_to_the_entries),
     TEST (a_crash_is_reported_once_on_each_connection),
