Wait for leases on another incarnation's clock before runs count as lapsed

A target that crashes and starts again at once under its name gets a poll whose lease was counted on the clock of the incarnation before. On the new one's clock it may lie far ahead; the target shortens it to the longest that it grants, 1 s on the users' sites, and never further. If the target can't be reached soon after, the agent took the runs there as lapsed 0.59 s after its own last renewal, and the entry started them elsewhere while they went on. A run that ends in this way fits the record of the issue: no stop reaches it, it ends `done`, and a later poll acknowledges that end. Whether the record's did isn't known.

Class: a call that is carried out by another incarnation than the one for which it was decided, taken for what the agent would ask for now. Such a call has a lower token than the first one after the new incarnation was noticed, and isn't carried out after that one. So what it asked for has expired the longest lease after the first answer that shows that token. The same holds for the calls of an earlier agent.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -126,6 +126,7 @@
   agent->pause_watch = hs_pause_watch_new (process, agent->ev, on_pause, agent);
   create_metrics (agent);
   options.lease = MIN (agent->settings->max_lease, HS_LEASE_MAX);
+  options.max_lease = agent->settings->max_lease;
   options.stop_timeout = agent->settings->stop_timeout;
   /* The wall clock in milliseconds is higher than every token of earlier
      incarnations, as an incarnation uses less than one token per
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -110,6 +110,7 @@
   runs->options = *options;
   runs->token = first_token;
   runs->min_poll_token = first_token;
+  runs->lease_token = first_token;
   runs->effects = effects;
   runs->arg = arg;
   runs->next_poll = 1;
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -69,6 +69,7 @@
 {
   HsTime lease;        /**< Length of the lease that the agent requests; the
                             target grants at least this. */
+  HsTime max_lease;    /**< The longest that the target grants. */
   HsTime stop_timeout; /**< How long the target takes for a stop at most. */
 } HsRunsOptions;
 
--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -12,6 +12,7 @@
 #define LEASE_EXPIRY_SLACK (50 * HS_MSEC)
 
 static HsTime last_renewal (const HsRuns *runs);
+static HsTime lease_bound (HsTime lease);
 
 bool
 hs_runs_may_renew_lease (const HsRuns *runs, HsTime now)
@@ -45,14 +46,32 @@
   return runs->lease_until_ms;
 }
 
+/* A lease that was asked for on the clock of another incarnation may lie far
+   ahead on this one's, which shortens it to the longest that it grants, from
+   when it carried out that call. */
+void
+hs_runs_note_token (HsRuns *runs, uint64_t token, HsTime now)
+{
+  if (runs->lease_token_seen || token < runs->lease_token)
+    return;
+  runs->lease_token_seen = true;
+  runs->other_lease_end = now + lease_bound (runs->options.max_lease);
+}
+
+void
+hs_runs_distrust_sent_leases (HsRuns *runs)
+{
+  runs->lease_token = runs->token;
+  runs->lease_token_seen = false;
+}
+
 void
 hs_runs_check_lease (HsRuns *runs, HsTime now)
 {
-  HsTime lease = runs->options.lease;
-  HsTime bound = lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
+  HsTime expired_at = last_renewal (runs) + lease_bound (runs->options.lease);
   uint32_t i;
 
-  if (!runs->unresponsive || now - last_renewal (runs) < bound)
+  if (!runs->unresponsive || now < MAX (expired_at, runs->other_lease_end))
     return;
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
@@ -78,3 +97,10 @@
       last = MAX (last, runs->runs[i].called_at);
   return last;
 }
+
+/* How long a lease holds at most, on a clock that is slow. */
+static HsTime
+lease_bound (HsTime lease)
+{
+  return lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
+}
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -140,6 +140,7 @@
       runs->unresponsive = false;
       runs->poll_not_before = 0;
       complete = process_list (runs, number, list, now);
+      hs_runs_note_token (runs, token, now);
       /* After the list, which may be of another incarnation. */
       if (!may_be_foreign)
         hs_runs_note_call_result (runs, result, now);
@@ -229,6 +230,7 @@
   runs->lease_until_ms = 0;
   hs_runs_distrust_sent_polls (runs);
   runs->min_poll_token = ++runs->token;
+  hs_runs_distrust_sent_leases (runs);
   runs->poll_not_before = 0;
 }
 
@@ -426,6 +428,7 @@
       if (run->state == HS_RUN_START_UNKNOWN)
         {
           run->state = HS_RUN_RUNNING;
+          hs_runs_note_token (runs, run->start_token, now);
           if (run->started_at == 0)
             run->started_at = run->called_at;
           run->percent = -1;
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -52,6 +52,8 @@
   uint32_t first_poll;    /**< In HS_RUN_RUNNING: the first poll sent after
                                it was known to run. This one and later ones
                                have to list it. */
+  uint64_t start_token;   /**< The lowest among the start calls that may have
+                               been carried out. */
   uint32_t start_poll;    /**< The first poll after the last start call. */
   int64_t shown_clock_ms; /**< Of the list that ended HS_RUN_START_UNKNOWN; 0:
                                none. */
@@ -101,6 +103,11 @@
   HsTime target_clock_at;  /**< ...at this time; 0: not known. */
   int64_t lease_until_ms;  /**< The last lease requested of this target, on its
                                 clock. */
+  uint64_t lease_token;   /**< Calls with a lower one may have asked for a lease
+                               on the clock of another incarnation. */
+  bool lease_token_seen;  /**< The target has seen `lease_token`, and carries
+                               out no lower one any more. */
+  HsTime other_lease_end; /**< Leases of such calls have expired by then. */
   uint32_t next_poll;
   uint32_t newest_poll;     /**< Number of the newest poll answered, at least
                                  `foreign_poll`. */
@@ -201,6 +208,13 @@
  *  milliseconds: the last one, unless it may be renewed. */
 int64_t hs_runs_next_lease_end (HsRuns *runs, HsTime now);
 
+/** The target has carried out a call with a token. */
+void hs_runs_note_token (HsRuns *runs, uint64_t token, HsTime now);
+
+/** Calls sent so far may ask for a lease on the clock of another incarnation.
+ */
+void hs_runs_distrust_sent_leases (HsRuns *runs);
+
 /** Ends the runs of an unresponsive target once their lease has expired on the
  *  target's own clock. */
 void hs_runs_check_lease (HsRuns *runs, HsTime now);
--- a/src/direct/runs_start.c
+++ b/src/direct/runs_start.c
@@ -110,6 +110,7 @@
     {
     case HS_TARGET_OK:
       run->state = run->stop_requested ? HS_RUN_STOPPING : HS_RUN_RUNNING;
+      hs_runs_note_token (runs, run->start_token, now);
       run->started_at = run->started_at != 0 ? run->started_at : run->called_at;
       run->first_poll = runs->next_poll;
       run->percent = -1;
@@ -158,7 +159,10 @@
 
   start.lease_until_ms = hs_runs_next_lease_end (runs, now);
   if (run->state != HS_RUN_REPEATING)
-    run->state = HS_RUN_STARTING;
+    {
+      run->state = HS_RUN_STARTING;
+      run->start_token = runs->token;
+    }
   run->may_have_run = false;
   run->endpoint = runs->endpoint;
   run->called_at = now;
--- a/test/test_direct_runs_lease.c
+++ b/test/test_direct_runs_lease.c
@@ -185,7 +185,9 @@
 setup (void **state)
 {
   HsRunsOptions options
-      = { .lease = HS_LEASE_MAX, .stop_timeout = 50 * HS_MSEC };
+      = { .lease = HS_LEASE_MAX,
+          .max_lease = HS_SEC,
+          .stop_timeout = 50 * HS_MSEC };
 
   (void) state;
   now = T0;
