Don't refuse a job of which an earlier run is left as never run

A start that an agent refuses as a duplicate shows that a run of the task is left on its target, of a request that another entry had. The job was answered 503 all the same when it got no further, which says that nothing of it runs, and lets its caller send it again at once, to an entry that would start it beside that run.

--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -131,7 +131,8 @@
 
   if (job == NULL || task->target != target)
     return;
-  if (end->how != HSX_END_REFUSED)
+  /* Refused as a duplicate: a run of an earlier request for the job is left. */
+  if (end->how != HSX_END_REFUSED || end->reason == HS_REFUSAL_DUPLICATE)
     job->may_have_run = true;
   if (agent_took (end))
     task->only_target = HS_TARGET_NONE;
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -46,7 +46,8 @@
   uint32_t n_sent;
   uint32_t n_done;
   uint32_t n_starts;
-  bool may_have_run; /**< A task may have ended after it had started. */
+  bool may_have_run; /**< A task may have ended after it had started, or a run
+                          of an earlier request for the job is left. */
   HsTask *tasks;
 } HsJob;
 
--- a/test/test_direct_runs_lease.c
+++ b/test/test_direct_runs_lease.c
@@ -184,10 +184,9 @@
 static int
 setup (void **state)
 {
-  HsRunsOptions options
-      = { .lease = HS_LEASE_MAX,
-          .max_lease = HS_SEC,
-          .stop_timeout = 50 * HS_MSEC };
+  HsRunsOptions options = { .lease = HS_LEASE_MAX,
+                            .max_lease = HS_SEC,
+                            .stop_timeout = 50 * HS_MSEC };
 
   (void) state;
   now = T0;
