Don't refuse a job that is in progress at the entry that is asked

In the 50 ms after a pause, and in the last 1.7 s of a stopping entry, every job was answered 503, which says that it never runs, also one that this very entry had in progress from an earlier request. Such a job goes on for the new request, as at any other time.

--- a/src/direct/entry_requests.c
+++ b/src/direct/entry_requests.c
@@ -96,6 +96,19 @@
                        NULL);
 }
 
+/* Why the entry accepts no new job now; NULL if it does. */
+static const char *
+reason_to_refuse (const HsDirectEntry *entry, HsTime now)
+{
+  if (now < entry->resume_until)
+    return "paused";
+  if (entry->stage == HS_ENTRY_DRAINING
+      && now - entry->stop_requested_at
+             > entry->settings->grace - LAST_JOB_TIME)
+    return "stopping";
+  return NULL;
+}
+
 static void
 submit (HsDirectEntry *entry,
         const HsCallerRequest *request,
@@ -115,6 +128,7 @@
                               .max_failures = route->max_failures,
                               .slack_factor = route->slack_factor,
                               .slack = route->slack };
+  const char *why;
 
   if (request->problem != NULL || !is_job_id (submission.id))
     {
@@ -134,16 +148,11 @@
                          NULL);
       return;
     }
-  if (now < entry->resume_until)
-    {
-      reply_without_job (entry, request, HS_REPLY_REFUSED, "paused", NULL);
-      return;
-    }
-  if (entry->stage == HS_ENTRY_DRAINING
-      && now - entry->stop_requested_at
-             > entry->settings->grace - LAST_JOB_TIME)
+  why = reason_to_refuse (entry, now);
+  /* A job in progress goes on for the new request: it isn't refused. */
+  if (why != NULL && !hs_jobs_has_job (entry->jobs, submission.id))
     {
-      reply_without_job (entry, request, HS_REPLY_REFUSED, "stopping", NULL);
+      reply_without_job (entry, request, HS_REPLY_REFUSED, why, NULL);
       return;
     }
   /* A deadline sent by the caller takes precedence over the route's timeout. */
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -29,7 +29,7 @@
 static HsJob *allocate_job (HsJobs *jobs);
 static void
 init_job (HsJobs *jobs, HsJob *job, const HsSubmission *submission, HsTime now);
-static HsJob *find_job (HsJobs *jobs, const char *id);
+static HsJob *find_job (const HsJobs *jobs, const char *id);
 static bool is_same_job (const HsJob *job, const HsSubmission *submission);
 static void admit (HsJobs *jobs, HsJob *job, HsTime now);
 static HsJob *find_task (HsJobs *jobs, uint64_t ref, HsTask **task);
@@ -296,6 +296,12 @@
   return jobs->n_active;
 }
 
+bool
+hs_jobs_has_job (const HsJobs *jobs, const char *id)
+{
+  return find_job (jobs, id) != NULL;
+}
+
 static int
 free_jobs (HsJobs *jobs)
 {
@@ -304,7 +310,7 @@
 }
 
 static HsJob *
-find_job (HsJobs *jobs, const char *id)
+find_job (const HsJobs *jobs, const char *id)
 {
   uint32_t i;
 
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -243,4 +243,7 @@
 /** Number of jobs that haven't been answered. */
 uint32_t hs_jobs_count (const HsJobs *jobs);
 
+/** Whether a job with this id is in progress, of whatever customer. */
+bool hs_jobs_has_job (const HsJobs *jobs, const char *id);
+
 #endif
