Keep no entry after a pause beyond what its caller waits

An agent that was paused keeps its entries for 100 ms more, to read what they sent meanwhile. 0.60 s of silence, a lease, these 100 ms and a stop take 1.29 s. But an entry whose last message was read late is kept for up to 0.70 s after it sent it: 1.39 s, and its caller sends the job again after 1.3 s. After a pause an entry is now kept no longer than 1.2 s after it sent its last message; where that is over, the lease of what ran for it is, too.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -254,13 +254,16 @@
   for (i = 0; i < HS_ENTRIES_MAX; i++)
     {
       HsAgentEntry *entry = &agent->entries[i];
+      HsTime left;
 
       if (entry->conn == NULL)
         continue;
       entry->last_message_at = MAX (entry->last_message_at,
                                     now - HS_PEER_TIMEOUT + HS_RESUME_GRACE);
-      entry->confirmed_at = MAX (entry->confirmed_at,
-                                 now - HS_ENTRY_SILENCE_MAX + HS_RESUME_GRACE);
+      left = entry->confirmed_at + HS_ENTRY_SILENCE_LIMIT - now;
+      entry->confirmed_at
+          = MAX (entry->confirmed_at,
+                 now - HS_ENTRY_SILENCE_MAX + MIN (HS_RESUME_GRACE, left));
     }
 }
 
