--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -762,6 +762,56 @@
   assert_int_equal (ends[1].how, HSX_END_DONE);
 }
 
+/* Guards against a task that runs twice at a time, of which nobody stops the
+   first run: it ends while the poll after the list that left it out waits. */
+static void
+a_short_run_that_an_overtaken_list_leaves_out_ends_once (void **state)
+{
+  HsTargetList with_run;
+  HsTargetList without_run;
+  StartCall call;
+
+  (void) state;
+  launch ("other", 0, 6);
+  answer_start ();
+  advance (0);
+  answer_polls ();
+  advance (0);
+  launch ("lost", 0, 7);
+  call = pop_start ();
+  lose_start (&call);
+  advance (0);
+  assert_int_equal (n_polls, 2);
+  launch ("short", 0, 8);
+  call = pop_start ();
+  hs_target_model_receive_poll (&model, &polls[0], now);
+  hs_target_model_receive_poll (&model, &polls[1], now);
+  hs_target_model_write_list (&model, &without_run, now);
+  assert_int_equal (hs_target_model_start (&model, &call.start, 25 * HS_MSEC,
+                                           false, CPU, now),
+                    HS_TARGET_OK);
+  lose_start (&call);
+  now += HS_MSEC;
+  hs_target_model_write_list (&model, &with_run, now);
+  hs_runs_poll_done (runs, polls[0].number, HS_TARGET_OK, &with_run, now);
+  hs_runs_poll_done (runs, polls[1].number, HS_TARGET_OK, &without_run, now);
+  free_list (&with_run);
+  free_list (&without_run);
+  n_polls = 0;
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].ref, 7);
+  advance (0);
+  assert_int_equal (n_polls, 1);
+  assert_true (polls[0].wait_ms >= 24);
+  now += 24 * HS_MSEC;
+  hs_target_model_advance (&model, now);
+  answer_polls ();
+  assert_int_equal (n_stops, 0);
+  assert_int_equal (n_ends, 2);
+  assert_int_equal (ends[1].ref, 8);
+  assert_int_equal (ends[1].how, HSX_END_DONE);
+}
+
 /* Guards against a task that runs twice: an old poll that was still in flight
    was taken for one with the token of a later poll, and resolved its start. */
 static void
@@ -1943,6 +1993,7 @@
     TEST (a_late_refusal_by_another_incarnation_ends_no_run),
     TEST (a_list_that_may_leave_out_a_run_resolves_no_start),
     TEST (lists_that_overtake_each_other_end_no_run),
+    TEST (a_short_run_that_an_overtaken_list_leaves_out_ends_once),
     TEST (a_poll_in_flight_keeps_its_token_while_others_follow),
     TEST (a_list_that_another_incarnation_overtook_is_ignored),
     TEST (the_first_list_after_refused_connections_makes_the_target_ready),
