Poll without a wait while the target's clock isn't known after a pause

The first poll after a pause carries no lease, as the clock of the target isn't known: with a wait of up to 30 ms in it, the next one came too late for a lease that had almost run out, where only the agent was paused. A lease on the clock of another incarnation is counted on by the length of the pause as well.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -316,7 +316,7 @@
 
   hs_event ("pause", "ms=%.0f", (double) length / HS_MSEC);
   hs_agent_links_resume (agent, now);
-  hs_runs_resume (agent->runs, now);
+  hs_runs_resume (agent->runs, length, now);
 }
 
 void
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -208,8 +208,9 @@
 
 /** The agent goes on after a pause. Its host may have been suspended, with a
  *  target whose clock didn't count that time: leases count from now on, and
- *  none is granted before a list tells the target's clock. */
-void hs_runs_resume (HsRuns *runs, HsTime now);
+ *  none is granted before a list tells the target's clock.
+ *  @param length of the pause */
+void hs_runs_resume (HsRuns *runs, HsTime length, HsTime now);
 
 /** Performs what is due.
  *  @return when it has to be called next */
--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -84,8 +84,10 @@
 }
 
 void
-hs_runs_resume (HsRuns *runs, HsTime now)
+hs_runs_resume (HsRuns *runs, HsTime length, HsTime now)
 {
+  if (runs->other_lease_end > now - length)
+    runs->other_lease_end += length;
   runs->renewed_at = MAX (runs->renewed_at, now);
   runs->target_clock_at = 0;
   runs->poll_not_before = 0;
--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -103,8 +103,9 @@
       && now - runs->answered_at < POLL_IDLE_INTERVAL)
     return runs->answered_at + POLL_IDLE_INTERVAL;
   send_poll (runs,
-             runs->n_runs > 0 && runs->list_known && runs->n_unknown_runs == 0
-                     && runs->n_failed_polls == 0 && !has_unknown_starts (runs)
+             runs->n_runs > 0 && runs->target_clock_at != 0
+                     && runs->n_unknown_runs == 0 && runs->n_failed_polls == 0
+                     && !has_unknown_starts (runs)
                  ? POLL_WAIT_MS
                  : 0,
              now);
--- a/test/test_direct_runs_pause.c
+++ b/test/test_direct_runs_pause.c
@@ -142,7 +142,7 @@
   model.lease_until += SUSPENSION;
   for (i = 0; i < model.runs->len; i++)
     g_array_index (model.runs, HsModelRun, i).started += SUSPENSION;
-  hs_runs_resume (runs, now);
+  hs_runs_resume (runs, SUSPENSION, now);
 }
 
 static int
