Show that an old end ends a repeated start that runs on

A start without an answer is called again before the agent knows that its target restarted under the same name. The later incarnation carries it out; a list that the earlier one wrote before is read next, and its end of the first call's run is taken for the end of the run that goes on. A failed or lapsed end lets the entry start the task elsewhere.

--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -469,6 +469,41 @@
   assert_int_equal (ends[0].how, HSX_END_LAPSED);
 }
 
+/* Guards against a task that runs twice at a time: a target that restarted
+   under its name carried out a repeated start, before the end of the run that
+   the first call had started was read from a list of the earlier incarnation.
+ */
+static void
+an_end_on_an_earlier_incarnation_does_not_end_a_repeated_start (void **state)
+{
+  HsTargetPoll held;
+  HsTargetList list;
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_target_model_start (&model, &call.start, 20 * HS_MSEC, false, CPU, now);
+  advance (0);
+  assert_int_equal (n_polls, 1);
+  held = polls[0];
+  n_polls = 0;
+  hs_target_model_receive_poll (&model, &held, now);
+  now += 20 * HS_MSEC;
+  hs_target_model_advance (&model, now);
+  hs_target_model_write_list (&model, &list, now);
+  assert_int_equal (list.n_ends, 1);
+  list.ends[0].how = HSX_END_FAILED;
+  hs_target_model_restart (&model, now);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  call = pop_start ();
+  assert_int_equal (execute_start (&call), HS_TARGET_OK);
+  hs_runs_poll_done (runs, held.number, HS_TARGET_OK, &list, now);
+  free_list (&list);
+  assert_int_equal (model.runs->len, 1);
+  assert_int_equal (n_ends, 0);
+}
+
 /* Guards against a task that runs twice at a time: an agent that was paused
    starts it after the caller has sent its job to another entry. */
 static void
@@ -1932,6 +1967,7 @@
     TEST (a_repeated_start_runs_once),
     TEST (a_refused_repetition_does_not_end_the_run),
     TEST (a_start_is_not_repeated_on_another_incarnation),
+    TEST (an_end_on_an_earlier_incarnation_does_not_end_a_repeated_start),
     TEST (a_paused_agent_calls_no_start_again),
     TEST (a_start_to_be_stopped_is_not_repeated),
     TEST (an_unanswered_start_that_is_listed_is_adopted),
