Don't end a repeated start by an end of its first call alone

A start without an answer is called again before the agent knows that its target has restarted under the same name. The new incarnation carries it out, and then a list is read that the earlier one wrote before: its end of the run of the first call was taken for that of the run that goes on. After a failed, stopped or lapsed end the entry starts the task elsewhere.

Such an end is kept now, and counts when a list shows that the run isn't there, whose poll was sent after the agent knew that it runs, or with a token above that of its last call. `done` counts at once, as nothing is started after it.

--- a/src/direct/runs_poll.c
+++ b/src/direct/runs_poll.c
@@ -59,6 +59,8 @@
                           uint32_t number,
                           const HsTargetList *list,
                           HsTime now);
+static bool
+end_is_certain (const HsRuns *runs, const HsRun *run, uint32_t number);
 static void doubt_unanswered_starts (HsRuns *runs);
 static void note_unmatched (HsRuns *runs,
                             const HsRunKey *key,
@@ -373,10 +375,16 @@
           note_unmatched (runs, &end->key, true, number, list);
           continue;
         }
-      if (hs_run_is_starting (run))
-        runs->effects->abandon_start (runs->arg, (uint32_t) (run - runs->runs));
       if (how == HSX_END_STOPPED && run->stop_reported_as != 0)
         how = run->stop_reported_as;
+      if (how != HSX_END_DONE && !end_is_certain (runs, run, number))
+        {
+          run->end_read = true;
+          run->ended_as = how;
+          continue;
+        }
+      if (hs_run_is_starting (run))
+        runs->effects->abandon_start (runs->arg, (uint32_t) (run - runs->runs));
       if (run->started_at == 0)
         run->started_at = run->called_at;
       hs_run_end (runs, run, how, HS_REFUSAL_NONE, HS_EVIDENCE_LISTED, now);
@@ -385,6 +393,27 @@
     doubt_unanswered_starts (runs);
 }
 
+/* Whether an end in the list of a poll is that of the run. A start that was
+   repeated may have been carried out by two incarnations, and the list be of
+   the earlier one; not if that one wrote it after the last call had no effect
+   any more. */
+static bool
+end_is_certain (const HsRuns *runs, const HsRun *run, uint32_t number)
+{
+  if (!run->repeated)
+    return true;
+  switch (run->state)
+    {
+    case HS_RUN_RUNNING:
+    case HS_RUN_STOPPING:
+      return run->first_poll <= number;
+    case HS_RUN_START_UNKNOWN:
+      return run->fence_token <= runs->poll_tokens[number % HS_POLL_TOKENS_MAX];
+    default:
+      return false;
+    }
+}
+
 static void
 note_unmatched (HsRuns *runs,
                 const HsRunKey *key,
@@ -454,8 +483,8 @@
 
       if ((run->state == HS_RUN_RUNNING || run->state == HS_RUN_STOPPING)
           && !run->listed && run->first_poll <= number)
-        hs_run_end (runs, run, HSX_END_LAPSED, HS_REFUSAL_NONE,
-                    HS_EVIDENCE_MISSING, now);
+        hs_run_end (runs, run, run->end_read ? run->ended_as : HSX_END_LAPSED,
+                    HS_REFUSAL_NONE, HS_EVIDENCE_MISSING, now);
     }
 }
 
@@ -528,7 +557,10 @@
 
       if (run->state != HS_RUN_START_UNKNOWN || run->fence_token > token)
         continue;
-      if (run->stop_requested)
+      if (run->end_read)
+        hs_run_end (runs, run, run->ended_as, HS_REFUSAL_NONE,
+                    HS_EVIDENCE_FENCED, now);
+      else if (run->stop_requested)
         hs_run_end (runs, run, HSX_END_STOPPED, HS_REFUSAL_UNANSWERED,
                     HS_EVIDENCE_FENCED, now);
       else if (run->may_have_run)
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -59,12 +59,15 @@
                                none. */
   uint32_t n_start_calls; /**< So far. */
   bool stop_requested;
-  bool repeated;      /**< Its start got no answer and was called again. The
-                           incarnation that runs it may not be the one that got
-                           the first call. */
-  bool may_have_run;  /**< Before its start is answered: it may have run, and
-                           no list will tell: the incarnation that was called
-                           is over, or its end wasn't read. */
+  bool repeated;     /**< Its start got no answer and was called again. The
+                          incarnation that runs it may not be the one that got
+                          the first call. */
+  bool may_have_run; /**< Before its start is answered: it may have run, and
+                          no list will tell: the incarnation that was called
+                          is over, or its end wasn't read. */
+  bool end_read;     /**< A list has its end, as `ended_as`, but not for certain
+                          that of the incarnation that runs it. */
+  hsx_end_how ended_as;
   uint32_t endpoint;  /**< HsRuns.endpoint when it was started or listed. */
   HsTime renew_until; /**< The lease isn't renewed from then on while the run
                            hasn't ended, as its job may be sent again; 0: no
