Share the fixture of the tests of an entry's jobs

The records are the union of both: the launch's customer and whether it was stopped. Target reports and submissions differ between the two and stay.

No assertion was changed, added or taken out.

--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -9,96 +9,8 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include "direct/jobs.h"
 #include "direct/runs.h"
-
-#define T0 (1000 * HS_SEC)
-#define CAPACITY 4000
-
-typedef struct
-{
-  hsx_launch_task task;
-  uint32_t target;
-  bool stopped;
-} Launch;
-
-static void *ctx;
-static HsTargets *targets;
-static HsJobs *jobs;
-static Launch launches[512];
-static uint32_t n_launches;
-static HsJobAnswer answers[64];
-static uint32_t n_answers;
-static uint32_t orders_sent[16];
-
-static uint32_t
-on_launch (void *arg,
-           uint32_t target,
-           const hsx_launch *job,
-           const hsx_launch_task *task)
-{
-  (void) arg;
-  (void) job;
-  launches[n_launches].target = target;
-  launches[n_launches].stopped = false;
-  launches[n_launches++].task = *task;
-  return ++orders_sent[target];
-}
-
-static void
-on_stop (void *arg, uint32_t target, uint64_t ref)
-{
-  uint32_t i;
-
-  (void) arg;
-  for (i = 0; i < n_launches; i++)
-    if (launches[i].target == target && launches[i].task.ref == ref)
-      launches[i].stopped = true;
-}
-
-static void
-on_answer (void *arg, const HsJobAnswer *answer)
-{
-  (void) arg;
-  answers[n_answers++] = *answer;
-}
-
-static void
-on_task_ended (void *arg,
-               const char *id,
-               uint32_t target,
-               const HsTask *task,
-               const hsx_end *end)
-{
-  (void) arg;
-  (void) id;
-  (void) target;
-  (void) task;
-  (void) end;
-}
-
-static void
-on_task_not_held (void *arg,
-                  const char *id,
-                  uint32_t target,
-                  const HsTask *task)
-{
-  (void) arg;
-  (void) id;
-  (void) target;
-  (void) task;
-}
-
-static void
-on_contained (void *arg, const HsContainmentChange *change)
-{
-  (void) arg;
-  (void) change;
-}
-
-static const HsJobsEffects EFFECTS
-    = { on_launch,     on_stop,          on_answer,
-        on_task_ended, on_task_not_held, on_contained };
+#include "jobs_fixture.h"
 
 static void
 report_free (uint32_t target, uint32_t free_milli, HsTime now)
@@ -157,10 +69,7 @@
 setup (void **state)
 {
   (void) state;
-  n_launches = n_answers = 0;
-  ctx = talloc_new (NULL);
-  targets = hs_targets_new (ctx);
-  jobs = hs_jobs_new (ctx, targets, "dc1", &EFFECTS, NULL);
+  jobs_fixture_set_up ();
   return 0;
 }
 
@@ -168,7 +77,7 @@
 teardown (void **state)
 {
   (void) state;
-  talloc_free (ctx);
+  jobs_fixture_tear_down ();
   return 0;
 }
 
--- a/test/test_direct_jobs_crash.c
+++ b/test/test_direct_jobs_crash.c
@@ -9,97 +9,13 @@
 
 #include <cmocka.h>
 
-#include "direct/jobs.h"
+#include "jobs_fixture.h"
 #include "policy/crash_counts.h"
 
-#define T0 (1000 * HS_SEC)
-#define CAPACITY 4000
 #define N_TARGETS 10
 
-typedef struct
-{
-  hsx_launch_task task;
-  uint32_t target;
-  char customer[8];
-} Launch;
-
-static void *ctx;
-static HsTargets *targets;
-static HsJobs *jobs;
-static Launch launches[512];
-static uint32_t n_launches;
-static HsJobAnswer answers[64];
-static uint32_t n_answers;
-static uint32_t orders_sent[N_TARGETS];
 static uint32_t n_crashes;
 
-static uint32_t
-on_launch (void *arg,
-           uint32_t target,
-           const hsx_launch *job,
-           const hsx_launch_task *task)
-{
-  (void) arg;
-  launches[n_launches].target = target;
-  launches[n_launches].task = *task;
-  snprintf (launches[n_launches].customer, sizeof launches[n_launches].customer,
-            "%s", job->customer);
-  n_launches++;
-  return ++orders_sent[target];
-}
-
-static void
-on_stop (void *arg, uint32_t target, uint64_t ref)
-{
-  (void) arg;
-  (void) target;
-  (void) ref;
-}
-
-static void
-on_answer (void *arg, const HsJobAnswer *answer)
-{
-  (void) arg;
-  answers[n_answers++] = *answer;
-}
-
-static void
-on_task_ended (void *arg,
-               const char *id,
-               uint32_t target,
-               const HsTask *task,
-               const hsx_end *end)
-{
-  (void) arg;
-  (void) id;
-  (void) target;
-  (void) task;
-  (void) end;
-}
-
-static void
-on_task_not_held (void *arg,
-                  const char *id,
-                  uint32_t target,
-                  const HsTask *task)
-{
-  (void) arg;
-  (void) id;
-  (void) target;
-  (void) task;
-}
-
-static void
-on_contained (void *arg, const HsContainmentChange *change)
-{
-  (void) arg;
-  (void) change;
-}
-
-static const HsJobsEffects EFFECTS
-    = { on_launch,     on_stop,          on_answer,
-        on_task_ended, on_task_not_held, on_contained };
-
 static void
 report (uint32_t target,
         hsx_target_state state,
@@ -205,11 +121,8 @@
   uint32_t i;
 
   (void) state;
-  n_launches = n_answers = n_crashes = 0;
-  memset (orders_sent, 0, sizeof orders_sent);
-  ctx = talloc_new (NULL);
-  targets = hs_targets_new (ctx);
-  jobs = hs_jobs_new (ctx, targets, "dc1", &EFFECTS, NULL);
+  n_crashes = 0;
+  jobs_fixture_set_up ();
   for (i = 0; i < N_TARGETS; i++)
     {
       hs_targets_connect (targets, i + 1, "dc1", T0);
@@ -222,7 +135,7 @@
 teardown (void **state)
 {
   (void) state;
-  talloc_free (ctx);
+  jobs_fixture_tear_down ();
   return 0;
 }
 
