Let calls and answers cross in the soak

The stand-in target now carries calls out late, delays answers one by one and withholds them or ends their connection; proxies delay by connection, also before callers; an injector of its own restarts and replaces targets, pauses agents and resets connections meanwhile. Counts are printed at the end.

The stand-in also differed from PROTOCOL.md: a poll whose wait ended after a newer token was answered 409 in place of its list, a poll whose answer was lost wasn't carried out, X-Hibiscusspoke-Expect-Instance was ignored, and answers to starts and stops had no clock_ms.

--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -120,6 +120,8 @@
   for (i = 0; i < n_entries; i++)
     {
       choose_address (c->addresses[CLUSTER_ENTRY][i]);
+      g_strlcpy (c->caller_dial_addresses[i], c->addresses[CLUSTER_ENTRY][i],
+                 sizeof c->caller_dial_addresses[i]);
       choose_address (c->ready_addresses[i]);
       choose_address (c->control_addresses[i]);
       g_strlcpy (c->control_dial_addresses[i], c->control_addresses[i],
@@ -194,7 +196,10 @@
   int n = 1;
 
   g_snprintf (log, sizeof log, "%s/%s%u.log", c->dir, KIND_NAMES[kind], i);
-  g_snprintf (name, sizeof name, "i-%u", i);
+  if (c->generations[i] == 0)
+    g_snprintf (name, sizeof name, "i-%u", i);
+  else
+    g_snprintf (name, sizeof name, "i-%u-%u", i, c->generations[i]);
   g_snprintf (cpu, sizeof cpu, "%u", c->cpu_milli);
   switch (kind)
     {
@@ -408,7 +413,7 @@
   ClusterReply reply;
 
   headers = curl_slist_append (headers, left);
-  reply = perform_request ("POST", c->addresses[CLUSTER_ENTRY][entry], path,
+  reply = perform_request ("POST", c->caller_dial_addresses[entry], path,
                            body, deadline_ms + 200, headers);
   curl_slist_free_all (headers);
   return reply;
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -35,11 +35,15 @@
   char addresses[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX][32];
   char ready_addresses[CLUSTER_PROCESSES_MAX][32];
   char control_addresses[CLUSTER_PROCESSES_MAX][32]; /**< Of entries. */
+  /** Address at which callers reach an entry. */
+  char caller_dial_addresses[CLUSTER_PROCESSES_MAX][32];
   /** Addresses at which the other processes reach the entries, the store and
    *  the targets: the listen addresses, unless a proxy is put in between. */
   char control_dial_addresses[CLUSTER_PROCESSES_MAX][32];
   char store_dial_address[32];
   char app_dial_addresses[CLUSTER_PROCESSES_MAX][32];
+  /** Part of the names of targets: rises when one is replaced. */
+  unsigned int generations[CLUSTER_PROCESSES_MAX];
   unsigned int start_counts[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX];
 } Cluster;
 
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -19,9 +19,11 @@
 #include "../prng.h"
 #include "history.h"
 #include "proxy.h"
+#include "tally.h"
 
 #define CPU_MILLI 6000
-#define CALLERS 8
+#define CALLERS 16
+#define INJECTORS 3
 #define JOBS_MAX 20000
 
 /** One in so many jobs crashes the targets that start its task. */
@@ -47,6 +49,7 @@
 static gint stopping;
 static unsigned int control_proxies[CLUSTER_PROCESSES_MAX];
 static unsigned int app_proxies[CLUSTER_PROCESSES_MAX];
+static unsigned int caller_proxies[CLUSTER_PROCESSES_MAX];
 static unsigned int store_proxy;
 
 static SoakJob *
@@ -69,8 +72,8 @@
 static void
 submit_job (Caller *caller)
 {
-  static const char *const specs[]
-      = { "ms=20", "ms=60", "ms=200", "ms=900", "ms=1800" };
+  static const char *const specs[] = { "ms=20",  "ms=40",  "ms=60", "ms=100",
+                                       "ms=200", "ms=400", "ms=900", "ms=1800" };
   SoakJob *job = new_job (1 + prng_below (&caller->random, 6));
   const char *spec = specs[prng_below (&caller->random, G_N_ELEMENTS (specs))];
   bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
@@ -135,13 +138,15 @@
 }
 
 static void
-restart (ClusterKind kind, unsigned int i, int down_ms)
+restart (ClusterKind kind, unsigned int i, int down_ms, bool renamed)
 {
   g_mutex_lock (&restart_lock);
   if (kind == CLUSTER_TARGET && cluster.pids[kind][i] > 0)
     history_note_kill (i);
   cluster_kill (&cluster, kind, i);
   cluster_sleep_ms (down_ms);
+  if (kind == CLUSTER_TARGET && renamed)
+    cluster.generations[i]++;
   cluster_start (&cluster, kind, i);
   g_mutex_unlock (&restart_lock);
 }
@@ -160,7 +165,7 @@
     {
     case 0:
       printf ("  kill %d %u\n", (int) kind, i);
-      restart (kind, i, ms / 4);
+      restart (kind, i, ms / 4, false);
       return;
     case 1:
       if (kind == CLUSTER_TARGET)
@@ -168,7 +173,7 @@
       printf ("  stop %d %u\n", (int) kind, i);
       cluster_signal (&cluster, kind, i, SIGTERM);
       cluster_await_exit (&cluster, kind, i, 7000);
-      restart (kind, i, 0);
+      restart (kind, i, 0, false);
       return;
     default:
       /* Time in the model of a target goes on while its process is stopped. */
@@ -262,17 +267,130 @@
   return NULL;
 }
 
+/* Makes calls and answers of a target overtake each other. */
 static void
-create_proxies (void)
+set_crossing (Prng *random, unsigned int target)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"call_percent\":%u,\"call_ms\":%u,\"answer_percent\":%u,"
+      "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
+      "\"seed\":%u}",
+      prng_below (random, 50), 5 + prng_below (random, 400),
+      20 + prng_below (random, 60), 2 + prng_below (random, 60),
+      prng_below (random, 20), prng_below (random, 15),
+      prng_below (random, 1000000));
+
+  cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][target], "/crossing",
+                text, 500);
+}
+
+/* A fault while calls and answers of the target wait. */
+static void
+disturb_crossing (Prng *random, unsigned int target)
+{
+  int ms = 5 + (int) prng_below (random, 700);
+
+  switch (prng_below (random, 8))
+    {
+    case 0:
+      printf ("  crossing: restart target %u\n", target);
+      restart (CLUSTER_TARGET, target, ms / 10, false);
+      set_crossing (random, target);
+      break;
+    case 1:
+      printf ("  crossing: replace target %u\n", target);
+      restart (CLUSTER_TARGET, target, ms / 10, true);
+      set_crossing (random, target);
+      break;
+    case 2:
+    case 3:
+      printf ("  crossing: pause agent %u for %d ms\n", target, ms);
+      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGSTOP);
+      cluster_sleep_ms (ms);
+      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGCONT);
+      break;
+    case 4:
+      proxy_set (app_proxies[target], PROXY_RESET, 0);
+      break;
+    case 5:
+      proxy_set (control_proxies[prng_below (random, cluster.n_entries)],
+                 PROXY_RESET, 0);
+      break;
+    case 6:
+      proxy_set (caller_proxies[prng_below (random, cluster.n_entries)],
+                 PROXY_RESET, 0);
+      break;
+    default:
+      set_crossing (random, target);
+      break;
+    }
+}
+
+/* Delays calls, answers and messages by connection, with further faults
+   meanwhile, and ends some of the connections with data on its way. */
+static void
+inject_crossing (Prng *random)
+{
+  unsigned int n_faults = 2 + prng_below (random, 8);
+  unsigned int i;
+
+  for (i = 0; i < cluster.n_agents; i++)
+    if (prng_below (random, 4) > 0)
+      set_crossing (random, i);
+  for (i = 0; i < cluster.n_entries; i++)
+    {
+      if (prng_below (random, 2) == 0)
+        proxy_set (control_proxies[i], PROXY_SCATTER,
+                   5 + (int) prng_below (random, 300));
+      if (prng_below (random, 2) == 0)
+        proxy_set (caller_proxies[i], PROXY_SCATTER,
+                   5 + (int) prng_below (random, 300));
+    }
+  for (i = 0; i < n_faults && !g_atomic_int_get (&stopping); i++)
+    {
+      cluster_sleep_ms (50 + (int) prng_below (random, 500));
+      disturb_crossing (random, prng_below (random, cluster.n_agents));
+    }
+  for (i = 0; i < cluster.n_agents; i++)
+    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/crossing",
+                  "{}", 500);
+  for (i = 0; i < cluster.n_entries; i++)
+    {
+      bool broken = prng_below (random, 2) == 0;
+
+      proxy_set (control_proxies[i], broken ? PROXY_RESET : PROXY_PASS, 0);
+      proxy_set (caller_proxies[i], broken ? PROXY_RESET : PROXY_PASS, 0);
+    }
+}
+
+static void *
+run_crossing_injector (void *arg)
+{
+  Prng *random = arg;
+
+  while (!g_atomic_int_get (&stopping))
+    {
+      inject_crossing (random);
+      cluster_sleep_ms ((int) prng_below (random, 500));
+    }
+  return NULL;
+}
+
+static void
+create_proxies (uint32_t seed)
 {
   unsigned int i;
 
-  proxy_init ();
+  proxy_init (seed);
   store_proxy = proxy_add (cluster.addresses[CLUSTER_STORE][0],
                            cluster.store_dial_address);
   for (i = 0; i < cluster.n_entries; i++)
-    control_proxies[i] = proxy_add (cluster.control_addresses[i],
-                                    cluster.control_dial_addresses[i]);
+    {
+      control_proxies[i] = proxy_add (cluster.control_addresses[i],
+                                      cluster.control_dial_addresses[i]);
+      caller_proxies[i] = proxy_add (cluster.addresses[CLUSTER_ENTRY][i],
+                                     cluster.caller_dial_addresses[i]);
+    }
   for (i = 0; i < cluster.n_agents; i++)
     app_proxies[i] = proxy_add (cluster.addresses[CLUSTER_TARGET][i],
                                 cluster.app_dial_addresses[i]);
@@ -290,8 +408,12 @@
   cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", "{}",
                 500);
   for (i = 0; i < cluster.n_agents; i++)
-    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", "{}",
-                  500);
+    {
+      cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault",
+                    "{}", 500);
+      cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/crossing",
+                    "{}", 500);
+    }
   restart_crashed_targets ();
   cluster_start_all (&cluster);
   for (i = 0; i < cluster.n_entries; i++)
@@ -327,10 +449,11 @@
 static unsigned int
 run (uint32_t seed, int seconds)
 {
-  GThread *threads[CALLERS + 2];
+  GThread *threads[CALLERS + INJECTORS];
   Caller callers[CALLERS];
-  Prng injector_prngs[2]
-      = { prng_seeded (seed * 2), prng_seeded (seed * 2 + 1) };
+  Prng injector_prngs[INJECTORS]
+      = { prng_seeded (seed * 2), prng_seeded (seed * 2 + 1),
+          prng_seeded (seed + 1000000) };
   unsigned int violations;
   unsigned int i;
 
@@ -349,13 +472,14 @@
       callers[i] = (Caller){ prng_seeded (seed * 100 + i + 10), i };
       threads[i] = g_thread_new ("caller", run_caller, &callers[i]);
     }
-  /* Two injectors, so that faults also overlap. */
-  for (i = 0; i < 2; i++)
-    threads[CALLERS + i] = g_thread_new ("fault injector", run_fault_injector,
-                                         &injector_prngs[i]);
+  /* More than one injector, so that faults also overlap. */
+  for (i = 0; i < INJECTORS; i++)
+    threads[CALLERS + i] = g_thread_new (
+        "injector", i < 2 ? run_fault_injector : run_crossing_injector,
+        &injector_prngs[i]);
   cluster_sleep_ms (seconds * 1000);
   g_atomic_int_set (&stopping, 1);
-  for (i = 0; i < CALLERS + 2; i++)
+  for (i = 0; i < CALLERS + INJECTORS; i++)
     g_thread_join (threads[i]);
   violations = check_recovery ();
   cluster_sleep_ms (500);
@@ -410,11 +534,12 @@
   dir = g_strdup_printf ("%s/soak-%d", build, seed);
   cluster_init (&cluster, build, dir, (unsigned int) entries,
                 (unsigned int) agents, CPU_MILLI);
-  create_proxies ();
+  create_proxies ((uint32_t) seed);
   violations = run ((uint32_t) seed, seconds);
   for (i = 0; i < n_jobs; i++)
     completed += jobs[i].completed;
   printf ("seed %d: %u jobs, %u completed, %u violations\n", seed, n_jobs,
           completed, violations);
+  tally_print (&cluster);
   return violations > 0 ? 1 : 0;
 }
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -15,6 +15,8 @@
 
 #include <glib.h>
 
+#include "../prng.h"
+
 #define PROXIES_MAX 64
 #define CONNECTIONS_MAX 1024
 #define CHUNK_SIZE 65536
@@ -33,6 +35,7 @@
 {
   int fds[2]; /* Caller's, callee's. */
   unsigned int proxy;
+  unsigned int shares[2]; /* Of the delay of PROXY_SCATTER, thousandths. */
   GQueue queues[2]; /* Chunks read from each. */
   gsize offset[2];  /* Bytes of the first chunk already written. */
   bool ended[2];
@@ -47,6 +50,7 @@
   int ms;
 } Proxy;
 
+static Prng random_shares;
 static Proxy proxies[PROXIES_MAX];
 static unsigned int n_proxies;
 static Connection *connections[CONNECTIONS_MAX];
@@ -112,6 +116,8 @@
   connection->fds[0] = fd;
   connection->fds[1] = to;
   connection->proxy = p;
+  connection->shares[0] = prng_below (&random_shares, 1000);
+  connection->shares[1] = prng_below (&random_shares, 1000);
   connections[n_connections++] = connection;
 }
 
@@ -128,6 +134,19 @@
   return !connection->ended[0] || !connection->ended[1];
 }
 
+/* The delay of what a side sends, in microseconds. */
+static gint64
+side_delay (const Connection *connection, int side)
+{
+  const Proxy *proxy = &proxies[connection->proxy];
+
+  if (proxy->mode == PROXY_DELAY)
+    return proxy->ms * INT64_C (1000);
+  if (proxy->mode == PROXY_SCATTER)
+    return proxy->ms * (gint64) connection->shares[side];
+  return 0;
+}
+
 /* Reads from one side. Returns false once the connection has failed. */
 static bool
 read_side (Connection *connection, int side, gint64 now)
@@ -152,7 +171,7 @@
       return true;
     }
   chunk->len = (gsize) n;
-  chunk->due = now + (proxy->mode == PROXY_DELAY ? proxy->ms * 1000 : 0);
+  chunk->due = now + side_delay (connection, side);
   g_queue_push_tail (&connection->queues[side], chunk);
   return true;
 }
@@ -250,8 +269,9 @@
 }
 
 void
-proxy_init (void)
+proxy_init (uint32_t seed)
 {
+  random_shares = prng_seeded (seed);
   g_thread_unref (g_thread_new ("proxy", run, NULL));
 }
 
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -7,11 +7,15 @@
 #ifndef HS_SOAK_PROXY_H
 #define HS_SOAK_PROXY_H
 
+#include <stdint.h>
+
 /** What a proxy does with the data of its connections. */
 typedef enum
 {
   PROXY_PASS,
   PROXY_DELAY,        /**< Delays it in each direction. */
+  PROXY_SCATTER,      /**< Delays it by a time that differs by connection and
+                           direction. */
   PROXY_DROP,         /**< Drops it; connections stay open. */
   PROXY_DROP_REPLIES, /**< Drops only what the callee sends. */
   PROXY_RESET,        /**< Resets open connections once, then passes. */
@@ -19,8 +23,9 @@
                            then passes. */
 } ProxyMode;
 
-/** Starts the proxies' thread. */
-void proxy_init (void);
+/** Starts the proxies' thread.
+ *  @param seed of the delays of PROXY_SCATTER */
+void proxy_init (uint32_t seed);
 
 /**
  * Adds a proxy.
@@ -31,7 +36,7 @@
 unsigned int proxy_add (const char *to, char out[32]);
 
 /** Sets a proxy's mode.
- *  @param ms the delay, for PROXY_DELAY */
+ *  @param ms the delay for PROXY_DELAY, the longest one for PROXY_SCATTER */
 void proxy_set (unsigned int proxy, ProxyMode mode, int ms);
 
 unsigned int proxy_count (void);
--- a/test/standin/part.mk
+++ b/test/standin/part.mk
@@ -23,6 +23,7 @@
 		http.o kv.o kv_compare.o) $(B)/libhspoke.a
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
 
-$(B)/standin-platform-target: $(addprefix $(B)/test/,standin/platform_target.o standin/platform_target_wire.o \
+$(B)/standin-platform-target: $(addprefix $(B)/test/,standin/platform_target.o \
+		standin/platform_target_calls.o standin/platform_target_wire.o \
 		standin/http.o target_model.o) $(B)/libhspoke.a
 	$(CC) $(SAN_FLAGS) -pthread -o $@ $^ $(PKG_LIBS)
--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -5,7 +5,8 @@
  * gives its behaviour: "ms=N cpu=N [fail] [hang] [crash=N [silent=N]]";
  * the last ends the process N ms after the start, and N ms more in which it
  * answers nothing. POST /fault sets the percentages of requests that are
- * delayed or get no answer, and the capacity; GET /state reports the running
+ * delayed or get no answer, and the capacity; POST /crossing, which calls and
+ * answers overtake each other; GET /state reports the running
  * tasks.
  *
  * It starts every task that it is ordered to. It prints a line for each start
@@ -31,6 +32,7 @@
 #include "platform/json.h"
 #include "platform/target_wire.h"
 #include "../target_model.h"
+#include "platform_target_calls.h"
 #include "platform_target_wire.h"
 
 #define EXIT_CRASH 9
@@ -40,24 +42,13 @@
 #define TIMER_INTERVAL (2 * HS_MSEC)
 #define ANNOUNCE_INTERVAL (500 * HS_MSEC)
 #define SHRINK_GRACE (ANNOUNCE_INTERVAL + 1300 * HS_MSEC)
-#define DELAY_MIN_MS 2000
-#define DELAY_SPREAD_MS 4000
 
 typedef struct
 {
   HsStandinRequest *request; /* NULL: the answer is discarded. */
-  HsTargetPoll poll;
   HsTime expires_at;
 } PendingPoll;
 
-/* An order that is executed later and gets no answer. */
-typedef struct
-{
-  char *path;
-  char *body;
-  HsTime due_at;
-} DelayedOrder;
-
 typedef struct
 {
   struct tevent_context *ev;
@@ -80,8 +71,6 @@
   int64_t started_ms;
   HsTime announce_at;
   bool draining;
-  int64_t late_percent;
-  int64_t lost_percent;
   int64_t slow_percent; /* Percentage added to run times. */
   bool fails;
   bool hangs;
@@ -89,7 +78,7 @@
   uint32_t peak_cpu_milli; /* Most thousandths of a core in use so far. */
   uint32_t n_started;
   GPtrArray *pending_polls;
-  GPtrArray *delayed_orders;
+  HsStandinCalls *calls;
   bool stop;
 } Target;
 
@@ -224,110 +213,83 @@
 }
 
 static void
-respond_to_poll (Target *target, PendingPoll *pending, HsTime now)
+send_list (Target *target, HsStandinRequest *request, HsTime now)
 {
   HsTargetList list;
-  HsTargetResult result
-      = hs_target_model_poll (&target->model, &pending->poll, &list, now);
-  unsigned int status = 200;
-  char *text;
 
-  if (result == HS_TARGET_OK)
-    {
-      list.started_ms = target->started_ms;
-      text = hs_standin_format_list (&list);
-      g_free (list.running);
-      g_free (list.ends);
-    }
-  else
-    text = hs_standin_format_result (result, &status);
-  if (pending->request != NULL)
-    hs_standin_respond (pending->request, status, text);
-  else
-    talloc_free (text);
+  hs_target_model_write_list (&target->model, &list, now);
+  list.started_ms = target->started_ms;
+  hs_standin_calls_answer (target->calls, request, 200,
+                           hs_standin_format_list (&list), now);
+  g_free (list.running);
+  g_free (list.ends);
+}
+
+static void
+send_result (Target *target, HsStandinRequest *request, HsTargetResult result)
+{
+  HsTime now = hs_now ().mono;
+  unsigned int status;
+  char *text = hs_standin_format_result (
+      result, hs_target_model_clock_ms (&target->model, now), &status);
+
+  hs_standin_calls_answer (target->calls, request, status, text, now);
 }
 
+/* Takes the token, the acknowledgement and the lease of a poll now, and writes
+   its list at once or when its wait is over. */
 static void
 handle_poll (Target *target,
              HsStandinRequest *request,
              struct json_object *root)
 {
-  PendingPoll *pending = talloc_zero (NULL, PendingPoll);
+  HsTargetPoll poll = { 0 };
+  PendingPoll *pending;
   int64_t token = 0;
   int64_t acked = 0;
   int64_t wait_ms = 0;
-  HsTargetList list;
   HsTime now = hs_now ().mono;
+  HsTargetResult result;
 
   hs_json_get_int (root, "fencing_token", &token);
   hs_json_get_int (root, "acked", &acked);
   hs_json_get_int (root, "wait_ms", &wait_ms);
-  pending->poll.token = (uint64_t) token;
-  pending->poll.acked = (uint64_t) acked;
-  pending->poll.renews_lease = hs_json_get_member (root, "deadline_ms") != NULL;
-  hs_json_get_int (root, "deadline_ms", &pending->poll.lease_until_ms);
-  pending->request = request;
-  pending->expires_at = now + wait_ms * HS_MSEC;
-  if (wait_ms == 0)
+  poll.token = (uint64_t) token;
+  poll.acked = (uint64_t) acked;
+  poll.renews_lease = hs_json_get_member (root, "deadline_ms") != NULL;
+  hs_json_get_int (root, "deadline_ms", &poll.lease_until_ms);
+  result = hs_target_model_receive_poll (&target->model, &poll, now);
+  if (result != HS_TARGET_OK)
+    send_result (target, request, result);
+  else if (wait_ms == 0)
+    send_list (target, request, now);
+  else if (request != NULL)
     {
-      respond_to_poll (target, pending, now);
-      talloc_free (pending);
-      return;
-    }
-  /* The poll acknowledges ends and renews leases now, although its answer is
-     delayed. */
-  if (hs_target_model_poll (&target->model, &pending->poll, &list, now)
-      == HS_TARGET_OK)
-    {
-      g_free (list.running);
-      g_free (list.ends);
+      pending = talloc_zero (NULL, PendingPoll);
+      pending->request = request;
+      pending->expires_at = now + wait_ms * HS_MSEC;
+      g_ptr_array_add (target->pending_polls, pending);
     }
-  g_ptr_array_add (target->pending_polls, pending);
 }
 
 static void
-execute_order (Target *target,
+execute_order (void *arg,
                HsStandinRequest *request,
                const char *path,
                const char *body)
 {
+  Target *target = arg;
   struct json_object *root = hs_json_parse_value (body, strlen (body));
-  HsTargetResult result = HS_TARGET_INVALID;
-  unsigned int status = 400;
-  char *text;
 
   if (strcmp (path, "/-/hold") == 0)
-    {
-      if (request != NULL)
-        handle_poll (target, request, root);
-      json_object_put (root);
-      return;
-    }
-  if (strcmp (path, "/-/run-start") == 0)
-    result = handle_start (target, root);
+    handle_poll (target, request, root);
+  else if (strcmp (path, "/-/run-start") == 0)
+    send_result (target, request, handle_start (target, root));
   else if (strcmp (path, "/-/run-stop") == 0)
-    result = handle_stop (target, root);
-  json_object_put (root);
-  if (request == NULL)
-    return;
-  if (result == HS_TARGET_INVALID)
-    text = talloc_strdup (NULL, "{}");
+    send_result (target, request, handle_stop (target, root));
   else
-    text = hs_standin_format_result (result, &status);
-  hs_standin_respond (request, status, text);
-}
-
-static void
-delay_order (Target *target, const char *path, const char *body)
-{
-  DelayedOrder *order = talloc_zero (NULL, DelayedOrder);
-
-  order->path = talloc_strdup (order, path);
-  order->body = talloc_strdup (order, body);
-  order->due_at
-      = hs_now ().mono
-        + (DELAY_MIN_MS + g_random_int_range (0, DELAY_SPREAD_MS)) * HS_MSEC;
-  g_ptr_array_add (target->delayed_orders, order);
+    send_result (target, request, HS_TARGET_INVALID);
+  json_object_put (root);
 }
 
 static void
@@ -338,11 +300,8 @@
 
   hs_json_get_int (root, "cpu_milli", &cpu_milli);
   set_capacity (target, (uint32_t) cpu_milli, hs_now ().mono);
-  target->late_percent = 0;
-  target->lost_percent = 0;
   target->slow_percent = 0;
-  hs_json_get_int (root, "late_percent", &target->late_percent);
-  hs_json_get_int (root, "lost_percent", &target->lost_percent);
+  hs_standin_calls_set_faults (target->calls, request->body);
   hs_json_get_int (root, "slow_percent", &target->slow_percent);
   target->hangs = hs_json_is_true (root, "hangs");
   target->unresponsive = hs_json_is_true (root, "mute");
@@ -356,6 +315,7 @@
 on_request (void *arg, HsStandinRequest *request)
 {
   Target *target = arg;
+  const char *expected;
 
   hs_target_model_advance (&target->model, hs_now ().mono);
   if (strcmp (request->path, "/fault") == 0)
@@ -374,19 +334,22 @@
                            target->peak_cpu_milli, target->n_started));
       return;
     }
-  if (target->unresponsive)
-    return;
-  if (g_random_int_range (0, 100) < target->late_percent)
+  if (strcmp (request->path, "/crossing") == 0)
     {
-      delay_order (target, request->path, request->body);
+      hs_standin_calls_set_crossing (target->calls, request->body);
+      hs_standin_respond (request, 200, talloc_strdup (NULL, "{}"));
       return;
     }
-  if (g_random_int_range (0, 100) < target->lost_percent)
+  if (target->unresponsive)
+    return;
+  expected = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
+                                          "X-Hibiscusspoke-Expect-Instance");
+  if (expected != NULL && strcmp (expected, target->name) != 0)
     {
-      execute_order (target, NULL, request->path, request->body);
+      hs_standin_respond (request, 421, talloc_strdup (NULL, "{}"));
       return;
     }
-  execute_order (target, request, request->path, request->body);
+  hs_standin_calls_receive (target->calls, request, hs_now ().mono);
 }
 
 static void
@@ -395,6 +358,7 @@
   Target *target = arg;
   guint i;
 
+  hs_standin_calls_disconnected (target->calls, request);
   for (i = 0; i < target->pending_polls->len; i++)
     {
       PendingPoll *pending = g_ptr_array_index (target->pending_polls, i);
@@ -455,24 +419,12 @@
 {
   Target *target = arg;
   HsTime now = hs_now ().mono;
-  guint i = 0;
+  guint i;
 
   hs_target_model_advance (&target->model, now);
   if (target->crash_at != 0 && now >= target->crash_at)
     crash (target, now);
-  while (i < target->delayed_orders->len)
-    {
-      DelayedOrder *order = g_ptr_array_index (target->delayed_orders, i);
-
-      if (now < order->due_at)
-        {
-          i++;
-          continue;
-        }
-      g_ptr_array_remove_index (target->delayed_orders, i);
-      execute_order (target, NULL, order->path, order->body);
-      talloc_free (order);
-    }
+  hs_standin_calls_advance (target->calls, now);
   for (i = 0; i < target->pending_polls->len;)
     {
       PendingPoll *pending = g_ptr_array_index (target->pending_polls, i);
@@ -483,9 +435,7 @@
           continue;
         }
       g_ptr_array_remove_index (target->pending_polls, i);
-      /* The leases were renewed when the poll arrived. */
-      pending->poll.renews_lease = false;
-      respond_to_poll (target, pending, now);
+      send_list (target, pending->request, now);
       talloc_free (pending);
     }
   if (now >= target->announce_at)
@@ -539,7 +489,7 @@
   printf ("B %s 0 0 %" PRId64 "\n", target->name, now.mono);
   fflush (stdout);
   target->pending_polls = g_ptr_array_new ();
-  target->delayed_orders = g_ptr_array_new ();
+  target->calls = hs_standin_calls_new (target, execute_order, target);
   target->ev = tevent_context_init (target);
   target->curl = hs_curl_new (target, target->ev);
   target->timer = hs_timer_new (target, target->ev, on_timer, target);
--- a/test/standin/platform_target_wire.c
+++ b/test/standin/platform_target_wire.c
@@ -45,7 +45,9 @@
 }
 
 char *
-hs_standin_format_result (HsTargetResult result, unsigned int *status)
+hs_standin_format_result (HsTargetResult result,
+                          int64_t clock_ms,
+                          unsigned int *status)
 {
   static const char *const reasons[] = { [HS_TARGET_FENCED] = "fence",
                                          [HS_TARGET_OUTDATED] = "old",
@@ -54,10 +56,17 @@
   if (result == HS_TARGET_OK)
     {
       *status = 200;
-      return talloc_strdup (NULL, "{}");
+      return talloc_asprintf (NULL, "{\"clock_ms\":%" PRId64 "}", clock_ms);
+    }
+  if (result == HS_TARGET_INVALID)
+    {
+      *status = 400;
+      return talloc_asprintf (NULL, "{\"clock_ms\":%" PRId64 "}", clock_ms);
     }
   *status = 409;
-  return talloc_asprintf (NULL, "{\"reason\":\"%s\"}", reasons[result]);
+  return talloc_asprintf (NULL,
+                          "{\"clock_ms\":%" PRId64 ",\"reason\":\"%s\"}",
+                          clock_ms, reasons[result]);
 }
 
 bool
--- a/test/standin/platform_target_wire.h
+++ b/test/standin/platform_target_wire.h
@@ -15,8 +15,11 @@
 char *hs_standin_format_list (const HsTargetList *list);
 
 /** The answer to a start, a stop or a refused poll, and its HTTP status.
+ *  @param clock_ms the target's clock
  *  @return to be freed with talloc_free() */
-char *hs_standin_format_result (HsTargetResult result, unsigned int *status);
+char *hs_standin_format_result (HsTargetResult result,
+                                int64_t clock_ms,
+                                unsigned int *status);
 
 /** Reads the run and the fencing token that a call names. */
 bool hs_standin_parse_run_key (struct json_object *root,
--- a/test/target_model.c
+++ b/test/target_model.c
@@ -8,7 +8,6 @@
 static bool same_task (const HsRunKey *a, const HsRunKey *b);
 static void
 finish_run (HsTargetModel *model, guint i, hsx_end_how how, HsTime at);
-static int64_t clock_ms (const HsTargetModel *model, HsTime now);
 static void renew (HsTargetModel *model, int64_t until_ms, HsTime now);
 static bool is_finished (const HsTargetModel *model, const HsRunKey *key);
 
@@ -71,7 +70,7 @@
   if (start->token < model->token)
     return HS_TARGET_FENCED;
   model->token = start->token;
-  if (start->lease_until_ms <= clock_ms (model, now))
+  if (start->lease_until_ms <= hs_target_model_clock_ms (model, now))
     return HS_TARGET_LEASE_EXPIRED;
   renew (model, start->lease_until_ms, now);
   for (i = 0; i < model->runs->len; i++)
@@ -157,7 +156,7 @@
 
   memset (list, 0, sizeof *list);
   hs_target_model_advance (model, now);
-  list->clock_ms = clock_ms (model, now);
+  list->clock_ms = hs_target_model_clock_ms (model, now);
   list->started_ms = model->started_ms;
   list->n_running = model->runs->len;
   list->running = g_new0 (HsListedRun, model->runs->len + 1);
@@ -211,9 +210,8 @@
   g_array_remove_index (model->runs, i);
 }
 
-/* Runs two per cent slow. */
-static int64_t
-clock_ms (const HsTargetModel *model, HsTime now)
+int64_t
+hs_target_model_clock_ms (const HsTargetModel *model, HsTime now)
 {
   return model->clock_start_ms + (now - model->started_at) * 98 / 100 / HS_MSEC;
 }
@@ -221,7 +219,7 @@
 static void
 renew (HsTargetModel *model, int64_t until_ms, HsTime now)
 {
-  HsTime span = (until_ms - clock_ms (model, now)) * HS_MSEC;
+  HsTime span = (until_ms - hs_target_model_clock_ms (model, now)) * HS_MSEC;
 
   span = MIN (span, LEASE_GRANT_MAX) * 102 / 100;
   model->lease_until = MAX (model->lease_until, now + span);
--- a/test/target_model.h
+++ b/test/target_model.h
@@ -74,4 +74,7 @@
                                  HsTargetList *list,
                                  HsTime now);
 
+/** The target's clock, which runs two per cent slow. */
+int64_t hs_target_model_clock_ms (const HsTargetModel *model, HsTime now);
+
 #endif
