--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -4,7 +4,7 @@
  * seed determines, and checks the system's guarantees by what callers and
  * targets observe.
  *
- *   soak --seed N [--seconds S] [--entries N] [--agents N]
+ *   soak --seed N [--seconds S] [--entries N] [--agents N] [--faults N]
  */
 #include <signal.h>
 #include <stdio.h>
@@ -22,12 +22,13 @@
 #include "tally.h"
 
 #define CPU_MILLI 6000
-#define CALLERS 16
-#define INJECTORS 3
+#define TASK_CPU_MILLI 400
+#define CALLERS 32
+#define FAULT_INJECTORS_MAX 4
 #define JOBS_MAX 20000
 
 /** One in so many jobs crashes the targets that start its task. */
-#define CRASHING_JOB_ODDS 100
+#define CRASHING_JOB_ODDS 300
 
 /** A caller whose request failed submits it again after this. */
 #define RESUBMIT_DELAY_MS 1300
@@ -72,8 +73,9 @@
 static void
 submit_job (Caller *caller)
 {
-  static const char *const specs[] = { "ms=20",  "ms=40",  "ms=60", "ms=100",
-                                       "ms=200", "ms=400", "ms=900", "ms=1800" };
+  static const char *const specs[]
+      = { "ms=20",  "ms=20",  "ms=30",  "ms=40",  "ms=40",  "ms=60",  "ms=60",
+          "ms=100", "ms=100", "ms=200", "ms=200", "ms=400", "ms=900", "ms=1800" };
   SoakJob *job = new_job (1 + prng_below (&caller->random, 6));
   const char *spec = specs[prng_below (&caller->random, G_N_ELEMENTS (specs))];
   bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
@@ -93,7 +95,8 @@
     {
       unsigned int entry = prng_below (&caller->random, cluster.n_entries);
       ClusterReply reply = cluster_submit (&cluster, entry, job->id, spec,
-                                           job->n_tasks, 700, timeout_ms);
+                                           job->n_tasks, TASK_CPU_MILLI,
+                                           timeout_ms);
 
       job->completed
           |= reply.status == 200 && strstr (reply.body, "completed") != NULL;
@@ -275,8 +278,10 @@
       "{\"call_percent\":%u,\"call_ms\":%u,\"answer_percent\":%u,"
       "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
       "\"seed\":%u}",
-      prng_below (random, 50), 5 + prng_below (random, 400),
-      20 + prng_below (random, 60), 2 + prng_below (random, 60),
+      prng_below (random, 50),
+      prng_below (random, 2) == 0 ? 5 + prng_below (random, 400)
+                                  : 1 + prng_below (random, 30),
+      20 + prng_below (random, 80), 2 + prng_below (random, 50),
       prng_below (random, 20), prng_below (random, 15),
       prng_below (random, 1000000));
 
@@ -341,7 +346,9 @@
     {
       if (prng_below (random, 2) == 0)
         proxy_set (control_proxies[i], PROXY_SCATTER,
-                   5 + (int) prng_below (random, 300));
+                   5
+                       + (int) prng_below (
+                           random, prng_below (random, 4) == 0 ? 300 : 40));
       if (prng_below (random, 2) == 0)
         proxy_set (caller_proxies[i], PROXY_SCATTER,
                    5 + (int) prng_below (random, 300));
@@ -350,6 +357,7 @@
     {
       cluster_sleep_ms (50 + (int) prng_below (random, 500));
       disturb_crossing (random, prng_below (random, cluster.n_agents));
+      restart_crashed_targets ();
     }
   for (i = 0; i < cluster.n_agents; i++)
     cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/crossing",
@@ -371,6 +379,7 @@
   while (!g_atomic_int_get (&stopping))
     {
       inject_crossing (random);
+      restart_crashed_targets ();
       cluster_sleep_ms ((int) prng_below (random, 500));
     }
   return NULL;
@@ -447,13 +456,12 @@
 }
 
 static unsigned int
-run (uint32_t seed, int seconds)
+run (uint32_t seed, int seconds, unsigned int n_fault_injectors)
 {
-  GThread *threads[CALLERS + INJECTORS];
+  GThread *threads[CALLERS + FAULT_INJECTORS_MAX + 1];
   Caller callers[CALLERS];
-  Prng injector_prngs[INJECTORS]
-      = { prng_seeded (seed * 2), prng_seeded (seed * 2 + 1),
-          prng_seeded (seed + 1000000) };
+  Prng injector_prngs[FAULT_INJECTORS_MAX + 1];
+  unsigned int n_threads = 0;
   unsigned int violations;
   unsigned int i;
 
@@ -470,16 +478,23 @@
   for (i = 0; i < CALLERS; i++)
     {
       callers[i] = (Caller){ prng_seeded (seed * 100 + i + 10), i };
-      threads[i] = g_thread_new ("caller", run_caller, &callers[i]);
+      threads[n_threads++]
+          = g_thread_new ("caller", run_caller, &callers[i]);
     }
   /* More than one injector, so that faults also overlap. */
-  for (i = 0; i < INJECTORS; i++)
-    threads[CALLERS + i] = g_thread_new (
-        "injector", i < 2 ? run_fault_injector : run_crossing_injector,
-        &injector_prngs[i]);
+  for (i = 0; i < n_fault_injectors; i++)
+    {
+      injector_prngs[i] = prng_seeded (seed * 2 + i);
+      threads[n_threads++] = g_thread_new ("fault injector", run_fault_injector,
+                                           &injector_prngs[i]);
+    }
+  injector_prngs[i] = prng_seeded (seed + 1000000);
+  threads[n_threads++] = g_thread_new ("crossing injector",
+                                       run_crossing_injector,
+                                       &injector_prngs[i]);
   cluster_sleep_ms (seconds * 1000);
   g_atomic_int_set (&stopping, 1);
-  for (i = 0; i < CALLERS + INJECTORS; i++)
+  for (i = 0; i < n_threads; i++)
     g_thread_join (threads[i]);
   violations = check_recovery ();
   cluster_sleep_ms (500);
@@ -497,6 +512,7 @@
   int seconds = 20;
   int entries = 3;
   int agents = 5;
+  int faults = 2;
   const GOptionEntry options[] = {
     { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the faults and jobs",
       "N" },
@@ -505,6 +521,8 @@
       "N" },
     { "agents", 0, 0, G_OPTION_ARG_INT, &agents, "Number of such processes",
       "N" },
+    { "faults", 0, 0, G_OPTION_ARG_INT, &faults,
+      "Number of series of faults beside what crosses", "N" },
     G_OPTION_ENTRY_NULL,
   };
   GOptionContext *context = g_option_context_new (NULL);
@@ -518,12 +536,14 @@
   g_option_context_add_main_entries (context, options, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error) || entries < 1
       || entries > CLUSTER_PROCESSES_MAX || agents < 1
-      || agents > CLUSTER_PROCESSES_MAX)
+      || agents > CLUSTER_PROCESSES_MAX || faults < 0
+      || faults > FAULT_INJECTORS_MAX)
     {
       fprintf (stderr, "soak: %s\n",
                error != NULL
                    ? error->message
-                   : "the numbers of entries and agents must be from 1 to 16");
+                   : "the numbers of entries and agents must be from 1 to 16, "
+                     "that of faults from 0 to 4");
       return 2;
     }
   g_option_context_free (context);
@@ -532,10 +552,16 @@
   curl_global_init (CURL_GLOBAL_ALL);
   cluster_build_dir (build);
   dir = g_strdup_printf ("%s/soak-%d", build, seed);
+  /* Logs are appended to, and jobs of all runs have the same ids. */
+  if (g_file_test (dir, G_FILE_TEST_EXISTS))
+    {
+      fprintf (stderr, "soak: %s exists: remove it first\n", dir);
+      return 2;
+    }
   cluster_init (&cluster, build, dir, (unsigned int) entries,
                 (unsigned int) agents, CPU_MILLI);
   create_proxies ((uint32_t) seed);
-  violations = run ((uint32_t) seed, seconds);
+  violations = run ((uint32_t) seed, seconds, (unsigned int) faults);
   for (i = 0; i < n_jobs; i++)
     completed += jobs[i].completed;
   printf ("seed %d: %u jobs, %u completed, %u violations\n", seed, n_jobs,
