--- a/test/standin/platform_target_calls.h
+++ b/test/standin/platform_target_calls.h
@@ -30,7 +30,8 @@
 /** Sets, from a JSON object, what is delayed: `call_percent` of the calls by up
  *  to `call_ms`, `answer_percent` of the answers by up to `answer_ms`;
  *  `withheld_percent` of the answers are never sent, and in place of
- *  `cut_percent` the connection ends. `seed` is that of the choices. */
+ *  `cut_percent` the connection ends, both only for starts if `starts_only` is
+ *  true. `seed` is that of the choices. */
 void hs_standin_calls_set_crossing (HsStandinCalls *calls, const char *text);
 
 /** Carries a call out now or later. */
