--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -278,11 +278,12 @@
   g_autofree char *text = g_strdup_printf (
       "{\"call_percent\":%u,\"call_ms\":%u,\"answer_percent\":%u,"
       "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
-      "\"starts_only\":%s,\"seed\":%u}",
+      "\"starts_only\":%s,\"stop_ms\":%u,\"seed\":%u}",
       prng_below (random, 50), 1 + prng_below (random, narrow ? 10 : 400),
-      20 + prng_below (random, 80), 2 + prng_below (random, narrow ? 12 : 60),
+      20 + prng_below (random, 80), 10 + prng_below (random, narrow ? 30 : 80),
       prng_below (random, 15), prng_below (random, narrow ? 50 : 15),
-      narrow ? "true" : "false", prng_below (random, 1000000));
+      narrow ? "true" : "false", narrow ? 10 + prng_below (random, 200) : 0,
+      prng_below (random, 1000000));
 
   cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][target], "/crossing",
                 text, 500);
--- a/test/standin/platform_target_calls.c
+++ b/test/standin/platform_target_calls.c
@@ -45,6 +45,7 @@
   int64_t answer_ms;
   int64_t withheld_percent;
   int64_t cut_percent;
+  int64_t stop_ms;
   bool starts_only;
 };
 
@@ -82,12 +83,14 @@
   calls->answer_percent = 0;
   calls->withheld_percent = 0;
   calls->cut_percent = 0;
+  calls->stop_ms = 0;
   hs_json_get_int (root, "call_percent", &calls->call_percent);
   hs_json_get_int (root, "call_ms", &calls->call_ms);
   hs_json_get_int (root, "answer_percent", &calls->answer_percent);
   hs_json_get_int (root, "answer_ms", &calls->answer_ms);
   hs_json_get_int (root, "withheld_percent", &calls->withheld_percent);
   hs_json_get_int (root, "cut_percent", &calls->cut_percent);
+  hs_json_get_int (root, "stop_ms", &calls->stop_ms);
   calls->starts_only = hs_json_is_true (root, "starts_only");
   if (hs_json_get_int (root, "seed", &seed))
     calls->random = prng_seeded ((uint32_t) seed);
@@ -146,6 +149,9 @@
                     + random_delay (calls, LATE_SPREAD_MS));
   else if (happens (calls, calls->lost_percent))
     calls->execute (calls->arg, NULL, request->path, request->body);
+  else if (calls->stop_ms > 0 && strcmp (request->path, "/-/run-stop") == 0)
+    defer_call (calls, request, true,
+                now + random_delay (calls, calls->stop_ms));
   else if (happens (calls, calls->call_percent))
     defer_call (calls, request, true,
                 now + random_delay (calls, calls->call_ms));
--- a/test/standin/platform_target_calls.h
+++ b/test/standin/platform_target_calls.h
@@ -31,7 +31,7 @@
  *  to `call_ms`, `answer_percent` of the answers by up to `answer_ms`;
  *  `withheld_percent` of the answers are never sent, and in place of
  *  `cut_percent` the connection ends, both only for starts if `starts_only` is
- *  true. `seed` is that of the choices. */
+ *  true. Each stop is carried out up to `stop_ms` later. `seed` is that of the choices. */
 void hs_standin_calls_set_crossing (HsStandinCalls *calls, const char *text);
 
 /** Carries a call out now or later. */
