Hold back lists of polls that raise the token in the soak

Delays above 20 ms end the poll, and dropped answers to polls put the target out of use. In two of three crossings starts alone lose their answers and lists of polls that didn't wait come late; stops come late too.

--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -22,8 +22,8 @@
 #include "tally.h"
 
 #define CPU_MILLI 6000
-#define TASK_CPU_MILLI 400
-#define CALLERS 32
+#define TASK_CPU_MILLI 200
+#define CALLERS 64
 #define FAULT_INJECTORS_MAX 4
 #define JOBS_MAX 20000
 
@@ -76,7 +76,7 @@
   static const char *const specs[]
       = { "ms=20",  "ms=20",  "ms=30",  "ms=40",  "ms=40",  "ms=60",  "ms=60",
           "ms=100", "ms=100", "ms=200", "ms=200", "ms=400", "ms=900", "ms=1800" };
-  SoakJob *job = new_job (1 + prng_below (&caller->random, 6));
+  SoakJob *job = new_job (1 + prng_below (&caller->random, 8));
   const char *spec = specs[prng_below (&caller->random, G_N_ELEMENTS (specs))];
   bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
   long timeout_ms = 500 + prng_below (&caller->random, 2500);
@@ -274,14 +274,15 @@
 static void
 set_crossing (Prng *random, unsigned int target)
 {
-  bool narrow = prng_below (random, 2) == 0;
+  bool narrow = prng_below (random, 3) > 0;
   g_autofree char *text = g_strdup_printf (
       "{\"call_percent\":%u,\"call_ms\":%u,\"answer_percent\":%u,"
       "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
-      "\"starts_only\":%s,\"stop_ms\":%u,\"seed\":%u}",
-      prng_below (random, 50), 1 + prng_below (random, narrow ? 10 : 400),
-      20 + prng_below (random, 80), 10 + prng_below (random, narrow ? 30 : 80),
-      prng_below (random, 15), prng_below (random, narrow ? 50 : 15),
+      "\"lists_only\":%s,\"stop_ms\":%u,\"seed\":%u}",
+      prng_below (random, narrow ? 15 : 50),
+      1 + prng_below (random, narrow ? 8 : 400),
+      30 + prng_below (random, 70), 8 + prng_below (random, narrow ? 10 : 60),
+      prng_below (random, narrow ? 40 : 10), prng_below (random, narrow ? 40 : 15),
       narrow ? "true" : "false", narrow ? 10 + prng_below (random, 200) : 0,
       prng_below (random, 1000000));
 
--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -213,13 +213,13 @@
 }
 
 static void
-send_list (Target *target, HsStandinRequest *request, HsTime now)
+send_list (Target *target, HsStandinRequest *request, bool waited, HsTime now)
 {
   HsTargetList list;
 
   hs_target_model_write_list (&target->model, &list, now);
   list.started_ms = target->started_ms;
-  hs_standin_calls_answer (target->calls, request, 200,
+  hs_standin_calls_answer (target->calls, request, waited, 200,
                            hs_standin_format_list (&list), now);
   g_free (list.running);
   g_free (list.ends);
@@ -233,7 +233,7 @@
   char *text = hs_standin_format_result (
       result, hs_target_model_clock_ms (&target->model, now), &status);
 
-  hs_standin_calls_answer (target->calls, request, status, text, now);
+  hs_standin_calls_answer (target->calls, request, false, status, text, now);
 }
 
 /* Takes the token, the acknowledgement and the lease of a poll now, and writes
@@ -262,7 +262,7 @@
   if (result != HS_TARGET_OK)
     send_result (target, request, result);
   else if (wait_ms == 0)
-    send_list (target, request, now);
+    send_list (target, request, false, now);
   else if (request != NULL)
     {
       pending = talloc_zero (NULL, PendingPoll);
@@ -435,7 +435,7 @@
           continue;
         }
       g_ptr_array_remove_index (target->pending_polls, i);
-      send_list (target, pending->request, now);
+      send_list (target, pending->request, true, now);
       talloc_free (pending);
     }
   if (now >= target->announce_at)
--- a/test/standin/platform_target_calls.c
+++ b/test/standin/platform_target_calls.c
@@ -46,7 +46,7 @@
   int64_t withheld_percent;
   int64_t cut_percent;
   int64_t stop_ms;
-  bool starts_only;
+  bool lists_only;
 };
 
 HsStandinCalls *
@@ -91,7 +91,7 @@
   hs_json_get_int (root, "withheld_percent", &calls->withheld_percent);
   hs_json_get_int (root, "cut_percent", &calls->cut_percent);
   hs_json_get_int (root, "stop_ms", &calls->stop_ms);
-  calls->starts_only = hs_json_is_true (root, "starts_only");
+  calls->lists_only = hs_json_is_true (root, "lists_only");
   if (hs_json_get_int (root, "seed", &seed))
     calls->random = prng_seeded ((uint32_t) seed);
   json_object_put (root);
@@ -162,14 +162,18 @@
 void
 hs_standin_calls_answer (HsStandinCalls *calls,
                          HsStandinRequest *request,
+                         bool waited,
                          unsigned int status,
                          char *text,
                          HsTime now)
 {
   Deferred *answer;
   bool may_drop = request != NULL
-                  && (!calls->starts_only
+                  && (!calls->lists_only
                       || strcmp (request->path, "/-/run-start") == 0);
+  bool may_delay = request != NULL
+                   && (!calls->lists_only
+                       || (!waited && strcmp (request->path, "/-/hold") == 0));
 
   if (request == NULL)
     talloc_free (text);
@@ -183,7 +187,7 @@
       hs_standin_abort (request);
       talloc_free (text);
     }
-  else if (happens (calls, calls->answer_percent))
+  else if (may_delay && happens (calls, calls->answer_percent))
     {
       answer = defer (calls, DEFERRED_ANSWER, request,
                       now + random_delay (calls, calls->answer_ms));
--- a/test/standin/platform_target_calls.h
+++ b/test/standin/platform_target_calls.h
@@ -30,8 +30,9 @@
 /** Sets, from a JSON object, what is delayed: `call_percent` of the calls by up
  *  to `call_ms`, `answer_percent` of the answers by up to `answer_ms`;
  *  `withheld_percent` of the answers are never sent, and in place of
- *  `cut_percent` the connection ends, both only for starts if `starts_only` is
- *  true. Each stop is carried out up to `stop_ms` later. `seed` is that of the choices. */
+ *  `cut_percent` the connection ends. With `lists_only`, answers are dropped
+ *  only to starts and delayed only to polls that didn't wait, so that lists
+ *  overtake each other but the target stays in use. Each stop is carried out up to `stop_ms` later. `seed` is that of the choices. */
 void hs_standin_calls_set_crossing (HsStandinCalls *calls, const char *text);
 
 /** Carries a call out now or later. */
@@ -39,9 +40,11 @@
                                HsStandinRequest *request,
                                HsTime now);
 
-/** Answers a call now, later or not at all; takes ownership of @p text. */
+/** Answers a call now, later or not at all; takes ownership of @p text.
+ *  @param waited whether it is the list of a poll that has waited */
 void hs_standin_calls_answer (HsStandinCalls *calls,
                               HsStandinRequest *request,
+                              bool waited,
                               unsigned int status,
                               char *text,
                               HsTime now);
