--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -413,8 +413,8 @@
   ClusterReply reply;
 
   headers = curl_slist_append (headers, left);
-  reply = perform_request ("POST", c->caller_dial_addresses[entry], path,
-                           body, deadline_ms + 200, headers);
+  reply = perform_request ("POST", c->caller_dial_addresses[entry], path, body,
+                           deadline_ms + 200, headers);
   curl_slist_free_all (headers);
   return reply;
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -73,9 +73,10 @@
 static void
 submit_job (Caller *caller)
 {
-  static const char *const specs[]
-      = { "ms=20",  "ms=20",  "ms=30",  "ms=40",  "ms=40",  "ms=60",  "ms=60",
-          "ms=100", "ms=100", "ms=200", "ms=200", "ms=400", "ms=900", "ms=1800" };
+  static const char *const specs[] = { "ms=20",  "ms=20",  "ms=30",  "ms=40",
+                                       "ms=40",  "ms=60",  "ms=60",  "ms=100",
+                                       "ms=100", "ms=200", "ms=200", "ms=400",
+                                       "ms=900", "ms=1800" };
   SoakJob *job = new_job (1 + prng_below (&caller->random, 8));
   const char *spec = specs[prng_below (&caller->random, G_N_ELEMENTS (specs))];
   bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
@@ -94,9 +95,9 @@
   for (attempt = 0; attempt < 3 && !g_atomic_int_get (&stopping); attempt++)
     {
       unsigned int entry = prng_below (&caller->random, cluster.n_entries);
-      ClusterReply reply = cluster_submit (&cluster, entry, job->id, spec,
-                                           job->n_tasks, TASK_CPU_MILLI,
-                                           timeout_ms);
+      ClusterReply reply
+          = cluster_submit (&cluster, entry, job->id, spec, job->n_tasks,
+                            TASK_CPU_MILLI, timeout_ms);
 
       job->completed
           |= reply.status == 200 && strstr (reply.body, "completed") != NULL;
@@ -280,11 +281,11 @@
       "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
       "\"lists_only\":%s,\"stop_ms\":%u,\"seed\":%u}",
       prng_below (random, narrow ? 15 : 50),
-      1 + prng_below (random, narrow ? 8 : 400),
-      30 + prng_below (random, 70), 8 + prng_below (random, narrow ? 10 : 60),
-      prng_below (random, narrow ? 40 : 10), prng_below (random, narrow ? 40 : 15),
-      narrow ? "true" : "false", narrow ? 10 + prng_below (random, 200) : 0,
-      prng_below (random, 1000000));
+      1 + prng_below (random, narrow ? 8 : 400), 30 + prng_below (random, 70),
+      8 + prng_below (random, narrow ? 10 : 60),
+      prng_below (random, narrow ? 40 : 10),
+      prng_below (random, narrow ? 40 : 15), narrow ? "true" : "false",
+      narrow ? 10 + prng_below (random, 200) : 0, prng_below (random, 1000000));
 
   cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][target], "/crossing",
                 text, 500);
@@ -479,8 +480,7 @@
   for (i = 0; i < CALLERS; i++)
     {
       callers[i] = (Caller){ prng_seeded (seed * 100 + i + 10), i };
-      threads[n_threads++]
-          = g_thread_new ("caller", run_caller, &callers[i]);
+      threads[n_threads++] = g_thread_new ("caller", run_caller, &callers[i]);
     }
   /* More than one injector, so that faults also overlap. */
   for (i = 0; i < n_fault_injectors; i++)
@@ -490,9 +490,8 @@
                                            &injector_prngs[i]);
     }
   injector_prngs[i] = prng_seeded (seed + 1000000);
-  threads[n_threads++] = g_thread_new ("crossing injector",
-                                       run_crossing_injector,
-                                       &injector_prngs[i]);
+  threads[n_threads++] = g_thread_new (
+      "crossing injector", run_crossing_injector, &injector_prngs[i]);
   cluster_sleep_ms (seconds * 1000);
   g_atomic_int_set (&stopping, 1);
   for (i = 0; i < n_threads; i++)
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -36,8 +36,8 @@
   int fds[2]; /* Caller's, callee's. */
   unsigned int proxy;
   unsigned int shares[2]; /* Of the delay of PROXY_SCATTER, thousandths. */
-  GQueue queues[2]; /* Chunks read from each. */
-  gsize offset[2];  /* Bytes of the first chunk already written. */
+  GQueue queues[2];       /* Chunks read from each. */
+  gsize offset[2];        /* Bytes of the first chunk already written. */
   bool ended[2];
   bool silent; /* Nothing is passed on, and neither end is told. */
 } Connection;
--- a/test/standin/platform_target_calls.c
+++ b/test/standin/platform_target_calls.c
@@ -168,9 +168,9 @@
                          HsTime now)
 {
   Deferred *answer;
-  bool may_drop = request != NULL
-                  && (!calls->lists_only
-                      || strcmp (request->path, "/-/run-start") == 0);
+  bool may_drop
+      = request != NULL
+        && (!calls->lists_only || strcmp (request->path, "/-/run-start") == 0);
   bool may_delay = request != NULL
                    && (!calls->lists_only
                        || (!waited && strcmp (request->path, "/-/hold") == 0));
--- a/test/standin/platform_target_calls.h
+++ b/test/standin/platform_target_calls.h
@@ -32,7 +32,8 @@
  *  `withheld_percent` of the answers are never sent, and in place of
  *  `cut_percent` the connection ends. With `lists_only`, answers are dropped
  *  only to starts and delayed only to polls that didn't wait, so that lists
- *  overtake each other but the target stays in use. Each stop is carried out up to `stop_ms` later. `seed` is that of the choices. */
+ *  overtake each other but the target stays in use. Each stop is carried out up
+ * to `stop_ms` later. `seed` is that of the choices. */
 void hs_standin_calls_set_crossing (HsStandinCalls *calls, const char *text);
 
 /** Carries a call out now or later. */
--- a/test/standin/platform_target_wire.c
+++ b/test/standin/platform_target_wire.c
@@ -64,8 +64,7 @@
       return talloc_asprintf (NULL, "{\"clock_ms\":%" PRId64 "}", clock_ms);
     }
   *status = 409;
-  return talloc_asprintf (NULL,
-                          "{\"clock_ms\":%" PRId64 ",\"reason\":\"%s\"}",
+  return talloc_asprintf (NULL, "{\"clock_ms\":%" PRId64 ",\"reason\":\"%s\"}",
                           clock_ms, reasons[result]);
 }
 
