--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -392,7 +392,8 @@
 {
   unsigned int i;
 
-  proxy_init (seed);
+  proxy_seed (seed);
+  proxy_init ();
   store_proxy = proxy_add (cluster.addresses[CLUSTER_STORE][0],
                            cluster.store_dial_address);
   for (i = 0; i < cluster.n_entries; i++)
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -50,7 +50,7 @@
   int ms;
 } Proxy;
 
-static Prng random_shares;
+static Prng random_shares = { 1 };
 static Proxy proxies[PROXIES_MAX];
 static unsigned int n_proxies;
 static Connection *connections[CONNECTIONS_MAX];
@@ -269,9 +269,14 @@
 }
 
 void
-proxy_init (uint32_t seed)
+proxy_seed (uint32_t seed)
 {
   random_shares = prng_seeded (seed);
+}
+
+void
+proxy_init (void)
+{
   g_thread_unref (g_thread_new ("proxy", run, NULL));
 }
 
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -23,9 +23,11 @@
                            then passes. */
 } ProxyMode;
 
-/** Starts the proxies' thread.
- *  @param seed of the delays of PROXY_SCATTER */
-void proxy_init (uint32_t seed);
+/** Starts the proxies' thread. */
+void proxy_init (void);
+
+/** Sets the seed of the delays of PROXY_SCATTER; before proxy_init(). */
+void proxy_seed (uint32_t seed);
 
 /**
  * Adds a proxy.
