--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -4,7 +4,7 @@
  * seed determines, and checks the system's guarantees by what callers and
  * targets observe.
  *
- *   soak --seed N [--seconds S] [--entries N] [--agents N]
+ *   soak --seed N [--seconds S] [--entries N] [--agents N] [--faults N]
  */
 #include <signal.h>
 #include <stdio.h>
@@ -19,13 +19,16 @@
 #include "../prng.h"
 #include "history.h"
 #include "proxy.h"
+#include "tally.h"
 
 #define CPU_MILLI 6000
-#define CALLERS 8
+#define TASK_CPU_MILLI 200
+#define CALLERS 64
+#define FAULT_INJECTORS_MAX 4
 #define JOBS_MAX 20000
 
 /** One in so many jobs crashes the targets that start its task. */
-#define CRASHING_JOB_ODDS 100
+#define CRASHING_JOB_ODDS 300
 
 /** A caller whose request failed submits it again after this. */
 #define RESUBMIT_DELAY_MS 1300
@@ -47,6 +50,7 @@
 static gint stopping;
 static unsigned int control_proxies[CLUSTER_PROCESSES_MAX];
 static unsigned int app_proxies[CLUSTER_PROCESSES_MAX];
+static unsigned int caller_proxies[CLUSTER_PROCESSES_MAX];
 static unsigned int store_proxy;
 
 static SoakJob *
@@ -69,9 +73,11 @@
 static void
 submit_job (Caller *caller)
 {
-  static const char *const specs[]
-      = { "ms=20", "ms=60", "ms=200", "ms=900", "ms=1800" };
-  SoakJob *job = new_job (1 + prng_below (&caller->random, 6));
+  static const char *const specs[] = { "ms=20",  "ms=20",  "ms=30",  "ms=40",
+                                       "ms=40",  "ms=60",  "ms=60",  "ms=100",
+                                       "ms=100", "ms=200", "ms=200", "ms=400",
+                                       "ms=900", "ms=1800" };
+  SoakJob *job = new_job (1 + prng_below (&caller->random, 8));
   const char *spec = specs[prng_below (&caller->random, G_N_ELEMENTS (specs))];
   bool crashes = prng_below (&caller->random, CRASHING_JOB_ODDS) == 0;
   long timeout_ms = 500 + prng_below (&caller->random, 2500);
@@ -89,8 +95,9 @@
   for (attempt = 0; attempt < 3 && !g_atomic_int_get (&stopping); attempt++)
     {
       unsigned int entry = prng_below (&caller->random, cluster.n_entries);
-      ClusterReply reply = cluster_submit (&cluster, entry, job->id, spec,
-                                           job->n_tasks, 700, timeout_ms);
+      ClusterReply reply
+          = cluster_submit (&cluster, entry, job->id, spec, job->n_tasks,
+                            TASK_CPU_MILLI, timeout_ms);
 
       job->completed
           |= reply.status == 200 && strstr (reply.body, "completed") != NULL;
@@ -135,13 +142,15 @@
 }
 
 static void
-restart (ClusterKind kind, unsigned int i, int down_ms)
+restart (ClusterKind kind, unsigned int i, int down_ms, bool renamed)
 {
   g_mutex_lock (&restart_lock);
   if (kind == CLUSTER_TARGET && cluster.pids[kind][i] > 0)
     history_note_kill (i);
   cluster_kill (&cluster, kind, i);
   cluster_sleep_ms (down_ms);
+  if (kind == CLUSTER_TARGET && renamed)
+    cluster.generations[i]++;
   cluster_start (&cluster, kind, i);
   g_mutex_unlock (&restart_lock);
 }
@@ -160,7 +169,7 @@
     {
     case 0:
       printf ("  kill %d %u\n", (int) kind, i);
-      restart (kind, i, ms / 4);
+      restart (kind, i, ms / 4, false);
       return;
     case 1:
       if (kind == CLUSTER_TARGET)
@@ -168,7 +177,7 @@
       printf ("  stop %d %u\n", (int) kind, i);
       cluster_signal (&cluster, kind, i, SIGTERM);
       cluster_await_exit (&cluster, kind, i, 7000);
-      restart (kind, i, 0);
+      restart (kind, i, 0, false);
       return;
     default:
       /* Time in the model of a target goes on while its process is stopped. */
@@ -262,17 +271,138 @@
   return NULL;
 }
 
+/* Makes calls and answers of a target overtake each other. */
 static void
-create_proxies (void)
+set_crossing (Prng *random, unsigned int target)
 {
+  bool narrow = prng_below (random, 3) > 0;
+  g_autofree char *text = g_strdup_printf (
+      "{\"call_percent\":%u,\"call_ms\":%u,\"answer_percent\":%u,"
+      "\"answer_ms\":%u,\"withheld_percent\":%u,\"cut_percent\":%u,"
+      "\"lists_only\":%s,\"stop_ms\":%u,\"seed\":%u}",
+      prng_below (random, narrow ? 15 : 50),
+      1 + prng_below (random, narrow ? 8 : 400), 30 + prng_below (random, 70),
+      8 + prng_below (random, narrow ? 10 : 60),
+      prng_below (random, narrow ? 40 : 10),
+      prng_below (random, narrow ? 40 : 15), narrow ? "true" : "false",
+      narrow ? 10 + prng_below (random, 200) : 0, prng_below (random, 1000000));
+
+  cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][target], "/crossing",
+                text, 500);
+}
+
+/* A fault while calls and answers of the target wait. */
+static void
+disturb_crossing (Prng *random, unsigned int target)
+{
+  int ms = 5 + (int) prng_below (random, 700);
+
+  switch (prng_below (random, 8))
+    {
+    case 0:
+      printf ("  crossing: restart target %u\n", target);
+      restart (CLUSTER_TARGET, target, ms / 10, false);
+      set_crossing (random, target);
+      break;
+    case 1:
+      printf ("  crossing: replace target %u\n", target);
+      restart (CLUSTER_TARGET, target, ms / 10, true);
+      set_crossing (random, target);
+      break;
+    case 2:
+    case 3:
+      printf ("  crossing: pause agent %u for %d ms\n", target, ms);
+      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGSTOP);
+      cluster_sleep_ms (ms);
+      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGCONT);
+      break;
+    case 4:
+      proxy_set (app_proxies[target], PROXY_RESET, 0);
+      break;
+    case 5:
+      proxy_set (control_proxies[prng_below (random, cluster.n_entries)],
+                 PROXY_RESET, 0);
+      break;
+    case 6:
+      proxy_set (caller_proxies[prng_below (random, cluster.n_entries)],
+                 PROXY_RESET, 0);
+      break;
+    default:
+      set_crossing (random, target);
+      break;
+    }
+}
+
+/* Delays calls, answers and messages by connection, with further faults
+   meanwhile, and ends some of the connections with data on its way. */
+static void
+inject_crossing (Prng *random)
+{
+  unsigned int n_faults = 2 + prng_below (random, 8);
   unsigned int i;
 
+  for (i = 0; i < cluster.n_agents; i++)
+    if (prng_below (random, 4) > 0)
+      set_crossing (random, i);
+  for (i = 0; i < cluster.n_entries; i++)
+    {
+      if (prng_below (random, 2) == 0)
+        proxy_set (control_proxies[i], PROXY_SCATTER,
+                   5
+                       + (int) prng_below (
+                           random, prng_below (random, 4) == 0 ? 300 : 40));
+      if (prng_below (random, 2) == 0)
+        proxy_set (caller_proxies[i], PROXY_SCATTER,
+                   5 + (int) prng_below (random, 300));
+    }
+  for (i = 0; i < n_faults && !g_atomic_int_get (&stopping); i++)
+    {
+      cluster_sleep_ms (50 + (int) prng_below (random, 500));
+      disturb_crossing (random, prng_below (random, cluster.n_agents));
+      restart_crashed_targets ();
+    }
+  for (i = 0; i < cluster.n_agents; i++)
+    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/crossing",
+                  "{}", 500);
+  for (i = 0; i < cluster.n_entries; i++)
+    {
+      bool broken = prng_below (random, 2) == 0;
+
+      proxy_set (control_proxies[i], broken ? PROXY_RESET : PROXY_PASS, 0);
+      proxy_set (caller_proxies[i], broken ? PROXY_RESET : PROXY_PASS, 0);
+    }
+}
+
+static void *
+run_crossing_injector (void *arg)
+{
+  Prng *random = arg;
+
+  while (!g_atomic_int_get (&stopping))
+    {
+      inject_crossing (random);
+      restart_crashed_targets ();
+      cluster_sleep_ms ((int) prng_below (random, 500));
+    }
+  return NULL;
+}
+
+static void
+create_proxies (uint32_t seed)
+{
+  unsigned int i;
+
+  proxy_seed (seed);
   proxy_init ();
   store_proxy = proxy_add (cluster.addresses[CLUSTER_STORE][0],
                            cluster.store_dial_address);
   for (i = 0; i < cluster.n_entries; i++)
-    control_proxies[i] = proxy_add (cluster.control_addresses[i],
-                                    cluster.control_dial_addresses[i]);
+    {
+      control_proxies[i] = proxy_add (cluster.control_addresses[i],
+                                      cluster.control_dial_addresses[i]);
+      caller_proxies[i] = proxy_add (cluster.addresses[CLUSTER_ENTRY][i],
+                                     cluster.caller_dial_addresses[i]);
+    }
   for (i = 0; i < cluster.n_agents; i++)
     app_proxies[i] = proxy_add (cluster.addresses[CLUSTER_TARGET][i],
                                 cluster.app_dial_addresses[i]);
@@ -290,8 +420,12 @@
   cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", "{}",
                 500);
   for (i = 0; i < cluster.n_agents; i++)
-    cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault", "{}",
-                  500);
+    {
+      cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/fault",
+                    "{}", 500);
+      cluster_call ("POST", cluster.addresses[CLUSTER_TARGET][i], "/crossing",
+                    "{}", 500);
+    }
   restart_crashed_targets ();
   cluster_start_all (&cluster);
   for (i = 0; i < cluster.n_entries; i++)
@@ -325,12 +459,12 @@
 }
 
 static unsigned int
-run (uint32_t seed, int seconds)
+run (uint32_t seed, int seconds, unsigned int n_fault_injectors)
 {
-  GThread *threads[CALLERS + 2];
+  GThread *threads[CALLERS + FAULT_INJECTORS_MAX + 1];
   Caller callers[CALLERS];
-  Prng injector_prngs[2]
-      = { prng_seeded (seed * 2), prng_seeded (seed * 2 + 1) };
+  Prng injector_prngs[FAULT_INJECTORS_MAX + 1];
+  unsigned int n_threads = 0;
   unsigned int violations;
   unsigned int i;
 
@@ -347,15 +481,21 @@
   for (i = 0; i < CALLERS; i++)
     {
       callers[i] = (Caller){ prng_seeded (seed * 100 + i + 10), i };
-      threads[i] = g_thread_new ("caller", run_caller, &callers[i]);
+      threads[n_threads++] = g_thread_new ("caller", run_caller, &callers[i]);
+    }
+  /* More than one injector, so that faults also overlap. */
+  for (i = 0; i < n_fault_injectors; i++)
+    {
+      injector_prngs[i] = prng_seeded (seed * 2 + i);
+      threads[n_threads++] = g_thread_new ("fault injector", run_fault_injector,
+                                           &injector_prngs[i]);
     }
-  /* Two injectors, so that faults also overlap. */
-  for (i = 0; i < 2; i++)
-    threads[CALLERS + i] = g_thread_new ("fault injector", run_fault_injector,
-                                         &injector_prngs[i]);
+  injector_prngs[i] = prng_seeded (seed + 1000000);
+  threads[n_threads++] = g_thread_new (
+      "crossing injector", run_crossing_injector, &injector_prngs[i]);
   cluster_sleep_ms (seconds * 1000);
   g_atomic_int_set (&stopping, 1);
-  for (i = 0; i < CALLERS + 2; i++)
+  for (i = 0; i < n_threads; i++)
     g_thread_join (threads[i]);
   violations = check_recovery ();
   cluster_sleep_ms (500);
@@ -373,6 +513,7 @@
   int seconds = 20;
   int entries = 3;
   int agents = 5;
+  int faults = 2;
   const GOptionEntry options[] = {
     { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the faults and jobs",
       "N" },
@@ -381,6 +522,8 @@
       "N" },
     { "agents", 0, 0, G_OPTION_ARG_INT, &agents, "Number of such processes",
       "N" },
+    { "faults", 0, 0, G_OPTION_ARG_INT, &faults,
+      "Number of series of faults beside what crosses", "N" },
     G_OPTION_ENTRY_NULL,
   };
   GOptionContext *context = g_option_context_new (NULL);
@@ -394,12 +537,14 @@
   g_option_context_add_main_entries (context, options, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error) || entries < 1
       || entries > CLUSTER_PROCESSES_MAX || agents < 1
-      || agents > CLUSTER_PROCESSES_MAX)
+      || agents > CLUSTER_PROCESSES_MAX || faults < 0
+      || faults > FAULT_INJECTORS_MAX)
     {
       fprintf (stderr, "soak: %s\n",
                error != NULL
                    ? error->message
-                   : "the numbers of entries and agents must be from 1 to 16");
+                   : "the numbers of entries and agents must be from 1 to 16, "
+                     "that of faults from 0 to 4");
       return 2;
     }
   g_option_context_free (context);
@@ -408,13 +553,20 @@
   curl_global_init (CURL_GLOBAL_ALL);
   cluster_build_dir (build);
   dir = g_strdup_printf ("%s/soak-%d", build, seed);
+  /* Logs are appended to, and jobs of all runs have the same ids. */
+  if (g_file_test (dir, G_FILE_TEST_EXISTS))
+    {
+      fprintf (stderr, "soak: %s exists: remove it first\n", dir);
+      return 2;
+    }
   cluster_init (&cluster, build, dir, (unsigned int) entries,
                 (unsigned int) agents, CPU_MILLI);
-  create_proxies ();
-  violations = run ((uint32_t) seed, seconds);
+  create_proxies ((uint32_t) seed);
+  violations = run ((uint32_t) seed, seconds, (unsigned int) faults);
   for (i = 0; i < n_jobs; i++)
     completed += jobs[i].completed;
   printf ("seed %d: %u jobs, %u completed, %u violations\n", seed, n_jobs,
           completed, violations);
+  tally_print (&cluster);
   return violations > 0 ? 1 : 0;
 }
