Keep the tests of leases in one program

The tests of a suspended host run in the fixture of the other one, with 5 ms steps instead of 10, and start 2 s after the agent, as the longest lease of an earlier agent counts before. Without hs_runs_resume() both fail as before ("0x1 != 0", "model.lease_until <= longest"); all four pass.

--- a/test/test_direct_runs_lease.c
+++ b/test/test_direct_runs_lease.c
@@ -1,4 +1,5 @@
-/* When runs are over whose target is out of reach, against a model of it. */
+/* When runs are over whose target is out of reach, and what leases are asked
+   for, against a model of the target. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -16,6 +17,7 @@
 #define CPU 1000
 #define STEP (5 * HS_MSEC)
 #define LONG_RUN (5 * HS_SEC)
+#define SUSPENSION (450 * HS_MSEC)
 
 /* Longer than any lease that a target grants. */
 #define CUT (3 * HS_SEC)
@@ -165,6 +167,46 @@
   advance (0);
 }
 
+static void
+answer_for (HsTime span)
+{
+  HsTime until = now + span;
+
+  while (now < until)
+    {
+      answer_polls ();
+      advance (STEP);
+    }
+}
+
+/* Lets time pass in which the target answers no poll and gets none. */
+static void
+pass_in_silence (HsTime span)
+{
+  HsTime until = now + span;
+
+  while (now < until)
+    {
+      advance (STEP);
+      lose_polls ();
+    }
+}
+
+/* Suspends the host of agent and target, and wakes it: the target's clock
+   stands still, the agent's goes on. */
+static void
+suspend_host (void)
+{
+  guint i;
+
+  now += SUSPENSION;
+  model.started_at += SUSPENSION;
+  model.lease_until += SUSPENSION;
+  for (i = 0; i < model.runs->len; i++)
+    g_array_index (model.runs, HsModelRun, i).started += SUSPENSION;
+  hs_runs_resume (runs, SUSPENSION, now);
+}
+
 /* Nothing reaches the target any more, or leaves it. */
 static void
 cut_until_the_run_is_reported_as_ended (void)
@@ -244,6 +286,50 @@
   assert_int_equal (model.runs->len, 0);
 }
 
+/* Guards against a task that runs twice: the target's lease hadn't expired, as
+   its clock stood still, when the agent took its run as over. */
+static void
+a_suspended_host_does_not_end_a_lease (void **state)
+{
+  (void) state;
+  start ("a", 1);
+  answer_for (2 * HS_SEC);
+  pass_in_silence (300 * HS_MSEC);
+  suspend_host ();
+  while (model.runs->len > 0)
+    {
+      pass_in_silence (STEP);
+      if (model.runs->len > 0)
+        assert_int_equal (n_ends, 0);
+    }
+  pass_in_silence (HS_LEASE_MAX);
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (last_end.how, HSX_END_LAPSED);
+}
+
+/* Guards against a task that goes on for longer than a lease after its agent
+   has died: the lease was counted on the agent's clock. */
+static void
+a_suspended_host_gets_no_longer_lease (void **state)
+{
+  HsTime longest;
+
+  (void) state;
+  start ("a", 1);
+  answer_polls ();
+  suspend_host ();
+  hs_runs_tick (runs, now);
+  longest = now + HS_LEASE_MAX + HS_LEASE_MAX / 20;
+  answer_polls ();
+  assert_true (model.lease_until <= longest);
+  /* The clock is known again, and the lease is renewed. */
+  hs_runs_tick (runs, now);
+  assert_true (polls[0].renews_lease);
+  answer_polls ();
+  assert_in_range (model.lease_until, now + HS_LEASE_MAX * 9 / 10, longest);
+  assert_int_equal (hs_runs_target_state (runs), HSX_TARGET_READY);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
 
 int
@@ -252,6 +338,8 @@
   static const struct CMUnitTest tests[] = {
     TEST (a_run_is_over_when_its_lease_is),
     TEST (a_lease_on_the_clock_of_an_earlier_incarnation_ends_no_run_early),
+    TEST (a_suspended_host_does_not_end_a_lease),
+    TEST (a_suspended_host_gets_no_longer_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
