--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -68,10 +68,13 @@
 void
 hs_runs_check_lease (HsRuns *runs, HsTime now)
 {
-  HsTime expired_at = last_renewal (runs) + lease_bound (runs->options.lease);
+  HsTime expired_at;
   uint32_t i;
 
-  if (!runs->unresponsive || now < MAX (expired_at, runs->other_lease_end))
+  if (!runs->unresponsive || now < runs->other_lease_end)
+    return;
+  expired_at = last_renewal (runs) + lease_bound (runs->options.lease);
+  if (now < expired_at)
     return;
   for (i = 0; i < HS_RUNS_MAX; i++)
     {
