--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -55,9 +55,9 @@
  *  entry sent meanwhile: at least two heartbeats are in the socket buffer. */
 #define HS_RESUME_GRACE (100 * HS_MSEC)
 
-/** An agent waits no longer than this after an entry sent its last message,
- * even after a pause: the stops of its runs still take effect before the caller
- *  sends its job again. */
+/** Limit on HS_ENTRY_SILENCE_MAX after a pause of the agent, counted alike: the
+ *  stops of the runs still take effect before the caller sends its job again.
+ */
 #define HS_ENTRY_SILENCE_LIMIT (HS_CALLER_RETRY_DELAY - 2 * HS_STOP_MAX)
 
 /** The entry may have sent its last message HS_PEER_TIMEOUT before the pause,
