RPC: keep a keyed HMAC context for each channel

Change: nettle's context is keyed once for each channel and reset by its digest. libmicrohttpd loads nettle anyway. The bytes on the wire are the same; test_hostile still computes them by GLib.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 .DEFAULT_GOAL := all
 SAN ?=
 B := build$(if $(SAN),/$(SAN))
-PKGS := talloc tevent libtirpc libmicrohttpd libcurl glib-2.0 liburcu json-c
+PKGS := talloc tevent libtirpc libmicrohttpd libcurl glib-2.0 liburcu json-c \
+	nettle
 CC ?= gcc
 OPT ?= -O2
 CFLAGS += -std=gnu11 -g $(OPT) -Wall -Wextra -Werror -Wshadow \
--- a/src/rpc/handshake.c
+++ b/src/rpc/handshake.c
@@ -118,10 +118,9 @@
                         call_key);
   hs_record_derive_key (rpc->key, rpc->key_len, "hello-reply", nonce,
                         nonce != NULL ? HSX_NONCE_SIZE : 0, NULL, 0, reply_key);
-  memcpy (conn->send_channel.key, conn->dialled ? call_key : reply_key,
-          HS_KEY_SIZE);
-  memcpy (conn->receive_channel.key, conn->dialled ? reply_key : call_key,
-          HS_KEY_SIZE);
+  hs_record_set_key (&conn->send_channel, conn->dialled ? call_key : reply_key);
+  hs_record_set_key (&conn->receive_channel,
+                     conn->dialled ? reply_key : call_key);
   conn->send_channel.direction = conn->dialled ? 'D' : 'L';
   conn->receive_channel.direction = conn->dialled ? 'L' : 'D';
 }
@@ -133,11 +132,12 @@
 {
   const char *dialler = conn->dialled ? conn->nonce : conn->peer.nonce;
   const char *listener = conn->dialled ? conn->peer.nonce : conn->nonce;
+  uint8_t key[HS_KEY_SIZE];
 
   hs_record_derive_key (conn->rpc->key, conn->rpc->key_len, "session", dialler,
-                        HSX_NONCE_SIZE, listener, HSX_NONCE_SIZE,
-                        conn->send_channel.key);
-  memcpy (conn->receive_channel.key, conn->send_channel.key, HS_KEY_SIZE);
+                        HSX_NONCE_SIZE, listener, HSX_NONCE_SIZE, key);
+  hs_record_set_key (&conn->send_channel, key);
+  hs_record_set_key (&conn->receive_channel, key);
   conn->send_channel.sequence = 1;
   conn->receive_channel.sequence = 1;
 }
--- a/src/rpc/record.c
+++ b/src/rpc/record.c
@@ -22,8 +22,7 @@
                            size_t verifier_offset,
                            xdrproc_t codec,
                            const void *body);
-static void compute_mac (const HsRecordChannel *channel,
-                         uint64_t sequence,
+static void compute_mac (HsRecordChannel *channel,
                          const uint8_t *record,
                          size_t n,
                          uint8_t mac[MAC_SIZE]);
@@ -34,6 +33,12 @@
 static bool
 parse_reply_header (uint8_t *record, size_t n, HsRecordHeader *header);
 
+void
+hs_record_set_key (HsRecordChannel *channel, const uint8_t key[HS_KEY_SIZE])
+{
+  hmac_sha256_set_key (&channel->hmac, HS_KEY_SIZE, key);
+}
+
 bool
 hs_record_append_call (GByteArray *out,
                        HsRecordChannel *channel,
@@ -120,7 +125,7 @@
     return false;
   memcpy (received, verifier + 8, MAC_SIZE);
   memset (verifier + 8, 0, MAC_SIZE);
-  compute_mac (channel, channel->sequence, record, n, mac);
+  compute_mac (channel, record, n, mac);
   for (i = 0; i < MAC_SIZE; i++)
     differ |= received[i] ^ mac[i];
   if (differ != 0)
@@ -153,16 +158,13 @@
                       size_t b_len,
                       uint8_t out[HS_KEY_SIZE])
 {
-  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, key, key_len);
-  gsize size = HS_KEY_SIZE;
+  struct hmac_sha256_ctx hmac;
 
-  g_hmac_update (hmac, (const guchar *) label, (gssize) strlen (label) + 1);
-  if (a_len > 0)
-    g_hmac_update (hmac, a, (gssize) a_len);
-  if (b_len > 0)
-    g_hmac_update (hmac, b, (gssize) b_len);
-  g_hmac_get_digest (hmac, out, &size);
-  g_hmac_unref (hmac);
+  hmac_sha256_set_key (&hmac, key_len, key);
+  hmac_sha256_update (&hmac, strlen (label) + 1, (const uint8_t *) label);
+  hmac_sha256_update (&hmac, a_len, a);
+  hmac_sha256_update (&hmac, b_len, b);
+  hmac_sha256_digest (&hmac, HS_KEY_SIZE, out);
 }
 
 static bool
@@ -202,8 +204,7 @@
   mark = htonl (LAST_FRAGMENT | (uint32_t) length);
   memcpy (out->data + start, &mark, sizeof mark);
   memcpy (record + verifier_offset, &sequence, sizeof sequence);
-  compute_mac (channel, channel->sequence, record, length,
-               record + verifier_offset + 8);
+  compute_mac (channel, record, length, record + verifier_offset + 8);
   channel->sequence++;
   g_byte_array_set_size (out, start + HS_RECORD_MARK_SIZE + (guint) length);
   return true;
@@ -211,24 +212,18 @@
 
 /* The bytes of the MAC itself must be zero in the record meanwhile. */
 static void
-compute_mac (const HsRecordChannel *channel,
-             uint64_t sequence,
+compute_mac (HsRecordChannel *channel,
              const uint8_t *record,
              size_t n,
              uint8_t mac[MAC_SIZE])
 {
-  GHmac *hmac
-      = g_hmac_new (G_CHECKSUM_SHA256, channel->key, sizeof channel->key);
-  uint64_t number = GUINT64_TO_BE (sequence);
-  uint8_t digest[HS_KEY_SIZE];
-  gsize size = sizeof digest;
+  uint64_t number = GUINT64_TO_BE (channel->sequence);
 
-  g_hmac_update (hmac, &channel->direction, 1);
-  g_hmac_update (hmac, (const guchar *) &number, sizeof number);
-  g_hmac_update (hmac, record, (gssize) n);
-  g_hmac_get_digest (hmac, digest, &size);
-  g_hmac_unref (hmac);
-  memcpy (mac, digest, MAC_SIZE);
+  hmac_sha256_update (&channel->hmac, 1, &channel->direction);
+  hmac_sha256_update (&channel->hmac, sizeof number, (const uint8_t *) &number);
+  hmac_sha256_update (&channel->hmac, n, record);
+  /* Also resets the context to its key. */
+  hmac_sha256_digest (&channel->hmac, MAC_SIZE, mac);
 }
 
 /* Encodes no result in the reply header: append_record() encodes the body. */
--- a/src/rpc/record.h
+++ b/src/rpc/record.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include <glib.h>
+#include <nettle/hmac.h>
 
 #include "proto/procs.h"
 
@@ -31,7 +32,7 @@
 /** Authentication state of one direction of a connection. */
 typedef struct
 {
-  uint8_t key[HS_KEY_SIZE];
+  struct hmac_sha256_ctx hmac; /**< Keyed by hs_record_set_key(). */
   uint8_t direction; /**< 'D': sent by the dialling side; 'L': by the other. */
   uint64_t sequence; /**< Sequence number of the next record. */
 } HsRecordChannel;
@@ -46,6 +47,10 @@
   size_t body_offset; /**< Offset of the body in the record. */
 } HsRecordHeader;
 
+/** Sets the key under which the records of a channel are authenticated. */
+void hs_record_set_key (HsRecordChannel *channel,
+                        const uint8_t key[HS_KEY_SIZE]);
+
 /**
  * Appends a call with its mark to @p out.
  * @return false if the arguments exceed the limits of the protocol or the
--- a/test/fuzz/wire_surfaces.c
+++ b/test/fuzz/wire_surfaces.c
@@ -52,11 +52,21 @@
   return 0;
 }
 
+static HsRecordChannel
+make_channel (uint8_t direction, uint64_t sequence)
+{
+  static const uint8_t key[HS_KEY_SIZE] = { 1, 2, 3 };
+  HsRecordChannel channel = { .direction = direction, .sequence = sequence };
+
+  hs_record_set_key (&channel, key);
+  return channel;
+}
+
 /** Tests the input as received data, and valid records altered by it. */
 int
 hs_fuzz_record (const uint8_t *data, size_t n)
 {
-  HsRecordChannel channel = { { 1, 2, 3 }, 'D', 0 };
+  HsRecordChannel channel = make_channel ('D', 0);
 
   check_foreign_record (data, n, &channel);
   check_altered_record (data, n);
@@ -125,9 +135,9 @@
 static void
 check_altered_record (const uint8_t *data, size_t n)
 {
-  HsRecordChannel out = { { 1, 2, 3 }, 'D', n };
+  HsRecordChannel out = make_channel ('D', n);
   HsRecordChannel in = out;
-  HsRecordChannel other = { { 1, 2, 3 }, 'L', n };
+  HsRecordChannel other = make_channel ('L', n);
   hsx_hello hello = { 0 };
   GByteArray *bytes = g_byte_array_new ();
   g_autofree uint8_t *copy = NULL;
--- a/test/test_hostile.c
+++ b/test/test_hostile.c
@@ -50,6 +50,7 @@
 {
   int fd;
   HsRecordChannel out;
+  uint8_t key[HS_KEY_SIZE]; /**< Of `out`. */
   uint8_t hello[512];
   size_t hello_len;
 } Peer;
@@ -170,7 +171,8 @@
   Peer peer = { .fd = connect_to (net), .out = { .direction = 'D' } };
 
   hs_record_derive_key ((const uint8_t *) KEY, strlen (KEY), "hello-call", NULL,
-                        0, NULL, 0, peer.out.key);
+                        0, NULL, 0, peer.key);
+  hs_record_set_key (&peer.out, peer.key);
   return peer;
 }
 
@@ -227,6 +229,7 @@
 {
   hsx_hello mine = peer_hello ();
   HsRecordChannel in = { .direction = 'L' };
+  uint8_t key[HS_KEY_SIZE];
   HsRecordHeader head;
   hsx_hello theirs = { 0 };
   uint8_t bytes[512];
@@ -242,7 +245,8 @@
         assert_int_equal (tevent_loop_once (net->ev), 0);
     }
   hs_record_derive_key ((const uint8_t *) KEY, strlen (KEY), "hello-reply",
-                        mine.nonce, sizeof mine.nonce, NULL, 0, in.key);
+                        mine.nonce, sizeof mine.nonce, NULL, 0, key);
+  hs_record_set_key (&in, key);
   assert_true (
       hs_record_verify (bytes + HS_RECORD_MARK_SIZE, length, &in, &head));
   assert_true (hs_record_decode (bytes + HS_RECORD_MARK_SIZE + head.body_offset,
@@ -250,7 +254,8 @@
                                  (xdrproc_t) xdr_hsx_hello, &theirs));
   hs_record_derive_key ((const uint8_t *) KEY, strlen (KEY), "session",
                         mine.nonce, sizeof mine.nonce, theirs.nonce,
-                        sizeof theirs.nonce, peer->out.key);
+                        sizeof theirs.nonce, peer->key);
+  hs_record_set_key (&peer->out, peer->key);
   peer->out.sequence = 1;
   xdr_free ((xdrproc_t) xdr_hsx_hello, (char *) &theirs);
 }
@@ -337,7 +342,8 @@
   Net *net = *state;
   Peer peer = peer_new (net);
 
-  peer.out.key[0] ^= 1;
+  peer.key[0] ^= 1;
+  hs_record_set_key (&peer.out, peer.key);
   write_hello (&peer);
   send_bytes (&peer, peer.hello, peer.hello_len);
   expect_disconnected (net, &peer, 1);
@@ -426,15 +432,14 @@
 
 /** Recomputes the authentication code of a changed record. */
 static void
-reseal_record (const HsRecordChannel *channel, uint8_t *record, size_t n)
+reseal_record (const Peer *peer, uint8_t *record, size_t n)
 {
-  GHmac *hmac
-      = g_hmac_new (G_CHECKSUM_SHA256, channel->key, sizeof channel->key);
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, peer->key, sizeof peer->key);
   uint8_t digest[HS_KEY_SIZE];
   gsize size = sizeof digest;
 
   memset (record + MAC_OFFSET, 0, MAC_SIZE);
-  g_hmac_update (hmac, &channel->direction, 1);
+  g_hmac_update (hmac, &peer->out.direction, 1);
   g_hmac_update (hmac, record + MAC_OFFSET - 8, 8);
   g_hmac_update (hmac, record, (gssize) n);
   g_hmac_get_digest (hmac, digest, &size);
@@ -449,7 +454,6 @@
   hsx_recover_args args = { { 0, NULL }, 0 };
   Net *net = *state;
   Peer peer = authenticated_peer_new (net);
-  HsRecordChannel channel = peer.out;
   GByteArray *bytes = g_byte_array_new ();
   uint8_t *record;
 
@@ -457,7 +461,7 @@
   record = bytes->data + HS_RECORD_MARK_SIZE;
   assert_int_equal (record[PROC_OFFSET], HSX_RECOVER);
   record[PROC_OFFSET] = HSX_BORROW;
-  reseal_record (&channel, record, bytes->len - HS_RECORD_MARK_SIZE);
+  reseal_record (&peer, record, bytes->len - HS_RECORD_MARK_SIZE);
   send_bytes (&peer, bytes->data, bytes->len);
   run_until (net, &net->n_disconnected, 1);
   /* The record passed authentication: its arguments were refused. */
--- a/test/test_rpc.c
+++ b/test/test_rpc.c
@@ -168,8 +168,10 @@
 static HsRecordChannel
 test_channel (uint8_t direction)
 {
-  HsRecordChannel channel = { { 1, 2, 3 }, direction, 0 };
+  static const uint8_t key[HS_KEY_SIZE] = { 1, 2, 3 };
+  HsRecordChannel channel = { .direction = direction };
 
+  hs_record_set_key (&channel, key);
   return channel;
 }
 
