Direct: look for room once for needs that fit nowhere

For every report each waiting job was compared with every target, with an exponential for each pair. Change: a dispatch remembers the needs that fit nowhere; larger ones are not looked for again. The level of contention is computed once for a choice.

--- a/src/direct/jobs_place.c
+++ b/src/direct/jobs_place.c
@@ -1,12 +1,41 @@
 /* Where and in which order the waiting tasks are started. */
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
 #include "direct/jobs_private.h"
+#include "direct/resources.h"
+
+/** The most needs that are remembered as fitting nowhere; the next ones are
+ *  looked for again. */
+#define UNPLACEABLE_MAX 16
+
+/** Needs for which no target of a service and group has room. Free resources
+ *  only shrink during a dispatch, so larger needs don't fit either. */
+typedef struct
+{
+  const char *service;
+  HsTargetGroup group;
+  hsx_room needs;
+} Unplaceable;
+
+typedef struct
+{
+  Unplaceable rows[UNPLACEABLE_MAX];
+  uint32_t n;
+} UnplaceableList;
 
 static uint32_t sort_waiting (HsJobs *jobs, HsTime now);
-static void place_tasks (HsJobs *jobs, HsJob *job, HsTime now);
+static void place_tasks (HsJobs *jobs,
+                         HsJob *job,
+                         UnplaceableList *unplaceable,
+                         HsTime now);
+static bool is_unplaceable (const UnplaceableList *list,
+                            const HsJob *job,
+                            HsTargetGroup group);
+static void
+add_unplaceable (UnplaceableList *list, const HsJob *job, HsTargetGroup group);
 static bool start_task (HsJobs *jobs,
                         HsJob *job,
                         HsTask *task,
@@ -19,10 +48,11 @@
 hs_jobs_dispatch (HsJobs *jobs, HsTime now)
 {
   uint32_t n = sort_waiting (jobs, now);
+  UnplaceableList unplaceable = { .n = 0 };
   uint32_t i;
 
   for (i = 0; i < n; i++)
-    place_tasks (jobs, &jobs->table[jobs->by_rank[i]], now);
+    place_tasks (jobs, &jobs->table[jobs->by_rank[i]], &unplaceable, now);
 }
 
 static int
@@ -54,9 +84,10 @@
 }
 
 static void
-place_tasks (HsJobs *jobs, HsJob *job, HsTime now)
+place_tasks (HsJobs *jobs, HsJob *job, UnplaceableList *unplaceable, HsTime now)
 {
   HsTargetGroup group = hs_job_target_group (jobs, job);
+  bool fits_nowhere = is_unplaceable (unplaceable, job, group);
   uint32_t i;
 
   if (hs_job_is_shut_out (jobs, job) || hs_job_is_held (job))
@@ -73,16 +104,42 @@
                                    &job->needs, now))
         continue;
       target = task->only_target;
-      if (target == HS_TARGET_NONE)
-        target = hs_targets_choose (jobs->targets, job->service, group,
-                                    &job->needs, jobs->data_centre,
-                                    task->avoid_target, now);
+      if (target == HS_TARGET_NONE && !fits_nowhere)
+        {
+          target = hs_targets_choose (jobs->targets, job->service, group,
+                                      &job->needs, jobs->data_centre,
+                                      task->avoid_target, now);
+          if (target == HS_TARGET_NONE)
+            add_unplaceable (unplaceable, job, group);
+        }
       if (target == HS_TARGET_NONE
           || !start_task (jobs, job, task, target, now))
         return;
     }
 }
 
+static bool
+is_unplaceable (const UnplaceableList *list,
+                const HsJob *job,
+                HsTargetGroup group)
+{
+  uint32_t i;
+
+  for (i = 0; i < list->n; i++)
+    if (list->rows[i].group == group
+        && hs_resources_fit (&job->needs, &list->rows[i].needs)
+        && strcmp (list->rows[i].service, job->service) == 0)
+      return true;
+  return false;
+}
+
+static void
+add_unplaceable (UnplaceableList *list, const HsJob *job, HsTargetGroup group)
+{
+  if (list->n < UNPLACEABLE_MAX)
+    list->rows[list->n++] = (Unplaceable){ job->service, group, job->needs };
+}
+
 static bool
 start_task (HsJobs *jobs, HsJob *job, HsTask *task, uint32_t target, HsTime now)
 {
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -53,6 +53,10 @@
 static uint32_t allocate_row (HsTargets *targets);
 static void drop_acknowledged (HsTargetRow *row, uint32_t seen);
 static double contention (const HsTargets *targets, HsTime now);
+static hsx_room free_resources (const HsTargets *targets,
+                                uint32_t handle,
+                                double level,
+                                HsTime now);
 static double placement_score (const HsTarget *target, const char *data_centre);
 
 HsTargets *
@@ -230,6 +234,16 @@
 hs_targets_free_resources (const HsTargets *targets,
                            uint32_t handle,
                            HsTime now)
+{
+  return free_resources (targets, handle, contention (targets, now), now);
+}
+
+/* As hs_targets_free_resources(), at a known level of contention. */
+static hsx_room
+free_resources (const HsTargets *targets,
+                uint32_t handle,
+                double level,
+                HsTime now)
 {
   const HsTarget *target = &targets->rows[handle].target;
   hsx_room free_now = { 0 };
@@ -256,8 +270,8 @@
       double share = MIN (age * RESERVE_SHARE_PER_S, RESERVE_SHARE_MAX);
       hsx_room reserve = { 0 };
 
-      reserve.cpu_milli = (unsigned int) (contention (targets, now) * share
-                                          * target->capacity.cpu_milli);
+      reserve.cpu_milli
+          = (unsigned int) (level * share * target->capacity.cpu_milli);
       hs_resources_subtract (&free_now, &reserve);
     }
   return free_now;
@@ -304,12 +318,13 @@
   uint32_t best = HS_TARGET_NONE;
   bool second_choice = false;
   double best_score = 0;
+  double level = contention (targets, now);
   uint32_t i;
 
   for (i = 0; i < targets->n_rows; i++)
     {
       const HsTarget *target = &targets->rows[i].target;
-      hsx_room free_now = hs_targets_free_resources (targets, i, now);
+      hsx_room free_now = free_resources (targets, i, level, now);
       double candidate_score;
 
       if (!hs_resources_fit (&free_now, needs)
@@ -339,6 +354,7 @@
                          uint64_t *free_milli,
                          HsTime now)
 {
+  double level = contention (targets, now);
   uint32_t i;
 
   *capacity_milli = 0;
@@ -351,7 +367,7 @@
         continue;
       if (target->state == HSX_TARGET_READY)
         *capacity_milli += target->capacity.cpu_milli;
-      *free_milli += hs_targets_free_resources (targets, i, now).cpu_milli;
+      *free_milli += free_resources (targets, i, level, now).cpu_milli;
     }
 }
 
