Entry: ask other entries to cancel a job that ended here

Cause: an entry answered 410 at once for any of the last 4,096 jobs that it had answered itself.

Change: the other entries are asked whoever answered the job; the ring of ended jobs is removed (32 kB). In calm this costs a CANCEL_JOB and a reply for each connected entry, and the caller one round trip. Ruled out: a one-way message with 410 at once, since a lost message would leave the job running; telling from the HTTP server whether the answer was sent, since a write that succeeds says nothing of the other side.

--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -101,8 +101,6 @@
   hs_histogram_record (entry->wait_histogram, answer->wait_time);
   if (answer->kind == HS_ANSWER_COMPLETED)
     hs_histogram_record (entry->latency_histogram, answer->total_time);
-  if (answer->kind != HS_ANSWER_REFUSED && answer->kind != HS_ANSWER_LOST)
-    hs_entry_cancel_note_end (entry, answer->customer, answer->id);
   if (answer->reason != HS_REASON_CALLER_GONE)
     hs_caller_server_reply (entry->callers, answer->request, &reply);
   hs_entry_schedule (entry, true);
--- a/src/direct/entry_cancel.c
+++ b/src/direct/entry_cancel.c
@@ -1,11 +1,11 @@
 /* Cancelling of jobs that this entry doesn't have. A caller's DELETE may reach
    another entry than its job did, as when that one leaves; the other entries
-   are asked then. */
+   are asked then. They are asked as well if this entry has answered the job:
+   the answer may have been lost with its connection, and the job sent again. */
 #include <string.h>
 
 #include "base/event.h"
 #include "direct/entry_private.h"
-#include "policy/rendezvous.h"
 
 /** Limit on requests that wait for answers of other entries. */
 #define CANCELS_MAX 64
@@ -26,8 +26,6 @@
   HsReplyKind outcome;
 } Cancel;
 
-static uint64_t hash_of (const char *customer, const char *id);
-static bool has_ended_here (const HsDirectEntry *entry, uint64_t job);
 static void on_answer (void *arg, HsRpcStatus status, const void *result);
 static void release (Cancel *cancel);
 static void reply (Cancel *cancel, HsReplyKind kind);
@@ -52,33 +50,20 @@
   cancel->id = talloc_strdup (cancel, id);
   cancel->n_pending = 1;
   entry->n_cancels++;
-  if (!has_ended_here (entry, hash_of (name, id)))
-    for (i = 0; i < HS_PEERS_MAX; i++)
-      {
-        if (!entry->peers[i].used)
-          continue;
-        cancel->n_pending++;
-        if (!hs_conn_call (entry->peers[i].conn, HSX_CANCEL_JOB, &args,
-                           ANSWER_TIMEOUT, on_answer, cancel))
-          on_answer (cancel, HS_RPC_UNSENT, NULL);
-      }
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    {
+      if (!entry->peers[i].used)
+        continue;
+      cancel->n_pending++;
+      if (!hs_conn_call (entry->peers[i].conn, HSX_CANCEL_JOB, &args,
+                         ANSWER_TIMEOUT, on_answer, cancel))
+        on_answer (cancel, HS_RPC_UNSENT, NULL);
+    }
   cancel->n_asked = cancel->n_pending - 1;
   release (cancel);
   return true;
 }
 
-void
-hs_entry_cancel_note_end (HsDirectEntry *entry,
-                          const char *customer,
-                          const char *id)
-{
-  char name[HSX_NAME_MAX + 1];
-
-  g_strlcpy (name, customer, sizeof name);
-  entry->ended_jobs[entry->next_ended_job++ % HS_ENDED_JOBS_MAX]
-      = hash_of (name, id);
-}
-
 void
 hs_entry_cancel_answer (HsDirectEntry *entry,
                         HsConn *conn,
@@ -92,25 +77,6 @@
   hs_conn_reply (conn, call, HSX_CANCEL_JOB, &answer);
 }
 
-static uint64_t
-hash_of (const char *customer, const char *id)
-{
-  return hs_rendezvous_hash (customer, id);
-}
-
-/* A job that was answered for good runs nowhere else: its caller has no reason
-   to send it to another entry. */
-static bool
-has_ended_here (const HsDirectEntry *entry, uint64_t job)
-{
-  uint32_t i;
-
-  for (i = 0; i < HS_ENDED_JOBS_MAX; i++)
-    if (entry->ended_jobs[i] == job)
-      return true;
-  return false;
-}
-
 static void
 on_answer (void *arg, HsRpcStatus status, const void *result)
 {
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -53,9 +53,6 @@
   int64_t config_revision;
 } HsEntryPeer;
 
-/** Number of ended jobs whose cancelling asks no other entry. */
-#define HS_ENDED_JOBS_MAX 4096
-
 typedef enum
 {
   HS_ENTRY_SERVING,
@@ -93,11 +90,7 @@
   /** Round-robin position of the next agent to send the backlog to. */
   uint32_t next_backlog_agent;
   HsEntryPeer peers[HS_PEERS_MAX];
-  /** @name Cancelling; entry_cancel.c @{ */
-  uint64_t ended_jobs[HS_ENDED_JOBS_MAX]; /**< Hashes; a ring. */
-  uint32_t next_ended_job;
-  uint32_t n_cancels; /**< Requests that wait for other entries. */
-  /** @} */
+  uint32_t n_cancels; /**< Cancel requests that wait for other entries. */
   /** @name The operators' configuration; entry_config.c @{ */
   HsStore *store;
   HsStoreWatch *config_watch; /**< Of the configuration's key. */
@@ -182,12 +175,6 @@
                           const char *customer,
                           const char *id);
 
-/** Notes a job that was answered for good, so that its cancelling asks nobody.
- */
-void hs_entry_cancel_note_end (HsDirectEntry *entry,
-                               const char *customer,
-                               const char *id);
-
 /** Answers another entry's CANCEL_JOB. */
 void hs_entry_cancel_answer (HsDirectEntry *entry,
                              HsConn *conn,
