Entry: remember cancelled jobs and tell the other entries

Cause: an end is remembered by nobody once its job is answered, so whether a request starts a job depended on what is in progress at the entry that reads it.

Change: an entry remembers each job that a caller or another entry cancels, also if nobody has it, and answers a POST of it as cancelled without running it. A job cancelled here is told to all connected entries by JOB_CANCELLED (21, one-way), one that isn't here by CANCEL_JOB as before. A message cancels what is in progress. An entry that connects is told of the jobs of the last 10 s, so one that has restarted knows what it cancelled itself. The message is a list and carries the age of each, so that two entries don't extend each other's memory.

Ruled out: a key in the store (may be down; all entries would read it); telling agents (a job that waits is at none); refusing by content (a DELETE has none); passing on what others told (all entries are connected with each other).

Tests: a_cancelled_job_does_not_start_again and a_job_cancelled_before_it_came_does_not_start failed before the change (2 launches instead of 1). The entry's test fixtures get a table.

--- a/src/direct/cancelled_jobs.c
+++ b/src/direct/cancelled_jobs.c
@@ -47,14 +47,15 @@
 {
   GList *link = find (jobs, customer, id);
   const Item *first;
-  Item *item;
+  Item *item = link != NULL ? link->data : NULL;
 
   if (now >= cancelled_at + HS_CANCELLED_JOBS_SPAN)
     return;
-  if (link != NULL)
+  if (item != NULL && item->job.cancelled_at >= cancelled_at)
+    return;
+  if (item != NULL)
     {
-      item = link->data;
-      item->job.cancelled_at = MAX (item->job.cancelled_at, cancelled_at);
+      item->job.cancelled_at = cancelled_at;
       g_queue_unlink (&jobs->order, link);
       g_queue_push_tail_link (&jobs->order, link);
       return;
--- a/src/direct/cancelled_jobs.h
+++ b/src/direct/cancelled_jobs.h
@@ -41,7 +41,8 @@
 /** Creates an empty table, owned by @p ctx. */
 HsCancelledJobs *hs_cancelled_jobs_new (TALLOC_CTX *ctx);
 
-/** Remembers a job. If the table is full, the one added first is dropped.
+/** Remembers a job, or that it was cancelled again later. If the table is full,
+ * the one added first is dropped.
  *  @param cancelled_at by this process's clock; may be in the past */
 void hs_cancelled_jobs_add (HsCancelledJobs *jobs,
                             const char *customer,
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -236,6 +236,7 @@
   entry->jobs
       = hs_jobs_new (entry, entry->targets, entry->settings->data_centre,
                      &JOBS_EFFECTS, entry);
+  entry->cancelled_jobs = hs_cancelled_jobs_new (entry);
   self.incarnation = entry->incarnation;
   self.address = entry->settings->control_listen;
   self.data_centre = entry->settings->data_centre;
--- a/src/direct/entry_cancel.c
+++ b/src/direct/entry_cancel.c
@@ -1,4 +1,6 @@
-/* Cancelling of jobs that this entry doesn't have. A caller's DELETE may reach
+/* Cancelling with the other entries. They are told of each job that was
+   cancelled here, so that a later request for it starts nothing there; and
+   asked about one that this entry doesn't have. A caller's DELETE may reach
    another entry than its job did, as when that one leaves; the other entries
    are asked then. They are asked as well if this entry has answered the job:
    the answer may have been lost with its connection, and the job sent again. */
@@ -13,6 +15,16 @@
 /** How long an entry may take to answer; long beside the way there and back. */
 #define ANSWER_TIMEOUT (500 * HS_MSEC)
 
+/** An entry that connects is told of the jobs cancelled within this time: a
+ *  request was seen to arrive again 5.5 s after its answer. Jobs that were in
+ *  progress at an earlier cancelling are over, as callers wait for 1.5 s. */
+#define TOLD_SPAN (10 * HS_SEC)
+
+/** Limit on their number: 10 s at 205 cancelled jobs/s, a quarter of the
+ * highest demand. At some 40 bytes each they take 35 ms on a link of 19 Mbit/s,
+ * which all entries may use at once for one that has restarted. */
+#define TOLD_MAX 2048
+
 /** A request that waits for answers of other entries. */
 typedef struct
 {
@@ -74,9 +86,68 @@
   hsx_cancel_job_reply answer
       = { hs_jobs_cancel (entry->jobs, args->customer, args->id, now) };
 
+  hs_cancelled_jobs_add (entry->cancelled_jobs, args->customer, args->id, now,
+                         now);
   hs_conn_reply (conn, call, HSX_CANCEL_JOB, &answer);
 }
 
+void
+hs_entry_cancel_notify (HsDirectEntry *entry,
+                        const char *customer,
+                        const char *id)
+{
+  char name[HSX_NAME_MAX + 1];
+  hsx_cancelled_job job = { .customer = name, .id = (char *) id };
+  hsx_job_cancelled_args args = { .jobs = { 1, &job } };
+  uint32_t i;
+
+  g_strlcpy (name, customer, sizeof name);
+  for (i = 0; i < HS_PEERS_MAX; i++)
+    if (entry->peers[i].used)
+      hs_conn_call (entry->peers[i].conn, HSX_JOB_CANCELLED, &args, HS_NEVER,
+                    NULL, NULL);
+}
+
+void
+hs_entry_cancel_peer_connected (HsDirectEntry *entry,
+                                HsEntryPeer *peer,
+                                HsTime now)
+{
+  HsCancelledJob *list = talloc_array (entry, HsCancelledJob, TOLD_MAX);
+  hsx_cancelled_job *told = talloc_array (list, hsx_cancelled_job, TOLD_MAX);
+  uint32_t n = hs_cancelled_jobs_list (entry->cancelled_jobs, now - TOLD_SPAN,
+                                       list, TOLD_MAX);
+  hsx_job_cancelled_args args = { .jobs = { n, told } };
+  uint32_t i;
+
+  for (i = 0; i < n; i++)
+    told[n - 1 - i] = (hsx_cancelled_job){
+      .customer = (char *) list[i].customer,
+      .id = (char *) list[i].id,
+      .age_ms = (uint32_t) ((now - list[i].cancelled_at) / HS_MSEC)
+    };
+  if (n > 0)
+    hs_conn_call (peer->conn, HSX_JOB_CANCELLED, &args, HS_NEVER, NULL, NULL);
+  talloc_free (list);
+}
+
+void
+hs_entry_cancel_receive (HsDirectEntry *entry,
+                         const hsx_job_cancelled_args *args,
+                         HsTime now)
+{
+  uint32_t i;
+
+  for (i = 0; i < args->jobs.jobs_len; i++)
+    {
+      const hsx_cancelled_job *job = &args->jobs.jobs_val[i];
+
+      hs_jobs_cancel (entry->jobs, job->customer, job->id, now);
+      hs_cancelled_jobs_add (entry->cancelled_jobs, job->customer, job->id,
+                             now - job->age_ms * HS_MSEC, now);
+    }
+}
+
 static void
 on_answer (void *arg, HsRpcStatus status, const void *result)
 {
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -96,6 +96,8 @@
     handle_crash (entry, &((const hsx_crash_args *) args)->crash);
   else if (proc == HSX_CANCEL_JOB && peer != NULL)
     hs_entry_cancel_answer (entry, conn, call, args, hs_now ().mono);
+  else if (proc == HSX_JOB_CANCELLED && peer != NULL)
+    hs_entry_cancel_receive (entry, args, hs_now ().mono);
   else if (proc == HSX_CONFIGURATION && peer != NULL)
     hs_entry_config_receive (entry, peer, args);
   else if (target != HS_TARGET_NONE || peer != NULL)
@@ -225,6 +227,7 @@
   send_entries (entry, conn);
   announce_peer (entry, &entry->peers[i]);
   hs_entry_config_peer_connected (entry, &entry->peers[i]);
+  hs_entry_cancel_peer_connected (entry, &entry->peers[i], hs_now ().mono);
   hs_entry_schedule (entry, false);
 }
 
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -6,6 +6,7 @@
 #define HS_DIRECT_ENTRY_PRIVATE_H
 
 #include "base/timer.h"
+#include "direct/cancelled_jobs.h"
 #include "direct/dialer.h"
 #include "direct/jobs.h"
 #include "direct/process.h"
@@ -90,6 +91,7 @@
   /** Round-robin position of the next agent to send the backlog to. */
   uint32_t next_backlog_agent;
   HsEntryPeer peers[HS_PEERS_MAX];
+  HsCancelledJobs *cancelled_jobs; /**< Cancelled here or elsewhere. */
   uint32_t n_cancels; /**< Cancel requests that wait for other entries. */
   /** @name The operators' configuration; entry_config.c @{ */
   HsStore *store;
@@ -166,7 +168,7 @@
                               const HsCallerRequest *request);
 /** @} */
 
-/** @name entry_cancel.c: cancelling of jobs that this entry doesn't have @{ */
+/** @name entry_cancel.c: cancelling with the other entries @{ */
 /** Asks the other entries to cancel a job, and answers the request: cancelled
  * by one; no such job, as all of them say so; not known, as one doesn't answer.
  *  @return false if too many requests wait for such answers */
@@ -175,12 +177,29 @@
                           const char *customer,
                           const char *id);
 
-/** Answers another entry's CANCEL_JOB. */
+/** Answers another entry's CANCEL_JOB, and remembers the job as cancelled. */
 void hs_entry_cancel_answer (HsDirectEntry *entry,
                              HsConn *conn,
                              HsRpcCallId call,
                              const hsx_cancel_job_args *args,
                              HsTime now);
+
+/** Tells all connected entries of a job that was cancelled here. */
+void hs_entry_cancel_notify (HsDirectEntry *entry,
+                             const char *customer,
+                             const char *id);
+
+/** Tells an entry that has connected of the jobs cancelled lately: it may have
+ *  missed messages, or have restarted and remember none. */
+void hs_entry_cancel_peer_connected (HsDirectEntry *entry,
+                                     HsEntryPeer *peer,
+                                     HsTime now);
+
+/** Handles another entry's JOB_CANCELLED: cancels those jobs that are in
+ *  progress here, and remembers all. */
+void hs_entry_cancel_receive (HsDirectEntry *entry,
+                              const hsx_job_cancelled_args *args,
+                              HsTime now);
 /** @} */
 
 /** @name entry_key.c: this entry's key in the store @{ */
--- a/src/direct/entry_requests.c
+++ b/src/direct/entry_requests.c
@@ -80,6 +80,8 @@
          && strspn (id, "0123456789abcdefABCDEF") == strlen (id);
 }
 
+/* A job is remembered as cancelled also if no entry has it: its request may
+   come after its cancelling. */
 static void
 cancel (HsDirectEntry *entry,
         const HsCallerRequest *request,
@@ -87,13 +89,24 @@
         const char *id,
         HsTime now)
 {
+  if (!is_job_id (id))
+    {
+      reply_without_job (entry, request, HS_REPLY_NO_JOB, "cancel", NULL);
+      return;
+    }
   if (hs_jobs_cancel (entry->jobs, customer, id, now))
-    reply_without_job (entry, request, HS_REPLY_CANCEL_APPLIED, "cancel", NULL);
-  else if (!is_job_id (id))
-    reply_without_job (entry, request, HS_REPLY_NO_JOB, "cancel", NULL);
+    {
+      hs_entry_cancel_notify (entry, customer, id);
+      reply_without_job (entry, request, HS_REPLY_CANCEL_APPLIED, "cancel",
+                         NULL);
+    }
   else if (!hs_entry_cancel_ask (entry, request->handle, customer, id))
-    reply_without_job (entry, request, HS_REPLY_REFUSED, "too_many_cancels",
-                       NULL);
+    {
+      reply_without_job (entry, request, HS_REPLY_REFUSED, "too_many_cancels",
+                         NULL);
+      return;
+    }
+  hs_cancelled_jobs_add (entry->cancelled_jobs, customer, id, now, now);
 }
 
 /* Why the entry accepts no new job now; NULL if it does. */
@@ -148,6 +161,13 @@
                          NULL);
       return;
     }
+  if (hs_cancelled_jobs_has (entry->cancelled_jobs, submission.customer,
+                             submission.id, now))
+    {
+      reply_without_job (entry, request, HS_REPLY_CANCELLED, "cancelled_before",
+                         NULL);
+      return;
+    }
   why = reason_to_refuse (entry, now);
   /* A job in progress goes on for the new request: it isn't refused. */
   if (why != NULL && !hs_jobs_has_job (entry->jobs, submission.id))
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -591,6 +591,21 @@
 };
 typedef struct hsx_cancel_job_reply hsx_cancel_job_reply;
 
+struct hsx_cancelled_job {
+	char *customer;
+	char *id;
+	u_int age_ms;
+};
+typedef struct hsx_cancelled_job hsx_cancelled_job;
+
+struct hsx_job_cancelled_args {
+	struct {
+		u_int jobs_len;
+		hsx_cancelled_job *jobs_val;
+	} jobs;
+};
+typedef struct hsx_job_cancelled_args hsx_job_cancelled_args;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -658,6 +673,9 @@
 #define HSX_CANCEL_JOB 20
 extern  enum clnt_stat hsx_cancel_job_1(hsx_cancel_job_args , hsx_cancel_job_reply *, CLIENT *);
 extern  bool_t hsx_cancel_job_1_svc(hsx_cancel_job_args , hsx_cancel_job_reply *, struct svc_req *);
+#define HSX_JOB_CANCELLED 21
+extern  enum clnt_stat hsx_job_cancelled_1(hsx_job_cancelled_args , void *, CLIENT *);
+extern  bool_t hsx_job_cancelled_1_svc(hsx_job_cancelled_args , void *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -724,6 +742,9 @@
 #define HSX_CANCEL_JOB 20
 extern  enum clnt_stat hsx_cancel_job_1();
 extern  bool_t hsx_cancel_job_1_svc();
+#define HSX_JOB_CANCELLED 21
+extern  enum clnt_stat hsx_job_cancelled_1();
+extern  bool_t hsx_job_cancelled_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -792,6 +813,8 @@
 extern  bool_t xdr_hsx_crash_args (XDR *, hsx_crash_args*);
 extern  bool_t xdr_hsx_cancel_job_args (XDR *, hsx_cancel_job_args*);
 extern  bool_t xdr_hsx_cancel_job_reply (XDR *, hsx_cancel_job_reply*);
+extern  bool_t xdr_hsx_cancelled_job (XDR *, hsx_cancelled_job*);
+extern  bool_t xdr_hsx_job_cancelled_args (XDR *, hsx_job_cancelled_args*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -856,6 +879,8 @@
 extern bool_t xdr_hsx_crash_args ();
 extern bool_t xdr_hsx_cancel_job_args ();
 extern bool_t xdr_hsx_cancel_job_reply ();
+extern bool_t xdr_hsx_cancelled_job ();
+extern bool_t xdr_hsx_job_cancelled_args ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -488,6 +488,19 @@
 	bool cancelled;
 };
 
+/*
+ * JOB_CANCELLED, one-way, entry to entry: jobs that were cancelled. The
+ * receiver cancels those that it has, and starts none of them later.
+ */
+struct hsx_cancelled_job {
+	string customer<HSX_NAME_MAX>;
+	string id<HSX_ID_MAX>;
+	unsigned int age_ms;		/* time since it was cancelled */
+};
+struct hsx_job_cancelled_args {
+	hsx_cancelled_job jobs<HSX_RECORDS_MAX>;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -511,5 +524,6 @@
 		void HSX_CONFIGURATION(hsx_configuration_args) = 18;
 		void HSX_CRASH(hsx_crash_args) = 19;
 		hsx_cancel_job_reply HSX_CANCEL_JOB(hsx_cancel_job_args) = 20;
+		void HSX_JOB_CANCELLED(hsx_job_cancelled_args) = 21;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -988,3 +988,28 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_cancelled_job (XDR *xdrs, hsx_cancelled_job *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->customer, HSX_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, HSX_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_job_cancelled_args (XDR *xdrs, hsx_job_cancelled_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, HSX_RECORDS_MAX,
+		sizeof (hsx_cancelled_job), (xdrproc_t) xdr_hsx_cancelled_job))
+		 return FALSE;
+	return TRUE;
+}
--- a/test/test_direct_entry_cancel.c
+++ b/test/test_direct_entry_cancel.c
@@ -13,6 +13,7 @@
 #define N_PEERS 3
 #define REQUEST 77
 #define CALLS_MAX 256
+#define T0 (1000 * HS_SEC)
 
 typedef struct
 {
@@ -27,6 +28,19 @@
 static uint32_t n_replies;
 static HsReplyKind reply_kind;
 static bool cancelled_here;
+static uint32_t n_messages;
+static uint32_t n_told;
+static hsx_cancelled_job last_told;
+
+/* Keeps a JOB_CANCELLED: its length, and its last job. */
+static void
+keep_message (const hsx_job_cancelled_args *args)
+{
+  n_messages++;
+  n_told = args->jobs.jobs_len;
+  last_told = args->jobs.jobs_val[n_told - 1];
+  assert_string_equal (last_told.customer, "c");
+}
 
 bool
 hs_conn_call (HsConn *conn,
@@ -40,6 +54,11 @@
 
   (void) conn;
   (void) timeout;
+  if (proc == HSX_JOB_CANCELLED)
+    {
+      keep_message (args);
+      return true;
+    }
   assert_int_equal (proc, HSX_CANCEL_JOB);
   assert_string_equal (cancel->customer, "c");
   assert_string_equal (cancel->id, "00ff");
@@ -90,12 +109,13 @@
   uint32_t i;
 
   (void) state;
-  n_calls = n_replies = 0;
+  n_calls = n_replies = n_messages = 0;
   peers_accept_calls = true;
   entry = talloc_zero (NULL, HsDirectEntry);
   entry->callers = (HsCallerServer *) entry;
   entry->jobs
       = hs_jobs_new (entry, hs_targets_new (entry), "dc1", &EFFECTS, NULL);
+  entry->cancelled_jobs = hs_cancelled_jobs_new (entry);
   for (i = 0; i < N_PEERS; i++)
     entry->peers[2 * i].used = true;
   return 0;
@@ -261,6 +281,87 @@
   assert_false (cancelled_here);
 }
 
+/* Guards against a job that starts at another entry after its cancelling was
+   acknowledged: its request arrives there. */
+static void
+an_entry_that_is_asked_remembers_the_job (void **state)
+{
+  hsx_cancel_job_args args = { (char *) "c", (char *) "00ff" };
+
+  (void) state;
+  hs_entry_cancel_answer (entry, NULL, 5, &args, T0);
+  assert_false (cancelled_here);
+  assert_true (hs_cancelled_jobs_has (entry->cancelled_jobs, "c", "00ff", T0));
+}
+
+static void
+all_entries_are_told_of_a_job_cancelled_here (void **state)
+{
+  (void) state;
+  hs_entry_cancel_notify (entry, "c", "00ff");
+  assert_int_equal (n_messages, N_PEERS);
+  assert_string_equal (last_told.id, "00ff");
+  assert_int_equal (last_told.age_ms, 0);
+}
+
+/* Guards against a job that goes on as its request came before the message. */
+static void
+a_message_cancels_a_job_in_progress (void **state)
+{
+  hsx_cancelled_job list[2] = { { (char *) "c", (char *) "00fe", 0 },
+                                { (char *) "c", (char *) "00ff", 4000 } };
+  hsx_job_cancelled_args args = { { 2, list } };
+  HsTime end = T0 - 4 * HS_SEC + HS_CANCELLED_JOBS_SPAN;
+
+  (void) state;
+  submit ();
+  hs_entry_cancel_receive (entry, &args, T0);
+  assert_int_equal (hs_jobs_count (entry->jobs), 0);
+  assert_true (hs_cancelled_jobs_has (entry->cancelled_jobs, "c", "00fe", T0));
+  assert_true (
+      hs_cancelled_jobs_has (entry->cancelled_jobs, "c", "00ff", end - 1));
+  assert_false (
+      hs_cancelled_jobs_has (entry->cancelled_jobs, "c", "00ff", end));
+}
+
+/* Guards against a job that starts at an entry that has restarted since its
+   cancelling, or was cut off then. */
+static void
+an_entry_that_connects_is_told_of_the_latest_jobs (void **state)
+{
+  (void) state;
+  hs_entry_cancel_peer_connected (entry, &entry->peers[0], T0);
+  assert_int_equal (n_messages, 0);
+  hs_cancelled_jobs_add (entry->cancelled_jobs, "c", "01", T0 - 11 * HS_SEC,
+                         T0);
+  hs_cancelled_jobs_add (entry->cancelled_jobs, "c", "02", T0 - 7 * HS_SEC, T0);
+  hs_entry_cancel_peer_connected (entry, &entry->peers[0], T0);
+  assert_int_equal (n_messages, 1);
+  assert_int_equal (n_told, 1);
+  assert_string_equal (last_told.id, "02");
+  assert_int_equal (last_told.age_ms, 7000);
+}
+
+/* Guards against a message that the protocol's limits forbid, which would not
+   be sent at all. */
+static void
+the_message_to_an_entry_that_connects_is_bounded (void **state)
+{
+  char id[20];
+  uint32_t i;
+
+  (void) state;
+  for (i = 0; i < HS_CANCELLED_JOBS_MAX; i++)
+    {
+      g_snprintf (id, sizeof id, "%x", i);
+      hs_cancelled_jobs_add (entry->cancelled_jobs, "c", id, T0, T0);
+    }
+  hs_entry_cancel_peer_connected (entry, &entry->peers[0], T0);
+  assert_int_equal (n_messages, 1);
+  assert_in_range (n_told, 1000, HSX_RECORDS_MAX);
+  assert_string_equal (last_told.id, id);
+}
+
 #define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -275,6 +376,11 @@
     TEST (requests_that_wait_are_bounded),
     TEST (a_stopping_entry_answers_nobody),
     TEST (an_entry_that_is_asked_cancels_its_own_job),
+    TEST (an_entry_that_is_asked_remembers_the_job),
+    TEST (all_entries_are_told_of_a_job_cancelled_here),
+    TEST (a_message_cancels_a_job_in_progress),
+    TEST (an_entry_that_connects_is_told_of_the_latest_jobs),
+    TEST (the_message_to_an_entry_that_connects_is_bounded),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_entry_requests.c
+++ b/test/test_direct_entry_requests.c
@@ -9,7 +9,6 @@
 
 #include "direct/entry_private.h"
 
-#define PATH "/q/00000000000000aa"
 #define CAPACITY 4000
 
 static HsDirectEntry *entry;
@@ -18,6 +17,9 @@
 static uint64_t last_replied;
 static HsReplyKind last_reply;
 static uint32_t n_replies;
+static const char *path;
+static bool asks_others;
+static uint32_t n_notified;
 
 void
 hs_caller_server_reply (HsCallerServer *server,
@@ -47,7 +49,18 @@
   (void) request;
   (void) customer;
   (void) id;
-  return false;
+  return asks_others;
+}
+
+void
+hs_entry_cancel_notify (HsDirectEntry *which,
+                        const char *customer,
+                        const char *id)
+{
+  (void) which;
+  (void) customer;
+  (void) id;
+  n_notified++;
 }
 
 bool
@@ -74,6 +87,14 @@
   return ++n_launches;
 }
 
+static void
+on_stop (void *arg, uint32_t target, uint64_t ref)
+{
+  (void) arg;
+  (void) target;
+  (void) ref;
+}
+
 static void
 on_answer (void *arg, const HsJobAnswer *answer)
 {
@@ -82,7 +103,7 @@
 }
 
 static const HsJobsEffects EFFECTS
-    = { .launch = on_launch, .answer = on_answer };
+    = { .launch = on_launch, .stop = on_stop, .answer = on_answer };
 
 static void
 add_target (void)
@@ -107,7 +128,7 @@
   HsCallerRequest request = { .handle = handle,
                               .verb = HS_CALLER_SUBMIT,
                               .host = "h",
-                              .path = PATH,
+                              .path = path,
                               .time_left = 100 * HS_SEC };
 
   request.job = (HsCallerJob){ .best_effort = true,
@@ -119,6 +140,15 @@
   hs_entry_handle_request (entry, &request);
 }
 
+static void
+cancel (void)
+{
+  HsCallerRequest request
+      = { .handle = 9, .verb = HS_CALLER_CANCEL, .host = "h", .path = path };
+
+  hs_entry_handle_request (entry, &request);
+}
+
 static int
 setup (void **state)
 {
@@ -131,12 +161,15 @@
                     .timeout = HS_NEVER };
 
   (void) state;
-  n_launches = n_replies = 0;
+  n_launches = n_replies = n_notified = 0;
+  path = "/q/00000000000000aa";
+  asks_others = true;
   entry = talloc_zero (NULL, HsDirectEntry);
   settings.grace = 6 * HS_SEC;
   entry->settings = &settings;
   entry->routes = hs_routes_new (entry, 1);
   hs_routes_add (entry->routes, &route);
+  entry->cancelled_jobs = hs_cancelled_jobs_new (entry);
   entry->targets = hs_targets_new (entry);
   entry->jobs = hs_jobs_new (entry, entry->targets, "dc1", &EFFECTS, NULL);
   add_target ();
@@ -190,6 +223,48 @@
                 && last_reply == HS_REPLY_REFUSED);
 }
 
+/* Guards against a cancelled job that runs: its POST arrives once more, seconds
+   after it was answered as cancelled. */
+static void
+a_cancelled_job_does_not_start_again (void **state)
+{
+  (void) state;
+  cancel ();
+  assert_int_equal (last_reply, HS_REPLY_CANCEL_APPLIED);
+  assert_int_equal (n_notified, 1);
+  submit (2);
+  assert_int_equal (n_launches, 1);
+  assert_int_equal (hs_jobs_count (entry->jobs), 0);
+  assert_int_equal (last_replied, 2);
+  assert_int_equal (last_reply, HS_REPLY_CANCELLED);
+}
+
+/* The same, of a POST that its cancelling has overtaken. */
+static void
+a_job_cancelled_before_it_came_does_not_start (void **state)
+{
+  (void) state;
+  path = "/q/00000000000000bb";
+  cancel ();
+  submit (2);
+  assert_int_equal (n_launches, 1);
+  assert_int_equal (last_replied, 2);
+  assert_int_equal (last_reply, HS_REPLY_CANCELLED);
+}
+
+/* Guards against a refused DELETE that has an effect. */
+static void
+a_refused_cancelling_leaves_the_job_startable (void **state)
+{
+  (void) state;
+  path = "/q/00000000000000bb";
+  asks_others = false;
+  cancel ();
+  assert_int_equal (last_reply, HS_REPLY_REFUSED);
+  submit (2);
+  assert_int_equal (n_launches, 2);
+}
+
 int
 main (void)
 {
@@ -198,6 +273,9 @@
     TEST (a_job_in_progress_goes_on_when_it_is_sent_again),
     TEST (a_job_in_progress_is_not_refused_as_never_run_after_a_pause),
     TEST (a_job_in_progress_is_not_refused_as_never_run_at_the_end),
+    TEST (a_cancelled_job_does_not_start_again),
+    TEST (a_job_cancelled_before_it_came_does_not_start),
+    TEST (a_refused_cancelling_leaves_the_job_startable),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
