Direct: evacuate data centres

Operators write op/evacuate/ZONE to stop all starts in a data centre; no code read the key. Agents refuse launches (HS_REFUSAL_EVACUATED), offer nothing and repeat no start call. Both do so before they know the set.

The watch follows on the read of the evacuations and the configuration is read after it: a change that falls between the two is then seen by both.

Ruled out: a single range of op/ (it may grow with other keys of operators); a state of its own in REPORT (entries count such targets as ready or not for the platform's checks, which must not change); sending only sets that differ (a slower entry may have sent an agent a state in between).

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -133,6 +133,7 @@
      millisecond. */
   agent->runs = hs_runs_new (process, &options, (uint64_t) now.wall_ms,
                              &hs_direct_agent_effects, agent);
+  hs_agent_evacuations_start (agent);
   agent->target_client = hs_target_client_new (
       process, agent->ev, &hs_direct_agent_target_handler, agent);
   if (agent->settings->target_address != NULL)
@@ -365,6 +366,15 @@
   return (double) hs_event_lines_dropped ();
 }
 
+static double
+read_evacuated_data_centres (void *arg)
+{
+  HsDirectAgent *agent = arg;
+
+  return agent->evacuations != NULL ? hs_evacuations_count (agent->evacuations)
+                                    : 0;
+}
+
 static void
 create_metrics (HsDirectAgent *agent)
 {
@@ -387,6 +397,9 @@
   hs_metrics_gauge (agent->metrics, "hs_direct_tasks",
                     "Tasks that have not ended.", NULL, NULL, read_tasks,
                     agent);
+  hs_metrics_gauge (agent->metrics, "hs_direct_evacuated_data_centres",
+                    "Data centres that are evacuated.", NULL, NULL,
+                    read_evacuated_data_centres, agent);
 }
 
 static unsigned int
--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -137,6 +137,9 @@
     case HSX_ENTRIES:
       add_entries (agent, args);
       return;
+    case HSX_EVACUATIONS:
+      hs_agent_evacuations_receive (agent, args);
+      return;
     default:
       hs_event ("protocol_error", "entry=%016" PRIx64 " procedure=%u",
                 entry->incarnation, proc);
--- a/src/direct/agent_private.h
+++ b/src/direct/agent_private.h
@@ -8,6 +8,7 @@
 #include "base/timer.h"
 #include "direct/dialer.h"
 #include "direct/entry_lookup.h"
+#include "direct/evacuations.h"
 #include "direct/process.h"
 #include "direct/runs.h"
 #include "metrics/metrics.h"
@@ -97,6 +98,7 @@
   HsRpc *rpc;
   HsDialer *dialer;
   HsRuns *runs;
+  HsEvacuations *evacuations; /**< NULL: evacuation is not in use. */
   HsTargetClient *target_client;
   HsStore *store;
   HsEntryLookup lookup; /**< Of the entries' addresses. */
@@ -170,6 +172,16 @@
 uint32_t hs_agent_links_connected_count (const HsDirectAgent *agent);
 /** @} */
 
+/** @name agent_evacuation.c: evacuations of data centres @{ */
+/** Refuses all launches until an entry has sent the evacuations, if the
+ * settings ask for that. */
+void hs_agent_evacuations_start (HsDirectAgent *agent);
+
+/** Handles EVACUATIONS of an entry. */
+void hs_agent_evacuations_receive (HsDirectAgent *agent,
+                                   const hsx_evacuations_args *args);
+/** @} */
+
 /** @name agent_target.c: the target; their argument is an HsDirectAgent @{ */
 extern const HsRunsEffects hs_direct_agent_effects;
 extern const HsTargetClientHandler hs_direct_agent_target_handler;
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -238,6 +238,7 @@
   entry->jobs
       = hs_jobs_new (entry, entry->targets, entry->settings->data_centre,
                      &JOBS_EFFECTS, entry);
+  hs_entry_evacuations_start (entry);
   self.incarnation = entry->incarnation;
   self.address = entry->settings->control_listen;
   self.data_centre = entry->settings->data_centre;
@@ -454,6 +455,7 @@
   (void) ctx;
   (void) body;
   return entry->stage == HS_ENTRY_SERVING && entry->routes != NULL
+                 && hs_entry_evacuations_allow_jobs (entry)
                  && hs_entry_links_any_ready (entry)
              ? 200
              : 503;
@@ -482,6 +484,15 @@
   return (double) hs_event_lines_dropped ();
 }
 
+static double
+read_evacuated_data_centres (void *arg)
+{
+  HsDirectEntry *entry = arg;
+
+  return entry->evacuations != NULL ? hs_evacuations_count (entry->evacuations)
+                                    : 0;
+}
+
 static void
 register_metrics (HsDirectEntry *entry)
 {
@@ -515,6 +526,9 @@
   hs_metrics_gauge (entry->metrics, "hs_direct_config_age_seconds",
                     "Since the configuration in force came.", NULL, NULL,
                     read_config_age, entry);
+  hs_metrics_gauge (entry->metrics, "hs_direct_evacuated_data_centres",
+                    "Data centres that are evacuated.", NULL, NULL,
+                    read_evacuated_data_centres, entry);
 }
 
 static unsigned int
--- a/src/direct/entry_config.c
+++ b/src/direct/entry_config.c
@@ -10,6 +10,7 @@
 #include "base/event.h"
 #include "direct/entry_private.h"
 #include "platform/configuration.h"
+#include "platform/evacuation_key.h"
 
 /** Delay before a failed read is retried. */
 #define READ_RETRY_DELAY (200 * HS_MSEC)
@@ -21,6 +22,8 @@
 #define ASK_INTERVAL (400 * HS_MSEC)
 
 static void start_read (HsDirectEntry *entry);
+static void on_evacuations_read (void *arg, const HsStoreReply *reply);
+static void read_failed (HsDirectEntry *entry, const HsStoreReply *reply);
 static void on_read (void *arg, const HsStoreReply *reply);
 static void on_watch (void *arg, const HsStoreWatchUpdate *note);
 static void apply_config (HsDirectEntry *entry,
@@ -77,31 +80,61 @@
 {
   entry->config_read_pending = true;
   entry->config_read_at = HS_NEVER;
-  hs_store_range (entry->store, HS_CONFIGURATION_KEY, 0, on_read, entry);
+  if (entry->evacuations != NULL)
+    hs_store_range (entry->store, HS_EVACUATION_PREFIX, 0, on_evacuations_read,
+                    entry);
+  else
+    hs_store_range (entry->store, HS_CONFIGURATION_KEY, 0, on_read, entry);
 }
 
+/* The evacuations are read first, and the watch follows on this read: changes
+   of the configuration that its later read includes are ignored then. */
 static void
-on_read (void *arg, const HsStoreReply *reply)
+on_evacuations_read (void *arg, const HsStoreReply *reply)
 {
   HsDirectEntry *entry = arg;
-  size_t i;
 
+  if (!hs_entry_evacuations_read (entry, reply))
+    read_failed (entry, reply);
+  else
+    hs_store_range (entry->store, HS_CONFIGURATION_KEY, 0, on_read, entry);
+}
+
+static void
+read_failed (HsDirectEntry *entry, const HsStoreReply *reply)
+{
   entry->config_read_pending = false;
+  entry->config_read_failed = true;
+  hs_event ("config_read", "outcome=failed status=%d", (int) reply->status);
+  entry->config_read_at = hs_now ().mono + READ_RETRY_DELAY;
   hs_entry_schedule (entry, false);
+}
+
+static void
+on_read (void *arg, const HsStoreReply *reply)
+{
+  HsDirectEntry *entry = arg;
+  size_t i;
+
   if (reply->status != HS_STORE_OK)
     {
-      entry->config_read_failed = true;
-      hs_event ("config_read", "outcome=failed status=%d", (int) reply->status);
-      entry->config_read_at = hs_now ().mono + READ_RETRY_DELAY;
+      read_failed (entry, reply);
       return;
     }
+  entry->config_read_pending = false;
+  hs_entry_schedule (entry, false);
   for (i = 0; i < reply->n_kvs; i++)
     if (strcmp (reply->kvs[i].key, HS_CONFIGURATION_KEY) == 0)
       apply_config (entry, reply->kvs[i].value, reply->kvs[i].value_len,
                     reply->kvs[i].mod_revision, "store");
   TALLOC_FREE (entry->config_watch);
-  entry->config_watch = hs_store_watch (entry->store, HS_CONFIGURATION_KEY,
-                                        reply->revision + 1, on_watch, entry);
+  if (entry->evacuations != NULL)
+    entry->config_watch = hs_store_watch (entry->store, HS_OPERATOR_PREFIX,
+                                          entry->evacuations_read_revision + 1,
+                                          on_watch, entry);
+  else
+    entry->config_watch = hs_store_watch (entry->store, HS_CONFIGURATION_KEY,
+                                          reply->revision + 1, on_watch, entry);
 }
 
 static void
@@ -113,6 +146,7 @@
   switch (note->kind)
     {
     case HS_STORE_WATCH_EVENTS:
+      hs_entry_evacuations_watch (entry, note);
       for (i = 0; i < note->n_events; i++)
         if (!note->events[i].deleted
             && strcmp (note->events[i].kv.key, HS_CONFIGURATION_KEY) == 0)
--- a/src/direct/entry_held_requests.c
+++ b/src/direct/entry_held_requests.c
@@ -50,7 +50,8 @@
     {
       HeldRequest *held = g_ptr_array_index (entry->held_requests, 0);
 
-      if (entry->routes == NULL && !entry->config_read_failed
+      if ((entry->routes == NULL || !hs_entry_evacuations_allow_jobs (entry))
+          && !entry->config_read_failed
           && now < held->received_at + HOLD_TIME_MAX)
         break;
       g_ptr_array_remove_index (entry->held_requests, 0);
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -98,6 +98,8 @@
     hs_entry_cancel_answer (entry, conn, call, args, hs_now ().mono);
   else if (proc == HSX_CONFIGURATION && peer != NULL)
     hs_entry_config_receive (entry, peer, args);
+  else if (proc == HSX_EVACUATIONS && peer != NULL)
+    hs_entry_evacuations_receive (entry, peer, args);
   else if (target != HS_TARGET_NONE || peer != NULL)
     {
       hs_event ("protocol_error", "procedure=%u", proc);
@@ -196,6 +198,7 @@
   hs_entry_orders_clear (&link->outbox);
   if (previous != NULL)
     hs_conn_close (previous);
+  hs_entry_evacuations_agent_connected (entry, conn);
   hs_entry_schedule (entry, false);
   return target;
 }
@@ -225,6 +228,7 @@
   send_entries (entry, conn);
   announce_peer (entry, &entry->peers[i]);
   hs_entry_config_peer_connected (entry, &entry->peers[i]);
+  hs_entry_evacuations_peer_connected (entry, &entry->peers[i]);
   hs_entry_schedule (entry, false);
 }
 
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -7,6 +7,7 @@
 
 #include "base/timer.h"
 #include "direct/dialer.h"
+#include "direct/evacuations.h"
 #include "direct/jobs.h"
 #include "direct/process.h"
 #include "direct/routes.h"
@@ -51,6 +52,8 @@
   uint64_t incarnation;
   /** Revision of the configuration that the peer last reported or was sent. */
   int64_t config_revision;
+  /** Revision of the evacuations that the peer last sent or was sent. */
+  int64_t evacuations_revision;
 } HsEntryPeer;
 
 /** Number of ended jobs whose cancelling asks no other entry. */
@@ -112,6 +115,13 @@
   uint32_t config_last_asked; /**< Index of the peer that was asked last. */
   HsTime config_read_at;      /**< When to read the store, or HS_NEVER. */
   /** @} */
+  /** @name Evacuations of data centres; entry_evacuation.c @{ */
+  HsEvacuations *evacuations;   /**< NULL: evacuation is not in use. */
+  const char *evacuations_from; /**< Where the change came from that is being
+                                     applied, for log lines. */
+  /** Of the last read of the evacuations; the watch follows on it. */
+  int64_t evacuations_read_revision;
+  /** @} */
   /** @name The entry's key in the store; entry_key.c @{ */
   int64_t key_lease;   /**< The store's lease of the key. */
   HsTime key_call_at;  /**< When the store is next called about the key. */
@@ -147,6 +157,36 @@
                               const hsx_configuration_args *args);
 /** @} */
 
+/** @name entry_evacuation.c: evacuations of data centres @{ */
+/** Prepares for evacuations, if the settings ask for that. To be called once
+ *  targets and jobs exist. */
+void hs_entry_evacuations_start (HsDirectEntry *entry);
+
+/** Whether jobs may be placed: the evacuations are known or not in use. */
+bool hs_entry_evacuations_allow_jobs (const HsDirectEntry *entry);
+
+/** Applies the reply to a read of HS_EVACUATION_PREFIX.
+ *  @return false if it isn't a complete one */
+bool hs_entry_evacuations_read (HsDirectEntry *entry,
+                                const HsStoreReply *reply);
+
+/** Applies events of a watch of the operators' keys; ignores other keys. */
+void hs_entry_evacuations_watch (HsDirectEntry *entry,
+                                 const HsStoreWatchUpdate *update);
+
+/** Sends the evacuations to an entry that has connected. */
+void hs_entry_evacuations_peer_connected (HsDirectEntry *entry,
+                                          HsEntryPeer *peer);
+
+/** Sends the evacuations to an agent that has connected. */
+void hs_entry_evacuations_agent_connected (HsDirectEntry *entry, HsConn *conn);
+
+/** Handles EVACUATIONS of another entry. */
+void hs_entry_evacuations_receive (HsDirectEntry *entry,
+                                   HsEntryPeer *peer,
+                                   const hsx_evacuations_args *args);
+/** @} */
+
 /** @name entry_held_requests.c: requests before the first configuration @{ */
 
 /** Holds a copy of a request until the first configuration is applied.
--- a/src/direct/entry_requests.c
+++ b/src/direct/entry_requests.c
@@ -39,7 +39,8 @@
   const HsRoute *route = NULL;
   const char *id;
 
-  if (entry->routes == NULL && hs_entry_held_requests_add (entry, request, now))
+  if ((entry->routes == NULL || !hs_entry_evacuations_allow_jobs (entry))
+      && hs_entry_held_requests_add (entry, request, now))
     return;
   if (entry->routes == NULL)
     {
@@ -100,6 +101,8 @@
 static const char *
 reason_to_refuse (const HsDirectEntry *entry, HsTime now)
 {
+  if (!hs_entry_evacuations_allow_jobs (entry))
+    return "no_evacuations";
   if (now < entry->resume_until)
     return "paused";
   if (entry->stage == HS_ENTRY_DRAINING
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -111,13 +111,14 @@
   return true;
 }
 
-/* Whether the agent accepted the start, which it does only if no other run of
-   the task is left on its target. */
+/* Whether the agent accepted the start, or refused it because of an evacuation,
+   which it does only if no other run of the task is left on its target. */
 static bool
 agent_took (const hsx_end *end)
 {
   return end->how != HSX_END_REFUSED || end->reason == HS_REFUSAL_TARGET
-         || end->reason == HS_REFUSAL_UNANSWERED;
+         || end->reason == HS_REFUSAL_UNANSWERED
+         || end->reason == HS_REFUSAL_EVACUATED;
 }
 
 void
@@ -170,7 +171,8 @@
                                  0, now);
           task->avoid_target = target;
         }
-      if (end->reason == HS_REFUSAL_UNANSWERED)
+      if (end->reason == HS_REFUSAL_UNANSWERED
+          || end->reason == HS_REFUSAL_EVACUATED)
         task->avoid_target = target;
       if (end->reason == HS_REFUSAL_DUPLICATE)
         {
@@ -265,7 +267,9 @@
 
       if (!job->in_use)
         continue;
-      if (job->n_starts == 0 && hs_job_is_shut_out (jobs, job))
+      if (hs_job_is_evacuated (jobs, job))
+        hs_job_give_up (jobs, job, HS_REASON_EVACUATED, now);
+      else if (job->n_starts == 0 && hs_job_is_shut_out (jobs, job))
         hs_job_give_up (jobs, job, HS_REASON_CONTAINED, now);
       else if (next_due (job) > now)
         due = MIN (due, next_due (job));
@@ -410,6 +414,11 @@
 
   hs_targets_sum_capacity (jobs->targets, job->service, &capacity_milli,
                            &free_milli, now);
+  if (hs_job_is_evacuated (jobs, job))
+    {
+      hs_job_give_up (jobs, job, HS_REASON_EVACUATED, now);
+      return;
+    }
   if (capacity_milli > 0
       && !hs_targets_can_hold (jobs->targets, job->service, &job->needs))
     {
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -72,7 +72,9 @@
   HS_REASON_CALLER_GONE,
   HS_REASON_CANCELLED,
   HS_REASON_SENT_AGAIN, /**< The job goes on for a later request. */
-  HS_REASON_ID_IN_USE   /**< Another job has its id. */
+  HS_REASON_ID_IN_USE,  /**< Another job has its id. */
+  HS_REASON_EVACUATED   /**< The targets that could run it are in evacuated
+                             data centres. */
 } HsAnswerReason;
 
 /** The name of a reason as log lines show it; a static string. */
@@ -222,6 +224,11 @@
  */
 bool hs_jobs_target_crashed (HsJobs *jobs, const hsx_crash *crash, HsTime now);
 
+/** Applies a change of the evacuated data centres: their targets get nothing
+ *  more, and jobs that have no other target are refused by the next
+ *  hs_jobs_tick(). @param evacuations as for hs_targets_set_evacuations() */
+void hs_jobs_set_evacuations (HsJobs *jobs, const HsEvacuations *evacuations);
+
 /** Starts the waiting tasks for which resources are free, in order of rank.
  *  Call it once after each batch of events. */
 void hs_jobs_dispatch (HsJobs *jobs, HsTime now);
--- a/src/direct/jobs_answer.c
+++ b/src/direct/jobs_answer.c
@@ -7,6 +7,10 @@
 #define RETRY_DEFAULT_MS 1000
 #define RETRY_MAX_MS 10000
 
+/** Retry-After while evacuations leave no target: they last for minutes, and
+ *  their ends take effect within this. */
+#define RETRY_EVACUATED_MS 5000
+
 static HsJobAnswer describe (const HsJob *job,
                              HsAnswerKind kind,
                              HsAnswerReason reason,
@@ -32,6 +36,7 @@
     [HS_REASON_CANCELLED] = "cancelled",
     [HS_REASON_SENT_AGAIN] = "sent_again",
     [HS_REASON_ID_IN_USE] = "id_in_use",
+    [HS_REASON_EVACUATED] = "evacuated",
   };
 
   return names[reason];
@@ -57,7 +62,9 @@
   answer.wait_time
       = (job->first_sent_at != 0 ? job->first_sent_at : now) - job->arrived_at;
   if (kind == HS_ANSWER_REFUSED)
-    answer.retry_after_ms = retry_delay_ms (jobs, job, now);
+    answer.retry_after_ms = reason == HS_REASON_EVACUATED
+                                ? RETRY_EVACUATED_MS
+                                : retry_delay_ms (jobs, job, now);
   for (i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state == HS_TASK_SENT)
       {
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -114,6 +114,10 @@
 bool hs_job_is_shut_out (const HsJobs *jobs, const HsJob *job);
 /** @} */
 
+/** Whether a job of which nothing has run has no target because of evacuations
+ *  (jobs_evacuation.c). */
+bool hs_job_is_evacuated (const HsJobs *jobs, const HsJob *job);
+
 /** The order of waiting jobs: value that can still be earned for each
  *  core-second of work that hasn't been started. */
 double hs_job_rank (const HsJobs *jobs, const HsJob *job, HsTime now);
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -9,6 +9,8 @@
 SRCS += src/direct/agent.c src/direct/agent_target.c src/direct/agent_links.c
 SRCS += src/direct/entry.c src/direct/entry_links.c src/direct/entry_config.c
 SRCS += src/direct/entry_cancel.c
+SRCS += src/direct/evacuations.c src/direct/entry_evacuation.c
+SRCS += src/direct/agent_evacuation.c src/direct/jobs_evacuation.c
 SRCS += src/direct/entry_orders.c
 SRCS += src/direct/entry_key.c src/direct/entry_held_requests.c \
 	src/direct/entry_requests.c
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -31,7 +31,7 @@
     [HS_REFUSAL_LEAVING] = "leaving",   [HS_REFUSAL_RESOURCES] = "room",
     [HS_REFUSAL_NO_TARGET] = "unknown", [HS_REFUSAL_TARGET] = "target",
     [HS_REFUSAL_UNANSWERED] = "lost",   [HS_REFUSAL_DUPLICATE] = "duplicate",
-    [HS_REFUSAL_DEADLINE] = "deadline",
+    [HS_REFUSAL_DEADLINE] = "deadline", [HS_REFUSAL_EVACUATED] = "evacuated",
   };
 
   return refusal < G_N_ELEMENTS (names) ? names[refusal] : "other";
@@ -234,6 +234,15 @@
   runs->effects->changed (runs->arg);
 }
 
+void
+hs_runs_set_evacuated (HsRuns *runs, bool evacuated)
+{
+  if (runs->evacuated == evacuated)
+    return;
+  runs->evacuated = evacuated;
+  runs->effects->changed (runs->arg);
+}
+
 void
 hs_runs_set_backlog (HsRuns *runs,
                      uint32_t entry,
@@ -302,7 +311,8 @@
   uint32_t left = runs->n_runs;
   uint32_t i;
 
-  if (runs->breaker_state != HS_BREAKER_CLOSED && runs->n_runs > 0)
+  if (runs->evacuated
+      || (runs->breaker_state != HS_BREAKER_CLOSED && runs->n_runs > 0))
     return none;
   for (i = 0; i < HS_RUNS_MAX && left > 0; i++)
     if (runs->runs[i].state != HS_RUN_FREE)
@@ -431,7 +441,7 @@
   hsx_room available;
   uint32_t entry;
 
-  if (hs_runs_target_state (runs) != HSX_TARGET_READY)
+  if (runs->evacuated || hs_runs_target_state (runs) != HSX_TARGET_READY)
     return HS_NEVER;
   available = free_resources (runs);
   while ((entry = hs_offers_make_next (&runs->offers, &available, now))
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -31,7 +31,9 @@
   HS_REFUSAL_TARGET,     /**< The target refused the start or is lost. */
   HS_REFUSAL_UNANSWERED, /**< No answer; fenced, so that it never starts. */
   HS_REFUSAL_DUPLICATE,  /**< This task runs here already. */
-  HS_REFUSAL_DEADLINE    /**< The job's deadline has passed. */
+  HS_REFUSAL_DEADLINE,   /**< The job's deadline has passed. */
+  HS_REFUSAL_EVACUATED   /**< The target's data centre is evacuated, or whether
+                              it is isn't known yet. */
 } HsRefusal;
 
 /** What showed that a run is over. */
@@ -191,6 +193,11 @@
 /** Refuses all launches from now on. */
 void hs_runs_drain (HsRuns *runs);
 
+/** Sets whether the target's data centre is evacuated: then all launches are
+ *  refused, nothing is offered, and start calls aren't repeated. What runs goes
+ *  on. */
+void hs_runs_set_evacuated (HsRuns *runs, bool evacuated);
+
 /** The result of a start call. */
 void hs_runs_start_done (HsRuns *runs,
                          uint32_t run,
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -91,7 +91,8 @@
   const HsRunsEffects *effects;
   void *arg;
   bool announced;
-  bool draining; /**< The agent itself. */
+  bool draining;  /**< The agent itself. */
+  bool evacuated; /**< The target's data centre. */
   HsAnnouncement target;
   uint32_t endpoint;         /**< Counts the targets that were announced. */
   int64_t listed_started_ms; /**< Start of the incarnation that sent the last
--- a/src/direct/runs_start.c
+++ b/src/direct/runs_start.c
@@ -144,7 +144,8 @@
   if (!may_call_again (runs, run, now))
     hs_run_end (runs, run,
                 run->stop_requested ? HSX_END_STOPPED : HSX_END_REFUSED,
-                HS_REFUSAL_TARGET, HS_EVIDENCE_ANSWER, now);
+                runs->evacuated ? HS_REFUSAL_EVACUATED : HS_REFUSAL_TARGET,
+                HS_EVIDENCE_ANSWER, now);
   else
     hs_run_call_start (runs, run, now);
 }
@@ -197,6 +198,8 @@
           && strcmp (run->key.job, key->job) == 0)
         return HS_REFUSAL_DUPLICATE;
     }
+  if (runs->evacuated)
+    return HS_REFUSAL_EVACUATED;
   if (now - sent > ORDER_AGE_MAX)
     return HS_REFUSAL_STALE;
   switch (hs_runs_target_state (runs))
@@ -246,7 +249,8 @@
 static bool
 may_call_again (const HsRuns *runs, const HsRun *run, HsTime now)
 {
-  return !run->stop_requested && run->n_start_calls < START_CALLS_MAX
+  return !run->stop_requested && !runs->evacuated
+         && run->n_start_calls < START_CALLS_MAX
          && now < run->first_called_at + START_CALLS_SPAN && now < run->deadline
          && runs->list_known;
 }
--- a/src/direct/service_rate.c
+++ b/src/direct/service_rate.c
@@ -27,6 +27,12 @@
     *rate = (HsServiceRate){ 0 };
 }
 
+void
+hs_service_rate_scale (HsServiceRate *rate, double factor)
+{
+  rate->sum_milli *= factor;
+}
+
 double
 hs_service_rate_per_s (const HsServiceRate *rate, HsTime now)
 {
--- a/src/direct/service_rate.h
+++ b/src/direct/service_rate.h
@@ -29,6 +29,9 @@
  *  rate that falls means that the targets are stuck. */
 void hs_service_rate_idle (HsServiceRate *rate, HsTime now);
 
+/** Multiplies the rate, as the targets have changed by this factor. */
+void hs_service_rate_scale (HsServiceRate *rate, double factor);
+
 /** Thousandths of a core placed in a second; 0 if not known yet. */
 double hs_service_rate_per_s (const HsServiceRate *rate, HsTime now);
 
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -97,6 +97,8 @@
   target->orders_sent = 0;
   target->state = HSX_TARGET_UNKNOWN;
   g_strlcpy (target->data_centre, data_centre, sizeof target->data_centre);
+  target->evacuated
+      = !hs_evacuations_may_start (targets->evacuations, data_centre);
   drop_acknowledged (&targets->rows[i], UINT32_MAX);
   return i;
 }
@@ -226,6 +228,59 @@
     }
 }
 
+void
+hs_targets_set_evacuations (HsTargets *targets,
+                            const HsEvacuations *evacuations)
+{
+  bool changed = false;
+  uint32_t i;
+
+  targets->evacuations = evacuations;
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      HsTarget *target = &targets->rows[i].target;
+      bool evacuated
+          = target->in_use
+            && !hs_evacuations_may_start (evacuations, target->data_centre);
+
+      changed |= evacuated != target->evacuated;
+      target->evacuated = evacuated;
+    }
+  for (i = 0; changed && i < targets->n_rows; i++)
+    if (targets->rows[i].target.in_use)
+      hs_targets_choose_reserve (targets, targets->rows[i].target.service);
+}
+
+bool
+hs_targets_are_evacuated (const HsTargets *targets,
+                          const char *service,
+                          const hsx_room *needs)
+{
+  uint32_t n_evacuated = 0;
+  uint32_t n_others = 0;
+  bool would_hold = false;
+  uint32_t i;
+
+  /* Usual, and asked for each waiting job. */
+  if (hs_evacuations_may_start_anywhere (targets->evacuations))
+    return false;
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+      bool fits;
+
+      if (!target->in_use || strcmp (target->service, service) != 0)
+        continue;
+      fits = hs_resources_fit (&target->capacity, needs);
+      if (!target->evacuated && fits)
+        return false;
+      n_evacuated += target->evacuated;
+      n_others += !target->evacuated;
+      would_hold |= target->evacuated && fits;
+    }
+  return would_hold || (n_evacuated > 0 && n_others == 0);
+}
+
 hsx_room
 hs_targets_free_resources (const HsTargets *targets,
                            uint32_t handle,
@@ -234,7 +289,7 @@
   const HsTarget *target = &targets->rows[handle].target;
   hsx_room free_now = { 0 };
 
-  if (!target->in_use || !target->connected
+  if (!target->in_use || !target->connected || target->evacuated
       || target->state != HSX_TARGET_READY)
     return free_now;
   switch (hs_health_state (targets->health, handle))
@@ -274,7 +329,8 @@
     {
       const HsTarget *target = &targets->rows[i].target;
 
-      if (target->in_use && strcmp (target->service, service) == 0
+      if (target->in_use && !target->evacuated
+          && strcmp (target->service, service) == 0
           && hs_resources_fit (&target->capacity, needs))
         return true;
     }
@@ -349,7 +405,7 @@
 
       if (!target->in_use || strcmp (target->service, service) != 0)
         continue;
-      if (target->state == HSX_TARGET_READY)
+      if (target->state == HSX_TARGET_READY && !target->evacuated)
         *capacity_milli += target->capacity.cpu_milli;
       *free_milli += hs_targets_free_resources (targets, i, now).cpu_milli;
     }
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -17,6 +17,7 @@
 #include <talloc.h>
 
 #include "base/time.h"
+#include "direct/evacuations.h"
 #include "policy/health.h"
 #include "proto/hspoke.h"
 
@@ -63,6 +64,7 @@
   bool reserve;     /**< In HS_TARGETS_RESERVE. Entries that know the same
                          targets agree on it. */
   bool crashed;     /**< And isn't ready again. */
+  bool evacuated;   /**< Nothing may be started in its data centre. */
   double slowdown;  /**< Mean ratio of run time to expected run time; 1 if as
                         expected. */
 } HsTarget;
@@ -98,6 +100,17 @@
 /** One above the highest handle. */
 uint32_t hs_targets_table_size (const HsTargets *targets);
 
+/** Applies the evacuations, and keeps them for targets that connect later. To
+ *  be called again after each change. @param evacuations NULL: none */
+void hs_targets_set_evacuations (HsTargets *targets,
+                                 const HsEvacuations *evacuations);
+
+/** Whether a task has no target because of evacuations: one that could hold it
+ *  is evacuated, or all of the service are, and no other one could hold it. */
+bool hs_targets_are_evacuated (const HsTargets *targets,
+                               const char *service,
+                               const hsx_room *needs);
+
 /** Updates free resources, state and description from a report. */
 void hs_targets_apply_report (HsTargets *targets,
                               uint32_t target,
@@ -143,7 +156,8 @@
                                     uint32_t target,
                                     HsTime now);
 
-/** Whether the capacity of any target of a service is enough for @p needs. */
+/** Whether the capacity of any target of a service that isn't evacuated is
+ *  enough for @p needs. */
 bool hs_targets_can_hold (const HsTargets *targets,
                           const char *service,
                           const hsx_room *needs);
--- a/src/direct/targets_groups.c
+++ b/src/direct/targets_groups.c
@@ -84,7 +84,9 @@
 }
 
 /* The reserve is made of the targets whose hosts have the lowest hashes, so
-   that entries which know different targets choose nearly the same. */
+   that entries which know different targets choose nearly the same. An
+   evacuated target keeps its group for what still runs there; another one
+   takes its place. */
 void
 hs_targets_choose_reserve (HsTargets *targets, const char *service)
 {
@@ -99,7 +101,7 @@
       const HsTarget *target = &targets->rows[i].target;
       HsCandidate candidate = { 0 };
 
-      if (!is_of_service (target, service))
+      if (!is_of_service (target, service) || target->evacuated)
         continue;
       candidate.hash = hs_rendezvous_hash (service, target->host);
       g_array_append_val (candidates, candidate);
@@ -111,7 +113,7 @@
     {
       HsTarget *target = &targets->rows[i].target;
 
-      if (is_of_service (target, service))
+      if (is_of_service (target, service) && !target->evacuated)
         target->reserve = g_array_index (candidates, HsCandidate, n++).chosen;
     }
 }
@@ -129,7 +131,8 @@
   for (i = 0; i < targets->n_rows; i++)
     {
       const HsTarget *target = &targets->rows[i].target;
-      bool ready = target->connected && target->state == HSX_TARGET_READY;
+      bool ready = target->connected && !target->evacuated
+                   && target->state == HSX_TARGET_READY;
 
       if (!is_of_service (target, service))
         continue;
--- a/src/direct/targets_private.h
+++ b/src/direct/targets_private.h
@@ -42,6 +42,7 @@
   uint64_t last_serial;
   HsHealth *health;
   GRand *random;
+  const HsEvacuations *evacuations; /* NULL: not in use. */
   double contention; /* Level of recent refusals at contention_at, 0 to 1. */
   HsTime contention_at;
   /** Of the targets of each service; 0 of them after a change. */
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -31,6 +31,7 @@
 #define HSX_ENTRIES_MAX 256
 #define HSX_CONFIGURATION_MAX 4194304
 #define HSX_CRASH_TASKS_MAX 64
+#define HSX_EVACUATIONS_MAX 1024
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -591,6 +592,17 @@
 };
 typedef struct hsx_cancel_job_reply hsx_cancel_job_reply;
 
+typedef char *hsx_data_centre;
+
+struct hsx_evacuations_args {
+	int64_t revision;
+	struct {
+		u_int data_centres_len;
+		hsx_data_centre *data_centres_val;
+	} data_centres;
+};
+typedef struct hsx_evacuations_args hsx_evacuations_args;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -658,6 +670,9 @@
 #define HSX_CANCEL_JOB 20
 extern  enum clnt_stat hsx_cancel_job_1(hsx_cancel_job_args , hsx_cancel_job_reply *, CLIENT *);
 extern  bool_t hsx_cancel_job_1_svc(hsx_cancel_job_args , hsx_cancel_job_reply *, struct svc_req *);
+#define HSX_EVACUATIONS 22
+extern  enum clnt_stat hsx_evacuations_1(hsx_evacuations_args , void *, CLIENT *);
+extern  bool_t hsx_evacuations_1_svc(hsx_evacuations_args , void *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -724,6 +739,9 @@
 #define HSX_CANCEL_JOB 20
 extern  enum clnt_stat hsx_cancel_job_1();
 extern  bool_t hsx_cancel_job_1_svc();
+#define HSX_EVACUATIONS 22
+extern  enum clnt_stat hsx_evacuations_1();
+extern  bool_t hsx_evacuations_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -792,6 +810,8 @@
 extern  bool_t xdr_hsx_crash_args (XDR *, hsx_crash_args*);
 extern  bool_t xdr_hsx_cancel_job_args (XDR *, hsx_cancel_job_args*);
 extern  bool_t xdr_hsx_cancel_job_reply (XDR *, hsx_cancel_job_reply*);
+extern  bool_t xdr_hsx_data_centre (XDR *, hsx_data_centre*);
+extern  bool_t xdr_hsx_evacuations_args (XDR *, hsx_evacuations_args*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -856,6 +876,8 @@
 extern bool_t xdr_hsx_crash_args ();
 extern bool_t xdr_hsx_cancel_job_args ();
 extern bool_t xdr_hsx_cancel_job_reply ();
+extern bool_t xdr_hsx_data_centre ();
+extern bool_t xdr_hsx_evacuations_args ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -23,6 +23,7 @@
 const HSX_ENTRIES_MAX = 256;
 const HSX_CONFIGURATION_MAX = 4194304;
 const HSX_CRASH_TASKS_MAX = 64;
+const HSX_EVACUATIONS_MAX = 1024;
 
 /* Role of a process on a connection. */
 enum hsx_role {
@@ -488,6 +489,16 @@
 	bool cancelled;
 };
 
+/*
+ * EVACUATIONS, one-way, entry to entry and entry to agent: all data centres in
+ * which no task may be started, complete up to a revision of the store.
+ */
+typedef string hsx_data_centre<HSX_NAME_MAX>;
+struct hsx_evacuations_args {
+	int64_t revision;
+	hsx_data_centre data_centres<HSX_EVACUATIONS_MAX>;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -511,5 +522,6 @@
 		void HSX_CONFIGURATION(hsx_configuration_args) = 18;
 		void HSX_CRASH(hsx_crash_args) = 19;
 		hsx_cancel_job_reply HSX_CANCEL_JOB(hsx_cancel_job_args) = 20;
+		void HSX_EVACUATIONS(hsx_evacuations_args) = 22;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -988,3 +988,26 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_data_centre (XDR *xdrs, hsx_data_centre *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, HSX_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_evacuations_args (XDR *xdrs, hsx_evacuations_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int64_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->data_centres.data_centres_val, (u_int *) &objp->data_centres.data_centres_len, HSX_EVACUATIONS_MAX,
+		sizeof (hsx_data_centre), (xdrproc_t) xdr_hsx_data_centre))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -34,6 +34,7 @@
   [HSX_CRASH] = ONE_WAY ("crash", hsx_crash_args),
   [HSX_CANCEL_JOB]
   = PROC ("cancel_job", hsx_cancel_job_args, hsx_cancel_job_reply),
+  [HSX_EVACUATIONS] = ONE_WAY ("evacuations", hsx_evacuations_args),
 };
 
 const HsProc *
--- a/src/proto/procs.h
+++ b/src/proto/procs.h
@@ -10,7 +10,7 @@
 #include "proto/hspoke.h"
 
 /** One more than the highest procedure number. */
-#define HS_PROC_COUNT 21
+#define HS_PROC_COUNT 23
 
 typedef struct
 {
