Test: evacuations with real processes

The stand-in store deletes operators' keys (DELETE /op/KEY), and the cluster's settings have evacuate_ms if a test asks for it; other tests run without it, as before.

--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -154,10 +154,14 @@
 write_settings (const Cluster *c, ClusterKind kind, unsigned int i, char *path)
 {
   char seeds[256];
+  char evacuate[40] = "";
   FILE *f;
 
   g_snprintf (path, 300, "%s/%s%u.json", c->dir, KIND_NAMES[kind], i);
   format_seeds (c, seeds, sizeof seeds);
+  if (c->evacuate_ms > 0)
+    g_snprintf (evacuate, sizeof evacuate, ",\"evacuate_ms\":%u",
+                c->evacuate_ms);
   f = fopen (path, "w");
   if (f == NULL)
     abort ();
@@ -165,9 +169,9 @@
            "{\"cluster_key\":\"0123456789-%08d\",\"platform\":{"
            "\"node_name\":\"%s%u\",\"ip\":\"127.0.0.1\",\"zone\":\"z%u\","
            "\"seeds\":[%s],\"bounds\":{\"grace_s\":6,\"max_hold_ms\":1000,"
-           "\"stop_timeout_ms\":50,\"resend_ms\":1300},"
+           "\"stop_timeout_ms\":50,\"resend_ms\":1300%s},"
            "\"platform\":{\"address\":\"%s\"},",
-           (int) getpid (), KIND_NAMES[kind], i, i % 3, seeds,
+           (int) getpid (), KIND_NAMES[kind], i, i % 3, seeds, evacuate,
            c->store_dial_address);
   if (kind == CLUSTER_ENTRY)
     fprintf (f,
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -29,7 +29,9 @@
   char build[256]; /**< Where the programs are. */
   unsigned int n_entries;
   unsigned int n_agents;
-  unsigned int cpu_milli;                           /**< Of each target. */
+  unsigned int cpu_milli; /**< Of each target. */
+  /** In the settings, if not 0; evacuation is then in use. */
+  unsigned int evacuate_ms;
   pid_t pids[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX]; /**< 0: not running. */
   /** Listen addresses; of entries, those for callers. */
   char addresses[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX][32];
--- a/test/standin/platform_store.c
+++ b/test/standin/platform_store.c
@@ -1,8 +1,8 @@
 /**
  * @file
  * standin-platform-store: stands in for the key-value store of the users'
- * platform and speaks its protocol. POST /fault injects faults; PUT /op/KEY
- * writes a key on behalf of the operators.
+ * platform and speaks its protocol. POST /fault injects faults; PUT and DELETE
+ * /op/KEY write and delete a key on behalf of the operators.
  */
 #include <inttypes.h>
 #include <signal.h>
@@ -321,7 +321,8 @@
 static void
 operator_write (Store *store, HsStandinRequest *request)
 {
-  HsKvOp op = { .kind = HS_KV_PUT,
+  bool deletes = strcmp (request->method, "DELETE") == 0;
+  HsKvOp op = { .kind = deletes ? HS_KV_DELETE : HS_KV_PUT,
                 .range = { request->path + 1, NULL },
                 .value = request->body,
                 .value_len = request->len };
@@ -340,7 +341,8 @@
   hs_kv_expire_leases (store->kv, hs_now ().mono);
   if (strcmp (path, "/fault") == 0)
     set_faults (store, request);
-  else if (strcmp (request->method, "PUT") == 0
+  else if ((strcmp (request->method, "PUT") == 0
+            || strcmp (request->method, "DELETE") == 0)
            && g_str_has_prefix (path, "/op/"))
     operator_write (store, request);
   else if (store->unresponsive)
