Store: test watched keys without a value

An event of a key without a value was left out of a watch's response, unlike in a range, so that an evacuation could be missed: the value of its key is unspecified.

--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -457,6 +457,25 @@
   assert_false (hs_store_platform_decode_events (ctx, 200, "{}", 2, &line));
 }
 
+/* Guards against changes that are lost: the value of some keys, as of those
+   that evacuate a data centre, is unspecified. */
+static void
+a_watched_key_without_a_value_is_read (void **state)
+{
+  static const char text[] = "{\"events\":[{\"key\":\"a\",\"revision\":412},"
+                             "{\"key\":\"b\",\"value\":null,\"revision\":413}],"
+                             "\"current_rev\":420}";
+  HsStoreWatchResponse line = { 0 };
+
+  (void) state;
+  assert_true (
+      hs_store_platform_decode_events (ctx, 200, text, strlen (text), &line));
+  assert_int_equal (line.n_events, 2);
+  assert_string_equal (line.events[0].kv.key, "a");
+  assert_string_equal (line.events[1].kv.value, "");
+  assert_int_equal (line.events[1].kv.mod_revision, 413);
+}
+
 int
 main (void)
 {
@@ -482,6 +501,7 @@
     TEST (odd_records_hold_up_no_others),
     TEST (reply_status_tells_whether_a_write_was_applied),
     TEST (watch_events_are_read),
+    TEST (a_watched_key_without_a_value_is_read),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
