Direct: don't ask evacuated agents for resources

An entry asks at most 16 agents at a time for resources. Those of an evacuated data centre have none to offer, and held up to all of these places. They aren't asked any more, and those that were asked before get an empty backlog with the next orders.

Ruled out: clearing backlog_sent when an evacuation begins; the agent would keep the old backlog and make an offer for it when the evacuation ends.

--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -98,8 +98,10 @@
       if (link->outbox.ctx != NULL || link->offer_unanswered
           || now >= link->orders_sent_at + HS_HEARTBEAT_INTERVAL)
         send_orders (entry, i,
-                     link->backlog_sent ? backlog_of (entry, &backlogs, i)
-                                        : &no_backlog,
+                     link->backlog_sent
+                             && !hs_targets_get (entry->targets, i)->evacuated
+                         ? backlog_of (entry, &backlogs, i)
+                         : &no_backlog,
                      now);
       due = MIN (due, link->orders_sent_at + HS_HEARTBEAT_INTERVAL);
     }
@@ -156,7 +158,7 @@
                                                           : &backlogs->common;
 }
 
-/* Reports the backlog to some agents, in round-robin order.
+/* Reports the backlog to some agents that may be used, in round-robin order.
    @reserve: to those of the reserve, or to the others */
 static void
 send_backlog (HsDirectEntry *entry,
@@ -178,6 +180,7 @@
       uint32_t k = entry->next_backlog_agent++ % entry->n_links;
 
       if (entry->links[k].conn == NULL || entry->links[k].backlog_sent
+          || hs_targets_get (entry->targets, k)->evacuated
           || hs_targets_get (entry->targets, k)->reserve != reserve)
         continue;
       entry->links[k].backlog_sent = true;
