--- a/test/part.mk
+++ b/test/part.mk
@@ -1,6 +1,6 @@
 # Objects and programs that test programs need in addition.
 $(B)/test/test_owner $(B)/test/test_owner_crashes $(B)/test/test_owner_faults $(B)/test/test_retention $(B)/test/test_takeover $(B)/test/test_handover $(B)/test/test_partition_view $(B)/test/test_hostile: $(B)/test/owner_fixture.o
-$(B)/test/test_direct_jobs $(B)/test/test_direct_jobs_crash: $(B)/test/jobs_fixture.o
+$(B)/test/test_direct_jobs $(B)/test/test_direct_jobs_crash $(B)/test/test_direct_evacuations: $(B)/test/jobs_fixture.o
 $(B)/test/test_direct_runs $(B)/test/test_direct_runs_lease $(B)/test/test_direct_runs_random: $(B)/test/target_model.o
 $(B)/test/test_store_client: $(B)/test/soak/proxy.o
 $(B)/test/test_direct_path: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -31,6 +31,7 @@
 static char crash_customer[16];
 static uint32_t n_reports;
 static uint32_t n_ends_reported;
+static HsRefusal last_end_reason;
 static uint32_t whole_report;  /* Number of the last one that lists all. */
 static int64_t lease_until_ms; /* The target's clock is 0 in setup(). */
 
@@ -157,7 +158,7 @@
   (void) arg;
   (void) entry;
   (void) key;
-  (void) end;
+  last_end_reason = (HsRefusal) end->reason;
 }
 
 static void
@@ -217,11 +218,18 @@
   hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &orders);
 }
 
-static int
-setup (void **state)
+static void
+setup_runs (void)
 {
   HsRunsOptions options
       = { .lease = HS_LEASE_MAX, .stop_timeout = 50 * HS_MSEC };
+
+  agent->runs = hs_runs_new (agent, &options, 100, &EFFECTS, agent);
+}
+
+static int
+setup (void **state)
+{
   HsTime now = hs_now ().mono;
 
   (void) state;
@@ -234,7 +242,7 @@
   settings.host = (char *) "h";
   agent->incarnation = AGENT;
   agent->dialer = hs_dialer_new (agent, NULL, NULL);
-  agent->runs = hs_runs_new (agent, &options, 100, &EFFECTS, agent);
+  setup_runs ();
   hello = (hsx_hello){ .role = HSX_ROLE_ENTRY,
                        .incarnation = ENTRY,
                        .address = (char *) "10.0.0.1:7000",
@@ -620,6 +628,58 @@
   assert_int_equal (n_to_pass_on, 2);
 }
 
+static void
+receive_evacuations (int64_t revision, const char *data_centre)
+{
+  char *names[] = { (char *) data_centre };
+  hsx_evacuations_args args
+      = { .revision = revision,
+          .data_centres = { data_centre != NULL, names } };
+
+  hs_agent_links_handle_call (agent, conn (), HSX_EVACUATIONS, &args);
+}
+
+/* Guards against starts by an agent that has just come up, and by one that
+   hears of the evacuations of slower entries later. */
+static void
+an_agent_starts_nothing_before_it_knows_the_newest_evacuations (void **state)
+{
+  HsTime now = hs_now ().mono;
+
+  (void) state;
+  hs_runs_entry_lost (agent->runs, 0, now);
+  talloc_free (agent->runs);
+  setup_runs ();
+  settings.evacuation_limit = 5 * HS_SEC;
+  settings.data_centre = (char *) "dc1";
+  hs_agent_evacuations_start (agent);
+  announce_target (now);
+  send_launch (now);
+  assert_int_equal (hs_runs_count (agent->runs), 0);
+  assert_int_equal (last_end_reason, HS_REFUSAL_EVACUATED);
+  assert_int_equal (hs_runs_available (agent->runs, 0, now).cpu_milli, 0);
+  receive_evacuations (5, "dc1");
+  receive_evacuations (4, NULL);
+  send_launch (now);
+  assert_int_equal (hs_runs_count (agent->runs), 0);
+  receive_evacuations (6, "dc2");
+  send_launch (now);
+  assert_int_equal (hs_runs_count (agent->runs), 1);
+  settings.evacuation_limit = 0;
+}
+
+/* Guards against connections that are closed where only the entry's settings
+   have the key. */
+static void
+evacuations_are_ignored_where_they_are_not_in_use (void **state)
+{
+  (void) state;
+  receive_evacuations (5, "dc1");
+  assert_int_equal (n_closed, 0);
+  assert_int_equal (
+      hs_runs_available (agent->runs, 0, hs_now ().mono).cpu_milli, 3000);
+}
+
 int
 main (void)
 {
@@ -642,6 +702,8 @@
     TEST (a_changed_capacity_is_reported_to_the_entries),
     TEST (a_crash_is_reported_once_on_each_connection),
     TEST (a_crash_is_passed_on_where_not_all_entries_are_connected),
+    TEST (an_agent_starts_nothing_before_it_knows_the_newest_evacuations),
+    TEST (evacuations_are_ignored_where_they_are_not_in_use),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -36,6 +36,7 @@
 static uint32_t n_stops;
 static hsx_end ends[64];
 static uint32_t n_ends;
+static uint32_t n_offers;
 static HsCrash last_crash;
 static uint32_t n_crashes;
 
@@ -93,6 +94,7 @@
 {
   (void) arg;
   (void) entry;
+  n_offers++;
 }
 
 static void
@@ -255,7 +257,7 @@
 {
   (void) state;
   now = 1000 * HS_SEC;
-  n_starts = n_polls = n_stops = n_ends = n_crashes = 0;
+  n_starts = n_polls = n_stops = n_ends = n_crashes = n_offers = 0;
   ctx = talloc_new (NULL);
   hs_target_model_init (&model, now);
   start_agent (HS_SEC, FIRST_TOKEN);
@@ -2003,6 +2005,79 @@
   assert_int_equal (n_crashes, 0);
 }
 
+/* Guards against starts by orders that were sent before the evacuation, also on
+   an offer, and against tasks that it stops. */
+static void
+an_evacuation_refuses_launches_and_lets_tasks_end (void **state)
+{
+  hsx_want backlog = { 1, { CPU, 10, 0 }, 1 };
+  hsx_want needs_nothing = { 2, { 0, 0, 0 }, 1 };
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  hs_runs_set_backlog (runs, 0, &backlog, now);
+  advance (0);
+  assert_int_equal (n_offers, 1);
+  hs_runs_set_evacuated (runs, true);
+  assert_int_equal (hs_runs_available (runs, 0, now).cpu_milli, 0);
+  launch ("b", 0, 8);
+  launch ("a", 0, 9);
+  assert_int_equal (n_starts, 0);
+  assert_int_equal (ends[0].reason, HS_REFUSAL_EVACUATED);
+  assert_int_equal (ends[1].reason, HS_REFUSAL_DUPLICATE);
+  hs_runs_set_backlog (runs, 1, &needs_nothing, now);
+  advance (200 * HS_MSEC);
+  assert_int_equal (n_offers, 1);
+  answer_polls ();
+  assert_int_equal (n_stops, 0);
+  assert_int_equal (n_ends, 3);
+  assert_int_equal (ends[2].how, HSX_END_DONE);
+  hs_runs_set_evacuated (runs, false);
+  advance (0);
+  assert_int_equal (n_offers, 3);
+  launch ("b", 0, 8);
+  assert_int_equal (n_starts, 1);
+}
+
+/* Guards against a start in an evacuated data centre by the repetition of one
+   that got no answer. */
+static void
+an_evacuated_target_gets_no_start_again (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_runs_set_evacuated (runs, true);
+  hs_runs_start_done (runs, call.run, HS_TARGET_UNANSWERED, now);
+  assert_int_equal (n_starts, 0);
+  advance (20 * HS_MSEC);
+  answer_polls ();
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_REFUSED);
+  assert_int_equal (ends[0].reason, HS_REFUSAL_UNANSWERED);
+}
+
+/* The same of one that the target certainly didn't carry out; this isn't a
+   fault of the target. */
+static void
+an_evacuated_target_is_not_blamed_for_a_start_that_was_fenced (void **state)
+{
+  StartCall call;
+
+  (void) state;
+  launch ("a", 0, 7);
+  call = pop_start ();
+  hs_runs_set_evacuated (runs, true);
+  hs_runs_start_done (runs, call.run, HS_TARGET_FENCED, now);
+  assert_int_equal (n_starts, 0);
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].how, HSX_END_REFUSED);
+  assert_int_equal (ends[0].reason, HS_REFUSAL_EVACUATED);
+}
+
 int
 main (void)
 {
@@ -2042,6 +2117,9 @@
     TEST (a_late_list_of_an_earlier_incarnation_is_ignored),
     TEST (announcements_out_of_order_are_ignored),
     TEST (a_leaving_target_refuses_launches),
+    TEST (an_evacuation_refuses_launches_and_lets_tasks_end),
+    TEST (an_evacuated_target_gets_no_start_again),
+    TEST (an_evacuated_target_is_not_blamed_for_a_start_that_was_fenced),
     TEST (a_stale_order_is_refused),
     TEST (tasks_of_a_lost_entry_are_stopped_without_a_report),
     TEST (the_lease_is_not_renewed_while_the_run_of_a_lost_entry_goes_on),
