--- a/test/test_platform_settings.c
+++ b/test/test_platform_settings.c
@@ -47,6 +47,39 @@
   talloc_free (s);
 }
 
+/* Guards against evacuations that are in use where the platform doesn't ask for
+   them. */
+static void
+evacuation_is_in_use_only_with_its_bound (void **state)
+{
+  static const struct
+  {
+    const char *bounds;
+    HsTime limit;
+  } cases[] = {
+    { "{}", 0 },
+    { "{\"evacuate_ms\":0}", 0 },
+    { "{\"evacuate_ms\":5000}", 5 * HS_SEC },
+  };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autofree char *text = g_strdup_printf (
+          "{" OWN_KEYS "\"platform\":{\"node_name\":\"e1\",\"ip\":\"1.1.1.1\","
+          "\"zone\":\"z\",\"listen_addrs\":{\"control\":\"1.1.1.1:1\"},"
+          "\"platform\":{\"address\":\"1.1.1.1:2\"},\"bounds\":%s}}",
+          cases[i].bounds);
+      HsPlatformSettings *s = parse (text, &error);
+
+      assert_non_null (s);
+      assert_int_equal (s->evacuation_limit, cases[i].limit);
+      talloc_free (s);
+    }
+}
+
 static void
 invalid_settings_are_rejected_with_the_key (void **state)
 {
@@ -81,6 +114,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (rendered_platform_settings_are_read),
+    cmocka_unit_test (evacuation_is_in_use_only_with_its_bound),
     cmocka_unit_test (invalid_settings_are_rejected_with_the_key),
   };
 
