Direct: use targets that warm up last

When a data centre comes back its targets may be cold; announcements have warmup_left_ms, which was not read. REPORT carries the time left (hsx_report_args.warmup_left_ms, a changed struct; codec generated anew). Entries choose such a target after all others, don't learn its speed from runs that began before it was warm, and give these no limit as slow runs. An odd value counts as 0: the target is not refused for it. Longer than 600 s counts as 600 s.

Ruled out: the field in hsx_target_info, which is sent once for each target; leaving cold targets out, as they are better than none.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -454,7 +454,9 @@
           .orders_seen = entry->orders_seen,
           .state = hs_runs_target_state (agent->runs),
           .free = hs_runs_available (agent->runs, entry_index, now),
-          .offer = entry->offer_due };
+          .offer = entry->offer_due,
+          .warmup_left_ms
+          = (unsigned int) (hs_runs_warmup_left (agent->runs, now) / HS_MSEC) };
   uint64_t held[HSX_RECORDS_MAX];
   const HsCrash *crash = unsent_crash (agent, entry, now);
   HsCrashMessage crash_message;
--- a/src/direct/agent_target.c
+++ b/src/direct/agent_target.c
@@ -233,10 +233,11 @@
   if (!same || !same_capacity || was_leaving != announcement->leaving)
     hs_event (
         "target",
-        "name=%s born=%" PRId64 " sequence=%" PRIu64 " state=%s cpu_milli=%u",
+        "name=%s born=%" PRId64 " sequence=%" PRIu64 " state=%s cpu_milli=%u "
+        "warmup_left_ms=%" PRId64,
         hs_event_sanitise (announcement->name, name), announcement->started_ms,
         announcement->sequence, announcement->leaving ? "leaving" : "ready",
-        announcement->capacity.cpu_milli);
+        announcement->capacity.cpu_milli, announcement->warmup_left / HS_MSEC);
   if (!same)
     {
       hs_target_client_set_endpoint (agent->target_client,
--- a/src/direct/jobs_place.c
+++ b/src/direct/jobs_place.c
@@ -102,7 +102,8 @@
   uint32_t number;
 
   launch_task.attempt = ++task->attempt;
-  launch_task.slow_ms = slow_threshold_ms (jobs, job, task);
+  if (now >= row->warm_at)
+    launch_task.slow_ms = slow_threshold_ms (jobs, job, task);
   number = jobs->effects->launch (jobs->arg, target, &launch, &launch_task);
   if (number == 0)
     return false;
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -140,6 +140,7 @@
   runs->target_lost = false;
   runs->target_left = false;
   runs->target = *announcement;
+  runs->warm_at = now + announcement->warmup_left;
   runs->announced = true;
   if (!same)
     {
@@ -152,6 +153,12 @@
   return true;
 }
 
+HsTime
+hs_runs_warmup_left (const HsRuns *runs, HsTime now)
+{
+  return MAX (runs->warm_at - now, 0);
+}
+
 void
 hs_runs_target_left (HsRuns *runs, const char *name, HsTime now)
 {
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -226,6 +226,9 @@
 /** The resources that an entry would be granted if it launched tasks now. */
 hsx_room hs_runs_available (const HsRuns *runs, uint32_t entry, HsTime now);
 
+/** Time until the target has warmed up, as it announced last; 0: it has. */
+HsTime hs_runs_warmup_left (const HsRuns *runs, HsTime now);
+
 hsx_target_state hs_runs_target_state (const HsRuns *runs);
 
 /** Why the target isn't ready, as a word for log lines. */
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -94,6 +94,7 @@
   bool draining;  /**< The agent itself. */
   bool evacuated; /**< The target's data centre. */
   HsAnnouncement target;
+  HsTime warm_at;            /**< When it has warmed up, by that. */
   uint32_t endpoint;         /**< Counts the targets that were announced. */
   int64_t listed_started_ms; /**< Start of the incarnation that sent the last
                                   list; 0: none. */
--- a/src/direct/target.h
+++ b/src/direct/target.h
@@ -100,6 +100,7 @@
   int64_t started_ms; /**< Start of the incarnation; 0: not reported. */
   uint64_t sequence;  /**< Rises within an incarnation. */
   hsx_room capacity;
+  HsTime warmup_left; /**< Until then its runs are slower than usual. */
 } HsAnnouncement;
 
 #endif
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -22,6 +22,10 @@
 /** A target in another data centre is rated as slower by this. */
 #define REMOTE_PENALTY 0.04
 
+/** A target that hasn't warmed up is rated as slower by this, so that all
+ * others go before it. */
+#define COLD_PENALTY 100.0
+
 /** Bound on the random part of a rating, so that entries with the same view
  *  don't all choose the same target. */
 #define RANDOM_WEIGHT 0.1
@@ -170,6 +174,10 @@
   target->crashed = target->crashed && target->state != HSX_TARGET_READY;
   target->reported_free = report->free;
   target->offer_until = report->offer ? now + OFFER_LIFETIME : 0;
+  /* The end of a warm-up stays known, for runs that were started before. */
+  target->warm_at = report->warmup_left_ms > 0
+                        ? now + report->warmup_left_ms * HS_MSEC
+                        : MIN (target->warm_at, now);
   if (report->info != NULL)
     {
       const hsx_target_info *info = report->info;
@@ -215,6 +223,9 @@
 {
   HsTarget *target = &targets->rows[handle].target;
 
+  /* The run time tells nothing of the target once it is warm. */
+  if (now - run < target->warm_at)
+    expected = 0;
   hs_health_record_result (targets->health, handle, customer, failed, run,
                            expected, now);
   hs_targets_tick (targets, now);
@@ -379,6 +390,8 @@
         }
       candidate_score = placement_score (target, data_centre)
                         + RANDOM_WEIGHT * g_rand_double (targets->random);
+      if (now < target->warm_at)
+        candidate_score += COLD_PENALTY;
       if (best == HS_TARGET_NONE || candidate_score < best_score)
         {
           best = i;
--- a/src/direct/targets.h
+++ b/src/direct/targets.h
@@ -64,6 +64,7 @@
   bool reserve;     /**< In HS_TARGETS_RESERVE. Entries that know the same
                          targets agree on it. */
   bool crashed;     /**< And isn't ready again. */
+  HsTime warm_at;   /**< Until then its runs are slower than usual. */
   bool evacuated;   /**< Nothing may be started in its data centre. */
   double slowdown;  /**< Mean ratio of run time to expected run time; 1 if as
                         expected. */
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -544,6 +544,7 @@
 	hsx_target_state state;
 	hsx_room free;
 	bool_t offer;
+	u_int warmup_left_ms;
 	hsx_target_info *info;
 	hsx_crash *crash;
 	bool_t whole;
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -456,6 +456,7 @@
 	hsx_target_state state;
 	hsx_room free;			/* resources available to this entry */
 	bool offer;			/* the agent waits for an answer */
+	unsigned int warmup_left_ms;	/* 0: the target is warm */
 	hsx_target_info *info;		/* NULL: unchanged */
 	hsx_crash *crash;		/* NULL: none that is new to the entry */
 	bool whole;			/* held lists all tasks of the entry */
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -917,6 +917,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->offer))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->warmup_left_ms))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->info, sizeof (hsx_target_info), (xdrproc_t) xdr_hsx_target_info))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->crash, sizeof (hsx_crash), (xdrproc_t) xdr_hsx_crash))
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -26,6 +26,7 @@
 static uint32_t last_poll_number;
 static hsx_target_state last_report_state;
 static uint32_t reported_capacity_milli; /* Last one reported. */
+static unsigned int reported_warmup_ms;  /* The same. */
 static uint32_t n_crash_reports;
 static uint32_t n_to_pass_on; /* Of these. */
 static char crash_customer[16];
@@ -86,6 +87,7 @@
       const hsx_report_args *report = args;
 
       last_report_state = report->state;
+      reported_warmup_ms = report->warmup_left_ms;
       n_reports++;
       n_ends_reported += report->ends.ends_len;
       if (report->whole)
@@ -575,6 +577,22 @@
   assert_int_equal (reported_capacity_milli, 1500);
 }
 
+static void
+the_time_left_of_a_warm_up_is_reported_to_the_entries (void **state)
+{
+  HsTime now = hs_now ().mono;
+  HsAnnouncement announcement = *hs_runs_target (agent->runs);
+
+  (void) state;
+  announcement.sequence++;
+  announcement.warmup_left = 500 * HS_MSEC;
+  hs_runs_target_announced (agent->runs, &announcement, now);
+  hs_agent_links_send_reports (agent, now + 200 * HS_MSEC);
+  assert_int_equal (reported_warmup_ms, 300);
+  hs_agent_links_send_reports (agent, now + 600 * HS_MSEC);
+  assert_int_equal (reported_warmup_ms, 0);
+}
+
 static HsTime
 crash_the_target (HsTime now)
 {
@@ -700,6 +718,7 @@
     TEST (a_lease_renewed_after_a_pause_and_a_late_message_ends_in_time),
     TEST (a_connection_that_is_kept_after_all_is_not_left_unused),
     TEST (a_changed_capacity_is_reported_to_the_entries),
+    TEST (the_time_left_of_a_warm_up_is_reported_to_the_entries),
     TEST (a_crash_is_reported_once_on_each_connection),
     TEST (a_crash_is_passed_on_where_not_all_entries_are_connected),
     TEST (an_agent_starts_nothing_before_it_knows_the_newest_evacuations),
--- a/test/test_direct_targets.c
+++ b/test/test_direct_targets.c
@@ -167,6 +167,60 @@
   assert_int_equal (place (T0), HS_TARGET_NONE);
 }
 
+static void
+report_warmup (uint32_t target, unsigned int left_ms, HsTime now)
+{
+  hsx_report_args args = { .state = HSX_TARGET_READY,
+                           .free = { CAPACITY, 100000, 0 },
+                           .warmup_left_ms = left_ms };
+
+  hs_targets_apply_report (targets, target, &args, now);
+}
+
+/* Guards against a data centre that comes back cold and gets all tasks, as its
+   targets are idle. */
+static void
+a_target_that_warms_up_is_used_after_warm_ones (void **state)
+{
+  (void) state;
+  report (0, CAPACITY, 0, false);
+  report (1, 2000, 0, false);
+  report_warmup (0, 400, T0);
+  assert_int_equal (place (T0), 1);
+  report_warmup (0, 300, T0 + 100 * HS_MSEC);
+  assert_int_equal (place (T0 + 399 * HS_MSEC), 1);
+  assert_int_equal (place (T0 + 400 * HS_MSEC), 0);
+  report_warmup (0, 400, T0 + HS_SEC);
+  assert_int_equal (place (T0 + HS_SEC), 1);
+  report_warmup (0, 0, T0 + HS_SEC);
+  assert_int_equal (place (T0 + HS_SEC), 0);
+  report_warmup (0, 400, T0 + 2 * HS_SEC);
+  hs_targets_launch_sent (targets, 1, &(hsx_room){ 2000, 0, 0 }, 1);
+  assert_int_equal (place (T0 + 2 * HS_SEC), 0);
+}
+
+/* Guards against a target that is taken for slow once it is warm. */
+static void
+runs_that_began_in_a_warm_up_tell_nothing_of_the_speed (void **state)
+{
+  const HsTarget *target = hs_targets_get (targets, 0);
+  HsTime run = 200 * HS_MSEC;
+  int i;
+
+  (void) state;
+  report (0, CAPACITY, 0, false);
+  report_warmup (0, 100, T0);
+  report_warmup (0, 0, T0 + 150 * HS_MSEC);
+  for (i = 0; i < 20; i++)
+    hs_targets_task_ended (targets, 0, 0, false, run, run / 4,
+                           T0 + 250 * HS_MSEC);
+  assert_float_equal (target->slowdown, 1, 0.001);
+  for (i = 0; i < 20; i++)
+    hs_targets_task_ended (targets, 0, 0, false, run, run / 4,
+                           T0 + 350 * HS_MSEC);
+  assert_true (target->slowdown > 2);
+}
+
 int
 main (void)
 {
@@ -179,6 +233,8 @@
     TEST (after_refusals_old_reports_are_discounted_but_offers_are_not),
     TEST (a_report_of_an_earlier_connection_is_outdated),
     TEST (a_target_that_leaves_or_is_disconnected_is_not_chosen),
+    TEST (a_target_that_warms_up_is_used_after_warm_ones),
+    TEST (runs_that_began_in_a_warm_up_tell_nothing_of_the_speed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -242,6 +242,38 @@
   assert_int_equal (announcement.capacity.cpu_milli, 16000);
 }
 
+/* Guards against targets that are refused, or never used, for an odd value. */
+static void
+the_warm_up_of_a_target_is_read_and_bounded (void **state)
+{
+  static const struct
+  {
+    const char *member;
+    HsTime left;
+  } cases[] = {
+    { "", 0 },
+    { ",\"warmup_left_ms\":250", 250 * HS_MSEC },
+    { ",\"warmup_left_ms\":-1", 0 },
+    { ",\"warmup_left_ms\":\"x\"", 0 },
+    { ",\"warmup_left_ms\":9e15", 600 * HS_SEC },
+  };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      HsAnnouncement announcement;
+      g_autofree char *text = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1,\"capacity\":{}%s}",
+          cases[i].member);
+
+      assert_null (
+          hs_announcement_decode ("i-1", text, strlen (text), &announcement));
+      assert_int_equal (announcement.warmup_left, cases[i].left);
+    }
+}
+
 static void
 malformed_announcements_are_rejected (void **state)
 {
@@ -492,6 +524,7 @@
     TEST (refusals_are_mapped_to_results),
     TEST (other_statuses_tell_nothing_of_the_call),
     TEST (an_announcement_is_read),
+    TEST (the_warm_up_of_a_target_is_read_and_bounded),
     TEST (malformed_announcements_are_rejected),
     TEST (a_job_of_one_step_is_read),
     TEST (unsupported_features_are_reported),
