--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -137,6 +137,9 @@
     case HSX_ENTRIES:
       add_entries (agent, args);
       return;
+    case HSX_EVACUATIONS:
+      hs_agent_evacuations_receive (agent, args);
+      return;
     default:
       hs_event ("protocol_error", "entry=%016" PRIx64 " procedure=%u",
                 entry->incarnation, proc);
@@ -451,7 +454,9 @@
           .orders_seen = entry->orders_seen,
           .state = hs_runs_target_state (agent->runs),
           .free = hs_runs_available (agent->runs, entry_index, now),
-          .offer = entry->offer_due };
+          .offer = entry->offer_due,
+          .warmup_left_ms
+          = (unsigned int) (hs_runs_warmup_left (agent->runs, now) / HS_MSEC) };
   uint64_t held[HSX_RECORDS_MAX];
   const HsCrash *crash = unsent_crash (agent, entry, now);
   HsCrashMessage crash_message;
--- a/src/direct/targets.c
+++ b/src/direct/targets.c
@@ -22,6 +22,10 @@
 /** A target in another data centre is rated as slower by this. */
 #define REMOTE_PENALTY 0.04
 
+/** A target that hasn't warmed up is rated as slower by this, so that all
+ * others go before it. */
+#define COLD_PENALTY 100.0
+
 /** Bound on the random part of a rating, so that entries with the same view
  *  don't all choose the same target. */
 #define RANDOM_WEIGHT 0.1
@@ -101,6 +105,8 @@
   target->orders_sent = 0;
   target->state = HSX_TARGET_UNKNOWN;
   g_strlcpy (target->data_centre, data_centre, sizeof target->data_centre);
+  target->evacuated
+      = !hs_evacuations_may_start (targets->evacuations, data_centre);
   drop_acknowledged (&targets->rows[i], UINT32_MAX);
   return i;
 }
@@ -172,6 +178,10 @@
   target->crashed = target->crashed && target->state != HSX_TARGET_READY;
   target->reported_free = report->free;
   target->offer_until = report->offer ? now + OFFER_LIFETIME : 0;
+  /* The end of a warm-up stays known, for runs that were started before. */
+  target->warm_at = report->warmup_left_ms > 0
+                        ? now + report->warmup_left_ms * HS_MSEC
+                        : MIN (target->warm_at, now);
   if (report->info != NULL)
     {
       const hsx_target_info *info = report->info;
@@ -217,6 +227,9 @@
 {
   HsTarget *target = &targets->rows[handle].target;
 
+  /* The run time tells nothing of the target once it is warm. */
+  if (now - run < target->warm_at)
+    expected = 0;
   hs_health_record_result (targets->health, handle, customer, failed, run,
                            expected, now);
   hs_targets_tick (targets, now);
@@ -230,6 +243,59 @@
     }
 }
 
+void
+hs_targets_set_evacuations (HsTargets *targets,
+                            const HsEvacuations *evacuations)
+{
+  bool changed = false;
+  uint32_t i;
+
+  targets->evacuations = evacuations;
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      HsTarget *target = &targets->rows[i].target;
+      bool evacuated
+          = target->in_use
+            && !hs_evacuations_may_start (evacuations, target->data_centre);
+
+      changed |= evacuated != target->evacuated;
+      target->evacuated = evacuated;
+    }
+  for (i = 0; changed && i < targets->n_rows; i++)
+    if (targets->rows[i].target.in_use)
+      hs_targets_choose_reserve (targets, targets->rows[i].target.service);
+}
+
+bool
+hs_targets_are_evacuated (const HsTargets *targets,
+                          const char *service,
+                          const hsx_room *needs)
+{
+  uint32_t n_evacuated = 0;
+  uint32_t n_others = 0;
+  bool would_hold = false;
+  uint32_t i;
+
+  /* Usual, and asked for each waiting job. */
+  if (hs_evacuations_may_start_anywhere (targets->evacuations))
+    return false;
+  for (i = 0; i < targets->n_rows; i++)
+    {
+      const HsTarget *target = &targets->rows[i].target;
+      bool fits;
+
+      if (!target->in_use || strcmp (target->service, service) != 0)
+        continue;
+      fits = hs_resources_fit (&target->capacity, needs);
+      if (!target->evacuated && fits)
+        return false;
+      n_evacuated += target->evacuated;
+      n_others += !target->evacuated;
+      would_hold |= target->evacuated && fits;
+    }
+  return would_hold || (n_evacuated > 0 && n_others == 0);
+}
+
 hsx_room
 hs_targets_free_resources (const HsTargets *targets,
                            uint32_t handle,
@@ -248,7 +314,7 @@
   const HsTarget *target = &targets->rows[handle].target;
   hsx_room free_now = { 0 };
 
-  if (!target->in_use || !target->connected
+  if (!target->in_use || !target->connected || target->evacuated
       || target->state != HSX_TARGET_READY)
     return free_now;
   switch (hs_health_state (targets->health, handle))
@@ -288,7 +354,8 @@
     {
       const HsTarget *target = &targets->rows[i].target;
 
-      if (target->in_use && strcmp (target->service, service) == 0
+      if (target->in_use && !target->evacuated
+          && strcmp (target->service, service) == 0
           && hs_resources_fit (&target->capacity, needs))
         return true;
     }
@@ -338,6 +405,8 @@
         }
       candidate_score = placement_score (target, data_centre)
                         + RANDOM_WEIGHT * g_rand_double (targets->random);
+      if (now < target->warm_at)
+        candidate_score += COLD_PENALTY;
       if (best == HS_TARGET_NONE || candidate_score < best_score)
         {
           best = i;
@@ -365,7 +434,7 @@
 
       if (!target->in_use || strcmp (target->service, service) != 0)
         continue;
-      if (target->state == HSX_TARGET_READY)
+      if (target->state == HSX_TARGET_READY && !target->evacuated)
         *capacity_milli += target->capacity.cpu_milli;
       *free_milli += free_resources (targets, i, level, now).cpu_milli;
     }
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -31,6 +31,7 @@
 #define HSX_ENTRIES_MAX 256
 #define HSX_CONFIGURATION_MAX 4194304
 #define HSX_CRASH_TASKS_MAX 64
+#define HSX_EVACUATIONS_MAX 1024
 
 enum hsx_role {
 	HSX_ROLE_ENTRY = 1,
@@ -543,6 +544,7 @@
 	hsx_target_state state;
 	hsx_room free;
 	bool_t offer;
+	u_int warmup_left_ms;
 	hsx_target_info *info;
 	hsx_crash *crash;
 	bool_t whole;
@@ -606,6 +608,17 @@
 };
 typedef struct hsx_job_cancelled_args hsx_job_cancelled_args;
 
+typedef char *hsx_data_centre;
+
+struct hsx_evacuations_args {
+	int64_t revision;
+	struct {
+		u_int data_centres_len;
+		hsx_data_centre *data_centres_val;
+	} data_centres;
+};
+typedef struct hsx_evacuations_args hsx_evacuations_args;
+
 #define HSX_PROGRAM 0x20485350
 #define HSX_V1 1
 
@@ -676,6 +689,9 @@
 #define HSX_JOB_CANCELLED 21
 extern  enum clnt_stat hsx_job_cancelled_1(hsx_job_cancelled_args , void *, CLIENT *);
 extern  bool_t hsx_job_cancelled_1_svc(hsx_job_cancelled_args , void *, struct svc_req *);
+#define HSX_EVACUATIONS 22
+extern  enum clnt_stat hsx_evacuations_1(hsx_evacuations_args , void *, CLIENT *);
+extern  bool_t hsx_evacuations_1_svc(hsx_evacuations_args , void *, struct svc_req *);
 extern int hsx_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -745,6 +761,9 @@
 #define HSX_JOB_CANCELLED 21
 extern  enum clnt_stat hsx_job_cancelled_1();
 extern  bool_t hsx_job_cancelled_1_svc();
+#define HSX_EVACUATIONS 22
+extern  enum clnt_stat hsx_evacuations_1();
+extern  bool_t hsx_evacuations_1_svc();
 extern int hsx_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -815,6 +834,8 @@
 extern  bool_t xdr_hsx_cancel_job_reply (XDR *, hsx_cancel_job_reply*);
 extern  bool_t xdr_hsx_cancelled_job (XDR *, hsx_cancelled_job*);
 extern  bool_t xdr_hsx_job_cancelled_args (XDR *, hsx_job_cancelled_args*);
+extern  bool_t xdr_hsx_data_centre (XDR *, hsx_data_centre*);
+extern  bool_t xdr_hsx_evacuations_args (XDR *, hsx_evacuations_args*);
 
 #else /* K&R C */
 extern bool_t xdr_hsx_role ();
@@ -881,6 +902,8 @@
 extern bool_t xdr_hsx_cancel_job_reply ();
 extern bool_t xdr_hsx_cancelled_job ();
 extern bool_t xdr_hsx_job_cancelled_args ();
+extern bool_t xdr_hsx_data_centre ();
+extern bool_t xdr_hsx_evacuations_args ();
 
 #endif /* K&R C */
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -23,6 +23,7 @@
 const HSX_ENTRIES_MAX = 256;
 const HSX_CONFIGURATION_MAX = 4194304;
 const HSX_CRASH_TASKS_MAX = 64;
+const HSX_EVACUATIONS_MAX = 1024;
 
 /* Role of a process on a connection. */
 enum hsx_role {
@@ -455,6 +456,7 @@
 	hsx_target_state state;
 	hsx_room free;			/* resources available to this entry */
 	bool offer;			/* the agent waits for an answer */
+	unsigned int warmup_left_ms;	/* 0: the target is warm */
 	hsx_target_info *info;		/* NULL: unchanged */
 	hsx_crash *crash;		/* NULL: none that is new to the entry */
 	bool whole;			/* held lists all tasks of the entry */
@@ -501,6 +503,16 @@
 	hsx_cancelled_job jobs<HSX_RECORDS_MAX>;
 };
 
+/*
+ * EVACUATIONS, one-way, entry to entry and entry to agent: all data centres in
+ * which no task may be started, complete up to a revision of the store.
+ */
+typedef string hsx_data_centre<HSX_NAME_MAX>;
+struct hsx_evacuations_args {
+	int64_t revision;
+	hsx_data_centre data_centres<HSX_EVACUATIONS_MAX>;
+};
+
 program HSX_PROGRAM {
 	version HSX_V1 {
 		void HSX_NULL(void) = 0;
@@ -525,5 +537,6 @@
 		void HSX_CRASH(hsx_crash_args) = 19;
 		hsx_cancel_job_reply HSX_CANCEL_JOB(hsx_cancel_job_args) = 20;
 		void HSX_JOB_CANCELLED(hsx_job_cancelled_args) = 21;
+		void HSX_EVACUATIONS(hsx_evacuations_args) = 22;
 	} = 1;
 } = 0x20485350;
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -917,6 +917,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->offer))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->warmup_left_ms))
+		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->info, sizeof (hsx_target_info), (xdrproc_t) xdr_hsx_target_info))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->crash, sizeof (hsx_crash), (xdrproc_t) xdr_hsx_crash))
@@ -1013,3 +1015,26 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_hsx_data_centre (XDR *xdrs, hsx_data_centre *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, HSX_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hsx_evacuations_args (XDR *xdrs, hsx_evacuations_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int64_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->data_centres.data_centres_val, (u_int *) &objp->data_centres.data_centres_len, HSX_EVACUATIONS_MAX,
+		sizeof (hsx_data_centre), (xdrproc_t) xdr_hsx_data_centre))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/proto/procs.c
+++ b/src/proto/procs.c
@@ -35,6 +35,7 @@
   [HSX_CANCEL_JOB]
   = PROC ("cancel_job", hsx_cancel_job_args, hsx_cancel_job_reply),
   [HSX_JOB_CANCELLED] = ONE_WAY ("job_cancelled", hsx_job_cancelled_args),
+  [HSX_EVACUATIONS] = ONE_WAY ("evacuations", hsx_evacuations_args),
 };
 
 const HsProc *
--- a/test/test_platform_wire.c
+++ b/test/test_platform_wire.c
@@ -242,6 +242,38 @@
   assert_int_equal (announcement.capacity.cpu_milli, 16000);
 }
 
+/* Guards against targets that are refused, or never used, for an odd value. */
+static void
+the_warm_up_of_a_target_is_read_and_bounded (void **state)
+{
+  static const struct
+  {
+    const char *member;
+    HsTime left;
+  } cases[] = {
+    { "", 0 },
+    { ",\"warmup_left_ms\":250", 250 * HS_MSEC },
+    { ",\"warmup_left_ms\":-1", 0 },
+    { ",\"warmup_left_ms\":\"x\"", 0 },
+    { ",\"warmup_left_ms\":9e15", 600 * HS_SEC },
+  };
+  size_t i;
+
+  (void) state;
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      HsAnnouncement announcement;
+      g_autofree char *text = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"state\":\"ready\","
+          "\"sequence\":1,\"capacity\":{}%s}",
+          cases[i].member);
+
+      assert_null (
+          hs_announcement_decode ("i-1", text, strlen (text), &announcement));
+      assert_int_equal (announcement.warmup_left, cases[i].left);
+    }
+}
+
 static void
 malformed_announcements_are_rejected (void **state)
 {
@@ -457,6 +489,25 @@
   assert_false (hs_store_platform_decode_events (ctx, 200, "{}", 2, &line));
 }
 
+/* Guards against changes that are lost: the value of some keys, as of those
+   that evacuate a data centre, is unspecified. */
+static void
+a_watched_key_without_a_value_is_read (void **state)
+{
+  static const char text[] = "{\"events\":[{\"key\":\"a\",\"revision\":412},"
+                             "{\"key\":\"b\",\"value\":null,\"revision\":413}],"
+                             "\"current_rev\":420}";
+  HsStoreWatchResponse line = { 0 };
+
+  (void) state;
+  assert_true (
+      hs_store_platform_decode_events (ctx, 200, text, strlen (text), &line));
+  assert_int_equal (line.n_events, 2);
+  assert_string_equal (line.events[0].kv.key, "a");
+  assert_string_equal (line.events[1].kv.value, "");
+  assert_int_equal (line.events[1].kv.mod_revision, 413);
+}
+
 int
 main (void)
 {
@@ -473,6 +524,7 @@
     TEST (refusals_are_mapped_to_results),
     TEST (other_statuses_tell_nothing_of_the_call),
     TEST (an_announcement_is_read),
+    TEST (the_warm_up_of_a_target_is_read_and_bounded),
     TEST (malformed_announcements_are_rejected),
     TEST (a_job_of_one_step_is_read),
     TEST (unsupported_features_are_reported),
@@ -482,6 +534,7 @@
     TEST (odd_records_hold_up_no_others),
     TEST (reply_status_tells_whether_a_write_was_applied),
     TEST (watch_events_are_read),
+    TEST (a_watched_key_without_a_value_is_read),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
