Store: decide the times of long polls in a module of their own

Cause: when a long poll counts as lost, and how long to wait before the next one, was spread over watch.c between sockets and timers, where no test in fake time could reach it. Streams are unchanged. Ruled out: a test with a real store; it would take 3 s for each phase.

--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -3,17 +3,12 @@
 #include "base/log.h"
 #include "base/timer.h"
 #include "platform/store_wire.h"
+#include "store/poll_schedule.h"
 #include "store/store_private.h"
 
 #define RECONNECT_DELAY_MIN (100 * HS_MSEC)
 #define RECONNECT_DELAY_MAX (2 * HS_SEC)
 
-/* How long the store may hold a long poll's response back. Connections may go
-   silent without notice; one is given up this long and the store's time-out
-   after a poll began. A change has to be known 5 s after that, at the latest.
- */
-#define LONG_POLL_WAIT (2 * HS_SEC)
-
 /* A stream is opened anew after it has been silent for this long, as its
    connection may have been lost without notice. Changes have to be known within
    6 s. */
@@ -40,8 +35,9 @@
   struct tevent_immediate *deliver;
   HsTimer *timer;
   TimerAction timer_action;
-  HsTime backoff;
-  bool ended;  /* Compacted: no more updates. */
+  HsTime backoff;       /* Streams only. */
+  HsPollSchedule polls; /* Long polls only. */
+  bool ended;           /* Compacted: no more updates. */
   bool *freed; /* Set to true when the watch is freed in its callback. */
   HsStoreWatch *prev;
   HsStoreWatch *next;
@@ -127,9 +123,9 @@
 connect_watch (HsStoreWatch *watch)
 {
   HsStore *store = watch->store;
-  HsStoreHttpRequest request
-      = hs_store_wire_watch (store->protocol, watch, watch->prefix,
-                             watch->next_revision, LONG_POLL_WAIT);
+  HsStoreHttpRequest request = hs_store_wire_watch (
+      store->protocol, watch, watch->prefix, watch->next_revision,
+      hs_poll_schedule_wait (&watch->polls));
 
   store->stats.watches++;
   watch->endpoint = store->endpoint;
@@ -138,7 +134,7 @@
   talloc_free (request.body);
   set_timer (watch, TIMER_DISCONNECT,
              store->protocol == HS_STORE_PROTOCOL_PLATFORM
-                 ? LONG_POLL_WAIT + store->timeout
+                 ? hs_poll_schedule_limit (&watch->polls, store->timeout)
                  : store->timeout);
   hs_curl_add (store->curl, watch->easy, on_watch_end, watch);
 }
@@ -173,6 +169,17 @@
     }
 }
 
+static HsTime
+next_pause (HsStoreWatch *watch)
+{
+  HsTime pause = watch->backoff;
+
+  if (watch->store->protocol == HS_STORE_PROTOCOL_PLATFORM)
+    return hs_poll_schedule_failed (&watch->polls);
+  watch->backoff = MIN (watch->backoff * 2, RECONNECT_DELAY_MAX);
+  return pause;
+}
+
 /* Closes the connection, schedules the next one and notifies the caller. */
 static void
 disconnect (HsStoreWatch *watch)
@@ -184,8 +191,7 @@
   watch->easy = NULL;
   g_byte_array_set_size (watch->buffer, 0);
   hs_store_endpoint_failed (watch->store, watch->endpoint);
-  set_timer (watch, TIMER_CONNECT, watch->backoff);
-  watch->backoff = MIN (watch->backoff * 2, RECONNECT_DELAY_MAX);
+  set_timer (watch, TIMER_CONNECT, next_pause (watch));
   update.revision = MAX (watch->next_revision - 1, 0);
   watch->func (watch->arg, &update);
 }
@@ -286,6 +292,7 @@
     {
       update_progress (watch, response, &update);
       watch->backoff = RECONNECT_DELAY_MIN;
+      hs_poll_schedule_answered (&watch->polls);
       if (watch->store->protocol == HS_STORE_PROTOCOL_PLATFORM)
         hs_timer_clear (watch->timer);
       else
