Store: notice a silent long poll within contact_ms

Cause: a poll counted as lost 2 s + the time-out of calls (1.2 s) after it was sent, and the next one followed 0.1 s later, or up to 2 s later while the store stayed silent: 3.3 to 5.2 s, where a change that was made in the silence has to be in force after 3.0 s. The time was chosen for changes made after it. Change: a poll is lost 0.5 s after the store had to answer. One that follows a failed poll asks for an answer within 0.1 s, so that it isn't lost for 2 s with a silence that goes on. The pause grows to 1.6 s at most. Static assertions state both sums against the smallest contact_ms. Ruled out: a shorter wait in calm, and a second connection, as polls are charged: in calm there is one each 2 s, as before. The bounds of the settings aren't read, as no deployment has a contact_ms below 3,000.

--- a/src/store/poll_schedule.c
+++ b/src/store/poll_schedule.c
@@ -1,18 +1,15 @@
 #include "store/poll_schedule.h"
 
-#include <glib.h>
-
 HsTime
 hs_poll_schedule_wait (const HsPollSchedule *schedule)
 {
-  (void) schedule;
-  return HS_POLL_WAIT;
+  return schedule->pause == 0 ? HS_POLL_WAIT : HS_POLL_PROBE_WAIT;
 }
 
 HsTime
-hs_poll_schedule_limit (const HsPollSchedule *schedule, HsTime timeout)
+hs_poll_schedule_limit (const HsPollSchedule *schedule)
 {
-  return hs_poll_schedule_wait (schedule) + timeout;
+  return hs_poll_schedule_wait (schedule) + HS_POLL_SLACK;
 }
 
 void
--- a/src/store/poll_schedule.h
+++ b/src/store/poll_schedule.h
@@ -6,18 +6,45 @@
 #ifndef HS_STORE_POLL_SCHEDULE_H
 #define HS_STORE_POLL_SCHEDULE_H
 
-#include <stdbool.h>
+#include <glib.h>
 
 #include "base/time.h"
 
+/** How long the store may hold the answer to a poll back. Each poll is charged:
+ *  in calm there is one in this time. */
+#define HS_POLL_WAIT (2 * HS_SEC)
+
+/** The same for a poll that follows a failed one. Until one is answered, a poll
+ *  may have been sent to a silent store, and would be lost for HS_POLL_WAIT. */
+#define HS_POLL_PROBE_WAIT (100 * HS_MSEC)
+
+/** A poll is lost if it has no answer this long after the store had to answer.
+ *  Twice the time that a slow store takes, and a connection's set-up. */
+#define HS_POLL_SLACK (500 * HS_MSEC)
+
 /** Pause before the first poll after a failed one. */
 #define HS_POLL_PAUSE_MIN (100 * HS_MSEC)
 
-/** The pause doubles with each further poll that fails, to this at most. */
-#define HS_POLL_PAUSE_MAX (2 * HS_SEC)
+/** The pause doubles with each further poll that fails, to this at most: polls
+ * of a store that stays silent are no more frequent than in calm. */
+#define HS_POLL_PAUSE_MAX (1600 * HS_MSEC)
 
-/** How long the store may hold the answer to a poll back. */
-#define HS_POLL_WAIT (2 * HS_SEC)
+/** A slow store answers within this time: 50 times 4 ms. */
+#define HS_POLL_ANSWER_MAX (200 * HS_MSEC)
+
+/** The smallest `platform.bounds.contact_ms` of a deployment: this long after a
+ *  disruption, an earlier change of the configuration has to be in force. */
+#define HS_CONTACT_MIN (3 * HS_SEC)
+
+/** A poll is sent just before its connection goes silent. */
+G_STATIC_ASSERT (HS_POLL_WAIT + HS_POLL_SLACK + HS_POLL_PAUSE_MIN
+                     + HS_POLL_ANSWER_MAX
+                 < HS_CONTACT_MIN);
+
+/** A poll is sent just before the store comes back. */
+G_STATIC_ASSERT (HS_POLL_PROBE_WAIT + HS_POLL_SLACK + HS_POLL_PAUSE_MAX
+                     + HS_POLL_ANSWER_MAX
+                 < HS_CONTACT_MIN);
 
 typedef struct
 {
@@ -28,9 +55,8 @@
 /** How long the store may hold the answer to the next poll back. */
 HsTime hs_poll_schedule_wait (const HsPollSchedule *schedule);
 
-/** A poll without an answer this long after it was sent is lost.
- *  @param timeout limit for a call to the store */
-HsTime hs_poll_schedule_limit (const HsPollSchedule *schedule, HsTime timeout);
+/** The next poll is lost if it has no answer this long after it was sent. */
+HsTime hs_poll_schedule_limit (const HsPollSchedule *schedule);
 
 /** A poll was answered; the next one may follow at once. */
 void hs_poll_schedule_answered (HsPollSchedule *schedule);
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -134,7 +134,7 @@
   talloc_free (request.body);
   set_timer (watch, TIMER_DISCONNECT,
              store->protocol == HS_STORE_PROTOCOL_PLATFORM
-                 ? hs_poll_schedule_limit (&watch->polls, store->timeout)
+                 ? hs_poll_schedule_limit (&watch->polls)
                  : store->timeout);
   hs_curl_add (store->curl, watch->easy, on_watch_end, watch);
 }
