Direct: count a stop from when its caller may have left

Cause: an agent renewed the lease of a run to be stopped for 0.56 s from when the entry sent the stop. An entry that had stood still for almost HS_PAUSE_MIN, or was busy, had noticed its caller's reset up to 0.4 s late, and the run went on after the caller had sent its job again. Change: orders with stops tell since when their jobs may be over, on the agent's clock (stops_since_us in hsx_orders_args; all processes run the same version). The entry knows by callers_check until when it has noticed all callers that left: a timer each 25 ms waits in the event loop's turn like their sockets. A report that waited to be read doesn't make the agent's clock look early. STOP_PATIENCE moves to liveness.h, with an assertion that a stop after the longest stall that isn't noticed as a pause can be called twice. Ruled out: a shorter patience for all stops; the time between two steps of the loop, as a wait for events looks like a stall and callers are found one by one after it; a look at each caller's socket.

--- a/src/direct/agent_links.c
+++ b/src/direct/agent_links.c
@@ -401,8 +401,8 @@
     }
   /* After the launches, as a stop may be of one of them. */
   for (i = 0; i < orders->stops.stops_len; i++)
-    hs_runs_stop (agent->runs, entry_index, orders->stops.stops_val[i], sent,
-                  now);
+    hs_runs_stop (agent->runs, entry_index, orders->stops.stops_val[i],
+                  orders->stops_since_us, now);
   hs_direct_agent_schedule (agent);
 }
 
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -29,6 +29,7 @@
 static void apply_settings (void *arg, HsPlatformSettings *settings);
 static void add_seeds (HsDirectEntry *entry);
 static void on_timer (void *arg);
+static void on_callers_timer (void *arg);
 static void on_work_immediate (struct tevent_context *ev,
                                struct tevent_immediate *immediate,
                                void *arg);
@@ -225,6 +226,7 @@
   HsRpcHandler handler
       = { .connected = on_up, .disconnected = on_down, .call = on_call };
   hsx_hello self = { .role = HSX_ROLE_ENTRY };
+  HsTime now = hs_now ().mono;
 
   entry->settings
       = hs_platform_settings_load (entry, entry->settings_path, error);
@@ -249,8 +251,12 @@
   entry->work_immediate = tevent_create_immediate (entry);
   entry->timer = hs_timer_new (entry, entry->ev, on_timer, entry);
   entry->held_requests = g_ptr_array_new ();
+  entry->callers_timer
+      = hs_timer_new (entry, entry->ev, on_callers_timer, entry);
   if (!listen_all (entry, error))
     return false;
+  hs_timer_set (entry->callers_timer,
+                hs_callers_check_begin (&entry->callers_check, now), now);
   add_seeds (entry);
   hs_entry_config_start (entry);
   entry->settings_watch = hs_settings_watch_new (
@@ -325,6 +331,18 @@
   run_due_work (arg);
 }
 
+/* Its descriptor waits in the event loop like those of the callers. */
+static void
+on_callers_timer (void *arg)
+{
+  HsDirectEntry *entry = arg;
+  HsTime now = hs_now ().mono;
+
+  hs_timer_set (entry->callers_timer,
+                hs_callers_check_timer_served (&entry->callers_check, now),
+                now);
+}
+
 static void
 on_work_immediate (struct tevent_context *ev,
                    struct tevent_immediate *immediate,
--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -274,6 +274,7 @@
   HsTime now = hs_now ().mono;
   uint32_t i;
 
+  hs_entry_orders_note_stamp (&entry->links[target], args->stamp_us, now);
   hs_targets_apply_report (entry->targets, target, args, now);
   if (row->state != before)
     hs_event ("target", "host=%s name=%s state=%d before=%d free_milli=%u",
@@ -359,6 +360,7 @@
   hs_event ("agent_lost", "host=%s agent=%016" PRIx64 " tasks=%u why=%s",
             row->host, row->agent_incarnation, row->n_tasks, why);
   link->conn = NULL;
+  link->agent_clock_at = 0;
   hs_entry_orders_clear (&link->outbox);
   hs_jobs_target_lost (entry->jobs, target, tasks_ended, now);
   hs_targets_remove (entry->targets, target);
--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -74,6 +74,8 @@
   if (link->conn == NULL || outbox_take_back (&link->outbox, ref))
     return;
   outbox_open (entry, &link->outbox);
+  link->outbox.stops_since
+      = MIN (link->outbox.stops_since, entry->callers_check.checked_until);
   g_array_append_val (link->outbox.stops, ref);
   hs_entry_schedule (entry, false);
 }
@@ -106,6 +108,20 @@
   return due;
 }
 
+/* A report may have waited to be read: the agent's clock is at least as far as
+   the latest ones tell. */
+void
+hs_entry_orders_note_stamp (HsAgentLink *link, HsTime stamp, HsTime now)
+{
+  HsTime passed
+      = (now - link->agent_clock_at) * (100 - HS_CLOCK_DRIFT_PERCENT) / 100;
+
+  link->agent_clock = link->agent_clock_at == 0
+                          ? stamp
+                          : MAX (stamp, link->agent_clock + passed);
+  link->agent_clock_at = now;
+}
+
 void
 hs_entry_orders_clear (HsOutbox *outbox)
 {
@@ -140,6 +156,9 @@
       args.stops.stops_val = (uint64_t *) (void *) outbox->stops->data;
       args.stops.stops_len = outbox->stops->len;
     }
+  if (args.stops.stops_len > 0)
+    args.stops_since_us
+        = link->agent_clock + outbox->stops_since - link->agent_clock_at;
   target->orders_sent++;
   link->orders_sent_at = now;
   link->backlog_sent = backlog->rank > 0;
@@ -192,6 +211,7 @@
   if (outbox->ctx != NULL)
     return;
   outbox->ctx = talloc_new (entry);
+  outbox->stops_since = HS_NEVER;
   outbox->launches = g_array_new (FALSE, FALSE, sizeof (hsx_launch));
   outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 }
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -6,6 +6,7 @@
 #define HS_DIRECT_ENTRY_PRIVATE_H
 
 #include "base/timer.h"
+#include "direct/callers_check.h"
 #include "direct/dialer.h"
 #include "direct/jobs.h"
 #include "direct/process.h"
@@ -25,6 +26,8 @@
   TALLOC_CTX *ctx;  /**< Owns the content; NULL if the outbox is empty. */
   GArray *launches; /**< Of hsx_launch. */
   GArray *stops;    /**< Of uint64_t: references of the starts to stop. */
+  /** Since when the jobs of the stops may have been over. */
+  HsTime stops_since;
 } HsOutbox;
 
 /** The connection to an agent; indexed by the handle of its target. */
@@ -36,6 +39,9 @@
   bool reconciled;
   HsTime disconnected_at;
   HsTime orders_sent_at; /**< When orders were last sent. */
+  /** The agent's clock, at the earliest, when its last report was read. */
+  HsTime agent_clock;
+  HsTime agent_clock_at; /**< When that was; 0: no report has been read. */
   bool backlog_sent;     /**< The last orders reported a backlog. */
   /** The agent reserves resources for its offer until it receives orders. */
   bool offer_unanswered;
@@ -76,6 +82,8 @@
   HsTargets *targets;
   HsJobs *jobs;
   HsTimer *timer;
+  HsTimer *callers_timer;
+  HsCallersCheck callers_check;
   HsPauseWatch *pause_watch;
   struct tevent_immediate *work_immediate;
   /** After a pause of the process: jobs submitted until then may have waited in
@@ -220,6 +228,9 @@
 /** Sends the orders that are due; returns when to call it next. */
 HsTime hs_entry_orders_flush (HsDirectEntry *entry, HsTime now);
 
+/** Notes when the agent sent a report, by its own clock. */
+void hs_entry_orders_note_stamp (HsAgentLink *link, HsTime stamp, HsTime now);
+
 /** Drops the orders that are queued. */
 void hs_entry_orders_clear (HsOutbox *outbox);
 /** @} */
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -51,6 +51,24 @@
  *  are never further apart than HS_HEARTBEAT_INTERVAL. */
 #define HS_PAUSE_MIN (400 * HS_MSEC)
 
+/** Steady clocks may drift apart by this much. */
+#define HS_CLOCK_DRIFT_PERCENT 2
+
+/** How often an entry makes sure that it has noticed all callers that left. */
+#define HS_CALLERS_CHECK_INTERVAL (25 * HS_MSEC)
+
+/** The lease of a run whose job is over is renewed for this long at most after
+ *  its caller may have left: the lease and a message to the next entry take the
+ *  rest of the time until the caller sends its job again. */
+#define HS_STOP_PATIENCE                                                       \
+  (HS_CALLER_RETRY_DELAY - HS_LEASE_MAX - HS_LEASE_MAX / 50 - 200 * HS_MSEC)
+
+/** An entry may have stood still for almost HS_PAUSE_MIN without noticing: a
+ *  stop that it sends then can still be called twice before the lease of all
+ *  runs on the target isn't renewed any more. */
+G_STATIC_ASSERT (HS_PAUSE_MIN + HS_CALLERS_CHECK_INTERVAL + 2 * HS_STOP_MAX
+                 < HS_STOP_PATIENCE);
+
 /** Within this time after a pause of its own, an agent has received what an
  *  entry sent meanwhile: at least two heartbeats are in the socket buffer. */
 #define HS_RESUME_GRACE (100 * HS_MSEC)
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -8,7 +8,7 @@
 SRCS += src/direct/dialer.c src/direct/process.c
 SRCS += src/direct/agent.c src/direct/agent_target.c src/direct/agent_links.c
 SRCS += src/direct/entry.c src/direct/entry_links.c src/direct/entry_config.c
-SRCS += src/direct/entry_cancel.c
+SRCS += src/direct/entry_cancel.c src/direct/callers_check.c
 SRCS += src/direct/entry_orders.c
 SRCS += src/direct/entry_key.c src/direct/entry_held_requests.c \
 	src/direct/entry_requests.c
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -13,12 +13,6 @@
  *  answer. */
 #define STOP_RETRY_SLACK (60 * HS_MSEC)
 
-/** A run whose job is over has to end within this time, or the lease isn't
- *  renewed: the lease and a message to the next entry take the rest of the time
- *  until a caller sends its job again. */
-#define STOP_PATIENCE                                                          \
-  (HS_CALLER_RETRY_DELAY - HS_LEASE_MAX - HS_LEASE_MAX / 50 - 200 * HS_MSEC)
-
 static bool is_stale (const HsRuns *runs, const HsAnnouncement *announcement);
 static hsx_room free_resources (const HsRuns *runs);
 static HsTime make_offers (HsRuns *runs, HsTime now);
@@ -169,11 +163,21 @@
   return runs->announced ? &runs->target : NULL;
 }
 
+/* @over_since: when the run's job may have ended, at the earliest */
+static void
+limit_renewals (HsRun *run, HsTime over_since)
+{
+  HsTime until = MAX (over_since + HS_STOP_PATIENCE, HS_USEC);
+
+  if (run->renew_until == 0 || until < run->renew_until)
+    run->renew_until = until;
+}
+
 void
 hs_runs_stop (HsRuns *runs,
               uint32_t entry,
               uint64_t ref,
-              HsTime sent,
+              HsTime over_since,
               HsTime now)
 {
   uint32_t i;
@@ -185,8 +189,7 @@
       if (run->state == HS_RUN_FREE || run->entry != entry || run->ref != ref)
         continue;
       run->stop_reported_as = HSX_END_STOPPED;
-      if (run->renew_until == 0)
-        run->renew_until = MIN (sent, now) + STOP_PATIENCE;
+      limit_renewals (run, MIN (over_since, now));
       if (!run->stop_requested)
         hs_run_call_stop (runs, run, now);
       return;
@@ -277,7 +280,7 @@
       else if (!run->stop_requested && now >= run->deadline)
         {
           run->stop_reported_as = HSX_END_STOPPED;
-          run->renew_until = run->deadline + STOP_PATIENCE;
+          limit_renewals (run, run->deadline);
           hs_run_call_stop (runs, run, now);
         }
       else if (!run->stop_requested)
--- a/src/direct/runs.h
+++ b/src/direct/runs.h
@@ -163,11 +163,13 @@
                      HsTime now);
 
 /** An entry stops its task; `ended` follows unless it has ended already.
- *  @param sent when the entry sent the order, on this host's clock */
+ *  @param over_since when the task's job may have ended, at the earliest, on
+ *         this host's clock: its caller may be gone for longer than the order
+ *         took */
 void hs_runs_stop (HsRuns *runs,
                    uint32_t entry,
                    uint64_t ref,
-                   HsTime sent,
+                   HsTime over_since,
                    HsTime now);
 
 /** An entry is lost: its tasks are stopped, and their ends aren't reported. */
--- a/src/direct/runs_lease.c
+++ b/src/direct/runs_lease.c
@@ -2,11 +2,9 @@
    has expired. */
 #include <glib.h>
 
+#include "direct/liveness.h"
 #include "direct/runs_private.h"
 
-/** Steady clocks may drift apart by this much. */
-#define CLOCK_DRIFT_PERCENT 2
-
 /** Added to the lease and the drift before the runs of an unresponsive target
  *  are considered lapsed. */
 #define LEASE_EXPIRY_SLACK (50 * HS_MSEC)
@@ -116,5 +114,5 @@
 static HsTime
 lease_bound (HsTime lease)
 {
-  return lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
+  return lease + lease * HS_CLOCK_DRIFT_PERCENT / 100 + LEASE_EXPIRY_SLACK;
 }
--- a/src/direct/runs_private.h
+++ b/src/direct/runs_private.h
@@ -70,7 +70,8 @@
   hsx_end_how ended_as;
   uint32_t endpoint;  /**< HsRuns.endpoint when it was started or listed. */
   HsTime renew_until; /**< The lease isn't renewed from then on while the run
-                           hasn't ended, as its job may be sent again; 0: no
+                           hasn't ended, as its job may be sent again, which
+                           counts from when its caller may have left; 0: no
                            limit. */
   hsx_end_how stop_reported_as; /**< Reported to the entry when the target
                                     lists the run as stopped. */
--- a/src/proto/hspoke.h
+++ b/src/proto/hspoke.h
@@ -454,6 +454,7 @@
 		u_int stops_len;
 		uint64_t *stops_val;
 	} stops;
+	int64_t stops_since_us;
 };
 typedef struct hsx_orders_args hsx_orders_args;
 
--- a/src/proto/hspoke.x
+++ b/src/proto/hspoke.x
@@ -364,7 +364,8 @@
 /*
  * ORDERS, one-way, entry to agent. Without launches and stops it serves as a
  * heartbeat. stamp_us and stamp_age_us tell the agent which report the orders
- * follow, and so how old they can be.
+ * follow, and so how old they can be. stops_since_us is a lower limit: the
+ * callers may have left before the entry noticed.
  */
 struct hsx_orders_args {
 	uint64_t agent;			/* incarnation of the receiver */
@@ -374,6 +375,8 @@
 	hsx_want want;
 	hsx_launch launches<HSX_BATCH_MAX>;
 	uint64_t stops<HSX_RECORDS_MAX>;	/* refs */
+	int64_t stops_since_us;		/* since when their jobs may be over, on the
+					   agent's monotonic clock */
 };
 
 enum hsx_end_how {
--- a/src/proto/hspoke_xdr.c
+++ b/src/proto/hspoke_xdr.c
@@ -773,6 +773,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->stops.stops_val, (u_int *) &objp->stops.stops_len, HSX_RECORDS_MAX,
 		sizeof (uint64_t), (xdrproc_t) xdr_uint64_t))
 		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->stops_since_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/test_direct_agent_links.c
+++ b/test/test_direct_agent_links.c
@@ -385,6 +385,43 @@
   assert_int_equal (n_stops, 1);
 }
 
+/* Guards against a task that runs twice: the entry stood still while the caller
+   left, and sent the stop late. No poll renews the lease so late that the run
+   would still go on when the caller sends the job again. */
+static void
+a_stop_sent_late_ends_the_lease_before_the_caller_resends (void **state)
+{
+  HsTime began = hs_now ().mono;
+  HsTime left_at = began - HS_PAUSE_MIN;
+  uint64_t ref = 9;
+  hsx_orders_args orders = { .agent = AGENT,
+                             .number = 2,
+                             .stamp_us = began,
+                             .stops = { 1, &ref },
+                             .stops_since_us = left_at };
+  HsListedRun run = { .percent = 1 };
+  HsTargetList list = { .started_ms = 5, .running = &run, .n_running = 1 };
+  HsTime at;
+
+  (void) state;
+  g_strlcpy (run.key.job, "ab", sizeof run.key.job);
+  run.key.attempt = 1;
+  hs_agent_links_handle_call (agent, conn (), HSX_ORDERS, &orders);
+  for (at = began; at < left_at + 2 * HS_SEC; at += 10 * HS_MSEC)
+    {
+      hs_runs_tick (agent->runs, at);
+      if (polls_pending == 0)
+        continue;
+      polls_pending = 0;
+      list.clock_ms = (at - began) / HS_MSEC;
+      run.percent = (int) list.clock_ms / 30;
+      hs_runs_poll_done (agent->runs, last_poll_number, HS_TARGET_OK, &list,
+                         at);
+    }
+  assert_true (began + lease_until_ms * HS_MSEC * 102 / 100
+               < left_at + HS_CALLER_RETRY_DELAY);
+}
+
 static void
 orders_that_answer_the_first_report_keep_the_tasks (void **state)
 {
@@ -627,6 +664,7 @@
   const struct CMUnitTest tests[] = {
     TEST (the_tasks_of_an_unresponsive_entry_are_stopped),
     TEST (the_last_lease_expires_before_the_caller_resends),
+    TEST (a_stop_sent_late_ends_the_lease_before_the_caller_resends),
     TEST (connections_that_break_before_the_first_orders_do_not_keep_tasks),
     TEST (the_list_of_held_starts_follows_all_recent_ends),
     TEST (a_stop_in_the_message_of_its_launch_stops_it),
--- a/test/test_direct_entry_orders.c
+++ b/test/test_direct_entry_orders.c
@@ -8,12 +8,14 @@
 #include <cmocka.h>
 
 #include "direct/entry_private.h"
+#include "direct/liveness.h"
 
 static HsDirectEntry *entry;
 static HsAgentLink link_to_agent;
 static uint32_t target;
 static uint32_t n_sent;
 static uint64_t refs[8];
+static HsTime stops_since; /* Of the last orders with stops. */
 static char specs[8][8];
 
 HsAgentLink *
@@ -48,6 +50,8 @@
   (void) done;
   (void) arg;
   assert_int_equal (proc, HSX_ORDERS);
+  if (orders->stops.stops_len > 0)
+    stops_since = orders->stops_since_us;
   for (i = 0; i < orders->launches.launches_len; i++)
     {
       const hsx_launch *launch = &orders->launches.launches_val[i];
@@ -128,6 +132,59 @@
   assert_string_equal (specs[0], "two");
 }
 
+/** The agent's clock is this far ahead of the entry's. */
+#define CLOCK_DIFFERENCE (77 * HS_SEC)
+
+/** The entry stands still for just under a pause. */
+#define STALL (HS_PAUSE_MIN - HS_MSEC)
+
+/* Reads a report that the agent sent at @sent, on the entry's clock. */
+static void
+read_report (HsTime sent, HsTime now)
+{
+  hsx_report_args report = { .stamp_us = sent + CLOCK_DIFFERENCE };
+
+  hs_entry_orders_note_stamp (&link_to_agent, report.stamp_us, now);
+  hs_targets_apply_report (entry->targets, target, &report, now);
+}
+
+/* Guards against a task that runs twice: the caller left while the entry stood
+   still, and the agent renewed the lease as if it had left with the stop. A
+   report that was sent in that time is read before the stop is sent. */
+static void
+a_stop_tells_since_when_its_caller_may_have_left (void **state)
+{
+  HsTime stalled_at = 2 * HS_SEC;
+  HsTime now = stalled_at + STALL;
+
+  (void) state;
+  read_report (stalled_at - 5 * HS_MSEC, stalled_at);
+  entry->callers_check.checked_until = stalled_at;
+  read_report (stalled_at + STALL / 2, now);
+  hs_entry_orders_stop (entry, target, 1);
+  hs_entry_orders_flush (entry, now);
+  assert_in_range (stops_since - CLOCK_DIFFERENCE, stalled_at - 20 * HS_MSEC,
+                   stalled_at);
+}
+
+/* As above; the loop has caught up between two stops in one message. */
+static void
+the_earliest_stop_of_a_message_counts (void **state)
+{
+  HsTime stalled_at = 2 * HS_SEC;
+  HsTime now = stalled_at + STALL;
+
+  (void) state;
+  read_report (stalled_at, stalled_at);
+  entry->callers_check.checked_until = stalled_at;
+  hs_entry_orders_stop (entry, target, 1);
+  entry->callers_check.checked_until = now;
+  hs_entry_orders_stop (entry, target, 2);
+  hs_entry_orders_flush (entry, now);
+  assert_in_range (stops_since - CLOCK_DIFFERENCE, stalled_at - 20 * HS_MSEC,
+                   stalled_at);
+}
+
 #define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -136,6 +193,8 @@
   const struct CMUnitTest tests[] = {
     TEST (each_start_has_the_spec_of_its_own_job),
     TEST (a_launch_that_was_taken_back_leaves_no_spec_behind),
+    TEST (a_stop_tells_since_when_its_caller_may_have_left),
+    TEST (the_earliest_stop_of_a_message_counts),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
