Direct: count a stop that was lost from when it may have been sent

A stop that was lost with its connection is sent again when the agent lists the start as held; the agent renewed the lease for 0.56 s from then, up to 0.5 s (the time to connect again) after the caller had left. Change: entries note which orders the reports confirm. A stop of a held start tells as the time since when its job may be over that of the last orders that have reached the agent. Ruled out: the time of the last message of the agent, as orders may be lost or late in one direction only.

--- a/src/direct/entry_links.c
+++ b/src/direct/entry_links.c
@@ -192,6 +192,7 @@
   link->conn = conn;
   link->reconciled = false;
   link->orders_sent_at = 0;
+  link->probe_orders = 0;
   link->backlog_sent = false;
   hs_entry_orders_clear (&link->outbox);
   if (previous != NULL)
@@ -274,7 +275,7 @@
   HsTime now = hs_now ().mono;
   uint32_t i;
 
-  hs_entry_orders_note_stamp (&entry->links[target], args->stamp_us, now);
+  hs_entry_orders_note_report (&entry->links[target], args, now);
   hs_targets_apply_report (entry->targets, target, args, now);
   if (row->state != before)
     hs_event ("target", "host=%s name=%s state=%d before=%d free_milli=%u",
@@ -296,6 +297,8 @@
       uint32_t n_stopped = hs_jobs_reconcile (
           entry->jobs, target, args->held.held_val, args->held.held_len);
 
+      if (n_stopped > 0)
+        hs_entry_orders_note_lost_stops (&entry->links[target]);
       entry->links[target].reconciled = true;
       hs_event ("agent_reconciled", "host=%s held=%u stopped=%u", row->host,
                 args->held.held_len, n_stopped);
@@ -361,6 +364,7 @@
             row->host, row->agent_incarnation, row->n_tasks, why);
   link->conn = NULL;
   link->agent_clock_at = 0;
+  link->delivered_until = 0;
   hs_entry_orders_clear (&link->outbox);
   hs_jobs_target_lost (entry->jobs, target, tasks_ended, now);
   hs_targets_remove (entry->targets, target);
--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -110,8 +110,8 @@
 
 /* A report may have waited to be read: the agent's clock is at least as far as
    the latest ones tell. */
-void
-hs_entry_orders_note_stamp (HsAgentLink *link, HsTime stamp, HsTime now)
+static void
+note_stamp (HsAgentLink *link, HsTime stamp, HsTime now)
 {
   HsTime passed
       = (now - link->agent_clock_at) * (100 - HS_CLOCK_DRIFT_PERCENT) / 100;
@@ -122,6 +122,25 @@
   link->agent_clock_at = now;
 }
 
+void
+hs_entry_orders_note_report (HsAgentLink *link,
+                             const hsx_report_args *report,
+                             HsTime now)
+{
+  note_stamp (link, report->stamp_us, now);
+  if (link->probe_orders == 0 || report->orders_seen < link->probe_orders)
+    return;
+  link->delivered_until = link->probe_until;
+  link->probe_orders = 0;
+}
+
+void
+hs_entry_orders_note_lost_stops (HsAgentLink *link)
+{
+  link->outbox.stops_since
+      = MIN (link->outbox.stops_since, link->delivered_until);
+}
+
 void
 hs_entry_orders_clear (HsOutbox *outbox)
 {
@@ -161,6 +180,11 @@
         = link->agent_clock + outbox->stops_since - link->agent_clock_at;
   target->orders_sent++;
   link->orders_sent_at = now;
+  if (link->probe_orders == 0)
+    {
+      link->probe_orders = target->orders_sent;
+      link->probe_until = entry->callers_check.checked_until;
+    }
   link->backlog_sent = backlog->rank > 0;
   link->offer_unanswered = false;
   hs_conn_call (link->conn, HSX_ORDERS, &args, HS_NEVER, NULL, NULL);
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -42,7 +42,12 @@
   /** The agent's clock, at the earliest, when its last report was read. */
   HsTime agent_clock;
   HsTime agent_clock_at; /**< When that was; 0: no report has been read. */
-  bool backlog_sent;     /**< The last orders reported a backlog. */
+  /** Stops of jobs that were over before this have reached the agent. */
+  HsTime delivered_until;
+  uint32_t
+      probe_orders;   /**< Orders that the agent hasn't confirmed; 0: none. */
+  HsTime probe_until; /**< `delivered_until`, once it has. */
+  bool backlog_sent;  /**< The last orders reported a backlog. */
   /** The agent reserves resources for its offer until it receives orders. */
   bool offer_unanswered;
   HsOutbox outbox;
@@ -228,8 +233,15 @@
 /** Sends the orders that are due; returns when to call it next. */
 HsTime hs_entry_orders_flush (HsDirectEntry *entry, HsTime now);
 
-/** Notes when the agent sent a report, by its own clock. */
-void hs_entry_orders_note_stamp (HsAgentLink *link, HsTime stamp, HsTime now);
+/** Notes what a report tells of the agent's clock, and of the orders that have
+ *  reached it. */
+void hs_entry_orders_note_report (HsAgentLink *link,
+                                  const hsx_report_args *report,
+                                  HsTime now);
+
+/** The queued stops are of starts that the agent has listed as held, after an
+ *  earlier connection broke: their stops may have been lost with it. */
+void hs_entry_orders_note_lost_stops (HsAgentLink *link);
 
 /** Drops the orders that are queued. */
 void hs_entry_orders_clear (HsOutbox *outbox);
--- a/test/test_direct_entry_links.c
+++ b/test/test_direct_entry_links.c
@@ -19,6 +19,7 @@
 static HsPlatformSettings settings;
 static Link earlier;
 static Link later;
+static HsTime stops_since; /* Of the last orders with stops. */
 
 static HsConn *
 conn (Link *link)
@@ -58,9 +59,11 @@
               HsRpcReplyFunc done,
               void *arg)
 {
+  const hsx_orders_args *orders = args;
+
+  if (proc == HSX_ORDERS && orders->stops.stops_len > 0)
+    stops_since = orders->stops_since_us;
   (void) which;
-  (void) proc;
-  (void) args;
   (void) timeout;
   (void) done;
   (void) arg;
@@ -95,6 +98,14 @@
   (void) dispatch;
 }
 
+static void
+effect_stop (void *arg, uint32_t target, uint64_t ref)
+{
+  hs_entry_orders_stop (arg, target, ref);
+}
+
+static const HsJobsEffects EFFECTS = { .stop = effect_stop };
+
 static void
 connect_agent (Link *link, uint64_t incarnation)
 {
@@ -144,7 +155,7 @@
   settings.control_listen = (char *) "10.0.0.1:7000";
   entry->incarnation = 99;
   entry->targets = hs_targets_new (entry);
-  entry->jobs = hs_jobs_new (entry, entry->targets, "dc", NULL, NULL);
+  entry->jobs = hs_jobs_new (entry, entry->targets, "dc", &EFFECTS, entry);
   entry->dialer = hs_dialer_new (entry, NULL, NULL);
   connect_agent (&earlier, 1);
   report (&earlier, HSX_TARGET_MUTE);
@@ -185,6 +196,45 @@
   assert_true (is_known (&later));
 }
 
+/* Reads a report that is sent now, by a clock like the entry's.
+   @orders_seen: number of the last orders that the agent has read
+   @held: a start that the agent holds; 0: not the first report */
+static void
+report_now (uint32_t orders_seen, uint64_t held)
+{
+  hsx_report_args args = { .agent = 1,
+                           .stamp_us = hs_now ().mono,
+                           .orders_seen = orders_seen,
+                           .state = HSX_TARGET_READY,
+                           .whole = held != 0,
+                           .held = { held != 0, &held } };
+
+  hs_entry_links_handle_call (entry, conn (&earlier), HSX_REPORT, 0, &args);
+}
+
+/* Guards against a task that runs twice: a stop was lost with its connection.
+   The agent renewed the lease as if the caller had left when the connection
+   was there again. */
+static void
+a_stop_sent_again_tells_since_when_it_may_have_been_lost (void **state)
+{
+  HsTime began = hs_now ().mono;
+
+  (void) state;
+  report_now (0, 0);
+  entry->callers_check.checked_until = began;
+  hs_entry_orders_flush (entry, began);
+  entry->callers_check.checked_until = began + 200 * HS_MSEC;
+  hs_entry_orders_flush (entry, began + 200 * HS_MSEC);
+  report_now (1, 0);
+  hs_entry_links_disconnected (entry, conn (&earlier));
+  connect_agent (&earlier, 1);
+  entry->callers_check.checked_until = began + 500 * HS_MSEC;
+  report_now (0, 9);
+  hs_entry_orders_flush (entry, began + 500 * HS_MSEC);
+  assert_in_range (stops_since, began - 20 * HS_MSEC, began + 20 * HS_MSEC);
+}
+
 int
 main (void)
 {
@@ -193,6 +243,9 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         a_late_report_of_an_earlier_agent_ends_no_tasks, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        a_stop_sent_again_tells_since_when_it_may_have_been_lost, set_up,
+        tear_down),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_direct_entry_orders.c
+++ b/test/test_direct_entry_orders.c
@@ -144,7 +144,7 @@
 {
   hsx_report_args report = { .stamp_us = sent + CLOCK_DIFFERENCE };
 
-  hs_entry_orders_note_stamp (&link_to_agent, report.stamp_us, now);
+  hs_entry_orders_note_report (&link_to_agent, &report, now);
   hs_targets_apply_report (entry->targets, target, &report, now);
 }
 
