Store: hear of changes from a very slow store

No known store is that slow (0.2 s), but nothing else tells entries. Change: a poll that follows a failed one is lost after 1 s more, not 0.5 s, and the pause grows to 1.2 s at most. Ruled out: 1 s for all polls, as 2 s + 1 s + 0.1 s is over contact_ms.

--- a/src/store/poll_schedule.c
+++ b/src/store/poll_schedule.c
@@ -9,7 +9,8 @@
 HsTime
 hs_poll_schedule_limit (const HsPollSchedule *schedule)
 {
-  return hs_poll_schedule_wait (schedule) + HS_POLL_SLACK;
+  return schedule->pause == 0 ? HS_POLL_WAIT + HS_POLL_SLACK
+                              : HS_POLL_PROBE_WAIT + HS_POLL_PROBE_SLACK;
 }
 
 void
--- a/src/store/poll_schedule.h
+++ b/src/store/poll_schedule.h
@@ -22,12 +22,16 @@
  *  Twice the time that a slow store takes, and a connection's set-up. */
 #define HS_POLL_SLACK (500 * HS_MSEC)
 
+/** The same for a poll that follows a failed one: changes are heard of from a
+ *  store that is slower than known ones, too. */
+#define HS_POLL_PROBE_SLACK (1 * HS_SEC)
+
 /** Pause before the first poll after a failed one. */
 #define HS_POLL_PAUSE_MIN (100 * HS_MSEC)
 
 /** The pause doubles with each further poll that fails, to this at most: polls
  * of a store that stays silent are no more frequent than in calm. */
-#define HS_POLL_PAUSE_MAX (1600 * HS_MSEC)
+#define HS_POLL_PAUSE_MAX (1200 * HS_MSEC)
 
 /** A slow store answers within this time: 50 times 4 ms. */
 #define HS_POLL_ANSWER_MAX (200 * HS_MSEC)
@@ -42,7 +46,7 @@
                  < HS_CONTACT_MIN);
 
 /** A poll is sent just before the store comes back. */
-G_STATIC_ASSERT (HS_POLL_PROBE_WAIT + HS_POLL_SLACK + HS_POLL_PAUSE_MAX
+G_STATIC_ASSERT (HS_POLL_PROBE_WAIT + HS_POLL_PROBE_SLACK + HS_POLL_PAUSE_MAX
                      + HS_POLL_ANSWER_MAX
                  < HS_CONTACT_MIN);
 
--- a/test/test_store_poll_schedule.c
+++ b/test/test_store_poll_schedule.c
@@ -88,6 +88,21 @@
                        0, CONTACT - SLOW_ANSWER);
 }
 
+/* Guards against changes that are never heard of: a store slower than known
+   ones answers each call almost a second late. */
+static void
+a_change_is_known_from_a_very_slow_store (void **state)
+{
+  HsPollSchedule schedule = { 0 };
+  HsTime late = 900 * HS_MSEC;
+
+  (void) state;
+  assert_true (hs_poll_schedule_limit (&schedule) < HS_POLL_WAIT + late);
+  hs_poll_schedule_failed (&schedule);
+  assert_true (hs_poll_schedule_limit (&schedule)
+               > hs_poll_schedule_wait (&schedule) + late);
+}
+
 /* Guards against charged calls: one poll each two seconds in calm, also when
    the store is slow. */
 static void
@@ -127,6 +142,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_change_is_known_in_time_after_connections_went_silent),
     cmocka_unit_test (a_change_is_known_in_time_after_the_store_was_silent),
+    cmocka_unit_test (a_change_is_known_from_a_very_slow_store),
     cmocka_unit_test (polls_in_calm_are_two_seconds_apart),
     cmocka_unit_test (polls_of_a_silent_store_are_no_more_frequent),
   };
