--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -74,6 +74,8 @@
   if (link->conn == NULL || outbox_take_back (&link->outbox, ref))
     return;
   outbox_open (entry, &link->outbox);
+  link->outbox.stops_since
+      = MIN (link->outbox.stops_since, entry->callers_check.checked_until);
   g_array_append_val (link->outbox.stops, ref);
   hs_entry_schedule (entry, false);
 }
@@ -108,6 +110,39 @@
   return due;
 }
 
+/* A report may have waited to be read: the agent's clock is at least as far as
+   the latest ones tell. */
+static void
+note_stamp (HsAgentLink *link, HsTime stamp, HsTime now)
+{
+  HsTime passed
+      = (now - link->agent_clock_at) * (100 - HS_CLOCK_DRIFT_PERCENT) / 100;
+
+  link->agent_clock = link->agent_clock_at == 0
+                          ? stamp
+                          : MAX (stamp, link->agent_clock + passed);
+  link->agent_clock_at = now;
+}
+
+void
+hs_entry_orders_note_report (HsAgentLink *link,
+                             const hsx_report_args *report,
+                             HsTime now)
+{
+  note_stamp (link, report->stamp_us, now);
+  if (link->probe_orders == 0 || report->orders_seen < link->probe_orders)
+    return;
+  link->delivered_until = link->probe_until;
+  link->probe_orders = 0;
+}
+
+void
+hs_entry_orders_note_lost_stops (HsAgentLink *link)
+{
+  link->outbox.stops_since
+      = MIN (link->outbox.stops_since, link->delivered_until);
+}
+
 void
 hs_entry_orders_clear (HsOutbox *outbox)
 {
@@ -142,8 +177,16 @@
       args.stops.stops_val = (uint64_t *) (void *) outbox->stops->data;
       args.stops.stops_len = outbox->stops->len;
     }
+  if (args.stops.stops_len > 0)
+    args.stops_since_us
+        = link->agent_clock + outbox->stops_since - link->agent_clock_at;
   target->orders_sent++;
   link->orders_sent_at = now;
+  if (link->probe_orders == 0)
+    {
+      link->probe_orders = target->orders_sent;
+      link->probe_until = entry->callers_check.checked_until;
+    }
   link->backlog_sent = backlog->rank > 0;
   link->offer_unanswered = false;
   hs_conn_call (link->conn, HSX_ORDERS, &args, HS_NEVER, NULL, NULL);
@@ -195,6 +238,7 @@
   if (outbox->ctx != NULL)
     return;
   outbox->ctx = talloc_new (entry);
+  outbox->stops_since = HS_NEVER;
   outbox->launches = g_array_new (FALSE, FALSE, sizeof (hsx_launch));
   outbox->stops = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 }
--- a/src/direct/entry_private.h
+++ b/src/direct/entry_private.h
@@ -6,6 +6,7 @@
 #define HS_DIRECT_ENTRY_PRIVATE_H
 
 #include "base/timer.h"
+#include "direct/callers_check.h"
 #include "direct/cancelled_jobs.h"
 #include "direct/dialer.h"
 #include "direct/evacuations.h"
@@ -27,6 +28,8 @@
   TALLOC_CTX *ctx;  /**< Owns the content; NULL if the outbox is empty. */
   GArray *launches; /**< Of hsx_launch. */
   GArray *stops;    /**< Of uint64_t: references of the starts to stop. */
+  /** Since when the jobs of the stops may have been over. */
+  HsTime stops_since;
 } HsOutbox;
 
 /** The connection to an agent; indexed by the handle of its target. */
@@ -38,7 +41,15 @@
   bool reconciled;
   HsTime disconnected_at;
   HsTime orders_sent_at; /**< When orders were last sent. */
-  bool backlog_sent;     /**< The last orders reported a backlog. */
+  /** The agent's clock, at the earliest, when its last report was read. */
+  HsTime agent_clock;
+  HsTime agent_clock_at; /**< When that was; 0: no report has been read. */
+  /** Stops of jobs that were over before this have reached the agent. */
+  HsTime delivered_until;
+  uint32_t
+      probe_orders;   /**< Orders that the agent hasn't confirmed; 0: none. */
+  HsTime probe_until; /**< `delivered_until`, once it has. */
+  bool backlog_sent;  /**< The last orders reported a backlog. */
   /** The agent reserves resources for its offer until it receives orders. */
   bool offer_unanswered;
   HsOutbox outbox;
@@ -77,6 +88,8 @@
   HsTargets *targets;
   HsJobs *jobs;
   HsTimer *timer;
+  HsTimer *callers_timer;
+  HsCallersCheck callers_check;
   HsPauseWatch *pause_watch;
   struct tevent_immediate *work_immediate;
   /** After a pause of the process: jobs submitted until then may have waited in
@@ -266,6 +279,16 @@
 /** Sends the orders that are due; returns when to call it next. */
 HsTime hs_entry_orders_flush (HsDirectEntry *entry, HsTime now);
 
+/** Notes what a report tells of the agent's clock, and of the orders that have
+ *  reached it. */
+void hs_entry_orders_note_report (HsAgentLink *link,
+                                  const hsx_report_args *report,
+                                  HsTime now);
+
+/** The queued stops are of starts that the agent has listed as held, after an
+ *  earlier connection broke: their stops may have been lost with it. */
+void hs_entry_orders_note_lost_stops (HsAgentLink *link);
+
 /** Drops the orders that are queued. */
 void hs_entry_orders_clear (HsOutbox *outbox);
 /** @} */
