Report the backlog to as many agents as tasks wait

Cause: an entry reported its backlog to 16 agents at a time, whatever its size. Agents offer what becomes free only to entries that have reported a backlog, so on 50 targets an entry with 28% of the demand competed for a third of them, as did each of the calm entries. Change: one agent for each waiting task, 16 at least; when the queue has shrunk, orders that an agent gets anyhow no longer state a backlog. The decision is in backlog.c, which the product and the simulation share. Ruled out: all agents for every entry (60 us of an entry for each message).

--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -2,26 +2,34 @@
    iteration, and what is reported of the backlog. */
 #include <string.h>
 
+#include "direct/backlog.h"
 #include "direct/entry_private.h"
 #include "direct/liveness.h"
-#include "direct/offers.h"
 #include "direct/resources.h"
 
+/** What waits for a group of targets. */
+typedef struct
+{
+  hsx_want want;
+  uint32_t n_asked; /**< Agents whose last orders reported a backlog. */
+} Backlog;
+
 /** What waits for the common targets, and for the reserve. */
 typedef struct
 {
-  hsx_want common;
-  hsx_want reserve;
+  Backlog common;
+  Backlog reserve;
 } Backlogs;
 
 static void send_orders (HsDirectEntry *entry,
                          uint32_t target,
                          const hsx_want *backlog,
                          HsTime now);
-static const hsx_want *
-backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target);
+static hsx_want
+backlog_for (HsDirectEntry *entry, Backlogs *backlogs, uint32_t target);
+static uint32_t count_asked (HsDirectEntry *entry, bool reserve);
 static void send_backlog (HsDirectEntry *entry,
-                          const Backlogs *backlogs,
+                          Backlogs *backlogs,
                           bool reserve,
                           HsTime now);
 static void outbox_open (HsDirectEntry *entry, HsOutbox *outbox);
@@ -81,9 +89,10 @@
 HsTime
 hs_entry_orders_flush (HsDirectEntry *entry, HsTime now)
 {
-  Backlogs backlogs = { hs_jobs_backlog (entry->jobs, false, now),
-                        hs_jobs_backlog (entry->jobs, true, now) };
-  hsx_want no_backlog = { 0 };
+  Backlogs backlogs = {
+    { hs_jobs_backlog (entry->jobs, false, now), count_asked (entry, false) },
+    { hs_jobs_backlog (entry->jobs, true, now), count_asked (entry, true) }
+  };
   HsTime due = HS_NEVER;
   uint32_t i;
 
@@ -92,15 +101,16 @@
   for (i = 0; i < entry->n_links; i++)
     {
       HsAgentLink *link = &entry->links[i];
+      hsx_want backlog;
 
       if (link->conn == NULL)
         continue;
       if (link->outbox.ctx != NULL || link->offer_unanswered
           || now >= link->orders_sent_at + HS_HEARTBEAT_INTERVAL)
-        send_orders (entry, i,
-                     link->backlog_sent ? backlog_of (entry, &backlogs, i)
-                                        : &no_backlog,
-                     now);
+        {
+          backlog = backlog_for (entry, &backlogs, i);
+          send_orders (entry, i, &backlog, now);
+        }
       due = MIN (due, link->orders_sent_at + HS_HEARTBEAT_INTERVAL);
     }
   return due;
@@ -148,41 +158,62 @@
   hs_entry_orders_clear (outbox);
 }
 
-/* The backlog that concerns a target. */
-static const hsx_want *
-backlog_of (HsDirectEntry *entry, const Backlogs *backlogs, uint32_t target)
+/* The backlog that orders to a target state. An agent that is no longer needed
+   is told of no backlog, with orders that it gets anyhow. */
+static hsx_want
+backlog_for (HsDirectEntry *entry, Backlogs *backlogs, uint32_t target)
 {
-  return hs_targets_get (entry->targets, target)->reserve ? &backlogs->reserve
-                                                          : &backlogs->common;
+  Backlog *backlog = hs_targets_get (entry->targets, target)->reserve
+                         ? &backlogs->reserve
+                         : &backlogs->common;
+
+  if (!entry->links[target].backlog_sent)
+    return (hsx_want){ 0 };
+  if (hs_backlog_is_stated (true, backlog->n_asked, backlog->want.tasks))
+    return backlog->want;
+  backlog->n_asked--;
+  return (hsx_want){ 0 };
 }
 
-/* Reports the backlog to some agents, in round-robin order.
+/* The number of agents whose last orders reported a backlog.
+   @reserve: of those of the reserve, or of the others */
+static uint32_t
+count_asked (HsDirectEntry *entry, bool reserve)
+{
+  uint32_t n = 0;
+  uint32_t i;
+
+  for (i = 0; i < entry->n_links; i++)
+    n += entry->links[i].conn != NULL && entry->links[i].backlog_sent
+         && hs_targets_get (entry->targets, i)->reserve == reserve;
+  return n;
+}
+
+/* Reports the backlog to more agents, in round-robin order, if it has grown.
    @reserve: to those of the reserve, or to the others */
 static void
 send_backlog (HsDirectEntry *entry,
-              const Backlogs *backlogs,
+              Backlogs *backlogs,
               bool reserve,
               HsTime now)
 {
-  const hsx_want *backlog = reserve ? &backlogs->reserve : &backlogs->common;
-  uint32_t n = 0;
+  Backlog *backlog = reserve ? &backlogs->reserve : &backlogs->common;
   uint32_t i;
 
-  if (backlog->rank == 0)
+  if (backlog->want.rank == 0)
     return;
-  for (i = 0; i < entry->n_links; i++)
-    n += entry->links[i].conn != NULL && entry->links[i].backlog_sent
-         && hs_targets_get (entry->targets, i)->reserve == reserve;
-  for (i = 0; i < entry->n_links && n < HS_BACKLOG_AGENTS_MAX; i++)
+  for (i = 0;
+       i < entry->n_links
+       && hs_backlog_is_stated (false, backlog->n_asked, backlog->want.tasks);
+       i++)
     {
       uint32_t k = entry->next_backlog_agent++ % entry->n_links;
 
       if (entry->links[k].conn == NULL || entry->links[k].backlog_sent
           || hs_targets_get (entry->targets, k)->reserve != reserve)
         continue;
-      entry->links[k].backlog_sent = true;
-      send_orders (entry, k, backlog, now);
-      n++;
+      backlog->n_asked++;
+      send_orders (entry, k, &backlog->want, now);
     }
 }
 
--- a/src/direct/offers.h
+++ b/src/direct/offers.h
@@ -20,12 +20,6 @@
  *  has. */
 #define HS_OFFERS_ENTRIES_MAX 128
 
-/** Maximum number of agents that an entry reports its backlog to at a time. In
- *  the largest deployments each agent frees resources 50 times a second, and
- *  twelve entries compete for them; offers beyond what this entry can use would
- *  withhold those resources from the other entries. */
-#define HS_BACKLOG_AGENTS_MAX 16
-
 typedef struct
 {
   hsx_want backlog;   /**< Rank 0: no task waits; a higher rank goes first. */
--- a/src/direct/part.mk
+++ b/src/direct/part.mk
@@ -1,5 +1,6 @@
 SRCS += src/direct/resources.c src/direct/runs.c src/direct/runs_start.c src/direct/runs_poll.c
 SRCS += src/direct/runs_crash.c src/direct/runs_lease.c src/direct/crash_message.c
+SRCS += src/direct/backlog.c
 SRCS += src/direct/offers.c src/direct/breaker.c src/direct/progress_rate.c
 SRCS += src/direct/targets.c src/direct/targets_groups.c src/direct/demand.c
 SRCS += src/direct/jobs.c src/direct/jobs_answer.c src/direct/jobs_place.c
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -1,5 +1,5 @@
 /* Messages between the entries and agents of a simulated load. */
-#include "direct/offers.h"
+#include "direct/backlog.h"
 #include "load_private.h"
 
 static void
@@ -234,25 +234,26 @@
   for (k = 0; k < n_agents; k++)
     {
       const hsx_want *backlog;
-      bool announce;
+      bool asked;
+      bool stated;
       bool reserve;
 
       a = (first + k) % n_agents;
       reserve = hs_targets_get (entry->targets, a)->reserve;
       backlog = &backlogs[reserve];
-      announce = backlog->rank > 0 && !entry->backlog_sent[a]
-                 && n_informed[reserve] < HS_BACKLOG_AGENTS_MAX;
+      asked = entry->backlog_sent[a];
+      stated
+          = hs_backlog_is_stated (asked, n_informed[reserve], backlog->tasks);
 
       if (!entry->linked[a])
         continue;
-      if (!announce && entry->launches[a]->len == 0 && entry->stops[a]->len == 0
-          && !entry->orders_due[a]
+      if ((asked || !stated) && entry->launches[a]->len == 0
+          && entry->stops[a]->len == 0 && !entry->orders_due[a]
           && load_world.now - entry->ordered_at[a] < HEARTBEAT_INTERVAL)
         continue;
-      n_informed[reserve] += announce;
-      if (announce)
+      if (!asked && stated)
         entry->next_backlog_agent = a + 1;
-      send_orders (entry, a,
-                   announce || entry->backlog_sent[a] ? backlog : &none);
+      n_informed[reserve] += (unsigned int) stated - (unsigned int) asked;
+      send_orders (entry, a, stated ? backlog : &none);
     }
 }
