Simulate a demand that is uneven between entries

Cause: the yardstick spread jobs almost evenly and gave no result by entry, so that one entry's long waits weren't seen. Change: a plan may state each entry's share of the jobs, data centres with a longer delay between them, and a third of slower targets. bench-yardstick "uneven" runs 8 entries, one with 28% of the jobs, on 50 targets at 110% and 140% of the capacity, and prints waits, shares served and refusals by entry. A stray include inside a comment of load_effects.c is removed.

--- a/bench/queue_model.c
+++ b/bench/queue_model.c
@@ -109,6 +109,7 @@
           if (job->arrives_at > model.now)
             break;
           total_value += job->value;
+          load_note_arrival (&model.result, job);
           model.result.kinds[job->kind].submitted++;
           state->n_waiting = job->n_tasks;
           g_array_append_val (model.waiting_jobs, next);
@@ -251,7 +252,7 @@
             unsigned int task,
             unsigned int target)
 {
-  const LoadJob *job = &g_array_index (model->jobs, LoadJob, job_index);
+  LoadJob *job = &g_array_index (model->jobs, LoadJob, job_index);
   const LoadPlan *plan = model->plan;
   JobState *state = &model->job_states[job_index];
   Run run = { job_index, target, task, 0,
@@ -268,6 +269,7 @@
   g_array_append_val (model->runs, run);
   model->free_milli[target] -= job->needs.cpu_milli;
   model->result.launches++;
+  load_note_start (&model->result, job, model->now);
   model->is_waiting[state->first_task + task] = false;
   state->n_waiting--;
   state->n_running++;
@@ -420,6 +422,7 @@
       else
         {
           kind->refused++;
+          load_note_refusal (&model->result, job, waited);
           kind->refused_at_once += waited <= LOAD_AT_ONCE;
           kind->mean_refusal_ms += (double) waited / HS_MSEC;
         }
@@ -436,6 +439,7 @@
 
   model->job_states[job_index].ended = true;
   model->useful_core_s += job->held_core_s;
+  load_note_completion (&model->result, job, took);
   model->value_earned += load_job_value_earned (job, took);
   if (took <= job->objective)
     kind->in_time++;
--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -15,6 +15,9 @@
 /* For the largest deployment. */
 #define N_SEEDS_LARGE 2
 
+/* For the uneven loads. */
+#define N_SEEDS_UNEVEN 3
+
 /* Schedulers that are compared. */
 typedef enum
 {
@@ -29,6 +32,11 @@
   N_SCHEDULERS
 } Scheduler;
 
+static const char ENTRY_TABLE_HEAD[]
+    = "\n| load | way | entry | jobs | mean wait ms | in time | worth "
+      "| refused at once | refused after a wait |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+
 static const char *const SCHEDULER_NAMES[N_SCHEDULERS]
     = { "ideal",      "whole jobs", "preempting",        "one entry",
         "all linked", "entries",    "first come, random" };
@@ -42,9 +50,14 @@
 
 static unsigned int make_loads (NamedLoad *loads);
 static unsigned int make_large_loads (NamedLoad *loads);
+static unsigned int make_uneven_loads (NamedLoad *loads);
 static bool applies (const LoadPlan *plan, Scheduler scheduler);
 static LoadResult simulate (const LoadPlan *plan, Scheduler scheduler);
 static void add_result (LoadResult *sum, const LoadResult *result);
+static void add_entry_rows (GString *rows,
+                            const NamedLoad *load,
+                            Scheduler scheduler,
+                            const LoadResult *sum);
 static void print_row (FILE *out,
                        const char *load,
                        Scheduler scheduler,
@@ -55,6 +68,7 @@
 main (int argc, char **argv)
 {
   NamedLoad loads[24];
+  GString *entry_rows = g_string_new (NULL);
   unsigned int n;
   unsigned int i;
   FILE *out;
@@ -112,9 +126,16 @@
             ideal = sum.value_share;
           print_row (out, loads[i].name, scheduler, &sum, ideal);
           print_row (stdout, loads[i].name, scheduler, &sum, ideal);
+          add_entry_rows (entry_rows, &loads[i], scheduler, &sum);
           fflush (stdout);
         }
     }
+  if (entry_rows->len > 0)
+    {
+      fprintf (out, "%s%s", ENTRY_TABLE_HEAD, entry_rows->str);
+      printf ("%s%s", ENTRY_TABLE_HEAD, entry_rows->str);
+    }
+  g_string_free (entry_rows, TRUE);
   if (fclose (out) != 0)
     {
       perror (argv[2]);
@@ -175,7 +196,19 @@
       = (NamedLoad){ "12 entries, 66 targets, 900 jobs/s", plan, N_SEEDS };
   plan.jobs_per_s = 1800;
   loads[n++] = (NamedLoad){ "the same, 1800 jobs/s", plan, N_SEEDS };
-  return make_large_loads (&loads[n]) + n;
+  n += make_large_loads (&loads[n]);
+  return make_uneven_loads (&loads[n]) + n;
+}
+
+/* One of 8 entries gets 28% of a demand above capacity. */
+static unsigned int
+make_uneven_loads (NamedLoad *loads)
+{
+  loads[0] = (NamedLoad){ "uneven, 110%", load_plan_uneven (0, 1.1),
+                          N_SEEDS_UNEVEN };
+  loads[1] = (NamedLoad){ "uneven, 140%", load_plan_uneven (0, 1.4),
+                          N_SEEDS_UNEVEN };
+  return 2;
 }
 
 /* The largest site: 55 entries, 240 targets, tasks that need a quarter of a
@@ -220,7 +253,7 @@
       return plan->n_links > 0;
     case SCHEDULER_WHOLE_JOBS:
     case SCHEDULER_PREEMPTIVE:
-      return plan->n_links == 0;
+      return plan->n_links == 0 && plan->entry_permille[0] == 0;
     default:
       return true;
     }
@@ -265,6 +298,19 @@
   return best;
 }
 
+static void
+add_entry_result (LoadEntryResult *sum, const LoadEntryResult *result)
+{
+  sum->submitted += result->submitted;
+  sum->started += result->started;
+  sum->in_time += result->in_time;
+  sum->refused_at_once += result->refused_at_once;
+  sum->refused_later += result->refused_later;
+  sum->wait_ms += result->wait_ms;
+  sum->value_offered += result->value_offered;
+  sum->value_earned += result->value_earned;
+}
+
 static void
 add_result (LoadResult *sum, const LoadResult *result)
 {
@@ -281,6 +327,8 @@
       sum->kinds[k].mean_refusal_ms
           += result->kinds[k].mean_refusal_ms * result->kinds[k].refused;
     }
+  for (k = 0; k < LOAD_ENTRIES_MAX; k++)
+    add_entry_result (&sum->entries[k], &result->entries[k]);
   sum->launches += result->launches;
   sum->refused_no_capacity += result->refused_no_capacity;
   sum->refused_while_free += result->refused_while_free;
@@ -333,3 +381,26 @@
            sum->free_core_s / sum->capacity_core_s,
            sum->fragment_core_s / sum->capacity_core_s);
 }
+
+/* Adds a row for each entry whose share of the demand the plan states. */
+static void
+add_entry_rows (GString *rows,
+                const NamedLoad *load,
+                Scheduler scheduler,
+                const LoadResult *sum)
+{
+  unsigned int e;
+
+  for (e = 0; e < LOAD_ENTRIES_STATED && load->plan.entry_permille[e] > 0; e++)
+    {
+      const LoadEntryResult *entry = &sum->entries[e];
+      double n = entry->submitted;
+
+      g_string_append_printf (
+          rows, "| %s | %s | %u | %u | %.1f | %.3f | %.3f | %.3f | %.3f |\n",
+          load->name, SCHEDULER_NAMES[scheduler], e, entry->submitted,
+          entry->wait_ms / MAX (entry->started, 1), entry->in_time / n,
+          entry->value_earned / entry->value_offered,
+          entry->refused_at_once / n, entry->refused_later / n);
+    }
+}
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -1,6 +1,4 @@
 /* The actions of the scheduling modules in a simulated load, and the answers of
-#include <stdio.h>
-#include <stdlib.h>
    the targets. */
 #include <stdio.h>
 #include <stdlib.h>
@@ -75,7 +73,11 @@
         hangs (agent), load_job_by_id (start->key.job)->needs.cpu_milli,
         load_world.now);
   if (result == HS_TARGET_OK)
-    load_crash_after_start (agent, &start->key);
+    {
+      load_note_start (&load_world.result, load_job_by_id (start->key.job),
+                       load_world.now - load_world.start);
+      load_crash_after_start (agent, &start->key);
+    }
   if (agent->model.cpu_milli > agent->cpu_milli)
     load_world.result.overcommitted++;
   msg = load_send_message (MSG_STARTED, lost ? START_TIMEOUT : HS_MSEC);
@@ -228,12 +230,14 @@
         kind->in_time++;
       else
         kind->late++;
+      load_note_completion (&load_world.result, job, answer->total_time);
       load_world.value_earned
           += load_job_value_earned (job, answer->total_time);
       load_world.useful_core_s += job->held_core_s;
       return;
     case HS_ANSWER_REFUSED:
       kind->refused++;
+      load_note_refusal (&load_world.result, job, answer->total_time);
       kind->refused_at_once += answer->total_time <= LOAD_AT_ONCE;
       kind->mean_refusal_ms += (double) answer->total_time / HS_MSEC;
       load_world.result.refused_while_free += fits_on_a_healthy_target (job);
--- a/test/load_jobs.c
+++ b/test/load_jobs.c
@@ -30,6 +30,7 @@
                                   double least,
                                   double most);
 static double kind_shares (const LoadPlan *plan, bool in_burst, double *shares);
+static unsigned int draw_entry (const LoadPlan *plan, Prng *random);
 static LoadJob
 draw_job (const LoadPlan *plan, const double *shares, Prng *random);
 static void free_job (gpointer data);
@@ -71,6 +72,45 @@
              : 0;
 }
 
+void
+load_note_arrival (LoadResult *result, const LoadJob *job)
+{
+  result->entries[job->entry].submitted++;
+  result->entries[job->entry].value_offered += job->value;
+}
+
+void
+load_note_start (LoadResult *result, LoadJob *job, HsTime at)
+{
+  LoadEntryResult *entry = &result->entries[job->entry];
+
+  if (job->started)
+    return;
+  job->started = true;
+  entry->started++;
+  entry->wait_ms += (double) (at - job->arrives_at) / HS_MSEC;
+}
+
+void
+load_note_refusal (LoadResult *result, const LoadJob *job, HsTime took)
+{
+  LoadEntryResult *entry = &result->entries[job->entry];
+
+  if (took <= LOAD_AT_ONCE)
+    entry->refused_at_once++;
+  else
+    entry->refused_later++;
+}
+
+void
+load_note_completion (LoadResult *result, const LoadJob *job, HsTime took)
+{
+  LoadEntryResult *entry = &result->entries[job->entry];
+
+  entry->in_time += took <= job->objective;
+  entry->value_earned += load_job_value_earned (job, took);
+}
+
 unsigned int
 load_target_capacity (const LoadPlan *plan, unsigned int target)
 {
@@ -96,6 +136,8 @@
 {
   if (target % 3 == 2 && plan->fast_factor > 0)
     run = (HsTime) ((double) run / plan->fast_factor);
+  if (target % 3 == 1 && plan->slow_third > 0)
+    run = (HsTime) ((double) run * plan->slow_third);
   if (at >= plan->faults_from && target >= plan->n_agents - plan->n_slow)
     run *= 6;
   return MAX (run, HS_MSEC);
@@ -148,6 +190,22 @@
   return sum;
 }
 
+static unsigned int
+draw_entry (const LoadPlan *plan, Prng *random)
+{
+  unsigned int pick;
+  unsigned int e;
+
+  /* Callers are spread unevenly: the first entry gets twice as many jobs. */
+  if (plan->entry_permille[0] == 0)
+    return prng_below (random, plan->n_entries + 1) % plan->n_entries;
+  pick = prng_below (random, 1000);
+  for (e = 0; e < LOAD_ENTRIES_STATED - 1 && pick >= plan->entry_permille[e];
+       e++)
+    pick -= plan->entry_permille[e];
+  return e;
+}
+
 static LoadJob
 draw_job (const LoadPlan *plan, const double *shares, Prng *random)
 {
@@ -162,8 +220,7 @@
   while (job.kind < LOAD_KINDS - 1 && pick > shares[job.kind])
     pick -= shares[job.kind++];
   kind = &KINDS[job.kind];
-  /* Callers are spread unevenly: the first entry gets twice as many jobs. */
-  job.entry = prng_below (random, plan->n_entries + 1) % plan->n_entries;
+  job.entry = draw_entry (plan, random);
   mean = bounded_log_normal (random, kind->mean_run_ms, 0.4, 2,
                              kind->mean_run_ms * 4);
   job.n_tasks = (unsigned int) bounded_log_normal (
--- a/test/load_jobs.h
+++ b/test/load_jobs.h
@@ -28,6 +28,7 @@
   bool crashes;         /**< Its task `crash_task` crashes its targets. */
   unsigned int crash_task;
   unsigned int n_crashes; /**< Of targets, under that task. */
+  bool started;           /**< One of its tasks has. */
 } LoadJob;
 
 /** A job that takes longer than its objective has this share of its value, and
@@ -42,6 +43,15 @@
 /** The value of a job that is completed after @p took. */
 double load_job_value_earned (const LoadJob *job, HsTime took);
 
+/** @name Results of the entry that a job was submitted to @{ */
+/** @param at since the start of the load */
+void load_note_start (LoadResult *result, LoadJob *job, HsTime at);
+/** @param took from arrival to the answer */
+void load_note_refusal (LoadResult *result, const LoadJob *job, HsTime took);
+void load_note_completion (LoadResult *result, const LoadJob *job, HsTime took);
+void load_note_arrival (LoadResult *result, const LoadJob *job);
+/** @} */
+
 /** Capacity of a target, in thousandths of a core. */
 unsigned int load_target_capacity (const LoadPlan *plan, unsigned int target);
 
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -2,12 +2,26 @@
 #include "direct/backlog.h"
 #include "load_private.h"
 
+/* One-way delay between an entry and an agent. */
+static HsTime
+delay (unsigned int entry, unsigned int agent)
+{
+  const LoadPlan *plan = load_world.plan;
+
+  if (plan->central)
+    return 0;
+  if (plan->remote_delay == 0
+      || load_entry_data_centre (plan, entry)
+             == load_agent_data_centre (plan, agent))
+    return MESSAGE_DELAY;
+  return plan->remote_delay;
+}
+
 static void
 send_orders (Entry *entry, unsigned int a, const hsx_want *backlog)
 {
   HsTarget *target = hs_targets_get (entry->targets, a);
-  Msg *msg = load_send_message (MSG_ORDERS,
-                                load_world.plan->central ? 0 : MESSAGE_DELAY);
+  Msg *msg = load_send_message (MSG_ORDERS, delay (entry->number, a));
   GArray *launches = entry->launches[a];
   GArray *stops = entry->stops[a];
 
@@ -57,8 +71,7 @@
 static void
 send_report (Agent *agent, unsigned int e)
 {
-  Msg *msg = load_send_message (MSG_REPORT,
-                                load_world.plan->central ? 0 : MESSAGE_DELAY);
+  Msg *msg = load_send_message (MSG_REPORT, delay (e, agent->number));
   GArray *ends = agent->ends[e];
 
   msg->entry = e;
--- a/test/load_private.h
+++ b/test/load_private.h
@@ -16,10 +16,11 @@
 #include "prng.h"
 #include "target_model.h"
 
-#define ENTRIES_MAX 64
+#define ENTRIES_MAX LOAD_ENTRIES_MAX
 #define AGENTS_MAX 256
 
-/** One-way delay between processes in different data centres. */
+/** One-way delay of a message, unless the plan has a longer one between data
+ *  centres. */
 #define MESSAGE_DELAY (1 * HS_MSEC)
 
 /** As in the real processes; see direct/liveness.h and
@@ -113,6 +114,10 @@
  *  the simulation */
 Msg *load_send_message (MsgKind kind, HsTime delay);
 
+/** Data centre of an entry or of an agent. */
+unsigned int load_entry_data_centre (const LoadPlan *plan, unsigned int entry);
+unsigned int load_agent_data_centre (const LoadPlan *plan, unsigned int agent);
+
 /** Number of entries that each agent is connected to. */
 unsigned int load_links_per_agent (const LoadPlan *plan);
 
--- a/test/load_world.c
+++ b/test/load_world.c
@@ -6,6 +6,9 @@
 
 #define STEP (1 * HS_MSEC)
 
+/** Run time of all tasks of a mean job, in seconds. */
+#define UNEVEN_JOB_S 0.56
+
 World load_world;
 
 Msg *
@@ -32,6 +35,7 @@
   else
     {
       load_world.value_offered += job->value;
+      load_note_arrival (&load_world.result, job);
       load_world.result.kinds[job->kind].submitted++;
     }
   out.request = number;
@@ -88,9 +92,16 @@
     }
 }
 
+static void
+data_centre_name (char name[16], unsigned int number)
+{
+  g_snprintf (name, 16, "dc%u", number);
+}
+
 static void
 set_up (const LoadPlan *plan)
 {
+  char name[16];
   HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
   unsigned int a;
   unsigned int e;
@@ -126,11 +137,13 @@
 
       entry->number = e;
       entry->targets = hs_targets_new (load_world.ctx);
-      entry->jobs = hs_jobs_new (load_world.ctx, entry->targets, "dc",
+      data_centre_name (name, load_entry_data_centre (plan, e));
+      entry->jobs = hs_jobs_new (load_world.ctx, entry->targets, name,
                                  &LOAD_JOBS_EFFECTS, entry);
       for (a = 0; a < plan->n_agents; a++)
         {
-          hs_targets_connect (entry->targets, a + 1, "dc", load_world.now);
+          data_centre_name (name, load_agent_data_centre (plan, a));
+          hs_targets_connect (entry->targets, a + 1, name, load_world.now);
           entry->launches[a] = g_array_new (FALSE, FALSE, sizeof (Launch));
           entry->stops[a] = g_array_new (FALSE, FALSE, sizeof (uint64_t));
         }
@@ -173,6 +186,18 @@
                             : MIN (plan->n_links, plan->n_entries);
 }
 
+unsigned int
+load_entry_data_centre (const LoadPlan *plan, unsigned int entry)
+{
+  return entry < LOAD_ENTRIES_STATED ? plan->entry_data_centre[entry] : 0;
+}
+
+unsigned int
+load_agent_data_centre (const LoadPlan *plan, unsigned int agent)
+{
+  return plan->n_data_centres > 0 ? agent % plan->n_data_centres : 0;
+}
+
 /* Adds one step to the free core-seconds, if any job waits. */
 static void
 account_free_cores (const LoadPlan *plan)
@@ -250,3 +275,29 @@
 
   return plan;
 }
+
+LoadPlan
+load_plan_uneven (uint32_t seed, double load)
+{
+  LoadPlan plan
+      = { .seed = seed,
+          .n_entries = 8,
+          .n_agents = 50,
+          .cpu_milli = 64000,
+          .task_milli = 4700,
+          .burst = 1,
+          .arrival_span = 6 * HS_SEC,
+          .entry_permille = { 279, 103, 103, 103, 103, 103, 103, 103 },
+          .n_data_centres = 4,
+          .entry_data_centre = { 0, 1, 1, 1, 2, 2, 3, 3 },
+          .remote_delay = 3 * HS_MSEC,
+          .slow_third = 1.3 };
+  double cores = 0;
+  unsigned int a;
+
+  for (a = 0; a < plan.n_agents; a++)
+    cores += load_target_capacity (&plan, a)
+             / (a % 3 == 1 ? plan.slow_third : 1) / 1000;
+  plan.jobs_per_s = load * cores / (UNEVEN_JOB_S * plan.task_milli / 1000);
+  return plan;
+}
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -15,6 +15,13 @@
 
 #define LOAD_KINDS 3
 
+/** Maximum number of entries. */
+#define LOAD_ENTRIES_MAX 64
+
+/** Number of entries for which a plan can state where they are and how much of
+ *  the demand they get. */
+#define LOAD_ENTRIES_STATED 8
+
 /** A refusal after no more than this tells the caller at once. */
 #define LOAD_AT_ONCE (5 * HS_MSEC)
 
@@ -52,7 +59,16 @@
   HsTime crash_to;
   HsTime crash_delay; /**< From the start of the task to the crash. */
   HsTime down_time;   /**< From a crash to the target's restart. */
-  bool central;       /**< A single entry, whose messages have no delay. */
+  /** Of 1000 jobs, those submitted to each of the first entries; all 0: the
+   *  first entry gets twice as many as each other. */
+  unsigned int entry_permille[LOAD_ENTRIES_STATED];
+  unsigned int n_data_centres; /**< The agents take turns; 0: a single one. */
+  unsigned int entry_data_centre[LOAD_ENTRIES_STATED];
+  HsTime remote_delay; /**< Of a message to another data centre; 0: as within
+                            one. */
+  double slow_third;   /**< Factor on the run times on targets 1, 4, 7...; 0: as
+                            on the others. */
+  bool central;        /**< A single entry, whose messages have no delay. */
 } LoadPlan;
 
 typedef struct
@@ -66,9 +82,23 @@
   double mean_refusal_ms; /**< From arrival to refusal. */
 } LoadKindResult;
 
+/** What the callers of one entry get. */
+typedef struct
+{
+  unsigned int submitted;
+  unsigned int started;
+  unsigned int in_time;
+  unsigned int refused_at_once; /**< Within LOAD_AT_ONCE of the arrival. */
+  unsigned int refused_later;
+  double wait_ms; /**< Until the first start; the sum of all started jobs. */
+  double value_offered;
+  double value_earned;
+} LoadEntryResult;
+
 typedef struct
 {
   LoadKindResult kinds[LOAD_KINDS];
+  LoadEntryResult entries[LOAD_ENTRIES_MAX];
   unsigned int launches;
   unsigned int
       refused_no_capacity; /**< Launches refused for lack of resources. */
@@ -97,4 +127,12 @@
  *  141 jobs a second. */
 LoadPlan load_plan_default (uint32_t seed);
 
+/**
+ * 8 entries in 4 data centres, one of which is alone in its data centre and has
+ * 28% of the demand; 50 targets of 64 or 96 cores, a third of them 1.3 times as
+ * slow.
+ * @param load demand for cores relative to the capacity at the targets' speeds
+ */
+LoadPlan load_plan_uneven (uint32_t seed, double load);
+
 #endif
--- a/test/test_direct_load.c
+++ b/test/test_direct_load.c
@@ -335,6 +335,35 @@
     }
 }
 
+/* One of eight entries has 28% of a demand of 1.4 times the capacity. Its
+   callers are served nearly as often as those of the others. */
+static void
+a_busy_entry_is_served_as_often_as_calm_ones (void **state)
+{
+  uint32_t seed;
+  unsigned int e;
+
+  (void) state;
+  for (seed = 0; seed < 2; seed++)
+    {
+      LoadPlan plan = load_plan_uneven (seed, 1.4);
+      LoadResult result = load_simulate (&plan);
+      double busy
+          = (double) result.entries[0].in_time / result.entries[0].submitted;
+      double calm = 0;
+
+      for (e = 1; e < plan.n_entries; e++)
+        calm += (double) result.entries[e].in_time / result.entries[e].submitted
+                / (plan.n_entries - 1);
+      printf ("seed %u: %.3f in time at the busy entry, %.3f at the others\n",
+              seed, busy, calm);
+      assert_true (busy > calm - 0.06);
+      assert_true (calm > 0.7);
+      assert_true (result.value_share > 0.85);
+      assert_int_equal (result.overcommitted, 0);
+    }
+}
+
 int
 main (void)
 {
@@ -349,6 +378,7 @@
     cmocka_unit_test (a_hanging_target_makes_few_jobs_late),
     cmocka_unit_test (a_fast_first_run_makes_no_target_count_as_slow),
     cmocka_unit_test (a_burst_refuses_little_more_than_an_ideal_queue),
+    cmocka_unit_test (a_busy_entry_is_served_as_often_as_calm_ones),
     cmocka_unit_test (one_customer_cannot_take_down_all_targets),
     cmocka_unit_test (a_task_crashes_at_most_two_targets),
   };
