--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -1,13 +1,27 @@
 /* Messages between the entries and agents of a simulated load. */
-#include "direct/offers.h"
+#include "direct/backlog.h"
 #include "load_private.h"
 
+/* One-way delay between an entry and an agent. */
+static HsTime
+delay (unsigned int entry, unsigned int agent)
+{
+  const LoadPlan *plan = load_world.plan;
+
+  if (plan->central)
+    return 0;
+  if (plan->remote_delay == 0
+      || load_entry_data_centre (plan, entry)
+             == load_agent_data_centre (plan, agent))
+    return MESSAGE_DELAY;
+  return plan->remote_delay;
+}
+
 static void
 send_orders (Entry *entry, unsigned int a, const hsx_want *backlog)
 {
   HsTarget *target = hs_targets_get (entry->targets, a);
-  Msg *msg = load_send_message (MSG_ORDERS,
-                                load_world.plan->central ? 0 : MESSAGE_DELAY);
+  Msg *msg = load_send_message (MSG_ORDERS, delay (entry->number, a));
   GArray *launches = entry->launches[a];
   GArray *stops = entry->stops[a];
 
@@ -57,8 +71,7 @@
 static void
 send_report (Agent *agent, unsigned int e)
 {
-  Msg *msg = load_send_message (MSG_REPORT,
-                                load_world.plan->central ? 0 : MESSAGE_DELAY);
+  Msg *msg = load_send_message (MSG_REPORT, delay (e, agent->number));
   GArray *ends = agent->ends[e];
 
   msg->entry = e;
@@ -234,25 +247,26 @@
   for (k = 0; k < n_agents; k++)
     {
       const hsx_want *backlog;
-      bool announce;
+      bool asked;
+      bool stated;
       bool reserve;
 
       a = (first + k) % n_agents;
       reserve = hs_targets_get (entry->targets, a)->reserve;
       backlog = &backlogs[reserve];
-      announce = backlog->rank > 0 && !entry->backlog_sent[a]
-                 && n_informed[reserve] < HS_BACKLOG_AGENTS_MAX;
+      asked = entry->backlog_sent[a];
+      stated
+          = hs_backlog_is_stated (asked, n_informed[reserve], backlog->tasks);
 
       if (!entry->linked[a])
         continue;
-      if (!announce && entry->launches[a]->len == 0 && entry->stops[a]->len == 0
-          && !entry->orders_due[a]
+      if ((asked || !stated) && entry->launches[a]->len == 0
+          && entry->stops[a]->len == 0 && !entry->orders_due[a]
           && load_world.now - entry->ordered_at[a] < HEARTBEAT_INTERVAL)
         continue;
-      n_informed[reserve] += announce;
-      if (announce)
+      if (!asked && stated)
         entry->next_backlog_agent = a + 1;
-      send_orders (entry, a,
-                   announce || entry->backlog_sent[a] ? backlog : &none);
+      n_informed[reserve] += (unsigned int) stated - (unsigned int) asked;
+      send_orders (entry, a, stated ? backlog : &none);
     }
 }
