--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -233,7 +233,8 @@
   return n;
 }
 
-/* Reports the backlog to more agents, in round-robin order, if it has grown.
+/* Reports the backlog to more agents that may be used, in round-robin order, if
+   it has grown.
    @reserve: to those of the reserve, or to the others */
 static void
 send_backlog (HsDirectEntry *entry,
