Direct: refuse as evacuated only with the target's list read

Entries conclude from a refusal as evacuated that no run of the task is left on that target, so that a task bound to it by an earlier run may start elsewhere. An agent checked the evacuation before its target's state: one that had just restarted, and hadn't read the list, refused so too, although a run of its predecessor might go on. The check now follows that of the state, as for starts that are accepted.

Ruled out: not concluding anything from that refusal; the job would then wait for its target until it is of no use. Measured: an_evacuated_agent_that_has_not_read_the_list_refuses_as_unknown failed before (reason 9, evacuated, instead of 4, no target); a_refusal_by_an_evacuation_releases_a_task_from_its_target fails if the conclusion is left out. test_direct_runs (75), test_direct_agent_links (20), test_direct_runs_random (7) and test_direct_evacuations (14 tests) pass.

--- a/src/direct/runs_start.c
+++ b/src/direct/runs_start.c
@@ -198,8 +198,6 @@
           && strcmp (run->key.job, key->job) == 0)
         return HS_REFUSAL_DUPLICATE;
     }
-  if (runs->evacuated)
-    return HS_REFUSAL_EVACUATED;
   if (now - sent > ORDER_AGE_MAX)
     return HS_REFUSAL_STALE;
   switch (hs_runs_target_state (runs))
@@ -211,6 +209,10 @@
     default:
       return HS_REFUSAL_NO_TARGET;
     }
+  /* Only with the list read: entries conclude from this refusal that no run of
+     the task is left here. */
+  if (runs->evacuated)
+    return HS_REFUSAL_EVACUATED;
   if (sent + launch->left_ms * HS_MSEC <= now)
     return HS_REFUSAL_DEADLINE;
   available = hs_runs_available (runs, entry, now);
--- a/test/test_direct_evacuations.c
+++ b/test/test_direct_evacuations.c
@@ -277,6 +277,30 @@
   assert_int_equal (answers[0].kind, HS_ANSWER_REFUSED);
 }
 
+/* Guards against a job that is bound to an evacuated target by an earlier run
+   there, which has ended: that refusal comes after the check for it. */
+static void
+a_refusal_by_an_evacuation_releases_a_task_from_its_target (void **state)
+{
+  hsx_end end = { .how = HSX_END_REFUSED, .reason = HS_REFUSAL_DUPLICATE };
+  HsTime later = T0 + 60 * HS_MSEC;
+
+  (void) state;
+  set_up_targets (CAPACITY);
+  submit ("a", 1, 1000);
+  end.ref = launches[0].task.ref;
+  hs_jobs_task_ended (jobs, launches[0].target, &end, T0);
+  hs_jobs_dispatch (jobs, later);
+  assert_int_equal (n_launches, 2);
+  assert_int_equal (launches[1].target, launches[0].target);
+  end.ref = launches[1].task.ref;
+  end.reason = HS_REFUSAL_EVACUATED;
+  hs_jobs_task_ended (jobs, launches[1].target, &end, later);
+  hs_jobs_dispatch (jobs, later);
+  assert_int_equal (n_launches, 3);
+  assert_int_not_equal (launches[2].target, launches[0].target);
+}
+
 static void
 with_all_targets_evacuated_jobs_are_refused_at_once (void **state)
 {
@@ -391,6 +415,7 @@
     TEST (key_names_are_checked),
     TEST (an_evacuated_target_gets_nothing_although_it_made_an_offer),
     TEST (a_launch_refused_by_an_evacuation_runs_elsewhere),
+    TEST (a_refusal_by_an_evacuation_releases_a_task_from_its_target),
     TEST (with_all_targets_evacuated_jobs_are_refused_at_once),
     TEST (a_task_that_only_evacuated_targets_could_hold_is_refused),
     TEST (a_target_that_connects_later_is_evacuated_too),
--- a/test/test_direct_runs.c
+++ b/test/test_direct_runs.c
@@ -2040,6 +2040,26 @@
   assert_int_equal (n_starts, 1);
 }
 
+/* Guards against a task that runs twice: a refusal as evacuated lets it be
+   started on another target, while a run that an earlier agent started here may
+   go on. */
+static void
+an_evacuated_agent_that_has_not_read_the_list_refuses_as_unknown (void **state)
+{
+  HsRunsOptions options = { .lease = HS_SEC, .stop_timeout = 50 * HS_MSEC };
+  HsAnnouncement announcement = make_announcement (2);
+
+  (void) state;
+  launch ("a", 0, 7);
+  answer_start ();
+  runs = hs_runs_new (ctx, &options, FIRST_TOKEN + 100, &EFFECTS, NULL);
+  hs_runs_set_evacuated (runs, true);
+  hs_runs_target_announced (runs, &announcement, now);
+  launch ("a", 0, 8);
+  assert_int_equal (n_ends, 1);
+  assert_int_equal (ends[0].reason, HS_REFUSAL_NO_TARGET);
+}
+
 /* Guards against a start in an evacuated data centre by the repetition of one
    that got no answer. */
 static void
@@ -2118,6 +2138,7 @@
     TEST (announcements_out_of_order_are_ignored),
     TEST (a_leaving_target_refuses_launches),
     TEST (an_evacuation_refuses_launches_and_lets_tasks_end),
+    TEST (an_evacuated_agent_that_has_not_read_the_list_refuses_as_unknown),
     TEST (an_evacuated_target_gets_no_start_again),
     TEST (an_evacuated_target_is_not_blamed_for_a_start_that_was_fenced),
     TEST (a_stale_order_is_refused),
