--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -151,7 +151,17 @@
 }
 
 static void
-write_settings (const Cluster *c, ClusterKind kind, unsigned int i, char *path)
+write_metrics_port (Cluster *c, ClusterKind kind, unsigned int i, FILE *f)
+{
+  char *address = c->metrics_addresses[kind][i];
+
+  if (address[0] == '\0')
+    choose_address (address);
+  fprintf (f, "\"metrics_port\":%s,", strchr (address, ':') + 1);
+}
+
+static void
+write_settings (Cluster *c, ClusterKind kind, unsigned int i, char *path)
 {
   char seeds[256];
   FILE *f;
@@ -161,14 +171,19 @@
   f = fopen (path, "w");
   if (f == NULL)
     abort ();
+  fprintf (f, "{\"cluster_key\":\"0123456789-%08d\",", (int) getpid ());
+  if (c->memory_mb > 0)
+    write_metrics_port (c, kind, i, f);
   fprintf (f,
-           "{\"cluster_key\":\"0123456789-%08d\",\"platform\":{"
+           "\"platform\":{"
            "\"node_name\":\"%s%u\",\"ip\":\"127.0.0.1\",\"zone\":\"z%u\","
            "\"seeds\":[%s],\"bounds\":{\"grace_s\":6,\"max_hold_ms\":1000,"
            "\"stop_timeout_ms\":50,\"resend_ms\":1300},"
            "\"platform\":{\"address\":\"%s\"},",
-           (int) getpid (), KIND_NAMES[kind], i, i % 3, seeds,
-           c->store_dial_address);
+           KIND_NAMES[kind], i, i % 3, seeds, c->store_dial_address);
+  if (c->memory_mb > 0)
+    fprintf (f, "\"limits\":{\"memory_mb\":%u,\"max_fds\":%u},", c->memory_mb,
+             c->max_fds);
   if (kind == CLUSTER_ENTRY)
     fprintf (f,
              "\"listen_addrs\":{\"frontend_addr\":\"%s\",\"ready\":\"%s\","
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -45,6 +45,11 @@
   /** Part of the names of targets: rises when one is replaced. */
   unsigned int generations[CLUSTER_PROCESSES_MAX];
   unsigned int start_counts[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX];
+  /** Limits in the settings of entries and agents; 0: none. Where there is a
+   *  limit on memory, the metrics are served as well. */
+  unsigned int memory_mb;
+  unsigned int max_fds;
+  char metrics_addresses[CLUSTER_KINDS][CLUSTER_PROCESSES_MAX][32];
 } Cluster;
 
 /** The response to an HTTP request. */
