Bound the memory and descriptors of requests in progress

Bodies were held in full whatever the host had, and servers at their connection limit left new connections waiting until idle ones timed out. Every connection of the platform's HTTP servers now has a share of a byte budget of its process (http/body_budget, without sockets or a clock), derived from platform.limits.

Left: JSON texts of many small values.

--- a/src/direct/agent.c
+++ b/src/direct/agent.c
@@ -115,6 +115,8 @@
                            .disconnected = on_disconnected,
                            .call = on_call };
   HsRunsOptions options;
+  HsBodyLimits limits;
+  HsBodyBudget *budget;
   hsx_hello self = { .role = HSX_ROLE_AGENT };
 
   agent->settings
@@ -150,15 +152,17 @@
   agent->work_immediate = tevent_create_immediate (process);
   agent->timer = hs_timer_new (process, agent->ev, on_timer, process);
   add_seeds (agent);
+  budget = hs_process_body_budget_new (process, agent->settings, agent->metrics,
+                                       &limits);
   if (hs_announcement_server_new (
-          process, agent->ev, agent->settings->control_listen,
+          process, agent->ev, agent->settings->control_listen, budget,
           &hs_direct_agent_announcement_handler, agent, error)
       == NULL)
     return false;
   if (agent->settings->metrics_listen != NULL
       && hs_text_server_new (process, agent->ev,
-                             agent->settings->metrics_listen, "/metrics",
-                             render_metrics, agent, error)
+                             agent->settings->metrics_listen, budget,
+                             "/metrics", render_metrics, agent, error)
              == NULL)
     return false;
   process->settings_watch = hs_settings_watch_new (
--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -269,6 +269,8 @@
 listen_all (HsDirectEntry *entry, GError **error)
 {
   const HsPlatformSettings *settings = entry->settings;
+  HsBodyLimits limits;
+  HsBodyBudget *budget;
 
   if (settings->callers_listen == NULL || settings->ready_listen == NULL)
     {
@@ -278,20 +280,24 @@
                    entry->settings_path);
       return false;
     }
+  budget
+      = hs_process_body_budget_new (entry, settings, entry->metrics, &limits);
+  hs_rpc_set_max_handshakes (entry->rpc, limits.handshakes);
   if (!hs_rpc_listen (entry->rpc, settings->control_listen, error))
     return false;
-  entry->callers
-      = hs_caller_server_new (entry, entry->ev, settings->callers_listen,
-                              &CALLERS_HANDLER, entry, error);
+  entry->callers = hs_caller_server_new (
+      entry, entry->ev, settings->callers_listen, budget, limits.connections,
+      &CALLERS_HANDLER, entry, error);
   if (entry->callers == NULL)
     return false;
-  if (hs_text_server_new (entry, entry->ev, settings->ready_listen,
+  if (hs_text_server_new (entry, entry->ev, settings->ready_listen, budget,
                           HS_READY_PATH, is_ready, entry, error)
       == NULL)
     return false;
   return settings->metrics_listen == NULL
          || hs_text_server_new (entry, entry->ev, settings->metrics_listen,
-                                "/metrics", render_metrics, entry, error)
+                                budget, "/metrics", render_metrics, entry,
+                                error)
                 != NULL;
 }
 
--- a/src/direct/process.c
+++ b/src/direct/process.c
@@ -1,5 +1,6 @@
 #include "direct/process.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/random.h>
@@ -11,6 +12,11 @@
 /** The store answers in 4 ms, and in 50 times that when it is slow. */
 #define STORE_TIMEOUT (1200 * HS_MSEC)
 
+/** Larger blocks are returned to the kernel when they are freed, so that the
+ *  memory of bodies that were dropped doesn't stay with the process. The C
+ *  library's own threshold rises with the size of blocks that were freed. */
+#define MMAP_THRESHOLD_BYTES (64 * 1024)
+
 struct HsPauseWatch
 {
   HsPauseFunc paused;
@@ -93,6 +99,47 @@
   return store;
 }
 
+static double
+read_body_bytes (void *arg)
+{
+  return (double) hs_body_budget_stats (arg).bytes;
+}
+
+static double
+read_dropped_bodies (void *arg)
+{
+  return (double) hs_body_budget_stats (arg).dropped_bodies;
+}
+
+static double
+read_closed_connections (void *arg)
+{
+  return (double) hs_body_budget_stats (arg).closed_connections;
+}
+
+HsBodyBudget *
+hs_process_body_budget_new (TALLOC_CTX *ctx,
+                            const HsPlatformSettings *settings,
+                            HsMetrics *metrics,
+                            HsBodyLimits *limits)
+{
+  HsBodyBudget *budget;
+
+  *limits = hs_body_limits (settings->memory_mb, settings->max_fds);
+  budget = hs_body_budget_new (ctx, limits->bytes);
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+  hs_metrics_gauge (metrics, "hs_direct_body_bytes",
+                    "Memory of HTTP connections and request bodies.", NULL,
+                    NULL, read_body_bytes, budget);
+  hs_metrics_gauge (metrics, "hs_direct_bodies_dropped",
+                    "Request bodies dropped for lack of memory.", NULL, NULL,
+                    read_dropped_bodies, budget);
+  hs_metrics_gauge (metrics, "hs_direct_connections_closed",
+                    "HTTP connections closed above their limit.", NULL, NULL,
+                    read_closed_connections, budget);
+  return budget;
+}
+
 HsSettingsWatch *
 hs_settings_watch_new (TALLOC_CTX *ctx,
                        struct tevent_context *ev,
--- a/src/direct/process.h
+++ b/src/direct/process.h
@@ -12,6 +12,8 @@
 #include <tevent.h>
 
 #include "base/time.h"
+#include "http/body_budget.h"
+#include "metrics/metrics.h"
 #include "platform/settings.h"
 #include "rpc/conn.h"
 #include "store/store.h"
@@ -43,6 +45,17 @@
                                struct tevent_context *ev,
                                const HsPlatformSettings *settings);
 
+/**
+ * Creates the budget for requests in progress of all HTTP servers of the
+ * process, and its gauges. Siblings that use it are to be created later, as
+ * talloc frees the later ones first.
+ * @param limits set to what the host's memory and descriptors allow
+ */
+HsBodyBudget *hs_process_body_budget_new (TALLOC_CTX *ctx,
+                                          const HsPlatformSettings *settings,
+                                          HsMetrics *metrics,
+                                          HsBodyLimits *limits);
+
 /** Prefix of the store keys under which entries publish their addresses. */
 #define HS_ENTRY_KEY_PREFIX "hs/entry/"
 
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -1,6 +1,7 @@
 #include "http/mhd_loop.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include <sys/socket.h>
@@ -8,6 +9,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/event.h"
 #include "base/timer.h"
 
 #define LISTEN_BACKLOG 256
@@ -18,6 +20,19 @@
 /** Shortest time to its next run by timer. */
 #define TIMER_MIN (200 * HS_USEC)
 
+/** Connections beyond the limit, so that some can be accepted while others are
+ *  being closed for them; libmicrohttpd accepts up to 10 in one run. */
+#define CLOSING_MARGIN 32
+
+/** A connection of a server with a budget. */
+typedef struct
+{
+  int fd;
+  bool closing;
+  HsBodyShare *share;
+  HsMhdBody *body; /* That is being received, or NULL. */
+} Conn;
+
 struct HsMhd
 {
   struct MHD_Daemon *daemon;
@@ -26,11 +41,33 @@
   HsTimer *timer;
   struct tevent_immediate *resume;
   uint16_t port;
+  HsMhdOptions options;
+  HsBodyServer server; /* With a budget. */
 };
 
 static int free_mhd (HsMhd *mhd);
 static int open_socket (const char *address, uint16_t *port, GError **error);
-static bool start_daemon (HsMhd *mhd, const HsMhdOptions *options, int fd);
+static bool start_daemon (HsMhd *mhd, int fd);
+static void on_connection (void *arg,
+                           struct MHD_Connection *connection,
+                           void **context,
+                           enum MHD_ConnectionNotificationCode code);
+static enum MHD_Result on_request (void *arg,
+                                   struct MHD_Connection *connection,
+                                   const char *url,
+                                   const char *method,
+                                   const char *version,
+                                   const char *data,
+                                   size_t *len,
+                                   void **state);
+static void on_completed (void *arg,
+                          struct MHD_Connection *connection,
+                          void **state,
+                          enum MHD_RequestTerminationCode code);
+static Conn *conn_of (struct MHD_Connection *connection);
+static void drop_body (void *arg);
+static void close_connection (void *arg);
+static void report (HsMhd *mhd);
 static void run_daemon (void *arg);
 static void on_epoll_ready (struct tevent_context *ev,
                             struct tevent_fd *epoll_event,
@@ -40,6 +77,9 @@
                        struct tevent_immediate *immediate,
                        void *arg);
 
+static const HsBodyEffects EFFECTS
+    = { .drop_body = drop_body, .close = close_connection };
+
 HsMhd *
 hs_mhd_new (TALLOC_CTX *ctx,
             struct tevent_context *ev,
@@ -50,6 +90,8 @@
   int fd;
 
   mhd->ev = ev;
+  mhd->options = *options;
+  mhd->server.max_connections = options->max_connections;
   mhd->resume = tevent_create_immediate (mhd);
   mhd->timer = hs_timer_new (mhd, ev, run_daemon, mhd);
   fd = open_socket (options->listen, &mhd->port, error);
@@ -58,7 +100,7 @@
       talloc_free (mhd);
       return NULL;
     }
-  if (!start_daemon (mhd, options, fd))
+  if (!start_daemon (mhd, fd))
     {
       close (fd);
       talloc_free (mhd);
@@ -82,6 +124,20 @@
   tevent_schedule_immediate (mhd->resume, mhd->ev, on_resume, mhd);
 }
 
+void
+hs_mhd_bind_body (HsMhd *mhd,
+                  struct MHD_Connection *connection,
+                  HsMhdBody *body)
+{
+  Conn *conn;
+
+  if (mhd->options.budget == NULL)
+    return;
+  conn = conn_of (connection);
+  conn->body = body;
+  body->share = conn->share;
+}
+
 uint16_t
 hs_mhd_port (const HsMhd *mhd)
 {
@@ -133,16 +189,27 @@
 }
 
 static bool
-start_daemon (HsMhd *mhd, const HsMhdOptions *options, int fd)
+start_daemon (HsMhd *mhd, int fd)
 {
+  const HsMhdOptions *options = &mhd->options;
+  bool bounded = options->budget != NULL;
+  /* Ends at the first option that isn't given. */
+  struct MHD_OptionItem bounds[]
+      = { { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t) on_connection, mhd },
+          { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            (intptr_t) HS_CONNECTION_POOL_BYTES, NULL },
+          { MHD_OPTION_END, 0, NULL } };
   const union MHD_DaemonInfo *info;
 
   mhd->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, options->handle,
-      options->arg, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
-      options->completed, options->arg, MHD_OPTION_CONNECTION_LIMIT,
-      options->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      options->idle_timeout_s, MHD_OPTION_END);
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      bounded ? on_request : options->handle, bounded ? mhd : options->arg,
+      MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED,
+      bounded ? on_completed : options->completed, bounded ? mhd : options->arg,
+      MHD_OPTION_CONNECTION_LIMIT,
+      options->max_connections + (bounded ? CLOSING_MARGIN : 0),
+      MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s, MHD_OPTION_ARRAY,
+      bounded ? bounds : &bounds[2], MHD_OPTION_END);
   if (mhd->daemon == NULL)
     return false;
   info = MHD_get_daemon_info (mhd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -151,6 +218,110 @@
   return mhd->epoll_event != NULL;
 }
 
+static Conn *
+conn_of (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection,
+                                  MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
+}
+
+static void
+on_connection (void *arg,
+               struct MHD_Connection *connection,
+               void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  HsMhd *mhd = arg;
+  Conn *conn;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      TALLOC_FREE (*context);
+      return;
+    }
+  conn = talloc_zero (mhd, Conn);
+  conn->fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+  *context = conn;
+  conn->share = hs_body_share_new (conn, mhd->options.budget, &mhd->server,
+                                   &EFFECTS, conn, hs_now ().mono);
+}
+
+static enum MHD_Result
+on_request (void *arg,
+            struct MHD_Connection *connection,
+            const char *url,
+            const char *method,
+            const char *version,
+            const char *data,
+            size_t *len,
+            void **state)
+{
+  HsMhd *mhd = arg;
+  Conn *conn = conn_of (connection);
+
+  if (conn->closing)
+    return MHD_NO;
+  if (*state == NULL)
+    hs_body_share_begin (conn->share, hs_now ().mono);
+  else if (*len > 0)
+    hs_body_share_received (conn->share, *len, hs_now ().mono);
+  else
+    hs_body_share_complete (conn->share);
+  return mhd->options.handle (mhd->options.arg, connection, url, method,
+                              version, data, len, state);
+}
+
+static void
+on_completed (void *arg,
+              struct MHD_Connection *connection,
+              void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  HsMhd *mhd = arg;
+  Conn *conn = conn_of (connection);
+
+  conn->body = NULL;
+  if (mhd->options.completed != NULL)
+    mhd->options.completed (mhd->options.arg, connection, state, code);
+  hs_body_share_end (conn->share, hs_now ().mono);
+}
+
+static void
+drop_body (void *arg)
+{
+  Conn *conn = arg;
+
+  if (conn->body != NULL)
+    hs_mhd_body_drop (conn->body);
+}
+
+/* libmicrohttpd closes it when it reads the end of the connection, or asks for
+   its next part. */
+static void
+close_connection (void *arg)
+{
+  Conn *conn = arg;
+
+  conn->closing = true;
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
+static void
+report (HsMhd *mhd)
+{
+  HsBodyStats stats;
+
+  if (mhd->options.budget != NULL
+      && hs_body_budget_report (mhd->options.budget, hs_now ().mono, &stats))
+    hs_event (
+        "body_limit",
+        "held_kb=%zu dropped_bodies=%" PRIu64 " closed_connections=%" PRIu64,
+        stats.bytes / 1024, stats.dropped_bodies, stats.closed_connections);
+}
+
 /* Runs libmicrohttpd and sets the timer for its next run. The timer has a lower
    limit because one that is always due would starve the loop's other
    sockets. */
@@ -172,6 +343,7 @@
                   hs_now ().mono);
   else
     hs_timer_clear (mhd->timer);
+  report (mhd);
 }
 
 static void
--- a/src/http/mhd_loop.h
+++ b/src/http/mhd_loop.h
@@ -13,6 +13,8 @@
 #include <talloc.h>
 #include <tevent.h>
 
+#include "http/mhd_request.h"
+
 typedef struct HsMhd HsMhd;
 
 /** Parameters of a server. */
@@ -24,6 +26,11 @@
   void *arg; /**< First argument of both callbacks. */
   unsigned int max_connections;
   unsigned int idle_timeout_s; /**< 0: idle connections stay open. */
+  HsBodyBudget *budget; /**< NULL: connections wait to be accepted while there
+                             are max_connections. Otherwise those with the least
+                             progress are closed then, and the memory of bodies
+                             is bounded; outlives the server. The context of the
+                             daemon's connections is the server's then. */
 } HsMhdOptions;
 
 /**
@@ -43,6 +50,14 @@
  */
 void hs_mhd_resume (HsMhd *mhd, struct MHD_Connection *connection);
 
+/**
+ * Counts a body in the budget of its server, if that has one. It may be dropped
+ * from then on, until its request is completed.
+ */
+void hs_mhd_bind_body (HsMhd *mhd,
+                       struct MHD_Connection *connection,
+                       HsMhdBody *body);
+
 /** The port that the server listens on. */
 uint16_t hs_mhd_port (const HsMhd *mhd);
 
--- a/src/http/mhd_request.c
+++ b/src/http/mhd_request.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/time.h"
 
 #define BEARER_PREFIX "Bearer "
 #define INITIAL_SIZE ((size_t) 4096)
@@ -13,6 +14,7 @@
                                    const char *name);
 static bool is_chunked (struct MHD_Connection *connection);
 static void set_too_large (GError **error, size_t max_bytes);
+static bool grow (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes);
 static void free_text (void *text);
 
 bool
@@ -27,6 +29,8 @@
   if (count_headers (connection, MHD_HTTP_HEADER_TRANSFER_ENCODING) > 0)
     {
       body->expected = max_bytes;
+      if (body->share != NULL)
+        hs_body_share_expect (body->share, max_bytes);
       if (is_chunked (connection))
         return true;
       g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
@@ -44,6 +48,8 @@
       return false;
     }
   body->expected = expected;
+  if (body->share != NULL)
+    hs_body_share_expect (body->share, expected);
   if (expected > max_bytes)
     {
       set_too_large (error, max_bytes);
@@ -60,24 +66,39 @@
                  GError **error)
 {
   size_t total = body->len + len;
-  size_t size = talloc_get_size (body->data);
 
-  if (total > body->expected)
+  if (!body->dropped && total > body->expected)
     {
       set_too_large (error, body->expected);
       return false;
     }
-  if (total > size)
+  if (body->dropped || !grow (ctx, body, total))
     {
-      size = MAX (MAX (2 * size, total), INITIAL_SIZE);
-      body->data
-          = talloc_realloc (ctx, body->data, char, MIN (size, body->expected));
+      g_set_error (error, HS_ERROR, HS_ERROR_UNAVAILABLE,
+                   "no memory for this body now; try again later");
+      return false;
     }
   memcpy (body->data + body->len, data, len);
   body->len = total;
   return true;
 }
 
+void
+hs_mhd_body_drop (HsMhdBody *body)
+{
+  hs_mhd_body_release (body);
+  body->dropped = true;
+}
+
+void
+hs_mhd_body_release (HsMhdBody *body)
+{
+  TALLOC_FREE (body->data);
+  body->len = 0;
+  if (body->share != NULL)
+    hs_body_share_release (body->share);
+}
+
 const char *
 hs_mhd_bearer_token (struct MHD_Connection *connection)
 {
@@ -158,6 +179,25 @@
                "the body is over %zu bytes; split it", max_bytes);
 }
 
+/* Makes room for @p bytes in all; drops the body if they are refused. */
+static bool
+grow (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes)
+{
+  size_t size = talloc_get_size (body->data);
+
+  if (bytes <= size)
+    return true;
+  size = MIN (MAX (MAX (2 * size, bytes), INITIAL_SIZE), body->expected);
+  if (body->share != NULL
+      && !hs_body_share_reserve (body->share, size, hs_now ().mono))
+    {
+      hs_mhd_body_drop (body);
+      return false;
+    }
+  body->data = talloc_realloc (ctx, body->data, char, size);
+  return true;
+}
+
 static void
 free_text (void *text)
 {
--- a/src/http/mhd_request.h
+++ b/src/http/mhd_request.h
@@ -12,6 +12,8 @@
 #include <microhttpd.h>
 #include <talloc.h>
 
+#include "http/body_budget.h"
+
 /** A request body being received. */
 typedef struct
 {
@@ -19,6 +21,9 @@
   size_t len;
   size_t expected; /**< Content-Length; 0 without a body; for a chunked body the
                         largest accepted size. */
+  HsBodyShare *share; /**< NULL: its memory isn't counted; see
+                           hs_mhd_bind_body(). */
+  bool dropped;       /**< For lack of memory; its request is refused. */
 } HsMhdBody;
 
 /**
@@ -36,7 +41,8 @@
 
 /**
  * Appends received data.
- * Errors: HS_ERROR_TOO_LARGE if the body exceeds what is expected.
+ * Errors: HS_ERROR_TOO_LARGE if the body exceeds what is expected;
+ * HS_ERROR_UNAVAILABLE if it was dropped, now or before.
  * @param ctx parent of the body's data
  */
 bool hs_mhd_body_add (TALLOC_CTX *ctx,
@@ -45,6 +51,12 @@
                       size_t len,
                       GError **error);
 
+/** Drops a body for lack of memory. */
+void hs_mhd_body_drop (HsMhdBody *body);
+
+/** Releases the memory of a body that was received. */
+void hs_mhd_body_release (HsMhdBody *body);
+
 /** TOKEN of "Authorization: Bearer TOKEN", or NULL. */
 const char *hs_mhd_bearer_token (struct MHD_Connection *connection);
 
--- a/src/http/part.mk
+++ b/src/http/part.mk
@@ -1,3 +1,4 @@
+SRCS += src/http/body_budget.c
 SRCS += src/http/curl_loop.c
 SRCS += src/http/mhd_loop.c
 SRCS += src/http/mhd_request.c
--- a/src/rpc/conn.h
+++ b/src/rpc/conn.h
@@ -107,6 +107,10 @@
 /** Stops accepting connections; established ones stay open. */
 void hs_rpc_stop_listening (HsRpc *rpc);
 
+/** Replaces HS_RPC_HANDSHAKES_MAX as the limit of this endpoint; to be called
+ *  before it listens. */
+void hs_rpc_set_max_handshakes (HsRpc *rpc, uint32_t max);
+
 /** Replaces the address that HELLO announces on later connections. */
 void hs_rpc_set_address (HsRpc *rpc, const char *address);
 
--- a/src/rpc/endpoint.c
+++ b/src/rpc/endpoint.c
@@ -41,6 +41,7 @@
   rpc->handler = *handler;
   rpc->arg = arg;
   rpc->listen_fd = -1;
+  rpc->max_handshakes = HS_RPC_HANDSHAKES_MAX;
   talloc_set_destructor (rpc, endpoint_destructor);
   return rpc;
 }
@@ -97,6 +98,12 @@
   rpc->listen_fd = -1;
 }
 
+void
+hs_rpc_set_max_handshakes (HsRpc *rpc, uint32_t max)
+{
+  rpc->max_handshakes = max;
+}
+
 void
 hs_rpc_set_address (HsRpc *rpc, const char *address)
 {
@@ -134,7 +141,7 @@
 void
 hs_handshakes_add (HsRpc *rpc, HsHandshake *handshake, HsConn *conn)
 {
-  if (rpc->n_handshakes == HS_RPC_HANDSHAKES_MAX)
+  if (rpc->n_handshakes >= rpc->max_handshakes)
     drop_oldest_handshake (rpc);
   handshake->conn = conn;
   handshake->older = rpc->newest_handshake;
--- a/src/rpc/endpoint_private.h
+++ b/src/rpc/endpoint_private.h
@@ -35,6 +35,7 @@
   HsHandshake *oldest_handshake;
   HsHandshake *newest_handshake;
   uint32_t n_handshakes;
+  uint32_t max_handshakes;
 };
 
 typedef enum
@@ -52,7 +53,7 @@
 HsConn *hs_conn_new (HsRpc *rpc, int fd, bool dialled);
 
 /** Adds a connection to the handshakes in progress. If there are
- *  HS_RPC_HANDSHAKES_MAX, the oldest is closed. */
+ *  too many, the oldest is closed. */
 void hs_handshakes_add (HsRpc *rpc, HsHandshake *handshake, HsConn *conn);
 void hs_handshakes_remove (HsRpc *rpc, HsHandshake *handshake);
 
--- a/test/test_announcement_server.c
+++ b/test/test_announcement_server.c
@@ -19,6 +19,9 @@
   "\"sequence\":4,\"born\":7,\"labels\":[],"                                   \
   "\"capacity\":{\"cpu\":4000,\"mem_mb\":1000,\"gpu\":0}}"
 
+/** More than the tests use. */
+#define BUDGET_BYTES 100000000
+
 #define ANSWER_TIMEOUT_S 10
 
 static uint32_t n_announced;
@@ -112,8 +115,9 @@
   int status = fd;
 
   (void) state;
-  assert_non_null (
-      hs_announcement_server_new (ev, ev, listen, &HANDLER, NULL, NULL));
+  assert_non_null (hs_announcement_server_new (
+      ev, ev, listen, hs_body_budget_new (ev, BUDGET_BYTES), &HANDLER, NULL,
+      NULL));
   assert_int_equal (connect (fd, (struct sockaddr *) &address, sizeof address),
                     0);
   assert_int_equal (send (fd, text, strlen (text), 0), strlen (text));
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -25,9 +25,14 @@
 
 #define ANSWER_TIMEOUT_S 10
 
+/** Enough for all tests but those that change it. */
+#define BUDGET_BYTES 1000000
+#define CONNECTIONS_MAX 8
+
 typedef struct
 {
   struct tevent_context *ev;
+  HsBodyBudget *budget;
   HsCallerServer *server;
   int fd; /* The caller's connection. */
   GString *answer;
@@ -71,8 +76,9 @@
   f.fd = -1;
   f.answer = g_string_new (NULL);
   f.ev = tevent_context_init (NULL);
-  f.server
-      = hs_caller_server_new (f.ev, f.ev, "127.0.0.1:0", &HANDLER, NULL, NULL);
+  f.budget = hs_body_budget_new (f.ev, BUDGET_BYTES);
+  f.server = hs_caller_server_new (f.ev, f.ev, "127.0.0.1:0", f.budget,
+                                   CONNECTIONS_MAX, &HANDLER, NULL, NULL);
   assert_non_null (f.server);
   return 0;
 }
