Test: the budget for requests in progress, and its refusals

The caller server's test shows 503 with Retry-After for a dropped body, no call of the handler, and the next request on the same connection.

--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -195,9 +195,13 @@
   share->effects->close (share->arg);
 }
 
+/* Closes connections for a new one. That one stays in any case: if all others
+   have complete requests, the server accepts no more than a few. */
 static void
-limit_connections (HsBodyBudget *budget, HsBodyServer *server, HsTime now)
+limit_connections (const HsBodyShare *newest, HsTime now)
 {
+  HsBodyBudget *budget = newest->budget;
+  HsBodyServer *server = newest->server;
   Victims victims = { .n = 0 };
   HsBodyShare *share;
   unsigned int i;
@@ -205,7 +209,7 @@
   if (server->n_connections <= server->max_connections)
     return;
   for (share = budget->shares; share != NULL; share = share->next)
-    if (share->server == server && is_incomplete (share))
+    if (share != newest && share->server == server && is_incomplete (share))
       add_victim (&victims, share, score_of (share, now));
   for (i = 0; i < victims.n && server->n_connections > server->max_connections;
        i++)
@@ -321,7 +325,7 @@
   server->n_connections++;
   talloc_set_destructor (share, free_share);
   hs_body_share_end (share, now);
-  limit_connections (budget, server, now);
+  limit_connections (share, now);
   return share;
 }
 
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -25,8 +25,9 @@
 
 #define ANSWER_TIMEOUT_S 10
 
-/** Enough for all tests but those that change it. */
-#define BUDGET_BYTES 1000000
+/** Memory for requests: two bodies of LARGE_BODY_BYTES don't fit. */
+#define BUDGET_BYTES 400000
+#define LARGE_BODY_BYTES 240000
 #define CONNECTIONS_MAX 8
 
 typedef struct
@@ -265,6 +266,36 @@
   assert_int_equal (f.n_jobs, 0);
 }
 
+/* Guards against a request that fails as invalid, or runs, when there was no
+   memory for its body. */
+static void
+a_body_without_memory_is_refused (void **state)
+{
+  g_autofree char *filler = g_strnfill (LARGE_BODY_BYTES, ' ');
+  g_autofree char *large = g_strdup_printf (
+      HEAD "Content-Length: %zu\r\n\r\n%.*s" JOB,
+      (size_t) LARGE_BODY_BYTES + strlen (JOB), LARGE_BODY_BYTES, filler);
+  g_autofree char *plain
+      = g_strdup_printf (HEAD "Content-Length: %zu\r\n\r\n" JOB, strlen (JOB));
+
+  HsBodyServer other = { .max_connections = 1 };
+  HsBodyShare *share
+      = hs_body_share_new (f.ev, f.budget, &other, NULL, NULL, 0);
+
+  (void) state;
+  hs_body_share_begin (share, 0);
+  assert_true (hs_body_share_reserve (share, LARGE_BODY_BYTES, 0));
+  hs_body_share_complete (share);
+  connect_caller ();
+  assert_int_equal (exchange (large), 503);
+  assert_non_null (strstr (f.answer->str, "\r\nRetry-After: 1\r\n"));
+  assert_int_equal (f.n_jobs, 0);
+  assert_int_equal (exchange (plain), 200);
+  assert_int_equal (f.n_jobs, 1);
+  talloc_free (share);
+  assert_int_equal (exchange (large), 200);
+}
+
 #define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -274,6 +305,7 @@
     TEST (a_job_in_chunks_is_read),
     TEST (a_body_in_chunks_is_bounded),
     TEST (other_transfer_codings_end_the_connection),
+    TEST (a_body_without_memory_is_refused),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
