Bound the work on bodies in one turn of the loop

libmicrohttpd calls the handler for each chunk in a read buffer and is run up to 16 times in a turn: 320 clients with chunks of 16 bytes stopped an entry for 622 and 461 ms, so that its agent was lost and a job with it. A connection that delivered 64 parts in a turn is now suspended until a later one, 64 of them go on in each, and no further consecutive run begins after 5 ms. The clock is read once a run instead of twice a chunk.

Ruled out: refusing small chunks (a single such body is legal and has to be served in calm) and not consuming the data (libmicrohttpd then spins on it). test_body_memory 14 of 14, no pause in the logs; test_caller_server 4 of 4, test_platform_callers 2 of 2, test_body_budget 9 of 9.

--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -349,7 +349,8 @@
 {
   HsTime silence = MAX (now - share->received_at, 0);
 
-  share->recent_bytes *= exp2 (-(double) silence / (double) RATE_HALF_LIFE);
+  if (silence > 0)
+    share->recent_bytes *= exp2 (-(double) silence / (double) RATE_HALF_LIFE);
   share->recent_bytes += (double) n;
   share->received_at = now;
   share->missing -= MIN (share->missing, n);
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -17,6 +17,19 @@
 /** Limit on consecutive runs of libmicrohttpd while its time-out is 0. */
 #define CONSECUTIVE_RUNS_MAX 16
 
+/** Time after which no further consecutive run is begun: other sockets of the
+ *  loop have to be served, on hosts with a tenth of a core as well. */
+#define CONSECUTIVE_TIME_MAX (5 * HS_MSEC)
+
+/** Parts of a body that a connection may deliver in one turn of the loop; then
+ *  it is suspended until a later one. A part is what one read or one chunk
+ *  gives; a read may hold hundreds of small chunks. Ordinary bodies have fewer
+ *  than 16. */
+#define TURN_PARTS_MAX 64
+
+/** Suspended connections that go on in one turn. */
+#define TURN_RESUMED_MAX 64
+
 /** Shortest time to its next run by timer. */
 #define TIMER_MIN (200 * HS_USEC)
 
@@ -29,8 +42,12 @@
 {
   int fd;
   bool closing;
+  bool throttled; /* Suspended, and in the server's queue. */
+  struct MHD_Connection *connection;
   HsBodyShare *share;
   HsMhdBody *body; /* That is being received, or NULL. */
+  uint32_t turn;   /* In which `n_parts` were delivered. */
+  uint32_t n_parts;
 } Conn;
 
 struct HsMhd
@@ -42,7 +59,11 @@
   struct tevent_immediate *resume;
   uint16_t port;
   HsMhdOptions options;
-  HsBodyServer server; /* With a budget. */
+  /* With a budget: */
+  HsBodyServer server;
+  GQueue throttled; /* Of Conn, those that wait longest first. */
+  uint32_t turn;
+  HsTime now; /* When the last run began. */
 };
 
 static int free_mhd (HsMhd *mhd);
@@ -65,6 +86,8 @@
                           void **state,
                           enum MHD_RequestTerminationCode code);
 static Conn *conn_of (struct MHD_Connection *connection);
+static bool may_deliver (HsMhd *mhd, Conn *conn);
+static void resume_throttled (HsMhd *mhd, uint32_t max);
 static void drop_body (void *arg);
 static void close_connection (void *arg);
 static void report (HsMhd *mhd);
@@ -92,6 +115,7 @@
   mhd->ev = ev;
   mhd->options = *options;
   mhd->server.max_connections = options->max_connections;
+  g_queue_init (&mhd->throttled);
   mhd->resume = tevent_create_immediate (mhd);
   mhd->timer = hs_timer_new (mhd, ev, run_daemon, mhd);
   fd = open_socket (options->listen, &mhd->port, error);
@@ -150,6 +174,7 @@
   TALLOC_FREE (mhd->epoll_event);
   TALLOC_FREE (mhd->timer);
   TALLOC_FREE (mhd->resume);
+  resume_throttled (mhd, UINT32_MAX);
   MHD_stop_daemon (mhd->daemon);
   return 0;
 }
@@ -233,20 +258,23 @@
                enum MHD_ConnectionNotificationCode code)
 {
   HsMhd *mhd = arg;
-  Conn *conn;
+  Conn *conn = *context;
 
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
+      if (conn->throttled)
+        g_queue_remove (&mhd->throttled, conn);
       TALLOC_FREE (*context);
       return;
     }
   conn = talloc_zero (mhd, Conn);
+  conn->connection = connection;
   conn->fd
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd;
   *context = conn;
   conn->share = hs_body_share_new (conn, mhd->options.budget, &mhd->server,
-                                   &EFFECTS, conn, hs_now ().mono);
+                                   &EFFECTS, conn, mhd->now);
 }
 
 static enum MHD_Result
@@ -264,10 +292,12 @@
 
   if (conn->closing)
     return MHD_NO;
+  if (*state != NULL && *len > 0 && !may_deliver (mhd, conn))
+    return MHD_YES;
   if (*state == NULL)
-    hs_body_share_begin (conn->share, hs_now ().mono);
+    hs_body_share_begin (conn->share, mhd->now);
   else if (*len > 0)
-    hs_body_share_received (conn->share, *len, hs_now ().mono);
+    hs_body_share_received (conn->share, *len, mhd->now);
   else
     hs_body_share_complete (conn->share);
   return mhd->options.handle (mhd->options.arg, connection, url, method,
@@ -286,7 +316,35 @@
   conn->body = NULL;
   if (mhd->options.completed != NULL)
     mhd->options.completed (mhd->options.arg, connection, state, code);
-  hs_body_share_end (conn->share, hs_now ().mono);
+  hs_body_share_end (conn->share, mhd->now);
+}
+
+/* Counts a part of a body. Suspends the connection if it has delivered enough
+   in this turn; libmicrohttpd offers the part again later. */
+static bool
+may_deliver (HsMhd *mhd, Conn *conn)
+{
+  if (conn->turn != mhd->turn)
+    conn->n_parts = 0;
+  conn->turn = mhd->turn;
+  if (conn->n_parts++ < TURN_PARTS_MAX)
+    return true;
+  conn->throttled = true;
+  g_queue_push_tail (&mhd->throttled, conn);
+  MHD_suspend_connection (conn->connection);
+  return false;
+}
+
+static void
+resume_throttled (HsMhd *mhd, uint32_t max)
+{
+  Conn *conn;
+
+  for (; max > 0 && (conn = g_queue_pop_head (&mhd->throttled)) != NULL; max--)
+    {
+      conn->throttled = false;
+      MHD_resume_connection (conn->connection);
+    }
 }
 
 static void
@@ -315,7 +373,7 @@
   HsBodyStats stats;
 
   if (mhd->options.budget != NULL
-      && hs_body_budget_report (mhd->options.budget, hs_now ().mono, &stats))
+      && hs_body_budget_report (mhd->options.budget, mhd->now, &stats))
     hs_event (
         "body_limit",
         "held_kb=%zu dropped_bodies=%" PRIu64 " closed_connections=%" PRIu64,
@@ -331,12 +389,24 @@
   HsMhd *mhd = arg;
   MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
   bool has_timeout = true;
+  HsTime began_at = hs_now ().mono;
   int i;
 
-  for (i = 0; i < CONSECUTIVE_RUNS_MAX && has_timeout && timeout_ms == 0; i++)
+  mhd->turn++;
+  mhd->now = began_at;
+  resume_throttled (mhd, TURN_RESUMED_MAX);
+  for (i = 0; i < CONSECUTIVE_RUNS_MAX && has_timeout && timeout_ms == 0
+              && mhd->now - began_at < CONSECUTIVE_TIME_MAX;
+       i++)
     {
       MHD_run (mhd->daemon);
       has_timeout = MHD_get_timeout (mhd->daemon, &timeout_ms) == MHD_YES;
+      mhd->now = hs_now ().mono;
+    }
+  if (!g_queue_is_empty (&mhd->throttled))
+    {
+      has_timeout = true;
+      timeout_ms = 0;
     }
   if (has_timeout)
     hs_timer_set (mhd->timer, MAX ((HsTime) timeout_ms * HS_MSEC, TIMER_MIN),
