Test: small chunks take many turns, and short headers that don't end

Guards the bound on parts in one turn without times: a body of 15,000 chunks needs at least as many turns as chunks over 64. The headers of the other test fill libmicrohttpd's memory of a connection and are refused since it is smaller, so that a second one keeps connections open in their headers.

--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -435,6 +435,17 @@
   g_string_free (head, TRUE);
 }
 
+/* Shorter ones: those above fill libmicrohttpd's memory for a connection, so
+   that it refuses them. */
+static void
+short_headers_without_an_end_stay_within_descriptors (void **state)
+{
+  (void) state;
+  start_entry (MAX_FDS_LOW);
+  crowd_connections (cluster.addresses[CLUSTER_ENTRY][0], JOB_HEAD "X-More: 1",
+                     strlen (JOB_HEAD "X-More: 1"));
+}
+
 /* The last request has no end. The clients don't read the answers. */
 static void
 pipelined_requests_stay_within_descriptors (void **state)
@@ -587,6 +598,7 @@
     CROWD_TEST (body_of_many_values_stays_within_memory),
     CROWD_TEST (connections_without_a_request_stay_within_descriptors),
     CROWD_TEST (headers_without_an_end_stay_within_descriptors),
+    CROWD_TEST (short_headers_without_an_end_stay_within_descriptors),
     CROWD_TEST (pipelined_requests_stay_within_descriptors),
     CROWD_TEST (rpc_connections_before_hello_stay_within_descriptors),
     CROWD_TEST (idle_connections_block_no_text_server),
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -28,6 +28,9 @@
 /** Memory for requests: two bodies of LARGE_BODY_BYTES don't fit. */
 #define BUDGET_BYTES 400000
 #define LARGE_BODY_BYTES 240000
+
+#define N_SMALL_CHUNKS 15000
+#define TURN_CHUNKS_MAX 64
 #define CONNECTIONS_MAX 8
 
 typedef struct
@@ -39,6 +42,7 @@
   GString *answer;
   bool closed;
   bool timed_out;
+  uint32_t n_turns; /* Of the loop. */
   uint32_t n_jobs;
   uint32_t n_tasks; /* Of the last job. */
 } Fixture;
@@ -143,6 +147,7 @@
   tevent_add_timer (f.ev, f.ev, tevent_timeval_current_ofs (0, 1000), on_poll,
                     NULL);
   tevent_loop_once (f.ev);
+  f.n_turns++;
 }
 
 static void
@@ -296,6 +301,24 @@
   assert_int_equal (exchange (large), 200);
 }
 
+/* Guards against bodies in small chunks that keep the loop from other work: a
+   buffer of the server holds hundreds of them. */
+static void
+small_chunks_are_read_in_many_turns (void **state)
+{
+  GString *text = g_string_new (CHUNKED);
+  size_t n;
+
+  (void) state;
+  for (n = 0; n < N_SMALL_CHUNKS; n++)
+    g_string_append (text, "10\r\n                \r\n");
+  g_string_append_printf (text, "%zx\r\n%s\r\n0\r\n\r\n", strlen (JOB), JOB);
+  connect_caller ();
+  assert_int_equal (exchange (text->str), 200);
+  assert_true (f.n_turns >= N_SMALL_CHUNKS / TURN_CHUNKS_MAX);
+  g_string_free (text, TRUE);
+}
+
 #define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -306,6 +329,7 @@
     TEST (a_body_in_chunks_is_bounded),
     TEST (other_transfer_codings_end_the_connection),
     TEST (a_body_without_memory_is_refused),
+    TEST (small_chunks_are_read_in_many_turns),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
