--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -25,9 +25,10 @@
 #define FDS_OF_FILES 200
 #define FDS_OF_PEERS 272
 
-/** RPC peers before HELLO: more than all hosts of a deployment (71) that dial
- * at once after a loss of power. */
-#define HANDSHAKES_MAX 128
+/** RPC peers before HELLO, as descriptors allow: at least more than all hosts
+ * of a deployment (71) that dial at once after a loss of power. */
+#define HANDSHAKES_MIN 128
+#define HANDSHAKES_MAX 384
 
 #define CONNECTIONS_MIN 16
 
@@ -52,6 +53,11 @@
  *  every request needs a pass while the budget is exhausted. */
 #define SLACK_SHARE 0.0625
 
+/** A pass over the connections closes some more, a 64th of the limit at most,
+ *  which have been silent for a second. */
+#define SPARE_CONNECTIONS_DIVISOR 64
+#define SILENCE_MIN (1 * HS_SEC)
+
 #define REPORT_INTERVAL (1 * HS_SEC)
 
 typedef enum
@@ -105,17 +111,20 @@
   size_t memory = memory_mb > 0 ? memory_mb : HS_MEMORY_MB_DEFAULT;
   size_t fds = max_fds > 0 ? max_fds : HS_FDS_DEFAULT;
   size_t rest = memory - MIN (memory, RESERVED_MB);
-  size_t other_fds = FDS_OF_FILES + FDS_OF_PEERS + HANDSHAKES_MAX;
-  HsBodyLimits limits = { .handshakes = HANDSHAKES_MAX };
+  size_t free_fds = fds - MIN (fds, FDS_OF_FILES + FDS_OF_PEERS);
+  HsBodyLimits limits;
   size_t connections;
 
   limits.bytes
       = MAX ((size_t) ((double) (rest * MB) * BUDGET_SHARE), BUDGET_MIN);
   connections = (size_t) ((double) limits.bytes * CONNECTIONS_SHARE)
                 / HS_CONNECTION_BYTES;
-  connections = MIN (connections, fds - MIN (fds, other_fds));
+  connections = MIN (connections, free_fds - MIN (free_fds, HANDSHAKES_MIN));
   connections = MIN (connections, HS_CALLERS_MAX);
   limits.connections = (unsigned int) MAX (connections, CONNECTIONS_MIN);
+  free_fds -= MIN (free_fds, connections);
+  limits.handshakes
+      = (unsigned int) CLAMP (free_fds, HANDSHAKES_MIN, HANDSHAKES_MAX);
   return limits;
 }
 
@@ -195,12 +204,25 @@
   share->effects->close (share->arg);
 }
 
+/* Whether to close one more connection: always above the limit, and some below
+   it that have been silent, so that not each new one needs a pass. */
+static bool
+is_to_close (const HsBodyShare *share, HsTime now)
+{
+  const HsBodyServer *server = share->server;
+  unsigned int spare = server->max_connections / SPARE_CONNECTIONS_DIVISOR;
+
+  if (server->n_connections > server->max_connections)
+    return true;
+  return server->n_connections > server->max_connections - spare
+         && now - share->received_at >= SILENCE_MIN;
+}
+
 /* Closes connections for a new one. That one stays in any case: if all others
    have complete requests, the server accepts no more than a few. */
 static void
 limit_connections (const HsBodyShare *newest, HsTime now)
 {
-  HsBodyBudget *budget = newest->budget;
   HsBodyServer *server = newest->server;
   Victims victims = { .n = 0 };
   HsBodyShare *share;
@@ -208,11 +230,10 @@
 
   if (server->n_connections <= server->max_connections)
     return;
-  for (share = budget->shares; share != NULL; share = share->next)
+  for (share = newest->budget->shares; share != NULL; share = share->next)
     if (share != newest && share->server == server && is_incomplete (share))
       add_victim (&victims, share, score_of (share, now));
-  for (i = 0; i < victims.n && server->n_connections > server->max_connections;
-       i++)
+  for (i = 0; i < victims.n && is_to_close (victims.entries[i].share, now); i++)
     close_share (victims.entries[i].share);
 }
 
--- a/test/test_body_budget.c
+++ b/test/test_body_budget.c
@@ -109,6 +109,8 @@
 
   (void) state;
   assert_int_equal (limits.connections, 3500);
+  assert_int_equal (limits.handshakes, 128);
+  assert_int_equal (hs_body_limits (160, 10250).handshakes, 384);
   assert_true (limits.bytes >= 3500 * (HS_CONNECTION_BYTES + 10000));
   assert_true (limits.bytes <= 130 * KB * KB);
   assert_int_equal (hs_body_limits (0, 0).bytes, limits.bytes);
@@ -230,6 +232,24 @@
                     3 * HS_CONNECTION_BYTES);
 }
 
+/* Guards against a pass over all connections for each new one. */
+static void
+a_pass_closes_more_of_the_silent_connections (void **state)
+{
+  static Client many[200];
+  unsigned int n_closed = 0;
+  unsigned int i;
+
+  (void) state;
+  server.max_connections = G_N_ELEMENTS (many) - 1;
+  for (i = 0; i < G_N_ELEMENTS (many); i++)
+    connect_client (&many[i], i < 100 ? 0 : 2 * HS_SEC);
+  for (i = 0; i < G_N_ELEMENTS (many); i++)
+    n_closed += many[i].closed;
+  assert_int_equal (n_closed, 1 + (G_N_ELEMENTS (many) - 1) / 64);
+  assert_false (many[G_N_ELEMENTS (many) - 1].closed);
+}
+
 static void
 reports_come_once_a_second (void **state)
 {
@@ -304,6 +324,7 @@
     BUDGET_TEST (ordinary_bodies_are_kept_for_large_ones),
     BUDGET_TEST (a_complete_request_is_never_dropped),
     BUDGET_TEST (the_connection_that_waits_longest_is_closed),
+    BUDGET_TEST (a_pass_closes_more_of_the_silent_connections),
     BUDGET_TEST (reports_come_once_a_second),
     BUDGET_TEST (random_bodies_stay_within_the_budget),
   };
--- a/test/test_platform_settings.c
+++ b/test/test_platform_settings.c
@@ -44,6 +44,22 @@
   assert_int_equal (s->grace, 6500 * HS_MSEC);
   assert_int_equal (s->max_lease, 900 * HS_MSEC);
   assert_int_equal (s->stop_timeout, 50 * HS_MSEC);
+  assert_int_equal (s->memory_mb, 0);
+  talloc_free (s);
+}
+
+static void
+limits_of_the_host_are_read (void **state)
+{
+  HsPlatformSettings *s
+      = parse ("{" OWN_KEYS "\"platform\":{" PLATFORM_KEYS
+               ",\"limits\":{\"memory_mb\":120,\"max_fds\":3075}}}",
+               NULL);
+
+  (void) state;
+  assert_non_null (s);
+  assert_int_equal (s->memory_mb, 120);
+  assert_int_equal (s->max_fds, 3075);
   talloc_free (s);
 }
 
@@ -63,6 +79,12 @@
     { "{" OWN_KEYS "\"platform\":{\"ip\":\"x\"}}", "node_name" },
     { "{" OWN_KEYS "\"metrics_port\":70000,\"platform\":{" PLATFORM_KEYS "}}",
       "metrics_port" },
+    { "{" OWN_KEYS "\"platform\":{" PLATFORM_KEYS
+      ",\"limits\":{\"memory_mb\":\"x\"}}}",
+      "memory_mb" },
+    { "{" OWN_KEYS "\"platform\":{" PLATFORM_KEYS
+      ",\"limits\":{\"max_fds\":200000000}}}",
+      "max_fds" },
   };
   size_t i;
 
@@ -81,6 +103,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (rendered_platform_settings_are_read),
+    cmocka_unit_test (limits_of_the_host_are_read),
     cmocka_unit_test (invalid_settings_are_rejected_with_the_key),
   };
 
