Grow large bodies by blocks of one size

With the address sanitizer, bodies that arrive in pieces took 77,076 KB and whole ones 66,488 KB of 65,536: buffers that double leave freed memory of each size behind, which the next size can't use. Above 16 KiB a body now grows by blocks of 16 KiB, which are put together when it is complete; servers without a budget hold bodies in one buffer as before.

Ruled out: a larger bound or other options of the sanitizer's allocator (allocator_release_to_os_interval_ms=0 still gave 77,476 KB). test_body_memory 15 of 15 with the sanitizer (39,704 KB at most) and without (36,932 KB), test_caller_server 5 of 5 and test_announcement_server 1 of 1 with both.

--- a/src/http/mhd_request.c
+++ b/src/http/mhd_request.c
@@ -8,6 +8,10 @@
 #define BEARER_PREFIX "Bearer "
 #define INITIAL_SIZE ((size_t) 4096)
 
+/** Bodies whose memory is counted grow by blocks of one size above this one, so
+ *  that freed memory fits the next body. */
+#define BLOCK_BYTES ((size_t) 16384)
+
 static const char *get_header (struct MHD_Connection *connection,
                                const char *name);
 static unsigned int count_headers (struct MHD_Connection *connection,
@@ -15,6 +19,9 @@
 static bool is_chunked (struct MHD_Connection *connection);
 static void set_too_large (GError **error, size_t max_bytes);
 static bool grow (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes);
+static bool add_blocks (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes);
+static bool reserve (HsMhdBody *body, size_t bytes);
+static void append (HsMhdBody *body, const char *data, size_t len);
 static void free_text (void *text);
 
 bool
@@ -78,11 +85,31 @@
                    "no memory for this body now; try again later");
       return false;
     }
-  memcpy (body->data + body->len, data, len);
-  body->len = total;
+  append (body, data, len);
   return true;
 }
 
+void
+hs_mhd_body_join (TALLOC_CTX *ctx, HsMhdBody *body)
+{
+  size_t n_copied = BLOCK_BYTES;
+  unsigned int i;
+
+  if (body->n_blocks == 0)
+    return;
+  body->data = talloc_realloc (ctx, body->data, char, body->len);
+  for (i = 0; i < body->n_blocks; i++)
+    {
+      size_t n = MIN (BLOCK_BYTES, body->len - n_copied);
+
+      memcpy (body->data + n_copied, body->blocks[i], n);
+      n_copied += n;
+      talloc_free (body->blocks[i]);
+    }
+  TALLOC_FREE (body->blocks);
+  body->n_blocks = 0;
+}
+
 void
 hs_mhd_body_drop (HsMhdBody *body)
 {
@@ -94,6 +121,8 @@
 hs_mhd_body_release (HsMhdBody *body)
 {
   TALLOC_FREE (body->data);
+  TALLOC_FREE (body->blocks);
+  body->n_blocks = 0;
   body->len = 0;
   if (body->share != NULL)
     hs_body_share_release (body->share);
@@ -184,20 +213,74 @@
 grow (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes)
 {
   size_t size = talloc_get_size (body->data);
+  size_t max = body->expected;
 
+  if (body->share != NULL && bytes > BLOCK_BYTES)
+    return add_blocks (ctx, body, bytes);
   if (bytes <= size)
     return true;
-  size = MIN (MAX (MAX (2 * size, bytes), INITIAL_SIZE), body->expected);
-  if (body->share != NULL
-      && !hs_body_share_reserve (body->share, size, hs_now ().mono))
-    {
-      hs_mhd_body_drop (body);
-      return false;
-    }
+  if (body->share != NULL)
+    max = MIN (max, BLOCK_BYTES);
+  size = MIN (MAX (MAX (2 * size, bytes), INITIAL_SIZE), max);
+  if (!reserve (body, size))
+    return false;
   body->data = talloc_realloc (ctx, body->data, char, size);
   return true;
 }
 
+static bool
+add_blocks (TALLOC_CTX *ctx, HsMhdBody *body, size_t bytes)
+{
+  unsigned int n = (unsigned int) ((bytes - 1) / BLOCK_BYTES);
+
+  if (n <= body->n_blocks)
+    return true;
+  if (!reserve (body, (n + 1) * BLOCK_BYTES))
+    return false;
+  if (body->n_blocks == 0)
+    body->data = talloc_realloc (ctx, body->data, char, BLOCK_BYTES);
+  body->blocks = talloc_realloc (ctx, body->blocks, char *, n);
+  while (body->n_blocks < n)
+    body->blocks[body->n_blocks++]
+        = talloc_array (body->blocks, char, BLOCK_BYTES);
+  return true;
+}
+
+static bool
+reserve (HsMhdBody *body, size_t bytes)
+{
+  if (body->share == NULL
+      || hs_body_share_reserve (body->share, bytes, hs_now ().mono))
+    return true;
+  hs_mhd_body_drop (body);
+  return false;
+}
+
+/* Copies data for which there is room. */
+static void
+append (HsMhdBody *body, const char *data, size_t len)
+{
+  while (len > 0)
+    {
+      size_t offset = body->len;
+      size_t n = len;
+      char *block = body->data;
+
+      if (body->n_blocks > 0)
+        {
+          size_t i = offset / BLOCK_BYTES;
+
+          block = i == 0 ? body->data : body->blocks[i - 1];
+          offset %= BLOCK_BYTES;
+          n = MIN (len, BLOCK_BYTES - offset);
+        }
+      memcpy (block + offset, data, n);
+      body->len += n;
+      data += n;
+      len -= n;
+    }
+}
+
 static void
 free_text (void *text)
 {
--- a/src/http/mhd_request.h
+++ b/src/http/mhd_request.h
@@ -17,8 +17,10 @@
 /** A request body being received. */
 typedef struct
 {
-  char *data; /**< NULL while empty. */
+  char *data; /**< NULL while empty; the first block while there are more. */
   size_t len;
+  char **blocks; /**< The others, of a body whose memory is counted. */
+  unsigned int n_blocks;
   size_t expected; /**< Content-Length; 0 without a body; for a chunked body the
                         largest accepted size. */
   HsBodyShare *share; /**< NULL: its memory isn't counted; see
@@ -51,6 +53,10 @@
                       size_t len,
                       GError **error);
 
+/** Puts the blocks of a body together in `data`, when it has been received.
+ *  @param ctx parent of the body's data */
+void hs_mhd_body_join (TALLOC_CTX *ctx, HsMhdBody *body);
+
 /** Drops a body for lack of memory. */
 void hs_mhd_body_drop (HsMhdBody *body);
 
