--- a/src/http/mhd_request.h
+++ b/src/http/mhd_request.h
@@ -12,13 +12,20 @@
 #include <microhttpd.h>
 #include <talloc.h>
 
+#include "http/body_budget.h"
+
 /** A request body being received. */
 typedef struct
 {
-  char *data; /**< NULL while empty. */
+  char *data; /**< NULL while empty; the first block while there are more. */
   size_t len;
+  char **blocks; /**< The others, of a body whose memory is counted. */
+  unsigned int n_blocks;
   size_t expected; /**< Content-Length; 0 without a body; for a chunked body the
                         largest accepted size. */
+  HsBodyShare *share; /**< NULL: its memory isn't counted; see
+                           hs_mhd_bind_body(). */
+  bool dropped;       /**< For lack of memory; its request is refused. */
 } HsMhdBody;
 
 /**
@@ -36,7 +43,8 @@
 
 /**
  * Appends received data.
- * Errors: HS_ERROR_TOO_LARGE if the body exceeds what is expected.
+ * Errors: HS_ERROR_TOO_LARGE if the body exceeds what is expected;
+ * HS_ERROR_UNAVAILABLE if it was dropped, now or before.
  * @param ctx parent of the body's data
  */
 bool hs_mhd_body_add (TALLOC_CTX *ctx,
@@ -45,6 +53,16 @@
                       size_t len,
                       GError **error);
 
+/** Puts the blocks of a body together in `data`, when it has been received.
+ *  @param ctx parent of the body's data */
+void hs_mhd_body_join (TALLOC_CTX *ctx, HsMhdBody *body);
+
+/** Drops a body for lack of memory. */
+void hs_mhd_body_drop (HsMhdBody *body);
+
+/** Releases the memory of a body that was received. */
+void hs_mhd_body_release (HsMhdBody *body);
+
 /** TOKEN of "Authorization: Bearer TOKEN", or NULL. */
 const char *hs_mhd_bearer_token (struct MHD_Connection *connection);
 
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -25,14 +25,24 @@
 
 #define ANSWER_TIMEOUT_S 10
 
+/** Memory for requests: two bodies of LARGE_BODY_BYTES don't fit. */
+#define BUDGET_BYTES 400000
+#define LARGE_BODY_BYTES 240000
+
+#define N_SMALL_CHUNKS 15000
+#define TURN_CHUNKS_MAX 64
+#define CONNECTIONS_MAX 8
+
 typedef struct
 {
   struct tevent_context *ev;
+  HsBodyBudget *budget;
   HsCallerServer *server;
   int fd; /* The caller's connection. */
   GString *answer;
   bool closed;
   bool timed_out;
+  uint32_t n_turns; /* Of the loop. */
   uint32_t n_jobs;
   uint32_t n_tasks; /* Of the last job. */
 } Fixture;
@@ -71,8 +81,9 @@
   f.fd = -1;
   f.answer = g_string_new (NULL);
   f.ev = tevent_context_init (NULL);
-  f.server
-      = hs_caller_server_new (f.ev, f.ev, "127.0.0.1:0", &HANDLER, NULL, NULL);
+  f.budget = hs_body_budget_new (f.ev, BUDGET_BYTES);
+  f.server = hs_caller_server_new (f.ev, f.ev, "127.0.0.1:0", f.budget,
+                                   CONNECTIONS_MAX, &HANDLER, NULL, NULL);
   assert_non_null (f.server);
   return 0;
 }
@@ -136,6 +147,7 @@
   tevent_add_timer (f.ev, f.ev, tevent_timeval_current_ofs (0, 1000), on_poll,
                     NULL);
   tevent_loop_once (f.ev);
+  f.n_turns++;
 }
 
 static void
@@ -259,6 +271,54 @@
   assert_int_equal (f.n_jobs, 0);
 }
 
+/* Guards against a request that fails as invalid, or runs, when there was no
+   memory for its body. */
+static void
+a_body_without_memory_is_refused (void **state)
+{
+  g_autofree char *filler = g_strnfill (LARGE_BODY_BYTES, ' ');
+  g_autofree char *large = g_strdup_printf (
+      HEAD "Content-Length: %zu\r\n\r\n%.*s" JOB,
+      (size_t) LARGE_BODY_BYTES + strlen (JOB), LARGE_BODY_BYTES, filler);
+  g_autofree char *plain
+      = g_strdup_printf (HEAD "Content-Length: %zu\r\n\r\n" JOB, strlen (JOB));
+
+  HsBodyServer other = { .max_connections = 1 };
+  HsBodyShare *share
+      = hs_body_share_new (f.ev, f.budget, &other, NULL, NULL, 0);
+
+  (void) state;
+  hs_body_share_begin (share, 0);
+  assert_true (hs_body_share_reserve (share, LARGE_BODY_BYTES, 0));
+  hs_body_share_complete (share);
+  connect_caller ();
+  assert_int_equal (exchange (large), 503);
+  assert_non_null (strstr (f.answer->str, "\r\nRetry-After: 1\r\n"));
+  assert_int_equal (f.n_jobs, 0);
+  assert_int_equal (exchange (plain), 200);
+  assert_int_equal (f.n_jobs, 1);
+  talloc_free (share);
+  assert_int_equal (exchange (large), 200);
+}
+
+/* Guards against bodies in small chunks that keep the loop from other work: a
+   buffer of the server holds hundreds of them. */
+static void
+small_chunks_are_read_in_many_turns (void **state)
+{
+  GString *text = g_string_new (CHUNKED);
+  size_t n;
+
+  (void) state;
+  for (n = 0; n < N_SMALL_CHUNKS; n++)
+    g_string_append (text, "10\r\n                \r\n");
+  g_string_append_printf (text, "%zx\r\n%s\r\n0\r\n\r\n", strlen (JOB), JOB);
+  connect_caller ();
+  assert_int_equal (exchange (text->str), 200);
+  assert_true (f.n_turns >= N_SMALL_CHUNKS / TURN_CHUNKS_MAX);
+  g_string_free (text, TRUE);
+}
+
 #define TEST(test) cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
 int
@@ -268,6 +328,8 @@
     TEST (a_job_in_chunks_is_read),
     TEST (a_body_in_chunks_is_bounded),
     TEST (other_transfer_codings_end_the_connection),
+    TEST (a_body_without_memory_is_refused),
+    TEST (small_chunks_are_read_in_many_turns),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
