Offer resources by rank and number of waiting tasks

Cause: once entries report their backlog to all agents (more waiting tasks than agents), the rank of the best job alone decides, and an entry has one offer of an agent at a time, so a busy entry is offered little more than a calm one. Change: the agent orders entries by rank times the fourth root of the number of waiting tasks, at most four times the rank. Tests: a_longer_queue_of_like_rank_goes_first fails before.

--- a/src/direct/offers.c
+++ b/src/direct/offers.c
@@ -1,5 +1,6 @@
 #include "direct/offers.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
@@ -10,7 +11,13 @@
  *  short compared with the run time of a task. */
 #define OFFER_TTL (25 * HS_MSEC)
 
+/** Number of waiting tasks above which a longer queue adds no priority: it
+ *  counts at most four times as much as a single task, so that a calm entry
+ *  isn't starved. */
+#define PRIORITY_TASKS_MAX 256
+
 static bool is_active (const HsOffer *offer, HsTime now);
+static double priority (const hsx_want *backlog);
 static hsx_room unreserved (const HsOffers *offers,
                             uint32_t except_entry,
                             const hsx_room *free,
@@ -64,6 +71,7 @@
 {
   hsx_room remaining = unreserved (offers, HS_OFFERS_ENTRIES_MAX, free, now);
   uint32_t best = HS_OFFERS_ENTRIES_MAX;
+  double best_priority = 0;
   HsOffer *offer;
   uint32_t i;
 
@@ -71,11 +79,12 @@
     {
       const HsOffer *o = &offers->offers[i];
 
-      if (o->backlog.rank > 0 && !is_active (o, now)
-          && hs_resources_fit (&remaining, &o->backlog.needs)
-          && (best == HS_OFFERS_ENTRIES_MAX
-              || o->backlog.rank > offers->offers[best].backlog.rank))
-        best = i;
+      if (o->backlog.rank == 0 || is_active (o, now)
+          || !hs_resources_fit (&remaining, &o->backlog.needs)
+          || priority (&o->backlog) <= best_priority)
+        continue;
+      best = i;
+      best_priority = priority (&o->backlog);
     }
   if (best == HS_OFFERS_ENTRIES_MAX)
     return best;
@@ -111,6 +120,18 @@
   return offer->offered_at != 0 && now < offer->offered_at + OFFER_TTL;
 }
 
+/* The rank of an entry's best job, raised with the number of waiting tasks: the
+   rank alone doesn't tell how much work stands behind it, and an entry has only
+   one offer of an agent at a time. The fourth root serves busy and calm entries
+   equally often (docs/design/sharing.md). */
+static double
+priority (const hsx_want *backlog)
+{
+  double tasks = CLAMP (backlog->tasks, 1, PRIORITY_TASKS_MAX);
+
+  return (double) backlog->rank * sqrt (sqrt (tasks));
+}
+
 static hsx_room
 unreserved (const HsOffers *offers,
             uint32_t except_entry,
--- a/src/direct/offers.h
+++ b/src/direct/offers.h
@@ -4,9 +4,9 @@
  *
  * Load pattern: demand above capacity, so that every entry wants each piece of
  * resources as soon as it becomes free. The entry whose backlog has the highest
- * rank is offered it alone, for as long as an answer takes; then the next. If
- * it were announced to all entries, all would request it, and all but one would
- * be refused.
+ * priority is offered it alone, for as long as an answer takes; then the next.
+ * If it were announced to all entries, all would request it, and all but one
+ * would be refused.
  */
 #ifndef HS_DIRECT_OFFERS_H
 #define HS_DIRECT_OFFERS_H
@@ -60,9 +60,10 @@
                               HsTime now);
 
 /**
- * Offers resources that aren't offered yet to the entry with the highest rank
- * among those without an offer; to be called until it returns
- * HS_OFFERS_ENTRIES_MAX.
+ * Offers resources that aren't offered yet to the entry with the highest
+ * priority among those without an offer: the rank of its best job, times the
+ * fourth root of the number of its waiting tasks, at most 4. To be called until
+ * it returns HS_OFFERS_ENTRIES_MAX.
  * @return the entry, to which the offer has to be sent at once
  */
 uint32_t
--- a/test/load_jobs.c
+++ b/test/load_jobs.c
@@ -54,6 +54,8 @@
       at += (HsTime) (-log (uniform (&random)) / rate * HS_SEC);
       job = draw_job (plan, shares, &random);
       job.arrives_at = at;
+      if (at < plan->last_entry_from && job.entry == plan->n_entries - 1)
+        job.entry = 0;
       if (at < plan->arrival_span)
         g_array_append_val (jobs, job);
       else
--- a/test/load_world.c
+++ b/test/load_world.c
@@ -99,6 +99,16 @@
   g_snprintf (name, 16, "dc%u", number);
 }
 
+/* Connects or disconnects the last entry and all agents. */
+static void
+link_last_entry (const LoadPlan *plan, bool linked)
+{
+  unsigned int a;
+
+  for (a = 0; a < plan->n_agents; a++)
+    load_world.entries[plan->n_entries - 1].linked[a] = linked;
+}
+
 static void
 set_up (const LoadPlan *plan)
 {
@@ -150,6 +160,8 @@
         }
     }
   link_agents (plan);
+  if (plan->last_entry_from > 0)
+    link_last_entry (plan, false);
 }
 
 static void
@@ -232,6 +244,9 @@
   while (load_world.now < end + 5 * HS_SEC)
     {
       load_world.now += STEP;
+      if (plan->last_entry_from > 0
+          && load_world.now >= load_world.start + plan->last_entry_from)
+        link_last_entry (plan, true);
       for (i = 0; i < plan->n_agents; i++)
         {
           load_step_crashes (&load_world.agents[i]);
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -64,11 +64,13 @@
   unsigned int entry_permille[LOAD_ENTRIES_STATED];
   unsigned int n_data_centres; /**< The agents take turns; 0: a single one. */
   unsigned int entry_data_centre[LOAD_ENTRIES_STATED];
-  HsTime remote_delay; /**< Of a message to another data centre; 0: as within
-                            one. */
-  double slow_third;   /**< Factor on the run times on targets 1, 4, 7...; 0: as
-                            on the others. */
-  bool central;        /**< A single entry, whose messages have no delay. */
+  HsTime remote_delay;    /**< Of a message to another data centre; 0: as within
+                               one. */
+  HsTime last_entry_from; /**< The last entry starts then; its callers use the
+                               first one until then. 0: with the others. */
+  double slow_third; /**< Factor on the run times on targets 1, 4, 7...; 0: as
+                          on the others. */
+  bool central;      /**< A single entry, whose messages have no delay. */
 } LoadPlan;
 
 typedef struct
--- a/test/test_direct_offers.c
+++ b/test/test_direct_offers.c
@@ -69,6 +69,31 @@
                     2000);
 }
 
+/* Guards against an entry with a long queue that is offered as little as those
+   with a short one. */
+static void
+a_longer_queue_of_like_rank_goes_first (void **state)
+{
+  hsx_room free = resources (1000);
+
+  (void) state;
+  set_backlog (0, 10, 1, 0);
+  set_backlog (1, 9, 16, 0);
+  assert_int_equal (hs_offers_make_next (&offers, &free, T0), 1);
+}
+
+/* Guards against an entry with an endless queue that starves a calm one. */
+static void
+the_longest_queue_yields_to_a_much_higher_rank (void **state)
+{
+  hsx_room free = resources (1000);
+
+  (void) state;
+  set_backlog (0, 41, 1, 0);
+  set_backlog (1, 10, UINT32_MAX, 0);
+  assert_int_equal (hs_offers_make_next (&offers, &free, T0), 0);
+}
+
 static void
 an_answer_releases_the_unused_part (void **state)
 {
@@ -135,6 +160,8 @@
   const struct CMUnitTest tests[] = {
     TEST (the_highest_rank_alone_gets_the_offer),
     TEST (the_remainder_is_offered_to_the_next_rank),
+    TEST (a_longer_queue_of_like_rank_goes_first),
+    TEST (the_longest_queue_yields_to_a_much_higher_rank),
     TEST (an_answer_releases_the_unused_part),
     TEST (an_unanswered_offer_expires),
     TEST (consumed_resources_leave_the_offer),
