Count the orders of each entry in the yardstick

Cause: an entry of 0.12 cores pays for each message, and asking more agents sends more of them; the yardstick didn't show how many. Change: the entries' table has the orders sent for each job.

--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -34,8 +34,8 @@
 
 static const char ENTRY_TABLE_HEAD[]
     = "\n| load | way | entry | jobs | mean wait ms | in time | worth "
-      "| refused at once | refused after a wait |\n"
-      "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+      "| refused at once | refused after a wait | orders a job |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
 
 static const char *const SCHEDULER_NAMES[N_SCHEDULERS]
     = { "ideal",      "whole jobs", "preempting",        "one entry",
@@ -309,6 +309,7 @@
   sum->wait_ms += result->wait_ms;
   sum->value_offered += result->value_offered;
   sum->value_earned += result->value_earned;
+  sum->orders += result->orders;
 }
 
 static void
@@ -397,10 +398,12 @@
       double n = entry->submitted;
 
       g_string_append_printf (
-          rows, "| %s | %s | %u | %u | %.1f | %.3f | %.3f | %.3f | %.3f |\n",
+          rows,
+          "| %s | %s | %u | %u | %.1f | %.3f | %.3f | %.3f | %.3f | %.1f |\n",
           load->name, SCHEDULER_NAMES[scheduler], e, entry->submitted,
           entry->wait_ms / MAX (entry->started, 1), entry->in_time / n,
           entry->value_earned / entry->value_offered,
-          entry->refused_at_once / n, entry->refused_later / n);
+          entry->refused_at_once / n, entry->refused_later / n,
+          entry->orders / n);
     }
 }
--- a/test/load_messages.c
+++ b/test/load_messages.c
@@ -25,6 +25,7 @@
   GArray *launches = entry->launches[a];
   GArray *stops = entry->stops[a];
 
+  load_world.result.entries[entry->number].orders++;
   msg->entry = entry->number;
   msg->agent = a;
   msg->sent = load_world.now;
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -95,6 +95,7 @@
   double wait_ms; /**< Until the first start; the sum of all started jobs. */
   double value_offered;
   double value_earned;
+  unsigned int orders; /**< Messages that the entry sent to agents. */
 } LoadEntryResult;
 
 typedef struct
