Direct: forecast whether a job starts within its wait (partial)

A job was refused on arrival only for what waited ahead of it, which is short under overload as jobs of high rank are served at once; jobs of low rank were overtaken until their wait was over. Count admitted arrivals by rank and compare them, with the queue, with the resources received lately and those that the entry's own tasks will release.

--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -91,10 +91,11 @@
                 "| long | small "
                 "| late | refused | after ms | lost | wasted of core-s "
                 "| launches refused | refused with room free "
-                "| refused at once | free | in fragments |\n"
+                "| refused at once | free | in fragments "
+                "| trials | started | in time |\n"
                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
                 "--- | --- | --- "
-                "| --- | --- | --- | --- |\n");
+                "| --- | --- | --- | --- | --- | --- | --- |\n");
   n = make_loads (loads);
   for (i = 0; i < n; i++)
     {
@@ -208,7 +209,9 @@
                           N_SEEDS_UNEVEN };
   loads[1] = (NamedLoad){ "uneven, 140%", load_plan_uneven (0, 1.4),
                           N_SEEDS_UNEVEN };
-  return 2;
+  loads[2] = (NamedLoad){ "uneven, 200%", load_plan_uneven (0, 2.0),
+                          N_SEEDS_UNEVEN };
+  return 3;
 }
 
 /* The largest site: 55 entries, 240 targets, tasks that need a quarter of a
@@ -331,6 +334,9 @@
     add_entry_result (&sum->entries[k], &result->entries[k]);
   sum->launches += result->launches;
   sum->refused_no_capacity += result->refused_no_capacity;
+  sum->trials += result->trials;
+  sum->trials_started += result->trials_started;
+  sum->trials_in_time += result->trials_in_time;
   sum->refused_while_free += result->refused_while_free;
   sum->value_share += result->value_share;
   sum->busy_core_s += result->busy_core_s;
@@ -377,9 +383,11 @@
            sum->launches > 0 ? (double) sum->refused_no_capacity / sum->launches
                              : 0,
            sum->refused_while_free / submitted);
-  fprintf (out, "| %.3f | %.3f | %.3f |\n", at_once / submitted,
+  fprintf (out, "| %.3f | %.3f | %.3f ", at_once / submitted,
            sum->free_core_s / sum->capacity_core_s,
            sum->fragment_core_s / sum->capacity_core_s);
+  fprintf (out, "| %u | %u | %u |\n", sum->trials, sum->trials_started,
+           sum->trials_in_time);
 }
 
 /* Adds a row for each entry whose share of the demand the plan states. */
--- a/src/direct/demand.c
+++ b/src/direct/demand.c
@@ -37,6 +37,10 @@
  *  equally inaccurate. */
 #define DECLARED_WEIGHT 0.5
 
+/** Spread of run times before the first run, and its bound. */
+#define SPREAD_DEFAULT 0.4
+#define SPREAD_MAX 1.0
+
 /** Runs after which a customer's expected run time is relied on. With
  *  RUN_TIME_WEIGHT they make up most of the average. */
 #define RUNS_KNOWN_MIN 20
@@ -52,6 +56,7 @@
   double mean_work_core_s; /* Of a job; 0 before the first. */
   double mean_log_run;     /* Of log (run time in us). */
   double mean_log_bias;    /* Of log (run time / declared run time). */
+  double log_error2;       /* Mean square of log (run / expected). */
   uint32_t n_runs;
   double served_share;
   double large_served_share;
@@ -130,7 +135,10 @@
   Customer *c = &demand->customers[customer];
   double weight = MAX (RUN_TIME_WEIGHT, 1.0 / (c->n_runs + 1));
   double log_run = log ((double) MAX (run, 1));
+  HsTime expected = hs_demand_expected_run_time (demand, customer, declared);
+  double error = log_run - log ((double) MAX (expected, 1));
 
+  c->log_error2 += (error * error - c->log_error2) * weight;
   if (c->n_runs < UINT32_MAX)
     c->n_runs++;
   c->mean_log_run += (log_run - c->mean_log_run) * weight;
@@ -174,6 +182,16 @@
   return (HsTime) exp (log_run);
 }
 
+double
+hs_demand_run_time_spread (const HsDemand *demand, uint32_t customer)
+{
+  const Customer *c = &demand->customers[customer];
+
+  if (!hs_demand_run_time_is_known (demand, customer))
+    return SPREAD_DEFAULT;
+  return MIN (sqrt (c->log_error2), SPREAD_MAX);
+}
+
 bool
 hs_demand_run_time_is_known (const HsDemand *demand, uint32_t customer)
 {
--- a/src/direct/demand.h
+++ b/src/direct/demand.h
@@ -52,6 +52,10 @@
                                     uint32_t customer,
                                     HsTime declared);
 
+/** Standard deviation of a customer's run times, as a share of the expected
+ *  one. */
+double hs_demand_run_time_spread (const HsDemand *demand, uint32_t customer);
+
 /** Whether hs_demand_expected_run_time() rests on enough runs to be relied
  *  on. */
 bool hs_demand_run_time_is_known (const HsDemand *demand, uint32_t customer);
--- a/src/direct/jobs.c
+++ b/src/direct/jobs.c
@@ -400,6 +400,16 @@
     }
 }
 
+/* Counts a job that is let in; its rank was @p rank before any task of it was
+   started. */
+static void
+count_admitted (HsJobs *jobs, const HsJob *job, double rank, HsTime now)
+{
+  if (!hs_job_is_contained (jobs, job))
+    hs_wait_forecast_add (&jobs->forecast, rank,
+                          (double) job->needs.cpu_milli * job->n_tasks, now);
+}
+
 static void
 admit (HsJobs *jobs, HsJob *job, HsTime now)
 {
@@ -407,6 +417,8 @@
   uint64_t capacity_milli;
   uint64_t free_milli;
   HsTime predicted_wait;
+  HsForecast forecast;
+  double rank = hs_job_rank (jobs, job, now);
 
   hs_targets_sum_capacity (jobs->targets, job->service, &capacity_milli,
                            &free_milli, now);
@@ -428,13 +440,23 @@
                                                 - job->expected_run_time);
   hs_jobs_dispatch (jobs, now);
   job = &jobs->table[handle];
-  if (!job->in_use || job->n_starts > 0 || capacity_milli == 0)
+  if (!job->in_use)
     return;
+  if (job->n_starts > 0 || capacity_milli == 0)
+    {
+      count_admitted (jobs, job, rank, now);
+      return;
+    }
   predicted_wait = hs_jobs_predict_wait (jobs, job, now);
-  if (predicted_wait != HS_NEVER
-      && (double) predicted_wait
-             > WAIT_PREDICTION_ERROR * (double) (job->wait_until - now))
+  forecast = hs_jobs_forecast (jobs, job, now);
+  job->trial = forecast == HS_FORECAST_TRIAL;
+  if (forecast == HS_FORECAST_MISS
+      || (predicted_wait != HS_NEVER
+          && (double) predicted_wait
+                 > WAIT_PREDICTION_ERROR * (double) (job->wait_until - now)))
     hs_job_give_up (jobs, job, HS_REASON_QUEUE, now);
+  else
+    count_admitted (jobs, job, rank, now);
 }
 
 static HsJob *
--- a/src/direct/jobs.h
+++ b/src/direct/jobs.h
@@ -91,6 +91,7 @@
   uint32_t n_done;
   uint32_t n_starts;
   uint32_t n_waiting_jobs;
+  bool trial; /**< Let in though it was predicted not to start in time. */
   const char *id;
   const char *customer;
   HsTime wait_time;  /**< Until the first start, or the end without one. */
@@ -125,6 +126,7 @@
   bool stopped_as_slow; /**< A target reported it as stalled or too slow. */
   uint64_t ref;         /**< If sent: identifies this start. */
   bool used_offer;      /**< If sent: on resources reserved for this entry. */
+  HsTime sent_at;       /**< If sent. */
   HsTime report_age;    /**< If sent: age of the report that placement used. */
 } HsTask;
 
--- a/src/direct/jobs_answer.c
+++ b/src/direct/jobs_answer.c
@@ -118,6 +118,7 @@
                         .n_tasks = job->n_tasks,
                         .n_done = job->n_done,
                         .n_starts = job->n_starts,
+                        .trial = job->trial,
                         .total_time = now - job->arrived_at,
                         .objective = job->objective,
                         .expected_run_time = job->expected_run_time };
--- a/src/direct/jobs_place.c
+++ b/src/direct/jobs_place.c
@@ -171,6 +171,7 @@
   task->state = HS_TASK_SENT;
   task->ref = ref;
   task->target = target;
+  task->sent_at = now;
   task->used_offer = now < row->offer_until;
   task->report_age = now - row->last_message_at;
   job->n_waiting--;
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -7,6 +7,7 @@
 
 #include "direct/jobs.h"
 #include "direct/service_rate.h"
+#include "direct/wait_forecast.h"
 #include "policy/crash_counts.h"
 
 /** A ref holds the task's index in the lowest bits, then the job's handle, then
@@ -48,6 +49,7 @@
   uint32_t n_starts;
   bool may_have_run; /**< A task may have ended after it had started, or a run
                           of an earlier request for the job is left. */
+  bool trial; /**< Let in though it was predicted not to start in time. */
   HsTask *tasks;
 } HsJob;
 
@@ -64,6 +66,7 @@
   uint32_t next_generation;   /**< Of the next start; part of its ref. */
   HsServiceRate rate;         /**< Of processors given to waiting tasks... */
   HsServiceRate reserve_rate; /**< ...and to those of contained customers. */
+  HsWaitForecast forecast; /**< Of jobs of customers that aren't contained. */
   HsContainment *containment;
   HsCrashCounts *crash_counts;
   uint32_t *by_rank; /**< Handles of waiting jobs, highest rank first. */
@@ -122,4 +125,8 @@
  *  HS_NEVER if it isn't known. */
 HsTime hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now);
 
+/** Whether @p job, of which nothing has been started, will start within the
+ *  wait that it is allowed. */
+HsForecast hs_jobs_forecast (HsJobs *jobs, const HsJob *job, HsTime now);
+
 #endif
--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -86,3 +86,54 @@
     return HS_NEVER;
   return (HsTime) MIN (ahead_milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
 }
+
+/* Adds what the job's running tasks release within a span. */
+static void
+add_releases (const HsJobs *jobs,
+              const HsJob *job,
+              HsTime span,
+              HsReleases *releases,
+              HsTime now)
+{
+  double spread = hs_demand_run_time_spread (jobs->demand, job->customer);
+  uint32_t n = job->n_sent;
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks && n > 0; i++)
+    {
+      const HsTask *task = &job->tasks[i];
+
+      if (task->state != HS_TASK_SENT)
+        continue;
+      n--;
+      hs_releases_add (releases, job->needs.cpu_milli, now - task->sent_at,
+                       job->expected_run_time, spread, span);
+    }
+}
+
+HsForecast
+hs_jobs_forecast (HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  HsWaitQuery query
+      = { .rank = hs_job_rank (jobs, job, now),
+          .wait = job->wait_until - now,
+          .ahead_milli = job->needs.cpu_milli,
+          .milli_per_s = hs_service_rate_per_s (&jobs->rate, now) };
+  uint32_t i;
+
+  if (hs_job_is_contained (jobs, job) || query.milli_per_s <= 0)
+    return HS_FORECAST_MAY_START;
+  for (i = 0; i < jobs->table_size; i++)
+    {
+      const HsJob *other = &jobs->table[i];
+
+      if (other == job || !other->in_use || hs_job_is_contained (jobs, other))
+        continue;
+      if (other->n_sent > 0)
+        add_releases (jobs, other, query.wait, &query.due, now);
+      if (other->n_waiting > 0 && !hs_job_is_held (other)
+          && hs_job_rank (jobs, other, now) >= query.rank)
+        query.ahead_milli += (double) other->needs.cpu_milli * other->n_waiting;
+    }
+  return hs_wait_forecast_check (&jobs->forecast, &query, now);
+}
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -223,6 +223,11 @@
   (void) arg;
   if (job->crashes)
     return;
+  load_world.result.trials += answer->trial;
+  load_world.result.trials_started += answer->trial && answer->n_starts > 0;
+  load_world.result.trials_in_time += answer->trial
+                                      && answer->kind == HS_ANSWER_COMPLETED
+                                      && answer->total_time <= job->objective;
   switch (answer->kind)
     {
     case HS_ANSWER_COMPLETED:
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -104,6 +104,10 @@
       refused_no_capacity; /**< Launches refused for lack of resources. */
   unsigned int refused_while_free; /**< Jobs refused while one of their tasks
                                       would have fitted on a healthy target. */
+  unsigned int trials; /**< Jobs that were let in though they were predicted not
+                            to start in time... */
+  unsigned int trials_started; /**< ...and did: wrong predictions. */
+  unsigned int trials_in_time;
   unsigned int bad_ends; /**< Tasks that failed, stalled or were too slow. */
   double value_share; /**< Value earned, of what all jobs in time would earn. */
   double busy_core_s; /**< Used by tasks. */
