Direct: spread the returns of refused jobs

Retry-After was the predicted wait of the refused job alone, by its rank, so that jobs refused together returned together, before the queue had drained. It is now the time in which all that waits gets resources, and up to as much again by a hash of the job's id. HTTP rounds it up to seconds, so that the spread shows for queues of more than half a second only; a random minimum of a second was ruled out, as it delays callers whose deadline is 1.5 s.

job_answer says trial=1 for jobs let in though predicted not to start. test_direct_jobs, test_direct_jobs_crash pass.

--- a/src/direct/entry.c
+++ b/src/direct/entry.c
@@ -90,13 +90,13 @@
   hs_event ("job_answer",
             "job=%s customer=%s outcome=%s why=%s tasks=%u done=%u starts=%u "
             "waited_ms=%.1f took_ms=%.1f objective_ms=%.0f expected_ms=%.0f "
-            "free_milli=%" PRIu64 " waiting_jobs=%u retry_after_ms=%u",
+            "free_milli=%" PRIu64 " waiting_jobs=%u retry_after_ms=%u trial=%d",
             answer->id, answer->customer, outcome_names[answer->kind],
             hs_answer_reason_name (answer->reason), answer->n_tasks,
             answer->n_done, answer->n_starts, answer->wait_time / 1000.0,
             answer->total_time / 1000.0, answer->objective / 1000.0,
             answer->expected_run_time / 1000.0, answer->free_milli,
-            answer->n_waiting_jobs, answer->retry_after_ms);
+            answer->n_waiting_jobs, answer->retry_after_ms, answer->trial);
   hs_counter_add (entry->answer_counters[answer->kind], 0, 1);
   hs_histogram_record (entry->wait_histogram, answer->wait_time);
   if (answer->kind == HS_ANSWER_COMPLETED)
--- a/src/direct/jobs_answer.c
+++ b/src/direct/jobs_answer.c
@@ -127,13 +127,13 @@
 static uint32_t
 retry_delay_ms (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
-  HsTime predicted_wait = hs_jobs_predict_wait (jobs, job, now);
+  HsTime delay = hs_jobs_predict_return (jobs, job, now);
 
   if (hs_job_is_shut_out (jobs, job))
-    predicted_wait = MAX (
+    delay = MAX (
         RETRY_DEFAULT_MS * HS_MSEC,
         hs_containment_time_left (jobs->containment, job->containment, now));
-  if (predicted_wait == HS_NEVER)
+  if (delay == HS_NEVER)
     return RETRY_DEFAULT_MS;
-  return (uint32_t) MIN (predicted_wait / HS_MSEC + 1, RETRY_MAX_MS);
+  return (uint32_t) MIN (delay / HS_MSEC + 1, RETRY_MAX_MS);
 }
--- a/src/direct/jobs_private.h
+++ b/src/direct/jobs_private.h
@@ -125,6 +125,14 @@
  *  HS_NEVER if it isn't known. */
 HsTime hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now);
 
+/** The time after which a refused job should be sent again: when all that waits
+ *  has been started, and up to twice that, so that refused jobs don't return
+ * all at once. The part depends on the job's id only. HS_NEVER if it isn't
+ * known.
+ */
+HsTime
+hs_jobs_predict_return (const HsJobs *jobs, const HsJob *job, HsTime now);
+
 /** Whether @p job, of which nothing has been started, will start within the
  *  wait that it is allowed. */
 HsForecast hs_jobs_forecast (HsJobs *jobs, const HsJob *job, HsTime now);
--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -61,30 +61,52 @@
   return backlog;
 }
 
-HsTime
-hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
+/* The time in which the waiting tasks of jobs of @p rank_min and above get
+   resources, after @p milli for others. */
+static HsTime
+time_to_serve (const HsJobs *jobs,
+               const HsJob *except,
+               double milli,
+               double rank_min,
+               HsTime now)
 {
-  bool contained = hs_job_is_contained (jobs, job);
+  bool contained = hs_job_is_contained (jobs, except);
   double milli_per_s = hs_service_rate_per_s (
       contained ? &jobs->reserve_rate : &jobs->rate, now);
-  double ahead_milli = job->needs.cpu_milli;
-  double rank = hs_job_rank (jobs, job, now);
   uint32_t i;
 
   for (i = 0; i < jobs->table_size; i++)
     {
       const HsJob *other = &jobs->table[i];
 
-      if (other == job || !other->in_use || other->n_waiting == 0
+      if (other == except || !other->in_use || other->n_waiting == 0
           || hs_job_is_held (other)
           || hs_job_is_contained (jobs, other) != contained
-          || hs_job_rank (jobs, other, now) < rank)
+          || hs_job_rank (jobs, other, now) < rank_min)
         continue;
-      ahead_milli += (double) other->needs.cpu_milli * other->n_waiting;
+      milli += (double) other->needs.cpu_milli * other->n_waiting;
     }
   if (milli_per_s <= 0)
     return HS_NEVER;
-  return (HsTime) MIN (ahead_milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
+  return (HsTime) MIN (milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
+}
+
+HsTime
+hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  return time_to_serve (jobs, job, job->needs.cpu_milli,
+                        hs_job_rank (jobs, job, now), now);
+}
+
+HsTime
+hs_jobs_predict_return (const HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  HsTime drained = time_to_serve (jobs, job, job->needs.cpu_milli, 0, now);
+  double part = (double) g_str_hash (job->id) / G_MAXUINT32;
+
+  if (drained == HS_NEVER)
+    return HS_NEVER;
+  return drained + (HsTime) (part * (double) drained);
 }
 
 /* Adds what the job's running tasks release within a span. */
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -512,6 +512,37 @@
   assert_int_equal (n_launches, 8);
 }
 
+/* Refused jobs that all return at the same time meet a full queue again. */
+static void
+returns_of_refused_jobs_are_spread (void **state)
+{
+  uint32_t first;
+  uint32_t n_other = 0;
+  uint32_t i;
+
+  (void) state;
+  add_target (1, CAPACITY);
+  submit ("a", 4, T0);
+  report_free (0, CAPACITY, T0 + 60 * HS_MSEC);
+  submit ("b", 4, T0 + 60 * HS_MSEC);
+  submit ("w", 32, T0 + 60 * HS_MSEC);
+  for (i = 0; i < 8; i++)
+    {
+      char id[] = { 'x', (char) ('0' + i), 0 };
+
+      submit (id, 1, T0 + 60 * HS_MSEC);
+    }
+  hs_jobs_tick (jobs, T0 + 3 * HS_SEC / 4);
+  assert_true (n_answers >= 8);
+  first = answers[0].retry_after_ms;
+  for (i = 1; i < n_answers; i++)
+    {
+      assert_true (answers[i].retry_after_ms > 0);
+      n_other += answers[i].retry_after_ms != first;
+    }
+  assert_true (n_other >= 4);
+}
+
 /* As above, but after quiet seconds. */
 static void
 a_quiet_time_is_no_reason_to_refuse (void **state)
@@ -562,6 +593,7 @@
         a_task_is_stopped_as_slow_at_most_once_and_only_when_run_times_are_known),
     TEST (no_run_is_judged_slow_while_many_targets_are_unresponsive),
     TEST (the_first_starts_after_an_outage_are_no_reason_to_refuse),
+    TEST (returns_of_refused_jobs_are_spread),
     TEST (a_quiet_time_is_no_reason_to_refuse),
   };
 
