Direct: mix the hash that spreads returns

g_str_hash of ids that differ in their last characters differs in the low bits only, so that the returns of jobs with successive ids weren't spread. Multiplied by the golden ratio.

--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -15,6 +15,9 @@
  *  stays finite. */
 #define WORK_MIN_CORE_S 0.02
 
+/** Golden ratio of 32 bits: spreads values that differ in the lowest bits. */
+#define HASH_MULTIPLIER 2654435769u
+
 /** Ranks are sent as integers, multiplied by this. */
 #define RANK_SCALE 1000.0
 
@@ -102,7 +105,9 @@
 hs_jobs_predict_return (const HsJobs *jobs, const HsJob *job, HsTime now)
 {
   HsTime drained = time_to_serve (jobs, job, job->needs.cpu_milli, 0, now);
-  double part = (double) g_str_hash (job->id) / G_MAXUINT32;
+  /* Ids that differ in the last character have nearly the same hash. */
+  uint32_t hash = g_str_hash (job->id) * HASH_MULTIPLIER;
+  double part = (double) hash / G_MAXUINT32;
 
   if (drained == HS_NEVER)
     return HS_NEVER;
--- a/test/test_direct_jobs.c
+++ b/test/test_direct_jobs.c
@@ -3,7 +3,6 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
