--- a/bench/yardstick.c
+++ b/bench/yardstick.c
@@ -92,10 +92,12 @@
                 "| late | refused | after ms | lost | wasted of core-s "
                 "| launches refused | refused with room free "
                 "| refused at once | free | in fragments "
-                "| trials | started | in time |\n"
+                "| trials | started | in time "
+                "| large in time: wide | long | small |\n"
                 "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
                 "--- | --- | --- "
-                "| --- | --- | --- | --- | --- | --- | --- |\n");
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- "
+                "|\n");
   n = make_loads (loads);
   for (i = 0; i < n; i++)
     {
@@ -326,6 +328,8 @@
       sum->kinds[k].late += result->kinds[k].late;
       sum->kinds[k].refused += result->kinds[k].refused;
       sum->kinds[k].refused_at_once += result->kinds[k].refused_at_once;
+      sum->kinds[k].large_submitted += result->kinds[k].large_submitted;
+      sum->kinds[k].large_in_time += result->kinds[k].large_in_time;
       sum->kinds[k].lost += result->kinds[k].lost;
       sum->kinds[k].mean_refusal_ms
           += result->kinds[k].mean_refusal_ms * result->kinds[k].refused;
@@ -386,8 +390,13 @@
   fprintf (out, "| %.3f | %.3f | %.3f ", at_once / submitted,
            sum->free_core_s / sum->capacity_core_s,
            sum->fragment_core_s / sum->capacity_core_s);
-  fprintf (out, "| %u | %u | %u |\n", sum->trials, sum->trials_started,
+  fprintf (out, "| %u | %u | %u ", sum->trials, sum->trials_started,
            sum->trials_in_time);
+  for (k = 0; k < LOAD_KINDS; k++)
+    fprintf (out, "| %.3f ",
+             (double) sum->kinds[k].large_in_time
+                 / MAX (sum->kinds[k].large_submitted, 1));
+  fprintf (out, "|\n");
 }
 
 /* Adds a row for each entry whose share of the demand the plan states. */
--- a/src/direct/wait_forecast.c
+++ b/src/direct/wait_forecast.c
@@ -18,7 +18,7 @@
 /** An entry may get more than lately by this share. Agents give more to entries
  *  with more waiting tasks, and with too few of those, resources are idle: at
  *  twice the capacity, without this factor, 1.5% of all cores. */
-#define SUPPLY_ERROR 0.3
+#define SUPPLY_ERROR 0.1
 
 /** A job that waited in vain shows for this time that others of its rank and
  *  below may not start. Without this, short bursts at small sites refused a
--- a/test/load_effects.c
+++ b/test/load_effects.c
@@ -232,7 +232,10 @@
     {
     case HS_ANSWER_COMPLETED:
       if (answer->total_time <= job->objective)
-        kind->in_time++;
+        {
+          kind->in_time++;
+          kind->large_in_time += job->large;
+        }
       else
         kind->late++;
       load_note_completion (&load_world.result, job, answer->total_time);
--- a/test/load_jobs.c
+++ b/test/load_jobs.c
@@ -7,6 +7,9 @@
 /* Processors of the largest task as a multiple of the mean. */
 #define LARGEST_TASK_FACTOR 1.4375
 
+/* Work of the largest tenth of the jobs of a kind, relative to the mean. */
+#define LARGE_WORK 1.77
+
 typedef struct
 {
   double share; /* Of all jobs. */
@@ -240,6 +243,7 @@
     }
   job.estimate = (HsTime) (log_normal (random, mean, 0.4) * HS_MSEC);
   job.objective = (HsTime) (1.6 * longest * HS_MSEC) + 60 * HS_MSEC;
+  job.large = total > LARGE_WORK * kind->mean_tasks * kind->mean_run_ms;
   job.value
       = kind->mean_value
         * MIN (0.3 + 0.7 * total / (kind->mean_tasks * kind->mean_run_ms), 4);
--- a/test/load_jobs.h
+++ b/test/load_jobs.h
@@ -28,6 +28,7 @@
   bool crashes;         /**< Its task `crash_task` crashes its targets. */
   unsigned int crash_task;
   unsigned int n_crashes; /**< Of targets, under that task. */
+  bool large;             /**< About the largest tenth of its kind, by work. */
   bool started;           /**< One of its tasks has. */
 } LoadJob;
 
--- a/test/load_world.c
+++ b/test/load_world.c
@@ -37,6 +37,7 @@
       load_world.value_offered += job->value;
       load_note_arrival (&load_world.result, job);
       load_world.result.kinds[job->kind].submitted++;
+      load_world.result.kinds[job->kind].large_submitted += job->large;
     }
   out.request = number;
   out.id = id;
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -79,6 +79,8 @@
   unsigned int refused;
   unsigned int refused_at_once; /**< Within LOAD_AT_ONCE of its arrival. */
   unsigned int lost;
+  unsigned int large_submitted; /**< Of about the largest tenth by work... */
+  unsigned int large_in_time;   /**< ...and completed within the objective. */
   double mean_refusal_ms; /**< From arrival to refusal. */
 } LoadKindResult;
 
