--- a/src/direct/jobs_rank.c
+++ b/src/direct/jobs_rank.c
@@ -15,6 +15,9 @@
  *  stays finite. */
 #define WORK_MIN_CORE_S 0.02
 
+/** Golden ratio of 32 bits: spreads values that differ in the lowest bits. */
+#define HASH_MULTIPLIER 2654435769u
+
 /** Ranks are sent as integers, multiplied by this. */
 #define RANK_SCALE 1000.0
 
@@ -61,28 +64,103 @@
   return backlog;
 }
 
-HsTime
-hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
+/* The time in which the waiting tasks of jobs of @p rank_min and above get
+   resources, after @p milli for others. */
+static HsTime
+time_to_serve (const HsJobs *jobs,
+               const HsJob *except,
+               double milli,
+               double rank_min,
+               HsTime now)
 {
-  bool contained = hs_job_is_contained (jobs, job);
+  bool contained = hs_job_is_contained (jobs, except);
   double milli_per_s = hs_service_rate_per_s (
       contained ? &jobs->reserve_rate : &jobs->rate, now);
-  double ahead_milli = job->needs.cpu_milli;
-  double rank = hs_job_rank (jobs, job, now);
   uint32_t i;
 
   for (i = 0; i < jobs->table_size; i++)
     {
       const HsJob *other = &jobs->table[i];
 
-      if (other == job || !other->in_use || other->n_waiting == 0
+      if (other == except || !other->in_use || other->n_waiting == 0
           || hs_job_is_held (other)
           || hs_job_is_contained (jobs, other) != contained
-          || hs_job_rank (jobs, other, now) < rank)
+          || hs_job_rank (jobs, other, now) < rank_min)
         continue;
-      ahead_milli += (double) other->needs.cpu_milli * other->n_waiting;
+      milli += (double) other->needs.cpu_milli * other->n_waiting;
     }
   if (milli_per_s <= 0)
     return HS_NEVER;
-  return (HsTime) MIN (ahead_milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
+  return (HsTime) MIN (milli / milli_per_s * HS_SEC, 3600.0 * HS_SEC);
+}
+
+HsTime
+hs_jobs_predict_wait (const HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  return time_to_serve (jobs, job, job->needs.cpu_milli,
+                        hs_job_rank (jobs, job, now), now);
+}
+
+HsTime
+hs_jobs_predict_return (const HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  HsTime drained = time_to_serve (jobs, job, job->needs.cpu_milli, 0, now);
+  /* Ids that differ in the last character have nearly the same hash. */
+  uint32_t hash = g_str_hash (job->id) * HASH_MULTIPLIER;
+  double part = (double) hash / G_MAXUINT32;
+
+  if (drained == HS_NEVER)
+    return HS_NEVER;
+  return drained + (HsTime) (part * (double) drained);
+}
+
+/* Adds what the job's running tasks release within a span. */
+static void
+add_releases (const HsJobs *jobs,
+              const HsJob *job,
+              HsTime span,
+              HsReleases *releases,
+              HsTime now)
+{
+  double spread = hs_demand_run_time_spread (jobs->demand, job->customer);
+  uint32_t n = job->n_sent;
+  uint32_t i;
+
+  for (i = 0; i < job->n_tasks && n > 0; i++)
+    {
+      const HsTask *task = &job->tasks[i];
+
+      if (task->state != HS_TASK_SENT)
+        continue;
+      n--;
+      hs_releases_add (releases, job->needs.cpu_milli, now - task->sent_at,
+                       job->expected_run_time, spread, span);
+    }
+}
+
+HsForecast
+hs_jobs_forecast (HsJobs *jobs, const HsJob *job, HsTime now)
+{
+  HsWaitQuery query
+      = { .rank = hs_job_rank (jobs, job, now),
+          .wait = job->wait_until - now,
+          .ahead_milli = job->needs.cpu_milli,
+          .milli_per_s = hs_service_rate_per_s (&jobs->rate, now) };
+  uint32_t i;
+
+  if (hs_job_is_contained (jobs, job) || query.milli_per_s <= 0)
+    return HS_FORECAST_MAY_START;
+  for (i = 0; i < jobs->table_size; i++)
+    {
+      const HsJob *other = &jobs->table[i];
+
+      if (other == job || !other->in_use || hs_job_is_contained (jobs, other))
+        continue;
+      if (other->n_sent > 0)
+        add_releases (jobs, other, query.wait, &query.due, now);
+      if (other->n_waiting > 0 && !hs_job_is_held (other)
+          && hs_job_rank (jobs, other, now) >= query.rank)
+        query.ahead_milli += (double) other->needs.cpu_milli * other->n_waiting;
+    }
+  return hs_wait_forecast_check (&jobs->forecast, &query, now);
 }
--- a/test/load_world.h
+++ b/test/load_world.h
@@ -81,6 +81,8 @@
   unsigned int refused;
   unsigned int refused_at_once; /**< Within LOAD_AT_ONCE of its arrival. */
   unsigned int lost;
+  unsigned int large_submitted; /**< Of about the largest tenth by work... */
+  unsigned int large_in_time;   /**< ...and completed within the objective. */
   double mean_refusal_ms; /**< From arrival to refusal. */
 } LoadKindResult;
 
@@ -107,6 +109,10 @@
       refused_no_capacity; /**< Launches refused for lack of resources. */
   unsigned int refused_while_free; /**< Jobs refused while one of their tasks
                                       would have fitted on a healthy target. */
+  unsigned int trials; /**< Jobs that were let in though they were predicted not
+                            to start in time... */
+  unsigned int trials_started; /**< ...and did: wrong predictions. */
+  unsigned int trials_in_time;
   unsigned int bad_ends; /**< Tasks that failed, stalled or were too slow. */
   double value_share; /**< Value earned, of what all jobs in time would earn. */
   double busy_core_s; /**< Used by tasks. */
