Ask fewer agents only when a quarter of them are not needed

Cause: the number of agents asked followed each change of the queue, so that an agent was told of no backlog and asked again a little later; an entry of 0.12 cores pays for each message. Change: an agent that was asked stays so until the agents asked exceed those needed by a third. docs/design/sharing.md describes the whole.

--- a/src/direct/backlog.c
+++ b/src/direct/backlog.c
@@ -2,6 +2,11 @@
 
 #include <glib.h>
 
+/** Agents that were asked are told of no backlog when they are more than this
+ *  share of those needed: following each change of the queue would send up to
+ * an eighth more orders. */
+#define ASKED_PERCENT_MAX 133
+
 uint32_t
 hs_backlog_agents (uint32_t tasks)
 {
@@ -11,7 +16,8 @@
 bool
 hs_backlog_is_stated (bool asked, uint32_t n_asked, uint32_t tasks)
 {
-  uint32_t n = hs_backlog_agents (tasks);
+  uint64_t n = hs_backlog_agents (tasks);
 
-  return asked ? n_asked <= n : n_asked < n;
+  return asked ? (uint64_t) n_asked * 100 <= n * ASKED_PERCENT_MAX
+               : n_asked < n;
 }
