--- a/src/direct/backlog.c
+++ b/src/direct/backlog.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+/** An agent stays asked until those asked exceed those needed by this. Without
+ *  the margin a busy entry sends 4.4 orders a job instead of 3.9. */
+#define ASKED_PERCENT_MAX 133
+
 uint32_t
 hs_backlog_agents (uint32_t tasks)
 {
@@ -11,7 +15,8 @@
 bool
 hs_backlog_is_stated (bool asked, uint32_t n_asked, uint32_t tasks)
 {
-  uint32_t n = hs_backlog_agents (tasks);
+  uint64_t n = hs_backlog_agents (tasks);
 
-  return asked ? n_asked <= n : n_asked < n;
+  return asked ? (uint64_t) n_asked * 100 <= n * ASKED_PERCENT_MAX
+               : n_asked < n;
 }
