Tests: format load_world.h

clang-format of the fields added with the trials of admission; it had not been run on this file after the last change. No behaviour changes, so that no test was run again.

--- a/test/load_world.h
+++ b/test/load_world.h
@@ -81,7 +81,7 @@
   unsigned int lost;
   unsigned int large_submitted; /**< Of about the largest tenth by work... */
   unsigned int large_in_time;   /**< ...and completed within the objective. */
-  double mean_refusal_ms; /**< From arrival to refusal. */
+  double mean_refusal_ms;       /**< From arrival to refusal. */
 } LoadKindResult;
 
 /** What the callers of one entry get. */
