--- a/test/soak/history.c
+++ b/test/soak/history.c
@@ -102,6 +102,8 @@
               &at)
       != 5)
     return;
+  if (kind == 'A') /* The call of a start, which may be carried out late. */
+    return;
   if (kind == 'B')
     {
       end_open_runs (tasks, target, at);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -17,8 +17,10 @@
 #include <glib.h>
 
 #include "../prng.h"
+#include "evacuation.h"
 #include "history.h"
 #include "proxy.h"
+#include "stalled.h"
 #include "tally.h"
 
 #define CPU_MILLI 6000
@@ -155,6 +157,18 @@
   g_mutex_unlock (&restart_lock);
 }
 
+static void
+pause_process (ClusterKind kind, unsigned int i, int ms)
+{
+  HsTime from = hs_now ().mono;
+
+  cluster_signal (&cluster, kind, i, SIGSTOP);
+  cluster_sleep_ms (ms);
+  cluster_signal (&cluster, kind, i, SIGCONT);
+  if (kind == CLUSTER_AGENT)
+    evacuation_note_pause (i, from);
+}
+
 static void
 inject_process_fault (Prng *random)
 {
@@ -184,9 +198,7 @@
       if (kind == CLUSTER_TARGET)
         return;
       printf ("  pause %d %u for %d ms\n", (int) kind, i, ms);
-      cluster_signal (&cluster, kind, i, SIGSTOP);
-      cluster_sleep_ms (ms);
-      cluster_signal (&cluster, kind, i, SIGCONT);
+      pause_process (kind, i, ms);
       return;
     }
 }
@@ -197,11 +209,14 @@
   unsigned int proxy = prng_below (random, proxy_count ());
   ProxyMode mode = 1 + prng_below (random, PROXY_SILENCE);
   int ms = 100 + (int) prng_below (random, 3000);
+  HsTime from = hs_now ().mono;
 
   printf ("  proxy %u mode %d for %d ms\n", proxy, (int) mode, ms);
   proxy_set (proxy, mode, 5 + (int) prng_below (random, 80));
   cluster_sleep_ms (ms);
   proxy_set (proxy, PROXY_PASS, 0);
+  if (proxy == store_proxy)
+    evacuation_note_store_fault (from);
 }
 
 static void
@@ -229,7 +244,9 @@
   static const char *const faults[]
       = { "{\"down\":true}", "{\"silent\":true}", "{\"compact\":true}",
           "{\"lose_answers\":3}" };
-  const char *fault = faults[prng_below (random, G_N_ELEMENTS (faults))];
+  unsigned int k = prng_below (random, G_N_ELEMENTS (faults));
+  const char *fault = faults[k];
+  HsTime from = hs_now ().mono;
 
   printf ("  store %s\n", fault);
   cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", fault,
@@ -239,6 +256,17 @@
   cluster_sleep_ms (300 + (int) prng_below (random, 2000));
   cluster_call ("POST", cluster.addresses[CLUSTER_STORE][0], "/fault", "{}",
                 500);
+  if (k < 2) /* Down or silent. */
+    evacuation_note_store_fault (from);
+}
+
+static void
+inject_stalled_callers (Prng *random)
+{
+  unsigned int i = prng_below (random, cluster.n_entries);
+
+  printf ("  callers of entry %u that stop short of the end of a body\n", i);
+  stalled_callers_run (cluster.addresses[CLUSTER_ENTRY][i]);
 }
 
 static void *
@@ -249,7 +277,7 @@
 
   while (!g_atomic_int_get (&stopping))
     {
-      switch (prng_below (random, 5))
+      switch (prng_below (random, 6))
         {
         case 0:
         case 1:
@@ -261,6 +289,9 @@
         case 3:
           inject_target_fault (random);
           break;
+        case 4:
+          inject_stalled_callers (random);
+          break;
         default:
           inject_store_fault (random, &version);
           break;
@@ -312,9 +343,7 @@
     case 2:
     case 3:
       printf ("  crossing: pause agent %u for %d ms\n", target, ms);
-      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGSTOP);
-      cluster_sleep_ms (ms);
-      cluster_signal (&cluster, CLUSTER_AGENT, target, SIGCONT);
+      pause_process (CLUSTER_AGENT, target, ms);
       break;
     case 4:
       proxy_set (app_proxies[target], PROXY_RESET, 0);
@@ -387,6 +416,13 @@
   return NULL;
 }
 
+static void *
+run_evacuations (void *arg)
+{
+  evacuation_run (&cluster, arg, &stopping);
+  return NULL;
+}
+
 static void
 create_proxies (uint32_t seed)
 {
@@ -461,9 +497,10 @@
 static unsigned int
 run (uint32_t seed, int seconds, unsigned int n_fault_injectors)
 {
-  GThread *threads[CALLERS + FAULT_INJECTORS_MAX + 1];
+  GThread *threads[CALLERS + FAULT_INJECTORS_MAX + 2];
   Caller callers[CALLERS];
   Prng injector_prngs[FAULT_INJECTORS_MAX + 1];
+  Prng evacuation_prng = prng_seeded (seed + 2000000);
   unsigned int n_threads = 0;
   unsigned int violations;
   unsigned int i;
@@ -493,6 +530,9 @@
   injector_prngs[i] = prng_seeded (seed + 1000000);
   threads[n_threads++] = g_thread_new (
       "crossing injector", run_crossing_injector, &injector_prngs[i]);
+  if (n_fault_injectors > 0)
+    threads[n_threads++]
+        = g_thread_new ("evacuations", run_evacuations, &evacuation_prng);
   cluster_sleep_ms (seconds * 1000);
   g_atomic_int_set (&stopping, 1);
   for (i = 0; i < n_threads; i++)
@@ -503,6 +543,7 @@
     history_note_kill (i);
   cluster_kill_all (&cluster);
   violations += history_check (&cluster, jobs, n_jobs);
+  violations += evacuation_check (&cluster);
   return violations;
 }
 
@@ -561,6 +602,7 @@
     }
   cluster_init (&cluster, build, dir, (unsigned int) entries,
                 (unsigned int) agents, CPU_MILLI);
+  cluster.evacuate_ms = EVACUATE_MS;
   create_proxies ((uint32_t) seed);
   violations = run ((uint32_t) seed, seconds, (unsigned int) faults);
   for (i = 0; i < n_jobs; i++)
--- /dev/null
+++ b/test/soak/stalled.c
@@ -0,0 +1,86 @@
+#include "stalled.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#define CONNECTIONS 50
+
+/** Of the body that is announced, below the limit of 262,144 bytes, this much
+ *  is sent. */
+#define BODY_BYTES "262000"
+#define SENT_BYTES 200000
+
+/** The connections stay open this long, which includes the time to send. */
+#define OPEN_MS 2000
+#define POLL_MS 20
+
+/** The job's id is above those of the jobs that are checked. */
+#define REQUEST_HEAD                                                           \
+  "POST /q/00000000fffffff0 HTTP/1.1\r\nHost: h.example\r\n"                   \
+  "X-Hibiscusspoke-Deadline-Ms: 3000\r\n"                                      \
+  "Content-Length: " BODY_BYTES "\r\n\r\n"
+
+static int
+dial (const char *address)
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
+  if (fd >= 0)
+    connect (fd, (struct sockaddr *) &in, sizeof in);
+  return fd;
+}
+
+/* Sends more on each connection that takes more. */
+static void
+send_more (struct pollfd *polls, gsize *offsets, const char *data, gsize len)
+{
+  int i;
+
+  for (i = 0; i < CONNECTIONS; i++)
+    {
+      ssize_t n;
+
+      if (offsets[i] == len || (polls[i].revents & POLLOUT) == 0)
+        continue;
+      n = send (polls[i].fd, data + offsets[i], len - offsets[i], MSG_NOSIGNAL);
+      if (n > 0)
+        offsets[i] += (gsize) n;
+      if (offsets[i] == len)
+        polls[i].events = 0;
+    }
+}
+
+void
+stalled_callers_run (const char *address)
+{
+  gsize len = strlen (REQUEST_HEAD) + SENT_BYTES;
+  g_autofree char *data = g_malloc (len);
+  struct pollfd polls[CONNECTIONS];
+  gsize offsets[CONNECTIONS] = { 0 };
+  gint64 end = g_get_monotonic_time () + OPEN_MS * INT64_C (1000);
+  int i;
+
+  memset (data, ' ', len);
+  memcpy (data, REQUEST_HEAD, strlen (REQUEST_HEAD));
+  for (i = 0; i < CONNECTIONS; i++)
+    polls[i] = (struct pollfd){ dial (address), POLLOUT, 0 };
+  while (g_get_monotonic_time () < end)
+    {
+      if (poll (polls, CONNECTIONS, POLL_MS) > 0)
+        send_more (polls, offsets, data, len);
+      g_usleep (POLL_MS * 1000);
+    }
+  for (i = 0; i < CONNECTIONS; i++)
+    if (polls[i].fd >= 0)
+      close (polls[i].fd);
+}
--- a/test/standin/platform_target.c
+++ b/test/standin/platform_target.c
@@ -99,6 +99,22 @@
   print_line (how == 0 ? 'S' : 'E', key, (int) how, at);
 }
 
+/* Prints when the call of a start has arrived; it may be carried out late. */
+static void
+print_start_call (const HsStandinRequest *request, HsTime at)
+{
+  struct json_object *root;
+  HsRunKey key;
+  uint64_t token;
+
+  if (strcmp (request->path, "/-/run-start") != 0)
+    return;
+  root = hs_json_parse_value (request->body, request->len);
+  if (hs_standin_parse_run_key (root, &key, &token))
+    print_line ('A', &key, 0, at);
+  json_object_put (root);
+}
+
 static int64_t
 spec_number (const char *spec, const char *key, int64_t fallback)
 {
@@ -316,8 +332,9 @@
 {
   Target *target = arg;
   const char *expected;
+  HsTime now = hs_now ().mono;
 
-  hs_target_model_advance (&target->model, hs_now ().mono);
+  hs_target_model_advance (&target->model, now);
   if (strcmp (request->path, "/fault") == 0)
     {
       set_faults (target, request);
@@ -349,7 +366,8 @@
       hs_standin_respond (request, 421, talloc_strdup (NULL, "{}"));
       return;
     }
-  hs_standin_calls_receive (target->calls, request, hs_now ().mono);
+  print_start_call (request, now);
+  hs_standin_calls_receive (target->calls, request, now);
 }
 
 static void
