Soak: build the stalled request in one string

clang-tidy rejected the memcpy() without a terminator and the unused result of connect(); the result doesn't matter, as the entry may be down at that time. Formatted with a padded string instead.

--- a/test/soak/stalled.c
+++ b/test/soak/stalled.c
@@ -36,7 +36,7 @@
   in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
   if (fd >= 0)
-    connect (fd, (struct sockaddr *) &in, sizeof in);
+    (void) connect (fd, (struct sockaddr *) &in, sizeof in);
   return fd;
 }
 
@@ -63,15 +63,14 @@
 void
 stalled_callers_run (const char *address)
 {
-  gsize len = strlen (REQUEST_HEAD) + SENT_BYTES;
-  g_autofree char *data = g_malloc (len);
+  g_autofree char *data
+      = g_strdup_printf ("%s%*s", REQUEST_HEAD, SENT_BYTES, "");
+  gsize len = strlen (data);
   struct pollfd polls[CONNECTIONS];
   gsize offsets[CONNECTIONS] = { 0 };
   gint64 end = g_get_monotonic_time () + OPEN_MS * INT64_C (1000);
   int i;
 
-  memset (data, ' ', len);
-  memcpy (data, REQUEST_HEAD, strlen (REQUEST_HEAD));
   for (i = 0; i < CONNECTIONS; i++)
     polls[i] = (struct pollfd){ dial (address), POLLOUT, 0 };
   while (g_get_monotonic_time () < end)
