--- a/src/direct/backlog.c
+++ b/src/direct/backlog.c
@@ -13,7 +13,7 @@
 }
 
 bool
-hs_backlog_is_stated (bool asked, uint32_t n_asked, uint32_t tasks)
+hs_backlog_should_report (bool asked, uint32_t n_asked, uint32_t tasks)
 {
   uint64_t n = hs_backlog_agents (tasks);
 
--- a/src/direct/backlog.h
+++ b/src/direct/backlog.h
@@ -27,12 +27,12 @@
 uint32_t hs_backlog_agents (uint32_t tasks);
 
 /**
- * Whether orders to an agent state the backlog. Once asked, an agent is told of
- * no backlog only when a quarter of those asked are no longer needed.
+ * Whether orders to an agent should report the backlog. Once asked, an agent is
+ * told of no backlog only when a quarter of those asked are no longer needed.
  * @param asked whether the last orders to it did
  * @param n_asked number of agents whose last orders did
  * @param tasks number of waiting tasks
  */
-bool hs_backlog_is_stated (bool asked, uint32_t n_asked, uint32_t tasks);
+bool hs_backlog_should_report (bool asked, uint32_t n_asked, uint32_t tasks);
 
 #endif
--- a/src/direct/entry_orders.c
+++ b/src/direct/entry_orders.c
@@ -215,7 +215,7 @@
     return (hsx_want){ 0 };
   if (hs_targets_get (entry->targets, target)->evacuated)
     return (hsx_want){ 0 };
-  if (hs_backlog_is_stated (true, backlog->n_asked, backlog->want.tasks))
+  if (hs_backlog_should_report (true, backlog->n_asked, backlog->want.tasks))
     return backlog->want;
   backlog->n_asked--;
   return (hsx_want){ 0 };
@@ -250,9 +250,9 @@
 
   if (backlog->want.rank == 0)
     return;
-  for (i = 0;
-       i < entry->n_links
-       && hs_backlog_is_stated (false, backlog->n_asked, backlog->want.tasks);
+  for (i = 0; i < entry->n_links
+              && hs_backlog_should_report (false, backlog->n_asked,
+                                           backlog->want.tasks);
        i++)
     {
       uint32_t k = entry->next_backlog_agent++ % entry->n_links;
--- a/src/direct/liveness.h
+++ b/src/direct/liveness.h
@@ -60,14 +60,14 @@
 /** The lease of a run whose job is over is renewed for this long at most after
  *  its caller may have left: the lease and a message to the next entry take the
  *  rest of the time until the caller sends its job again. */
-#define HS_STOP_PATIENCE                                                       \
+#define HS_STOP_RENEWAL_MAX                                                    \
   (HS_CALLER_RETRY_DELAY - HS_LEASE_MAX - HS_LEASE_MAX / 50 - 200 * HS_MSEC)
 
 /** An entry may have stood still for almost HS_PAUSE_MIN without noticing: a
  *  stop that it sends then can still be called twice before the lease of all
  *  runs on the target isn't renewed any more. */
 G_STATIC_ASSERT (HS_PAUSE_MIN + HS_CALLERS_CHECK_INTERVAL + 2 * HS_STOP_MAX
-                 < HS_STOP_PATIENCE);
+                 < HS_STOP_RENEWAL_MAX);
 
 /** Within this time after a pause of its own, an agent has received what an
  *  entry sent meanwhile: at least two heartbeats are in the socket buffer. */
--- a/src/direct/runs.c
+++ b/src/direct/runs.c
@@ -174,7 +174,7 @@
 static void
 limit_renewals (HsRun *run, HsTime over_since)
 {
-  HsTime until = MAX (over_since + HS_STOP_PATIENCE, HS_USEC);
+  HsTime until = MAX (over_since + HS_STOP_RENEWAL_MAX, HS_USEC);
 
   if (run->renew_until == 0 || until < run->renew_until)
     run->renew_until = until;
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -14,7 +14,8 @@
  *  fragments, the kernel and other programs of the host need some. */
 #define BUDGET_SHARE 0.75
 
-/** One largest announcement (4 MiB) fits, whatever the settings say. */
+/** Lower limit of the budget: an announcement of the maximum size (4 MiB) and
+ *  connections fit. */
 #define BUDGET_MIN (8 * MB)
 
 /** Share of the budget that connections may take without their bodies. */
@@ -46,7 +47,7 @@
 /** Bodies of ordinary size. Larger ones are dropped first. */
 #define ORDINARY_BYTES ((size_t) 16384)
 
-/** Shares picked in one pass over all. */
+/** Maximum number of victims selected in one pass. */
 #define VICTIMS_MAX 16
 
 /** Share of the budget that a pass frees beyond what is needed, so that not
@@ -267,9 +268,9 @@
    @return how many were dropped; -1: the share itself has the least progress of
            those that are left */
 static int
-drop_bodies (HsBodyShare *wanting, size_t wanted, bool large, HsTime now)
+drop_bodies (HsBodyShare *requester, size_t wanted, bool large, HsTime now)
 {
-  HsBodyBudget *budget = wanting->budget;
+  HsBodyBudget *budget = requester->budget;
   size_t slack
       = large ? (size_t) ((double) budget->max_bytes * SLACK_SHARE) : 0;
   Victims victims = { .n = 0 };
@@ -278,16 +279,16 @@
 
   for (share = budget->shares; share != NULL; share = share->next)
     {
-      size_t bytes = share == wanting ? wanted : share->bytes;
+      size_t bytes = share == requester ? wanted : share->bytes;
 
       if (bytes > 0 && is_incomplete (share)
           && (bytes > ORDINARY_BYTES) == large)
         add_victim (&victims, share, score_of (share, now));
     }
-  for (i = 0; i < victims.n && !fits (wanting, wanted + slack); i++)
+  for (i = 0; i < victims.n && !fits (requester, wanted + slack); i++)
     {
-      if (victims.entries[i].share == wanting)
-        return fits (wanting, wanted) ? (int) i : -1;
+      if (victims.entries[i].share == requester)
+        return fits (requester, wanted) ? (int) i : -1;
       drop_body (victims.entries[i].share);
     }
   return (int) i;
--- a/src/http/mhd_request.c
+++ b/src/http/mhd_request.c
@@ -192,7 +192,7 @@
   return count.n;
 }
 
-/* A Content-Length beside the coding may be another one's idea of the length
+/* An intermediary may interpret a message with both headers differently
    (RFC 9112, 6.1). */
 static bool
 is_chunked (struct MHD_Connection *connection)
--- a/src/store/poll_schedule.h
+++ b/src/store/poll_schedule.h
@@ -22,8 +22,8 @@
  *  Twice the time that a slow store takes, and a connection's set-up. */
 #define HS_POLL_SLACK (500 * HS_MSEC)
 
-/** The same for a poll that follows a failed one: changes are heard of from a
- *  store that is slower than known ones, too. */
+/** The same for a poll that follows a failed one: changes are also
+ *  received from a store slower than any measured. */
 #define HS_POLL_PROBE_SLACK (1 * HS_SEC)
 
 /** Pause before the first poll after a failed one. */
