Test: the uneven load in a program of its own

Cause: with the thread sanitizer test_direct_load took over 400 s of the 600 s that a program may take, as its three new tests simulate 50 targets each.

--- a/test/part.mk
+++ b/test/part.mk
@@ -7,5 +7,5 @@
 $(B)/test/test_direct_evacuation_path: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
 $(B)/test/test_direct_silence: $(B)/test/platform_cluster.o $(B)/test/soak/proxy.o \
 	| $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
-$(B)/test/test_direct_load: $(addprefix $(B)/test/load_,world.o jobs.o \
+$(B)/test/test_direct_load $(B)/test/test_direct_load_uneven: $(addprefix $(B)/test/load_,world.o jobs.o \
 	effects.o messages.o crashes.o) $(B)/test/target_model.o $(B)/bench/queue_model.o
