--- a/test/part.mk
+++ b/test/part.mk
@@ -3,6 +3,7 @@
 $(B)/test/test_direct_jobs $(B)/test/test_direct_jobs_crash $(B)/test/test_direct_evacuations: $(B)/test/jobs_fixture.o
 $(B)/test/test_direct_runs $(B)/test/test_direct_runs_lease $(B)/test/test_direct_runs_random: $(B)/test/target_model.o
 $(B)/test/test_store_client: $(B)/test/soak/proxy.o
+$(B)/test/test_body_memory: $(B)/test/crowd.o
 $(B)/test/test_direct_path $(B)/test/test_body_memory: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
 $(B)/test/test_direct_evacuation_path: $(B)/test/platform_cluster.o | $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
 $(B)/test/test_direct_silence: $(B)/test/platform_cluster.o $(B)/test/soak/proxy.o \
--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -4,27 +4,20 @@
    limits, and still answers an ordinary request; no times and no shares.
 
    Measures resident memory, so that no other load may run beside it. */
-#include <dirent.h>
-#include <errno.h>
-#include <poll.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include <cmocka.h>
 #include <glib.h>
 
+#include "crowd.h"
 #include "platform_cluster.h"
 
 /** Memory of the host in the settings, and the bound that is checked. */
@@ -41,9 +34,6 @@
 #define N_ANNOUNCEMENTS 32
 #define N_CHECKERS 64
 
-/** Bytes of shadow of the thread sanitizer for each byte of the program. */
-#define TSAN_SHADOW_BYTES 4
-
 /** The largest accepted bodies of callers and of announcements. */
 #define CALLER_BODY_BYTES 262144
 #define ANNOUNCEMENT_BYTES (4 * 1024 * 1024)
@@ -54,86 +44,24 @@
 #define LARGE_CHUNK_BYTES 65536
 #define SMALL_CHUNK_BYTES 16
 
-/** Most bytes that a client sends at once. */
-#define WHOLE_BYTES (16 * 1024 * 1024)
 #define PIECE_BYTES 2048
 
-/** The crowd stops sending if nothing could be sent for this long: the process
- *  reads no more. */
-#define STALL_MS 2000
-
-/** Time for the process to read what lies in the sockets' buffers. */
-#define SETTLE_MS 500
-
 /** Time-outs of an ordinary request. A process that answers does so much
  *  earlier; one that waits for idle connections to time out doesn't. */
 #define REQUEST_TIMEOUT_MS 10000
 #define READY_TIMEOUT_MS 30000
 
+#define ANNOUNCEMENT_HEAD                                                      \
+  "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","        \
+  "\"sequence\":4,\"born\":7,"                                                 \
+  "\"capacity\":{\"cpu\":4000,\"mem_mb\":1000,\"gpu\":0},"
+
 #define JOB_HEAD "POST /q/00000000000000fe HTTP/1.1\r\nHost: h.example\r\n"
 #define PUT_HEAD "PUT /-/instances/crowd HTTP/1.1\r\nHost: h.example\r\n"
 
-typedef struct
-{
-  const char *address;
-  const char *data; /* What each client sends, and then keeps silent. */
-  size_t len;
-  size_t piece; /* Most bytes sent at once. */
-  unsigned int n;
-} Crowd;
-
 static Cluster cluster;
-static int sockets[2 * N_CONNECTIONS];
-static unsigned int n_sockets;
+static CrowdProcess process;
 static unsigned int next_id;
-static size_t baseline_kb;
-
-/* In KB, of a line of /proc/PID/status. */
-static size_t
-read_status (pid_t pid, const char *name)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int) pid);
-  g_autofree char *text = NULL;
-  const char *at;
-
-  if (!g_file_get_contents (path, &text, NULL, NULL))
-    return 0;
-  at = strstr (text, name);
-  return at != NULL ? strtoul (at + strlen (name), NULL, 10) : 0;
-}
-
-static unsigned int
-count_descriptors (pid_t pid)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int) pid);
-  DIR *dir = opendir (path);
-  unsigned int n = 0;
-
-  if (dir == NULL)
-    return 0;
-  while (readdir (dir) != NULL)
-    n++;
-  closedir (dir);
-  return n - 2;
-}
-
-/* The sanitizers add memory of their own from the start (shadow, allocator),
-   which isn't the product's: with them, only what was added since before the
-   crowd counts. Of that, the thread sanitizer's shadow is four bytes for each
-   byte that the program uses. */
-static size_t
-measured_kb (pid_t pid)
-{
-  size_t peak_kb = read_status (pid, "VmHWM:");
-
-#ifdef __SANITIZE_ADDRESS__
-  return peak_kb - MIN (peak_kb, baseline_kb);
-#elif defined __SANITIZE_THREAD__
-  return (peak_kb - MIN (peak_kb, baseline_kb)) / (1 + TSAN_SHADOW_BYTES);
-#else
-  return peak_kb;
-#endif
-}
 
 static void
 check_process (ClusterKind kind)
@@ -143,19 +71,19 @@
   unsigned int n;
 
   assert_int_equal (waitpid (pid, NULL, WNOHANG), 0);
-  kb = measured_kb (pid);
-  n = count_descriptors (pid);
-  print_message ("resident %zu KB (before %zu KB), %u descriptors\n", kb,
-                 baseline_kb, n);
-  assert_in_range (kb, 1, MEMORY_MB * 1024);
+  kb = crowd_memory_kb (&process);
+  n = crowd_count_descriptors (pid);
+  print_message ("%zu KB (before %zu KB), %u descriptors\n", kb,
+                 process.baseline_kb, n);
+  assert_in_range (kb, 1, cluster.memory_mb * 1024);
   assert_in_range (n, 1, cluster.max_fds);
 }
 
 static void
-start_process (ClusterKind kind, unsigned int max_fds)
+start_process (ClusterKind kind, unsigned int memory_mb, unsigned int max_fds)
 {
   cluster_kill (&cluster, kind, 0);
-  cluster.memory_mb = MEMORY_MB;
+  cluster.memory_mb = memory_mb;
   cluster.max_fds = max_fds;
   cluster_start (&cluster, kind, 0);
 }
@@ -177,11 +105,11 @@
 {
   int i;
 
-  start_process (CLUSTER_ENTRY, max_fds);
+  start_process (CLUSTER_ENTRY, MEMORY_MB, max_fds);
   assert_true (cluster_await_ready (&cluster, 0, READY_TIMEOUT_MS));
   for (i = 0; i < 100 && !submit_job (); i++)
     cluster_sleep_ms (50);
-  baseline_kb = read_status (cluster.pids[CLUSTER_ENTRY][0], "VmRSS:");
+  process = crowd_process (cluster.pids[CLUSTER_ENTRY][0]);
 }
 
 static bool
@@ -199,84 +127,15 @@
 }
 
 static void
-start_agent (void)
+start_agent (unsigned int memory_mb)
 {
   int i;
 
   cluster_kill (&cluster, CLUSTER_TARGET, 0);
-  start_process (CLUSTER_AGENT, MAX_FDS);
+  start_process (CLUSTER_AGENT, memory_mb, MAX_FDS);
   for (i = 0; i < READY_TIMEOUT_MS / 50 && !announce (); i++)
     cluster_sleep_ms (50);
-  baseline_kb = read_status (cluster.pids[CLUSTER_AGENT][0], "VmRSS:");
-}
-
-static int
-dial (const char *address)
-{
-  struct sockaddr_in in = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
-  assert_true (fd >= 0);
-  assert_true (connect (fd, (struct sockaddr *) &in, sizeof in) == 0
-               || errno == EINPROGRESS);
-  return fd;
-}
-
-/* Sends the next piece. Sets @p offset to the end if the connection is
-   closed. */
-static void
-send_piece (const Crowd *crowd, int fd, size_t *offset)
-{
-  size_t n_left = crowd->len - *offset;
-  ssize_t n = send (fd, crowd->data + *offset, MIN (n_left, crowd->piece),
-                    MSG_NOSIGNAL);
-
-  if (n < 0 && errno != EAGAIN && errno != EINTR)
-    *offset = crowd->len;
-  else if (n > 0)
-    *offset += (size_t) n;
-}
-
-/* Connects the clients and sends all of their data, as far as the process reads
-   it. They stay connected. */
-static void
-send_crowd (const Crowd *crowd)
-{
-  g_autofree size_t *offsets = g_new0 (size_t, crowd->n);
-  g_autofree struct pollfd *polls = g_new0 (struct pollfd, crowd->n);
-  unsigned int n_open = crowd->n;
-  unsigned int i;
-
-  assert_true (n_sockets + crowd->n <= G_N_ELEMENTS (sockets));
-  for (i = 0; i < crowd->n; i++)
-    {
-      polls[i].fd = dial (crowd->address);
-      sockets[n_sockets++] = polls[i].fd;
-      polls[i].events = POLLOUT;
-    }
-  while (n_open > 0 && poll (polls, crowd->n, STALL_MS) > 0)
-    {
-      n_open = 0;
-      for (i = 0; i < crowd->n; i++)
-        {
-          if (polls[i].revents != 0)
-            send_piece (crowd, polls[i].fd, &offsets[i]);
-          if (offsets[i] == crowd->len)
-            polls[i].fd = -1;
-          polls[i].revents = 0;
-          n_open += polls[i].fd >= 0;
-        }
-    }
-  cluster_sleep_ms (SETTLE_MS);
-}
-
-static void
-close_crowd (void)
-{
-  while (n_sockets > 0)
-    close (sockets[--n_sockets]);
+  process = crowd_process (cluster.pids[CLUSTER_AGENT][0]);
 }
 
 static void
@@ -295,35 +154,6 @@
   check_process (CLUSTER_AGENT);
 }
 
-/* A request whose body has a Content-Length and ends too early. */
-static GString *
-sized_request (const char *head, size_t body_bytes)
-{
-  GString *out = g_string_new (head);
-  size_t head_len;
-
-  g_string_append_printf (out, "Content-Length: %zu\r\n\r\n{\"spec\":\"",
-                          body_bytes);
-  head_len = (size_t) (strstr (out->str, "\r\n\r\n") + 4 - out->str);
-  while (out->len < head_len + body_bytes - MISSING_BYTES)
-    g_string_append_c (out, 'x');
-  return out;
-}
-
-/* A chunked request without its last chunk. */
-static GString *
-chunked_request (const char *head, size_t body_bytes, size_t chunk_bytes)
-{
-  GString *out = g_string_new (head);
-  g_autofree char *chunk = g_strnfill (chunk_bytes, '1');
-  size_t n;
-
-  g_string_append (out, "Transfer-Encoding: chunked\r\n\r\n");
-  for (n = 0; n + chunk_bytes < body_bytes; n += chunk_bytes)
-    g_string_append_printf (out, "%zx\r\n%s\r\n", chunk_bytes, chunk);
-  return out;
-}
-
 static void
 crowd_an_entry (GString *request, size_t piece)
 {
@@ -334,7 +164,7 @@
                   .n = N_BODIES };
 
   start_entry (MAX_FDS);
-  send_crowd (&crowd);
+  crowd_send (&crowd, &process);
   check_entry ();
   g_string_free (request, TRUE);
 }
@@ -348,8 +178,8 @@
                   .piece = piece,
                   .n = N_ANNOUNCEMENTS };
 
-  start_agent ();
-  send_crowd (&crowd);
+  start_agent (MEMORY_MB);
+  crowd_send (&crowd, &process);
   check_agent ();
   g_string_free (request, TRUE);
 }
@@ -359,14 +189,18 @@
 whole_bodies_stay_within_memory (void **state)
 {
   (void) state;
-  crowd_an_entry (sized_request (JOB_HEAD, CALLER_BODY_BYTES), WHOLE_BYTES);
+  crowd_an_entry (
+      crowd_sized_request (JOB_HEAD, CALLER_BODY_BYTES, MISSING_BYTES),
+      CROWD_WHOLE_BYTES);
 }
 
 static void
 bodies_in_pieces_stay_within_memory (void **state)
 {
   (void) state;
-  crowd_an_entry (sized_request (JOB_HEAD, CALLER_BODY_BYTES), PIECE_BYTES);
+  crowd_an_entry (
+      crowd_sized_request (JOB_HEAD, CALLER_BODY_BYTES, MISSING_BYTES),
+      PIECE_BYTES);
 }
 
 static void
@@ -374,8 +208,8 @@
 {
   (void) state;
   crowd_an_entry (
-      chunked_request (JOB_HEAD, CALLER_BODY_BYTES, LARGE_CHUNK_BYTES),
-      WHOLE_BYTES);
+      crowd_chunked_request (JOB_HEAD, CALLER_BODY_BYTES, LARGE_CHUNK_BYTES),
+      CROWD_WHOLE_BYTES);
 }
 
 static void
@@ -383,8 +217,8 @@
 {
   (void) state;
   crowd_an_entry (
-      chunked_request (JOB_HEAD, CALLER_BODY_BYTES, SMALL_CHUNK_BYTES),
-      WHOLE_BYTES);
+      crowd_chunked_request (JOB_HEAD, CALLER_BODY_BYTES, SMALL_CHUNK_BYTES),
+      CROWD_WHOLE_BYTES);
 }
 
 /* Guards against a parser that needs many times the memory of its text. */
@@ -412,10 +246,10 @@
   Crowd crowd = { .address = address,
                   .data = data,
                   .len = len,
-                  .piece = WHOLE_BYTES,
+                  .piece = CROWD_WHOLE_BYTES,
                   .n = N_CONNECTIONS };
 
-  send_crowd (&crowd);
+  crowd_send (&crowd, &process);
   check_entry ();
 }
 
@@ -497,7 +331,7 @@
   for (i = 0; i < G_N_ELEMENTS (addresses); i++)
     {
       crowd.address = addresses[i];
-      send_crowd (&crowd);
+      crowd_send (&crowd, &process);
     }
   assert_int_equal (
       cluster_call ("GET", addresses[0], "/-/readyz", NULL, REQUEST_TIMEOUT_MS)
@@ -514,15 +348,18 @@
 whole_announcements_stay_within_memory (void **state)
 {
   (void) state;
-  crowd_an_agent (sized_request (PUT_HEAD, ANNOUNCEMENT_BYTES), WHOLE_BYTES);
+  crowd_an_agent (
+      crowd_sized_request (PUT_HEAD, ANNOUNCEMENT_BYTES, MISSING_BYTES),
+      CROWD_WHOLE_BYTES);
 }
 
 static void
 announcements_in_pieces_stay_within_memory (void **state)
 {
   (void) state;
-  crowd_an_agent (sized_request (PUT_HEAD, ANNOUNCEMENT_BYTES),
-                  LARGE_CHUNK_BYTES);
+  crowd_an_agent (
+      crowd_sized_request (PUT_HEAD, ANNOUNCEMENT_BYTES, MISSING_BYTES),
+      LARGE_CHUNK_BYTES);
 }
 
 static void
@@ -530,21 +367,18 @@
 {
   (void) state;
   crowd_an_agent (
-      chunked_request (PUT_HEAD, ANNOUNCEMENT_BYTES, LARGE_CHUNK_BYTES),
-      WHOLE_BYTES);
+      crowd_chunked_request (PUT_HEAD, ANNOUNCEMENT_BYTES, LARGE_CHUNK_BYTES),
+      CROWD_WHOLE_BYTES);
 }
 
 static void
 announcement_of_many_values_stays_within_memory (void **state)
 {
-  GString *body = g_string_new (
-      "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
-      "\"sequence\":4,\"born\":7,"
-      "\"capacity\":{\"cpu\":4000,\"mem_mb\":1000,\"gpu\":0},\"labels\":[{}");
+  GString *body = g_string_new (ANNOUNCEMENT_HEAD "\"labels\":[{}");
   ClusterReply reply;
 
   (void) state;
-  start_agent ();
+  start_agent (MEMORY_MB);
   while (body->len < ANNOUNCEMENT_BYTES - 100)
     g_string_append (body, ",{}");
   g_string_append (body, "]}");
@@ -587,7 +421,7 @@
 end_crowd (void **state)
 {
   (void) state;
-  close_crowd ();
+  crowd_close ();
   return 0;
 }
 
