--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -34,6 +34,11 @@
 #define N_ANNOUNCEMENTS 32
 #define N_CHECKERS 64
 
+/** Complete announcements of the maximum size that fit into the budget of a
+ *  host of this memory together. */
+#define N_COMPLETE 17
+#define MEMORY_MB_COMPLETE 128
+
 /** The largest accepted bodies of callers and of announcements. */
 #define CALLER_BODY_BYTES 262144
 #define ANNOUNCEMENT_BYTES (4 * 1024 * 1024)
@@ -389,6 +394,29 @@
   g_string_free (body, TRUE);
 }
 
+/* Guards against bodies that are held, in whole, until their answers are sent.
+   They fill the budget together, and are complete at once. */
+static void
+complete_announcements_stay_within_memory (void **state)
+{
+  GString *request
+      = crowd_values_request (PUT_HEAD, ANNOUNCEMENT_BYTES,
+                              ANNOUNCEMENT_HEAD "\"x\":[", "{\"a\":{}}", "]}");
+  Crowd crowd = { .address = cluster.addresses[CLUSTER_AGENT][0],
+                  .data = request->str,
+                  .len = request->len,
+                  .piece = CROWD_WHOLE_BYTES,
+                  .held = MISSING_BYTES,
+                  .n = N_COMPLETE };
+
+  (void) state;
+  start_agent (MEMORY_MB_COMPLETE);
+  crowd_send (&crowd, &process);
+  crowd_finish (&crowd, &process);
+  check_agent ();
+  g_string_free (request, TRUE);
+}
+
 static int
 set_up (void **state)
 {
@@ -447,6 +475,7 @@
     CROWD_TEST (announcements_in_pieces_stay_within_memory),
     CROWD_TEST (announcements_in_chunks_stay_within_memory),
     CROWD_TEST (announcement_of_many_values_stays_within_memory),
+    CROWD_TEST (complete_announcements_stay_within_memory),
   };
 
   signal (SIGPIPE, SIG_IGN);
