Entry: bound the bodies and connections of its own interface

What was seen: an entry that isn't on the users' platform took 1,019 to 1,254 MB for 1,200 bodies of 1 MiB that stopped 5 bytes before their end, and 297 MB for 300 of them in pieces of 2 KB. Cause: the frontend had an HTTP server of its own beside http/mhd_loop. It counted connections, and closed those whose request took over 60 s to arrive (2 s at the limit of connections); nothing bounded the memory of bodies. Descriptors were bounded by max_connections only, 4,096 by default. Ruled out: one budget for all HTTP threads. It would need a lock on each part of a body, and a thread that has no bodies of its own to drop would refuse ordinary ones while another one's idle bodies have the memory. Change: both use http/mhd_loop now; it gains a listening socket of others, the time limit for requests, and the check for clients that have closed. Each HTTP thread has a budget. config/entry_memory divides the memory and descriptors of the host, which are new settings: memory_mb (1024, or more if kept_bytes, max_body and threads need it, so that settings without it are never refused) and max_fds (the limit on open files). A memory_mb below their needs is an error that names the smallest value. The time limit of 2 s at the limit of connections is gone: those with the least progress are closed instead, at once. Why it works: memory is asked for before a body grows, and what doesn't fit is dropped, the bodies with the least progress first; those requests are refused as unavailable with Retry-After, or their connection is closed before the request was complete, so that nothing of them has run.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -4,6 +4,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "config/entry_memory.h"
 #include "config/json_check.h"
 #include "config/json_fields.h"
 
@@ -129,6 +130,8 @@
   ENTRY (HS_FIELD_MSEC, task_timeout, "task_timeout_ms", 100, 3600000),
   ENTRY (HS_FIELD_UINT32, max_connections, "max_connections", 1, 1000000),
   ENTRY (HS_FIELD_UINT32, max_body, "max_body", 1024, 256 * MIB),
+  ENTRY (HS_FIELD_UINT32, memory_mb, "memory_mb", 1, 1048576),
+  ENTRY (HS_FIELD_UINT32, max_fds, "max_fds", 1, 1048576),
   ENTRY (HS_FIELD_UINT32, claims_per_s, "claims_per_s", 1, 1000),
   ENTRY (HS_FIELD_INT64, kept_bytes, "kept_bytes", MIB, 65536 * MIB),
   { "store", HS_FIELD_STRINGS, true, 1, PEERS_MAX,
@@ -283,6 +286,8 @@
             GError **error)
 {
   HsEntrySettings *entry = &settings->u.entry;
+  uint32_t memory_mb;
+  char problem[160];
 
   *entry = (HsEntrySettings){ .threads = 2,
                               .partitions = 256,
@@ -312,6 +317,15 @@
                         "is not longer than ahead_ms and twice skew_ms; "
                         "raise it",
                         error);
+  memory_mb = hs_entry_memory_min_mb (entry);
+  if (entry->memory_mb > 0 && entry->memory_mb < memory_mb)
+    {
+      g_snprintf (problem, sizeof problem,
+                  "is too low for kept_bytes, max_body and threads; raise it "
+                  "to %u or more, or lower these",
+                  memory_mb);
+      return set_invalid (context, "entry.memory_mb", problem, error);
+    }
   return set_default_rpc_address (settings, entry->rpc_listen,
                                   &entry->rpc_address, "entry.rpc_address",
                                   context, error);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -33,6 +33,10 @@
   HsTime task_timeout;      /**< Limit on one task's run; default 60 s. */
   uint32_t max_connections; /**< From callers; default 4096. */
   uint32_t max_body;        /**< Bytes of one request body; default 8 MiB. */
+  uint32_t memory_mb; /**< Memory of the host; 0, the default: 1024, or what
+                           the other settings need; see entry_memory.h. */
+  uint32_t max_fds;   /**< Descriptors of the process; 0, the default: its limit
+                           on open files. */
   uint32_t claims_per_s; /**< Store writes a second for claims; default 20. */
   uint64_t kept_bytes;   /**< Limit on finished jobs; default 256 MiB. */
   char **store;          /**< Endpoints, NULL-terminated. */
--- a/src/direct/process.c
+++ b/src/direct/process.c
@@ -1,6 +1,5 @@
 #include "direct/process.h"
 
-#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/random.h>
@@ -12,11 +11,6 @@
 /** The store answers in 4 ms, and in 50 times that when it is slow. */
 #define STORE_TIMEOUT (1200 * HS_MSEC)
 
-/** Larger blocks are returned to the kernel when they are freed, so that the
- *  memory of bodies that were dropped doesn't stay with the process. The C
- *  library's own threshold rises with the size of blocks that were freed. */
-#define MMAP_THRESHOLD_BYTES (64 * 1024)
-
 struct HsPauseWatch
 {
   HsPauseFunc paused;
@@ -127,7 +121,6 @@
 
   *limits = hs_body_limits (settings->memory_mb, settings->max_fds);
   budget = hs_body_budget_new (ctx, limits->bytes);
-  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   hs_metrics_gauge (metrics, "hs_direct_body_bytes",
                     "Memory of HTTP connections and request bodies.", NULL,
                     NULL, read_body_bytes, budget);
--- a/src/entry/frontend_http.c
+++ b/src/entry/frontend_http.c
@@ -80,8 +80,6 @@
   if (request == NULL)
     return;
   *state = NULL;
-  request->conn->receiving = true;
-  request->conn->receiving_since = hs_now ().mono;
   hs_frontend_table_remove (thread, request);
   talloc_free (request->job);
   g_clear_error (&request->error);
@@ -96,13 +94,10 @@
              const char *method)
 {
   HsFrontendRequest *request = talloc_zero (thread, HsFrontendRequest);
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 
   request->thread = thread;
   request->connection = connection;
-  request->conn = info->socket_context;
-  request->conn->receiving_since = hs_now ().mono;
+  hs_mhd_bind_body (thread->mhd, connection, &request->body);
   hs_frontend_table_add (thread, request);
   atomic_fetch_add (&thread->frontend->requests_in_flight, 1);
   parse_path (request, url, method);
@@ -249,15 +244,19 @@
 static bool
 fill_job_request (HsFrontendRequest *request, HsJobRequest *job)
 {
+  /* It may have been dropped for another one since its last part came. */
+  if (request->error == NULL && request->body.dropped)
+    hs_mhd_body_set_dropped_error (&request->error);
   if (request->error != NULL)
     return false;
+  hs_mhd_body_join (request, &request->body);
   if (request->verb == HSX_SUBMIT)
     job->args = hs_job_parse (
         job, request->body.data != NULL ? request->body.data : "",
         request->body.len, &request->error);
   else
     job->args = talloc_steal (job, request->args);
-  TALLOC_FREE (request->body.data);
+  hs_mhd_body_release (&request->body);
   return job->args != NULL && authenticate (request, job->args->customer);
 }
 
@@ -268,7 +267,6 @@
   HsFrontendThread *thread = request->thread;
   HsJobRequest *job = talloc_zero (NULL, HsJobRequest);
 
-  request->conn->receiving = false;
   if (!fill_job_request (request, job))
     {
       talloc_free (job);
@@ -323,7 +321,6 @@
   if (atomic_load (&request->thread->frontend->draining))
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   request->state = HS_REQUEST_RESPONSE_QUEUED;
-  request->conn->receiving = false;
   result = MHD_queue_response (request->connection, status, response);
   MHD_destroy_response (response);
   atomic_fetch_add_explicit (&request->thread->response_counts[status / 100], 1,
--- a/src/entry/frontend_private.h
+++ b/src/entry/frontend_private.h
@@ -14,20 +14,10 @@
 
 #include "base/queue.h"
 #include "entry/frontend.h"
-#include "http/mhd_request.h"
+#include "http/mhd_loop.h"
 
 typedef struct HsFrontendThread HsFrontendThread;
 
-/** A connection of a caller. */
-typedef struct HsFrontendConn
-{
-  struct HsFrontendConn *prev;
-  struct HsFrontendConn *next;
-  int fd;
-  bool receiving;         /**< The server waits for data from the caller. */
-  HsTime receiving_since; /**< Start of the current headers or body. */
-} HsFrontendConn;
-
 typedef enum
 {
   HS_REQUEST_RECEIVING,      /**< The body is being received. */
@@ -42,7 +32,6 @@
 {
   HsFrontendThread *thread;
   struct MHD_Connection *connection;
-  HsFrontendConn *conn;
   HsFrontendRequestState state;
   uint32_t slot;
   hsx_verb verb;
@@ -68,13 +57,10 @@
   pthread_t pthread;
   bool started;
   struct tevent_context *ev;
-  struct tevent_immediate *rerun; /**< Runs MHD again at once. */
-  struct MHD_Daemon *daemon;
+  HsBodyBudget *budget; /**< This thread's part of the entry's memory. */
+  HsMhd *mhd;
   HsQueue *answers; /**< Of HsJobRequest, from the core. */
   bool quiesced;    /**< Accepts no connections any more. */
-  HsFrontendConn *conns;
-  uint32_t n_conns;
-  uint32_t max_conns; /**< Bound on `n_conns`. */
   HsFrontendSlot *slots;
   uint32_t n_slots;
   uint32_t first_free;
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -315,7 +315,7 @@
   HsBodyBudget *budget = share->budget;
 
   set_bytes (share, 0);
-  budget->stats.bytes -= HS_CONNECTION_BYTES;
+  budget->stats.bytes -= share->server->connection_bytes;
   if (share->state != SHARE_CLOSING)
     share->server->n_connections--;
   if (share->previous != NULL)
@@ -345,7 +345,7 @@
   if (share->next != NULL)
     share->next->previous = share;
   budget->shares = share;
-  budget->stats.bytes += HS_CONNECTION_BYTES;
+  budget->stats.bytes += server->connection_bytes;
   server->n_connections++;
   talloc_set_destructor (share, free_share);
   hs_body_share_end (share, now);
--- a/src/http/body_budget.h
+++ b/src/http/body_budget.h
@@ -40,9 +40,13 @@
  */
 #define HS_CONNECTION_POOL_BYTES ((size_t) 12 * 1024)
 
-/** Memory of a connection without its body: the pool, the structures of
+/** Memory of a connection besides its pool and its body: the structures of
  *  libmicrohttpd and of the server, and the allocator's overhead. */
-#define HS_CONNECTION_BYTES (HS_CONNECTION_POOL_BYTES + 2048)
+#define HS_CONNECTION_OVERHEAD_BYTES ((size_t) 2048)
+
+/** Memory of a connection without its body, with that pool. */
+#define HS_CONNECTION_BYTES                                                    \
+  (HS_CONNECTION_POOL_BYTES + HS_CONNECTION_OVERHEAD_BYTES)
 
 /** Limits of a process. */
 typedef struct
@@ -57,6 +61,7 @@
 {
   unsigned int max_connections;
   unsigned int n_connections; /**< Without those that are being closed. */
+  size_t connection_bytes;    /**< Memory of each without its body. */
 } HsBodyServer;
 
 /** Counts since the budget was created. */
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -1,7 +1,9 @@
 #include "http/mhd_loop.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <string.h>
 
 #include <sys/socket.h>
@@ -10,6 +12,7 @@
 #include "base/address.h"
 #include "base/error.h"
 #include "base/event.h"
+#include "base/log.h"
 #include "base/timer.h"
 
 #define LISTEN_BACKLOG 256
@@ -37,12 +40,23 @@
  *  being closed for them; libmicrohttpd accepts up to 10 in one run. */
 #define CLOSING_MARGIN 32
 
+/** Interval of the check for requests that take too long to arrive. */
+#define RECEIVE_CHECK_INTERVAL (1 * HS_SEC)
+
+/** Larger blocks are returned to the kernel when they are freed, so that the
+ *  memory of bodies that were dropped doesn't stay with the process. The C
+ *  library's own threshold rises with the size of blocks that were freed. */
+#define MMAP_THRESHOLD_BYTES (64 * 1024)
+
 /** A connection of a server with a budget. */
 typedef struct
 {
+  GList link; /* In the server's list. */
   int fd;
   bool closing;
-  bool throttled; /* Suspended, and in the server's queue. */
+  bool receiving;         /* Waits for data of the client. */
+  HsTime receiving_since; /* Start of the present headers or body. */
+  bool throttled;         /* Suspended, and in the server's queue. */
   struct MHD_Connection *connection;
   HsBodyShare *share;
   HsMhdBody *body; /* That is being received, or NULL. */
@@ -56,17 +70,20 @@
   struct tevent_context *ev;
   struct tevent_fd *epoll_event;
   HsTimer *timer;
+  HsTimer *receive_timer; /* NULL without a time limit. */
   struct tevent_immediate *resume;
   uint16_t port;
   HsMhdOptions options;
   /* With a budget: */
   HsBodyServer server;
+  GQueue conns;     /* Of Conn. */
   GQueue throttled; /* Of Conn, those that wait longest first. */
   uint32_t turn;
   HsTime now; /* When the last run began. */
 };
 
 static int free_mhd (HsMhd *mhd);
+static int open_listener (HsMhd *mhd, GError **error);
 static int open_socket (const char *address, uint16_t *port, GError **error);
 static bool start_daemon (HsMhd *mhd, int fd);
 static void on_connection (void *arg,
@@ -90,6 +107,7 @@
 static void resume_throttled (HsMhd *mhd, uint32_t max);
 static void drop_body (void *arg);
 static void close_connection (void *arg);
+static void check_receive_times (void *arg);
 static void report (HsMhd *mhd);
 static void run_daemon (void *arg);
 static void on_epoll_ready (struct tevent_context *ev,
@@ -114,11 +132,18 @@
 
   mhd->ev = ev;
   mhd->options = *options;
+  if (options->pool_bytes == 0)
+    mhd->options.pool_bytes = HS_CONNECTION_POOL_BYTES;
   mhd->server.max_connections = options->max_connections;
+  mhd->server.connection_bytes
+      = mhd->options.pool_bytes + HS_CONNECTION_OVERHEAD_BYTES;
+  g_queue_init (&mhd->conns);
   g_queue_init (&mhd->throttled);
   mhd->resume = tevent_create_immediate (mhd);
   mhd->timer = hs_timer_new (mhd, ev, run_daemon, mhd);
-  fd = open_socket (options->listen, &mhd->port, error);
+  if (options->budget != NULL)
+    mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+  fd = open_listener (mhd, error);
   if (fd < 0)
     {
       talloc_free (mhd);
@@ -135,6 +160,11 @@
       return NULL;
     }
   talloc_set_destructor (mhd, free_mhd);
+  if (options->receive_timeout > 0)
+    {
+      mhd->receive_timer = hs_timer_new (mhd, ev, check_receive_times, mhd);
+      hs_timer_set (mhd->receive_timer, RECEIVE_CHECK_INTERVAL, hs_now ().mono);
+    }
   run_daemon (mhd);
   return mhd;
 }
@@ -162,6 +192,17 @@
   body->share = conn->share;
 }
 
+void
+hs_mhd_stop_accepting (HsMhd *mhd)
+{
+  MHD_socket fd;
+
+  run_daemon (mhd);
+  fd = MHD_quiesce_daemon (mhd->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
 uint16_t
 hs_mhd_port (const HsMhd *mhd)
 {
@@ -173,12 +214,30 @@
 {
   TALLOC_FREE (mhd->epoll_event);
   TALLOC_FREE (mhd->timer);
+  TALLOC_FREE (mhd->receive_timer);
   TALLOC_FREE (mhd->resume);
   resume_throttled (mhd, UINT32_MAX);
   MHD_stop_daemon (mhd->daemon);
   return 0;
 }
 
+static int
+open_listener (HsMhd *mhd, GError **error)
+{
+  const HsMhdOptions *options = &mhd->options;
+  int fd;
+
+  if (options->listen_fd == 0)
+    return open_socket (options->listen, &mhd->port, error);
+  fd = fcntl (options->listen_fd, F_DUPFD_CLOEXEC, 0);
+  if (fd < 0)
+    g_set_error (error, HS_ERROR, HS_ERROR_IO,
+                 "%s: cannot duplicate the socket: %s; raise the limit on "
+                 "open files",
+                 options->listen, g_strerror (errno));
+  return fd;
+}
+
 static int
 open_socket (const char *text, uint16_t *port, GError **error)
 {
@@ -218,12 +277,16 @@
 {
   const HsMhdOptions *options = &mhd->options;
   bool bounded = options->budget != NULL;
-  /* Ends at the first option that isn't given. */
-  struct MHD_OptionItem bounds[]
-      = { { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t) on_connection, mhd },
-          { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-            (intptr_t) HS_CONNECTION_POOL_BYTES, NULL },
-          { MHD_OPTION_END, 0, NULL } };
+  struct MHD_OptionItem bounds[] = {
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t) on_connection, mhd },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t) options->pool_bytes,
+      NULL },
+    { MHD_OPTION_STRICT_FOR_CLIENT, options->strict, NULL },
+    { options->unescape != NULL ? MHD_OPTION_UNESCAPE_CALLBACK : MHD_OPTION_END,
+      (intptr_t) options->unescape, options->arg },
+    { MHD_OPTION_END, 0, NULL }
+  };
+  struct MHD_OptionItem none = { MHD_OPTION_END, 0, NULL };
   const union MHD_DaemonInfo *info;
 
   mhd->daemon = MHD_start_daemon (
@@ -234,7 +297,7 @@
       MHD_OPTION_CONNECTION_LIMIT,
       options->max_connections + (bounded ? CLOSING_MARGIN : 0),
       MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s, MHD_OPTION_ARRAY,
-      bounded ? bounds : &bounds[2], MHD_OPTION_END);
+      bounded ? bounds : &none, MHD_OPTION_END);
   if (mhd->daemon == NULL)
     return false;
   info = MHD_get_daemon_info (mhd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -264,11 +327,20 @@
     {
       if (conn->throttled)
         g_queue_remove (&mhd->throttled, conn);
+      g_queue_unlink (&mhd->conns, &conn->link);
       TALLOC_FREE (*context);
+      /* At its limit libmicrohttpd accepts again only when it is run. */
+      if (mhd->conns.length + 1 >= mhd->options.max_connections + CLOSING_MARGIN
+          && mhd->resume != NULL)
+        tevent_schedule_immediate (mhd->resume, mhd->ev, on_resume, mhd);
       return;
     }
   conn = talloc_zero (mhd, Conn);
+  conn->link.data = conn;
+  g_queue_push_tail_link (&mhd->conns, &conn->link);
   conn->connection = connection;
+  conn->receiving = true;
+  conn->receiving_since = mhd->now;
   conn->fd
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd;
@@ -295,11 +367,17 @@
   if (*state != NULL && *len > 0 && !may_deliver (mhd, conn))
     return MHD_YES;
   if (*state == NULL)
-    hs_body_share_begin (conn->share, mhd->now);
+    {
+      conn->receiving_since = mhd->now;
+      hs_body_share_begin (conn->share, mhd->now);
+    }
   else if (*len > 0)
     hs_body_share_received (conn->share, *len, mhd->now);
   else
-    hs_body_share_complete (conn->share);
+    {
+      conn->receiving = false;
+      hs_body_share_complete (conn->share);
+    }
   return mhd->options.handle (mhd->options.arg, connection, url, method,
                               version, data, len, state);
 }
@@ -314,6 +392,8 @@
   Conn *conn = conn_of (connection);
 
   conn->body = NULL;
+  conn->receiving = true;
+  conn->receiving_since = mhd->now;
   if (mhd->options.completed != NULL)
     mhd->options.completed (mhd->options.arg, connection, state, code);
   hs_body_share_end (conn->share, mhd->now);
@@ -367,17 +447,55 @@
   shutdown (conn->fd, SHUT_RDWR);
 }
 
+/* Whether the client has closed its side of the connection. libmicrohttpd's
+   epoll is edge-triggered and misses a close that arrives with the last bytes.
+ */
+static bool
+peer_has_closed (const Conn *conn)
+{
+  char byte;
+
+  return recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Closes the connections of requests that take too long to arrive. */
+static void
+check_receive_times (void *arg)
+{
+  HsMhd *mhd = arg;
+  HsTime now = hs_now ().mono;
+  GList *link;
+
+  for (link = mhd->conns.head; link != NULL; link = link->next)
+    {
+      const Conn *conn = link->data;
+
+      if (conn->receiving
+          && (now - conn->receiving_since > mhd->options.receive_timeout
+              || peer_has_closed (conn)))
+        shutdown (conn->fd, SHUT_RDWR);
+    }
+  hs_timer_set (mhd->receive_timer, RECEIVE_CHECK_INTERVAL, now);
+  run_daemon (mhd);
+}
+
 static void
 report (HsMhd *mhd)
 {
+  static const char format[]
+      = "held_kb=%zu dropped_bodies=%" PRIu64 " closed_connections=%" PRIu64;
+  const char *part = mhd->options.log_part;
   HsBodyStats stats;
 
-  if (mhd->options.budget != NULL
-      && hs_body_budget_report (mhd->options.budget, mhd->now, &stats))
-    hs_event (
-        "body_limit",
-        "held_kb=%zu dropped_bodies=%" PRIu64 " closed_connections=%" PRIu64,
-        stats.bytes / 1024, stats.dropped_bodies, stats.closed_connections);
+  if (mhd->options.budget == NULL
+      || !hs_body_budget_report (mhd->options.budget, mhd->now, &stats))
+    return;
+  if (part != NULL)
+    hs_warn (part, format, stats.bytes / 1024, stats.dropped_bodies,
+             stats.closed_connections);
+  else
+    hs_event ("body_limit", format, stats.bytes / 1024, stats.dropped_bodies,
+              stats.closed_connections);
 }
 
 /* Runs libmicrohttpd and sets the timer for its next run. The timer has a lower
--- a/src/http/mhd_loop.h
+++ b/src/http/mhd_loop.h
@@ -6,6 +6,7 @@
 #ifndef HS_HTTP_MHD_LOOP_H
 #define HS_HTTP_MHD_LOOP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -13,14 +14,23 @@
 #include <talloc.h>
 #include <tevent.h>
 
+#include "base/time.h"
 #include "http/mhd_request.h"
 
 typedef struct HsMhd HsMhd;
 
+/** Replaces the escapes in a path or a name; see MHD_OPTION_UNESCAPE_CALLBACK.
+ */
+typedef size_t (*HsMhdUnescapeFunc) (void *arg,
+                                     struct MHD_Connection *connection,
+                                     char *text);
+
 /** Parameters of a server. */
 typedef struct
 {
   const char *listen; /**< "IP:port"; port 0: any free port. */
+  int listen_fd; /**< 0: none. A socket that listens at that address already, of
+                      which the server uses a duplicate. */
   MHD_AccessHandlerCallback handle;
   MHD_RequestCompletedCallback completed;
   void *arg; /**< First argument of both callbacks. */
@@ -31,6 +41,17 @@
                              progress are closed then, and the memory of bodies
                              is bounded; outlives the server. The context of the
                              daemon's connections is the server's then. */
+  /* The following take effect with a budget only. */
+  size_t pool_bytes; /**< Memory of libmicrohttpd for each connection, which
+                          limits the size of the headers; 0:
+                          HS_CONNECTION_POOL_BYTES. */
+  HsTime receive_timeout;     /**< For the headers, and then for the body, of a
+                                   request; 0: none. */
+  HsMhdUnescapeFunc unescape; /**< NULL: libmicrohttpd's own. */
+  bool strict;                /**< Refuse requests that break HTTP in ways that
+                                   libmicrohttpd would accept. */
+  const char *log_part; /**< Of messages about what was dropped; NULL: they are
+                             written as lines of hs_event(). */
 } HsMhdOptions;
 
 /**
@@ -58,7 +79,10 @@
                        struct MHD_Connection *connection,
                        HsMhdBody *body);
 
-/** The port that the server listens on. */
+/** Accepts the connections that are established already, and no more. */
+void hs_mhd_stop_accepting (HsMhd *mhd);
+
+/** The port that the server listens on; 0 with `listen_fd`. */
 uint16_t hs_mhd_port (const HsMhd *mhd);
 
 #endif
--- a/src/http/mhd_request.c
+++ b/src/http/mhd_request.c
@@ -85,8 +85,7 @@
     }
   if (body->dropped || !grow (ctx, body, total))
     {
-      g_set_error (error, HS_ERROR, HS_ERROR_UNAVAILABLE,
-                   "no memory for this body now; try again later");
+      hs_mhd_body_set_dropped_error (error);
       return false;
     }
   append (body, data, len);
@@ -121,6 +120,13 @@
   body->dropped = true;
 }
 
+void
+hs_mhd_body_set_dropped_error (GError **error)
+{
+  g_set_error (error, HS_ERROR, HS_ERROR_UNAVAILABLE,
+               "no memory for this body now; try again later");
+}
+
 void
 hs_mhd_body_release (HsMhdBody *body)
 {
--- a/src/http/mhd_request.h
+++ b/src/http/mhd_request.h
@@ -60,6 +60,10 @@
 /** Drops a body for lack of memory. */
 void hs_mhd_body_drop (HsMhdBody *body);
 
+/** Sets the error of a request whose body was dropped:
+ *  HS_ERROR_UNAVAILABLE. */
+void hs_mhd_body_set_dropped_error (GError **error);
+
 /** Releases the memory of a body that was received. */
 void hs_mhd_body_release (HsMhdBody *body);
 
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -176,8 +176,8 @@
             size_t end,
             CrowdProcess *process)
 {
-  g_autofree size_t *offsets = g_new0 (size_t, crowd->n);
-  g_autofree struct pollfd *polls = g_new0 (struct pollfd, crowd->n);
+  size_t *offsets = g_new0 (size_t, crowd->n);
+  struct pollfd *polls = g_new0 (struct pollfd, crowd->n);
   unsigned int n_open = crowd->n;
   gint64 watch_at = 0;
   unsigned int i;
@@ -206,6 +206,8 @@
       watch_at = g_get_monotonic_time () + WATCH_INTERVAL_US;
     }
   crowd_watch (process, crowd->address);
+  g_free (offsets);
+  g_free (polls);
 }
 
 void
--- a/test/fuzz/settings_surface.c
+++ b/test/fuzz/settings_surface.c
@@ -85,6 +85,10 @@
   add_number (object, "task_timeout_ms", entry->task_timeout / HS_MSEC);
   add_number (object, "max_connections", entry->max_connections);
   add_number (object, "max_body", entry->max_body);
+  if (entry->memory_mb > 0)
+    add_number (object, "memory_mb", entry->memory_mb);
+  if (entry->max_fds > 0)
+    add_number (object, "max_fds", entry->max_fds);
   add_number (object, "claims_per_s", entry->claims_per_s);
   add_number (object, "kept_bytes", (int64_t) entry->kept_bytes);
   add_texts (object, "store", entry->store);
--- a/test/part.mk
+++ b/test/part.mk
@@ -10,3 +10,5 @@
 	| $(BIN) $(B)/standin-platform-store $(B)/standin-platform-target
 $(B)/test/test_direct_load $(B)/test/test_direct_load_uneven: $(addprefix $(B)/test/load_,world.o jobs.o \
 	effects.o messages.o crashes.o) $(B)/test/target_model.o $(B)/bench/queue_model.o
+$(B)/test/test_entry_crowd: $(addprefix $(B)/test/,crowd.o entry_cluster.o platform_cluster.o) \
+	| $(BIN) $(B)/standin-store $(B)/standin-target
--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -76,8 +76,8 @@
 
 /* Chooses a port that nothing listens on. It is not an ephemeral port, because
    a process that is restarted has to find it free. */
-static void
-choose_address (char out[32])
+void
+cluster_choose_address (char out[32])
 {
   static unsigned int next;
   static unsigned int end;
@@ -114,23 +114,23 @@
   c->n_entries = n_entries;
   c->n_agents = n_agents;
   c->cpu_milli = cpu_milli;
-  choose_address (c->addresses[CLUSTER_STORE][0]);
+  cluster_choose_address (c->addresses[CLUSTER_STORE][0]);
   g_strlcpy (c->store_dial_address, c->addresses[CLUSTER_STORE][0],
              sizeof c->store_dial_address);
   for (i = 0; i < n_entries; i++)
     {
-      choose_address (c->addresses[CLUSTER_ENTRY][i]);
+      cluster_choose_address (c->addresses[CLUSTER_ENTRY][i]);
       g_strlcpy (c->caller_dial_addresses[i], c->addresses[CLUSTER_ENTRY][i],
                  sizeof c->caller_dial_addresses[i]);
-      choose_address (c->ready_addresses[i]);
-      choose_address (c->control_addresses[i]);
+      cluster_choose_address (c->ready_addresses[i]);
+      cluster_choose_address (c->control_addresses[i]);
       g_strlcpy (c->control_dial_addresses[i], c->control_addresses[i],
                  sizeof c->control_dial_addresses[i]);
     }
   for (i = 0; i < n_agents; i++)
     {
-      choose_address (c->addresses[CLUSTER_AGENT][i]);
-      choose_address (c->addresses[CLUSTER_TARGET][i]);
+      cluster_choose_address (c->addresses[CLUSTER_AGENT][i]);
+      cluster_choose_address (c->addresses[CLUSTER_TARGET][i]);
       g_strlcpy (c->app_dial_addresses[i], c->addresses[CLUSTER_TARGET][i],
                  sizeof c->app_dial_addresses[i]);
     }
@@ -156,7 +156,7 @@
   char *address = c->metrics_addresses[kind][i];
 
   if (address[0] == '\0')
-    choose_address (address);
+    cluster_choose_address (address);
   fprintf (f, "\"metrics_port\":%s,", strchr (address, ':') + 1);
 }
 
@@ -202,10 +202,30 @@
   fclose (f);
 }
 
+pid_t
+cluster_spawn (char *const *argv, const char *log)
+{
+  posix_spawn_file_actions_t actions;
+  pid_t pid;
+
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, 1, log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2 (&actions, 1, 2);
+  /* A process that kept a caller's socket open would hide that it has gone. */
+  posix_spawn_file_actions_addclosefrom_np (&actions, 3);
+  if (posix_spawn (&pid, argv[0], &actions, NULL, argv, environ) != 0)
+    {
+      fprintf (stderr, "cannot start %s: %s\n", argv[0], strerror (errno));
+      abort ();
+    }
+  posix_spawn_file_actions_destroy (&actions);
+  return pid;
+}
+
 void
 cluster_start (Cluster *c, ClusterKind kind, unsigned int i)
 {
-  posix_spawn_file_actions_t actions;
   char settings[300];
   char program[300];
   char log[300];
@@ -245,19 +265,7 @@
       argv[n++] = cpu;
       break;
     }
-  posix_spawn_file_actions_init (&actions);
-  posix_spawn_file_actions_addopen (&actions, 1, log,
-                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2 (&actions, 1, 2);
-  /* A process that kept a caller's socket open would hide that it has gone. */
-  posix_spawn_file_actions_addclosefrom_np (&actions, 3);
-  if (posix_spawn (&c->pids[kind][i], program, &actions, NULL, argv, environ)
-      != 0)
-    {
-      fprintf (stderr, "cannot start %s: %s\n", program, strerror (errno));
-      abort ();
-    }
-  posix_spawn_file_actions_destroy (&actions);
+  c->pids[kind][i] = cluster_spawn (argv, log);
   c->start_counts[kind][i]++;
 }
 
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -78,6 +78,13 @@
                    unsigned int n_agents,
                    unsigned int cpu_milli);
 
+/** Chooses an address of loopback on whose port nothing listens. */
+void cluster_choose_address (char out[32]);
+
+/** Starts a program with its output in the file @p log.
+ *  @param argv NULL-terminated; the program first */
+pid_t cluster_spawn (char *const *argv, const char *log);
+
 /** Writes settings and starts a process. */
 void cluster_start (Cluster *cluster, ClusterKind kind, unsigned int i);
 
--- a/test/test_body_budget.c
+++ b/test/test_body_budget.c
@@ -54,7 +54,8 @@
 {
   (void) state;
   memset (clients, 0, sizeof clients);
-  server = (HsBodyServer){ .max_connections = N_CLIENTS };
+  server = (HsBodyServer){ .max_connections = N_CLIENTS,
+                           .connection_bytes = HS_CONNECTION_BYTES };
   budget = hs_body_budget_new (NULL, BUDGET_BYTES);
   return 0;
 }
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -283,7 +283,8 @@
   g_autofree char *plain
       = g_strdup_printf (HEAD "Content-Length: %zu\r\n\r\n" JOB, strlen (JOB));
 
-  HsBodyServer other = { .max_connections = 1 };
+  HsBodyServer other
+      = { .max_connections = 1, .connection_bytes = HS_CONNECTION_BYTES };
   HsBodyShare *share
       = hs_body_share_new (f.ev, f.budget, &other, NULL, NULL, 0);
 
--- /dev/null
+++ b/test/test_entry_crowd.c
@@ -0,0 +1,170 @@
+/* Memory and descriptors of an entry that isn't on the users' platform, while a
+   crowd of clients keeps requests open. Each test starts the entry anew with
+   lowered limits in its settings. Checks that it lives, stays within these
+   limits, and still answers an ordinary request; no times and no shares.
+
+   Measures resident memory, so that no other load may run beside it. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sys/wait.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "crowd.h"
+#include "entry_cluster.h"
+#include "platform_cluster.h"
+
+/** Memory and descriptors of the host in the settings, and the bounds that are
+ *  checked. */
+#define MEMORY_MB 160
+#define MAX_FDS 1000
+
+#define LIMITS                                                                 \
+  ",\"max_body\":1048576,\"kept_bytes\":16777216,\"threads\":2,"               \
+  "\"memory_mb\":160,\"max_fds\":1000"
+
+/** The largest accepted body. */
+#define BODY_BYTES 1048576
+#define MISSING_BYTES 5
+
+#define CHUNK_BYTES 65536
+#define PIECE_BYTES 2048
+
+/** Clients of each test. */
+#define N_BODIES 300
+#define N_COMPLETE 60
+#define N_CONNECTIONS 1200
+
+#define HEAD                                                                   \
+  "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"                                      \
+  "Authorization: Bearer " ENTRY_CLUSTER_KEY "\r\n"
+
+static EntryCluster cluster;
+static CrowdProcess process;
+
+static void
+check_process (void)
+{
+  size_t kb;
+  unsigned int n;
+
+  assert_int_equal (waitpid (cluster.entry, NULL, WNOHANG), 0);
+  kb = crowd_memory_kb (&process);
+  n = crowd_count_descriptors (cluster.entry);
+  print_message ("%zu KB (before %zu KB), %u descriptors\n", kb,
+                 process.baseline_kb, n);
+  assert_in_range (kb, 1, MEMORY_MB * 1024);
+  assert_in_range (n, 1, MAX_FDS);
+}
+
+static void
+start_entry (void)
+{
+  assert_true (entry_cluster_restart_entry (&cluster, LIMITS));
+  process = crowd_process (cluster.entry);
+}
+
+/* Starts the entry, sends the crowd's requests and checks the entry. */
+static void
+crowd_callers (GString *request, size_t piece, unsigned int n)
+{
+  Crowd crowd = { .address = cluster.caller_address,
+                  .data = request->str,
+                  .len = request->len,
+                  .piece = piece,
+                  .n = n };
+
+  start_entry ();
+  crowd_send (&crowd, &process);
+  check_process ();
+  assert_int_equal (entry_cluster_submit (&cluster), 200);
+  check_process ();
+  g_string_free (request, TRUE);
+}
+
+/* Guards against bodies in progress that are held without a bound. */
+static void
+whole_bodies_stay_within_memory (void **state)
+{
+  (void) state;
+  crowd_callers (crowd_sized_request (HEAD, BODY_BYTES, MISSING_BYTES),
+                 CROWD_WHOLE_BYTES, N_BODIES);
+}
+
+static void
+bodies_in_pieces_stay_within_memory (void **state)
+{
+  (void) state;
+  crowd_callers (crowd_sized_request (HEAD, BODY_BYTES, MISSING_BYTES),
+                 PIECE_BYTES, N_BODIES);
+}
+
+static void
+bodies_in_chunks_stay_within_memory (void **state)
+{
+  (void) state;
+  crowd_callers (crowd_chunked_request (HEAD, BODY_BYTES, CHUNK_BYTES),
+                 CROWD_WHOLE_BYTES, N_BODIES);
+}
+
+/* Guards against connections that take all descriptors of the host. */
+static void
+connections_without_a_request_stay_within_descriptors (void **state)
+{
+  (void) state;
+  crowd_callers (g_string_new (""), CROWD_WHOLE_BYTES, N_CONNECTIONS);
+}
+
+static int
+set_up (void **state)
+{
+  char build[256];
+  g_autofree char *dir = NULL;
+
+  (void) state;
+  /* The sanitizer keeps freed memory aside, which isn't the product's. */
+  g_setenv ("ASAN_OPTIONS", "quarantine_size_mb=1", FALSE);
+  cluster_build_dir (build);
+  dir = g_strdup_printf ("%s/entry-crowd-%d", build, (int) getpid ());
+  entry_cluster_start (&cluster, build, dir);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void) state;
+  entry_cluster_stop (&cluster);
+  return 0;
+}
+
+static int
+end_crowd (void **state)
+{
+  (void) state;
+  crowd_close ();
+  return 0;
+}
+
+#define CROWD_TEST(f) cmocka_unit_test_teardown (f, end_crowd)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    CROWD_TEST (whole_bodies_stay_within_memory),
+    CROWD_TEST (bodies_in_pieces_stay_within_memory),
+    CROWD_TEST (bodies_in_chunks_stay_within_memory),
+    CROWD_TEST (connections_without_a_request_stay_within_descriptors),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  return cmocka_run_group_tests (tests, set_up, tear_down);
+}
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -65,6 +65,8 @@
   assert_int_equal (entry->max_body, 8 * 1024 * 1024);
   assert_int_equal (entry->claims_per_s, 20);
   assert_int_equal (entry->kept_bytes, 256 * 1024 * 1024);
+  assert_int_equal (entry->memory_mb, 0);
+  assert_int_equal (entry->max_fds, 0);
   assert_string_equal (entry->rpc_address, "127.0.0.1:7000");
   assert_string_equal (entry->store[0], "http://127.0.0.1:2379");
   assert_null (entry->store[1]);
@@ -113,6 +115,9 @@
   expect_error (ENTRY_WITH (",\n\"retention_ms\":1000"),
                 "f:7: entry.retention_ms: is not longer than ahead_ms");
   expect_error (ENTRY_WITH (",\n\"max_body\":1e9"), "must be a whole number");
+  expect_error (ENTRY_WITH (",\n\"memory_mb\":160"),
+                "f:7: entry.memory_mb: is too low for kept_bytes, max_body and "
+                "threads; raise it to 405 or more, or lower these");
   expect_error (AGENT_WITH ("0.0.0.0:7001", ""),
                 "f:3: agent.rpc_address: is needed");
   expect_error (AGENT_WITH ("127.0.0.1", ""),
