Entry: refuse jobs of more values than a job has before they are parsed

What was seen: 60 complete bodies of 1 MiB of small values took an entry's own interface to 203 MB, 300 to 364 MB; an ordinary job got no answer within 6 s meanwhile. Cause: json-c needs up to 300 times the memory of its text, 70 MB for 1 MiB of {"body":"a"}, in each HTTP thread. The number of tasks was checked in the tree. Ruled out: reducing the text to what is read, as on the users' platform. Unknown keys are refused here, and would be passed over. Why it works: the text is scanned once, without allocation. A task's body may have any characters, as strings don't count.

--- a/src/entry/job_json.c
+++ b/src/entry/job_json.c
@@ -4,7 +4,10 @@
 
 #include <json-c/json.h>
 
+#include "base/error.h"
+#include "config/entry_memory.h"
 #include "config/json_check.h"
+#include "config/json_cost.h"
 #include "config/json_fields.h"
 #include "lists/lists.h"
 
@@ -84,9 +87,18 @@
 hs_job_parse (TALLOC_CTX *ctx, const char *text, size_t len, GError **error)
 {
   hsx_forward_args *args;
-  HsJsonDoc *doc = hs_json_parse (ctx, text, len, HS_JSON_PLAIN, NULL, error);
+  HsJsonDoc *doc;
   bool ok;
 
+  if (hs_json_cost (text, len) > HS_ENTRY_TREE_MAX_BYTES)
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_TOO_LARGE,
+                   "more values than a job of %d tasks has; split it, and "
+                   "leave out unknown keys",
+                   HSX_TASKS_MAX);
+      return NULL;
+    }
+  doc = hs_json_parse (ctx, text, len, HS_JSON_PLAIN, NULL, error);
   if (doc == NULL)
     return NULL;
   args = talloc_zero (ctx, hsx_forward_args);
--- a/test/test_entry_crowd.c
+++ b/test/test_entry_crowd.c
@@ -71,6 +71,14 @@
   process = crowd_process (cluster.entry);
 }
 
+static void
+check_entry (void)
+{
+  check_process ();
+  assert_int_equal (entry_cluster_submit (&cluster), 200);
+  check_process ();
+}
+
 /* Starts the entry, sends the crowd's requests and checks the entry. */
 static void
 crowd_callers (GString *request, size_t piece, unsigned int n)
@@ -83,9 +91,7 @@
 
   start_entry ();
   crowd_send (&crowd, &process);
-  check_process ();
-  assert_int_equal (entry_cluster_submit (&cluster), 200);
-  check_process ();
+  check_entry ();
   g_string_free (request, TRUE);
 }
 
@@ -114,6 +120,28 @@
                  CROWD_WHOLE_BYTES, N_BODIES);
 }
 
+/* Guards against a parser that needs many times the memory of its text. */
+static void
+bodies_of_many_values_stay_within_memory (void **state)
+{
+  GString *request = crowd_values_request (
+      HEAD, BODY_BYTES, "{\"customer\":\"c1\",\"id\":\"i\",\"tasks\":[",
+      "{\"body\":\"a\"}", "]}");
+  Crowd crowd = { .address = cluster.caller_address,
+                  .data = request->str,
+                  .len = request->len,
+                  .piece = CROWD_WHOLE_BYTES,
+                  .held = MISSING_BYTES,
+                  .n = N_COMPLETE };
+
+  (void) state;
+  start_entry ();
+  crowd_send (&crowd, &process);
+  crowd_finish (&crowd, &process);
+  check_entry ();
+  g_string_free (request, TRUE);
+}
+
 /* Guards against connections that take all descriptors of the host. */
 static void
 connections_without_a_request_stay_within_descriptors (void **state)
@@ -162,6 +190,7 @@
     CROWD_TEST (whole_bodies_stay_within_memory),
     CROWD_TEST (bodies_in_pieces_stay_within_memory),
     CROWD_TEST (bodies_in_chunks_stay_within_memory),
+    CROWD_TEST (bodies_of_many_values_stay_within_memory),
     CROWD_TEST (connections_without_a_request_stay_within_descriptors),
   };
 
--- a/test/test_job_json.c
+++ b/test/test_job_json.c
@@ -174,12 +174,46 @@
   talloc_free (args);
 }
 
+/* A job with as many tasks, whose bodies look like JSON. */
+static GString *
+large_job (unsigned int n_tasks)
+{
+  GString *text
+      = g_string_new ("{\"customer\":\"c1\",\"id\":\"i1\",\"tasks\":[");
+  g_autofree char *body = g_strnfill (10000, '{');
+  unsigned int i;
+
+  for (i = 0; i < n_tasks; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"body\":\"%s\\\"\",\"idempotent\":true,\"run_ms\":200,"
+        "\"deadline_ms\":5000,\"needs\":{\"memory_mb\":64,"
+        "\"accelerators\":1}}",
+        i > 0 ? "," : "", body);
+  g_string_append (text, "]}");
+  return text;
+}
+
+static void
+only_jobs_of_too_many_values_are_refused (void **state)
+{
+  GString *text = large_job (HSX_TASKS_MAX);
+
+  (void) state;
+  talloc_free (expect_job (text->str));
+  g_string_free (text, TRUE);
+  text = large_job (3 * HSX_TASKS_MAX);
+  expect_refused (text->str, HS_ERROR_TOO_LARGE, "more values than a job of");
+  g_string_free (text, TRUE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (all_members_are_parsed),
     cmocka_unit_test (malformed_jobs_are_refused),
+    cmocka_unit_test (only_jobs_of_too_many_values_are_refused),
     cmocka_unit_test (the_digest_covers_all_fields_of_the_tasks),
     cmocka_unit_test (answers_are_rendered_completely),
   };
