HTTP: bound the bytes that the kernel holds for a process

What was seen: bytes that were received and not read count towards a host's memory. With 600 complete bodies and 12% of the time, an entry held 59 MB, and 30 MB more waited in the kernel. Cause: nothing bounded them. The kernel gives a new connection 64 to 128 KB, and grows its buffer to megabytes (tcp_rmem) when the process reads quickly; 1,200 connections may hold 150 MB when the process is suspended. Ruled out: shrinking a buffer when memory gets scarce, since the window has been announced then. Change: the budget has a third as much for these bytes, what it left free of the host's memory. Half is divided among all sockets, also those that wait to be accepted, which inherit the buffer of the listening socket; the other half gives the first 128 connections larger buffers, so that in calm a window doesn't delay bodies. Why it works: SO_RCVBUF bounds what is announced to the peer; measured, a socket holds no more than twice the value, which is what is counted.

--- a/src/direct/process.c
+++ b/src/direct/process.c
@@ -7,10 +7,15 @@
 
 #include "base/event.h"
 #include "direct/liveness.h"
+#include "http/mhd_loop.h"
 
 /** The store answers in 4 ms, and in 50 times that when it is slow. */
 #define STORE_TIMEOUT (1200 * HS_MSEC)
 
+/** Sockets that wait to be accepted by the HTTP servers of a process (three at
+ *  most), and the connections of those with few. */
+#define OTHER_SOCKETS (3 * HS_MHD_LISTEN_BACKLOG + 128)
+
 struct HsPauseWatch
 {
   HsPauseFunc paused;
@@ -120,7 +125,8 @@
   HsBodyBudget *budget;
 
   *limits = hs_body_limits (settings->memory_mb, settings->max_fds);
-  budget = hs_body_budget_new (ctx, limits->bytes);
+  budget = hs_body_budget_new (ctx, limits->bytes,
+                               limits->connections + OTHER_SOCKETS);
   hs_metrics_gauge (metrics, "hs_direct_body_bytes",
                     "Memory of HTTP connections and request bodies.", NULL,
                     NULL, read_body_bytes, budget);
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -230,7 +230,12 @@
                            .strict = true,
                            .log_part = PART };
 
-  thread->budget = hs_body_budget_new (thread, limits.bytes);
+  thread->budget = hs_body_budget_new (
+      thread, limits.bytes,
+      limits.connections + LISTEN_BACKLOG / frontend->n_threads);
+  /* Of all threads alike. */
+  hs_mhd_bound_receive_buffer (frontend->listen_fd,
+                               hs_body_budget_receive_bytes (thread->budget));
   options.budget = thread->budget;
   thread->mhd = hs_mhd_new (thread, thread->ev, &options, error);
   if (thread->mhd == NULL)
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -59,6 +59,19 @@
 #define SPARE_CONNECTIONS_DIVISOR 64
 #define SILENCE_MIN (1 * HS_SEC)
 
+/** Bytes that the kernel may hold, as a share of the budget: what is left free
+ *  of the host's memory beside it. */
+#define RECEIVE_SHARE (1.0 / 3)
+
+/** Half of these bytes are for all sockets alike, the other half for the larger
+ *  receive buffers of this many connections. */
+#define LARGE_RECEIVERS 128
+
+/** Limits of a receive buffer: a window of a few segments, and what a path of
+ *  50 ms needs for 20 MB/s. */
+#define RECEIVE_MIN ((size_t) 4096)
+#define RECEIVE_MAX (1 * MB)
+
 #define REPORT_INTERVAL (1 * HS_SEC)
 
 typedef enum
@@ -78,7 +91,8 @@
   const HsBodyEffects *effects;
   void *arg;
   ShareState state;
-  size_t bytes; /* Allocated for the body. */
+  size_t bytes;         /* Allocated for the body. */
+  size_t receive_bytes; /* Of its receive buffer. */
   size_t missing;
   double recent_bytes; /* Received lately, as of received_at. */
   HsTime received_at;
@@ -87,6 +101,9 @@
 struct HsBodyBudget
 {
   size_t max_bytes;
+  size_t receive_bytes;       /* Of each socket. */
+  size_t large_receive_bytes; /* Of LARGE_RECEIVERS connections. */
+  uint32_t n_large_receivers;
   HsBodyShare *shares;
   HsBodyStats stats;
   HsBodyStats reported;
@@ -130,11 +147,16 @@
 }
 
 HsBodyBudget *
-hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes)
+hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes, size_t max_sockets)
 {
   HsBodyBudget *budget = talloc_zero (ctx, HsBodyBudget);
+  size_t half = (size_t) ((double) max_bytes * RECEIVE_SHARE) / 2;
 
   budget->max_bytes = max_bytes;
+  budget->receive_bytes
+      = CLAMP (half / MAX (max_sockets, 1), RECEIVE_MIN, RECEIVE_MAX);
+  budget->large_receive_bytes
+      = CLAMP (half / LARGE_RECEIVERS, RECEIVE_MIN, RECEIVE_MAX);
   budget->reported_at = -REPORT_INTERVAL;
   return budget;
 }
@@ -145,6 +167,12 @@
   return budget->stats;
 }
 
+size_t
+hs_body_budget_receive_bytes (const HsBodyBudget *budget)
+{
+  return budget->receive_bytes;
+}
+
 bool
 hs_body_budget_report (HsBodyBudget *budget, HsTime now, HsBodyStats *out)
 {
@@ -309,11 +337,28 @@
   return fits (share, bytes);
 }
 
+/* The first LARGE_RECEIVERS of those that are open have a larger one. */
+static void
+choose_receive_buffer (HsBodyShare *share)
+{
+  HsBodyBudget *budget = share->budget;
+
+  share->receive_bytes = budget->receive_bytes;
+  if (budget->n_large_receivers >= LARGE_RECEIVERS
+      || budget->large_receive_bytes <= budget->receive_bytes)
+    return;
+  budget->n_large_receivers++;
+  share->receive_bytes = budget->large_receive_bytes;
+}
+
 static int
 free_share (HsBodyShare *share)
 {
   HsBodyBudget *budget = share->budget;
 
+  if (share->receive_bytes > budget->receive_bytes)
+    budget->n_large_receivers--;
+
   set_bytes (share, 0);
   budget->stats.bytes -= share->server->connection_bytes;
   if (share->state != SHARE_CLOSING)
@@ -347,12 +392,19 @@
   budget->shares = share;
   budget->stats.bytes += server->connection_bytes;
   server->n_connections++;
+  choose_receive_buffer (share);
   talloc_set_destructor (share, free_share);
   hs_body_share_end (share, now);
   limit_connections (share, now);
   return share;
 }
 
+size_t
+hs_body_share_receive_bytes (const HsBodyShare *share)
+{
+  return share->receive_bytes;
+}
+
 void
 hs_body_share_begin (HsBodyShare *share, HsTime now)
 {
--- a/src/http/body_budget.h
+++ b/src/http/body_budget.h
@@ -89,9 +89,18 @@
  */
 HsBodyLimits hs_body_limits (unsigned int memory_mb, unsigned int max_fds);
 
-/** Creates a budget.
- *  @return talloc child of @p ctx, to be freed after its shares */
-HsBodyBudget *hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes);
+/**
+ * Creates a budget. A third as much in addition is for bytes that the kernel
+ * has received and the process hasn't read: it is divided among the sockets.
+ * @param max_sockets connections of all servers, and those that wait to be
+ *        accepted
+ * @return talloc child of @p ctx, to be freed after its shares
+ */
+HsBodyBudget *
+hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes, size_t max_sockets);
+
+/** Receive buffer of a connection that hasn't been accepted, in bytes. */
+size_t hs_body_budget_receive_bytes (const HsBodyBudget *budget);
 
 HsBodyStats hs_body_budget_stats (const HsBodyBudget *budget);
 
@@ -116,6 +125,10 @@
                                 void *arg,
                                 HsTime now);
 
+/** Receive buffer of the connection, in bytes: larger than that of the budget
+ *  while few connections are open. */
+size_t hs_body_share_receive_bytes (const HsBodyShare *share);
+
 /** The headers of a request have been received. */
 void hs_body_share_begin (HsBodyShare *share, HsTime now);
 
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -15,8 +15,6 @@
 #include "base/log.h"
 #include "base/timer.h"
 
-#define LISTEN_BACKLOG 256
-
 /** Limit on consecutive runs of libmicrohttpd while its time-out is 0. */
 #define CONSECUTIVE_RUNS_MAX 16
 
@@ -84,7 +82,8 @@
 
 static int free_mhd (HsMhd *mhd);
 static int open_listener (HsMhd *mhd, GError **error);
-static int open_socket (const char *address, uint16_t *port, GError **error);
+static int
+open_socket (const HsMhdOptions *options, uint16_t *port, GError **error);
 static bool start_daemon (HsMhd *mhd, int fd);
 static void on_connection (void *arg,
                            struct MHD_Connection *connection,
@@ -203,6 +202,16 @@
     close (fd);
 }
 
+/* The kernel takes twice the value. Where it can't be set, the kernel's own
+   bound remains. */
+void
+hs_mhd_bound_receive_buffer (int fd, size_t bytes)
+{
+  int half = (int) (bytes / 2);
+
+  (void) setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &half, sizeof half);
+}
+
 uint16_t
 hs_mhd_port (const HsMhd *mhd)
 {
@@ -228,7 +237,7 @@
   int fd;
 
   if (options->listen_fd == 0)
-    return open_socket (options->listen, &mhd->port, error);
+    return open_socket (options, &mhd->port, error);
   fd = fcntl (options->listen_fd, F_DUPFD_CLOEXEC, 0);
   if (fd < 0)
     g_set_error (error, HS_ERROR, HS_ERROR_IO,
@@ -239,8 +248,9 @@
 }
 
 static int
-open_socket (const char *text, uint16_t *port, GError **error)
+open_socket (const HsMhdOptions *options, uint16_t *port, GError **error)
 {
+  const char *text = options->listen;
   struct sockaddr_storage address;
   socklen_t len;
   int on = 1;
@@ -256,9 +266,12 @@
     }
   fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                0);
+  if (fd >= 0 && options->budget != NULL)
+    hs_mhd_bound_receive_buffer (
+        fd, hs_body_budget_receive_bytes (options->budget));
   if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
       && bind (fd, (struct sockaddr *) &address, len) == 0
-      && listen (fd, LISTEN_BACKLOG) == 0
+      && listen (fd, HS_MHD_LISTEN_BACKLOG) == 0
       && getsockname (fd, (struct sockaddr *) &address, &len) == 0)
     {
       *port = (uint16_t) hs_address_port (&address);
@@ -347,6 +360,10 @@
   *context = conn;
   conn->share = hs_body_share_new (conn, mhd->options.budget, &mhd->server,
                                    &EFFECTS, conn, mhd->now);
+  if (hs_body_share_receive_bytes (conn->share)
+      > hs_body_budget_receive_bytes (mhd->options.budget))
+    hs_mhd_bound_receive_buffer (conn->fd,
+                                 hs_body_share_receive_bytes (conn->share));
 }
 
 static enum MHD_Result
--- a/test/test_announcement_server.c
+++ b/test/test_announcement_server.c
@@ -21,6 +21,7 @@
 
 /** More than the tests use. */
 #define BUDGET_BYTES 100000000
+#define MAX_SOCKETS 1024
 
 #define ANSWER_TIMEOUT_S 10
 
@@ -116,8 +117,8 @@
 
   (void) state;
   assert_non_null (hs_announcement_server_new (
-      ev, ev, listen, hs_body_budget_new (ev, BUDGET_BYTES), &HANDLER, NULL,
-      NULL));
+      ev, ev, listen, hs_body_budget_new (ev, BUDGET_BYTES, MAX_SOCKETS),
+      &HANDLER, NULL, NULL));
   assert_int_equal (connect (fd, (struct sockaddr *) &address, sizeof address),
                     0);
   assert_int_equal (send (fd, text, strlen (text), 0), strlen (text));
--- a/test/test_body_budget.c
+++ b/test/test_body_budget.c
@@ -13,8 +13,13 @@
 #define KB ((size_t) 1024)
 #define N_CLIENTS 40
 #define BUDGET_BYTES (N_CLIENTS * HS_CONNECTION_BYTES + 512 * KB)
+#define MAX_SOCKETS 1024
 #define RANDOM_STEPS 20000
 
+/** A host, in MB, and the sockets of its servers. */
+#define HOST_MB 160
+#define N_RECEIVERS 4000
+
 typedef struct
 {
   HsBodyShare *share;
@@ -56,7 +61,7 @@
   memset (clients, 0, sizeof clients);
   server = (HsBodyServer){ .max_connections = N_CLIENTS,
                            .connection_bytes = HS_CONNECTION_BYTES };
-  budget = hs_body_budget_new (NULL, BUDGET_BYTES);
+  budget = hs_body_budget_new (NULL, BUDGET_BYTES, MAX_SOCKETS);
   return 0;
 }
 
@@ -312,12 +317,46 @@
   assert_true (hs_body_budget_stats (budget).dropped_bodies > 0);
 }
 
+/* Guards against received bytes that no bound counts, and against narrow
+   windows while few connections are open. */
+static void
+few_connections_have_large_receive_buffers (void **state)
+{
+  size_t bytes = hs_body_limits (HOST_MB, 0).bytes;
+  HsBodyBudget *host = hs_body_budget_new (NULL, bytes, N_RECEIVERS);
+  size_t base = hs_body_budget_receive_bytes (host);
+  HsBodyShare *shares[N_RECEIVERS];
+  unsigned int n_large = 0;
+  size_t sum = 0;
+  unsigned int i;
+
+  (void) state;
+  server.max_connections = N_RECEIVERS;
+  for (i = 0; i < N_RECEIVERS; i++)
+    {
+      shares[i] = hs_body_share_new (host, host, &server, &EFFECTS, NULL, 0);
+      sum += hs_body_share_receive_bytes (shares[i]);
+      n_large += hs_body_share_receive_bytes (shares[i]) > base;
+    }
+  assert_int_equal (n_large, 128);
+  assert_true (hs_body_share_receive_bytes (shares[0]) >= 64 * KB);
+  /* With the budget, it leaves the process its 32 MB. */
+  assert_true (sum + bytes <= (HOST_MB - 32) * KB * KB);
+  talloc_free (shares[0]);
+  shares[0] = hs_body_share_new (host, host, &server, &EFFECTS, NULL, 0);
+  assert_true (hs_body_share_receive_bytes (shares[0]) > base);
+  for (i = 0; i < N_RECEIVERS; i++)
+    talloc_free (shares[i]);
+  talloc_free (host);
+}
+
 #define BUDGET_TEST(f) cmocka_unit_test_setup_teardown (f, set_up, tear_down)
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    BUDGET_TEST (few_connections_have_large_receive_buffers),
     BUDGET_TEST (limits_follow_the_host),
     BUDGET_TEST (a_silent_body_is_dropped_for_one_that_arrives),
     BUDGET_TEST (bytes_missing_and_rate_tell_progress),
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -27,6 +27,7 @@
 
 /** Memory for requests: two bodies of LARGE_BODY_BYTES don't fit. */
 #define BUDGET_BYTES 400000
+#define MAX_SOCKETS 1024
 #define LARGE_BODY_BYTES 240000
 
 #define N_SMALL_CHUNKS 15000
@@ -81,7 +82,7 @@
   f.fd = -1;
   f.answer = g_string_new (NULL);
   f.ev = tevent_context_init (NULL);
-  f.budget = hs_body_budget_new (f.ev, BUDGET_BYTES);
+  f.budget = hs_body_budget_new (f.ev, BUDGET_BYTES, MAX_SOCKETS);
   f.server = hs_caller_server_new (f.ev, f.ev, "127.0.0.1:0", f.budget,
                                    CONNECTIONS_MAX, &HANDLER, NULL, NULL);
   assert_non_null (f.server);
--- a/test/test_platform_callers.c
+++ b/test/test_platform_callers.c
@@ -20,6 +20,7 @@
 
 /** More than the tests use. */
 #define BUDGET_BYTES 100000000
+#define MAX_SOCKETS 1024
 #define CONNECTIONS_MAX 100
 
 static struct tevent_context *ev;
@@ -73,9 +74,9 @@
   snprintf (listen, sizeof listen, "127.0.0.1:%u",
             (unsigned int) ntohs (server_address.sin_port));
   ev = tevent_context_init (NULL);
-  server = hs_caller_server_new (ev, ev, listen,
-                                 hs_body_budget_new (ev, BUDGET_BYTES),
-                                 CONNECTIONS_MAX, &HANDLER, NULL, NULL);
+  server = hs_caller_server_new (
+      ev, ev, listen, hs_body_budget_new (ev, BUDGET_BYTES, MAX_SOCKETS),
+      CONNECTIONS_MAX, &HANDLER, NULL, NULL);
   n_requests = n_disconnected = 0;
   return server != NULL ? 0 : -1;
 }
