Entry: count what is decoded from a body until its job is answered

What was seen: an entry with memory_mb 160 took 284,140 KB for 200 jobs of 1 MiB that wait for their turn, and 226,772 KB for 200 requests for the same job. Cause: a body's memory was counted until the body was decoded. The job request, which holds the tasks, lives until the core answers it, for as long as the job waits and runs, also when its caller has gone; requests for a job that is known already hold theirs as well, since they may have to be routed to another owner. Ruled out: limits of the customers' plans. They count tasks, of 0 to 256 KiB, and resubmissions don't count. Change: the bytes of a complete body stay reserved for its job request until the HTTP thread frees that. Kept bodies and connections may take 7/8 of the budget together, and bodies of up to 16 KiB all of it; a request above that is refused as unavailable, with Retry-After, before it reaches the core. Why it works: a request is passed on only with its memory reserved, so that what the core holds for a thread can't exceed the thread's budget.

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -299,7 +299,7 @@
   request = hs_frontend_table_find (thread, job);
   if (request == NULL || request->state != HS_REQUEST_IN_CORE)
     {
-      talloc_free (job);
+      hs_frontend_free_job_request (thread, job);
       return;
     }
   request->job = job;
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -31,9 +31,10 @@
 {
   struct cds_wfcq_node node; /**< Link in the queue between two threads. */
   struct HsFrontendThread *thread; /**< Which received it. */
-  uint32_t slot;          /**< Of its HTTP request in the thread's table. */
-  uint32_t generation;    /**< Of the slot; another one: the slot was reused. */
-  HsNow arrived;          /**< When the last byte was received. */
+  uint32_t slot;       /**< Of its HTTP request in the thread's table. */
+  uint32_t generation; /**< Of the slot; another one: the slot was reused. */
+  HsNow arrived;       /**< When the last byte was received. */
+  size_t kept_bytes; /**< Of the thread's memory, until the thread frees it. */
   hsx_forward_args *args; /**< Talloc child of the job request. */
   hsx_answer *answer;     /**< Set by the core; talloc child as well. */
 } HsJobRequest;
--- a/src/entry/frontend_http.c
+++ b/src/entry/frontend_http.c
@@ -81,12 +81,20 @@
     return;
   *state = NULL;
   hs_frontend_table_remove (thread, request);
-  talloc_free (request->job);
+  if (request->job != NULL)
+    hs_frontend_free_job_request (thread, request->job);
   g_clear_error (&request->error);
   talloc_free (request);
   atomic_fetch_sub (&thread->frontend->requests_in_flight, 1);
 }
 
+void
+hs_frontend_free_job_request (HsFrontendThread *thread, HsJobRequest *job)
+{
+  hs_body_budget_release (thread->budget, job->kept_bytes);
+  talloc_free (job);
+}
+
 static HsFrontendRequest *
 request_new (HsFrontendThread *thread,
              struct MHD_Connection *connection,
@@ -241,6 +249,16 @@
   return loaded && ok;
 }
 
+/** Keeps the body's memory reserved for the job request. */
+static bool
+keep_memory (HsFrontendRequest *request, HsJobRequest *job)
+{
+  if (hs_body_share_keep (request->body.share, &job->kept_bytes))
+    return true;
+  hs_mhd_body_set_dropped_error (&request->error);
+  return false;
+}
+
 static bool
 fill_job_request (HsFrontendRequest *request, HsJobRequest *job)
 {
@@ -256,8 +274,8 @@
         request->body.len, &request->error);
   else
     job->args = talloc_steal (job, request->args);
-  hs_mhd_body_release (&request->body);
-  return job->args != NULL && authenticate (request, job->args->customer);
+  return job->args != NULL && authenticate (request, job->args->customer)
+         && keep_memory (request, job);
 }
 
 /** Passes a completely received request to the core, or refuses it. */
@@ -266,8 +284,10 @@
 {
   HsFrontendThread *thread = request->thread;
   HsJobRequest *job = talloc_zero (NULL, HsJobRequest);
+  bool ok = fill_job_request (request, job);
 
-  if (!fill_job_request (request, job))
+  hs_mhd_body_release (&request->body);
+  if (!ok)
     {
       talloc_free (job);
       return respond_error (request);
--- a/src/entry/frontend_private.h
+++ b/src/entry/frontend_private.h
@@ -103,6 +103,9 @@
                                     void **state,
                                     enum MHD_RequestTerminationCode code);
 
+/** Frees a job request that the core has passed back. */
+void hs_frontend_free_job_request (HsFrontendThread *thread, HsJobRequest *job);
+
 /** Adds a request to the thread's table and sets its `slot`. */
 void hs_frontend_table_add (HsFrontendThread *thread,
                             HsFrontendRequest *request);
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -59,6 +59,10 @@
 #define SPARE_CONNECTIONS_DIVISOR 64
 #define SILENCE_MIN (1 * HS_SEC)
 
+/** Share of the budget that connections and kept bodies may take together, if
+ *  these aren't of ordinary size. */
+#define KEPT_SHARE 0.875
+
 /** Bytes that the kernel may hold, as a share of the budget: what is left free
  *  of the host's memory beside it. */
 #define RECEIVE_SHARE (1.0 / 3)
@@ -101,6 +105,8 @@
 struct HsBodyBudget
 {
   size_t max_bytes;
+  size_t connection_bytes;    /* Part of the bytes held that isn't of bodies. */
+  size_t kept_bytes;          /* Part of them that no share has. */
   size_t receive_bytes;       /* Of each socket. */
   size_t large_receive_bytes; /* Of LARGE_RECEIVERS connections. */
   uint32_t n_large_receivers;
@@ -361,6 +367,7 @@
 
   set_bytes (share, 0);
   budget->stats.bytes -= share->server->connection_bytes;
+  budget->connection_bytes -= share->server->connection_bytes;
   if (share->state != SHARE_CLOSING)
     share->server->n_connections--;
   if (share->previous != NULL)
@@ -391,6 +398,7 @@
     share->next->previous = share;
   budget->shares = share;
   budget->stats.bytes += server->connection_bytes;
+  budget->connection_bytes += server->connection_bytes;
   server->n_connections++;
   choose_receive_buffer (share);
   talloc_set_destructor (share, free_share);
@@ -443,6 +451,29 @@
   return ok;
 }
 
+bool
+hs_body_share_keep (HsBodyShare *share, size_t *bytes)
+{
+  HsBodyBudget *budget = share->budget;
+  size_t max_bytes = (size_t) ((double) budget->max_bytes * KEPT_SHARE);
+
+  if (share->bytes > ORDINARY_BYTES
+      && budget->connection_bytes + budget->kept_bytes + share->bytes
+             > max_bytes)
+    return false;
+  *bytes = share->bytes;
+  budget->kept_bytes += share->bytes;
+  share->bytes = 0;
+  return true;
+}
+
+void
+hs_body_budget_release (HsBodyBudget *budget, size_t bytes)
+{
+  budget->kept_bytes -= bytes;
+  budget->stats.bytes -= bytes;
+}
+
 void
 hs_body_share_release (HsBodyShare *share)
 {
--- a/src/http/body_budget.h
+++ b/src/http/body_budget.h
@@ -146,6 +146,18 @@
  */
 bool hs_body_share_reserve (HsBodyShare *share, size_t bytes, HsTime now);
 
+/**
+ * Keeps the memory of a complete body reserved for what was decoded from it,
+ * also after its request has ended. Refused if too much is kept already; some
+ * of the budget is left for ordinary requests.
+ * @param bytes set to what is kept, for hs_body_budget_release()
+ * @return false if it isn't kept; the share's memory is unchanged then
+ */
+bool hs_body_share_keep (HsBodyShare *share, size_t *bytes);
+
+/** Releases what hs_body_share_keep() has kept. */
+void hs_body_budget_release (HsBodyBudget *budget, size_t bytes);
+
 /** The body's memory was released. */
 void hs_body_share_release (HsBodyShare *share);
 
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -155,12 +155,28 @@
 /* Sends the next piece. Sets @p offset to the end if the connection is
    closed. */
 static void
-send_piece (const Crowd *crowd, size_t end, int fd, size_t *offset)
+send_piece (const Crowd *crowd,
+            unsigned int client,
+            size_t end,
+            int fd,
+            size_t *offset)
 {
+  size_t number_end = crowd->number_at + CROWD_DIGITS;
+  const char *data = crowd->data + *offset;
+  char digits[CROWD_DIGITS + 1];
   size_t n_left = end - *offset;
-  ssize_t n = send (fd, crowd->data + *offset, MIN (n_left, crowd->piece),
-                    MSG_NOSIGNAL);
+  ssize_t n;
 
+  if (crowd->number_at > 0 && *offset < crowd->number_at)
+    n_left = MIN (n_left, crowd->number_at - *offset);
+  else if (crowd->number_at > 0 && *offset < number_end)
+    {
+      g_snprintf (digits, sizeof digits, "%0*u", CROWD_DIGITS,
+                  crowd->first_number + client);
+      data = digits + (*offset - crowd->number_at);
+      n_left = MIN (n_left, number_end - *offset);
+    }
+  n = send (fd, data, MIN (n_left, crowd->piece), MSG_NOSIGNAL);
   if (n < 0 && errno != EAGAIN && errno != EINTR)
     *offset = end;
   else if (n > 0)
@@ -194,7 +210,7 @@
       for (i = 0; i < crowd->n; i++)
         {
           if (polls[i].revents != 0)
-            send_piece (crowd, end, polls[i].fd, &offsets[i]);
+            send_piece (crowd, i, end, polls[i].fd, &offsets[i]);
           if (offsets[i] == end)
             polls[i].fd = -1;
           polls[i].revents = 0;
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -15,14 +15,20 @@
 /** Most bytes that a client sends at once, if it sends its request whole. */
 #define CROWD_WHOLE_BYTES ((size_t) 16 * 1024 * 1024)
 
+/** Digits of a client's number. */
+#define CROWD_DIGITS 6
+
 /** Clients that all send the same bytes, and stay connected. */
 typedef struct
 {
   const char *address; /**< "IP:port". */
   const char *data;
   size_t len;
-  size_t piece; /**< Most bytes sent at once. */
-  size_t held;  /**< Bytes at the end that crowd_finish() sends. */
+  size_t piece;     /**< Most bytes sent at once. */
+  size_t held;      /**< Bytes at the end that crowd_finish() sends. */
+  size_t number_at; /**< Offset of CROWD_DIGITS digits in whose place each
+                         client sends its own number; 0: none. */
+  unsigned int first_number; /**< Number of the first client. */
   unsigned int n;
 } Crowd;
 
--- a/test/entry_cluster.c
+++ b/test/entry_cluster.c
@@ -102,6 +102,8 @@
 {
   g_autofree char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256,
                                                          ENTRY_CLUSTER_KEY, -1);
+  g_autofree char *two
+      = g_strdup_printf ("{\"plan\":\"two\",\"key_hash\":\"%s\"}", hash);
   g_autofree char *plan
       = g_strdup_printf ("{\"plan\":\"gold\",\"key_hash\":\"%s\"}", hash);
 
@@ -113,6 +115,14 @@
       "\"weight\":1}");
   entry_cluster_call ("PUT", c->admin_address, "/v1/plans/c1?revision=0",
                       ENTRY_CLUSTER_TOKEN, plan);
+  entry_cluster_call (
+      "PUT", c->admin_address, "/v1/allowances/two?revision=0",
+      ENTRY_CLUSTER_TOKEN,
+      "{\"in_flight\":2,\"starts_per_s\":500,\"burst\":200,\"queued\":2000,"
+      "\"tasks_per_job\":390,\"memory_mb\":1024,\"accelerators\":0,"
+      "\"weight\":1}");
+  entry_cluster_call ("PUT", c->admin_address, "/v1/plans/c2?revision=0",
+                      ENTRY_CLUSTER_TOKEN, two);
 }
 
 bool
--- a/test/entry_cluster.h
+++ b/test/entry_cluster.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Runs an entry, an agent, a target and a store on loopback that are not on the
- * users' platform, with one customer. Used by tests.
+ * users' platform, with two
+ * customers. Used by tests.
  */
 #ifndef HS_TEST_ENTRY_CLUSTER_H
 #define HS_TEST_ENTRY_CLUSTER_H
@@ -9,7 +10,8 @@
 #include <stdbool.h>
 #include <sys/types.h>
 
-/** Key of the customer "c1", and token of the operators. */
+/** Key of the customers "c1" and "c2", and token of the operators. Of the
+ *  second one, at most two tasks run at a time, and 2,000 may wait. */
 #define ENTRY_CLUSTER_KEY "customer-key-0001"
 #define ENTRY_CLUSTER_TOKEN "admin-token-0123456789"
 
--- a/test/test_body_budget.c
+++ b/test/test_body_budget.c
@@ -350,6 +350,40 @@
   talloc_free (host);
 }
 
+/* Guards against decoded requests whose memory no bound counts, and against
+   kept memory that leaves none for ordinary bodies. */
+static void
+kept_bodies_leave_memory_to_ordinary_ones (void **state)
+{
+  static const struct
+  {
+    size_t bytes;
+    bool kept;
+  } cases[] = { { 300 * KB, true }, { 100 * KB, false }, { 10 * KB, true } };
+  size_t n_kept = 0;
+  size_t i;
+
+  (void) state;
+  connect_all ();
+  for (i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      size_t bytes = 0;
+
+      assert_true (receive (&clients[i], cases[i].bytes, 0, 0));
+      hs_body_share_complete (clients[i].share);
+      assert_int_equal (hs_body_share_keep (clients[i].share, &bytes),
+                        cases[i].kept);
+      assert_int_equal (bytes, cases[i].kept ? cases[i].bytes : 0);
+      hs_body_share_end (clients[i].share, 0);
+      n_kept += bytes;
+      assert_int_equal (hs_body_budget_stats (budget).bytes,
+                        N_CLIENTS * HS_CONNECTION_BYTES + n_kept);
+    }
+  hs_body_budget_release (budget, n_kept);
+  assert_int_equal (hs_body_budget_stats (budget).bytes,
+                    N_CLIENTS * HS_CONNECTION_BYTES);
+}
+
 #define BUDGET_TEST(f) cmocka_unit_test_setup_teardown (f, set_up, tear_down)
 
 int
@@ -357,6 +391,7 @@
 {
   const struct CMUnitTest tests[] = {
     BUDGET_TEST (few_connections_have_large_receive_buffers),
+    BUDGET_TEST (kept_bodies_leave_memory_to_ordinary_ones),
     BUDGET_TEST (limits_follow_the_host),
     BUDGET_TEST (a_silent_body_is_dropped_for_one_that_arrives),
     BUDGET_TEST (bytes_missing_and_rate_tell_progress),
--- a/test/test_entry_crowd.c
+++ b/test/test_entry_crowd.c
@@ -7,6 +7,7 @@
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
@@ -17,6 +18,8 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "base/time.h"
+#include "base/uuid7.h"
 #include "crowd.h"
 #include "entry_cluster.h"
 #include "platform_cluster.h"
@@ -34,12 +37,22 @@
 #define BODY_BYTES 1048576
 #define MISSING_BYTES 5
 
+/** Tasks of a job, and the size of each. */
+#define N_TASKS 16
+#define TASK_BYTES 62000
+
+/** Ids that are minted this long after the entry's start are certainly new to
+ *  it, so that their jobs are started. */
+#define CERTAIN_MS 3000
+
 #define CHUNK_BYTES 65536
 #define PIECE_BYTES 2048
 
 /** Clients of each test. */
 #define N_BODIES 300
 #define N_COMPLETE 60
+#define N_JOBS 200
+#define N_JOBS_AT_ONCE 10
 #define N_CONNECTIONS 1200
 
 #define HEAD                                                                   \
@@ -142,6 +155,61 @@
   g_string_free (request, TRUE);
 }
 
+/* Submits a job of large tasks that run for a minute for each client, a
+   few at a time, so that all of them arrive. Two of the tasks run at a time.
+   @param same whether all clients submit the same job */
+static void
+crowd_with_jobs (bool same)
+{
+  GString *body = g_string_new ("{\"customer\":\"c2\",\"id\":\"");
+  GString *request = g_string_new (HEAD);
+  g_autofree char *filler = g_strnfill (TASK_BYTES, 'x');
+  Crowd crowd = { .address = cluster.caller_address,
+                  .piece = CROWD_WHOLE_BYTES,
+                  .n = N_JOBS_AT_ONCE };
+  static const uint8_t random[HS_UUID7_RANDOM_SIZE];
+  char id[HS_UUID_SIZE];
+  int i;
+
+  start_entry ();
+  cluster_sleep_ms (CERTAIN_MS);
+  hs_uuid7_format (hs_now ().wall_ms, random, id);
+  g_string_append_printf (body, "%s\",\"tasks\":[", id);
+  for (i = 0; i < N_TASKS; i++)
+    g_string_append_printf (
+        body, "%s{\"body\":\"sleep=60000;nonce=%d%s\",\"run_ms\":60000}",
+        i > 0 ? "," : "", i, filler);
+  g_string_append (body, "]}");
+  g_string_append_printf (request, "Content-Length: %zu\r\n\r\n%s", body->len,
+                          body->str);
+  crowd.data = request->str;
+  crowd.len = request->len;
+  if (!same)
+    crowd.number_at = (size_t) (strstr (request->str, id) - request->str)
+                      + strlen (id) - CROWD_DIGITS;
+  for (; crowd.first_number < N_JOBS; crowd.first_number += crowd.n)
+    crowd_send (&crowd, &process);
+  check_entry ();
+  g_string_free (request, TRUE);
+  g_string_free (body, TRUE);
+}
+
+/* Guards against jobs that are held without a bound until they are finished. */
+static void
+waiting_jobs_stay_within_memory (void **state)
+{
+  (void) state;
+  crowd_with_jobs (false);
+}
+
+/* Guards against requests that are held so while they wait for one job. */
+static void
+resubmissions_of_a_job_stay_within_memory (void **state)
+{
+  (void) state;
+  crowd_with_jobs (true);
+}
+
 /* Guards against connections that take all descriptors of the host. */
 static void
 connections_without_a_request_stay_within_descriptors (void **state)
@@ -191,6 +259,8 @@
     CROWD_TEST (bodies_in_pieces_stay_within_memory),
     CROWD_TEST (bodies_in_chunks_stay_within_memory),
     CROWD_TEST (bodies_of_many_values_stay_within_memory),
+    CROWD_TEST (waiting_jobs_stay_within_memory),
+    CROWD_TEST (resubmissions_of_a_job_stay_within_memory),
     CROWD_TEST (connections_without_a_request_stay_within_descriptors),
   };
 
