Owner: bound the bodies of jobs that aren't finished

What was seen: the tasks of jobs that wait stood in an owner's memory without a bound; 200 jobs of 1 MiB on one entry took 284,140 KB with memory_mb 160, and 153,272 since the requests for them are counted. Cause: the owner copies each task, and keeps it until the job is finished. Plans limit the number of tasks that wait, not their size, and an owner gets the jobs of its customers from all entries, whose budgets it can't see. Change: the owner counts the bodies of unfinished jobs, and refuses a new one above its bound as unavailable, with Retry-After. The last eighth is for jobs of up to 16 KiB. The default of memory_mb rises from 1,024 to 4,096 MB, so that a plan's 1,000 waiting tasks of 256 KiB fit. Why it works: not_run is true where the id is certainly new, as with a full queue; the caller sends the same id again.

--- a/src/config/entry_memory.h
+++ b/src/config/entry_memory.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * Divides the memory and descriptors of an entry's host: for the process, for
- * finished jobs, for bodies that are being decoded, and for the connections and
- * bodies of each HTTP thread.
+ * finished jobs, for bodies that are being decoded, for jobs that aren't
+ * finished, and for the connections and bodies of each HTTP thread.
  */
 #ifndef HS_CONFIG_ENTRY_MEMORY_H
 #define HS_CONFIG_ENTRY_MEMORY_H
@@ -13,7 +13,7 @@
 #include "config/settings.h"
 
 /** Memory of a host for which the settings give none, in MB. */
-#define HS_ENTRY_MEMORY_MB_DEFAULT 1024
+#define HS_ENTRY_MEMORY_MB_DEFAULT 4096
 
 /** Memory of libmicrohttpd for each connection of a caller, which limits the
  *  size of the headers, and of what belongs to such a connection besides. */
@@ -35,6 +35,10 @@
  *  the largest body. */
 uint32_t hs_entry_memory_min_mb (const HsEntrySettings *settings);
 
+/** Bound on the bodies of tasks of jobs that aren't finished. Each may stand in
+ *  memory twice: in its job, and in the request that waits for it. */
+size_t hs_entry_memory_job_bytes (const HsEntrySettings *settings);
+
 /**
  * Divides the memory and the descriptors.
  * @param max_fds of the process, if the settings give none
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -33,7 +33,7 @@
   HsTime task_timeout;      /**< Limit on one task's run; default 60 s. */
   uint32_t max_connections; /**< From callers; default 4096. */
   uint32_t max_body;        /**< Bytes of one request body; default 8 MiB. */
-  uint32_t memory_mb; /**< Memory of the host; 0, the default: 1024, or what
+  uint32_t memory_mb; /**< Memory of the host; 0, the default: 4096, or what
                            the other settings need; see entry_memory.h. */
   uint32_t max_fds;   /**< Descriptors of the process; 0, the default: its limit
                            on open files. */
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "config/entry_memory.h"
 #include "entry/admin.h"
 #include "entry/core.h"
 #include "entry/visibility.h"
@@ -310,6 +311,7 @@
   config.clock_skew_max = core->entry->max_clock_skew;
   config.task_timeout = core->entry->task_timeout;
   config.retained_bytes_max = core->entry->kept_bytes;
+  config.unfinished_bytes_max = hs_entry_memory_job_bytes (core->entry);
   config.seed = core->incarnation;
   core->owner = hs_owner_new (core, &config, &effects, core);
   hs_owner_set_agents_known_since (core->owner, now.wall_ms);
--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -82,6 +82,7 @@
   HsTime finished_at;
   uint32_t n_tasks;
   uint32_t n_unfinished;
+  size_t bytes;        /* Of the bodies of its tasks, until it is finished. */
   bool claim_pending;  /* A claim of its id was asked for. */
   bool bodies_evicted; /* Its results were removed to free memory. */
   bool pinned;         /* In HsOwner::pinned; retained until it expires. */
@@ -247,6 +248,7 @@
   GQueue pinned;
   uint64_t retained_bytes; /* Memory of `finished` and `pinned`, with bodies. */
   uint64_t bodies_bytes;   /* Part of it that bodies take. */
+  uint64_t unfinished_bytes; /* Bodies of the tasks of unfinished jobs. */
   HsTime recovered_sweep_at; /* When `recovered_jobs` is next swept. */
   uint32_t n_unfinished;
   Agent *agents; /* Indexed by handle. */
@@ -269,6 +271,8 @@
 /* jobs.c */
 void job_key (char key[JOB_KEY_SIZE], const char *customer, const char *id);
 Job *job_find (HsOwner *owner, const char *customer, const char *id);
+/* The size of the bodies of a job's tasks. */
+size_t job_bytes (const hsx_forward_args *args);
 Job *job_new (HsOwner *owner, const hsx_forward_args *args, HsNow now);
 /* Removes a job with its tasks; its waiters get no answer. */
 void job_drop (HsOwner *owner, Job *job);
--- a/src/owner/jobs.c
+++ b/src/owner/jobs.c
@@ -25,6 +25,17 @@
   return g_hash_table_lookup (owner->jobs, key);
 }
 
+size_t
+job_bytes (const hsx_forward_args *args)
+{
+  size_t bytes = 0;
+  u_int i;
+
+  for (i = 0; i < args->tasks.tasks_len; i++)
+    bytes += args->tasks.tasks_val[i].body.body_len;
+  return bytes;
+}
+
 Job *
 job_new (HsOwner *owner, const hsx_forward_args *args, HsNow now)
 {
@@ -61,7 +72,9 @@
                            ? HS_NEVER
                            : now.mono + task->spec.deadline_ms * HS_MSEC;
     }
+  job->bytes = job_bytes (args);
   job->customer->queued += job->n_tasks;
+  owner->unfinished_bytes += job->bytes;
   owner->n_unfinished++;
   owner->stats.jobs++;
   owner->stats.tasks += job->n_tasks;
@@ -84,6 +97,7 @@
   for (i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state != TASK_FINISHED)
       task_drop (owner, &job->tasks[i]);
+  owner->unfinished_bytes -= job->bytes;
   owner->n_unfinished--;
   for (i = 0; i < job->waiters->len; i++)
     g_hash_table_remove (owner->waiters,
@@ -104,6 +118,7 @@
 void
 job_finish (HsOwner *owner, Job *job, HsNow now)
 {
+  owner->unfinished_bytes -= job->bytes;
   owner->n_unfinished--;
   job_retain (owner, job, now);
   owner->effects.measure (owner->arg, job->customer_name, job->queue_wait, 0,
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -35,8 +35,10 @@
   HsTime
       clock_skew_max;  /**< Bound on the difference of entries' wall clocks. */
   HsTime task_timeout; /**< Bound on the run time of a task. */
-  uint64_t retained_bytes_max; /**< Bound on the memory of finished jobs. */
-  uint64_t seed;               /**< Of the random generators. */
+  uint64_t retained_bytes_max;   /**< Bound on the memory of finished jobs. */
+  uint64_t unfinished_bytes_max; /**< Bound on the bodies of tasks of jobs that
+                                      aren't finished; 0: none. */
+  uint64_t seed;                 /**< Of the random generators. */
 } HsOwnerConfig;
 
 /**
--- a/src/owner/submit.c
+++ b/src/owner/submit.c
@@ -8,6 +8,14 @@
 #include "base/uuid7.h"
 #include "owner/internal.h"
 
+/** Jobs of ordinary size, and the part of the memory for jobs that is left to
+ *  them. */
+#define ORDINARY_BYTES 16384
+#define ORDINARY_DIVISOR 8
+
+/** When a job that had no memory is submitted again. */
+#define MEMORY_RETRY_AFTER HS_SEC
+
 /* What can be said about an id without a job here. */
 typedef enum
 {
@@ -435,8 +443,22 @@
   return ms < partition->uncertain_before_ms ? ID_UNCERTAIN : ID_NEVER_STARTED;
 }
 
-/* Refuses the request and returns false if the customer's plan does not allow
-   it. The refusal says "not run" only if no task of the id has ever started. */
+/* Large jobs leave some of the memory to ordinary ones. */
+static bool
+has_memory_for (const HsOwner *owner, size_t bytes)
+{
+  uint64_t bytes_max = owner->config.unfinished_bytes_max;
+
+  if (bytes_max == 0)
+    return true;
+  if (bytes > ORDINARY_BYTES)
+    bytes_max -= bytes_max / ORDINARY_DIVISOR;
+  return owner->unfinished_bytes + bytes <= bytes_max;
+}
+
+/* Refuses the request and returns false if the customer's plan or this entry's
+   memory does not allow it. The refusal says "not run" only if no task of the
+   id has ever started. */
 static bool
 check_admission (HsOwner *owner,
                  HsWaiter waiter,
@@ -480,6 +502,12 @@
                                / MAX (1, (HsTime) allowance->starts_per_s),
                            HS_SEC / 10, 60 * HS_SEC);
     }
+  if (reason == NULL && !has_memory_for (owner, job_bytes (args)))
+    {
+      kind = HS_ERROR_UNAVAILABLE;
+      reason = "no memory for more jobs now; retry after the time given";
+      retry_after = MEMORY_RETRY_AFTER;
+    }
   if (reason == NULL)
     return true;
   refuse_request (owner, waiter, kind, never_started, retry_after, reason);
--- a/test/owner_fixture.h
+++ b/test/owner_fixture.h
@@ -14,6 +14,9 @@
 #define SLOTS 4
 #define EPOCH UINT64_C (7)
 
+/** Bound on the bodies of unfinished jobs. */
+#define UNFINISHED_BYTES_MAX 1000000
+
 /** A start that the owner sent; strings are copies. */
 typedef struct
 {
@@ -50,6 +53,7 @@
   GPtrArray *claims;     /* char *: ids to be claimed. */
   GPtrArray *args;       /* Requests, valid until the fixture is freed. */
   HsWaiter next_waiter;
+  u_int body_bytes; /* Of each task; 4 unless a test sets it. */
 } OwnerFixture;
 
 OwnerFixture *fixture_new (void);
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -131,6 +131,44 @@
   fixture_free (f);
 }
 
+/* Guards against bodies of waiting jobs that are held without a bound, and
+   against large ones that keep out all others. */
+static void
+large_jobs_leave_memory_to_ordinary_ones (void **state)
+{
+  OwnerFixture *f = serving_fixture ();
+  HsWaiter waiter;
+
+  (void) state;
+  fixture_set_allowance (f, 1, 1000, 1000);
+  f->body_bytes = 200000;
+  fixture_submit (f, fixture_new_id (f, 0, 1), 4, 'x');
+  waiter = fixture_submit (f, fixture_new_id (f, 0, 2), 1, 'x');
+  assert_int_equal (fixture_answer (f, waiter)->kind, HS_ERROR_UNAVAILABLE);
+  assert_true (fixture_answer (f, waiter)->not_run);
+  f->body_bytes = 4;
+  waiter = fixture_submit (f, fixture_new_id (f, 0, 3), 1, 'x');
+  assert_null (fixture_answer (f, waiter));
+  fixture_free (f);
+}
+
+static void
+memory_of_finished_jobs_is_free_again (void **state)
+{
+  OwnerFixture *f = serving_fixture ();
+  HsWaiter waiter;
+
+  (void) state;
+  f->body_bytes = 800000;
+  fixture_submit (f, fixture_new_id (f, 0, 1), 1, 'x');
+  fixture_send_result (f, fixture_sent_start (f, 0), HSX_DONE, HSX_REFUSAL_NONE,
+                       "");
+  waiter = fixture_submit (f, fixture_new_id (f, 0, 2), 1, 'x');
+  assert_null (fixture_answer (f, waiter));
+  assert_int_equal (f->starts->len, 2);
+  fixture_free (f);
+}
+
 static void
 nothing_starts_when_the_lease_is_about_to_expire (void **state)
 {
@@ -359,6 +397,8 @@
     cmocka_unit_test (a_job_starts_once_and_is_answered_when_complete),
     cmocka_unit_test (
         a_resubmission_shares_the_job_and_other_content_is_refused),
+    cmocka_unit_test (large_jobs_leave_memory_to_ordinary_ones),
+    cmocka_unit_test (memory_of_finished_jobs_is_free_again),
     cmocka_unit_test (tasks_in_flight_stay_within_the_allowance),
     cmocka_unit_test (the_rate_of_starts_stays_within_the_allowance),
     cmocka_unit_test (a_full_queue_refuses_as_not_run),
