HTTP: close readiness and metrics connections that aren't read

What was seen: 64 clients that ask for metrics again and again, and read nothing, keep everyone else from the port. The next request waited until the first of them had moved nothing for 15 s; one that reads a byte now and then is never closed, so that the platform's checks can be kept out for good. Cause: a connection whose request is complete is never closed for a new one, since its job may run. On these ports there is no job, and the answer is made at once: such a connection only waits for its client. With 32 of them, 32 more are accepted, and then none. Change: a server may say that its answers can be dropped; its connections count as incomplete until their request has ended. Why it works: the new connection stays, and those whose client has been silent longest are closed.

--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -393,7 +393,8 @@
   else
     {
       conn->receiving = false;
-      hs_body_share_complete (conn->share);
+      if (!mhd->options.drops_answers)
+        hs_body_share_complete (conn->share);
     }
   return mhd->options.handle (mhd->options.arg, connection, url, method,
                               version, data, len, state);
--- a/src/http/mhd_loop.h
+++ b/src/http/mhd_loop.h
@@ -50,6 +50,8 @@
   HsMhdUnescapeFunc unescape; /**< NULL: libmicrohttpd's own. */
   bool strict;                /**< Refuse requests that break HTTP in ways that
                                    libmicrohttpd would accept. */
+  bool drops_answers;   /**< Connections may also be closed for new ones while
+                             their clients don't read the answer. */
   const char *log_part; /**< Of messages about what was dropped; NULL: they are
                              written as lines of hs_event(). */
 } HsMhdOptions;
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -30,7 +30,8 @@
  *  reads no more. */
 #define STALL_MS 2000
 
-/** Time for the process to read what lies in the sockets' buffers. */
+/** Time for the process to read what lies in the sockets' buffers, unless the
+ *  crowd has its own. */
 #define SETTLE_MS 500
 
 #define WATCH_INTERVAL_US 20000
@@ -235,7 +236,7 @@
   while (n_sockets < first + crowd->n)
     sockets[n_sockets++] = dial (crowd->address);
   send_range (crowd, first, 0, crowd->len - crowd->held, process);
-  cluster_sleep_ms (SETTLE_MS);
+  cluster_sleep_ms (crowd->settle_ms > 0 ? crowd->settle_ms : SETTLE_MS);
   crowd_watch (process, crowd->address);
 }
 
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -30,6 +30,7 @@
                          client sends its own number; 0: none. */
   unsigned int first_number; /**< Number of the first client. */
   unsigned int n;
+  int settle_ms; /**< Time for the process to read what was sent; 0: 500. */
 } Crowd;
 
 /** A process that serves a crowd. */
--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -34,6 +34,12 @@
 #define N_ANNOUNCEMENTS 32
 #define N_CHECKERS 64
 
+/** Connections of a text server, and as many again while it closes others. */
+#define N_TEXT_CONNECTIONS 32
+
+/** Requests for metrics whose answers fill the buffers of a connection. */
+#define N_PIPELINED 4000
+
 /** Complete announcements of the maximum size that fit into the budget of a
  *  host of this memory together. */
 #define N_COMPLETE 17
@@ -371,6 +377,38 @@
   check_entry ();
 }
 
+/* Guards against clients that keep a metrics port for themselves, as they don't
+   read its answers. */
+static void
+unread_answers_block_no_text_server (void **state)
+{
+  GString *requests = g_string_new (NULL);
+  Crowd crowd = { .piece = CROWD_WHOLE_BYTES, .n = N_TEXT_CONNECTIONS };
+  unsigned int i;
+
+  (void) state;
+  start_entry (MAX_FDS_LOW);
+  for (i = 0; i < N_PIPELINED; i++)
+    g_string_append (requests,
+                     "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  crowd.address = cluster.metrics_addresses[CLUSTER_ENTRY][0];
+  crowd.data = requests->str;
+  crowd.len = requests->len;
+  crowd_send (&crowd, &process);
+  /* One after the other, so that each finds those before it waiting for their
+     clients to read. */
+  crowd.n = 1;
+  crowd.settle_ms = 100;
+  for (i = 0; i < N_TEXT_CONNECTIONS; i++)
+    crowd_send (&crowd, &process);
+  assert_int_equal (
+      cluster_call ("GET", crowd.address, "/metrics", NULL, REQUEST_TIMEOUT_MS)
+          .status,
+      200);
+  check_entry ();
+  g_string_free (requests, TRUE);
+}
+
 static void
 whole_announcements_stay_within_memory (void **state)
 {
@@ -493,6 +531,7 @@
     CROWD_TEST (pipelined_requests_stay_within_descriptors),
     CROWD_TEST (rpc_connections_before_hello_stay_within_descriptors),
     CROWD_TEST (idle_connections_block_no_text_server),
+    CROWD_TEST (unread_answers_block_no_text_server),
     /* The agent's target is gone from here on. */
     CROWD_TEST (whole_announcements_stay_within_memory),
     CROWD_TEST (announcements_in_pieces_stay_within_memory),
