Operators, target: close idle connections for new ones

What was seen: 64 clients that connect to the operators' port of an entry, or to the port where an agent's target announces itself, and don't finish a request keep everyone else out until they have been silent for 30 or 60 s; for good if they send a byte now and then. Cause: these two servers had no budget. Without one, connections wait to be accepted at the limit. Evidence: idle_connections_block_no_operator and idle_connections_block_no_target of test_entry_crowd, with 100 such clients, failed before: no answer in 10 s. Change: both have a budget: 20 MB for operators, two of the largest lists, which config/entry_memory takes into account, and 1.8 MB at the agent, whose bodies are small and don't count. Result: both are answered 200. Why it works: the new connection stays, and those with the least progress are closed.

--- a/src/agent/target_api.c
+++ b/src/agent/target_api.c
@@ -8,7 +8,11 @@
 #include "http/mhd_loop.h"
 
 #define MAX_CONNECTIONS 64
+#define MAX_SOCKETS (MAX_CONNECTIONS + HS_MHD_LISTEN_BACKLOG)
+/** Memory of the connections; bodies are small, and don't count. */
+#define CONNECTIONS_BYTES (2 * MAX_CONNECTIONS * HS_CONNECTION_BYTES)
 #define IDLE_TIMEOUT_S 60
+#define PART "target"
 #define METRICS_PATH "/metrics"
 
 /* A request, from its headers to the end of its answer. */
@@ -73,8 +77,10 @@
     .arg = api,
     .max_connections = MAX_CONNECTIONS,
     .idle_timeout_s = IDLE_TIMEOUT_S,
+    .log_part = PART,
   };
 
+  options.budget = hs_body_budget_new (api, CONNECTIONS_BYTES, MAX_SOCKETS);
   api->key = key;
   api->handler = *handler;
   api->arg = arg;
--- a/src/config/entry_memory.c
+++ b/src/config/entry_memory.c
@@ -4,8 +4,9 @@
 
 #define MB ((size_t) 1024 * 1024)
 
-/** The process, its running jobs and its peers. */
+/** The process, its running jobs and its peers, and what operators send. */
 #define PROCESS_BYTES (32 * MB)
+#define OPERATORS_BYTES (20 * MB)
 
 /** Copies of a body while it is decoded: put together, its checked text,
  *  json-c's strings and the tasks. */
@@ -43,7 +44,7 @@
   size_t decoding
       = DECODE_COPIES * (size_t) settings->max_body + HS_ENTRY_TREE_MAX_BYTES;
 
-  return PROCESS_BYTES + (size_t) settings->kept_bytes
+  return PROCESS_BYTES + OPERATORS_BYTES + (size_t) settings->kept_bytes
          + settings->threads * decoding;
 }
 
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -4,13 +4,16 @@
 
 #include <json-c/json.h>
 
+#include "config/entry_memory.h"
 #include "entry/admin_private.h"
 
 /** Bound on the body of a request; a whole list has to fit. */
 #define BODY_MAX_BYTES ((size_t) 8 * 1024 * 1024)
 #define MAX_CONNECTIONS 64
+#define MAX_SOCKETS (MAX_CONNECTIONS + HS_MHD_LISTEN_BACKLOG)
 /** Connections without traffic are closed after this time. */
 #define IDLE_TIMEOUT_S 30
+#define PART "operators"
 
 static int admin_destructor (HsAdmin *admin);
 static enum MHD_Result on_request (void *cls,
@@ -44,12 +47,15 @@
                            .completed = on_request_completed,
                            .arg = admin,
                            .max_connections = MAX_CONNECTIONS,
-                           .idle_timeout_s = IDLE_TIMEOUT_S };
+                           .idle_timeout_s = IDLE_TIMEOUT_S,
+                           .pool_bytes = HS_ENTRY_POOL_BYTES,
+                           .log_part = PART };
 
   admin->box = box;
   admin->sync = sync;
   admin->pages = *pages;
   hs_key_hash (token, admin->token_hash);
+  options.budget = hs_body_budget_new (admin, HS_ADMIN_BYTES, MAX_SOCKETS);
   admin->mhd = hs_mhd_new (admin, ev, &options, error);
   if (admin->mhd == NULL)
     {
@@ -151,6 +157,7 @@
   if (request->next != NULL)
     request->next->prev = request;
   admin->requests = request;
+  hs_mhd_bind_body (admin->mhd, connection, &request->body);
   if (hs_mhd_body_begin (&request->body, connection, BODY_MAX_BYTES,
                          &request->error))
     hs_admin_route_request (request, url, method);
@@ -187,6 +194,9 @@
       *upload_len = 0;
       return MHD_YES;
     }
+  if (request->error == NULL && request->body.dropped)
+    hs_mhd_body_set_dropped_error (&request->error);
+  hs_mhd_body_join (request, &request->body);
   return handle_complete_request (request);
 }
 
--- a/test/test_entry_crowd.c
+++ b/test/test_entry_crowd.c
@@ -54,6 +54,7 @@
 #define N_JOBS 200
 #define N_JOBS_AT_ONCE 10
 #define N_CONNECTIONS 1200
+#define N_IDLE 100
 
 #define HEAD                                                                   \
   "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"                                      \
@@ -218,6 +219,39 @@
   crowd_callers (g_string_new (""), CROWD_WHOLE_BYTES, N_CONNECTIONS);
 }
 
+/* Connects clients that don't finish their request, and makes another one. */
+static void
+crowd_port (const char *address, const char *path, const char *token)
+{
+  static const char part[] = "GET / HTTP/1.1\r\nHo";
+  Crowd crowd = { .address = address,
+                  .data = part,
+                  .len = sizeof part - 1,
+                  .piece = CROWD_WHOLE_BYTES,
+                  .n = N_IDLE };
+
+  start_entry ();
+  crowd_send (&crowd, &process);
+  assert_int_equal (entry_cluster_call ("GET", address, path, token, NULL),
+                    200);
+  check_entry ();
+}
+
+/* Guards against ports that idle connections block. */
+static void
+idle_connections_block_no_operator (void **state)
+{
+  (void) state;
+  crowd_port (cluster.admin_address, "/v1/status", ENTRY_CLUSTER_TOKEN);
+}
+
+static void
+idle_connections_block_no_target (void **state)
+{
+  (void) state;
+  crowd_port (cluster.target_address, "/metrics", "");
+}
+
 static int
 set_up (void **state)
 {
@@ -262,6 +296,8 @@
     CROWD_TEST (waiting_jobs_stay_within_memory),
     CROWD_TEST (resubmissions_of_a_job_stay_within_memory),
     CROWD_TEST (connections_without_a_request_stay_within_descriptors),
+    CROWD_TEST (idle_connections_block_no_operator),
+    CROWD_TEST (idle_connections_block_no_target),
   };
 
   signal (SIGPIPE, SIG_IGN);
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -117,7 +117,7 @@
   expect_error (ENTRY_WITH (",\n\"max_body\":1e9"), "must be a whole number");
   expect_error (ENTRY_WITH (",\n\"memory_mb\":160"),
                 "f:7: entry.memory_mb: is too low for kept_bytes, max_body and "
-                "threads; raise it to 489 or more, or lower these");
+                "threads; raise it to 509 or more, or lower these");
   expect_error (AGENT_WITH ("0.0.0.0:7001", ""),
                 "f:3: agent.rpc_address: is needed");
   expect_error (AGENT_WITH ("127.0.0.1", ""),
