RPC: write a line a second about rejected records

What was seen: 600 connections with junk before HELLO wrote 67 kB of log. Cause: a line for each rejected record. Anyone may connect. Change: the first is written at once, then one line a second at most, with the number since the last one. The metric counts each, as before. Why it works: the volume depends on time only.

--- a/src/rpc/conn.c
+++ b/src/rpc/conn.c
@@ -1,6 +1,7 @@
 #include "rpc/conn.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -28,6 +29,9 @@
 #define HANDSHAKE_RECORD_MAX 512
 #define HANDSHAKE_READ_CHUNK 1024
 
+/** Shortest time between two lines about rejected records. */
+#define REJECTED_REPORT_INTERVAL (1 * HS_SEC)
+
 static void set_socket_options (int fd);
 static int conn_destructor (HsConn *conn);
 static void on_event (struct tevent_context *ev,
@@ -46,6 +50,7 @@
 static void on_connected (HsConn *conn);
 static void on_readable (HsConn *conn);
 static void process_records (HsConn *conn);
+static void report_rejected (HsRpc *rpc, HsTime now);
 static bool
 is_acceptable (const HsConn *conn, int length_status, size_t length);
 static bool process_record (HsConn *conn, uint8_t *record, size_t n);
@@ -348,7 +353,7 @@
           || !process_record (conn, data + HS_RECORD_MARK_SIZE, length))
         {
           conn->rpc->stats.rejected_records++;
-          hs_warn (PART, "record rejected; check the cluster key of the peer");
+          report_rejected (conn->rpc, hs_now ().mono);
           hs_conn_close (conn);
           return;
         }
@@ -358,6 +363,20 @@
     g_byte_array_remove_range (conn->in_buffer, 0, (guint) offset);
 }
 
+/* Anyone may connect and send junk. */
+static void
+report_rejected (HsRpc *rpc, HsTime now)
+{
+  if (rpc->rejected_reported > 0
+      && now - rpc->rejected_reported_at < REJECTED_REPORT_INTERVAL)
+    return;
+  hs_warn (PART,
+           "%" PRIu64 " records rejected; check the cluster key of the peers",
+           rpc->stats.rejected_records - rpc->rejected_reported);
+  rpc->rejected_reported = rpc->stats.rejected_records;
+  rpc->rejected_reported_at = now;
+}
+
 /* The length is 0 until the whole record mark has been received. */
 static bool
 is_acceptable (const HsConn *conn, int length_status, size_t length)
--- a/src/rpc/endpoint_private.h
+++ b/src/rpc/endpoint_private.h
@@ -29,6 +29,8 @@
   HsRpcHandler handler;
   void *arg;
   HsRpcStats stats;
+  uint64_t rejected_reported; /* Of the rejected records. */
+  HsTime rejected_reported_at;
   int listen_fd;
   uint16_t port;
   struct tevent_fd *listen_event;
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -259,12 +259,20 @@
 }
 
 size_t
-crowd_file_bytes (const char *path)
+crowd_count_lines (const char *path, const char *text)
 {
-  g_autofree char *text = NULL;
-  gsize len = 0;
+  g_autofree char *log = NULL;
+  char **lines;
+  size_t n = 0;
+  unsigned int i;
 
-  return g_file_get_contents (path, &text, &len, NULL) ? len : 0;
+  if (!g_file_get_contents (path, &log, NULL, NULL))
+    return 0;
+  lines = g_strsplit (log, "\n", -1);
+  for (i = 0; lines[i] != NULL; i++)
+    n += strstr (lines[i], text) != NULL;
+  g_strfreev (lines);
+  return n;
 }
 
 GString *
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -67,8 +67,8 @@
 
 unsigned int crowd_count_descriptors (pid_t pid);
 
-/** Sum of the lines of a process's log. */
-size_t crowd_file_bytes (const char *path);
+/** Lines of a log that contain @p text. */
+size_t crowd_count_lines (const char *path, const char *text);
 
 /** A request of @p head and a body of @p body_bytes, of which the last
  *  @p missing bytes are left out: one long string. */
--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -349,6 +349,28 @@
                      sizeof half_record - 1);
 }
 
+/* Guards against a log that each connection of a crowd adds to: a line a
+   second. */
+static void
+rpc_connections_with_junk_write_few_lines (void **state)
+{
+  static const char junk[] = "GET / HTTP/1.1\r\n\r\n";
+  g_autofree char *log = g_strdup_printf ("%s/entry0.log", cluster.dir);
+  gint64 began_at;
+  size_t n_before;
+  size_t n_lines;
+
+  (void) state;
+  start_entry (MAX_FDS_LOW);
+  n_before = crowd_count_lines (log, "record");
+  began_at = g_get_monotonic_time ();
+  crowd_connections (cluster.control_addresses[0], junk, sizeof junk - 1);
+  n_lines = crowd_count_lines (log, "record") - n_before;
+  print_message ("%zu lines\n", n_lines);
+  assert_true (n_lines
+               <= (size_t) (g_get_monotonic_time () - began_at) / 1000000 + 2);
+}
+
 /* Guards against a readiness or metrics port that idle connections block. */
 static void
 idle_connections_block_no_text_server (void **state)
@@ -530,6 +552,7 @@
     CROWD_TEST (short_headers_without_an_end_stay_within_descriptors),
     CROWD_TEST (pipelined_requests_stay_within_descriptors),
     CROWD_TEST (rpc_connections_before_hello_stay_within_descriptors),
+    CROWD_TEST (rpc_connections_with_junk_write_few_lines),
     CROWD_TEST (idle_connections_block_no_text_server),
     CROWD_TEST (unread_answers_block_no_text_server),
     /* The agent's target is gone from here on. */
