HTTP: bound the parts of bodies in one turn of the loop in total

What was seen: read in review; the bound on parts of bodies in a turn was one of each connection. Cause: one run of libmicrohttpd serves all connections that are ready, so that 3,500 with 64 small chunks each are 224,000 parts before the loop comes to its other sockets. Change: after 4,096 parts of all connections in a turn, those that have more are suspended, as after 64 of one, and resumed in the order in which they were. Result: 4,096 parts in a turn at most; all requests are answered. Why it works: a suspended connection costs nothing until it is resumed, and a turn resumes 64 connections, the work of a full turn.

--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -28,6 +28,9 @@
  *  than 16. */
 #define TURN_PARTS_MAX 64
 
+/** Parts that all connections may deliver in one turn. */
+#define TURN_PARTS_TOTAL 4096
+
 /** Suspended connections that go on in one turn. */
 #define TURN_RESUMED_MAX 64
 
@@ -77,7 +80,8 @@
   GQueue conns;     /* Of Conn. */
   GQueue throttled; /* Of Conn, those that wait longest first. */
   uint32_t turn;
-  HsTime now; /* When the last run began. */
+  uint32_t n_parts; /* Delivered in this turn. */
+  HsTime now;       /* When the last run began. */
 };
 
 static int free_mhd (HsMhd *mhd);
@@ -417,16 +421,21 @@
   hs_body_share_end (conn->share, mhd->now);
 }
 
-/* Counts a part of a body. Suspends the connection if it has delivered enough
-   in this turn; libmicrohttpd offers the part again later. */
+/* Counts a part of a body. Suspends the connection if it, or all of them
+   together, have delivered enough in this turn; libmicrohttpd offers the part
+   again later. */
 static bool
 may_deliver (HsMhd *mhd, Conn *conn)
 {
   if (conn->turn != mhd->turn)
     conn->n_parts = 0;
   conn->turn = mhd->turn;
-  if (conn->n_parts++ < TURN_PARTS_MAX)
-    return true;
+  if (mhd->n_parts < TURN_PARTS_TOTAL && conn->n_parts < TURN_PARTS_MAX)
+    {
+      mhd->n_parts++;
+      conn->n_parts++;
+      return true;
+    }
   conn->throttled = true;
   g_queue_push_tail (&mhd->throttled, conn);
   MHD_suspend_connection (conn->connection);
@@ -529,6 +538,7 @@
   int i;
 
   mhd->turn++;
+  mhd->n_parts = 0;
   mhd->now = began_at;
   resume_throttled (mhd, TURN_RESUMED_MAX);
   for (i = 0; i < CONSECUTIVE_RUNS_MAX && has_timeout && timeout_ms == 0
