RPC: bound the bytes that wait in the kernel before HELLO

What was seen: peers that haven't proved that they know the key may send what the kernel takes, 64 to 128 KB each, while the process is suspended or busy; with 384 of them in their handshake that is 48 MB, which no budget counts. Change: the socket that listens for peers has 8 KiB, and an accepted connection gets 1 MiB when the peer has proved the key. Why it works: HELLO and the record that proves the key have 512 bytes at most.

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -9,6 +9,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/socket.h"
 #include "config/entry_memory.h"
 #include "entry/frontend_private.h"
 
@@ -234,8 +235,8 @@
       thread, limits.bytes,
       limits.connections + LISTEN_BACKLOG / frontend->n_threads);
   /* Of all threads alike. */
-  hs_mhd_bound_receive_buffer (frontend->listen_fd,
-                               hs_body_budget_receive_bytes (thread->budget));
+  hs_socket_bound_receive_buffer (
+      frontend->listen_fd, hs_body_budget_receive_bytes (thread->budget));
   options.budget = thread->budget;
   thread->mhd = hs_mhd_new (thread, thread->ev, &options, error);
   if (thread->mhd == NULL)
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "base/event.h"
 #include "base/log.h"
+#include "base/socket.h"
 #include "base/timer.h"
 
 /** Limit on consecutive runs of libmicrohttpd while its time-out is 0. */
@@ -206,16 +207,6 @@
     close (fd);
 }
 
-/* The kernel takes twice the value. Where it can't be set, the kernel's own
-   bound remains. */
-void
-hs_mhd_bound_receive_buffer (int fd, size_t bytes)
-{
-  int half = (int) (bytes / 2);
-
-  (void) setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &half, sizeof half);
-}
-
 uint16_t
 hs_mhd_port (const HsMhd *mhd)
 {
@@ -271,7 +262,7 @@
   fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                0);
   if (fd >= 0 && options->budget != NULL)
-    hs_mhd_bound_receive_buffer (
+    hs_socket_bound_receive_buffer (
         fd, hs_body_budget_receive_bytes (options->budget));
   if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
       && bind (fd, (struct sockaddr *) &address, len) == 0
@@ -366,8 +357,8 @@
                                    &EFFECTS, conn, mhd->now);
   if (hs_body_share_receive_bytes (conn->share)
       > hs_body_budget_receive_bytes (mhd->options.budget))
-    hs_mhd_bound_receive_buffer (conn->fd,
-                                 hs_body_share_receive_bytes (conn->share));
+    hs_socket_bound_receive_buffer (conn->fd,
+                                    hs_body_share_receive_bytes (conn->share));
 }
 
 static enum MHD_Result
--- a/src/http/mhd_loop.h
+++ b/src/http/mhd_loop.h
@@ -88,12 +88,6 @@
  *  most. */
 #define HS_MHD_LISTEN_BACKLOG 256
 
-/**
- * Bounds the bytes that the kernel receives for a socket and the process hasn't
- * read. Connections inherit the bound of the socket that listens.
- */
-void hs_mhd_bound_receive_buffer (int fd, size_t bytes);
-
 /** The port that the server listens on; 0 with `listen_fd`. */
 uint16_t hs_mhd_port (const HsMhd *mhd);
 
--- a/src/rpc/endpoint.c
+++ b/src/rpc/endpoint.c
@@ -8,10 +8,15 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/socket.h"
 #include "rpc/endpoint_private.h"
 
 #define LISTEN_BACKLOG 512
 
+/** Receive buffer of a connection until the peer has proved that it knows the
+ *  key; HELLO and the next record fit. */
+#define HANDSHAKE_RECEIVE_BYTES 8192
+
 static void on_listen_ready (struct tevent_context *ev,
                              struct tevent_fd *event,
                              uint16_t flags,
@@ -46,6 +51,13 @@
   return rpc;
 }
 
+static bool
+listen_bounded (int fd)
+{
+  hs_socket_bound_receive_buffer (fd, HANDSHAKE_RECEIVE_BYTES);
+  return listen (fd, LISTEN_BACKLOG) == 0;
+}
+
 bool
 hs_rpc_listen (HsRpc *rpc, const char *address, GError **error)
 {
@@ -64,8 +76,7 @@
     }
   fd = socket (in.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
-      || bind (fd, (struct sockaddr *) &in, len) < 0
-      || listen (fd, LISTEN_BACKLOG) < 0
+      || bind (fd, (struct sockaddr *) &in, len) < 0 || !listen_bounded (fd)
       || getsockname (fd, (struct sockaddr *) &in, &len) < 0)
     {
       g_set_error (error, HS_ERROR, HS_ERROR_IO,
--- a/src/rpc/handshake.c
+++ b/src/rpc/handshake.c
@@ -3,6 +3,7 @@
 #include <sys/random.h>
 
 #include "base/log.h"
+#include "base/socket.h"
 #include "rpc/conn_private.h"
 
 #define PART "rpc"
@@ -10,6 +11,9 @@
 /** Limit on the time for the TCP connect and the HELLO exchange together. */
 #define HANDSHAKE_TIMEOUT (2 * HS_SEC)
 
+/** Receive buffer of a peer that has proved that it knows the key. */
+#define PEER_RECEIVE_BYTES ((size_t) 1024 * 1024)
+
 static void on_handshake_timeout (struct tevent_context *ev,
                                   struct tevent_timer *timer,
                                   struct timeval now,
@@ -70,6 +74,8 @@
 hs_conn_establish (HsConn *conn)
 {
   conn->state = HS_CONN_ESTABLISHED;
+  if (!conn->dialled)
+    hs_socket_bound_receive_buffer (conn->fd, PEER_RECEIVE_BYTES);
   TALLOC_FREE (conn->handshake_timer);
   hs_handshakes_remove (conn->rpc, &conn->handshake);
   if (conn->rpc->handler.connected != NULL)
--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -267,25 +267,43 @@
 /* Guards against bytes that the kernel holds for the process, which count
    towards the memory of its host as well. */
 static void
-unread_bytes_stay_within_memory (void **state)
+send_while_suspended (const char *address, unsigned int n)
 {
   GString *request
       = crowd_sized_request (JOB_HEAD, CALLER_BODY_BYTES, MISSING_BYTES);
-  Crowd crowd = { .address = cluster.addresses[CLUSTER_ENTRY][0],
+  Crowd crowd = { .address = address,
                   .data = request->str,
                   .len = request->len,
                   .piece = CROWD_WHOLE_BYTES,
                   .held = request->len,
-                  .n = N_CONNECTIONS };
+                  .n = n };
 
-  (void) state;
-  start_entry (MAX_FDS);
   crowd_send (&crowd, &process);
   crowd_finish (&crowd, &process);
   check_entry ();
   g_string_free (request, TRUE);
 }
 
+static void
+unread_bytes_stay_within_memory (void **state)
+{
+  (void) state;
+  start_entry (MAX_FDS);
+  send_while_suspended (cluster.addresses[CLUSTER_ENTRY][0], N_CONNECTIONS);
+}
+
+/* The same of peers that don't finish HELLO, beside bodies in progress. */
+static void
+unread_bytes_before_hello_stay_within_memory (void **state)
+{
+  GString *request
+      = crowd_sized_request (JOB_HEAD, CALLER_BODY_BYTES, MISSING_BYTES);
+
+  (void) state;
+  crowd_an_entry (request, CROWD_WHOLE_BYTES);
+  send_while_suspended (cluster.control_addresses[0], N_CONNECTIONS);
+}
+
 /* Guards against connections that take all descriptors of the host. */
 static void
 connections_without_a_request_stay_within_descriptors (void **state)
@@ -547,6 +565,7 @@
     CROWD_TEST (bodies_in_small_chunks_stay_within_memory),
     CROWD_TEST (body_of_many_values_stays_within_memory),
     CROWD_TEST (unread_bytes_stay_within_memory),
+    CROWD_TEST (unread_bytes_before_hello_stay_within_memory),
     CROWD_TEST (connections_without_a_request_stay_within_descriptors),
     CROWD_TEST (headers_without_an_end_stay_within_descriptors),
     CROWD_TEST (short_headers_without_an_end_stay_within_descriptors),
