HTTP: let small bodies pass large ones that wait for their turn

Cause: bodies of all sizes were counted together against the 1 MiB of a turn, so that after a large one a small body was suspended as well, and libmicrohttpd takes the resumed connections in an order of its own. Change: bodies above 64 KiB have 1 MiB of a turn, others 1 MiB of their own. Why it works: a small body waits for the large ones of one turn at most.

--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -32,11 +32,15 @@
 /** Parts that all connections may deliver in one turn. */
 #define TURN_PARTS_TOTAL 4096
 
-/** Bytes of complete bodies that are passed on in one turn; one body may be
- *  larger. The handler decodes them, which takes 10 ms for 1 MiB on a whole
- *  core. */
+/** Bytes of complete bodies that are passed on in one turn, of large ones and
+ * of others; one body may be larger. The handler decodes them, which takes 10
+ * ms for 1 MiB on a whole core. */
 #define TURN_BODIES_BYTES ((size_t) 1024 * 1024)
 
+/** Larger bodies are counted on their own, so that others don't wait for them.
+ */
+#define LARGE_BODY_BYTES ((size_t) 64 * 1024)
+
 /** Suspended connections that go on in one turn. */
 #define TURN_RESUMED_MAX 64
 
@@ -86,9 +90,11 @@
   GQueue conns;     /* Of Conn. */
   GQueue throttled; /* Of Conn, those that wait longest first. */
   uint32_t turn;
-  uint32_t n_parts;   /* Delivered in this turn. */
-  size_t n_passed_on; /* Bytes of bodies that were passed on in this turn. */
-  HsTime now;         /* When the last run began. */
+  uint32_t n_parts; /* Delivered in this turn. */
+  /* Bytes of bodies that were passed on in this turn: of others, and of large
+     ones. */
+  size_t n_passed_on[2];
+  HsTime now; /* When the last run began. */
 };
 
 static int free_mhd (HsMhd *mhd);
@@ -447,14 +453,14 @@
 may_pass_on (HsMhd *mhd, Conn *conn)
 {
   size_t bytes = conn->body != NULL ? conn->body->len : 0;
+  size_t *n_passed_on = &mhd->n_passed_on[bytes > LARGE_BODY_BYTES];
 
-  if (bytes > 0 && mhd->n_passed_on > 0
-      && mhd->n_passed_on + bytes > TURN_BODIES_BYTES)
+  if (bytes > 0 && *n_passed_on > 0 && *n_passed_on + bytes > TURN_BODIES_BYTES)
     {
       throttle (mhd, conn);
       return false;
     }
-  mhd->n_passed_on += bytes;
+  *n_passed_on += bytes;
   return true;
 }
 
@@ -563,7 +569,7 @@
 
   mhd->turn++;
   mhd->n_parts = 0;
-  mhd->n_passed_on = 0;
+  memset (mhd->n_passed_on, 0, sizeof mhd->n_passed_on);
   mhd->now = began_at;
   resume_throttled (mhd, TURN_RESUMED_MAX);
   for (i = 0; i < CONSECUTIVE_RUNS_MAX && has_timeout && timeout_ms == 0
