HTTP: don't take a waiting request for one whose client has gone

Cause: found when reading the changes; on an entry's own interface a client that closes its side after a complete request may be closed while the request waits, suspended, to be passed on in a later turn. No test shows it: the check runs once a second, and the wait takes a turn. Change: the check leaves out suspended connections. The memory of operators has one constant in config/entry_memory; comments are wrapped again.

--- a/src/config/entry_memory.c
+++ b/src/config/entry_memory.c
@@ -4,17 +4,16 @@
 
 #define MB ((size_t) 1024 * 1024)
 
-/** The process, its running jobs and its peers, and what operators send. */
+/** The process, its running jobs and its peers. */
 #define PROCESS_BYTES (32 * MB)
-#define OPERATORS_BYTES (20 * MB)
 
 /** Copies of a body while it is decoded: put together, its checked text,
  *  json-c's strings and the tasks. */
 #define DECODE_COPIES 4
 
 /** Shares of the rest that are for the connections and bodies of HTTP threads,
- *  and for jobs that aren't finished. What is left is for bytes that wait in
- * the kernel (a third of the former) and for the allocator's fragments. */
+ *  and for jobs that aren't finished. The rest is for bytes that wait in the
+ *  kernel (a third of the former) and for the allocator's fragments. */
 #define THREADS_SHARE 0.5
 #define JOBS_SHARE 0.25
 
@@ -44,8 +43,8 @@
   size_t decoding
       = DECODE_COPIES * (size_t) settings->max_body + HS_ENTRY_TREE_MAX_BYTES;
 
-  return PROCESS_BYTES + OPERATORS_BYTES + (size_t) settings->kept_bytes
-         + settings->threads * decoding;
+  return PROCESS_BYTES + HS_ENTRY_OPERATORS_BYTES
+         + (size_t) settings->kept_bytes + settings->threads * decoding;
 }
 
 static size_t
--- a/src/config/entry_memory.h
+++ b/src/config/entry_memory.h
@@ -24,6 +24,10 @@
  *  needs up to 1.5 MB. */
 #define HS_ENTRY_TREE_MAX_BYTES ((size_t) 4 * 1024 * 1024)
 
+/** Connections of operators, and the bodies that they send: two of the largest
+ *  lists. */
+#define HS_ENTRY_OPERATORS_BYTES ((size_t) 20 * 1024 * 1024)
+
 /** What each HTTP thread may hold. */
 typedef struct
 {
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -55,7 +55,8 @@
   admin->sync = sync;
   admin->pages = *pages;
   hs_key_hash (token, admin->token_hash);
-  options.budget = hs_body_budget_new (admin, HS_ADMIN_BYTES, MAX_SOCKETS);
+  options.budget
+      = hs_body_budget_new (admin, HS_ENTRY_OPERATORS_BYTES, MAX_SOCKETS);
   admin->mhd = hs_mhd_new (admin, ev, &options, error);
   if (admin->mhd == NULL)
     {
--- a/src/entry/admin.h
+++ b/src/entry/admin.h
@@ -18,9 +18,6 @@
 
 typedef struct HsAdmin HsAdmin;
 
-/** Memory of the server's connections and of the bodies in progress. */
-#define HS_ADMIN_BYTES ((size_t) 20 * 1024 * 1024)
-
 /**
  * Renders a page of the server.
  * @param arg the `arg` of HsAdminPages
--- a/src/http/mhd_loop.c
+++ b/src/http/mhd_loop.c
@@ -32,13 +32,12 @@
 /** Parts that all connections may deliver in one turn. */
 #define TURN_PARTS_TOTAL 4096
 
-/** Bytes of complete bodies that are passed on in one turn, of large ones and
- * of others; one body may be larger. The handler decodes them, which takes 10
- * ms for 1 MiB on a whole core. */
+/** Bytes of complete bodies that are passed on in one turn; one body may be
+ *  larger. Decoding 1 MiB takes 10 ms of a whole core. */
 #define TURN_BODIES_BYTES ((size_t) 1024 * 1024)
 
-/** Larger bodies are counted on their own, so that others don't wait for them.
- */
+/** Larger bodies have a turn's bytes of their own, so that others don't wait
+ *  for them. */
 #define LARGE_BODY_BYTES ((size_t) 64 * 1024)
 
 /** Suspended connections that go on in one turn. */
@@ -90,11 +89,9 @@
   GQueue conns;     /* Of Conn. */
   GQueue throttled; /* Of Conn, those that wait longest first. */
   uint32_t turn;
-  uint32_t n_parts; /* Delivered in this turn. */
-  /* Bytes of bodies that were passed on in this turn: of others, and of large
-     ones. */
-  size_t n_passed_on[2];
-  HsTime now; /* When the last run began. */
+  uint32_t n_parts;      /* Delivered in this turn. */
+  size_t n_passed_on[2]; /* Bytes of bodies in this turn; [1]: of large ones. */
+  HsTime now;            /* When the last run began. */
 };
 
 static int free_mhd (HsMhd *mhd);
@@ -527,7 +524,7 @@
     {
       const Conn *conn = link->data;
 
-      if (conn->receiving
+      if (conn->receiving && !conn->throttled
           && (now - conn->receiving_since > mhd->options.receive_timeout
               || peer_has_closed (conn)))
         shutdown (conn->fd, SHUT_RDWR);
