HTTP: kept bodies leave memory to connections that come later

Cause: kept bodies and the connections that were open then might take 7/8 of a budget together. Connections that came later took the last eighth, and more than the budget (20,376 KB of 19,456 in the log), which leaves no body to drop and none to receive. Evidence: kept_bodies_leave_memory_to_later_connections of test_body_budget failed before. Change: kept bodies leave room for all connections that the server may have. An entry's connections have a quarter of a thread's budget instead of five eighths, so that the largest body can still be kept on the smallest host. Why it works: an eighth of the budget is free of both at any time; it is more than the 32 connections that are being closed.

--- a/src/config/entry_memory.c
+++ b/src/config/entry_memory.c
@@ -22,8 +22,8 @@
 #define JOB_COPIES 2
 
 /** Share of a thread's memory that connections may take without their bodies.
- */
-#define CONNECTIONS_SHARE 0.625
+ *  Those of jobs that wait for their answers have five eighths. */
+#define CONNECTIONS_SHARE 0.25
 
 /** Smallest memory of a thread: the largest body, and another one that waits
  *  for it. */
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -59,8 +59,8 @@
 #define SPARE_CONNECTIONS_DIVISOR 64
 #define SILENCE_MIN (1 * HS_SEC)
 
-/** Share of the budget that connections and kept bodies may take together, if
- *  these aren't of ordinary size. */
+/** Share of the budget that all connections of a server and kept bodies may
+ * take together, if these aren't of ordinary size. */
 #define KEPT_SHARE 0.875
 
 /** Bytes that the kernel may hold, as a share of the budget: what is left free
@@ -105,8 +105,7 @@
 struct HsBodyBudget
 {
   size_t max_bytes;
-  size_t connection_bytes;    /* Part of the bytes held that isn't of bodies. */
-  size_t kept_bytes;          /* Part of them that no share has. */
+  size_t kept_bytes;          /* Part of the bytes held that no share has. */
   size_t receive_bytes;       /* Of each socket. */
   size_t large_receive_bytes; /* Of LARGE_RECEIVERS connections. */
   uint32_t n_large_receivers;
@@ -367,7 +366,6 @@
 
   set_bytes (share, 0);
   budget->stats.bytes -= share->server->connection_bytes;
-  budget->connection_bytes -= share->server->connection_bytes;
   if (share->state != SHARE_CLOSING)
     share->server->n_connections--;
   if (share->previous != NULL)
@@ -398,7 +396,6 @@
     share->next->previous = share;
   budget->shares = share;
   budget->stats.bytes += server->connection_bytes;
-  budget->connection_bytes += server->connection_bytes;
   server->n_connections++;
   choose_receive_buffer (share);
   talloc_set_destructor (share, free_share);
@@ -456,10 +453,11 @@
 {
   HsBodyBudget *budget = share->budget;
   size_t max_bytes = (size_t) ((double) budget->max_bytes * KEPT_SHARE);
+  size_t connection_bytes
+      = share->server->max_connections * share->server->connection_bytes;
 
   if (share->bytes > ORDINARY_BYTES
-      && budget->connection_bytes + budget->kept_bytes + share->bytes
-             > max_bytes)
+      && connection_bytes + budget->kept_bytes + share->bytes > max_bytes)
     return false;
   *bytes = share->bytes;
   budget->kept_bytes += share->bytes;
--- a/test/test_body_budget.c
+++ b/test/test_body_budget.c
@@ -384,6 +384,31 @@
                     N_CLIENTS * HS_CONNECTION_BYTES);
 }
 
+/* Guards against memory that is kept while few connections are open, and that
+   leaves none for ordinary bodies when there are more. */
+static void
+kept_bodies_leave_memory_to_later_connections (void **state)
+{
+  size_t n_kept = 0;
+  size_t bytes = 0;
+  unsigned int i;
+
+  (void) state;
+  connect_client (&clients[0], 0);
+  while (receive (&clients[0], 50 * KB, 0, 0)
+         && hs_body_share_keep (clients[0].share, &bytes))
+    {
+      n_kept += bytes;
+      hs_body_share_end (clients[0].share, 0);
+      clients[0].bytes = 0;
+    }
+  hs_body_share_end (clients[0].share, 0);
+  for (i = 1; i < N_CLIENTS; i++)
+    connect_client (&clients[i], 0);
+  assert_true (receive (&clients[1], 10 * KB, 0, 0));
+  hs_body_budget_release (budget, n_kept);
+}
+
 #define BUDGET_TEST(f) cmocka_unit_test_setup_teardown (f, set_up, tear_down)
 
 int
@@ -392,6 +417,7 @@
   const struct CMUnitTest tests[] = {
     BUDGET_TEST (few_connections_have_large_receive_buffers),
     BUDGET_TEST (kept_bodies_leave_memory_to_ordinary_ones),
+    BUDGET_TEST (kept_bodies_leave_memory_to_later_connections),
     BUDGET_TEST (limits_follow_the_host),
     BUDGET_TEST (a_silent_body_is_dropped_for_one_that_arrives),
     BUDGET_TEST (bytes_missing_and_rate_tell_progress),
