--- a/src/owner/internal.h
+++ b/src/owner/internal.h
@@ -339,6 +339,16 @@
 void apply_health_changes (HsOwner *owner, HsNow now);
 void run_due_timers (HsOwner *owner, HsNow now);
 
+/* admission.c */
+/* Refuses the request and returns false if the customer's plan or this entry's
+   memory does not allow it. The refusal says "not run" only if no task of the
+   id has ever started. */
+bool admit_job (HsOwner *owner,
+                HsWaiter waiter,
+                const hsx_forward_args *args,
+                bool never_started,
+                HsNow now);
+
 /* submit.c */
 void serve_deferred_requests (HsOwner *owner, Partition *partition, HsNow now);
 void job_reroute (HsOwner *owner, Job *job);
