HTTP: connections in a file of their own; one way to listen

The HTTP servers, an entry's frontend and the RPC endpoint each opened their listening socket, the same way. The frontend set the receive buffer after the socket listened, and read its limits for each thread. Change: the connections are in mhd_conns.c. hs_socket_listen() serves the three; the frontend computes its limits once, and has them before it listens. Error texts of the frontend and of RPC are those of the HTTP servers now.

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -1,16 +1,12 @@
 #include "entry/frontend.h"
 
-#include <errno.h>
 #include <string.h>
 #include <unistd.h>
 
 #include <sys/resource.h>
-#include <sys/socket.h>
 
-#include "base/address.h"
 #include "base/error.h"
 #include "base/socket.h"
-#include "config/entry_memory.h"
 #include "entry/frontend_private.h"
 
 #define PART "frontend"
@@ -22,6 +18,7 @@
 /** Time limit for the headers, and then for the body, of a request. */
 #define RECEIVE_TIMEOUT (60 * HS_SEC)
 
+static size_t descriptor_limit (void);
 static bool open_listener (HsFrontend *frontend, GError **error);
 static bool
 prepare_thread (HsFrontend *frontend, uint32_t index, GError **error);
@@ -48,6 +45,7 @@
   frontend->arg = arg;
   frontend->listen_fd = -1;
   frontend->n_threads = settings->threads;
+  frontend->limits = hs_entry_memory_divide (settings, descriptor_limit ());
   frontend->threads
       = talloc_zero_array (frontend, HsFrontendThread *, frontend->n_threads);
   if (!open_listener (frontend, error))
@@ -145,13 +143,21 @@
   talloc_free (frontend);
 }
 
-static bool
-set_io_error (GError **error, const char *what, const char *address)
+static size_t
+descriptor_limit (void)
 {
-  g_set_error (error, HS_ERROR, HS_ERROR_IO,
-               "http_listen %s: %s: %s; choose a free address of this host",
-               address, what, g_strerror (errno));
-  return false;
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return 0;
+  return (size_t) MIN (limit.rlim_cur, UINT32_MAX);
+}
+
+/** Sockets of a thread: its connections, and its part of those that wait. */
+static size_t
+thread_sockets (const HsFrontend *frontend)
+{
+  return frontend->limits.connections + LISTEN_BACKLOG / frontend->n_threads;
 }
 
 /** Opens one socket for all threads, so that idle threads accept the
@@ -159,32 +165,13 @@
 static bool
 open_listener (HsFrontend *frontend, GError **error)
 {
-  const char *text = frontend->settings->http_listen;
-  struct sockaddr_storage address;
-  socklen_t len;
-  int yes = 1;
-  int fd;
-
-  if (!hs_address_parse (text, &address, &len))
-    {
-      errno = EINVAL;
-      return set_io_error (error, "address", text);
-    }
-  fd = socket (address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-               0);
-  if (fd < 0)
-    return set_io_error (error, "socket", text);
-  frontend->listen_fd = fd;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  if (bind (fd, (struct sockaddr *) &address, len) != 0)
-    return set_io_error (error, "bind", text);
-  if (listen (fd, LISTEN_BACKLOG) != 0)
-    return set_io_error (error, "listen", text);
-  len = sizeof address;
-  if (getsockname (fd, (struct sockaddr *) &address, &len) != 0)
-    return set_io_error (error, "getsockname", text);
-  frontend->port = (uint16_t) hs_address_port (&address);
-  return true;
+  frontend->listen_fd = hs_socket_listen (
+      frontend->settings->http_listen, LISTEN_BACKLOG,
+      hs_body_receive_bytes (frontend->limits.bytes, thread_sockets (frontend)),
+      &frontend->port, error);
+  if (frontend->listen_fd < 0)
+    g_prefix_error (error, "http_listen ");
+  return frontend->listen_fd >= 0;
 }
 
 /** Sets up a thread's event loop and server. Once the thread runs, no other
@@ -201,29 +188,17 @@
   return thread->answers != NULL && start_server (thread, error);
 }
 
-static size_t
-descriptor_limit (void)
-{
-  struct rlimit limit;
-
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
-    return 0;
-  return (size_t) MIN (limit.rlim_cur, UINT32_MAX);
-}
-
 static bool
 start_server (HsFrontendThread *thread, GError **error)
 {
   const HsFrontend *frontend = thread->frontend;
   const HsEntrySettings *settings = frontend->settings;
-  HsEntryThreadLimits limits
-      = hs_entry_memory_divide (settings, descriptor_limit ());
   HsMhdOptions options = { .listen = settings->http_listen,
                            .listen_fd = frontend->listen_fd,
                            .handle = hs_frontend_handle_request,
                            .completed = hs_frontend_request_completed,
                            .arg = thread,
-                           .max_connections = limits.connections,
+                           .max_connections = frontend->limits.connections,
                            .idle_timeout_s = INACTIVITY_TIMEOUT_S,
                            .pool_bytes = HS_ENTRY_POOL_BYTES,
                            .receive_timeout = RECEIVE_TIMEOUT,
@@ -231,12 +206,8 @@
                            .strict = true,
                            .log_part = PART };
 
-  thread->budget = hs_body_budget_new (
-      thread, limits.bytes,
-      limits.connections + LISTEN_BACKLOG / frontend->n_threads);
-  /* Of all threads alike. */
-  hs_socket_bound_receive_buffer (
-      frontend->listen_fd, hs_body_budget_receive_bytes (thread->budget));
+  thread->budget = hs_body_budget_new (thread, frontend->limits.bytes,
+                                       thread_sockets (frontend));
   options.budget = thread->budget;
   thread->mhd = hs_mhd_new (thread, thread->ev, &options, error);
   if (thread->mhd == NULL)
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -46,7 +46,8 @@
 typedef void (*HsFrontendSubmitFunc) (void *arg, HsJobRequest *job);
 
 /**
- * Opens the listening socket and starts the threads. Errors: HS_ERROR_IO.
+ * Opens the listening socket and starts the threads.
+ * Errors: HS_ERROR_INVALID for the address, HS_ERROR_IO.
  * @param settings must outlive the frontend
  * @param lists used to look up customers' keys
  * @param submit receives each authenticated request
--- a/src/entry/frontend_private.h
+++ b/src/entry/frontend_private.h
@@ -13,6 +13,7 @@
 #include <tevent.h>
 
 #include "base/queue.h"
+#include "config/entry_memory.h"
 #include "entry/frontend.h"
 #include "http/mhd_loop.h"
 
@@ -73,6 +74,7 @@
   HsPublishedLists *lists;
   HsFrontendSubmitFunc submit;
   void *arg;
+  HsEntryThreadLimits limits; /**< Of each thread. */
   int listen_fd;
   uint16_t port;
   atomic_bool draining;
--- a/src/http/body_budget.c
+++ b/src/http/body_budget.c
@@ -151,17 +151,23 @@
   return limits;
 }
 
+size_t
+hs_body_receive_bytes (size_t max_bytes, size_t max_sockets)
+{
+  size_t half = (size_t) ((double) max_bytes * RECEIVE_SHARE) / 2;
+
+  return CLAMP (half / MAX (max_sockets, 1), RECEIVE_MIN, RECEIVE_MAX);
+}
+
 HsBodyBudget *
 hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes, size_t max_sockets)
 {
   HsBodyBudget *budget = talloc_zero (ctx, HsBodyBudget);
-  size_t half = (size_t) ((double) max_bytes * RECEIVE_SHARE) / 2;
 
   budget->max_bytes = max_bytes;
-  budget->receive_bytes
-      = CLAMP (half / MAX (max_sockets, 1), RECEIVE_MIN, RECEIVE_MAX);
+  budget->receive_bytes = hs_body_receive_bytes (max_bytes, max_sockets);
   budget->large_receive_bytes
-      = CLAMP (half / LARGE_RECEIVERS, RECEIVE_MIN, RECEIVE_MAX);
+      = hs_body_receive_bytes (max_bytes, LARGE_RECEIVERS);
   budget->reported_at = -REPORT_INTERVAL;
   return budget;
 }
--- a/src/http/body_budget.h
+++ b/src/http/body_budget.h
@@ -99,7 +99,11 @@
 HsBodyBudget *
 hs_body_budget_new (TALLOC_CTX *ctx, size_t max_bytes, size_t max_sockets);
 
-/** Receive buffer of a connection that hasn't been accepted, in bytes. */
+/** Receive buffer, in bytes, of a connection that hasn't been accepted by a
+ *  server whose budget is created with the same parameters. */
+size_t hs_body_receive_bytes (size_t max_bytes, size_t max_sockets);
+
+/** The same, of the budget. */
 size_t hs_body_budget_receive_bytes (const HsBodyBudget *budget);
 
 HsBodyStats hs_body_budget_stats (const HsBodyBudget *budget);
--- a/src/http/part.mk
+++ b/src/http/part.mk
@@ -1,4 +1,5 @@
 SRCS += src/http/body_budget.c
 SRCS += src/http/curl_loop.c
+SRCS += src/http/mhd_conns.c
 SRCS += src/http/mhd_loop.c
 SRCS += src/http/mhd_request.c
--- a/src/rpc/endpoint.c
+++ b/src/rpc/endpoint.c
@@ -51,43 +51,15 @@
   return rpc;
 }
 
-static bool
-listen_bounded (int fd)
-{
-  hs_socket_bound_receive_buffer (fd, HANDSHAKE_RECEIVE_BYTES);
-  return listen (fd, LISTEN_BACKLOG) == 0;
-}
-
 bool
 hs_rpc_listen (HsRpc *rpc, const char *address, GError **error)
 {
-  struct sockaddr_storage in;
-  socklen_t len;
-  int one = 1;
-  int fd;
+  int fd = hs_socket_listen (address, LISTEN_BACKLOG, HANDSHAKE_RECEIVE_BYTES,
+                             &rpc->port, error);
 
-  if (!hs_address_parse (address, &in, &len))
-    {
-      g_set_error (
-          error, HS_ERROR, HS_ERROR_INVALID,
-          "RPC address '%s' is not of the form IP:port; correct the settings",
-          address);
-      return false;
-    }
-  fd = socket (in.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0
-      || bind (fd, (struct sockaddr *) &in, len) < 0 || !listen_bounded (fd)
-      || getsockname (fd, (struct sockaddr *) &in, &len) < 0)
-    {
-      g_set_error (error, HS_ERROR, HS_ERROR_IO,
-                   "can't listen on %s: %s; free the address or choose another",
-                   address, strerror (errno));
-      if (fd >= 0)
-        close (fd);
-      return false;
-    }
+  if (fd < 0)
+    return false;
   rpc->listen_fd = fd;
-  rpc->port = (uint16_t) hs_address_port (&in);
   rpc->listen_event
       = tevent_add_fd (rpc->ev, rpc, fd, TEVENT_FD_READ, on_listen_ready, rpc);
   return true;
