--- a/test/crowd.c
+++ b/test/crowd.c
@@ -6,17 +6,14 @@
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
-#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <cmocka.h>
 
 #include "platform_cluster.h"
@@ -118,14 +115,15 @@
   process->peak_kb = MAX (process->peak_kb, kb);
 }
 
-size_t
-crowd_memory_kb (const CrowdProcess *process)
+/* The most that was measured. */
+static size_t
+memory_kb (const CrowdProcess *process)
 {
   return MAX (process->peak_kb, resident_kb (process, "VmHWM:"));
 }
 
-unsigned int
-crowd_count_descriptors (pid_t pid)
+static unsigned int
+count_descriptors (pid_t pid)
 {
   g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int) pid);
   DIR *dir = opendir (path);
@@ -139,18 +137,19 @@
   return n - 2;
 }
 
-static int
-dial (const char *address)
+void
+crowd_check (const CrowdProcess *process,
+             unsigned int memory_mb,
+             unsigned int max_fds)
 {
-  struct sockaddr_in in = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
-  assert_true (fd >= 0);
-  assert_true (connect (fd, (struct sockaddr *) &in, sizeof in) == 0
-               || errno == EINPROGRESS);
-  return fd;
+  size_t kb = memory_kb (process);
+  unsigned int n = count_descriptors (process->pid);
+
+  assert_int_equal (waitpid (process->pid, NULL, WNOHANG), 0);
+  print_message ("%zu KB (before %zu KB), %u descriptors\n", kb,
+                 process->baseline_kb, n);
+  assert_in_range (kb, 1, memory_mb * 1024);
+  assert_in_range (n, 1, max_fds);
 }
 
 /* Sends the next piece. Sets @p offset to the end if the connection is
@@ -234,7 +233,12 @@
 
   assert_true (n_sockets + crowd->n <= CONNECTIONS_MAX);
   while (n_sockets < first + crowd->n)
-    sockets[n_sockets++] = dial (crowd->address);
+    {
+      int fd = cluster_dial (crowd->address);
+
+      assert_true (fd >= 0);
+      sockets[n_sockets++] = fd;
+    }
   send_range (crowd, first, 0, crowd->len - crowd->held, process);
   cluster_sleep_ms (crowd->settle_ms > 0 ? crowd->settle_ms : SETTLE_MS);
   crowd_watch (process, crowd->address);
@@ -251,11 +255,13 @@
   crowd_watch (process, crowd->address);
 }
 
-void
-crowd_close (void)
+int
+crowd_end (void **state)
 {
+  (void) state;
   while (n_sockets > 0)
     close (sockets[--n_sockets]);
+  return 0;
 }
 
 size_t
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -50,8 +50,11 @@
  *  once. */
 void crowd_finish (const Crowd *crowd, CrowdProcess *process);
 
-/** Closes all connections of all crowds. */
-void crowd_close (void);
+/** Teardown of a test: closes all connections of all crowds. */
+int crowd_end (void **state);
+
+/** A test of crowds for cmocka. */
+#define CROWD_TEST(f) cmocka_unit_test_teardown (f, crowd_end)
 
 /** Begins to measure a process; it serves no crowd yet. */
 CrowdProcess crowd_process (pid_t pid);
@@ -60,12 +63,12 @@
  *  @param address whose unread bytes count, or NULL */
 void crowd_watch (CrowdProcess *process, const char *address);
 
-/** The most memory of the process that was measured, in KB: resident, and
- *  received but unread bytes. With a sanitizer, which has memory of its own,
- *  only what was added since crowd_process(). */
-size_t crowd_memory_kb (const CrowdProcess *process);
-
-unsigned int crowd_count_descriptors (pid_t pid);
+/** Checks that the process lives, and its descriptors and the most memory that
+ *  was measured: resident, and received but unread bytes. With a sanitizer,
+ *  which has memory of its own, only what was added since crowd_process(). */
+void crowd_check (const CrowdProcess *process,
+                  unsigned int memory_mb,
+                  unsigned int max_fds);
 
 /** Lines of a log that contain @p text. */
 size_t crowd_count_lines (const char *path, const char *text);
--- a/test/entry_cluster.c
+++ b/test/entry_cluster.c
@@ -7,7 +7,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <curl/curl.h>
 #include <glib.h>
 
 #include "platform_cluster.h"
@@ -96,33 +95,31 @@
   *pid = 0;
 }
 
-/* Writes the customer's records; they may be there already. */
+/* Writes a customer's plan with its allowance; they may be there already. */
 static void
-write_records (const EntryCluster *c)
+write_plan (const EntryCluster *c,
+            const char *customer,
+            unsigned int in_flight,
+            unsigned int queued)
 {
   g_autofree char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256,
                                                          ENTRY_CLUSTER_KEY, -1);
-  g_autofree char *two
-      = g_strdup_printf ("{\"plan\":\"two\",\"key_hash\":\"%s\"}", hash);
-  g_autofree char *plan
-      = g_strdup_printf ("{\"plan\":\"gold\",\"key_hash\":\"%s\"}", hash);
-
-  entry_cluster_call (
-      "PUT", c->admin_address, "/v1/allowances/gold?revision=0",
-      ENTRY_CLUSTER_TOKEN,
-      "{\"in_flight\":100,\"starts_per_s\":500,\"burst\":200,\"queued\":1000,"
+  g_autofree char *plan_path
+      = g_strdup_printf ("/v1/plans/%s?revision=0", customer);
+  g_autofree char *plan = g_strdup_printf (
+      "{\"plan\":\"of-%s\",\"key_hash\":\"%s\"}", customer, hash);
+  g_autofree char *allowance_path
+      = g_strdup_printf ("/v1/allowances/of-%s?revision=0", customer);
+  g_autofree char *allowance = g_strdup_printf (
+      "{\"in_flight\":%u,\"starts_per_s\":500,\"burst\":200,\"queued\":%u,"
       "\"tasks_per_job\":390,\"memory_mb\":1024,\"accelerators\":0,"
-      "\"weight\":1}");
-  entry_cluster_call ("PUT", c->admin_address, "/v1/plans/c1?revision=0",
-                      ENTRY_CLUSTER_TOKEN, plan);
-  entry_cluster_call (
-      "PUT", c->admin_address, "/v1/allowances/two?revision=0",
-      ENTRY_CLUSTER_TOKEN,
-      "{\"in_flight\":2,\"starts_per_s\":500,\"burst\":200,\"queued\":2000,"
-      "\"tasks_per_job\":390,\"memory_mb\":1024,\"accelerators\":0,"
-      "\"weight\":1}");
-  entry_cluster_call ("PUT", c->admin_address, "/v1/plans/c2?revision=0",
-                      ENTRY_CLUSTER_TOKEN, two);
+      "\"weight\":1}",
+      in_flight, queued);
+
+  entry_cluster_call ("PUT", c->admin_address, allowance_path,
+                      ENTRY_CLUSTER_TOKEN, allowance);
+  entry_cluster_call ("PUT", c->admin_address, plan_path, ENTRY_CLUSTER_TOKEN,
+                      plan);
 }
 
 bool
@@ -143,7 +140,8 @@
   c->entry = spawn_role (c, "entry");
   for (i = 0; i < START_TRIES; i++)
     {
-      write_records (c);
+      write_plan (c, "c1", 100, 1000);
+      write_plan (c, "c2", 2, 2000);
       if (entry_cluster_submit (c) == 200)
         return true;
       cluster_sleep_ms (START_INTERVAL_MS);
@@ -151,14 +149,6 @@
   return false;
 }
 
-static size_t
-discard (char *data, size_t size, size_t n, void *arg)
-{
-  (void) data;
-  (void) arg;
-  return size * n;
-}
-
 long
 entry_cluster_call (const char *method,
                     const char *address,
@@ -166,26 +156,11 @@
                     const char *token,
                     const char *body)
 {
-  CURL *easy = curl_easy_init ();
-  g_autofree char *url = g_strdup_printf ("http://%s%s", address, path);
   g_autofree char *header = g_strdup_printf ("Authorization: Bearer %s", token);
-  struct curl_slist *headers = curl_slist_append (NULL, header);
-  long status = 0;
-
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  if (body != NULL)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) REQUEST_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard);
-  if (curl_easy_perform (easy) == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  return status;
+
+  return cluster_call_with (method, address, path, header, body,
+                            REQUEST_TIMEOUT_MS)
+      .status;
 }
 
 long
--- a/test/platform_cluster.c
+++ b/test/platform_cluster.c
@@ -397,7 +397,19 @@
               const char *body,
               long timeout_ms)
 {
-  struct curl_slist *headers = curl_slist_append (NULL, "Host: h.example");
+  return cluster_call_with (method, address, path, "Host: h.example", body,
+                            timeout_ms);
+}
+
+ClusterReply
+cluster_call_with (const char *method,
+                   const char *address,
+                   const char *path,
+                   const char *header,
+                   const char *body,
+                   long timeout_ms)
+{
+  struct curl_slist *headers = curl_slist_append (NULL, header);
   ClusterReply reply
       = perform_request (method, address, path, body, timeout_ms, headers);
 
@@ -405,6 +417,21 @@
   return reply;
 }
 
+int
+cluster_dial (const char *address)
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
+  if (fd < 0 || connect (fd, (struct sockaddr *) &in, sizeof in) == 0
+      || errno == EINPROGRESS)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 ClusterReply
 cluster_submit (Cluster *c,
                 unsigned int entry,
--- a/test/platform_cluster.h
+++ b/test/platform_cluster.h
@@ -113,6 +113,19 @@
                            const char *body,
                            long timeout_ms);
 
+/** As cluster_call(), with the header @p header as well, in the form "NAME:
+ *  VALUE". */
+ClusterReply cluster_call_with (const char *method,
+                                const char *address,
+                                const char *path,
+                                const char *header,
+                                const char *body,
+                                long timeout_ms);
+
+/** Begins to connect to "127.0.0.1:PORT", without blocking.
+ *  @return the descriptor, or -1 */
+int cluster_dial (const char *address);
+
 /** Submits a best-effort job on the route "/q/" and waits for the answer.
  *  @param cpu_milli processor demand of each task, in thousandths of a core
  *  @param deadline_ms time from now that the caller is willing to wait */
--- a/test/soak/stalled.c
+++ b/test/soak/stalled.c
@@ -1,6 +1,5 @@
 #include "stalled.h"
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -10,6 +9,8 @@
 
 #include <glib.h>
 
+#include "../platform_cluster.h"
+
 #define CONNECTIONS 50
 
 /** Of the body that is announced, below the limit of 262,144 bytes, this much
@@ -33,19 +34,6 @@
   "X-Hibiscusspoke-Deadline-Ms: 3000\r\n"                                      \
   "Content-Length: %d\r\n\r\n"
 
-static int
-dial (const char *address)
-{
-  struct sockaddr_in in = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  in.sin_port = htons ((uint16_t) atoi (strchr (address, ':') + 1));
-  if (fd >= 0)
-    (void) connect (fd, (struct sockaddr *) &in, sizeof in);
-  return fd;
-}
-
 static GString *
 stalled_request (void)
 {
@@ -103,7 +91,7 @@
   int i;
 
   for (i = 0; i < CONNECTIONS; i++)
-    polls[i] = (struct pollfd){ dial (address), POLLOUT, 0 };
+    polls[i] = (struct pollfd){ cluster_dial (address), POLLOUT, 0 };
   while (g_get_monotonic_time () < end)
     {
       if (poll (polls, CONNECTIONS, POLL_MS) > 0)
--- a/test/test_body_memory.c
+++ b/test/test_body_memory.c
@@ -12,8 +12,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <sys/wait.h>
-
 #include <cmocka.h>
 #include <glib.h>
 
@@ -74,22 +72,6 @@
 static CrowdProcess process;
 static unsigned int next_id;
 
-static void
-check_process (ClusterKind kind)
-{
-  pid_t pid = cluster.pids[kind][0];
-  size_t kb;
-  unsigned int n;
-
-  assert_int_equal (waitpid (pid, NULL, WNOHANG), 0);
-  kb = crowd_memory_kb (&process);
-  n = crowd_count_descriptors (pid);
-  print_message ("%zu KB (before %zu KB), %u descriptors\n", kb,
-                 process.baseline_kb, n);
-  assert_in_range (kb, 1, cluster.memory_mb * 1024);
-  assert_in_range (n, 1, cluster.max_fds);
-}
-
 static void
 start_process (ClusterKind kind, unsigned int memory_mb, unsigned int max_fds)
 {
@@ -152,17 +134,17 @@
 static void
 check_entry (void)
 {
-  check_process (CLUSTER_ENTRY);
+  crowd_check (&process, cluster.memory_mb, cluster.max_fds);
   assert_true (submit_job ());
-  check_process (CLUSTER_ENTRY);
+  crowd_check (&process, cluster.memory_mb, cluster.max_fds);
 }
 
 static void
 check_agent (void)
 {
-  check_process (CLUSTER_AGENT);
+  crowd_check (&process, cluster.memory_mb, cluster.max_fds);
   assert_true (announce ());
-  check_process (CLUSTER_AGENT);
+  crowd_check (&process, cluster.memory_mb, cluster.max_fds);
 }
 
 static void
@@ -545,16 +527,6 @@
   return 0;
 }
 
-static int
-end_crowd (void **state)
-{
-  (void) state;
-  crowd_close ();
-  return 0;
-}
-
-#define CROWD_TEST(f) cmocka_unit_test_teardown (f, end_crowd)
-
 int
 main (void)
 {
--- a/test/test_entry_crowd.c
+++ b/test/test_entry_crowd.c
@@ -13,8 +13,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <sys/wait.h>
-
 #include <cmocka.h>
 #include <glib.h>
 
@@ -63,21 +61,6 @@
 static EntryCluster cluster;
 static CrowdProcess process;
 
-static void
-check_process (void)
-{
-  size_t kb;
-  unsigned int n;
-
-  assert_int_equal (waitpid (cluster.entry, NULL, WNOHANG), 0);
-  kb = crowd_memory_kb (&process);
-  n = crowd_count_descriptors (cluster.entry);
-  print_message ("%zu KB (before %zu KB), %u descriptors\n", kb,
-                 process.baseline_kb, n);
-  assert_in_range (kb, 1, MEMORY_MB * 1024);
-  assert_in_range (n, 1, MAX_FDS);
-}
-
 static void
 start_entry (void)
 {
@@ -88,9 +71,9 @@
 static void
 check_entry (void)
 {
-  check_process ();
+  crowd_check (&process, MEMORY_MB, MAX_FDS);
   assert_int_equal (entry_cluster_submit (&cluster), 200);
-  check_process ();
+  crowd_check (&process, MEMORY_MB, MAX_FDS);
 }
 
 /* Starts the entry, sends the crowd's requests and checks the entry. */
@@ -275,16 +258,6 @@
   return 0;
 }
 
-static int
-end_crowd (void **state)
-{
-  (void) state;
-  crowd_close ();
-  return 0;
-}
-
-#define CROWD_TEST(f) cmocka_unit_test_teardown (f, end_crowd)
-
 int
 main (void)
 {
