--- a/review/common-3/case.c
+++ b/review/common-3/case.c
@@ -97,8 +97,23 @@
   exit (CASE_FAILED);
 }
 
+/* As cluster_configure(), with another time-out. */
+static void
+configure (Cluster *cluster, unsigned int timeout_ms)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"version\":2,\"routes\":[{\"name\":\"r-q\",\"host\":\"h.example\","
+      "\"path_prefix\":\"/q/\",\"kind\":\"unsafe\",\"timeout_ms\":%u,"
+      "\"target_latency_ms\":60,\"service\":\"s\",\"max_attempts\":3,"
+      "\"slack_factor\":1.6}],\"services\":[{\"name\":\"s\"}],\"limits\":{}}",
+      timeout_ms);
+
+  cluster_call ("PUT", cluster->addresses[CLUSTER_STORE][0], "/op/config", text,
+                2000);
+}
+
 void
-case_start (Cluster *cluster)
+case_start (Cluster *cluster, unsigned int timeout_ms)
 {
   unsigned int i;
 
@@ -108,10 +123,11 @@
   for (i = 0; i < cluster->n_entries; i++)
     if (!cluster_await_ready (cluster, i, 15000))
       case_fail ("an entry isn't ready");
-  /* The entries have to know all targets. */
-  cluster_sleep_ms (3000);
-  case_record ("%u entries and %u agents run", cluster->n_entries,
-               cluster->n_agents);
+  configure (cluster, timeout_ms);
+  /* contact_ms; by then the configuration is in force, too. */
+  cluster_sleep_ms (4000);
+  case_record ("%u entries and %u agents run; the route's time-out is %u ms",
+               cluster->n_entries, cluster->n_agents, timeout_ms);
 }
 
 void
--- a/review/common-3/case.h
+++ b/review/common-3/case.h
@@ -58,9 +58,9 @@
 /** Says why the case couldn't run and ends the process. */
 void case_fail (const char *why) __attribute__ ((noreturn));
 
-/** Starts all processes, writes the configuration and waits until all entries
- *  are ready. */
-void case_start (Cluster *cluster);
+/** Starts all processes, writes the configuration, with @p timeout_ms for the
+ *  route "/q/", and waits until all entries are ready. */
+void case_start (Cluster *cluster, unsigned int timeout_ms);
 
 /** Microseconds on CLOCK_BOOTTIME. */
 int64_t case_now (void);
